Add the design, the build and a thin whole path

Cause: empty repository. Change: docs/design.md with requirements, decisions and modules; core, config, accounts, retries, transport, control and node libraries; acp-node, acp-control, acpctl, acp-load and acp-upstream. A keyed request is served through a node, a peer's node and a nested call; control keeps its state in memory only so far. Ruled out: POCO's default client socket, since its chunked stream reports a truncated answer as a normal end; a socket that remembers the peer's close tells the two apart.

--- /dev/null
+++ b/idl/control.thrift
@@ -0,0 +1,154 @@
+// Messages from nodes to control. Times are milliseconds; rates are per second.
+namespace cpp acp.wire
+
+/// What an upstream's node reports about it. Addresses are `ip:port`.
+struct Member {
+  1: string nodeId
+  2: i64 epoch
+  3: string serviceName
+  4: string dataCentre
+  5: string peerAddress
+  6: i32 slots
+  7: i32 maxConnections
+  8: i64 coldStartMs
+  9: bool draining
+}
+
+struct DocumentRecord {
+  1: string serviceName
+  2: i64 version
+  3: string body
+}
+
+struct IssuedKey {
+  1: string id
+  2: binary hash
+  3: string account
+  4: i64 issuedAtMs
+}
+
+/// Changes of configuration and keys from one state version to another. A snapshot replaces all.
+struct StateDelta {
+  1: bool snapshot
+  2: i64 fromVersion
+  3: i64 toVersion
+  4: list<DocumentRecord> documents
+  5: list<IssuedKey> issuedKeys
+  6: list<string> revokedKeyIds
+}
+
+/// Counters of one service, class and account since the node's last accepted report.
+struct RecordRow {
+  1: string serviceName
+  2: string requestClass
+  3: string account
+  4: i64 offered
+  5: i64 completed
+  6: i64 failed
+  7: map<string, i64> refusedByReason
+  8: i64 refusedWithinRate
+}
+
+struct SyncRequest {
+  1: string nodeId
+  2: i64 epoch
+  3: i64 stateVersion
+  4: i64 membersVersion
+  5: optional Member member
+  6: i64 reportNumber
+  7: list<RecordRow> report
+}
+
+struct SyncReply {
+  1: i64 ageMs
+  2: StateDelta delta
+  3: bool membersIncluded
+  4: i64 membersVersion
+  5: list<Member> members
+  6: i64 acceptedReportNumber
+}
+
+/// Tokens of one service and account. `spent` and `returned` settle tokens of earlier leases.
+struct TokenRequest {
+  1: string nodeId
+  2: i64 epoch
+  3: string serviceName
+  4: string account
+  5: i64 leaseId
+  6: double spent
+  7: double returned
+  8: double wanted
+}
+
+struct TokenReply {
+  1: i64 leaseId
+  2: double granted
+  3: i64 leaseMs
+  4: i64 retryAfterMs
+}
+
+struct ClaimKey {
+  1: string account
+  2: string serviceName
+  3: string idempotencyKey
+}
+
+struct BeginClaimRequest {
+  1: ClaimKey key
+  2: string attemptId
+  3: string nodeId
+  4: binary fingerprint
+  5: i64 deadlineMs
+}
+
+enum ClaimState {
+  GRANTED = 1
+  IN_PROGRESS = 2
+  FINISHED = 3
+  UNKNOWN = 4
+  EXPIRED = 5
+  MISMATCH = 6
+}
+
+struct ClaimOutcome {
+  1: i32 status
+  2: string contentType
+  3: binary body
+  4: bool bodyKept
+  5: binary bodyDigest
+}
+
+struct BeginClaimReply {
+  1: ClaimState state
+  2: optional ClaimOutcome outcome
+}
+
+struct FinishClaimRequest {
+  1: ClaimKey key
+  2: string attemptId
+  3: ClaimOutcome outcome
+}
+
+struct ReleaseClaimRequest {
+  1: ClaimKey key
+  2: string attemptId
+}
+
+/// The replica is not the leader, or cannot confirm that it is.
+exception NotLeader {
+  1: string leaderRpcAddress
+}
+
+/// The request was refused; `code` is the stable error number.
+exception ControlFailure {
+  1: i32 code
+  2: string message
+}
+
+service ControlService {
+  SyncReply Sync(1: SyncRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
+  TokenReply AcquireTokens(1: TokenRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
+  BeginClaimReply BeginClaim(1: BeginClaimRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
+  void FinishClaim(1: FinishClaimRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
+  void ReleaseClaim(1: ReleaseClaimRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
+}
--- /dev/null
+++ b/include/acaciapulley/accounts/key_table.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+/// @file
+/// Client account keys: issuing, listing, revoking and checking them.
+
+#include <map>           // map
+#include <optional>      // optional
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+#include "acaciapulley/accounts/accounts_error.hpp" // AccountsResult
+#include "acaciapulley/core/clock.hpp"              // UnixMillis
+
+namespace acp {
+
+/// What is stored of a key: never the key itself.
+struct KeyRecord
+{
+  std::string id;      ///< public identifier, 16 hexadecimal digits
+  std::string hash;    ///< SHA-256 of the key, 32 bytes
+  std::string account; ///< client account that the key speaks for
+  UnixMillis issuedAt{};
+};
+
+/// A new key; its text is shown once to the operator and stored nowhere.
+struct NewKey
+{
+  std::string text; ///< what the caller sends in `Acp-Key`
+  KeyRecord record;
+};
+
+/// @brief Makes a key of 256 random bits for @p account.
+/// @par Example
+/// @code
+/// const acp::NewKey key = acp::MakeKey("toko-solo", clock.WallNow());
+/// @endcode
+[[nodiscard]] NewKey MakeKey(const std::string& account, UnixMillis now);
+
+/// @brief Returns the stored form of @p keyText. A fast hash is enough for 256 random bits.
+[[nodiscard]] std::string HashKey(const std::string& keyText);
+
+/// The keys in force. Its rules: ids and hashes are unique, and a revoked key never returns.
+class KeyTable
+{
+public:
+  /// @brief Adds a key.
+  /// @return nothing, or AccountsErrorCode::DuplicateKey
+  AccountsResult<void> Issue(const KeyRecord& record);
+
+  /// @brief Removes the key @p id.
+  /// @return the removed record, or AccountsErrorCode::UnknownKey
+  AccountsResult<KeyRecord> Revoke(const std::string& id);
+
+  /// @brief Returns the client account of @p keyText, or nothing when the key is not in force.
+  /// @par Complexity
+  /// One SHA-256 and one hash look-up.
+  [[nodiscard]] std::optional<std::string> Check(const std::string& keyText) const;
+
+  /// @brief Returns the keys of @p account, or of all accounts when it is empty, ordered by id.
+  [[nodiscard]] std::vector<KeyRecord> List(const std::string& account) const;
+
+  /// @brief Removes all keys.
+  void Clear();
+
+private:
+  std::map<std::string, KeyRecord> byId_;
+  std::unordered_map<std::string, std::string> idByHash_;
+};
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/node/local_upstream.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+/// @file
+/// The upstream beside this node, as it announced itself.
+
+#include <cstdint>     // int64_t
+#include <memory>      // shared_ptr
+#include <mutex>       // mutex
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
+
+#include "acaciapulley/node/node_error.hpp"       // NodeResult
+#include "acaciapulley/transport/address.hpp"     // Address
+#include "acaciapulley/transport/http_client.hpp" // HttpPool
+
+namespace acp {
+
+/// Body of `PUT /.acp/upstream` on the egress listener.
+struct Announcement
+{
+  std::string service;
+  Address address;
+  int slots = 0;          ///< requests the upstream serves at once
+  int maxConnections = 0; ///< connections the upstream accepts
+  std::int64_t coldStartMs = 0;
+  bool draining = false;
+
+  /// @brief Parses an announcement.
+  /// @return the announcement, or NodeErrorCode::InvalidAnnouncement
+  static NodeResult<Announcement> Parse(std::string_view text);
+
+  bool operator==(const Announcement&) const = default;
+};
+
+/// The announced upstream and the connections to it.
+class LocalUpstream
+{
+public:
+  /// @brief Takes over an announcement; connections are kept when the address stays the same.
+  void Announce(const Announcement& announcement);
+
+  /// @brief Returns the last announcement, or nothing before the first.
+  [[nodiscard]] std::optional<Announcement> Current() const;
+
+  /// @brief Returns the connections to the upstream, or nullptr before the first announcement.
+  [[nodiscard]] std::shared_ptr<HttpPool> Pool() const;
+
+private:
+  mutable std::mutex mutex_;
+  std::optional<Announcement> current_;
+  std::shared_ptr<HttpPool> pool_;
+};
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+/// @file
+/// Polls control for the fleet's state and reports this node's upstream.
+
+#include <condition_variable> // condition_variable
+#include <cstdint>            // int64_t
+#include <mutex>              // mutex
+#include <string>             // string
+#include <thread>             // thread
+
+#include "acaciapulley/core/clock.hpp"                // Clock
+#include "acaciapulley/node/local_upstream.hpp"       // LocalUpstream
+#include "acaciapulley/node/node_view.hpp"            // NodeView
+#include "acaciapulley/transport/control_channel.hpp" // ControlChannel
+
+namespace acp {
+
+/// Construction options of a SyncLoop.
+struct SyncLoopOptions
+{
+  std::string nodeId;
+  std::int64_t epoch = 0;
+  std::string dataCentre;
+  Address peerAddress; ///< where peers reach this node
+  ControlChannelOptions control;
+  const Clock* clock = nullptr;
+  NodeView* view = nullptr;
+  LocalUpstream* upstream = nullptr;
+};
+
+/// A thread that polls about once a second, sooner after Wake().
+class SyncLoop
+{
+public:
+  explicit SyncLoop(SyncLoopOptions options);
+  SyncLoop(const SyncLoop&) = delete;
+  SyncLoop& operator=(const SyncLoop&) = delete;
+  ~SyncLoop();
+
+  /// @brief Polls at once, for instance after an announcement.
+  void Wake();
+
+private:
+  void Run();
+  void PollOnce();
+
+  SyncLoopOptions options_;
+  ControlChannel channel_;
+  std::mutex mutex_;
+  std::condition_variable wakeUp_;
+  bool woken_ = false;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/retries/request_context.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+/// @file
+/// The signed context that a request carries through its call chain in `Acp-Context`.
+
+#include <cstdint>     // int64_t
+#include <string>      // string
+#include <string_view> // string_view
+
+#include "acaciapulley/core/clock.hpp"            // UnixMillis
+#include "acaciapulley/retries/retries_error.hpp" // RetriesResult
+
+namespace acp {
+
+/// Clocks of two hosts differ by less than this.
+inline constexpr std::chrono::milliseconds kMaxClockSkew{ 250 };
+
+/// What every hop of one root request knows about it.
+struct RequestContext
+{
+  std::string rootId;         ///< 32 hexadecimal digits, the same at every hop
+  std::string hopId;          ///< 16 hexadecimal digits, new at every hop
+  std::string account;        ///< client account, empty on routes open to all
+  int priority = 0;           ///< of the root request's class; 0 is the most important
+  bool idempotent = true;     ///< of the root request's class
+  UnixMillis deadline{};      ///< the whole answer is due by then
+  int retriesLeft = 0;        ///< retries this hop and its children may still make together
+  std::string issuer;         ///< node that signed the context
+  std::int64_t issuerEpoch{}; ///< changes on each start of the issuer
+};
+
+/// Signs and verifies contexts with the fleet secret.
+class ContextSigner
+{
+public:
+  /// @param secret at least 32 bytes, the same on all nodes
+  explicit ContextSigner(std::string secret);
+
+  /// @brief Returns the header value for @p context.
+  /// @par Example
+  /// @code
+  /// headers.Set("Acp-Context", signer.Sign(context));
+  /// @endcode
+  [[nodiscard]] std::string Sign(const RequestContext& context) const;
+
+  /// @brief Checks a header value.
+  /// @param now wall-clock time of this host
+  /// @return the context, or MalformedContext, InvalidSignature or ExpiredContext
+  [[nodiscard]] RetriesResult<RequestContext> Verify(std::string_view text, UnixMillis now) const;
+
+private:
+  [[nodiscard]] std::string Signature(std::string_view payload) const;
+
+  std::string secret_;
+};
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/retries/retries_error.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+/// @file
+/// Errors of the module retries, numbers 500 to 599.
+
+#include <array> // array
+
+#include "acaciapulley/core/error.hpp" // BasicError, Result
+
+namespace acp {
+
+/// Why a request context was refused.
+enum class RetriesErrorCode
+{
+  MalformedContext = 500, ///< not of the form v1.payload.signature
+  InvalidSignature = 501, ///< not signed with the fleet secret
+  ExpiredContext = 502,   ///< the deadline plus the clock skew bound has passed
+};
+
+template<>
+struct NameTable<RetriesErrorCode>
+{
+  static constexpr std::array<EnumName<RetriesErrorCode>, 3> kRows = { {
+    { RetriesErrorCode::MalformedContext, "malformed_context" },
+    { RetriesErrorCode::InvalidSignature, "invalid_signature" },
+    { RetriesErrorCode::ExpiredContext, "expired_context" },
+  } };
+};
+
+using RetriesError = BasicError<RetriesErrorCode>;
+
+template<typename T>
+using RetriesResult = Result<T, RetriesError>;
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/transport/transport_error.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+/// @file
+/// Errors of the module transport, numbers 1100 to 1199.
+
+#include <array> // array
+
+#include "acaciapulley/core/error.hpp" // BasicError, Result
+
+namespace acp {
+
+/// What went wrong between two processes.
+enum class TransportErrorCode
+{
+  InvalidAddress = 1100, ///< not of the form ip:port
+  InvalidSetting = 1101, ///< a flag or environment variable has a value out of range
+  Unreachable = 1102,    ///< no connection; nothing was sent
+  ConnectionLost = 1103, ///< the connection ended after bytes were sent
+  Timeout = 1104,        ///< no answer in time after bytes were sent
+  Truncated = 1105,      ///< the answer ended before its framing said so
+  NotLeader = 1106,      ///< no control replica that answers is the leader
+  Refused = 1107,        ///< control refused the call; the message carries its error
+  ListenFailed = 1108,   ///< a listener cannot be opened
+};
+
+template<>
+struct NameTable<TransportErrorCode>
+{
+  static constexpr std::array<EnumName<TransportErrorCode>, 9> kRows = { {
+    { TransportErrorCode::InvalidAddress, "invalid_address" },
+    { TransportErrorCode::InvalidSetting, "invalid_setting" },
+    { TransportErrorCode::Unreachable, "unreachable" },
+    { TransportErrorCode::ConnectionLost, "connection_lost" },
+    { TransportErrorCode::Timeout, "timeout" },
+    { TransportErrorCode::Truncated, "truncated" },
+    { TransportErrorCode::NotLeader, "not_leader" },
+    { TransportErrorCode::Refused, "refused" },
+    { TransportErrorCode::ListenFailed, "listen_failed" },
+  } };
+};
+
+using TransportError = BasicError<TransportErrorCode>;
+
+template<typename T>
+using TransportResult = Result<T, TransportError>;
+
+} // namespace acp
--- /dev/null
+++ b/src/node/local_upstream.cpp
@@ -0,0 +1,61 @@
+#include "acaciapulley/node/local_upstream.hpp"
+
+#include "acaciapulley/core/json_reader.hpp" // JsonReader
+
+namespace acp {
+
+namespace {
+
+constexpr std::int64_t kMaxSlots = 100'000;
+constexpr std::int64_t kMaxColdStartMs = 3'600'000;
+
+} // namespace
+
+NodeResult<Announcement> Announcement::Parse(std::string_view text)
+{
+  try {
+    JsonReader reader = JsonReader::FromText(text);
+    Announcement announcement;
+    announcement.service = reader.String("service");
+    const auto address = Address::Parse(reader.String("address"));
+    if (!address) {
+      return Fail(NodeErrorCode::InvalidAnnouncement, "address: " + address.error().message);
+    }
+    announcement.address = address.value();
+    announcement.slots = static_cast<int>(reader.Integer("slots", 1, kMaxSlots));
+    announcement.maxConnections = static_cast<int>(reader.Integer("max_connections", 1, kMaxSlots));
+    announcement.coldStartMs =
+      reader.Has("cold_start_ms") ? reader.Integer("cold_start_ms", 0, kMaxColdStartMs) : 0;
+    announcement.draining = reader.Has("draining") && reader.Boolean("draining");
+    reader.RejectUnknownFields();
+    return announcement;
+  } catch (const JsonPlaceError& e) {
+    return Fail(NodeErrorCode::InvalidAnnouncement, e.what());
+  }
+}
+
+void LocalUpstream::Announce(const Announcement& announcement)
+{
+  const std::lock_guard lock(mutex_);
+  const bool keepsPool = current_ && current_->address == announcement.address &&
+                         current_->maxConnections == announcement.maxConnections;
+  if (!keepsPool) {
+    pool_ = std::make_shared<HttpPool>(HttpPoolOptions{
+      .address = announcement.address, .maxConnections = announcement.maxConnections });
+  }
+  current_ = announcement;
+}
+
+std::optional<Announcement> LocalUpstream::Current() const
+{
+  const std::lock_guard lock(mutex_);
+  return current_;
+}
+
+std::shared_ptr<HttpPool> LocalUpstream::Pool() const
+{
+  const std::lock_guard lock(mutex_);
+  return pool_;
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/node/node_view.cpp
@@ -0,0 +1,91 @@
+#include "acaciapulley/node/node_view.hpp"
+
+#include <mutex>   // unique_lock
+#include <utility> // move
+
+#include "acaciapulley/core/log.hpp" // Log
+
+namespace acp {
+
+void NodeView::Apply(const ReceivedChanges& changes, TimePoint confirmedAt)
+{
+  const std::unique_lock lock(mutex_);
+  if (changes.toVersion < version_) {
+    // An answer that was overtaken by a later one must not bring back older state.
+    return;
+  }
+  if (changes.isSnapshot) {
+    documents_.clear();
+    keys_.Clear();
+  }
+  for (const auto& received : changes.documents) {
+    auto parsed = ServiceDocument::Parse(received.body);
+    if (!parsed) {
+      Log(LogLevel::Error, "document_rejected", { { "error", parsed.error().Describe() } });
+      continue;
+    }
+    const std::string service = parsed.value().Service();
+    documents_[service] = std::make_shared<ServiceDocument>(std::move(parsed).value());
+  }
+  for (const auto& record : changes.issuedKeys) {
+    // A change that arrives twice is not an error.
+    (void)keys_.Issue(record);
+  }
+  for (const auto& id : changes.revokedKeyIds) {
+    (void)keys_.Revoke(id);
+  }
+  version_ = changes.toVersion;
+  if (!confirmedAt_ || *confirmedAt_ < confirmedAt) {
+    confirmedAt_ = confirmedAt;
+  }
+}
+
+void NodeView::ApplyMembers(std::int64_t version, std::vector<PeerInfo> members)
+{
+  const std::unique_lock lock(mutex_);
+  membersByService_.clear();
+  for (auto& member : members) {
+    membersByService_[member.service].push_back(std::move(member));
+  }
+  membersVersion_ = version;
+}
+
+std::int64_t NodeView::Version() const
+{
+  const std::shared_lock lock(mutex_);
+  return version_;
+}
+
+std::int64_t NodeView::MembersVersion() const
+{
+  const std::shared_lock lock(mutex_);
+  return membersVersion_;
+}
+
+bool NodeView::IsFresh(TimePoint now, Duration bound) const
+{
+  const std::shared_lock lock(mutex_);
+  return confirmedAt_ && now - *confirmedAt_ <= bound;
+}
+
+std::shared_ptr<const ServiceDocument> NodeView::DocumentOf(const std::string& service) const
+{
+  const std::shared_lock lock(mutex_);
+  const auto found = documents_.find(service);
+  return found == documents_.end() ? nullptr : found->second;
+}
+
+std::optional<std::string> NodeView::CheckKey(const std::string& keyText) const
+{
+  const std::shared_lock lock(mutex_);
+  return keys_.Check(keyText);
+}
+
+std::vector<PeerInfo> NodeView::MembersOf(const std::string& service) const
+{
+  const std::shared_lock lock(mutex_);
+  const auto found = membersByService_.find(service);
+  return found == membersByService_.end() ? std::vector<PeerInfo>{} : found->second;
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/programs/acp-node/main.cpp
@@ -0,0 +1,73 @@
+/// @file
+/// acp-node: overload control beside one upstream.
+
+#include <exception> // exception
+#include <stdexcept> // runtime_error
+
+#include "acaciapulley/core/log.hpp"           // Log
+#include "acaciapulley/node/node_process.hpp"  // NodeProcess
+#include "acaciapulley/transport/process.hpp"  // BlockStopSignals, WaitForStopSignal
+#include "acaciapulley/transport/settings.hpp" // Settings
+
+namespace {
+
+constexpr acp::Duration kStopPatience = std::chrono::seconds(30);
+constexpr std::size_t kMinFleetSecretBytes = 32;
+
+std::string ReadFleetSecret(const std::string& path)
+{
+  std::string secret = acp::TrimRight(acp::ReadFile(path));
+  if (secret.size() < kMinFleetSecretBytes) {
+    throw std::runtime_error("--fleet-secret-file '" + path + "' holds fewer than 32 bytes");
+  }
+  return secret;
+}
+
+int Run(const acp::Settings& settings)
+{
+  const acp::SystemClock clock;
+  acp::NodeProcess process(
+    { .nodeId = settings.GetText("node-id"),
+      .dataCentre = settings.GetText("data-centre"),
+      .fleetSecret = ReadFleetSecret(settings.GetText("fleet-secret-file")),
+      .ingress = settings.GetAddress("ingress"),
+      .egress = settings.GetAddress("egress"),
+      .peer = settings.GetAddress("peer"),
+      .admin = settings.GetAddress("admin"),
+      .control = settings.GetAddresses("control"),
+      .maxConnections = static_cast<int>(settings.GetInteger("max-connections")),
+      .clock = &clock });
+  acp::Log(acp::LogLevel::Info,
+           "node_started",
+           { { "node", settings.GetText("node-id") }, { "ingress", settings.GetText("ingress") } });
+  acp::WaitForStopSignal();
+  acp::Log(acp::LogLevel::Info, "node_stopping", {});
+  process.Stop(kStopPatience);
+  return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  acp::Settings settings("acp-node", ACP_VERSION, "Overload control beside one upstream.");
+  settings.AddText("node-id", "unique name of this node", acp::Settings::kRequired);
+  settings.AddText("data-centre", "data centre of this host", acp::Settings::kRequired);
+  settings.AddText("fleet-secret-file",
+                   "file with the secret that signs request contexts, at least 32 bytes",
+                   acp::Settings::kRequired);
+  settings.AddAddress("ingress", "where callers connect", "127.0.0.1:8080");
+  settings.AddAddress("egress", "where the local upstream connects", "127.0.0.1:8081");
+  settings.AddAddress("peer", "where other nodes connect", "127.0.0.1:8082");
+  settings.AddAddress("admin", "serves /metrics and /healthz", "127.0.0.1:8083");
+  settings.AddAddresses("control", "rpc addresses of the control replicas", "127.0.0.1:7300");
+  settings.AddInteger("max-connections", "connections for each listener", 1024, 1, 10'000);
+  settings.ParseOrExit(argc, argv);
+  acp::BlockStopSignals();
+  try {
+    return Run(settings);
+  } catch (const std::exception& e) {
+    acp::Log(acp::LogLevel::Error, "node_failed", { { "error", e.what() } });
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/retries/request_context.cpp
@@ -0,0 +1,166 @@
+#include "acaciapulley/retries/request_context.hpp"
+
+#include <array>    // array
+#include <charconv> // from_chars
+#include <utility>  // move
+#include <vector>   // vector
+
+#include <fmt/format.h>     // format
+#include <openssl/crypto.h> // CRYPTO_memcmp
+#include <openssl/evp.h>    // EVP_EncodeBlock, EVP_sha256
+#include <openssl/hmac.h>   // HMAC
+
+namespace acp {
+
+namespace {
+
+constexpr std::string_view kVersionPrefix = "v1.";
+constexpr char kFieldSeparator = '|';
+constexpr std::size_t kFieldCount = 9;
+
+std::string ToBase64Url(std::string_view bytes)
+{
+  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                     reinterpret_cast<const unsigned char*>(bytes.data()),
+                                     static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(length));
+  while (!text.empty() && text.back() == '=') {
+    text.pop_back();
+  }
+  for (char& c : text) {
+    if (c == '+') {
+      c = '-';
+    } else if (c == '/') {
+      c = '_';
+    }
+  }
+  return text;
+}
+
+bool FromBase64Url(std::string_view text, std::string* bytes)
+{
+  std::string padded(text);
+  for (char& c : padded) {
+    if (c == '-') {
+      c = '+';
+    } else if (c == '_') {
+      c = '/';
+    }
+  }
+  const std::size_t padding = (4 - padded.size() % 4) % 4;
+  padded.append(padding, '=');
+  bytes->assign(padded.size() / 4 * 3, '\0');
+  const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes->data()),
+                                     reinterpret_cast<const unsigned char*>(padded.data()),
+                                     static_cast<int>(padded.size()));
+  if (length < 0 || padding > 2) {
+    return false;
+  }
+  bytes->resize(static_cast<std::size_t>(length) - padding);
+  return true;
+}
+
+std::vector<std::string_view> SplitFields(std::string_view payload)
+{
+  std::vector<std::string_view> fields;
+  std::size_t start = 0;
+  while (true) {
+    const std::size_t end = payload.find(kFieldSeparator, start);
+    fields.push_back(payload.substr(start, end - start));
+    if (end == std::string_view::npos) {
+      return fields;
+    }
+    start = end + 1;
+  }
+}
+
+template<typename Number>
+bool ReadNumber(std::string_view text, Number* number)
+{
+  const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), *number);
+  return error == std::errc() && rest == text.data() + text.size();
+}
+
+bool ReadPayload(std::string_view payload, RequestContext* context)
+{
+  const auto fields = SplitFields(payload);
+  if (fields.size() != kFieldCount) {
+    return false;
+  }
+  context->rootId = fields[0];
+  context->hopId = fields[1];
+  context->account = fields[2];
+  context->idempotent = fields[4] == "1";
+  context->issuer = fields[7];
+  std::int64_t deadline = 0;
+  const bool numbersRead =
+    ReadNumber(fields[3], &context->priority) && ReadNumber(fields[5], &deadline) &&
+    ReadNumber(fields[6], &context->retriesLeft) && ReadNumber(fields[8], &context->issuerEpoch);
+  context->deadline = ToUnixMillis(deadline);
+  return numbersRead;
+}
+
+} // namespace
+
+ContextSigner::ContextSigner(std::string secret)
+  : secret_(std::move(secret))
+{
+}
+
+std::string ContextSigner::Signature(std::string_view payload) const
+{
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int length = 0;
+  HMAC(EVP_sha256(),
+       secret_.data(),
+       static_cast<int>(secret_.size()),
+       reinterpret_cast<const unsigned char*>(payload.data()),
+       payload.size(),
+       digest.data(),
+       &length);
+  return ToBase64Url(std::string_view(reinterpret_cast<const char*>(digest.data()), length));
+}
+
+std::string ContextSigner::Sign(const RequestContext& context) const
+{
+  const std::string payload = fmt::format("{}|{}|{}|{}|{}|{}|{}|{}|{}",
+                                          context.rootId,
+                                          context.hopId,
+                                          context.account,
+                                          context.priority,
+                                          context.idempotent ? 1 : 0,
+                                          CountMillis(context.deadline),
+                                          context.retriesLeft,
+                                          context.issuer,
+                                          context.issuerEpoch);
+  const std::string encoded = ToBase64Url(payload);
+  return std::string(kVersionPrefix) + encoded + "." + Signature(encoded);
+}
+
+RetriesResult<RequestContext> ContextSigner::Verify(std::string_view text, UnixMillis now) const
+{
+  const std::size_t dot = text.rfind('.');
+  if (!text.starts_with(kVersionPrefix) || dot < kVersionPrefix.size()) {
+    return Fail(RetriesErrorCode::MalformedContext, "not of the form v1.payload.signature");
+  }
+  const auto encoded = text.substr(kVersionPrefix.size(), dot - kVersionPrefix.size());
+  const auto given = text.substr(dot + 1);
+  const std::string expected = Signature(encoded);
+  const bool matches = given.size() == expected.size() &&
+                       CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
+  if (!matches) {
+    return Fail(RetriesErrorCode::InvalidSignature, "not signed with the fleet secret");
+  }
+  std::string payload;
+  RequestContext context;
+  if (!FromBase64Url(encoded, &payload) || !ReadPayload(payload, &context)) {
+    return Fail(RetriesErrorCode::MalformedContext, "the payload cannot be read");
+  }
+  if (CountMillis(now) > CountMillis(context.deadline) + kMaxClockSkew.count()) {
+    return Fail(RetriesErrorCode::ExpiredContext, "the deadline has passed");
+  }
+  return context;
+}
+
+} // namespace acp
--- /dev/null
+++ b/tests/core_test/names_test.cpp
@@ -0,0 +1,63 @@
+#include <boost/test/unit_test.hpp>
+
+#include "acaciapulley/core/clock.hpp"
+#include "acaciapulley/core/json_reader.hpp"
+#include "acaciapulley/core/log.hpp"
+#include "acaciapulley/core/outcome.hpp"
+#include "acaciapulley/core/random.hpp"
+
+BOOST_AUTO_TEST_SUITE(core)
+
+// Guards against a reason without a name, which callers would see as "unknown".
+BOOST_AUTO_TEST_CASE(every_reason_has_a_name_that_leads_back)
+{
+  for (int i = 0; i <= static_cast<int>(acp::Reason::Stopping); ++i) {
+    const auto reason = static_cast<acp::Reason>(i);
+    BOOST_TEST((acp::FromName<acp::Reason>(acp::NameOf(reason)) == reason));
+  }
+}
+
+// Guards against log values that break the key=value form of a line.
+BOOST_AUTO_TEST_CASE(log_values_with_blanks_and_line_ends_are_quoted)
+{
+  const auto line =
+    acp::FormatLogLine(acp::LogLevel::Info, "stopped", { { "error", "a \"b\"\nc" }, { "n", "1" } });
+  BOOST_TEST(line == "level=info event=stopped error=\"a \\\"b\\\"\\x0ac\" n=1");
+}
+
+// Guards against a manual clock that loses fractions of a millisecond of wall time.
+BOOST_AUTO_TEST_CASE(manual_clock_advances_both_times)
+{
+  acp::ManualClock clock;
+  const auto start = clock.Now();
+  const auto wallStart = acp::CountMillis(clock.WallNow());
+  for (int i = 0; i < 4; ++i) {
+    clock.Advance(std::chrono::microseconds(250));
+  }
+  BOOST_TEST((clock.Now() - start == std::chrono::milliseconds(1)));
+  BOOST_TEST(acp::CountMillis(clock.WallNow()) - wallStart == 1);
+}
+
+// Guards against silently ignored misspelt fields.
+BOOST_AUTO_TEST_CASE(reader_names_the_place_of_an_unknown_field)
+{
+  auto reader = acp::JsonReader::FromText(R"({"a": [{"known": 1, "extra": 2}]})");
+  auto items = reader.Objects("a");
+  BOOST_TEST(items.at(0).Integer("known", 0, 9) == 1);
+  BOOST_CHECK_EXCEPTION(
+    items.at(0).RejectUnknownFields(), acp::JsonPlaceError, [](const acp::JsonPlaceError& e) {
+      return std::string(e.what()) == "a[0].extra: is not a known field";
+    });
+}
+
+// Guards against jitter that leaves its stated range.
+BOOST_AUTO_TEST_CASE(jitter_stays_within_its_part)
+{
+  for (int i = 0; i < 100; ++i) {
+    const auto span = acp::Jittered(std::chrono::milliseconds(1000), 0.2);
+    BOOST_TEST((span >= std::chrono::milliseconds(800)));
+    BOOST_TEST((span <= std::chrono::milliseconds(1200)));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/retries_test/request_context_test.cpp
@@ -0,0 +1,61 @@
+#include <boost/test/unit_test.hpp>
+
+#include "acaciapulley/retries/request_context.hpp"
+
+namespace {
+
+acp::RequestContext MakeContext()
+{
+  return { .rootId = "00112233445566778899aabbccddeeff",
+           .hopId = "0011223344556677",
+           .account = "workshop",
+           .priority = 1,
+           .idempotent = false,
+           .deadline = acp::ToUnixMillis(5000),
+           .retriesLeft = 2,
+           .issuer = "node-1",
+           .issuerEpoch = 7 };
+}
+
+const std::string kSecret(32, 's');
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(retries)
+
+// Guards against fields that are lost on the way to the next hop.
+BOOST_AUTO_TEST_CASE(verified_context_equals_the_signed_one)
+{
+  const acp::ContextSigner signer(kSecret);
+  const auto read = signer.Verify(signer.Sign(MakeContext()), acp::ToUnixMillis(4000));
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().rootId == MakeContext().rootId);
+  BOOST_TEST(read.value().account == "workshop");
+  BOOST_TEST(read.value().priority == 1);
+  BOOST_TEST(!read.value().idempotent);
+  BOOST_TEST((read.value().deadline == MakeContext().deadline));
+  BOOST_TEST(read.value().retriesLeft == 2);
+  BOOST_TEST(read.value().issuerEpoch == 7);
+}
+
+// Guards against an upstream that changes its context or keeps it past its deadline.
+BOOST_AUTO_TEST_CASE(forged_and_expired_contexts_are_refused)
+{
+  const acp::ContextSigner signer(kSecret);
+  const std::string text = signer.Sign(MakeContext());
+  for (std::size_t i = 3; i < text.size(); ++i) {
+    std::string forged = text;
+    forged[i] = forged[i] == 'A' ? 'B' : 'A';
+    BOOST_TEST(!signer.Verify(forged, acp::ToUnixMillis(0)).has_value());
+  }
+  const acp::ContextSigner other(std::string(32, 't'));
+  BOOST_TEST((other.Verify(text, acp::ToUnixMillis(0)).error().code ==
+              acp::RetriesErrorCode::InvalidSignature));
+  BOOST_TEST(signer.Verify(text, acp::ToUnixMillis(5250)).has_value());
+  BOOST_TEST((signer.Verify(text, acp::ToUnixMillis(5251)).error().code ==
+              acp::RetriesErrorCode::ExpiredContext));
+  BOOST_TEST((signer.Verify("", acp::ToUnixMillis(0)).error().code ==
+              acp::RetriesErrorCode::MalformedContext));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
