--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -11,6 +11,13 @@
 function(acp_module name)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp)
+  if(NOT sources)
+    # A module of headers only.
+    add_library(acp_${name} INTERFACE)
+    target_include_directories(acp_${name} INTERFACE ${CMAKE_SOURCE_DIR}/include)
+    target_link_libraries(acp_${name} INTERFACE ${ARG_DEPENDS} Threads::Threads)
+    return()
+  endif()
   add_library(acp_${name} STATIC ${sources})
   target_include_directories(acp_${name} PUBLIC ${CMAKE_SOURCE_DIR}/include)
   target_link_libraries(acp_${name} PRIVATE acp_warnings PUBLIC ${ARG_DEPENDS} Threads::Threads)
--- /dev/null
+++ b/include/acaciapulley/replication/replication_error.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+/// @file
+/// Errors of the module replication, numbers 800 to 899.
+
+#include <array> // array
+
+#include "acaciapulley/core/error.hpp" // BasicError, Result
+
+namespace acp {
+
+/// Why the replicated log did not do what was asked.
+enum class ReplicationErrorCode
+{
+  NotLeader = 800,      ///< another replica leads, or none
+  Unconfirmed = 801,    ///< the proposal may or may not be committed later
+  Stopped = 802,        ///< the replica is stopping
+  Corrupt = 803,        ///< stored data fails its checksum; the replica must be replaced
+  StorageFailed = 804,  ///< the disk refused a write or sync
+  ChangeRefused = 805,  ///< a change of the replica set is not possible now
+  InvalidMessage = 806, ///< a peer sent something that cannot be read
+};
+
+template<>
+struct NameTable<ReplicationErrorCode>
+{
+  static constexpr std::array<EnumName<ReplicationErrorCode>, 7> kRows = { {
+    { ReplicationErrorCode::NotLeader, "not_leader" },
+    { ReplicationErrorCode::Unconfirmed, "unconfirmed" },
+    { ReplicationErrorCode::Stopped, "stopped" },
+    { ReplicationErrorCode::Corrupt, "corrupt" },
+    { ReplicationErrorCode::StorageFailed, "storage_failed" },
+    { ReplicationErrorCode::ChangeRefused, "change_refused" },
+    { ReplicationErrorCode::InvalidMessage, "invalid_message" },
+  } };
+};
+
+using ReplicationError = BasicError<ReplicationErrorCode>;
+
+template<typename T>
+using ReplicationResult = Result<T, ReplicationError>;
+
+} // namespace acp
