--- /dev/null
+++ b/src/node/claim_client.cpp
@@ -0,0 +1,121 @@
+#include "acaciapulley/node/detail/claim_client.hpp"
+
+#include <utility> // move
+
+#include "acaciapulley/core/log.hpp" // Log
+#include "gen/ControlService.h"
+
+namespace acp::detail {
+
+namespace {
+
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+
+wire::ClaimKey ToWire(const ClaimTicket& ticket)
+{
+  wire::ClaimKey key;
+  key.account = ticket.account;
+  key.serviceName = ticket.service;
+  key.idempotencyKey = ticket.idempotencyKey;
+  return key;
+}
+
+ClaimRecord FromWire(const wire::ClaimOutcome& outcome)
+{
+  return { .status = outcome.status,
+           .contentType = outcome.contentType,
+           .body = outcome.body,
+           .isBodyKept = outcome.bodyKept,
+           .bodyDigest = outcome.bodyDigest };
+}
+
+OrRefusal<std::optional<ClaimRecord>> Interpret(const wire::BeginClaimReply& reply)
+{
+  switch (reply.state) {
+    case wire::ClaimState::GRANTED:
+      return std::optional<ClaimRecord>();
+    case wire::ClaimState::FINISHED:
+      return std::optional<ClaimRecord>(FromWire(reply.outcome));
+    case wire::ClaimState::IN_PROGRESS:
+      return NotRun(409,
+                    Reason::InProgress,
+                    "a request with this idempotency key is running; send it again later",
+                    kRetryAfter);
+    case wire::ClaimState::MISMATCH:
+      return NotRun(409, Reason::KeyReused, "the idempotency key was used for a different request");
+    case wire::ClaimState::EXPIRED:
+      return NotRun(400,
+                    Reason::IdempotencyKeyExpired,
+                    "the time in the idempotency key is more than 24 h old or in the future");
+    default:
+      return OutcomeUnknown(
+        504, Reason::UpstreamTimeout, "an earlier attempt may have run; its outcome is unknown");
+  }
+}
+
+} // namespace
+
+ClaimClient::ClaimClient(ControlCall call, std::string nodeId)
+  : call_(std::move(call))
+  , nodeId_(std::move(nodeId))
+{
+}
+
+OrRefusal<std::optional<ClaimRecord>> ClaimClient::Begin(const ClaimTicket& ticket)
+{
+  wire::BeginClaimRequest request;
+  request.key = ToWire(ticket);
+  request.attemptId = ticket.attemptId;
+  request.nodeId = nodeId_;
+  request.fingerprint = ticket.fingerprint;
+  request.deadlineMs = CountMillis(ticket.deadline);
+  wire::BeginClaimReply reply;
+  const auto done =
+    call_([&](wire::ControlServiceIf& control) { control.BeginClaim(reply, request); });
+  if (!done && done.error().code == TransportErrorCode::Refused) {
+    return NotRun(400, Reason::InvalidIdempotencyKey, done.error().message);
+  }
+  if (!done) {
+    // The claim may have been granted; releasing it lets a resend run.
+    Release(ticket);
+    return NotRun(503,
+                  Reason::ClaimsUnavailable,
+                  "control cannot record the claim: " + done.error().Describe(),
+                  kRetryAfter);
+  }
+  return Interpret(reply);
+}
+
+bool ClaimClient::Finish(const ClaimTicket& ticket, const ClaimRecord& record)
+{
+  wire::FinishClaimRequest request;
+  request.key = ToWire(ticket);
+  request.attemptId = ticket.attemptId;
+  request.outcome.status = record.status;
+  request.outcome.contentType = record.contentType;
+  request.outcome.body = record.body;
+  request.outcome.bodyKept = record.isBodyKept;
+  request.outcome.bodyDigest = record.bodyDigest;
+  const auto done = call_([&](wire::ControlServiceIf& control) { control.FinishClaim(request); });
+  if (!done) {
+    Log(LogLevel::Warning,
+        "claim_outcome_not_recorded",
+        { { "service", ticket.service }, { "error", done.error().Describe() } });
+  }
+  return done.has_value();
+}
+
+void ClaimClient::Release(const ClaimTicket& ticket)
+{
+  wire::ReleaseClaimRequest request;
+  request.key = ToWire(ticket);
+  request.attemptId = ticket.attemptId;
+  const auto done = call_([&](wire::ControlServiceIf& control) { control.ReleaseClaim(request); });
+  if (!done) {
+    Log(LogLevel::Warning,
+        "claim_not_released",
+        { { "service", ticket.service }, { "error", done.error().Describe() } });
+  }
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/src/node/headers.cpp
@@ -0,0 +1,57 @@
+#include "acaciapulley/node/detail/headers.hpp"
+
+#include <array>       // array
+#include <string_view> // string_view
+
+namespace acp::detail {
+
+namespace {
+
+// Connection fields by RFC 9110 section 7.6.1, and length fields that are set anew.
+constexpr std::array<std::string_view, 9> kConnectionFields = {
+  "Connection",     "Keep-Alive", "Transfer-Encoding",
+  "Content-Length", "Host",       "Proxy-Connection",
+  "Upgrade",        "TE",         "Expect",
+};
+
+// Fields between caller and node, or between nodes.
+constexpr std::array<std::string_view, 8> kNodeFields = {
+  kKeyHeader,    kDeadlineHeader,  kContextHeader, kOutcomeHeader,
+  kReasonHeader, kThresholdHeader, kLoadHeader,    kRetriesLeftHeader,
+};
+
+template<std::size_t Size>
+bool Contains(const std::array<std::string_view, Size>& names, std::string_view name)
+{
+  for (const auto& candidate : names) {
+    if (EqualsIgnoreCase(candidate, name)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+HttpHeaders WithoutHopFields(const HttpHeaders& headers)
+{
+  HttpHeaders kept;
+  for (const auto& [name, value] : headers.Fields()) {
+    if (!Contains(kConnectionFields, name) && !Contains(kNodeFields, name)) {
+      kept.Add(name, value);
+    }
+  }
+  return kept;
+}
+
+} // namespace
+
+HttpHeaders ForwardedRequestHeaders(const HttpHeaders& headers)
+{
+  return WithoutHopFields(headers);
+}
+
+HttpHeaders ForwardedResponseHeaders(const HttpHeaders& headers)
+{
+  return WithoutHopFields(headers);
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/src/node/refusal.cpp
@@ -0,0 +1,20 @@
+#include "acaciapulley/node/refusal.hpp"
+
+#include "acaciapulley/node/detail/headers.hpp" // kOutcomeHeader, kReasonHeader
+
+namespace acp {
+
+void SendRefusal(ServerExchange& exchange, const Refusal& refusal)
+{
+  HttpResponseHead head{ .status = refusal.status };
+  head.headers.Set("Content-Type", "text/plain");
+  head.headers.Set(detail::kOutcomeHeader, std::string(NameOf(refusal.outcome)));
+  head.headers.Set(detail::kReasonHeader, std::string(NameOf(refusal.reason)));
+  if (refusal.retryAfter > Duration::zero()) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retryAfter);
+    head.headers.Set("Retry-After", std::to_string(seconds.count()));
+  }
+  exchange.Respond(head, refusal.message + "\n");
+}
+
+} // namespace acp
