Add the admission gate, thresholds and their headers

Cause: without admission control a service beyond its capacity answers everything late. Considered: CoDel with adaptive LIFO (unfair among accounts), a limit that shrinks on latency alone (takes slots from an upstream whose callee is slow). Change: ConcurrencyLimit, FairQueue, ThresholdController, ThresholdTable and Gate as pure classes, with codecs for Acp-Load and Acp-Threshold.

--- /dev/null
+++ b/include/acaciapulley/admission/threshold_controller.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+/// @file
+/// Computes which requests a gate's callers should send at all.
+
+#include <array>  // array
+#include <map>    // map
+#include <string> // string
+
+#include "acaciapulley/admission/load_report.hpp" // AdmissionThreshold, kPriorityCount
+#include "acaciapulley/core/clock.hpp"            // Duration, TimePoint
+
+namespace acp {
+
+/// Settings of ThresholdController.
+struct ThresholdControllerOptions
+{
+  Duration period = std::chrono::milliseconds(50);    ///< time between two computations
+  Duration memory = std::chrono::milliseconds(250);   ///< time constant of all averages
+  Duration targetAge = std::chrono::milliseconds(20); ///< an older queue means overload
+  bool enabled = true;                                ///< false: admits everything (for comparison)
+  bool byAccount = true; ///< false: one share for all accounts (for comparison)
+};
+
+/// State of the gate at one computation.
+struct GateState
+{
+  int limit = 1;
+  int inFlight = 0;
+  Duration queueAge{};
+};
+
+/// Estimates the demand of each priority and account and the capacity of the upstream, and divides
+/// the capacity: priorities in their order, the marginal one max-min fair among accounts.
+///
+/// The demand before the callers' refusals is the arrival rate divided by the share that was
+/// announced; the capacity is limit / mean latency. Shares fall at once and rise step by step, so
+/// that admission reopens within about a second without a new overload.
+///
+/// Not thread-safe.
+class ThresholdController
+{
+public:
+  explicit ThresholdController(ThresholdControllerOptions options, TimePoint now);
+
+  /// @brief Records an offered request.
+  /// @param weight purchased rate of the account
+  void OnOffer(int priority, const std::string& account, double weight);
+
+  /// @brief Records a request that the gate refused because of load.
+  void OnOverloadRefusal();
+
+  /// @brief Records an answered request and its time at the upstream.
+  void OnFinish(Duration latency);
+
+  /// @brief Computes new thresholds when a period has passed.
+  void Update(const GateState& state, TimePoint now);
+
+  /// @brief Returns what callers should send for @p account.
+  [[nodiscard]] AdmissionThreshold For(const std::string& account) const;
+
+private:
+  struct Demand
+  {
+    double weight = 1.0;
+    double arrivals = 0.0;     // decayed count
+    double share = 1.0;        // announced now
+    double averageShare = 1.0; // announced over the memory
+  };
+
+  struct Priority
+  {
+    std::map<std::string, Demand> accounts;
+    double cap = 1.0;   // bound on the announced share of this priority's demand
+    double share = 1.0; // average over accounts, for accounts that have sent nothing
+  };
+
+  void Decay(double keep);
+  void Compute(double room);
+  void Divide(Priority& priority, double room, double demand);
+  [[nodiscard]] double DemandOf(const Demand& demand) const;
+  [[nodiscard]] double DemandOf(const Priority& priority) const;
+
+  ThresholdControllerOptions options_;
+  std::array<Priority, kPriorityCount> priorities_;
+  double latencySum_ = 0.0; // decayed, seconds
+  double finished_ = 0.0;   // decayed count
+  int refusals_ = 0;        // since the last computation
+  double trim_ = 1.0;       // correction of the capacity estimate by what the queue shows
+  int marginal_ = kPriorityCount - 1;
+  bool isOpen_ = true;
+  TimePoint lastUpdate_;
+};
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/admission/threshold_table.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+/// @file
+/// What a node has learnt from its callees' `Acp-Threshold`, so that the first node refuses what a
+/// deep service would refuse.
+
+#include <cstddef> // size_t
+#include <map>     // map
+#include <string>  // string
+
+#include "acaciapulley/admission/load_report.hpp" // AdmissionThreshold
+#include "acaciapulley/core/clock.hpp"            // Duration, TimePoint
+
+namespace acp {
+
+/// Settings of ThresholdTable.
+struct ThresholdTableOptions
+{
+  Duration hold = std::chrono::milliseconds(200); ///< a threshold stays as learnt for this long
+  double reopenPerSecond = 3.0; ///< levels (priorities) by which an older threshold rises
+  Duration callMemory = std::chrono::seconds(10); ///< time constant of the calls per request
+  std::size_t maxAccounts = 1000; ///< learnt accounts per callee; further ones are not learnt
+  bool enabled = true;            ///< false: admits everything (for comparison)
+};
+
+/// A callee: one request class of one service.
+struct CalleeClass
+{
+  std::string service;
+  std::string requestClass;
+
+  auto operator<=>(const CalleeClass&) const = default;
+};
+
+/// Thresholds learnt from answers, by the own request class that made the call.
+///
+/// A class that reaches a callee in a part of its requests only is refused in that part only. A
+/// threshold that no answer confirms rises with its age, so a silent callee does not block its
+/// callers for ever.
+///
+/// Not thread-safe.
+class ThresholdTable
+{
+public:
+  explicit ThresholdTable(ThresholdTableOptions options = {});
+
+  /// @brief Records that a request of @p ownClass was started, the base of the calls per request.
+  void OnRequest(const std::string& ownClass, TimePoint now);
+
+  /// @brief Records a call that a request of @p ownClass makes.
+  void OnCall(const std::string& ownClass, const CalleeClass& callee, TimePoint now);
+
+  /// @brief Records the threshold in an answer, also in a refusal.
+  void Learn(const std::string& ownClass,
+             const CalleeClass& callee,
+             const std::string& account,
+             const AdmissionThreshold& threshold,
+             TimePoint now);
+
+  /// @brief Returns whether a root request should be started.
+  /// @param coin AdmissionCoin() of the root request
+  /// @par Example
+  /// @code
+  /// if (!table.AdmitsRequest("history", account, priority, AdmissionCoin(rootId), now)) {
+  ///   RefuseNotRun(exchange, 503, acp::Reason::Overloaded, "a called service is overloaded");
+  /// }
+  /// @endcode
+  [[nodiscard]] bool AdmitsRequest(const std::string& ownClass,
+                                   const std::string& account,
+                                   int priority,
+                                   double coin,
+                                   TimePoint now) const;
+
+  /// @brief Returns whether a nested call should be sent.
+  [[nodiscard]] bool AdmitsCall(const std::string& ownClass,
+                                const CalleeClass& callee,
+                                const std::string& account,
+                                int priority,
+                                double coin,
+                                TimePoint now) const;
+
+  /// @brief Returns the strictest threshold among the callees that at least half of the requests
+  /// of @p ownClass reach; to be combined with the own gate's and sent to callers.
+  [[nodiscard]] AdmissionThreshold Combined(const std::string& ownClass,
+                                            const std::string& account,
+                                            TimePoint now) const;
+
+  /// @brief Returns the calls of @p callee per request of @p ownClass, 1 when unknown.
+  [[nodiscard]] double CallsPerRequest(const std::string& ownClass,
+                                       const CalleeClass& callee) const;
+
+private:
+  struct Counter
+  {
+    double value = 0.0;
+    TimePoint at{};
+
+    void Add(TimePoint now, Duration memory);
+  };
+
+  struct Learnt
+  {
+    AdmissionThreshold threshold;
+    TimePoint at{};
+  };
+
+  struct Callee
+  {
+    Counter calls;
+    std::map<std::string, Learnt> accounts;
+    Learnt latest; // for accounts without an own entry
+  };
+
+  struct OwnClass
+  {
+    Counter requests;
+    std::map<CalleeClass, Callee> callees;
+  };
+
+  [[nodiscard]] AdmissionThreshold Current(const Callee& callee,
+                                           const std::string& account,
+                                           TimePoint now) const;
+  [[nodiscard]] AdmissionThreshold Aged(const Learnt& learnt, TimePoint now) const;
+  [[nodiscard]] static double CallsPerRequest(const OwnClass& own, const Callee& callee);
+
+  ThresholdTableOptions options_;
+  std::map<std::string, OwnClass> classes_;
+};
+
+} // namespace acp
--- /dev/null
+++ b/src/admission/concurrency_limit.cpp
@@ -0,0 +1,167 @@
+#include "acaciapulley/admission/concurrency_limit.hpp"
+
+#include <algorithm> // clamp, max, min
+#include <cmath>     // floor
+
+namespace acp {
+
+namespace {
+
+// Latency within 1.3 times its base counts as unloaded; above 2 times a smaller limit is tried.
+constexpr double kUnloadedRatio = 1.3;
+constexpr double kLoadedRatio = 2.0;
+// A trial reduces the limit by this factor and is kept when at least kKeptWork of the work rate
+// remains. The two are far enough apart to tell a fall in proportion from noise.
+constexpr double kTrialFactor = 0.85;
+constexpr double kKeptWork = 0.95;
+constexpr int kHoldPeriods = 20;
+// Fewer answers in a period are too few to judge latency by.
+constexpr int kFewestAnswers = 10;
+// Refused and lost requests above this share of a period reduce the limit.
+constexpr double kDistressShare = 0.1;
+constexpr double kFailedShare = 0.5;
+constexpr double kDistressFactor = 0.7;
+// With a period of 100 ms the limit grows from 1 to 50 in 1.1 s, within the recovery aim of 2 s.
+constexpr double kGrowthFactor = 1.25;
+constexpr double kGrowthStep = 1.0;
+constexpr double kColdStartShare = 0.1;
+constexpr double kSmoothing = 0.1;
+constexpr double kBaseDriftPerSecond = 0.01;
+
+double Seconds(Duration span)
+{
+  return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options, TimePoint now)
+  : options_(options)
+  , windowStart_(now)
+  , coldSince_(now)
+  , limit_(std::max(1, options.slots))
+{
+  options_.slots = std::max(1, options_.slots);
+}
+
+void ConcurrencyLimit::Announce(int slots, Duration coldStart, TimePoint now)
+{
+  if (slots == options_.slots && coldStart == options_.coldStart) {
+    return;
+  }
+  options_.slots = std::max(1, slots);
+  if (coldStart > Duration::zero() && coldStart != options_.coldStart) {
+    coldSince_ = now;
+  }
+  options_.coldStart = coldStart;
+  limit_ = options_.slots;
+  limitBeforeTrial_ = 0.0;
+}
+
+void ConcurrencyLimit::OnFinish(const std::string& requestClass,
+                                Duration latency,
+                                GateResult result,
+                                bool wasFull)
+{
+  window_.wasFull = window_.wasFull || wasFull;
+  if (result == GateResult::Neutral) {
+    return;
+  }
+  if (result == GateResult::Refused || result == GateResult::Lost) {
+    ++window_.distressed;
+    return;
+  }
+  if (result == GateResult::Failed) {
+    ++window_.failed;
+    return;
+  }
+  const double seconds = std::max(Seconds(latency), 1e-6);
+  Base& base = bases_[requestClass];
+  if (base.seconds <= 0.0) {
+    base = { .seconds = seconds, .smoothed = seconds };
+  }
+  base.smoothed += kSmoothing * (seconds - base.smoothed);
+  base.seconds = std::min(base.seconds, base.smoothed);
+  ++window_.answered;
+  window_.ratioSum += base.smoothed / base.seconds;
+  window_.workSum += base.seconds;
+}
+
+void ConcurrencyLimit::Update(TimePoint now)
+{
+  if (now - windowStart_ < options_.period) {
+    return;
+  }
+  if (options_.adaptive) {
+    Adjust(Seconds(now - windowStart_));
+  }
+  window_ = {};
+  windowStart_ = now;
+}
+
+void ConcurrencyLimit::Adjust(double elapsedSeconds)
+{
+  const int ended = window_.answered + window_.distressed + window_.failed;
+  const bool inDistress =
+    window_.distressed > kDistressShare * ended || window_.failed > kFailedShare * ended;
+  holdPeriods_ = std::max(0, holdPeriods_ - 1);
+  RaiseBases(1.0 + kBaseDriftPerSecond * elapsedSeconds);
+  if (ended > 0 && inDistress) {
+    limitBeforeTrial_ = 0.0;
+    limit_ = std::max(1.0, limit_ * kDistressFactor);
+    return;
+  }
+  const double meanRatio = window_.answered > 0 ? window_.ratioSum / window_.answered : 1.0;
+  const double workRate = window_.workSum / elapsedSeconds;
+  if (limitBeforeTrial_ > 0.0) {
+    FinishTrial(workRate, meanRatio);
+    return;
+  }
+  const bool isJudged = window_.answered >= kFewestAnswers && window_.wasFull;
+  if (isJudged && meanRatio > kLoadedRatio && holdPeriods_ == 0) {
+    limitBeforeTrial_ = limit_;
+    workRateBeforeTrial_ = workRate;
+    limit_ = std::max(1.0, limit_ * kTrialFactor);
+  } else if (meanRatio < kUnloadedRatio || holdPeriods_ > 0) {
+    limit_ = std::min<double>(options_.slots, limit_ * kGrowthFactor + kGrowthStep);
+  }
+}
+
+void ConcurrencyLimit::FinishTrial(double workRate, double meanRatio)
+{
+  const bool workKept = workRate >= kKeptWork * workRateBeforeTrial_;
+  if (!window_.wasFull) {
+    // Demand fell during the trial, so it shows nothing.
+    limit_ = limitBeforeTrial_;
+  } else if (!workKept) {
+    // Latency has another cause than this upstream's load: it becomes the new base.
+    limit_ = limitBeforeTrial_;
+    RaiseBases(std::max(1.0, meanRatio));
+    holdPeriods_ = kHoldPeriods;
+  }
+  limitBeforeTrial_ = 0.0;
+}
+
+void ConcurrencyLimit::RaiseBases(double factor)
+{
+  for (auto& [name, base] : bases_) {
+    base.seconds = std::min(base.seconds * factor, base.smoothed);
+  }
+}
+
+double ConcurrencyLimit::ColdStartCap(TimePoint now) const
+{
+  if (options_.coldStart <= Duration::zero() || now - coldSince_ >= options_.coldStart) {
+    return options_.slots;
+  }
+  const double part = Seconds(now - coldSince_) / Seconds(options_.coldStart);
+  return options_.slots * (kColdStartShare + (1.0 - kColdStartShare) * std::max(0.0, part));
+}
+
+int ConcurrencyLimit::Current(TimePoint now) const
+{
+  const double bound = std::min({ limit_, ColdStartCap(now), static_cast<double>(options_.slots) });
+  return std::max(1, static_cast<int>(std::floor(bound)));
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/admission/load_report.cpp
@@ -0,0 +1,132 @@
+#include "acaciapulley/admission/load_report.hpp"
+
+#include <algorithm> // clamp
+#include <array>     // array
+#include <charconv>  // from_chars
+#include <cmath>     // floor, lround
+#include <cstdint>   // uint64_t
+#include <span>      // span
+
+#include <fmt/format.h> // format
+
+namespace acp {
+
+namespace {
+
+constexpr int kShareUnit = 10'000;
+constexpr std::size_t kMaxDigits = 9;
+
+struct NumberField
+{
+  std::string_view name;
+  int* value;
+};
+
+bool ReadNumber(std::string_view text, int* value)
+{
+  if (text.empty() || text.size() > kMaxDigits || (text.size() > 1 && text.front() == '0')) {
+    return false;
+  }
+  if (text.find_first_not_of("0123456789") != std::string_view::npos) {
+    return false;
+  }
+  return std::from_chars(text.data(), text.data() + text.size(), *value).ec == std::errc();
+}
+
+// Reads exactly the given fields in their order, separated by semicolons.
+bool ReadFields(std::string_view text, std::span<const NumberField> fields)
+{
+  for (std::size_t i = 0; i < fields.size(); ++i) {
+    const std::size_t end = text.find(';');
+    const bool isLast = i + 1 == fields.size();
+    if (isLast != (end == std::string_view::npos)) {
+      return false;
+    }
+    const std::string_view part = text.substr(0, end);
+    const std::size_t equals = part.find('=');
+    if (equals == std::string_view::npos || part.substr(0, equals) != fields[i].name ||
+        !ReadNumber(part.substr(equals + 1), fields[i].value)) {
+      return false;
+    }
+    text.remove_prefix(isLast ? text.size() : end + 1);
+  }
+  return true;
+}
+
+} // namespace
+
+AdmissionThreshold AdmissionThreshold::FromLevel(double level)
+{
+  const double clamped = std::clamp(level, 0.0, static_cast<double>(kPriorityCount));
+  const int priority = std::min(static_cast<int>(std::floor(clamped)), kPriorityCount - 1);
+  return { .priority = priority, .share = clamped - priority };
+}
+
+bool AdmissionThreshold::Admits(int requestPriority, double coin) const
+{
+  if (requestPriority != priority) {
+    return requestPriority < priority;
+  }
+  return coin < share;
+}
+
+AdmissionThreshold Stricter(const AdmissionThreshold& left, const AdmissionThreshold& right)
+{
+  return left.Level() <= right.Level() ? left : right;
+}
+
+double AdmissionCoin(std::string_view rootId)
+{
+  // FNV-1a with a final mix: std::hash may differ between builds, and nodes must agree.
+  std::uint64_t hash = 14'695'981'039'346'656'037ULL;
+  for (const char c : rootId) {
+    hash ^= static_cast<unsigned char>(c);
+    hash *= 1'099'511'628'211ULL;
+  }
+  hash ^= hash >> 33U;
+  hash *= 0xff51afd7ed558ccdULL;
+  hash ^= hash >> 33U;
+  constexpr double kTwoTo53 = 9'007'199'254'740'992.0;
+  return static_cast<double>(hash >> 11U) / kTwoTo53;
+}
+
+std::string FormatLoad(const LoadReport& load)
+{
+  return fmt::format(
+    "in-flight={};limit={};queue-ms={}", load.inFlight, load.limit, load.queueAgeMs);
+}
+
+AdmissionResult<LoadReport> ParseLoad(std::string_view text)
+{
+  LoadReport load;
+  const std::array<NumberField, 3> fields = {
+    { { "in-flight", &load.inFlight }, { "limit", &load.limit }, { "queue-ms", &load.queueAgeMs } }
+  };
+  if (!ReadFields(text, fields)) {
+    return Fail(AdmissionErrorCode::MalformedLoad,
+                "not of the form in-flight=N;limit=N;queue-ms=N");
+  }
+  return load;
+}
+
+std::string FormatThreshold(const AdmissionThreshold& threshold)
+{
+  const long share = std::lround(std::clamp(threshold.share, 0.0, 1.0) * kShareUnit);
+  return fmt::format("priority={};share={}", threshold.priority, share);
+}
+
+AdmissionResult<AdmissionThreshold> ParseThreshold(std::string_view text)
+{
+  AdmissionThreshold threshold;
+  int share = 0;
+  const std::array<NumberField, 2> fields = { { { "priority", &threshold.priority },
+                                                { "share", &share } } };
+  if (!ReadFields(text, fields) || threshold.priority >= kPriorityCount || share > kShareUnit) {
+    return Fail(AdmissionErrorCode::MalformedThreshold,
+                "not of the form priority=0..9;share=0..10000");
+  }
+  threshold.share = static_cast<double>(share) / kShareUnit;
+  return threshold;
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/admission/threshold_table.cpp
@@ -0,0 +1,139 @@
+#include "acaciapulley/admission/threshold_table.hpp"
+
+#include <algorithm> // max, min
+#include <cmath>     // exp
+
+namespace acp {
+
+namespace {
+
+// A callee that fewer requests reach is not passed on to callers: a threshold has no way to say
+// that it concerns a part of the requests only.
+constexpr double kPassedOnCalls = 0.5;
+
+double Seconds(Duration span)
+{
+  return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+ThresholdTable::ThresholdTable(ThresholdTableOptions options)
+  : options_(options)
+{
+}
+
+void ThresholdTable::Counter::Add(TimePoint now, Duration memory)
+{
+  value = value * std::exp(-Seconds(now - at) / Seconds(memory)) + 1.0;
+  at = now;
+}
+
+void ThresholdTable::OnRequest(const std::string& ownClass, TimePoint now)
+{
+  classes_[ownClass].requests.Add(now, options_.callMemory);
+}
+
+void ThresholdTable::OnCall(const std::string& ownClass, const CalleeClass& callee, TimePoint now)
+{
+  classes_[ownClass].callees[callee].calls.Add(now, options_.callMemory);
+}
+
+void ThresholdTable::Learn(const std::string& ownClass,
+                           const CalleeClass& callee,
+                           const std::string& account,
+                           const AdmissionThreshold& threshold,
+                           TimePoint now)
+{
+  Callee& entry = classes_[ownClass].callees[callee];
+  entry.latest = { .threshold = threshold, .at = now };
+  if (entry.accounts.size() < options_.maxAccounts || entry.accounts.contains(account)) {
+    entry.accounts[account] = entry.latest;
+  }
+}
+
+double ThresholdTable::CallsPerRequest(const OwnClass& own, const Callee& callee)
+{
+  return own.requests.value > 0.0 ? callee.calls.value / own.requests.value : 1.0;
+}
+
+double ThresholdTable::CallsPerRequest(const std::string& ownClass, const CalleeClass& callee) const
+{
+  const auto own = classes_.find(ownClass);
+  if (own == classes_.end() || !own->second.callees.contains(callee)) {
+    return 1.0;
+  }
+  return CallsPerRequest(own->second, own->second.callees.at(callee));
+}
+
+AdmissionThreshold ThresholdTable::Aged(const Learnt& learnt, TimePoint now) const
+{
+  const Duration age = now - learnt.at;
+  if (age <= options_.hold) {
+    return learnt.threshold;
+  }
+  const double risen = Seconds(age - options_.hold) * options_.reopenPerSecond;
+  return AdmissionThreshold::FromLevel(learnt.threshold.Level() + risen);
+}
+
+AdmissionThreshold ThresholdTable::Current(const Callee& callee,
+                                           const std::string& account,
+                                           TimePoint now) const
+{
+  const auto found = callee.accounts.find(account);
+  return Aged(found == callee.accounts.end() ? callee.latest : found->second, now);
+}
+
+bool ThresholdTable::AdmitsRequest(const std::string& ownClass,
+                                   const std::string& account,
+                                   int priority,
+                                   double coin,
+                                   TimePoint now) const
+{
+  const auto own = classes_.find(ownClass);
+  if (!options_.enabled || own == classes_.end()) {
+    return true;
+  }
+  for (const auto& [name, callee] : own->second.callees) {
+    const double reach = std::min(1.0, CallsPerRequest(own->second, callee));
+    // Of the requests that would be refused by the callee, only those that reach it are refused.
+    const double mapped = reach > 0.0 ? 1.0 - (1.0 - coin) / reach : -1.0;
+    if (mapped >= 0.0 && !Current(callee, account, now).Admits(priority, mapped)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool ThresholdTable::AdmitsCall(const std::string& ownClass,
+                                const CalleeClass& callee,
+                                const std::string& account,
+                                int priority,
+                                double coin,
+                                TimePoint now) const
+{
+  const auto own = classes_.find(ownClass);
+  if (!options_.enabled || own == classes_.end() || !own->second.callees.contains(callee)) {
+    return true;
+  }
+  return Current(own->second.callees.at(callee), account, now).Admits(priority, coin);
+}
+
+AdmissionThreshold ThresholdTable::Combined(const std::string& ownClass,
+                                            const std::string& account,
+                                            TimePoint now) const
+{
+  AdmissionThreshold combined;
+  const auto own = classes_.find(ownClass);
+  if (!options_.enabled || own == classes_.end()) {
+    return combined;
+  }
+  for (const auto& [name, callee] : own->second.callees) {
+    if (CallsPerRequest(own->second, callee) >= kPassedOnCalls) {
+      combined = Stricter(combined, Current(callee, account, now));
+    }
+  }
+  return combined;
+}
+
+} // namespace acp
