--- a/include/acaciapulley/retries/request_context.hpp
+++ b/include/acaciapulley/retries/request_context.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The signed context that a request carries through its call chain in `Acp-Context`.
 
+#include <cstddef>     // size_t
 #include <cstdint>     // int64_t
 #include <string>      // string
 #include <string_view> // string_view
@@ -15,6 +16,15 @@
 /// Clocks of two hosts differ by less than this.
 inline constexpr std::chrono::milliseconds kMaxClockSkew{ 250 };
 
+/// Highest retry budget of a root request.
+inline constexpr int kMaxRetryBudget = 8;
+
+/// Longest header value that Verify() reads.
+inline constexpr std::size_t kMaxContextBytes = 1024;
+
+/// Longest client account or issuer name in a context.
+inline constexpr std::size_t kMaxContextNameBytes = 128;
+
 /// What every hop of one root request knows about it.
 struct RequestContext
 {
@@ -37,6 +47,9 @@
   explicit ContextSigner(std::string secret);
 
   /// @brief Returns the header value for @p context.
+  /// @throw std::invalid_argument for a field that Verify() would refuse: an id that is not
+  /// hexadecimal of its length, a name with `|` or control characters or longer than
+  /// kMaxContextNameBytes, a priority outside 0 to 9, retries outside 0 to kMaxRetryBudget
   /// @par Example
   /// @code
   /// headers.Set("Acp-Context", signer.Sign(context));
--- a/src/retries/request_context.cpp
+++ b/src/retries/request_context.cpp
@@ -1,9 +1,11 @@
 #include "acaciapulley/retries/request_context.hpp"
 
-#include <array>    // array
-#include <charconv> // from_chars
-#include <utility>  // move
-#include <vector>   // vector
+#include <algorithm> // all_of
+#include <array>     // array
+#include <charconv>  // from_chars
+#include <stdexcept> // invalid_argument
+#include <utility>   // move
+#include <vector>    // vector
 
 #include <fmt/format.h>     // format
 #include <openssl/crypto.h> // CRYPTO_memcmp
@@ -17,6 +19,9 @@
 constexpr std::string_view kVersionPrefix = "v1.";
 constexpr char kFieldSeparator = '|';
 constexpr std::size_t kFieldCount = 9;
+constexpr std::size_t kRootIdDigits = 32;
+constexpr std::size_t kHopIdDigits = 16;
+constexpr int kHighestPriority = 9;
 
 std::string ToBase64Url(std::string_view bytes)
 {
@@ -82,6 +87,30 @@
   return error == std::errc() && rest == text.data() + text.size();
 }
 
+bool IsHexadecimal(std::string_view text, std::size_t length)
+{
+  return text.size() == length &&
+         text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+// The payload separates its fields by kFieldSeparator, so a name must not contain it.
+bool IsName(std::string_view text)
+{
+  return text.size() <= kMaxContextNameBytes &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return c >= 0x20 && c != 0x7f && c != static_cast<unsigned char>(kFieldSeparator);
+         });
+}
+
+bool IsValid(const RequestContext& context)
+{
+  return IsHexadecimal(context.rootId, kRootIdDigits) &&
+         IsHexadecimal(context.hopId, kHopIdDigits) && IsName(context.account) &&
+         IsName(context.issuer) && !context.issuer.empty() && context.priority >= 0 &&
+         context.priority <= kHighestPriority && context.retriesLeft >= 0 &&
+         context.retriesLeft <= kMaxRetryBudget;
+}
+
 bool ReadPayload(std::string_view payload, RequestContext* context)
 {
   const auto fields = SplitFields(payload);
@@ -98,7 +127,8 @@
     ReadNumber(fields[3], &context->priority) && ReadNumber(fields[5], &deadline) &&
     ReadNumber(fields[6], &context->retriesLeft) && ReadNumber(fields[8], &context->issuerEpoch);
   context->deadline = ToUnixMillis(deadline);
-  return numbersRead;
+  const bool flagRead = fields[4] == "0" || fields[4] == "1";
+  return numbersRead && flagRead && IsValid(*context);
 }
 
 } // namespace
@@ -124,6 +154,9 @@
 
 std::string ContextSigner::Sign(const RequestContext& context) const
 {
+  if (!IsValid(context)) {
+    throw std::invalid_argument("the request context has a field out of its range");
+  }
   const std::string payload = fmt::format("{}|{}|{}|{}|{}|{}|{}|{}|{}",
                                           context.rootId,
                                           context.hopId,
@@ -140,6 +173,9 @@
 
 RetriesResult<RequestContext> ContextSigner::Verify(std::string_view text, UnixMillis now) const
 {
+  if (text.size() > kMaxContextBytes) {
+    return Fail(RetriesErrorCode::MalformedContext, "longer than 1024 bytes");
+  }
   const std::size_t dot = text.rfind('.');
   if (!text.starts_with(kVersionPrefix) || dot < kVersionPrefix.size()) {
     return Fail(RetriesErrorCode::MalformedContext, "not of the form v1.payload.signature");
--- a/tests/retries_test/request_context_test.cpp
+++ b/tests/retries_test/request_context_test.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <stdexcept> // invalid_argument
+
 #include "acaciapulley/retries/request_context.hpp"
 
 namespace {
@@ -58,4 +60,24 @@
               acp::RetriesErrorCode::MalformedContext));
 }
 
+// Guards against a name that moves the fields behind it, and against counts that no node grants.
+BOOST_AUTO_TEST_CASE(contexts_with_fields_out_of_range_are_refused)
+{
+  const acp::ContextSigner signer(kSecret);
+  auto context = MakeContext();
+  context.account = "a|0";
+  BOOST_CHECK_THROW((void)signer.Sign(context), std::invalid_argument);
+  context = MakeContext();
+  context.retriesLeft = -1;
+  BOOST_CHECK_THROW((void)signer.Sign(context), std::invalid_argument);
+  context.retriesLeft = acp::kMaxRetryBudget + 1;
+  BOOST_CHECK_THROW((void)signer.Sign(context), std::invalid_argument);
+  context = MakeContext();
+  context.account = std::string(acp::kMaxContextNameBytes + 1, 'a');
+  BOOST_CHECK_THROW((void)signer.Sign(context), std::invalid_argument);
+  const std::string overlong(acp::kMaxContextBytes + 1, 'v');
+  BOOST_TEST((signer.Verify(overlong, acp::ToUnixMillis(0)).error().code ==
+              acp::RetriesErrorCode::MalformedContext));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/retries_test/retry_policy_test.cpp
@@ -0,0 +1,82 @@
+#include <boost/test/unit_test.hpp>
+
+#include "acaciapulley/retries/retry_policy.hpp"
+
+namespace {
+
+using namespace std::chrono_literals;
+
+acp::RetryVerdict VerdictOf(const acp::FailedCall& call)
+{
+  acp::ManualClock clock;
+  acp::RatioBudget ratio({}, clock.Now());
+  return acp::DecideRetry(call, {}, ratio, clock.Now(), 0.5).verdict;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(retry_policy)
+
+// Guards against a second run of a non-idempotent request and against retries without budget.
+BOOST_AUTO_TEST_CASE(retries_are_made_only_when_safe_and_within_budget)
+{
+  using acp::RetryVerdict;
+  const acp::FailedCall lost{ .retriesLeft = 1, .remaining = 1s };
+  BOOST_TEST((VerdictOf(lost) == RetryVerdict::NotSafe));
+  auto call = lost;
+  call.nothingSent = true;
+  BOOST_TEST((VerdictOf(call) == RetryVerdict::Retry));
+  call = lost;
+  call.outcome = acp::RequestOutcome::NotRun;
+  BOOST_TEST((VerdictOf(call) == RetryVerdict::Retry));
+  call.mayPass = false;
+  BOOST_TEST((VerdictOf(call) == RetryVerdict::Useless));
+  call = lost;
+  call.idempotent = true;
+  BOOST_TEST((VerdictOf(call) == RetryVerdict::Retry));
+  call.retriesLeft = 0;
+  BOOST_TEST((VerdictOf(call) == RetryVerdict::NoBudget));
+  call.retriesLeft = 1;
+  call.remaining = 5ms;
+  BOOST_TEST((VerdictOf(call) == RetryVerdict::NoTime));
+  call = lost;
+  call.outcome = acp::RequestOutcome::Ran;
+  BOOST_TEST((VerdictOf(call) == RetryVerdict::Useless));
+}
+
+// Guards against retries that keep an overload alive: without successes only the floor comes in.
+BOOST_AUTO_TEST_CASE(ratio_budget_follows_successes)
+{
+  acp::ManualClock clock;
+  acp::RatioBudget ratio({ .ratio = 0.1, .burst = 5, .floorPerSecond = 0.5 }, clock.Now());
+  int taken = 0;
+  while (ratio.TryTake(clock.Now())) {
+    ++taken;
+  }
+  BOOST_TEST(taken == 5);
+  for (int i = 0; i < 10; ++i) {
+    ratio.OnSuccess();
+  }
+  BOOST_TEST(ratio.TryTake(clock.Now()));
+  BOOST_TEST(!ratio.TryTake(clock.Now()));
+  clock.Advance(2s);
+  BOOST_TEST(ratio.TryTake(clock.Now()));
+  BOOST_TEST(!ratio.TryTake(clock.Now()));
+  clock.Advance(1h);
+  for (taken = 0; ratio.TryTake(clock.Now()); ++taken) {
+  }
+  BOOST_TEST(taken == 5);
+}
+
+// Guards against retries in step with each other and delays beyond the deadline.
+BOOST_AUTO_TEST_CASE(backoff_is_jittered_and_bounded)
+{
+  const acp::BackoffOptions options{ .first = 10ms, .highest = 50ms };
+  BOOST_TEST((acp::BackoffDelay(options, 0, 1s, 0.0) == 5ms));
+  BOOST_TEST((acp::BackoffDelay(options, 1, 1s, 0.5) == 15ms));
+  BOOST_TEST((acp::BackoffDelay(options, 60, 1s, 0.0) == 25ms));
+  BOOST_TEST(!acp::BackoffDelay(options, 0, 9ms, 0.0).has_value());
+  BOOST_TEST(!acp::BackoffDelay(options, 0, -1ms, 0.0).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
