--- /dev/null
+++ b/tests/limits_test/limit_fleet.cpp
@@ -0,0 +1,366 @@
+#include "limit_fleet.hpp"
+
+#include <algorithm> // max, min, shuffle
+#include <cmath>     // floor
+#include <string>    // to_string
+#include <utility>   // move
+
+namespace acp::test {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr Duration kStart = std::chrono::seconds(1000);
+constexpr Duration kHeartbeat = std::chrono::milliseconds(50);
+constexpr Duration kLongestDelay = std::chrono::seconds(3);
+constexpr Duration kLongestFreeze = std::chrono::seconds(5);
+
+// Ask and answer in Thrift's binary protocol with the call's envelope, and a packet header of 66
+// bytes for each.
+constexpr double kBytesPerExchange = 190 + 95 + 2 * 66;
+
+constexpr double kRounding = 1e-6;
+
+double Seconds(Duration span)
+{
+  return std::chrono::duration<double>(span).count();
+}
+
+Duration FromSeconds(double seconds)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+LimitFleet::LimitFleet(const FleetOptions& options)
+  : options_(options)
+  , random_(options.seed)
+{
+  admittedBucket_.level = options_.limit.burst;
+  referenceBucket_.level = options_.limit.burst;
+  result_.lowestLevel = options_.limit.burst;
+  AddLeader(1);
+  nodes_.resize(static_cast<std::size_t>(options_.nodes));
+  for (int i = 0; i < options_.nodes; ++i) {
+    Node& node = nodes_[static_cast<std::size_t>(i)];
+    node.index = i;
+    node.clockRate = ClockRate();
+    StartNode(node);
+  }
+  MoveDemand();
+}
+
+LimitFleet::~LimitFleet() = default;
+
+FleetResult LimitFleet::Run()
+{
+  const auto repeat = [this](Duration every, void (LimitFleet::*action)()) {
+    for (Duration at = every; every > Duration::zero() && at < options_.length; at += every) {
+      At(at, [this, action] { (this->*action)(); });
+    }
+  };
+  repeat(options_.moveEvery, &LimitFleet::MoveDemand);
+  repeat(options_.failoverEvery, &LimitFleet::FailOver);
+  repeat(options_.freezeEvery, &LimitFleet::Freeze);
+  repeat(options_.restartEvery, &LimitFleet::Restart);
+  for (const Node& node : nodes_) {
+    const int index = node.index;
+    At(Between(Duration::zero(), kTick), [this, index] { Tick(index); });
+  }
+  ScheduleArrival();
+  while (!events_.empty() && events_.top().at < options_.length) {
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.action();
+  }
+  const double nodeSeconds =
+    static_cast<double>(active_.size()) * Seconds(options_.length - options_.warmUp);
+  result_.asksPerNodeSecond = static_cast<double>(messages_) / nodeSeconds;
+  result_.bytesPerNodeSecond = result_.asksPerNodeSecond * kBytesPerExchange;
+  return result_;
+}
+
+void LimitFleet::At(Duration when, std::function<void()> action)
+{
+  events_.push({ .at = when, .order = nextOrder_++, .action = std::move(action) });
+}
+
+void LimitFleet::OnNode(int node, std::int64_t epoch, const std::function<void()>& action)
+{
+  const Node& target = nodes_[static_cast<std::size_t>(node)];
+  if (target.epoch != epoch) {
+    return;
+  }
+  if (now_ < target.frozenUntil) {
+    At(target.frozenUntil, [this, node, epoch, action] { OnNode(node, epoch, action); });
+    return;
+  }
+  action();
+}
+
+TimePoint LimitFleet::Local(double clockRate, Duration when) const
+{
+  return TimePoint(kStart + Scaled(when, clockRate));
+}
+
+double LimitFleet::Uniform(double low, double high)
+{
+  return std::uniform_real_distribution<double>(low, high)(random_);
+}
+
+Duration LimitFleet::Between(Duration low, Duration high)
+{
+  return low + FromSeconds(Uniform(0, Seconds(high - low)));
+}
+
+double LimitFleet::ClockRate()
+{
+  // Extremes are the interesting case.
+  const double sign = Uniform(0, 1) < 0.5 ? -1 : 1;
+  return 1 + sign * options_.clockDrift;
+}
+
+void LimitFleet::StartNode(Node& node)
+{
+  TokenLeaseTableOptions table = options_.table;
+  table.nodeId = "node-" + std::to_string(node.index);
+  table.epoch = node.epoch;
+  node.table = std::make_unique<TokenLeaseTable>(table);
+  node.waiters.clear();
+}
+
+void LimitFleet::AddLeader(std::int64_t term)
+{
+  Leader leader;
+  leader.clockRate = ClockRate();
+  leader.authority = std::make_unique<RateAuthority>(options_.authority);
+  const TimePoint local = Local(leader.clockRate, now_);
+  leader.authority->BeginTerm(term, local);
+  leader.authority->SetLimit(key_, options_.limit, local);
+  leaders_.push_back(std::move(leader));
+}
+
+void LimitFleet::ScheduleArrival()
+{
+  const double perSecond = options_.limit.rate * options_.demandPart;
+  const double group = options_.isBursty ? std::max(1.0, std::floor(options_.limit.burst / 2)) : 1;
+  const double gap = std::exponential_distribution<double>(perSecond / group)(random_);
+  At(now_ + FromSeconds(gap), [this, group] {
+    const auto pick = std::uniform_int_distribution<std::size_t>(0, active_.size() - 1);
+    auto choose = pick;
+    for (int i = 0; i < static_cast<int>(group); ++i) {
+      Arrive(active_[choose(random_)]);
+    }
+    ScheduleArrival();
+  });
+}
+
+void LimitFleet::Arrive(int index)
+{
+  Node& node = nodes_[static_cast<std::size_t>(index)];
+  if (now_ < node.frozenUntil) {
+    return;
+  }
+  const bool isCounted = now_ >= options_.warmUp;
+  result_.offered += isCounted ? 1 : 0;
+  if (Refill(referenceBucket_) >= 1) {
+    referenceBucket_.level -= 1;
+    result_.referenceAdmitted += isCounted ? 1 : 0;
+  }
+  const TimePoint local = Local(node.clockRate, now_);
+  const TakeResult take = node.table->TryTake(key_, local);
+  if (take.status == TakeStatus::Taken) {
+    Admit(node, take.hold, false);
+    return;
+  }
+  if (take.status == TakeStatus::Refused) {
+    Refuse();
+    return;
+  }
+  node.table->EnterWait(key_);
+  node.waiters.push_back({ .until = now_ + options_.table.longestWait });
+  if (const auto ask = node.table->DueAsk(key_, local)) {
+    Send(index, *ask);
+  }
+}
+
+void LimitFleet::Admit(Node& node, const TokenHold& hold, bool hasWaited)
+{
+  const int index = node.index;
+  const auto dispatch = [this, index, hold, hasWaited] {
+    Node& target = nodes_[static_cast<std::size_t>(index)];
+    if (!target.table->Commit(key_, hold, Local(target.clockRate, now_))) {
+      Refuse();
+      return;
+    }
+    Refill(admittedBucket_);
+    admittedBucket_.level -= 1;
+    result_.lowestLevel = std::min(result_.lowestLevel, admittedBucket_.level);
+    if (now_ >= options_.warmUp) {
+      ++result_.admitted;
+      result_.waited += hasWaited ? 1 : 0;
+    }
+  };
+  const std::int64_t epoch = node.epoch;
+  if (options_.longestQueueing == Duration::zero()) {
+    OnNode(index, epoch, dispatch);
+    return;
+  }
+  At(now_ + Between(Duration::zero(), options_.longestQueueing),
+     [this, index, epoch, dispatch] { OnNode(index, epoch, dispatch); });
+}
+
+void LimitFleet::Refuse()
+{
+  if (now_ < options_.warmUp) {
+    return;
+  }
+  ++result_.refused;
+  if (Refill(admittedBucket_) >= 1 - kRounding) {
+    ++result_.falselyRefused;
+  }
+}
+
+void LimitFleet::ServeWaiters(int index)
+{
+  Node& node = nodes_[static_cast<std::size_t>(index)];
+  const TimePoint local = Local(node.clockRate, now_);
+  while (!node.waiters.empty()) {
+    const TakeResult take = node.table->TryTake(key_, local);
+    const bool isOver = node.waiters.front().until <= now_;
+    if (take.status == TakeStatus::Wait && !isOver) {
+      break;
+    }
+    node.waiters.pop_front();
+    node.table->LeaveWait(key_);
+    if (take.status == TakeStatus::Taken) {
+      Admit(node, take.hold, true);
+    } else {
+      Refuse();
+    }
+  }
+  if (const auto ask = node.table->DueAsk(key_, local)) {
+    Send(index, *ask);
+  }
+}
+
+void LimitFleet::Tick(int index)
+{
+  Node& node = nodes_[static_cast<std::size_t>(index)];
+  if (now_ >= node.frozenUntil) {
+    ServeWaiters(index);
+    for (const TokenAsk& ask : node.table->DueAsks(Local(node.clockRate, now_))) {
+      Send(index, ask);
+    }
+  }
+  At(now_ + kTick, [this, index] { Tick(index); });
+}
+
+void LimitFleet::Send(int index, const TokenAsk& ask)
+{
+  messages_ += now_ >= options_.warmUp ? 1 : 0;
+  const int leader = nodes_[static_cast<std::size_t>(index)].leader;
+  const auto deliver = [this, leader, index, ask] { Deliver(leader, index, ask); };
+  Duration delay = options_.oneWayDelay;
+  if (Uniform(0, 1) < options_.delayedPart) {
+    delay = Between(delay, kLongestDelay);
+  }
+  if (Uniform(0, 1) >= options_.lossPart) {
+    At(now_ + delay, deliver);
+  }
+  if (Uniform(0, 1) < options_.duplicatedPart) {
+    At(now_ + Between(delay, kLongestDelay), deliver);
+  }
+}
+
+void LimitFleet::Deliver(int leaderIndex, int index, const TokenAsk& ask)
+{
+  Leader& leader = leaders_[static_cast<std::size_t>(leaderIndex)];
+  if (leader.isDead) {
+    return;
+  }
+  const Duration confirmed =
+    leader.isIsolated ? leader.isolatedAt : now_ - Between(Duration::zero(), kHeartbeat);
+  const auto answer = leader.authority->Acquire(
+    ask, Local(leader.clockRate, confirmed), Local(leader.clockRate, now_));
+  if (!answer || Uniform(0, 1) < options_.lossPart) {
+    return;
+  }
+  Duration delay = options_.oneWayDelay;
+  if (Uniform(0, 1) < options_.delayedPart) {
+    delay = Between(delay, kLongestDelay);
+  }
+  const TokenAnswer content = answer.value();
+  const std::int64_t epoch = ask.epoch;
+  At(now_ + delay, [this, index, epoch, content] {
+    OnNode(index, epoch, [this, index, content] {
+      Node& node = nodes_[static_cast<std::size_t>(index)];
+      node.table->OnAnswer(key_, content, Local(node.clockRate, now_));
+      ServeWaiters(index);
+    });
+  });
+}
+
+void LimitFleet::FailOver()
+{
+  const int old = static_cast<int>(leaders_.size()) - 1;
+  const bool isCrash = Uniform(0, 1) < 0.5;
+  Leader& leader = leaders_[static_cast<std::size_t>(old)];
+  leader.isDead = isCrash;
+  leader.isIsolated = true;
+  // The heartbeat that a quorum answered last was sent at most one interval ago.
+  leader.isolatedAt = now_ - Between(Duration::zero(), kHeartbeat);
+  for (Node& node : nodes_) {
+    node.followsNewLeader = isCrash || Uniform(0, 1) < 0.5;
+  }
+  At(now_ + Between(std::chrono::milliseconds(200), std::chrono::milliseconds(800)), [this] {
+    AddLeader(static_cast<std::int64_t>(leaders_.size()) + 1);
+    for (Node& node : nodes_) {
+      if (node.followsNewLeader) {
+        node.leader = static_cast<int>(leaders_.size()) - 1;
+      }
+    }
+    At(now_ + options_.isolationAfterElection, [this] {
+      for (Node& node : nodes_) {
+        node.leader = static_cast<int>(leaders_.size()) - 1;
+      }
+    });
+  });
+}
+
+void LimitFleet::Freeze()
+{
+  Node& node = nodes_[std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_)];
+  node.frozenUntil = now_ + Between(Duration::zero(), kLongestFreeze);
+}
+
+void LimitFleet::Restart()
+{
+  Node& node = nodes_[std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_)];
+  ++node.epoch;
+  StartNode(node);
+}
+
+void LimitFleet::MoveDemand()
+{
+  std::vector<int> all;
+  for (const Node& node : nodes_) {
+    all.push_back(node.index);
+  }
+  std::shuffle(all.begin(), all.end(), random_);
+  const int wanted = options_.activeNodes > 0 ? options_.activeNodes : options_.nodes;
+  all.resize(static_cast<std::size_t>(std::min(wanted, options_.nodes)));
+  active_ = all;
+}
+
+double LimitFleet::Refill(TrueBucket& bucket) const
+{
+  bucket.level =
+    std::min(options_.limit.burst, bucket.level + options_.limit.rate * Seconds(now_ - bucket.at));
+  bucket.at = now_;
+  return bucket.level;
+}
+
+} // namespace acp::test
--- /dev/null
+++ b/tests/limits_test/rate_window_test.cpp
@@ -0,0 +1,109 @@
+#include <boost/test/unit_test.hpp>
+
+#include <cstdint> // uint64_t
+
+#include "limit_fleet.hpp"
+
+namespace {
+
+using acp::test::FleetOptions;
+using acp::test::FleetResult;
+using acp::test::LimitFleet;
+
+// Admissions are counted in doubles.
+constexpr double kRounding = 1e-6;
+constexpr std::uint64_t kSeeds = 40;
+
+/// Many faults at once, demand far above the rate, so that every token is fought over.
+FleetOptions Hostile(std::uint64_t seed)
+{
+  FleetOptions options;
+  options.seed = seed;
+  options.nodes = 6;
+  const double bursts[] = { 1, 5, 40, 200 };
+  options.limit = { .rate = 40, .burst = bursts[seed % 4] };
+  options.demandPart = 3;
+  options.isBursty = seed % 3 == 0;
+  options.clockDrift = acp::kClockDrift;
+  options.lossPart = 0.05;
+  options.delayedPart = 0.05;
+  options.duplicatedPart = 0.1;
+  options.moveEvery = std::chrono::milliseconds(700);
+  options.activeNodes = 3;
+  options.failoverEvery = std::chrono::seconds(12);
+  options.freezeEvery = std::chrono::milliseconds(1700);
+  options.restartEvery = std::chrono::milliseconds(2300);
+  options.longestQueueing = std::chrono::milliseconds(20);
+  options.length = std::chrono::seconds(60);
+  return options;
+}
+
+/// Returns how many of the seeds violate the window property.
+template<typename Change>
+int Violations(const Change& change)
+{
+  int violations = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FleetOptions options = Hostile(seed);
+    change(options);
+    const FleetResult result = LimitFleet(options).Run();
+    BOOST_TEST_INFO("seed " << seed << " lowest level " << result.lowestLevel);
+    violations += result.lowestLevel < -kRounding ? 1 : 0;
+  }
+  return violations;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(rate_window)
+
+// Guards against an account that exceeds rate x w + burst in any window (P6) under failover,
+// isolated leaders, lost, delayed and repeated messages, frozen and restarted nodes, and drift.
+BOOST_AUTO_TEST_CASE(window_property_holds_under_all_faults)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const FleetResult result = LimitFleet(Hostile(seed)).Run();
+    BOOST_TEST(result.lowestLevel >= -kRounding,
+               "seed " << seed << " lowest level " << result.lowestLevel);
+    BOOST_TEST(result.admitted > 0, "seed " << seed << " admitted nothing");
+  }
+}
+
+// Guards against a check that would not notice a new leader that grants while old leases last.
+BOOST_AUTO_TEST_CASE(without_wait_after_election_the_property_fails)
+{
+  BOOST_TEST(Violations([](FleetOptions& options) {
+               options.authority.guards.waitAfterElection = false;
+             }) > 0);
+}
+
+// Guards against a check that would not notice leases that outlive their counting.
+BOOST_AUTO_TEST_CASE(lease_counted_from_arrival_violates_the_property)
+{
+  BOOST_TEST(Violations([](FleetOptions& options) { options.table.leaseFromAsk = false; }) > 0);
+}
+
+// Guards against a check that would not notice a repeated ask that settles tokens twice.
+BOOST_AUTO_TEST_CASE(settling_repeated_asks_violates_the_property)
+{
+  BOOST_TEST(
+    Violations([](FleetOptions& options) { options.authority.guards.settleOnce = false; }) > 0);
+}
+
+// Guards against a check that would not notice grants beyond level + outstanding <= burst.
+BOOST_AUTO_TEST_CASE(forgetting_outstanding_violates_the_property)
+{
+  BOOST_TEST(Violations([](FleetOptions& options) {
+               options.authority.guards.countOutstanding = false;
+             }) > 0);
+}
+
+// Guards against a check that would not notice an isolated leader that goes on granting.
+BOOST_AUTO_TEST_CASE(leases_not_bound_by_confirmation_violate_the_property)
+{
+  BOOST_TEST(Violations([](FleetOptions& options) {
+               options.authority.guards.boundByConfirmation = false;
+             }) > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
