Add routing: member table, outlier ejection, slow start and balancer

Cause: nested and overflowing requests need a member that can take them. Change: MemberTable keeps what control lists and what responses show, one lock for each service; Balancer picks the own upstream, else the better of two drawn by capacity, nearby first.

--- /dev/null
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+/// @file
+/// The choice of the member that executes a request.
+
+#include <cstdint>    // int64_t
+#include <functional> // function
+#include <mutex>      // mutex
+#include <optional>   // optional
+#include <string>     // string
+#include <vector>     // vector
+
+#include "acaciapulley/core/clock.hpp"           // TimePoint
+#include "acaciapulley/routing/member_table.hpp" // MemberTable
+
+namespace acp {
+
+/// Construction options of a Balancer.
+struct BalancerOptions
+{
+  std::string ownNodeId;
+  std::string ownDataCentre;
+  MemberTable* members = nullptr;
+  /// Uniform in [0, 1); by default a seeded generator. Called under a lock.
+  std::function<double()> random;
+};
+
+/// A request that needs a member.
+struct PickRequest
+{
+  std::string service;
+  std::vector<std::string> tried; ///< nodes that an earlier attempt of this request used
+  bool isIdempotent = true;       ///< trials of ejected members use idempotent requests only
+};
+
+/// The chosen member. MemberTable::Finish must follow, with this node and epoch.
+struct Choice
+{
+  std::string nodeId;
+  std::int64_t epoch = 0;
+  std::string peerAddress;
+  bool isOwn = false;   ///< the upstream beside this node
+  bool isTrial = false; ///< trial of an ejected member
+};
+
+/// Chooses members. Draining and ejected members and those tried before are never chosen. Rules, in
+/// this order:
+///
+/// 1. an ejected member whose ejection has ended gets one trial request;
+/// 2. this node's own upstream, unless it is near its limit and a peer is better off;
+/// 3. two members drawn by capacity, of which the less utilised one is taken; from this data centre
+///    as long as its members are not near their limit, else from all.
+///
+/// Calls may come from any thread.
+class Balancer
+{
+public:
+  /// A member is near its limit when one more request uses this part of its capacity.
+  static constexpr double kNearLimit = 0.9;
+
+  explicit Balancer(BalancerOptions options);
+
+  /// @brief Chooses a member and counts the call as in flight there.
+  /// @return the choice, or nothing when no member may be used
+  /// @par Complexity
+  /// Linear in the number of members of the service.
+  [[nodiscard]] std::optional<Choice> Pick(const PickRequest& request, TimePoint now);
+
+private:
+  [[nodiscard]] double Random();
+  [[nodiscard]] MemberState* Choose(ServiceMembers& members,
+                                    const PickRequest& request,
+                                    TimePoint now);
+  [[nodiscard]] MemberState* BetterOfTwo(const std::vector<MemberState*>& members, TimePoint now);
+  [[nodiscard]] MemberState* Draw(const std::vector<MemberState*>& members,
+                                  const MemberState* except,
+                                  TimePoint now);
+
+  BalancerOptions options_;
+  std::mutex randomMutex_;
+};
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/routing/member_table.hpp
@@ -0,0 +1,162 @@
+#pragma once
+
+/// @file
+/// What a node knows of the members of each service: control's list, and what requests show.
+
+#include <cstdint>    // int64_t
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // shared_ptr
+#include <mutex>      // mutex
+#include <string>     // string
+#include <vector>     // vector
+
+#include "acaciapulley/core/clock.hpp"               // Duration, TimePoint
+#include "acaciapulley/routing/outlier_detector.hpp" // OutlierDetector
+#include "acaciapulley/routing/slow_start.hpp"       // SlowStart
+
+namespace acp {
+
+/// A member as control lists it.
+struct RoutedMember
+{
+  std::string nodeId;
+  std::int64_t epoch = 0; ///< changes on each start of the member's node
+  std::string service;
+  std::string dataCentre;
+  std::string peerAddress; ///< ip:port of the node's peer listener
+  int slots = 1;
+  Duration coldStart{};
+  bool isDraining = false;
+};
+
+/// What `Acp-Load` says of the executing node.
+struct LoadSample
+{
+  double inFlight = 0; ///< requests at the upstream and in the gate's queue
+  double limit = 0;    ///< the gate's concurrency limit; 0: not stated
+  Duration queueAge{};
+};
+
+/// How a call to a member ended, as far as routing is concerned.
+enum class CallResult
+{
+  Answered,  ///< the upstream answered
+  Refused,   ///< not-run: overloaded, queue timeout and the like
+  Draining,  ///< not-run because the member is draining
+  Failed,    ///< no connection, connection lost, or no response in time
+  Cancelled, ///< ended by the caller; says nothing about the member
+};
+
+/// A member and its statistics at this node.
+struct MemberState
+{
+  RoutedMember info;
+  SlowStart slowStart;
+  OutlierDetector outlier;
+  bool isDraining = false;   ///< by control's list or by the member's own refusal
+  int inFlight = 0;          ///< calls of this node
+  double latencySeconds = 0; ///< moving average of answered calls; 0 before the first
+  double refusedPart = 0;    ///< moving average of refusals at lastRefusal
+  TimePoint lastRefusal;
+  LoadSample load;
+  double othersInFlight = 0; ///< part of load.inFlight that other nodes caused
+  TimePoint loadAt;
+  bool hasLoad = false;
+
+  /// @brief Returns the requests the member can run at once now; above 0.
+  [[nodiscard]] double CapacityAt(TimePoint now) const;
+
+  /// @brief Returns the requests in flight at the member by its capacity.
+  /// @param more requests added to those in flight
+  [[nodiscard]] double UtilisationAt(TimePoint now, int more = 0) const;
+};
+
+/// The members of one service. Not thread-safe; MemberTable guards it.
+class ServiceMembers
+{
+public:
+  /// @brief Takes over the list; keeps statistics of members whose epoch is unchanged.
+  ///
+  /// Members that are new or have a new epoch start slowly, but not those of the first list: their
+  /// age is unknown, and most are warm.
+  void Apply(const std::vector<RoutedMember>& members, TimePoint now);
+
+  /// @brief Notes the start of a call to @p member.
+  static void Begin(MemberState& member, TimePoint now);
+
+  /// @brief Notes the end of a call; ignored when the member has a new epoch since.
+  void Finish(const std::string& nodeId,
+              std::int64_t epoch,
+              CallResult result,
+              Duration latency,
+              TimePoint now);
+
+  /// @brief Takes over what a response or the local gate says of a member's load.
+  void NoteLoad(const std::string& nodeId, const LoadSample& load, TimePoint now);
+
+  /// @brief Returns the members ordered by node; for Balancer.
+  [[nodiscard]] std::vector<MemberState>& Members() { return members_; }
+
+  /// @brief Returns the member @p nodeId, or nullptr.
+  [[nodiscard]] MemberState* Find(const std::string& nodeId);
+
+private:
+  void KeepHalf();
+  void TryEject(MemberState& member, TimePoint now);
+
+  std::vector<MemberState> members_;
+  bool hasList_ = false;
+};
+
+/// The members of all services, each service under its own lock. Calls may come from any thread.
+///
+/// @par Example
+/// @code
+/// table.Apply(version, members, clock.Now());
+/// table.Finish("orders", nodeId, epoch, acp::CallResult::Answered, latency, clock.Now());
+/// @endcode
+class MemberTable
+{
+public:
+  /// @brief Takes over control's list; an older version than the last one is ignored.
+  /// @param leaderTerm term of the leader that counts the version, 0 when there is only one
+  void Apply(std::int64_t leaderTerm,
+             std::int64_t version,
+             const std::vector<RoutedMember>& members,
+             TimePoint now);
+
+  /// @brief Notes the end of a call that Balancer::Pick chose. Must be called once for each choice.
+  void Finish(const std::string& service,
+              const std::string& nodeId,
+              std::int64_t epoch,
+              CallResult result,
+              Duration latency,
+              TimePoint now);
+
+  /// @brief Takes over `Acp-Load` of a response, or the state of this node's own gate.
+  void NoteLoad(const std::string& service,
+                const std::string& nodeId,
+                const LoadSample& load,
+                TimePoint now);
+
+  /// @brief Runs @p use on the members of @p service under their lock; not when it is unknown.
+  void With(const std::string& service, const std::function<void(ServiceMembers&)>& use);
+
+private:
+  struct Shard
+  {
+    std::mutex mutex;
+    ServiceMembers members;
+  };
+
+  [[nodiscard]] std::shared_ptr<Shard> Find(const std::string& service);
+
+  std::mutex mutex_; ///< guards the fields below, never held together with a shard's
+  std::map<std::string, std::shared_ptr<Shard>> shards_;
+  std::mutex applyMutex_; ///< one list at a time
+  std::int64_t term_ = 0;
+  std::int64_t version_ = 0;
+};
+
+} // namespace acp
--- /dev/null
+++ b/src/routing/member_table.cpp
@@ -0,0 +1,250 @@
+#include "acaciapulley/routing/member_table.hpp"
+
+#include <algorithm> // count_if, find_if, max, min, sort
+#include <cmath>     // exp
+#include <utility>   // move
+
+namespace acp {
+
+namespace {
+
+// A statement of load says little after a few polls' time.
+constexpr Duration kLoadValid = std::chrono::seconds(1);
+
+// Refusals are forgotten over about this long, as admission reopens.
+constexpr double kRefusalSeconds = 1;
+
+// Weight of the newest call in moving averages.
+constexpr double kNewest = 0.1;
+
+// Part of the capacity taken away from a member that refuses every call; the rest still probes it.
+constexpr double kRefusalCost = 0.9;
+
+double Seconds(Duration span)
+{
+  return std::chrono::duration<double>(span).count();
+}
+
+double RefusedPartAt(const MemberState& member, TimePoint now)
+{
+  const double elapsed = std::max(Seconds(now - member.lastRefusal), 0.0);
+  return member.refusedPart * std::exp(-elapsed / kRefusalSeconds);
+}
+
+} // namespace
+
+double MemberState::CapacityAt(TimePoint now) const
+{
+  const bool isLoadValid = hasLoad && now - loadAt <= kLoadValid && load.limit > 0;
+  const double slots = std::max(info.slots, 1);
+  const double limit = isLoadValid ? std::min(load.limit, slots) : slots;
+  const double usable = 1 - kRefusalCost * RefusedPartAt(*this, now);
+  return limit * slowStart.ShareAt(now) * usable;
+}
+
+double MemberState::UtilisationAt(TimePoint now, int more) const
+{
+  const bool isLoadValid = hasLoad && now - loadAt <= kLoadValid;
+  const double others = isLoadValid ? othersInFlight : 0;
+  return (inFlight + others + more) / CapacityAt(now);
+}
+
+void ServiceMembers::Apply(const std::vector<RoutedMember>& members, TimePoint now)
+{
+  std::vector<MemberState> next;
+  for (const RoutedMember& info : members) {
+    MemberState* known = Find(info.nodeId);
+    if (known != nullptr && known->info.epoch > info.epoch) {
+      next.push_back(std::move(*known));
+      continue;
+    }
+    if (known != nullptr && known->info.epoch == info.epoch) {
+      MemberState state = std::move(*known);
+      // A list older than the member's own refusal must not end the drain that it announced.
+      state.isDraining = info.isDraining || (state.isDraining && !state.info.isDraining);
+      state.info = info;
+      next.push_back(std::move(state));
+      continue;
+    }
+    MemberState state;
+    state.info = info;
+    state.isDraining = info.isDraining;
+    state.slowStart = hasList_ ? SlowStart(now, info.coldStart) : SlowStart();
+    next.push_back(std::move(state));
+  }
+  std::sort(next.begin(), next.end(), [](const MemberState& left, const MemberState& right) {
+    return left.info.nodeId < right.info.nodeId;
+  });
+  members_ = std::move(next);
+  hasList_ = true;
+  KeepHalf();
+}
+
+void ServiceMembers::Begin(MemberState& member, TimePoint now)
+{
+  ++member.inFlight;
+  if (member.outlier.IsTrialDue(now)) {
+    member.outlier.BeginTrial();
+  }
+}
+
+void ServiceMembers::Finish(const std::string& nodeId,
+                            std::int64_t epoch,
+                            CallResult result,
+                            Duration latency,
+                            TimePoint now)
+{
+  MemberState* member = Find(nodeId);
+  if (member == nullptr || member->info.epoch != epoch) {
+    return;
+  }
+  member->inFlight = std::max(member->inFlight - 1, 0);
+  if (result == CallResult::Cancelled) {
+    member->outlier.CancelTrial();
+    return;
+  }
+  if (result == CallResult::Failed) {
+    TryEject(*member, now);
+    return;
+  }
+  // A refusal comes from a live node, so it counts as a success for outlier detection.
+  member->outlier.OnSuccess();
+  member->isDraining = member->isDraining || result == CallResult::Draining;
+  const double refused = result == CallResult::Refused ? 1 : 0;
+  member->refusedPart = (1 - kNewest) * RefusedPartAt(*member, now) + kNewest * refused;
+  member->lastRefusal = now;
+  if (result == CallResult::Answered) {
+    const double seconds = Seconds(latency);
+    const double old = member->latencySeconds;
+    member->latencySeconds = old > 0 ? (1 - kNewest) * old + kNewest * seconds : seconds;
+  }
+}
+
+void ServiceMembers::NoteLoad(const std::string& nodeId, const LoadSample& load, TimePoint now)
+{
+  MemberState* member = Find(nodeId);
+  if (member == nullptr) {
+    return;
+  }
+  member->load = load;
+  member->othersInFlight = std::max(load.inFlight - member->inFlight, 0.0);
+  member->loadAt = now;
+  member->hasLoad = true;
+}
+
+MemberState* ServiceMembers::Find(const std::string& nodeId)
+{
+  const auto found = std::find_if(members_.begin(), members_.end(), [&](const MemberState& state) {
+    return state.info.nodeId == nodeId;
+  });
+  return found == members_.end() ? nullptr : &*found;
+}
+
+void ServiceMembers::TryEject(MemberState& member, TimePoint now)
+{
+  if (!member.outlier.OnFailure(now)) {
+    return;
+  }
+  std::size_t serving = 0;
+  std::size_t ejected = 0;
+  for (const MemberState& state : members_) {
+    serving += state.isDraining ? 0U : 1U;
+    ejected += !state.isDraining && state.outlier.IsEjected() ? 1U : 0U;
+  }
+  if (ejected + 1 <= OutlierDetector::MostEjected(serving)) {
+    member.outlier.Eject(now);
+  }
+}
+
+void ServiceMembers::KeepHalf()
+{
+  std::size_t serving = 0;
+  std::vector<MemberState*> ejected;
+  for (MemberState& state : members_) {
+    if (state.isDraining) {
+      continue;
+    }
+    ++serving;
+    if (state.outlier.IsEjected()) {
+      ejected.push_back(&state);
+    }
+  }
+  // Members left the list since the ejections: readmit those that are nearest to their end.
+  std::sort(ejected.begin(), ejected.end(), [](const MemberState* left, const MemberState* right) {
+    return left->outlier.EjectedUntil() < right->outlier.EjectedUntil();
+  });
+  const std::size_t most = OutlierDetector::MostEjected(serving);
+  for (std::size_t i = 0; i + most < ejected.size(); ++i) {
+    ejected[i]->outlier.Readmit();
+  }
+}
+
+void MemberTable::Apply(std::int64_t leaderTerm,
+                        std::int64_t version,
+                        const std::vector<RoutedMember>& members,
+                        TimePoint now)
+{
+  const std::lock_guard one(applyMutex_);
+  std::map<std::string, std::vector<RoutedMember>> byService;
+  for (const RoutedMember& member : members) {
+    byService[member.service].push_back(member);
+  }
+  std::map<std::string, std::shared_ptr<Shard>> shards;
+  {
+    const std::lock_guard lock(mutex_);
+    if (leaderTerm < term_ || (leaderTerm == term_ && version < version_)) {
+      return;
+    }
+    term_ = leaderTerm;
+    version_ = version;
+    for (const auto& [service, list] : byService) {
+      auto& shard = shards_[service];
+      if (!shard) {
+        shard = std::make_shared<Shard>();
+      }
+    }
+    shards = shards_;
+    std::erase_if(shards_, [&](const auto& item) { return !byService.contains(item.first); });
+  }
+  for (const auto& [service, shard] : shards) {
+    const std::lock_guard lock(shard->mutex);
+    shard->members.Apply(byService[service], now);
+  }
+}
+
+void MemberTable::Finish(const std::string& service,
+                         const std::string& nodeId,
+                         std::int64_t epoch,
+                         CallResult result,
+                         Duration latency,
+                         TimePoint now)
+{
+  With(service,
+       [&](ServiceMembers& members) { members.Finish(nodeId, epoch, result, latency, now); });
+}
+
+void MemberTable::NoteLoad(const std::string& service,
+                           const std::string& nodeId,
+                           const LoadSample& load,
+                           TimePoint now)
+{
+  With(service, [&](ServiceMembers& members) { members.NoteLoad(nodeId, load, now); });
+}
+
+void MemberTable::With(const std::string& service, const std::function<void(ServiceMembers&)>& use)
+{
+  const std::shared_ptr<Shard> shard = Find(service);
+  if (shard) {
+    const std::lock_guard lock(shard->mutex);
+    use(shard->members);
+  }
+}
+
+std::shared_ptr<MemberTable::Shard> MemberTable::Find(const std::string& service)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = shards_.find(service);
+  return found == shards_.end() ? nullptr : found->second;
+}
+
+} // namespace acp
--- /dev/null
+++ b/tests/routing_test/balancer_test.cpp
@@ -0,0 +1,209 @@
+#include <boost/test/unit_test.hpp>
+
+#include <map>    // map
+#include <string> // string
+#include <vector> // vector
+
+#include "acaciapulley/routing/balancer.hpp"
+
+namespace {
+
+using std::chrono::seconds;
+
+/// A table of one service, its clock and a balancer with a fixed random sequence.
+struct Fixture
+{
+  acp::ManualClock clock;
+  acp::MemberTable table;
+  std::int64_t version = 0;
+  unsigned state = 7;
+  acp::Balancer balancer{ { .ownNodeId = "n0",
+                            .ownDataCentre = "a",
+                            .members = &table,
+                            .random = [this] {
+                              state = state * 1664525U + 1013904223U;
+                              return static_cast<double>(state >> 8U) / (1U << 24U);
+                            } } };
+
+  static acp::RoutedMember Member(const std::string& node, const std::string& dataCentre = "a")
+  {
+    return { .nodeId = node, .epoch = 1, .service = "s", .dataCentre = dataCentre, .slots = 10 };
+  }
+
+  void Apply(const std::vector<acp::RoutedMember>& members)
+  {
+    table.Apply(1, ++version, members, clock.Now());
+  }
+
+  std::string Pick(const std::vector<std::string>& tried = {})
+  {
+    const auto choice = balancer.Pick({ .service = "s", .tried = tried }, clock.Now());
+    return choice ? choice->nodeId : "";
+  }
+
+  void Finish(const std::string& node, acp::CallResult result)
+  {
+    table.Finish("s", node, 1, result, std::chrono::milliseconds(5), clock.Now());
+  }
+
+  double Capacity(const std::string& node)
+  {
+    double value = 0;
+    table.With("s", [&](acp::ServiceMembers& members) {
+      value = members.Find(node)->CapacityAt(clock.Now());
+    });
+    return value;
+  }
+
+  std::map<std::string, int> PickMany(int count)
+  {
+    std::map<std::string, int> counts;
+    for (int i = 0; i < count; ++i) {
+      const std::string node = Pick();
+      ++counts[node];
+      Finish(node, acp::CallResult::Answered);
+    }
+    return counts;
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(balancer)
+
+// Guards against work for a member whose drain is known from control's list or its own refusal,
+// also when an older list arrives later (P10).
+BOOST_FIXTURE_TEST_CASE(draining_member_gets_nothing, Fixture)
+{
+  auto leaving = Member("n1");
+  leaving.isDraining = true;
+  Apply({ leaving, Member("n2"), Member("n3") });
+  BOOST_TEST(PickMany(200)["n1"] == 0);
+  Finish("n2", acp::CallResult::Draining);
+  Apply({ leaving, Member("n2"), Member("n3") });
+  table.Apply(1, 1, { Member("n1") }, clock.Now());
+  BOOST_TEST(PickMany(200)["n3"] == 200);
+  BOOST_TEST(Pick({ "n3" }).empty());
+}
+
+// Guards against a peer hop while the own upstream has room, and against queueing at it when a peer
+// is idle.
+BOOST_FIXTURE_TEST_CASE(own_upstream_first_until_near_its_limit, Fixture)
+{
+  Apply({ Member("n0"), Member("n1") });
+  for (int i = 0; i < 8; ++i) {
+    BOOST_TEST(Pick() == "n0");
+  }
+  BOOST_TEST(Pick() == "n1");
+}
+
+// Guards against traffic between data centres without need, and against an overloaded data centre
+// beside an idle one.
+BOOST_FIXTURE_TEST_CASE(same_data_centre_until_near_its_limit, Fixture)
+{
+  Apply({ Member("n1"), Member("n2"), Member("n3", "b") });
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 26; ++i) {
+    ++counts[Pick()];
+    BOOST_TEST((i >= 18 || counts["n3"] == 0));
+  }
+  BOOST_TEST(counts["n3"] >= 5);
+}
+
+// Guards against retries that go to a member that was tried, and a choice for an unknown service.
+BOOST_FIXTURE_TEST_CASE(tried_members_are_excluded, Fixture)
+{
+  Apply({ Member("n1"), Member("n2") });
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(Pick({ "n1" }) == "n2");
+  }
+  BOOST_TEST(Pick({ "n1", "n2" }).empty());
+  BOOST_TEST(!balancer.Pick({ .service = "other" }, clock.Now()).has_value());
+}
+
+// Guards against a failing member that stays in use, a trial by more than one request, a trial with
+// a non-idempotent request, and an ejection that does not grow when the trial fails.
+BOOST_FIXTURE_TEST_CASE(failing_member_is_ejected_and_tried_again, Fixture)
+{
+  Apply({ Member("n1"), Member("n2") });
+  for (int i = 0; i < 5; ++i) {
+    Finish("n1", acp::CallResult::Failed);
+  }
+  BOOST_TEST(PickMany(100)["n1"] == 0);
+  clock.Advance(seconds(1));
+  const auto write = balancer.Pick({ .service = "s", .isIdempotent = false }, clock.Now());
+  BOOST_TEST(write->nodeId == "n2");
+  BOOST_TEST(Pick() == "n1");
+  BOOST_TEST(PickMany(100)["n1"] == 0);
+  Finish("n1", acp::CallResult::Failed);
+  clock.Advance(seconds(1));
+  BOOST_TEST(PickMany(100)["n1"] == 0);
+  clock.Advance(seconds(1));
+  BOOST_TEST(Pick() == "n1");
+  Finish("n1", acp::CallResult::Answered);
+  BOOST_TEST(PickMany(100)["n1"] > 20);
+}
+
+// Guards against ejections that leave fewer than half of a service's upstreams, also after members
+// left, and against members ejected by failures that are not in a row.
+BOOST_FIXTURE_TEST_CASE(half_of_the_members_stay, Fixture)
+{
+  Apply({ Member("n1"), Member("n2"), Member("n3"), Member("n4") });
+  for (int i = 0; i < 4; ++i) {
+    Finish("n4", acp::CallResult::Failed);
+    Finish("n4", acp::CallResult::Failed);
+    Finish("n4", acp::CallResult::Answered);
+  }
+  BOOST_TEST(PickMany(400)["n4"] > 50);
+  for (const std::string node : { "n1", "n2", "n3" }) {
+    for (int i = 0; i < 6; ++i) {
+      Finish(node, acp::CallResult::Failed);
+    }
+  }
+  auto counts = PickMany(400);
+  BOOST_TEST(counts["n1"] + counts["n2"] == 0);
+  BOOST_TEST(counts["n3"] > 100);
+  Apply({ Member("n1"), Member("n2"), Member("n3") });
+  counts = PickMany(400);
+  BOOST_TEST((counts["n1"] == 0) != (counts["n2"] == 0));
+}
+
+// Guards against a cold member that gets a full share at once, after joining or a restart, and
+// against a warm fleet that is throttled because this node has just started.
+BOOST_FIXTURE_TEST_CASE(cold_member_ramps_up, Fixture)
+{
+  auto member = Member("n1");
+  auto cold = Member("n2");
+  member.coldStart = seconds(10);
+  cold.coldStart = seconds(10);
+  Apply({ member });
+  BOOST_TEST(Capacity("n1") == 10.0);
+  Apply({ member, cold });
+  BOOST_TEST(Capacity("n2") == 1.0);
+  clock.Advance(seconds(5));
+  BOOST_TEST(Capacity("n2") == 5.0);
+  clock.Advance(seconds(5));
+  BOOST_TEST(Capacity("n2") == 10.0);
+  member.epoch = 2;
+  Apply({ member, cold });
+  BOOST_TEST(Capacity("n1") == 1.0);
+}
+
+// Guards against a member that keeps its share while it refuses or reports a load above its limit,
+// and against one that does not regain its share afterwards.
+BOOST_FIXTURE_TEST_CASE(responses_shift_the_share, Fixture)
+{
+  Apply({ Member("n1"), Member("n2") });
+  for (int i = 0; i < 20; ++i) {
+    Finish("n1", acp::CallResult::Refused);
+  }
+  BOOST_TEST(Capacity("n1") < 3);
+  clock.Advance(seconds(10));
+  BOOST_TEST(PickMany(300)["n1"] > 100);
+  table.NoteLoad("s", "n1", { .inFlight = 30, .limit = 5 }, clock.Now());
+  BOOST_TEST(PickMany(100)["n1"] == 0);
+  clock.Advance(seconds(2));
+  BOOST_TEST(PickMany(100)["n1"] > 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
