Add the claim registry

Cause: at most one run of a non-idempotent request (P9) needs a record of who holds an idempotency key and of its outcome. Ruled out: dropping old claims when an account has many, since a dropped claim could run twice; the account gets a refusal instead.

--- /dev/null
+++ b/include/acaciapulley/claims/claims_error.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+/// @file
+/// Errors of the module claims, numbers 600 to 699.
+
+#include <array> // array
+
+#include "acaciapulley/core/error.hpp" // BasicError, Result
+
+namespace acp {
+
+/// Why a claim was refused; a refused call changes nothing.
+enum class ClaimsErrorCode
+{
+  InvalidKey = 600,     ///< the idempotency key is not `<unix seconds>-<8 to 64 characters>`
+  KeyInFuture = 601,    ///< the time in the idempotency key is too far ahead of the log's time
+  TooManyClaims = 602,  ///< the client account has as many claims as are kept for it
+  DeadlinePassed = 603, ///< the attempt's deadline had passed when its claim was applied
+  NotHolder = 604,      ///< another attempt holds the claim, or none does
+  InvalidAttempt = 605, ///< an identifier or fingerprint is empty or too long
+};
+
+template<>
+struct NameTable<ClaimsErrorCode>
+{
+  static constexpr std::array<EnumName<ClaimsErrorCode>, 6> kRows = { {
+    { ClaimsErrorCode::InvalidKey, "invalid_idempotency_key" },
+    { ClaimsErrorCode::KeyInFuture, "idempotency_key_in_future" },
+    { ClaimsErrorCode::TooManyClaims, "too_many_claims" },
+    { ClaimsErrorCode::DeadlinePassed, "deadline_passed" },
+    { ClaimsErrorCode::NotHolder, "not_claim_holder" },
+    { ClaimsErrorCode::InvalidAttempt, "invalid_attempt" },
+  } };
+};
+
+using ClaimsError = BasicError<ClaimsErrorCode>;
+
+template<typename T>
+using ClaimsResult = Result<T, ClaimsError>;
+
+} // namespace acp
--- /dev/null
+++ b/tests/claims_test/claim_registry_test.cpp
@@ -0,0 +1,166 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm> // max
+#include <map>       // map
+#include <random>    // mt19937
+#include <set>       // set
+#include <string>    // string
+
+#include "acaciapulley/claims/claim_registry.hpp"
+
+namespace {
+
+constexpr std::int64_t kStart = 1'700'000'000'000;
+constexpr std::int64_t kDay = 86'400'000;
+
+acp::ClaimAttempt Attempt(const std::string& id, std::int64_t now, std::int64_t keyTime = kStart)
+{
+  return { .key = { "workshop", "orders", std::to_string(keyTime / 1000) + "-order-0001" },
+           .attemptId = id,
+           .fingerprint = "f",
+           .deadline = acp::ToUnixMillis(now + 1000) };
+}
+
+acp::ClaimState StateOf(acp::ClaimRegistry& registry,
+                        const acp::ClaimAttempt& attempt,
+                        std::int64_t now)
+{
+  return registry.Begin(attempt, acp::ToUnixMillis(now)).value().state;
+}
+
+/// What the test knows about one key, written down without the registry's rules.
+struct KeyModel
+{
+  std::set<std::string> mayHaveRun; ///< attempts that were granted and not released
+  bool hasOutcome = false;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(claims)
+
+// P9. Guards against a second run: in random sequences of calls, with resends, late calls and
+// restarts from a snapshot, no attempt is granted a key that another attempt may have used.
+BOOST_AUTO_TEST_CASE(a_key_is_granted_to_one_attempt_until_it_is_released)
+{
+  for (unsigned int seed = 1; seed <= 30; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      std::mt19937 random(seed);
+      auto registry = std::make_unique<acp::ClaimRegistry>();
+      std::map<std::string, KeyModel> model;
+      std::int64_t now = kStart;
+      for (int step = 0; step < 1500; ++step) {
+        now += random() % 4 == 0 ? static_cast<std::int64_t>(random() % 900) : 0;
+        // A restart or a new leader may propose with a clock that is behind.
+        const auto time = acp::ToUnixMillis(now - static_cast<std::int64_t>(random() % 200));
+        auto attempt = Attempt("a" + std::to_string(random() % 5), now);
+        attempt.key.idempotencyKey += std::to_string(random() % 20);
+        KeyModel& known = model[attempt.key.idempotencyKey];
+        switch (random() % 6) {
+          case 0:
+            if (registry->Finish(attempt.key, attempt.attemptId, { .status = 200 }, time)) {
+              BOOST_TEST(known.mayHaveRun.contains(attempt.attemptId));
+              known.hasOutcome = true;
+            }
+            break;
+          case 1:
+            if (registry->Release(attempt.key, attempt.attemptId, time)) {
+              BOOST_TEST(!known.hasOutcome);
+              known.mayHaveRun.erase(attempt.attemptId);
+            }
+            break;
+          case 2: {
+            auto restored = std::make_unique<acp::ClaimRegistry>();
+            restored->Restore(registry->Records(), registry->LatestTime());
+            registry = std::move(restored);
+            break;
+          }
+          default: {
+            const auto state = registry->Begin(attempt, time).value().state;
+            BOOST_TEST((state == acp::ClaimState::Finished) == known.hasOutcome);
+            if (state == acp::ClaimState::Granted) {
+              known.mayHaveRun.insert(attempt.attemptId);
+            }
+          }
+        }
+        BOOST_REQUIRE(known.mayHaveRun.size() <= 1U);
+      }
+    }
+  }
+}
+
+// P9. Guards against a resend that runs again, or that does not get the recorded response.
+BOOST_AUTO_TEST_CASE(a_resend_gets_the_state_or_the_outcome)
+{
+  acp::ClaimRegistry registry;
+  const auto first = Attempt("a1", kStart);
+  const auto second = Attempt("a2", kStart);
+  BOOST_TEST((StateOf(registry, first, kStart) == acp::ClaimState::Granted));
+  BOOST_TEST((StateOf(registry, first, kStart) == acp::ClaimState::Granted));
+  BOOST_TEST((StateOf(registry, second, kStart) == acp::ClaimState::InProgress));
+  auto other = second;
+  other.fingerprint = "another body";
+  BOOST_TEST((StateOf(registry, other, kStart) == acp::ClaimState::Mismatch));
+  // At the deadline plus the clock skew the holder may still dispatch, afterwards nobody may.
+  BOOST_TEST((StateOf(registry, second, kStart + 1250) == acp::ClaimState::InProgress));
+  BOOST_TEST((StateOf(registry, second, kStart + 1251) == acp::ClaimState::Unknown));
+  BOOST_TEST((StateOf(registry, first, kStart) == acp::ClaimState::Unknown));
+  const auto late = acp::ToUnixMillis(kStart + 5000);
+  const acp::ClaimOutcome outcome{ .status = 201, .body = "done", .bodyKept = true };
+  BOOST_TEST(!registry.Finish(first.key, "a2", outcome, late).has_value());
+  BOOST_TEST(registry.Finish(first.key, "a1", outcome, late).has_value());
+  BOOST_TEST(registry.Finish(first.key, "a1", { .status = 500 }, late).has_value());
+  BOOST_TEST(!registry.Release(first.key, "a1", late).has_value());
+  const auto answer = registry.Begin(second, late).value();
+  BOOST_TEST((answer.state == acp::ClaimState::Finished));
+  BOOST_TEST(answer.outcome->body == "done");
+  BOOST_TEST(answer.outcome->status == 201);
+}
+
+// P9. Guards against a key that is accepted again after its claim was dropped, and against keys
+// whose claims would be kept for too long.
+BOOST_AUTO_TEST_CASE(old_and_future_keys_are_refused_by_the_time_in_them)
+{
+  acp::ClaimRegistry registry;
+  const auto end = kStart + kDay;
+  BOOST_TEST((StateOf(registry, Attempt("a", end - 1), end - 1) == acp::ClaimState::Granted));
+  BOOST_TEST((StateOf(registry, Attempt("b", end), end) == acp::ClaimState::Expired));
+  BOOST_TEST(registry.Size() == 0U);
+  // The clock of a new leader is behind: the registry's time does not go back.
+  BOOST_TEST((StateOf(registry, Attempt("c", end), end - 1) == acp::ClaimState::Expired));
+  const auto ahead = Attempt("d", end, end + 301'000);
+  BOOST_TEST((registry.Begin(ahead, acp::ToUnixMillis(end)).error().code ==
+              acp::ClaimsErrorCode::KeyInFuture));
+  BOOST_TEST(registry.Begin(ahead, acp::ToUnixMillis(end + 1000)).has_value());
+  for (const char* text : { "", "-12345678", "17-short", "x7-12345678", "17-1234 5678", "17" }) {
+    BOOST_TEST(!acp::TimeOfIdempotencyKey(text).has_value());
+  }
+}
+
+// P9. Guards against memory without bound, and against a claim that is dropped to make room.
+BOOST_AUTO_TEST_CASE(memory_is_bounded_without_forgetting_claims)
+{
+  acp::ClaimRegistry registry({ .maxClaimsPerAccount = 2, .maxBodyBytesPerAccount = 20'000 });
+  const auto now = acp::ToUnixMillis(kStart);
+  auto attempt = Attempt("a", kStart);
+  const std::string base = attempt.key.idempotencyKey;
+  for (const std::string end : { "x", "y" }) {
+    attempt.key.idempotencyKey = base + end;
+    BOOST_TEST(registry.Begin(attempt, now).has_value());
+    const acp::ClaimOutcome outcome{ .body = std::string(16'384, 'b'), .bodyKept = true };
+    BOOST_TEST(registry.Finish(attempt.key, "a", outcome, now).has_value());
+  }
+  const auto kept = registry.Records();
+  BOOST_TEST(kept[0].outcome->bodyKept);
+  BOOST_TEST(!kept[1].outcome->bodyKept);
+  BOOST_TEST(kept[1].outcome->bodyDigest == kept[0].outcome->bodyDigest);
+  attempt.key.idempotencyKey = base + "z";
+  BOOST_TEST((registry.Begin(attempt, now).error().code == acp::ClaimsErrorCode::TooManyClaims));
+  attempt.key.account = "another";
+  BOOST_TEST(registry.Begin(attempt, now).has_value());
+  BOOST_TEST(registry.Size() == 3U);
+  BOOST_TEST(!acp::TrimOutcome({ .body = std::string(16'385, 'b'), .bodyKept = true }).bodyKept);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
