--- /dev/null
+++ b/include/acaciapulley/replication/detail/raft_log.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// The log in memory: the entries after a base position, and the membership at each index.
+
+#include <cstdint>  // uint64_t
+#include <deque>    // deque
+#include <map>      // map
+#include <optional> // optional
+#include <vector>   // vector
+
+#include "acaciapulley/replication/raft_types.hpp" // LogEntry, Membership
+
+namespace acp::detail {
+
+/// Entries after a base, which a snapshot covers or which is the empty log.
+class RaftLog
+{
+public:
+  /// @brief Starts from stored entries, which follow on from the snapshot if there is one.
+  RaftLog(const SnapshotPtr& snapshot, std::vector<LogEntry> entries);
+
+  [[nodiscard]] const LogPosition& Base() const { return base_; }
+  [[nodiscard]] LogPosition Last() const;
+
+  /// @brief Returns the time of the last entry.
+  [[nodiscard]] UnixMillis LastTime() const;
+
+  /// @brief Returns the term of the entry at @p index; nothing when it is not in memory.
+  [[nodiscard]] std::optional<std::uint64_t> TermAt(std::uint64_t index) const;
+
+  /// @brief Returns the entry at @p index, which must be in memory.
+  [[nodiscard]] const LogEntry& At(std::uint64_t index) const;
+
+  /// @brief Returns entries from @p first on, at least one, until @p maxBytes of data are reached.
+  [[nodiscard]] std::vector<LogEntry> Slice(std::uint64_t first, std::size_t maxBytes) const;
+
+  /// @brief Returns the first index of the term that the entry at @p index has.
+  [[nodiscard]] std::uint64_t FirstOfTermAt(std::uint64_t index) const;
+
+  /// @brief Returns the newest membership, committed or not.
+  [[nodiscard]] const Membership& Newest() const { return memberships_.rbegin()->second; }
+
+  /// @brief Returns the index of the entry that carries the newest membership.
+  [[nodiscard]] std::uint64_t NewestIndex() const { return memberships_.rbegin()->first; }
+
+  /// @brief Returns the membership after the entry at @p index.
+  [[nodiscard]] const Membership& MembershipAt(std::uint64_t index) const;
+
+  /// @brief Adds an entry whose index follows the last one.
+  void Append(LogEntry entry);
+
+  /// @brief Removes the entries from @p index on.
+  void TruncateFrom(std::uint64_t index);
+
+  /// @brief Forgets the entries up to @p index.
+  void Compact(std::uint64_t index);
+
+  /// @brief Replaces everything by what @p snapshot covers.
+  void ResetTo(const Snapshot& snapshot);
+
+private:
+  LogPosition base_;
+  UnixMillis baseTime_{};
+  std::deque<LogEntry> entries_;
+  std::map<std::uint64_t, Membership> memberships_; ///< never empty
+};
+
+} // namespace acp::detail
--- /dev/null
+++ b/include/acaciapulley/replication/raft_core.hpp
@@ -0,0 +1,291 @@
+#pragma once
+
+/// @file
+/// The protocol of the replicated log without sockets, threads or disk.
+
+#include <cstdint>    // uint64_t
+#include <deque>      // deque
+#include <functional> // function
+#include <map>        // map
+#include <optional>   // optional
+#include <set>        // set
+#include <string>     // string
+#include <vector>     // vector
+
+#include "acaciapulley/core/clock.hpp"                  // Duration, TimePoint
+#include "acaciapulley/replication/detail/raft_log.hpp" // RaftLog
+#include "acaciapulley/replication/raft_types.hpp"      // RaftMessage
+#include "acaciapulley/replication/storage.hpp"         // StoredState, WriteBatch
+
+namespace acp {
+
+/// Rules that keep the log safe. Only tests switch one off, to show that a schedule finds its lack.
+struct RaftGuards
+{
+  bool voteOnlyWhenUpToDate = true;  ///< a vote needs a log that is at least as complete
+  bool syncBeforeAnswer = true;      ///< answers wait for the sync of what they promise
+  bool learnersWithoutVote = true;   ///< replicas outside the set do not count in quorums
+  bool confirmByQuorum = true;       ///< the age counts from a round that a quorum answered
+  bool commitOnlyCurrentTerm = true; ///< older entries are committed only by a newer one
+};
+
+/// Settings of the core.
+struct RaftOptions
+{
+  ReplicaRecord self; ///< addresses; the identity comes from the storage
+
+  /// A follower that hears no leader for one to two times this span starts an election; a leader
+  /// that hears no quorum for this span steps down.
+  Duration electionTimeout = std::chrono::milliseconds(300);
+  Duration heartbeatInterval = std::chrono::milliseconds(50);
+
+  std::size_t maxAppendBytes = 256U << 10U;     ///< data in one Append message
+  std::uint64_t maxEntriesInFlight = 4096;      ///< entries sent to a replica and not yet answered
+  std::size_t snapshotChunkBytes = 256U << 10U; ///< data in one Snapshot message
+  std::uint64_t entriesKept = 10'000; ///< kept in memory before a snapshot for slow replicas
+
+  std::function<std::uint64_t()> random; ///< required; spreads the election timeouts
+  RaftGuards guards;
+};
+
+/// The two clocks at one moment.
+struct RaftTime
+{
+  TimePoint now;
+  UnixMillis wall{};
+};
+
+/// Role of a replica. A learner is a follower that is not in the replica set.
+enum class RaftRole
+{
+  Follower,
+  PreCandidate,
+  Candidate,
+  Leader,
+};
+
+/// What the owner of the core has to do, in this order for the writes and any order for the rest.
+struct RaftReady
+{
+  WriteBatch write;
+  std::uint64_t writeNumber = 0;      ///< to be given to Persisted when `write` is synced
+  std::vector<RaftMessage> messages;  ///< may be sent at once
+  std::vector<RaftMessage> afterSync; ///< sent when this write and all before are synced
+  SnapshotPtr restore;                ///< replaces the state before `committed` is applied
+  std::vector<LogEntry> committed;    ///< to be applied, in order
+
+  [[nodiscard]] bool IsEmpty() const
+  {
+    return write.IsEmpty() && messages.empty() && afterSync.empty() && !restore &&
+           committed.empty();
+  }
+};
+
+/// Raft with pre-vote, check-quorum, snapshots, learners and joint consensus for replacements.
+///
+/// The core is driven by time and messages; after each call the owner takes what is ready, writes
+/// it in order and reports each finished write. Not safe for use from several threads.
+///
+/// @par Example
+/// @code
+/// acp::RaftCore core(options, storage.Load().value(), now);
+/// core.Tick(now);
+/// acp::RaftReady ready = core.TakeReady(now);
+/// // write ready.write, send ready.messages, then:
+/// core.Persisted(ready.writeNumber);
+/// @endcode
+class RaftCore
+{
+public:
+  RaftCore(RaftOptions options, StoredState state, TimePoint now);
+
+  /// @brief Makes this replica one of the first voters of a new cluster. The set names the random
+  /// identities of the voters, so a replica that lost its disk is never in it.
+  /// @return ChangeRefused when it belongs to another cluster, has a log, or is not in the set
+  ReplicationResult<void> Bootstrap(const Membership& membership, UnixMillis time);
+
+  /// @brief Acts on the passing of time; to be called at least ten times per heartbeat interval.
+  void Tick(const RaftTime& time);
+
+  /// @brief Acts on a message. One that is not for this replica or its cluster is ignored.
+  /// @throw std::logic_error when a leader contradicts a committed entry; the replica must stop
+  void Step(const RaftMessage& message, const RaftTime& time);
+
+  /// @brief Adds a command to the log.
+  /// @return its position, or NotLeader
+  ReplicationResult<LogPosition> Propose(std::string command, UnixMillis wall);
+
+  /// @brief Starts to replace a voter by a learner that has caught up.
+  /// @return the position of the first of two entries, NotLeader, or ChangeRefused
+  ReplicationResult<LogPosition> Replace(const std::string& lostId,
+                                         const std::string& newId,
+                                         UnixMillis wall);
+
+  /// @brief Returns what has to be done since the last call.
+  RaftReady TakeReady(TimePoint now);
+
+  /// @brief Reports that the write @p number and all before it are synced.
+  void Persisted(std::uint64_t number, const RaftTime& time);
+
+  /// @brief Reports that the state machine has applied everything up to @p index.
+  void Applied(std::uint64_t index);
+
+  /// @brief Takes over @p state, which the state machine had after the applied entry at @p index.
+  void Compact(std::uint64_t index, std::string state);
+
+  /// @brief Returns when the last heartbeat round was sent that a quorum answered and whose
+  /// committed entries are applied here; nothing when this replica does not lead.
+  [[nodiscard]] std::optional<TimePoint> ConfirmedAt() const;
+
+  /// @brief Returns when this replica began to lead; nothing before its first entry is applied.
+  [[nodiscard]] std::optional<TimePoint> LeaderSince() const;
+
+  /// @brief Returns the local state as operators see it.
+  [[nodiscard]] ReplicaStatus Status() const;
+
+  [[nodiscard]] RaftRole Role() const { return role_; }
+  [[nodiscard]] std::uint64_t Term() const { return hard_.term; }
+  [[nodiscard]] std::uint64_t CommitIndex() const { return commitIndex_; }
+  [[nodiscard]] const HardState& Hard() const { return hard_; }
+
+  /// @brief Returns the newest membership, committed or not.
+  [[nodiscard]] const Membership& CurrentMembership() const { return log_.Newest(); }
+
+  /// @brief Returns the entry of the bootstrap, from which another replica of the set can start;
+  /// nothing when it is not in memory.
+  [[nodiscard]] std::optional<LogEntry> InitialEntry() const;
+
+  /// @brief Returns whether the newest membership is committed and no replacement is under way.
+  [[nodiscard]] bool MembershipIsSettled() const;
+
+  /// @brief Returns the learners that this leader sends the log to.
+  [[nodiscard]] std::vector<ReplicaRecord> Learners() const;
+
+private:
+  /// What a leader knows of another replica.
+  struct Progress
+  {
+    ReplicaRecord learner; ///< set for learners only
+    std::uint64_t matchIndex = 0;
+    std::uint64_t nextIndex = 1;
+    std::uint64_t round = 0; ///< newest heartbeat round answered
+    TimePoint lastHeard;
+    bool heartbeatDue = true;
+    std::shared_ptr<const std::string> snapshot; ///< encoded, while it is sent
+    LogPosition snapshotPosition;
+    std::uint64_t snapshotOffset = 0;
+    bool snapshotChunkDue = false;
+    TimePoint snapshotSentAt;
+  };
+  struct Round
+  {
+    std::uint64_t number = 0;
+    TimePoint sentAt;
+    std::uint64_t readIndex = 0; ///< everything committed anywhere before sentAt
+  };
+  struct PendingWrite
+  {
+    std::uint64_t number = 0;
+    std::uint64_t lastIndex = 0;
+    std::uint64_t term = 0;
+  };
+
+  // Filters and roles.
+  [[nodiscard]] bool Admits(const RaftMessage& message) const;
+  void AdoptCluster(const RaftMessage& message);
+  void StepInTerm(const RaftMessage& message, const RaftTime& time);
+  void BecomeFollower(std::uint64_t term, const std::string& leaderId, TimePoint now);
+  void BecomeCandidate(const RaftTime& time);
+  void BecomeLeader(const RaftTime& time);
+  void StartPreVote(const RaftTime& time);
+  void ResetElectionTimer(TimePoint now);
+  void CountVotes(const RaftTime& time);
+  [[nodiscard]] bool HasQuorum(const std::set<std::string>& ids) const;
+  [[nodiscard]] bool IsUpToDate(const LogPosition& last) const;
+
+  // Messages to followers and candidates.
+  void StepPreVote(const RaftMessage& message, TimePoint now);
+  void StepPreVoteReply(const RaftMessage& message, const RaftTime& time);
+  void StepVote(const RaftMessage& message, TimePoint now);
+  void StepVoteReply(const RaftMessage& message, const RaftTime& time);
+  void StepAppend(const RaftMessage& message, TimePoint now);
+  void StepSnapshot(const RaftMessage& message, TimePoint now);
+  void StepStale(const RaftMessage& message);
+  void FollowLeader(const RaftMessage& message, TimePoint now);
+  std::uint64_t TakeEntries(const RaftMessage& message);
+  bool InstallSnapshot(Snapshot snapshot);
+
+  // Messages to leaders, and what leaders do.
+  void StepAppendReply(const RaftMessage& message, const RaftTime& time);
+  void StepSnapshotReply(const RaftMessage& message, const RaftTime& time);
+  void StepJoin(const RaftMessage& message, TimePoint now);
+  Progress* Heard(const RaftMessage& message, TimePoint now);
+  void TickLeader(const RaftTime& time);
+  void StartRound(TimePoint now);
+  void SendAppends(TimePoint now);
+  void SendAppend(const std::string& id, Progress& progress);
+  void StartSnapshot(Progress& progress);
+  [[nodiscard]] std::set<std::string> ReplicasWith(
+    const std::function<bool(const Progress&)>& condition,
+    bool self) const;
+  void SendSnapshotChunk(const std::string& id, Progress& progress, TimePoint now);
+  void AdvanceCommit(UnixMillis wall);
+  void AddProgress(TimePoint now);
+  LogPosition AppendOwn(EntryKind kind, std::string data, UnixMillis wall);
+  [[nodiscard]] std::uint64_t ConfirmedRound() const;
+  std::shared_ptr<const std::string> EncodedSnapshot();
+
+  // Writes and messages out.
+  void NoteEntries(std::uint64_t firstIndex);
+  void ForgetPersisted(std::uint64_t lastKept);
+  void SetHardState(std::uint64_t term, const std::string& vote);
+  [[nodiscard]] RaftMessage MakeMessage(MessageKind kind, const std::string& to) const;
+  void Send(RaftMessage message) { messages_.push_back(std::move(message)); }
+  void SendAfterSync(RaftMessage message);
+  [[nodiscard]] std::set<std::string> OtherVoters() const;
+
+  RaftOptions options_;
+  HardState hard_;
+  detail::RaftLog log_;
+  SnapshotPtr snapshot_;
+  std::shared_ptr<const std::string> encodedSnapshot_;
+
+  RaftRole role_ = RaftRole::Follower;
+  std::string leaderId_;
+  std::uint64_t commitIndex_ = 0;
+  std::uint64_t handedOutIndex_ = 0;
+  std::uint64_t appliedIndex_ = 0;
+  TimePoint electionDeadline_;
+  std::optional<TimePoint> leaderHeardAt_;
+  std::set<std::string> votes_;
+
+  // Leader only.
+  std::map<std::string, Progress> progress_;
+  std::deque<Round> rounds_;
+  std::uint64_t round_ = 0;
+  std::uint64_t termStartIndex_ = 0;
+  TimePoint leaderSince_;
+  TimePoint nextHeartbeat_;
+
+  // Snapshot being received.
+  LogPosition incomingPosition_;
+  std::string incoming_;
+
+  // Output that TakeReady collects.
+  std::optional<std::uint64_t> firstUnwritten_;
+  bool hardStateChanged_ = false;
+  SnapshotPtr snapshotToWrite_;
+  bool resetLog_ = false;
+  SnapshotPtr restore_;
+  std::vector<RaftMessage> messages_;
+  std::vector<RaftMessage> afterSync_;
+
+  // Durable part.
+  std::uint64_t writeNumber_ = 0;
+  std::deque<PendingWrite> pendingWrites_;
+  std::uint64_t persistedIndex_ = 0;
+  std::uint64_t persistedTerm_ = 0;
+  std::uint64_t voteWrite_ = 0; ///< write that carries the vote for itself
+};
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/replication/raft_types.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+/// @file
+/// Entries, membership, snapshots and messages of the replicated log.
+
+#include <cstdint> // uint64_t
+#include <memory>  // shared_ptr
+#include <set>     // set
+#include <string>  // string
+#include <vector>  // vector
+
+#include "acaciapulley/core/clock.hpp"                    // UnixMillis
+#include "acaciapulley/replication/replicated_log.hpp"    // LogPosition
+#include "acaciapulley/replication/replication_error.hpp" // ReplicationResult
+
+namespace acp {
+
+/// Identity and addresses of a replica.
+struct ReplicaRecord
+{
+  std::string id;
+  std::string rpcAddress;
+  std::string operatorAddress;
+
+  bool operator==(const ReplicaRecord&) const = default;
+};
+
+/// The replica set. During a replacement `oldVoters` holds the set before it, and every quorum
+/// needs a majority of both (joint consensus).
+struct Membership
+{
+  std::string clusterId;
+  std::vector<ReplicaRecord> voters;
+  std::vector<ReplicaRecord> oldVoters;
+  std::vector<std::string> retiredIds; ///< replaced identities; their messages are refused
+
+  /// @brief Returns whether @p id votes in this set.
+  [[nodiscard]] bool IsVoter(const std::string& id) const;
+
+  /// @brief Returns whether @p ids holds a majority of the voters, and of the old ones if there
+  /// are.
+  [[nodiscard]] bool HasQuorum(const std::set<std::string>& ids) const;
+
+  /// @brief Returns whether @p id was replaced.
+  [[nodiscard]] bool IsRetired(const std::string& id) const;
+
+  bool operator==(const Membership&) const = default;
+};
+
+/// What an entry carries. The values are part of the stored format.
+enum class EntryKind : std::uint8_t
+{
+  Command = 0,
+  Noop = 1, ///< first entry of a term
+  Membership = 2,
+};
+
+/// An entry of the log.
+struct LogEntry
+{
+  LogPosition position;
+  UnixMillis time{};
+  EntryKind kind = EntryKind::Command;
+  std::string data;
+
+  bool operator==(const LogEntry&) const = default;
+};
+
+/// The state after the entry at `position`.
+struct Snapshot
+{
+  LogPosition position;
+  UnixMillis time{}; ///< time of the last entry it covers
+  Membership membership;
+  std::string state;
+
+  bool operator==(const Snapshot&) const = default;
+};
+
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+/// What a replica must never forget.
+struct HardState
+{
+  std::string identity;
+  std::string clusterId; ///< empty until the replica belongs to a cluster
+  std::uint64_t term = 0;
+  std::string vote; ///< identity voted for in `term`, or empty
+
+  bool operator==(const HardState&) const = default;
+};
+
+/// Kinds of messages between replicas; the values are part of the protocol.
+enum class MessageKind : std::uint8_t
+{
+  PreVote = 1,
+  PreVoteReply = 2,
+  Vote = 3,
+  VoteReply = 4,
+  Append = 5, ///< entries, or a heartbeat when it has none
+  AppendReply = 6,
+  Snapshot = 7, ///< one chunk
+  SnapshotReply = 8,
+  Join = 9, ///< a replica without a vote asks the leader to send it the log
+};
+
+/// A message between replicas. Which fields count depends on the kind.
+struct RaftMessage
+{
+  MessageKind kind = MessageKind::Append;
+  std::string clusterId;
+  std::string from;
+  std::string to;
+  std::uint64_t term = 0;
+  bool accepted = false; ///< replies
+  LogPosition position;  ///< Vote: last entry; Append: entry before; Snapshot: what it covers
+  std::uint64_t commitIndex = 0; ///< Append
+  std::uint64_t matchIndex = 0;  ///< AppendReply: last matching index, or where to try next
+  std::uint64_t round = 0;       ///< Append, Snapshot and their replies: heartbeat round
+  std::vector<LogEntry> entries;
+  std::uint64_t offset = 0; ///< Snapshot: of this chunk; SnapshotReply: of the next
+  bool isLast = false;      ///< Snapshot: last chunk
+  std::string data;         ///< Snapshot: chunk of the encoded snapshot
+  ReplicaRecord sender;     ///< Join
+};
+
+} // namespace acp
--- /dev/null
+++ b/src/replication/file_storage.cpp
@@ -0,0 +1,188 @@
+#include "acaciapulley/replication/storage.hpp"
+
+#include <algorithm> // find_if
+#include <utility>   // move
+
+#include <boost/outcome/try.hpp> // BOOST_OUTCOME_TRY
+
+#include "acaciapulley/core/random.hpp"                      // RandomHex
+#include "acaciapulley/replication/detail/codec.hpp"         // ByteWriter, Checksum
+#include "acaciapulley/replication/detail/storage_files.hpp" // FailCorrupt, Select
+
+namespace acp {
+
+namespace {
+
+using boost::outcome_v2::success;
+using detail::ByteReader;
+using detail::ByteWriter;
+
+constexpr const char* kHardStateName = "hard-state";
+constexpr std::size_t kIdentityBytes = 16;
+
+} // namespace
+
+FileStorage::FileStorage(std::unique_ptr<Disk> disk, FileStorageOptions options)
+  : disk_(std::move(disk))
+  , options_(std::move(options))
+{
+  if (!options_.newIdentity) {
+    options_.newIdentity = [] { return RandomHex(kIdentityBytes); };
+  }
+}
+
+ReplicationResult<std::string> FileStorage::ReadChecked(const std::string& name)
+{
+  auto bytes = disk_->Read(name);
+  if (!bytes) {
+    return bytes;
+  }
+  ByteReader in(bytes.value());
+  const std::uint32_t checksum = in.Get32();
+  if (!in.Ok()) {
+    return detail::FailCorrupt(name, 0, "the file is too short");
+  }
+  std::string contents = bytes.value().substr(detail::kChecksumBytes);
+  if (detail::Checksum(contents) != checksum) {
+    return detail::FailCorrupt(name, 0, "the checksum does not match");
+  }
+  return contents;
+}
+
+ReplicationResult<void> FileStorage::WriteChecked(const std::string& name,
+                                                  const std::string& contents)
+{
+  const std::string temporary = name + detail::kTemporarySuffix;
+  ByteWriter out;
+  out.Put32(detail::Checksum(contents));
+  BOOST_OUTCOME_TRYV(disk_->Overwrite(temporary, ""));
+  BOOST_OUTCOME_TRYV(disk_->Truncate(temporary, 0));
+  BOOST_OUTCOME_TRYV(disk_->Append(temporary, out.Take() + contents));
+  BOOST_OUTCOME_TRYV(disk_->Sync(temporary));
+  BOOST_OUTCOME_TRYV(disk_->Rename(temporary, name));
+  return disk_->SyncFolder();
+}
+
+ReplicationResult<void> FileStorage::LoadHardState(StoredState& state,
+                                                   const std::vector<std::string>& names)
+{
+  if (!detail::Contains(names, kHardStateName)) {
+    const auto kept = std::find_if(
+      names.begin(), names.end(), [](const auto& name) { return !detail::IsTemporary(name); });
+    if (kept != names.end()) {
+      return detail::FailCorrupt(
+        kHardStateName, 0, "the file is missing, but " + *kept + " exists");
+    }
+    state.hardState.identity = options_.newIdentity();
+    return WriteChecked(kHardStateName, detail::EncodeHardState(state.hardState));
+  }
+  BOOST_OUTCOME_TRY(contents, ReadChecked(kHardStateName));
+  auto decoded = detail::DecodeHardState(contents);
+  if (!decoded) {
+    return detail::FailCorrupt(kHardStateName, detail::kChecksumBytes, decoded.error().message);
+  }
+  state.hardState = decoded.value();
+  return success();
+}
+
+ReplicationResult<void> FileStorage::LoadSnapshot(StoredState& state,
+                                                  const std::vector<std::string>& names)
+{
+  const auto snapshots = detail::Select(names, detail::kSnapshotPrefix);
+  if (snapshots.empty()) {
+    return success();
+  }
+  BOOST_OUTCOME_TRY(contents, ReadChecked(snapshots.back()));
+  auto decoded = detail::DecodeSnapshot(contents);
+  if (!decoded) {
+    return detail::FailCorrupt(snapshots.back(), detail::kChecksumBytes, decoded.error().message);
+  }
+  state.snapshot = std::make_shared<const Snapshot>(std::move(decoded.value()));
+  snapshotIndex_ = state.snapshot->position.index;
+  return success();
+}
+
+ReplicationResult<StoredState> FileStorage::Load()
+{
+  StoredState state;
+  BOOST_OUTCOME_TRY(names, disk_->List());
+  BOOST_OUTCOME_TRYV(LoadHardState(state, names));
+  BOOST_OUTCOME_TRYV(LoadSnapshot(state, names));
+  BOOST_OUTCOME_TRYV(LoadLog(state, names));
+  if (torn_) {
+    state.tornFile = torn_->name;
+    state.tornOffset = torn_->offset;
+  }
+  BOOST_OUTCOME_TRYV(RepairAfterLoad(names));
+  const bool resetLog = state.entries.empty() && state.snapshot;
+  const std::uint64_t lastIndex =
+    state.entries.empty() ? snapshotIndex_ : state.entries.back().position.index;
+  BOOST_OUTCOME_TRYV(StartSegment(resetLog, lastIndex + 1));
+  BOOST_OUTCOME_TRYV(RemoveCoveredSegments(resetLog));
+  return state;
+}
+
+ReplicationResult<void> FileStorage::RepairAfterLoad(const std::vector<std::string>& names)
+{
+  if (torn_) {
+    BOOST_OUTCOME_TRYV(disk_->Truncate(torn_->name, torn_->offset));
+    if (torn_->offset == 0) {
+      BOOST_OUTCOME_TRYV(disk_->Remove(torn_->name));
+      segments_.pop_back();
+    }
+  }
+  // What was read may not have been synced before a crash of the process alone.
+  if (!segments_.empty()) {
+    BOOST_OUTCOME_TRYV(disk_->Sync(segments_.back().name));
+  }
+  for (const auto& name : names) {
+    if (detail::IsTemporary(name)) {
+      // The first start renames the temporary hard state after the folder was listed.
+      (void)disk_->Remove(name);
+    }
+  }
+  for (const auto& name : detail::Select(names, detail::kSnapshotPrefix)) {
+    if (name != detail::SnapshotName(snapshotIndex_)) {
+      BOOST_OUTCOME_TRYV(disk_->Remove(name));
+    }
+  }
+  return disk_->SyncFolder();
+}
+
+ReplicationResult<void> FileStorage::Write(const WriteBatch& batch)
+{
+  if (batch.hardState) {
+    BOOST_OUTCOME_TRYV(WriteChecked(kHardStateName, detail::EncodeHardState(*batch.hardState)));
+  }
+  if (batch.snapshot) {
+    BOOST_OUTCOME_TRYV(WriteSnapshot(*batch.snapshot));
+    if (batch.resetLog) {
+      BOOST_OUTCOME_TRYV(StartSegment(true, snapshotIndex_ + 1));
+      BOOST_OUTCOME_TRYV(RemoveCoveredSegments(true));
+    }
+  }
+  if (!batch.entries.empty()) {
+    BOOST_OUTCOME_TRYV(WriteEntries(batch.entries));
+  }
+  if (batch.snapshot) {
+    BOOST_OUTCOME_TRYV(RemoveCoveredSegments(false));
+  }
+  return success();
+}
+
+ReplicationResult<void> FileStorage::WriteSnapshot(const Snapshot& snapshot)
+{
+  const std::uint64_t oldIndex = snapshotIndex_;
+  if (snapshot.position.index <= oldIndex) {
+    return success();
+  }
+  BOOST_OUTCOME_TRYV(
+    WriteChecked(detail::SnapshotName(snapshot.position.index), detail::EncodeSnapshot(snapshot)));
+  snapshotIndex_ = snapshot.position.index;
+  if (oldIndex != 0) {
+    BOOST_OUTCOME_TRYV(disk_->Remove(detail::SnapshotName(oldIndex)));
+  }
+  return success();
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/replication/file_storage_log.cpp
@@ -0,0 +1,301 @@
+#include <algorithm> // max
+#include <iterator>  // make_move_iterator
+#include <utility>   // move
+
+#include <boost/outcome/try.hpp> // BOOST_OUTCOME_TRY
+
+#include "acaciapulley/core/random.hpp"                      // RandomHex
+#include "acaciapulley/replication/detail/codec.hpp"         // ByteReader, ByteWriter
+#include "acaciapulley/replication/detail/record.hpp"        // MakeRecord, SegmentHeader
+#include "acaciapulley/replication/detail/storage_files.hpp" // FailCorrupt, Select
+#include "acaciapulley/replication/storage.hpp"
+
+namespace acp {
+
+namespace {
+
+using boost::outcome_v2::success;
+using detail::ByteReader;
+using detail::ByteWriter;
+
+constexpr const char* kMarkName = "synced";
+constexpr std::size_t kSaltBytes = 4;
+constexpr int kHexadecimal = 16;
+
+/// Drops what the new entries replace; their first index must follow on from what is left.
+void ReplaceFrom(std::vector<LogEntry>& entries, std::uint64_t index)
+{
+  while (!entries.empty() && entries.back().position.index >= index) {
+    entries.pop_back();
+  }
+}
+
+} // namespace
+
+namespace detail {
+
+/// Replays the records of the segments.
+class LogReplay
+{
+public:
+  std::vector<LogEntry> entries;
+  std::uint64_t base = 0; ///< index before the first entry
+
+  /// Takes over a segment's header; returns whether it follows on.
+  bool Begin(const detail::SegmentHeader& header, bool isFirst)
+  {
+    movable_ = isFirst ? !header.resetLog : movable_ && !header.resetLog;
+    if (isFirst || header.resetLog) {
+      entries.clear();
+      base = header.nextIndex - 1;
+      return true;
+    }
+    return header.nextIndex == LastIndex() + 1;
+  }
+
+  /// Adds the entries of a record; returns whether they can be read and follow on.
+  bool Add(std::string_view payload)
+  {
+    ByteReader in(payload);
+    const std::uint32_t count = in.Get32();
+    for (std::uint32_t i = 0; i < count && in.Ok(); ++i) {
+      if (!AddEntry(detail::GetEntry(in))) {
+        return false;
+      }
+    }
+    return in.Finished();
+  }
+
+  [[nodiscard]] std::uint64_t LastIndex() const
+  {
+    return entries.empty() ? base : entries.back().position.index;
+  }
+
+private:
+  bool AddEntry(LogEntry entry)
+  {
+    const std::uint64_t index = entry.position.index;
+    if (index <= base) {
+      // The first segment kept may replace entries of one that was removed.
+      if (!movable_ || index == 0) {
+        return false;
+      }
+      base = index - 1;
+    }
+    ReplaceFrom(entries, index);
+    if (index != LastIndex() + 1) {
+      return false;
+    }
+    entries.push_back(std::move(entry));
+    return true;
+  }
+
+  bool movable_ = false;
+};
+
+} // namespace detail
+
+namespace {
+
+using detail::LogReplay;
+
+/// Leaves what follows the snapshot; returns whether nothing is missing between them.
+bool JoinWithSnapshot(LogReplay& replay, const SnapshotPtr& snapshot)
+{
+  const LogPosition covered = snapshot ? snapshot->position : LogPosition{};
+  if (replay.base > covered.index) {
+    return false;
+  }
+  const std::uint64_t count = covered.index - replay.base;
+  if (count > replay.entries.size()) {
+    replay.entries.clear();
+    return true;
+  }
+  // A received snapshot whose log reset did not reach the disk replaces a log that contradicts it.
+  if (count > 0 && replay.entries[count - 1].position != covered) {
+    replay.entries.clear();
+    return true;
+  }
+  replay.entries.erase(replay.entries.begin(),
+                       replay.entries.begin() + static_cast<std::ptrdiff_t>(count));
+  return true;
+}
+
+std::uint32_t NewSalt()
+{
+  // Zero marks a header that could not be read.
+  const auto salt =
+    static_cast<std::uint32_t>(std::stoul(RandomHex(kSaltBytes), nullptr, kHexadecimal));
+  return salt == 0 ? 1 : salt;
+}
+
+} // namespace
+
+void WriteBatch::Merge(WriteBatch later)
+{
+  if (later.hardState) {
+    hardState = std::move(later.hardState);
+  }
+  if (later.snapshot) {
+    snapshot = std::move(later.snapshot);
+  }
+  if (later.resetLog) {
+    resetLog = true;
+    entries.clear();
+  }
+  if (!later.entries.empty()) {
+    ReplaceFrom(entries, later.entries.front().position.index);
+    entries.insert(entries.end(),
+                   std::make_move_iterator(later.entries.begin()),
+                   std::make_move_iterator(later.entries.end()));
+  }
+}
+
+FileStorage::SyncedMark FileStorage::ReadMark(const std::vector<std::string>& names)
+{
+  if (!detail::Contains(names, kMarkName)) {
+    return {};
+  }
+  // The mark itself may be torn; it is then as if there were none.
+  const auto contents = ReadChecked(kMarkName);
+  if (!contents) {
+    return {};
+  }
+  ByteReader in(contents.value());
+  SyncedMark mark;
+  mark.segment = in.Get64();
+  mark.offset = in.Get64();
+  return mark;
+}
+
+void FileStorage::WriteMark()
+{
+  ByteWriter out;
+  out.Put64(segmentNumber_);
+  out.Put64(segmentSize_);
+  const std::string contents = out.Take();
+  out.Put32(detail::Checksum(contents));
+  // Best effort: without the mark a damaged last record counts as torn.
+  (void)disk_->Overwrite(kMarkName, out.Take() + contents);
+}
+
+ReplicationResult<void> FileStorage::LoadLog(StoredState& state,
+                                             const std::vector<std::string>& names)
+{
+  mark_ = ReadMark(names);
+  LogReplay replay;
+  const auto segments = detail::Select(names, detail::kSegmentPrefix);
+  for (const auto& name : segments) {
+    BOOST_OUTCOME_TRYV(LoadSegment(replay, name, name == segments.back()));
+  }
+  if (mark_.segment > segmentNumber_) {
+    return detail::FailCorrupt(detail::SegmentName(mark_.segment), 0, "the segment is missing");
+  }
+  if (!JoinWithSnapshot(replay, state.snapshot)) {
+    return detail::FailCorrupt(
+      segments.front(), 0, "entries between the snapshot and this segment are missing");
+  }
+  state.entries = std::move(replay.entries);
+  return success();
+}
+
+ReplicationResult<void> FileStorage::LoadSegment(detail::LogReplay& replay,
+                                                 const std::string& name,
+                                                 bool isLast)
+{
+  BOOST_OUTCOME_TRY(bytes, disk_->Read(name));
+  const bool isFirst = segments_.empty();
+  if (!isFirst && name != detail::SegmentName(segmentNumber_ + 1)) {
+    return detail::FailCorrupt(
+      detail::SegmentName(segmentNumber_ + 1), 0, "the segment is missing");
+  }
+  segments_.push_back({ .name = name });
+  segmentNumber_ = std::stoull(name.substr(std::string_view(detail::kSegmentPrefix).size()));
+  std::uint32_t salt = 0;
+  std::uint64_t offset = 0;
+  while (offset < bytes.size() || offset == 0) {
+    const auto record = detail::ReadRecord(bytes, salt, offset);
+    if (!record.valid) {
+      const bool isTorn = isLast && IsTorn(bytes, salt, offset, record);
+      if (!isTorn) {
+        return detail::FailCorrupt(name, offset, "the record is damaged");
+      }
+      torn_ = TornTail{ name, offset };
+      break;
+    }
+    if (offset == 0) {
+      const auto header = detail::DecodeSegmentHeader(record.payload);
+      salt = header.salt;
+      if (salt == 0 || header.number != segmentNumber_ || !replay.Begin(header, isFirst)) {
+        return detail::FailCorrupt(name, offset, "the segment header does not follow on");
+      }
+    } else if (!replay.Add(record.payload)) {
+      return detail::FailCorrupt(name, offset, "the entries do not follow on");
+    }
+    segments_.back().highestIndex = std::max(segments_.back().highestIndex, replay.LastIndex());
+    offset = record.end;
+  }
+  return success();
+}
+
+bool FileStorage::IsTorn(const std::string& bytes,
+                         std::uint32_t salt,
+                         std::uint64_t offset,
+                         const detail::RecordView& record) const
+{
+  const bool wasSynced = mark_.segment == segmentNumber_ && offset < mark_.offset;
+  const bool endsBefore = record.headerValid && record.end < bytes.size();
+  return !wasSynced && !endsBefore && !detail::HasRecordAfter(bytes, salt, offset);
+}
+
+ReplicationResult<void> FileStorage::StartSegment(bool resetLog, std::uint64_t nextIndex)
+{
+  ++segmentNumber_;
+  salt_ = NewSalt();
+  const std::string name = detail::SegmentName(segmentNumber_);
+  const std::string record = detail::MakeRecord(
+    detail::EncodeSegmentHeader(
+      { .salt = salt_, .number = segmentNumber_, .nextIndex = nextIndex, .resetLog = resetLog }),
+    0,
+    0);
+  BOOST_OUTCOME_TRYV(disk_->Append(name, record));
+  BOOST_OUTCOME_TRYV(disk_->Sync(name));
+  BOOST_OUTCOME_TRYV(disk_->SyncFolder());
+  segments_.push_back({ .name = name, .highestIndex = nextIndex - 1 });
+  segmentSize_ = record.size();
+  lastIndex_ = nextIndex - 1;
+  WriteMark();
+  return success();
+}
+
+ReplicationResult<void> FileStorage::WriteEntries(const std::vector<LogEntry>& entries)
+{
+  if (segmentSize_ >= options_.segmentBytes) {
+    BOOST_OUTCOME_TRYV(StartSegment(false, lastIndex_ + 1));
+  }
+  ByteWriter out;
+  out.Put32(static_cast<std::uint32_t>(entries.size()));
+  for (const auto& entry : entries) {
+    detail::PutEntry(out, entry);
+  }
+  const std::string record = detail::MakeRecord(out.Take(), salt_, segmentSize_);
+  BOOST_OUTCOME_TRYV(disk_->Append(segments_.back().name, record));
+  BOOST_OUTCOME_TRYV(disk_->Sync(segments_.back().name));
+  segmentSize_ += record.size();
+  lastIndex_ = entries.back().position.index;
+  segments_.back().highestIndex = std::max(segments_.back().highestIndex, lastIndex_);
+  WriteMark();
+  return success();
+}
+
+ReplicationResult<void> FileStorage::RemoveCoveredSegments(bool all)
+{
+  // Only from the front: a later segment may replace entries of an earlier one.
+  while (segments_.size() > 1 && (all || segments_.front().highestIndex <= snapshotIndex_)) {
+    BOOST_OUTCOME_TRYV(disk_->Remove(segments_.front().name));
+    segments_.erase(segments_.begin());
+  }
+  return success();
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/replication/membership.cpp
@@ -0,0 +1,42 @@
+#include <algorithm> // any_of, count_if, find
+
+#include "acaciapulley/replication/raft_types.hpp"
+
+namespace acp {
+
+namespace {
+
+bool Holds(const std::vector<ReplicaRecord>& replicas, const std::string& id)
+{
+  return std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaRecord& replica) {
+    return replica.id == id;
+  });
+}
+
+bool HasMajority(const std::vector<ReplicaRecord>& replicas, const std::set<std::string>& ids)
+{
+  const auto count =
+    std::count_if(replicas.begin(), replicas.end(), [&](const ReplicaRecord& replica) {
+      return ids.contains(replica.id);
+    });
+  return static_cast<std::size_t>(count) * 2 > replicas.size();
+}
+
+} // namespace
+
+bool Membership::IsVoter(const std::string& id) const
+{
+  return Holds(voters, id) || Holds(oldVoters, id);
+}
+
+bool Membership::HasQuorum(const std::set<std::string>& ids) const
+{
+  return HasMajority(voters, ids) && (oldVoters.empty() || HasMajority(oldVoters, ids));
+}
+
+bool Membership::IsRetired(const std::string& id) const
+{
+  return std::find(retiredIds.begin(), retiredIds.end(), id) != retiredIds.end();
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/replication/raft_core.cpp
@@ -0,0 +1,367 @@
+#include "acaciapulley/replication/raft_core.hpp"
+
+#include <algorithm> // max, min
+#include <iterator>  // make_move_iterator
+#include <utility>   // exchange, move
+
+#include "acaciapulley/replication/detail/codec.hpp" // EncodeMembership
+
+namespace acp {
+
+using boost::outcome_v2::success;
+
+RaftCore::RaftCore(RaftOptions options, StoredState state, TimePoint now)
+  : options_(std::move(options))
+  , hard_(std::move(state.hardState))
+  , log_(state.snapshot, std::move(state.entries))
+  , snapshot_(state.snapshot)
+  , restore_(state.snapshot)
+{
+  options_.self.id = hard_.identity;
+  commitIndex_ = log_.Base().index;
+  handedOutIndex_ = commitIndex_;
+  appliedIndex_ = commitIndex_;
+  persistedIndex_ = log_.Last().index;
+  if (hard_.term < log_.Last().term) {
+    // The entry of the bootstrap carries the cluster and the first term.
+    hard_.clusterId = log_.Newest().clusterId;
+    SetHardState(log_.Last().term, {});
+  }
+  persistedTerm_ = hard_.term;
+  ResetElectionTimer(now);
+}
+
+ReplicationResult<void> RaftCore::Bootstrap(const Membership& membership, UnixMillis time)
+{
+  const bool isSameCluster = hard_.clusterId == membership.clusterId;
+  if (isSameCluster && log_.Last().index != 0) {
+    return success();
+  }
+  if (membership.clusterId.empty() || !membership.IsVoter(hard_.identity)) {
+    return Fail(ReplicationErrorCode::ChangeRefused,
+                "replica " + hard_.identity + " is not in the initial set");
+  }
+  if (!isSameCluster && (!hard_.clusterId.empty() || log_.Last().index != 0)) {
+    return Fail(ReplicationErrorCode::ChangeRefused,
+                "replica " + hard_.identity + " already belongs to a cluster");
+  }
+  // The hard state is written with the next vote; until then the constructor derives it from the
+  // entry, so that no crash leaves a replica with a cluster but without its set.
+  hard_.clusterId = membership.clusterId;
+  hard_.term = std::max<std::uint64_t>(hard_.term, 1);
+  LogEntry entry;
+  entry.position = { .term = 1, .index = 1 };
+  entry.time = time;
+  entry.kind = EntryKind::Membership;
+  entry.data = detail::EncodeMembership(membership);
+  log_.Append(std::move(entry));
+  NoteEntries(1);
+  return success();
+}
+
+void RaftCore::Tick(const RaftTime& time)
+{
+  if (role_ == RaftRole::Leader) {
+    TickLeader(time);
+    return;
+  }
+  if (time.now < electionDeadline_) {
+    return;
+  }
+  ResetElectionTimer(time.now);
+  leaderId_.clear();
+  if (log_.Newest().IsVoter(hard_.identity)) {
+    StartPreVote(time);
+    return;
+  }
+  // Without an addressee the message goes to every known address.
+  RaftMessage join = MakeMessage(MessageKind::Join, {});
+  join.sender = options_.self;
+  Send(std::move(join));
+}
+
+bool RaftCore::Admits(const RaftMessage& message) const
+{
+  if (!message.to.empty() && message.to != hard_.identity) {
+    return false; // meant for a replica that had this address before
+  }
+  if (message.from.empty() || message.from == hard_.identity) {
+    return false;
+  }
+  if (log_.Newest().IsRetired(message.from)) {
+    return false;
+  }
+  if (hard_.clusterId.empty()) {
+    return message.kind == MessageKind::Append || message.kind == MessageKind::Snapshot;
+  }
+  if (message.clusterId.empty()) {
+    return message.kind == MessageKind::Join;
+  }
+  return message.clusterId == hard_.clusterId;
+}
+
+void RaftCore::AdoptCluster(const RaftMessage& message)
+{
+  if (hard_.clusterId.empty()) {
+    hard_.clusterId = message.clusterId;
+    hardStateChanged_ = true;
+  }
+}
+
+void RaftCore::Step(const RaftMessage& message, const RaftTime& time)
+{
+  if (!Admits(message)) {
+    return;
+  }
+  AdoptCluster(message);
+  switch (message.kind) {
+    case MessageKind::Join:
+      StepJoin(message, time.now);
+      return;
+    case MessageKind::PreVote:
+      StepPreVote(message, time.now);
+      return;
+    case MessageKind::PreVoteReply:
+      StepPreVoteReply(message, time);
+      return;
+    default:
+      break;
+  }
+  if (message.term < hard_.term) {
+    StepStale(message);
+    return;
+  }
+  if (message.term > hard_.term) {
+    BecomeFollower(message.term, {}, time.now);
+  }
+  StepInTerm(message, time);
+}
+
+void RaftCore::StepInTerm(const RaftMessage& message, const RaftTime& time)
+{
+  switch (message.kind) {
+    case MessageKind::Vote:
+      StepVote(message, time.now);
+      break;
+    case MessageKind::VoteReply:
+      StepVoteReply(message, time);
+      break;
+    case MessageKind::Append:
+      StepAppend(message, time.now);
+      break;
+    case MessageKind::AppendReply:
+      StepAppendReply(message, time);
+      break;
+    case MessageKind::Snapshot:
+      StepSnapshot(message, time.now);
+      break;
+    case MessageKind::SnapshotReply:
+      StepSnapshotReply(message, time);
+      break;
+    default:
+      break;
+  }
+}
+
+void RaftCore::StepStale(const RaftMessage& message)
+{
+  // The sender learns the newer term and stops leading or standing for election.
+  if (message.kind == MessageKind::Vote) {
+    SendAfterSync(MakeMessage(MessageKind::VoteReply, message.from));
+  } else if (message.kind == MessageKind::Append || message.kind == MessageKind::Snapshot) {
+    SendAfterSync(MakeMessage(MessageKind::AppendReply, message.from));
+  }
+}
+
+RaftReady RaftCore::TakeReady(TimePoint now)
+{
+  if (role_ == RaftRole::Leader) {
+    SendAppends(now);
+  }
+  RaftReady ready;
+  if (hardStateChanged_) {
+    ready.write.hardState = hard_;
+    hardStateChanged_ = false;
+  }
+  ready.write.snapshot = std::exchange(snapshotToWrite_, nullptr);
+  ready.write.resetLog = std::exchange(resetLog_, false);
+  if (firstUnwritten_) {
+    for (std::uint64_t i = std::max(*firstUnwritten_, log_.Base().index + 1);
+         i <= log_.Last().index;
+         ++i) {
+      ready.write.entries.push_back(log_.At(i));
+    }
+    firstUnwritten_.reset();
+  }
+  if (!ready.write.IsEmpty()) {
+    ++writeNumber_;
+    pendingWrites_.push_back({ writeNumber_, log_.Last().index, hard_.term });
+  }
+  ready.writeNumber = writeNumber_;
+  ready.messages = std::exchange(messages_, {});
+  ready.afterSync = std::exchange(afterSync_, {});
+  if (pendingWrites_.empty()) {
+    ready.messages.insert(ready.messages.end(),
+                          std::make_move_iterator(ready.afterSync.begin()),
+                          std::make_move_iterator(ready.afterSync.end()));
+    ready.afterSync.clear();
+  }
+  ready.restore = std::exchange(restore_, nullptr);
+  while (handedOutIndex_ < commitIndex_) {
+    ready.committed.push_back(log_.At(++handedOutIndex_));
+  }
+  return ready;
+}
+
+void RaftCore::Persisted(std::uint64_t number, const RaftTime& time)
+{
+  while (!pendingWrites_.empty() && pendingWrites_.front().number <= number) {
+    persistedIndex_ = pendingWrites_.front().lastIndex;
+    persistedTerm_ = pendingWrites_.front().term;
+    pendingWrites_.pop_front();
+  }
+  if (role_ == RaftRole::Candidate && number >= voteWrite_) {
+    votes_.insert(hard_.identity);
+    CountVotes(time);
+  }
+  if (role_ == RaftRole::Leader) {
+    AdvanceCommit(time.wall);
+  }
+}
+
+void RaftCore::Applied(std::uint64_t index)
+{
+  appliedIndex_ = std::max(appliedIndex_, index);
+}
+
+void RaftCore::Compact(std::uint64_t index, std::string state)
+{
+  const std::uint64_t covered = snapshot_ ? snapshot_->position.index : 0;
+  if (index <= covered || index <= log_.Base().index || index > handedOutIndex_) {
+    return;
+  }
+  const LogEntry& last = log_.At(index);
+  snapshot_ = std::make_shared<const Snapshot>(Snapshot{ .position = last.position,
+                                                         .time = last.time,
+                                                         .membership = log_.MembershipAt(index),
+                                                         .state = std::move(state) });
+  encodedSnapshot_.reset();
+  snapshotToWrite_ = snapshot_;
+  if (index > options_.entriesKept) {
+    log_.Compact(index - options_.entriesKept);
+  }
+}
+
+void RaftCore::NoteEntries(std::uint64_t firstIndex)
+{
+  firstUnwritten_ = std::min(firstUnwritten_.value_or(firstIndex), firstIndex);
+}
+
+void RaftCore::ForgetPersisted(std::uint64_t lastKept)
+{
+  persistedIndex_ = std::min(persistedIndex_, lastKept);
+  for (auto& write : pendingWrites_) {
+    write.lastIndex = std::min(write.lastIndex, lastKept);
+  }
+}
+
+void RaftCore::SetHardState(std::uint64_t term, const std::string& vote)
+{
+  hard_.term = term;
+  hard_.vote = vote;
+  hardStateChanged_ = true;
+}
+
+RaftMessage RaftCore::MakeMessage(MessageKind kind, const std::string& to) const
+{
+  RaftMessage message;
+  message.kind = kind;
+  message.clusterId = hard_.clusterId;
+  message.from = hard_.identity;
+  message.to = to;
+  message.term = hard_.term;
+  return message;
+}
+
+void RaftCore::SendAfterSync(RaftMessage message)
+{
+  if (options_.guards.syncBeforeAnswer) {
+    afterSync_.push_back(std::move(message));
+  } else {
+    messages_.push_back(std::move(message));
+  }
+}
+
+std::set<std::string> RaftCore::OtherVoters() const
+{
+  std::set<std::string> ids;
+  for (const auto* group : { &log_.Newest().voters, &log_.Newest().oldVoters }) {
+    for (const auto& replica : *group) {
+      ids.insert(replica.id);
+    }
+  }
+  ids.erase(hard_.identity);
+  return ids;
+}
+
+bool RaftCore::HasQuorum(const std::set<std::string>& ids) const
+{
+  if (!options_.guards.learnersWithoutVote) {
+    return ids.size() * 2 > log_.Newest().voters.size();
+  }
+  return log_.Newest().HasQuorum(ids);
+}
+
+std::optional<LogEntry> RaftCore::InitialEntry() const
+{
+  if (log_.Base().index != 0 || log_.Last().index == 0) {
+    return std::nullopt;
+  }
+  return log_.At(1);
+}
+
+bool RaftCore::MembershipIsSettled() const
+{
+  return log_.NewestIndex() <= commitIndex_ && log_.Newest().oldVoters.empty();
+}
+
+ReplicaStatus RaftCore::Status() const
+{
+  ReplicaStatus status;
+  status.isLeader = role_ == RaftRole::Leader;
+  status.leaderId = leaderId_;
+  status.term = hard_.term;
+  status.commitIndex = commitIndex_;
+  status.appliedIndex = appliedIndex_;
+  status.lastIndex = log_.Last().index;
+  const auto add = [&](const ReplicaRecord& replica, bool isVoter) {
+    ReplicaInfo info;
+    info.id = replica.id;
+    info.rpcAddress = replica.rpcAddress;
+    info.operatorAddress = replica.operatorAddress;
+    info.isVoter = isVoter;
+    info.isSelf = replica.id == hard_.identity;
+    const auto found = progress_.find(replica.id);
+    info.matchIndex = found != progress_.end() ? found->second.matchIndex : 0;
+    if (info.isSelf && status.isLeader) {
+      info.matchIndex = persistedIndex_;
+    }
+    if (replica.id == leaderId_) {
+      status.leaderRpcAddress = replica.rpcAddress;
+      status.leaderOperatorAddress = replica.operatorAddress;
+    }
+    status.replicas.push_back(std::move(info));
+  };
+  for (const auto& voter : log_.Newest().voters) {
+    add(voter, true);
+  }
+  for (const auto& learner : Learners()) {
+    add(learner, false);
+  }
+  if (!log_.Newest().IsVoter(hard_.identity)) {
+    add(options_.self, false);
+  }
+  return status;
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/replication/raft_election.cpp
@@ -0,0 +1,133 @@
+#include "acaciapulley/replication/raft_core.hpp"
+
+namespace acp {
+
+void RaftCore::ResetElectionTimer(TimePoint now)
+{
+  const auto base = static_cast<std::uint64_t>(options_.electionTimeout.count());
+  electionDeadline_ =
+    now + options_.electionTimeout + Duration(static_cast<Duration::rep>(options_.random() % base));
+}
+
+bool RaftCore::IsUpToDate(const LogPosition& last) const
+{
+  if (!options_.guards.voteOnlyWhenUpToDate) {
+    return true;
+  }
+  const LogPosition own = log_.Last();
+  return last.term > own.term || (last.term == own.term && last.index >= own.index);
+}
+
+void RaftCore::BecomeFollower(std::uint64_t term, const std::string& leaderId, TimePoint now)
+{
+  if (term > hard_.term) {
+    SetHardState(term, {});
+  }
+  if (role_ != RaftRole::Follower) {
+    ResetElectionTimer(now);
+  }
+  role_ = RaftRole::Follower;
+  leaderId_ = leaderId;
+  votes_.clear();
+  progress_.clear();
+  rounds_.clear();
+}
+
+void RaftCore::StartPreVote(const RaftTime& time)
+{
+  role_ = RaftRole::PreCandidate;
+  votes_ = { hard_.identity };
+  for (const auto& id : OtherVoters()) {
+    RaftMessage message = MakeMessage(MessageKind::PreVote, id);
+    message.term = hard_.term + 1;
+    message.position = log_.Last();
+    Send(std::move(message));
+  }
+  CountVotes(time);
+}
+
+void RaftCore::BecomeCandidate(const RaftTime& time)
+{
+  role_ = RaftRole::Candidate;
+  SetHardState(hard_.term + 1, hard_.identity);
+  ResetElectionTimer(time.now);
+  votes_.clear();
+  // The own vote counts when the write that carries it is synced.
+  voteWrite_ = writeNumber_ + 1;
+  for (const auto& id : OtherVoters()) {
+    RaftMessage message = MakeMessage(MessageKind::Vote, id);
+    message.position = log_.Last();
+    SendAfterSync(std::move(message));
+  }
+  if (!options_.guards.syncBeforeAnswer) {
+    votes_.insert(hard_.identity);
+    CountVotes(time);
+  }
+}
+
+void RaftCore::CountVotes(const RaftTime& time)
+{
+  if (!HasQuorum(votes_)) {
+    return;
+  }
+  if (role_ == RaftRole::PreCandidate) {
+    BecomeCandidate(time);
+  } else if (role_ == RaftRole::Candidate) {
+    BecomeLeader(time);
+  }
+}
+
+void RaftCore::StepPreVote(const RaftMessage& message, TimePoint now)
+{
+  const bool hearsLeader = role_ == RaftRole::Leader ||
+                           (leaderHeardAt_ && now - *leaderHeardAt_ < options_.electionTimeout);
+  const bool mayVote =
+    log_.Newest().IsVoter(hard_.identity) || !options_.guards.learnersWithoutVote;
+  RaftMessage reply = MakeMessage(MessageKind::PreVoteReply, message.from);
+  reply.accepted =
+    mayVote && !hearsLeader && message.term > hard_.term && IsUpToDate(message.position);
+  if (reply.accepted) {
+    reply.term = message.term;
+  }
+  Send(std::move(reply));
+}
+
+void RaftCore::StepPreVoteReply(const RaftMessage& message, const RaftTime& time)
+{
+  if (!message.accepted) {
+    if (message.term > hard_.term) {
+      BecomeFollower(message.term, {}, time.now);
+    }
+    return;
+  }
+  if (role_ == RaftRole::PreCandidate && message.term == hard_.term + 1) {
+    votes_.insert(message.from);
+    CountVotes(time);
+  }
+}
+
+void RaftCore::StepVote(const RaftMessage& message, TimePoint now)
+{
+  const bool mayVote =
+    log_.Newest().IsVoter(hard_.identity) || !options_.guards.learnersWithoutVote;
+  const bool isFree = hard_.vote.empty() || hard_.vote == message.from;
+  RaftMessage reply = MakeMessage(MessageKind::VoteReply, message.from);
+  reply.accepted = mayVote && isFree && role_ != RaftRole::Leader && IsUpToDate(message.position);
+  if (reply.accepted) {
+    if (hard_.vote.empty()) {
+      SetHardState(hard_.term, message.from);
+    }
+    ResetElectionTimer(now);
+  }
+  SendAfterSync(std::move(reply));
+}
+
+void RaftCore::StepVoteReply(const RaftMessage& message, const RaftTime& time)
+{
+  if (role_ == RaftRole::Candidate && message.accepted) {
+    votes_.insert(message.from);
+    CountVotes(time);
+  }
+}
+
+} // namespace acp
--- /dev/null
+++ b/tests/replication_test/memory_disk.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+/// @file
+/// A disk in memory that loses or tears what was not synced when it crashes.
+
+#include <map>    // map
+#include <memory> // shared_ptr
+#include <random> // mt19937_64
+#include <string> // string
+
+#include "acaciapulley/replication/disk.hpp"
+
+/// Contents of a disk; they outlive the process that uses them.
+struct DiskContents
+{
+  std::map<std::string, std::string> files;   ///< as the process sees them
+  std::map<std::string, std::string> durable; ///< contents after the last sync, by current name
+  std::map<std::string, std::string> names;   ///< durable names and their durable contents
+  int syncs = 0;
+
+  /// Keeps what was synced and, of each appended tail, a random part that may be damaged.
+  void Crash(std::mt19937_64& random)
+  {
+    std::map<std::string, std::string> kept = names;
+    for (auto& [name, bytes] : kept) {
+      const auto seen = files.find(name);
+      if (seen != files.end() && seen->second.size() > bytes.size() &&
+          seen->second.starts_with(bytes)) {
+        const std::size_t tail = seen->second.size() - bytes.size();
+        std::string part = seen->second.substr(bytes.size(), random() % (tail + 1));
+        if (part.size() == tail && tail > 0 && random() % 2 == 0) {
+          part[random() % tail] ^= 1; // a block that did not reach the disk
+        }
+        bytes += part;
+      }
+    }
+    files = kept;
+    durable = kept;
+    names = kept;
+  }
+};
+
+class MemoryDisk final : public acp::Disk
+{
+public:
+  explicit MemoryDisk(std::shared_ptr<DiskContents> contents)
+    : disk_(std::move(contents))
+  {
+  }
+  acp::ReplicationResult<std::vector<std::string>> List() override
+  {
+    std::vector<std::string> names;
+    for (const auto& [name, bytes] : disk_->files) {
+      names.push_back(name);
+    }
+    return names;
+  }
+  acp::ReplicationResult<std::string> Read(const std::string& name) override
+  {
+    return disk_->files.at(name);
+  }
+  acp::ReplicationResult<void> Append(const std::string& name, const std::string& bytes) override
+  {
+    disk_->files[name] += bytes;
+    return boost::outcome_v2::success();
+  }
+  acp::ReplicationResult<void> Overwrite(const std::string& name, const std::string& bytes) override
+  {
+    auto& file = disk_->files[name];
+    file = bytes + file.substr(std::min(file.size(), bytes.size()));
+    return boost::outcome_v2::success();
+  }
+  acp::ReplicationResult<void> Sync(const std::string& name) override
+  {
+    ++disk_->syncs;
+    disk_->durable[name] = disk_->files.at(name);
+    if (disk_->names.contains(name)) {
+      disk_->names[name] = disk_->durable[name];
+    }
+    return boost::outcome_v2::success();
+  }
+  acp::ReplicationResult<void> Truncate(const std::string& name, std::uint64_t size) override
+  {
+    disk_->files[name].resize(size);
+    return boost::outcome_v2::success();
+  }
+  acp::ReplicationResult<void> Rename(const std::string& from, const std::string& to) override
+  {
+    disk_->files[to] = disk_->files.at(from);
+    disk_->durable[to] = disk_->durable[from];
+    disk_->files.erase(from);
+    disk_->durable.erase(from);
+    return boost::outcome_v2::success();
+  }
+  acp::ReplicationResult<void> Remove(const std::string& name) override
+  {
+    disk_->files.erase(name);
+    disk_->durable.erase(name);
+    return boost::outcome_v2::success();
+  }
+  acp::ReplicationResult<void> SyncFolder() override
+  {
+    disk_->names.clear();
+    for (const auto& [name, bytes] : disk_->files) {
+      disk_->names[name] = disk_->durable[name];
+    }
+    return boost::outcome_v2::success();
+  }
+
+private:
+  std::shared_ptr<DiskContents> disk_;
+};
