--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -57,6 +57,8 @@
   5: optional Member member
   6: i64 reportNumber
   7: list<RecordRow> report
+  /// Term to which `membersVersion` belongs.
+  8: i64 membersTerm
 }
 
 struct SyncReply {
@@ -66,25 +68,45 @@
   4: i64 membersVersion
   5: list<Member> members
   6: i64 acceptedReportNumber
+  /// Term of the leader that counts `membersVersion`.
+  7: i64 leaderTerm
+}
+
+/// A node's report of one service and account's tokens, and its wish for more. Totals count since
+/// the term's first grant to this start of the node.
+struct TokenAsk {
+  1: string serviceName
+  2: string account
+  3: i64 number
+  4: i64 term
+  5: double received
+  6: double spent
+  7: double returned
+  8: i64 spentAgeMicros
+  9: double needed
+  10: double wanted
 }
 
-/// Tokens of one service and account. `spent` and `returned` settle tokens of earlier leases.
 struct TokenRequest {
   1: string nodeId
   2: i64 epoch
-  3: string serviceName
-  4: string account
-  5: i64 leaseId
-  6: double spent
-  7: double returned
-  8: double wanted
+  3: list<TokenAsk> asks
+}
+
+/// `errorCode` is 0, or the stable number of the error for which the ask was not answered.
+struct TokenAnswer {
+  1: i64 term
+  2: i64 number
+  3: double granted
+  4: i64 leaseMicros
+  5: i64 retryAfterMicros
+  6: i64 settleWithinMicros
+  7: i32 errorCode
 }
 
+/// One answer for each ask, in the same order.
 struct TokenReply {
-  1: i64 leaseId
-  2: double granted
-  3: i64 leaseMs
-  4: i64 retryAfterMs
+  1: list<TokenAnswer> answers
 }
 
 struct ClaimKey {
@@ -93,6 +115,9 @@
   3: string idempotencyKey
 }
 
+/// `attemptId` is new for each try and the same when a call is resent after a lost answer.
+/// `deadlineMs` is the attempt's absolute deadline in Unix milliseconds: the node dispatches nothing
+/// after it.
 struct BeginClaimRequest {
   1: ClaimKey key
   2: string attemptId
@@ -110,6 +135,7 @@
   MISMATCH = 6
 }
 
+/// `body` is empty unless `bodyKept`; bodies above 16 KiB are kept as SHA-256 digests only.
 struct ClaimOutcome {
   1: i32 status
   2: string contentType
@@ -127,6 +153,8 @@
   1: ClaimKey key
   2: string attemptId
   3: ClaimOutcome outcome
+  /// True: the request may have run and no outcome is known; `outcome` is ignored.
+  4: optional bool outcomeUnknown
 }
 
 struct ReleaseClaimRequest {
--- /dev/null
+++ b/include/acaciapulley/node/blocking_gate.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+/// @file
+/// The admission gate of the local upstream for threads that wait until they may start.
+
+#include <condition_variable> // condition_variable
+#include <cstdint>            // uint64_t
+#include <functional>         // function
+#include <map>                // map
+#include <mutex>              // mutex
+#include <string>             // string
+
+#include "acaciapulley/admission/gate.hpp" // Gate, GateRequest, GateResult
+#include "acaciapulley/core/clock.hpp"     // Clock
+#include "acaciapulley/node/refusal.hpp"   // OrRefusal
+
+namespace acp {
+
+/// Guards a Gate by one lock and lets request threads wait in its queue.
+class BlockingGate
+{
+public:
+  /// The right to use one slot of the upstream; given back when it is destroyed.
+  class Permit
+  {
+  public:
+    Permit(BlockingGate& gate, std::uint64_t id)
+      : gate_(&gate)
+      , id_(id)
+    {
+    }
+    Permit(Permit&& other) noexcept;
+    Permit& operator=(Permit&&) = delete;
+    Permit(const Permit&) = delete;
+    Permit& operator=(const Permit&) = delete;
+    ~Permit();
+
+    /// @brief Frees the slot and tells the gate how the request ended.
+    void Finish(GateResult result);
+
+  private:
+    BlockingGate* gate_;
+    std::uint64_t id_;
+  };
+
+  BlockingGate(const GateOptions& options, const Clock& clock);
+
+  /// @brief Waits until the request may start.
+  /// @param request the gate sets the id
+  /// @param isCallerGone asked about every 10 ms while waiting; may be empty
+  /// @return the permit, or a refusal with 503 that is truly "not run"
+  /// @par Example
+  /// @code
+  /// auto permit = gate.Enter({ .account = account, .priority = 6 }, nullptr);
+  /// if (permit) { Send(); permit.value().Finish(acp::GateResult::Succeeded); }
+  /// @endcode
+  OrRefusal<Permit> Enter(GateRequest request, const std::function<bool()>& isCallerGone);
+
+  /// @brief Follows a new announcement of the upstream.
+  void Announce(int slots, Duration coldStart, bool isDraining);
+
+  /// @brief Returns what callers should send for @p account.
+  [[nodiscard]] AdmissionThreshold Threshold(const std::string& account) const;
+
+  /// @brief Returns the figures for `Acp-Load`.
+  [[nodiscard]] LoadReport Load() const;
+
+private:
+  enum class WaitState
+  {
+    Waiting,
+    Started,
+    Refused,
+  };
+
+  struct Waiter
+  {
+    WaitState state = WaitState::Waiting;
+    Reason reason = Reason::None;
+    std::condition_variable changed;
+  };
+
+  void Finish(std::uint64_t id, GateResult result);
+  void PollLocked();
+  OrRefusal<Permit> WaitForTurn(std::unique_lock<std::mutex>& lock,
+                                std::uint64_t id,
+                                const std::function<bool()>& isCallerGone);
+
+  const Clock& clock_;
+  mutable std::mutex mutex_;
+  Gate gate_;
+  std::uint64_t nextId_ = 1;
+  std::map<std::uint64_t, Waiter*> waiters_; ///< owned by the waiting threads
+};
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/node/detail/answer_relay.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+/// @file
+/// Passes an upstream's answer on to the caller.
+
+#include <memory> // unique_ptr
+#include <string> // string
+
+#include "acaciapulley/node/detail/claim_client.hpp" // ClaimRecord, kMaxOutcomeBodyBytes
+#include "acaciapulley/transport/http_client.hpp"    // ClientExchange
+
+namespace acp::detail {
+
+/// A body that is kept for the claim's record while it is passed on.
+class RecordedBody final : public BodySource
+{
+public:
+  explicit RecordedBody(BodySource& source);
+  ~RecordedBody() override;
+
+  std::size_t Read(char* buffer, std::size_t size) override;
+
+  /// @brief Returns the record of an answer whose body was read whole.
+  [[nodiscard]] ClaimRecord Record(const HttpResponseHead& head) const;
+
+private:
+  class Digest;
+
+  BodySource& source_;
+  std::string kept_;
+  bool isKept_ = true;
+  std::unique_ptr<Digest> digest_;
+};
+
+/// @brief Returns whether the upstream or peer says itself that it did not run the request.
+[[nodiscard]] bool SaysNotRun(const HttpResponseHead& head);
+
+/// @brief Returns the first 4 KiB of an answer's body, for the message of a refusal.
+[[nodiscard]] std::string ReadMessage(ClientExchange& answer);
+
+} // namespace acp::detail
--- /dev/null
+++ b/include/acaciapulley/node/detail/attempt.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+/// @file
+/// One attempt to run a request, here or on a peer.
+
+#include <functional> // function
+#include <string>     // string
+
+#include "acaciapulley/node/detail/request_body.hpp"     // RequestBody
+#include "acaciapulley/node/detail/request_resolver.hpp" // ResolvedRequest
+#include "acaciapulley/node/refusal.hpp"                 // OrRefusal
+#include "acaciapulley/retries/request_context.hpp"      // RequestContext
+#include "acaciapulley/routing/member_table.hpp"         // CallResult
+#include "acaciapulley/transport/http_server.hpp"        // ServerExchange
+
+namespace acp::detail {
+
+/// Who receives the answer; peers also get load, thresholds and unused retries.
+enum class Audience
+{
+  Caller,
+  Peer,
+};
+
+/// A request on its way to an upstream.
+struct PendingCall
+{
+  ServerExchange& exchange;
+  const ResolvedRequest& request;
+  RequestBody& body;
+  Audience audience = Audience::Caller;
+  /// `service/class` that makes the call; thresholds are learnt under it.
+  std::string ownClass;
+  /// Spends the rate token right before the request leaves; false when its lease has ended. Empty
+  /// when none is needed.
+  std::function<bool()> commitToken;
+};
+
+/// How an attempt ended.
+struct AttemptEnd
+{
+  /// Success: the caller has an answer, or saw its connection aborted. Otherwise nothing was sent
+  /// to the caller yet.
+  OrRefusal<void> result = boost::outcome_v2::success();
+  int unusedRetries = 0;
+  bool nothingSent = false; ///< no byte of the request has left this node
+  CallResult routing = CallResult::Answered;
+};
+
+/// @brief Returns `service/class`, the name under which thresholds are kept.
+[[nodiscard]] inline std::string ClassName(const ResolvedRequest& request)
+{
+  return request.service + "/" + request.requestClass->name;
+}
+
+/// @brief Returns the result that routing learns from a refusal.
+[[nodiscard]] inline CallResult RoutingResult(const Refusal& refusal)
+{
+  if (refusal.reason == Reason::Draining) {
+    return CallResult::Draining;
+  }
+  const bool isUnreachable = refusal.reason == Reason::UpstreamUnreachable;
+  const bool isRefusal = refusal.outcome == RequestOutcome::NotRun && !isUnreachable;
+  return isRefusal ? CallResult::Refused : CallResult::Failed;
+}
+
+/// @brief Builds the end of an attempt that failed.
+[[nodiscard]] inline AttemptEnd FailedAttempt(const Refusal& refusal, bool nothingSent, int unused)
+{
+  return { .result = boost::outcome_v2::failure(refusal),
+           .unusedRetries = unused,
+           .nothingSent = nothingSent,
+           .routing = RoutingResult(refusal) };
+}
+
+} // namespace acp::detail
--- a/include/acaciapulley/node/detail/claim_client.hpp
+++ b/include/acaciapulley/node/detail/claim_client.hpp
@@ -62,6 +62,9 @@
   /// @return whether control has it; a resend gets "unknown" otherwise
   bool Finish(const ClaimTicket& ticket, const ClaimRecord& record);
 
+  /// @brief Records that the request may have run and that no outcome is known.
+  void MarkUnknown(const ClaimTicket& ticket);
+
   /// @brief Gives the claim up; only when it is certain that nothing was sent.
   void Release(const ClaimTicket& ticket);
 
--- /dev/null
+++ b/include/acaciapulley/node/detail/peer_client.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+/// @file
+/// Runs requests on other nodes' upstreams.
+
+#include <cstdint> // int64_t
+#include <map>     // map
+#include <memory>  // shared_ptr
+#include <mutex>   // mutex
+#include <string>  // string
+
+#include "acaciapulley/core/clock.hpp"                 // Clock
+#include "acaciapulley/node/detail/attempt.hpp"        // AttemptEnd, PendingCall
+#include "acaciapulley/node/detail/threshold_book.hpp" // ThresholdBook
+#include "acaciapulley/routing/balancer.hpp"           // Choice
+#include "acaciapulley/routing/member_table.hpp"       // MemberTable
+#include "acaciapulley/transport/http_client.hpp"      // HttpPool
+
+namespace acp::detail {
+
+/// What a PeerClient works with; all outlive it.
+struct PeerClientOptions
+{
+  const Clock* clock = nullptr;
+  const ContextSigner* signer = nullptr;
+  ThresholdBook* thresholds = nullptr;
+  MemberTable* members = nullptr;
+};
+
+/// Sends requests to peers and learns from their answers. Calls may come from any thread.
+class PeerClient
+{
+public:
+  explicit PeerClient(const PeerClientOptions& options);
+
+  /// @brief Runs one attempt on the chosen peer.
+  /// @param context hop that the peer executes; its retriesLeft move to the peer
+  AttemptEnd Run(PendingCall& call, const RequestContext& context, const Choice& choice);
+
+private:
+  std::shared_ptr<HttpPool> PoolOf(const std::string& peerAddress);
+  void Learn(const PendingCall& call,
+             const RequestContext& context,
+             const Choice& choice,
+             const HttpResponseHead& answer);
+  static AttemptEnd Interpret(PendingCall& call, ClientExchange& answer, int unusedRetries);
+
+  PeerClientOptions options_;
+  std::mutex mutex_;
+  std::map<std::string, std::shared_ptr<HttpPool>> pools_; ///< by peer address
+};
+
+} // namespace acp::detail
--- /dev/null
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+/// @file
+/// Takes rate tokens for callers' requests and fetches more from control.
+
+#include <condition_variable> // condition_variable
+#include <memory>             // shared_ptr
+#include <mutex>              // mutex
+#include <string>             // string
+#include <thread>             // thread
+#include <vector>             // vector
+
+#include "acaciapulley/core/clock.hpp"               // Clock
+#include "acaciapulley/limits/token_lease_table.hpp" // TokenLeaseTable
+#include "acaciapulley/node/detail/claim_client.hpp" // ControlCall
+#include "acaciapulley/node/refusal.hpp"             // OrRefusal
+
+namespace acp::detail {
+
+/// Construction options of a TokenClient.
+struct TokenClientOptions
+{
+  std::string nodeId;
+  std::int64_t epoch = 0;
+  const Clock* clock = nullptr;
+  ControlCall call;
+};
+
+/// The node's rate tokens. Calls may come from any thread.
+class TokenClient
+{
+public:
+  /// A token of one request; put back when it is destroyed without Commit.
+  class Token
+  {
+  public:
+    Token(TokenClient& client, LimitKey key, TokenHold hold);
+    Token(const Token&) = delete;
+    Token& operator=(const Token&) = delete;
+    ~Token();
+
+    /// @brief Spends the token; further calls repeat the first answer.
+    /// @return false when the lease has ended, so that the request must not run
+    [[nodiscard]] bool Commit();
+
+  private:
+    enum class State
+    {
+      Held,
+      Spent,
+      Expired,
+    };
+
+    TokenClient& client_;
+    LimitKey key_;
+    TokenHold hold_;
+    State state_ = State::Held;
+  };
+
+  explicit TokenClient(TokenClientOptions options);
+  TokenClient(const TokenClient&) = delete;
+  TokenClient& operator=(const TokenClient&) = delete;
+  ~TokenClient();
+
+  /// @brief Takes a token, waiting for the authority if none is at hand.
+  /// @return the token, or a refusal with 429 (rate exceeded) or 503 (authority out of reach)
+  OrRefusal<std::shared_ptr<Token>> Take(const LimitKey& key);
+
+private:
+  OrRefusal<std::shared_ptr<Token>> WaitForToken(const LimitKey& key);
+  void Send(const std::vector<TokenAsk>& asks);
+  void Run();
+
+  TokenClientOptions options_;
+  TokenLeaseTable table_;
+  std::mutex mutex_;
+  std::condition_variable answered_; ///< an answer arrived, or the client stops
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+} // namespace acp::detail
--- a/include/acaciapulley/node/refusal.hpp
+++ b/include/acaciapulley/node/refusal.hpp
@@ -3,9 +3,11 @@
 /// @file
 /// Answers that a node gives itself instead of an upstream's.
 
-#include <string>  // string
-#include <utility> // move
+#include <optional> // optional
+#include <string>   // string
+#include <utility>  // move
 
+#include "acaciapulley/admission/load_report.hpp" // AdmissionThreshold, LoadReport
 #include "acaciapulley/core/clock.hpp"            // Duration
 #include "acaciapulley/core/error.hpp"            // Result
 #include "acaciapulley/core/outcome.hpp"          // Reason, RequestOutcome
@@ -21,6 +23,10 @@
   Reason reason = Reason::None;
   std::string message;
   Duration retryAfter{}; ///< zero: no `Retry-After`
+  /// Sent by an executing node to its peers only.
+  std::optional<AdmissionThreshold> threshold;
+  std::optional<LoadReport> load;
+  std::optional<int> unusedRetries;
 };
 
 /// A value, or the refusal to send to the caller.
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -1,34 +1,49 @@
 #pragma once
 
 /// @file
-/// What a node does with each request.
+/// What a node does with each request, from its arrival to its answer.
 
 #include <cstdint>    // int64_t
 #include <functional> // function
-#include <map>        // map
-#include <memory>     // shared_ptr
-#include <mutex>      // mutex
+#include <memory>     // unique_ptr
 #include <string>     // string
 
-#include "acaciapulley/core/clock.hpp"              // Clock
-#include "acaciapulley/core/outcome.hpp"            // Reason
-#include "acaciapulley/node/local_upstream.hpp"     // LocalUpstream
-#include "acaciapulley/node/node_view.hpp"          // NodeView
-#include "acaciapulley/retries/request_context.hpp" // ContextSigner, RequestContext
-#include "acaciapulley/transport/http_server.hpp"   // ServerExchange
+#include "acaciapulley/core/clock.hpp"            // Clock
+#include "acaciapulley/node/detail/claim_client.hpp" // ControlCall
+#include "acaciapulley/node/local_upstream.hpp"   // LocalUpstream
+#include "acaciapulley/node/node_view.hpp"        // NodeView
+#include "acaciapulley/node/refusal.hpp"          // Refusal
+#include "acaciapulley/routing/member_table.hpp"  // MemberTable
+#include "acaciapulley/transport/http_server.hpp" // ServerExchange
 
 namespace acp {
 
-/// Construction options of a RequestPipeline.
+/// A caller's request that has ended, for the record and the metrics.
+struct EndedRequest
+{
+  std::string service;
+  std::string requestClass; ///< empty when no class matched
+  std::string account;      ///< empty when the caller is not known
+  Reason reason = Reason::None;
+  RequestOutcome outcome = RequestOutcome::Ran;
+  Duration latency{};
+};
+
+/// Construction options of a RequestPipeline. What is pointed to outlives it.
 struct RequestPipelineOptions
 {
   std::string nodeId;
   std::int64_t epoch = 0;
+  std::string dataCentre;
   std::string fleetSecret;
+  int retryBudget = 2; ///< retries of one request over its whole call chain, 0 to 8
   const Clock* clock = nullptr;
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
-  std::function<void()> onAnnounced; ///< called after each accepted announcement
+  MemberTable* members = nullptr;
+  detail::ControlCall control;                     ///< claims and rate tokens
+  std::function<void()> onAnnounced;               ///< called after each changed announcement
+  std::function<void(const EndedRequest&)> onEnded; ///< called for each request of the ingress
 };
 
 /// Handlers of the node's ingress, peer and egress listeners. Calls may come from any thread.
@@ -36,8 +51,11 @@
 {
 public:
   explicit RequestPipeline(RequestPipelineOptions options);
+  RequestPipeline(const RequestPipeline&) = delete;
+  RequestPipeline& operator=(const RequestPipeline&) = delete;
+  ~RequestPipeline();
 
-  /// @brief Serves a caller's request: checks its key, then runs it here or on a peer.
+  /// @brief Serves a caller's request: checks its key and rate, then runs it here or on a peer.
   void HandleIngress(ServerExchange& exchange);
 
   /// @brief Runs a peer's request on the local upstream.
@@ -47,33 +65,8 @@
   void HandleEgress(ServerExchange& exchange);
 
 private:
-  /// A request whose service and class are known.
-  struct Routed
-  {
-    std::string service;
-    std::string upstreamTarget; ///< path and query after the service's name
-    std::shared_ptr<const ServiceDocument> document;
-    const RequestClass* requestClass = nullptr;
-  };
-
-  bool Route(ServerExchange& exchange, Routed* routed);
-  bool Authenticate(ServerExchange& exchange, const Routed& routed, std::string* account);
-  void Dispatch(ServerExchange& exchange, const Routed& routed, const RequestContext& context);
-  void RunOnLocalUpstream(ServerExchange& exchange,
-                          const Routed& routed,
-                          const RequestContext& context);
-  void Forward(ServerExchange& exchange,
-               HttpPool& pool,
-               const std::string& target,
-               const RequestContext& context);
-  void Announce(ServerExchange& exchange);
-  [[nodiscard]] RequestContext NewRoot(const Routed& routed, const std::string& account) const;
-  std::shared_ptr<HttpPool> PeerPool(const Address& address);
-
-  RequestPipelineOptions options_;
-  ContextSigner signer_;
-  std::mutex poolsMutex_;
-  std::map<std::string, std::shared_ptr<HttpPool>> peerPools_;
+  class Impl;
+  std::unique_ptr<Impl> impl_;
 };
 
 } // namespace acp
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -1127,6 +1127,10 @@
 void SyncRequest::__set_report(const std::vector<RecordRow> & val) {
   this->report = val;
 }
+
+void SyncRequest::__set_membersTerm(const int64_t val) {
+  this->membersTerm = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
 {
   obj.printTo(out);
@@ -1223,6 +1227,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->membersTerm);
+          this->__isset.membersTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1277,6 +1289,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("membersTerm", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->membersTerm);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1291,6 +1307,7 @@
   swap(a.member, b.member);
   swap(a.reportNumber, b.reportNumber);
   swap(a.report, b.report);
+  swap(a.membersTerm, b.membersTerm);
   swap(a.__isset, b.__isset);
 }
 
@@ -1302,6 +1319,7 @@
   member = other42.member;
   reportNumber = other42.reportNumber;
   report = other42.report;
+  membersTerm = other42.membersTerm;
   __isset = other42.__isset;
 }
 SyncRequest& SyncRequest::operator=(const SyncRequest& other43) {
@@ -1312,6 +1330,7 @@
   member = other43.member;
   reportNumber = other43.reportNumber;
   report = other43.report;
+  membersTerm = other43.membersTerm;
   __isset = other43.__isset;
   return *this;
 }
@@ -1325,6 +1344,7 @@
   out << ", " << "member="; (__isset.member ? (out << to_string(member)) : (out << "<null>"));
   out << ", " << "reportNumber=" << to_string(reportNumber);
   out << ", " << "report=" << to_string(report);
+  out << ", " << "membersTerm=" << to_string(membersTerm);
   out << ")";
 }
 
@@ -1356,6 +1376,10 @@
 void SyncReply::__set_acceptedReportNumber(const int64_t val) {
   this->acceptedReportNumber = val;
 }
+
+void SyncReply::__set_leaderTerm(const int64_t val) {
+  this->leaderTerm = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -1444,6 +1468,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaderTerm);
+          this->__isset.leaderTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1493,6 +1525,10 @@
   xfer += oprot->writeI64(this->acceptedReportNumber);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaderTerm", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->leaderTerm);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1506,6 +1542,7 @@
   swap(a.membersVersion, b.membersVersion);
   swap(a.members, b.members);
   swap(a.acceptedReportNumber, b.acceptedReportNumber);
+  swap(a.leaderTerm, b.leaderTerm);
   swap(a.__isset, b.__isset);
 }
 
@@ -1516,6 +1553,7 @@
   membersVersion = other50.membersVersion;
   members = other50.members;
   acceptedReportNumber = other50.acceptedReportNumber;
+  leaderTerm = other50.leaderTerm;
   __isset = other50.__isset;
 }
 SyncReply& SyncReply::operator=(const SyncReply& other51) {
@@ -1525,6 +1563,7 @@
   membersVersion = other51.membersVersion;
   members = other51.members;
   acceptedReportNumber = other51.acceptedReportNumber;
+  leaderTerm = other51.leaderTerm;
   __isset = other51.__isset;
   return *this;
 }
@@ -1537,53 +1576,62 @@
   out << ", " << "membersVersion=" << to_string(membersVersion);
   out << ", " << "members=" << to_string(members);
   out << ", " << "acceptedReportNumber=" << to_string(acceptedReportNumber);
+  out << ", " << "leaderTerm=" << to_string(leaderTerm);
   out << ")";
 }
 
 
-TokenRequest::~TokenRequest() noexcept {
+TokenAsk::~TokenAsk() noexcept {
 }
 
 
-void TokenRequest::__set_nodeId(const std::string& val) {
-  this->nodeId = val;
+void TokenAsk::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
 }
 
-void TokenRequest::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void TokenAsk::__set_account(const std::string& val) {
+  this->account = val;
 }
 
-void TokenRequest::__set_serviceName(const std::string& val) {
-  this->serviceName = val;
+void TokenAsk::__set_number(const int64_t val) {
+  this->number = val;
 }
 
-void TokenRequest::__set_account(const std::string& val) {
-  this->account = val;
+void TokenAsk::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void TokenRequest::__set_leaseId(const int64_t val) {
-  this->leaseId = val;
+void TokenAsk::__set_received(const double val) {
+  this->received = val;
 }
 
-void TokenRequest::__set_spent(const double val) {
+void TokenAsk::__set_spent(const double val) {
   this->spent = val;
 }
 
-void TokenRequest::__set_returned(const double val) {
+void TokenAsk::__set_returned(const double val) {
   this->returned = val;
 }
 
-void TokenRequest::__set_wanted(const double val) {
+void TokenAsk::__set_spentAgeMicros(const int64_t val) {
+  this->spentAgeMicros = val;
+}
+
+void TokenAsk::__set_needed(const double val) {
+  this->needed = val;
+}
+
+void TokenAsk::__set_wanted(const double val) {
   this->wanted = val;
 }
-std::ostream& operator<<(std::ostream& out, const TokenRequest& obj)
+std::ostream& operator<<(std::ostream& out, const TokenAsk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t TokenRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TokenAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1606,40 +1654,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->nodeId);
-          this->__isset.nodeId = true;
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->serviceName);
-          this->__isset.serviceName = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->account);
-          this->__isset.account = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->leaseId);
-          this->__isset.leaseId = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->received);
+          this->__isset.received = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1661,6 +1709,22 @@
         }
         break;
       case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->spentAgeMicros);
+          this->__isset.spentAgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->needed);
+          this->__isset.needed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
         if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
           xfer += iprot->readDouble(this->wanted);
           this->__isset.wanted = true;
@@ -1680,29 +1744,29 @@
   return xfer;
 }
 
-uint32_t TokenRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TokenAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("TokenRequest");
+  xfer += oprot->writeStructBegin("TokenAsk");
 
-  xfer += oprot->writeFieldBegin("nodeId", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->nodeId);
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->account);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaseId", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->leaseId);
+  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->received);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("spent", ::apache::thrift::protocol::T_DOUBLE, 6);
@@ -1713,7 +1777,15 @@
   xfer += oprot->writeDouble(this->returned);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_DOUBLE, 8);
+  xfer += oprot->writeFieldBegin("spentAgeMicros", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->spentAgeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needed", ::apache::thrift::protocol::T_DOUBLE, 9);
+  xfer += oprot->writeDouble(this->needed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_DOUBLE, 10);
   xfer += oprot->writeDouble(this->wanted);
   xfer += oprot->writeFieldEnd();
 
@@ -1722,84 +1794,256 @@
   return xfer;
 }
 
-void swap(TokenRequest &a, TokenRequest &b) {
+void swap(TokenAsk &a, TokenAsk &b) {
   using ::std::swap;
-  swap(a.nodeId, b.nodeId);
-  swap(a.epoch, b.epoch);
   swap(a.serviceName, b.serviceName);
   swap(a.account, b.account);
-  swap(a.leaseId, b.leaseId);
+  swap(a.number, b.number);
+  swap(a.term, b.term);
+  swap(a.received, b.received);
   swap(a.spent, b.spent);
   swap(a.returned, b.returned);
+  swap(a.spentAgeMicros, b.spentAgeMicros);
+  swap(a.needed, b.needed);
   swap(a.wanted, b.wanted);
   swap(a.__isset, b.__isset);
 }
 
-TokenRequest::TokenRequest(const TokenRequest& other52) {
-  nodeId = other52.nodeId;
-  epoch = other52.epoch;
+TokenAsk::TokenAsk(const TokenAsk& other52) {
   serviceName = other52.serviceName;
   account = other52.account;
-  leaseId = other52.leaseId;
+  number = other52.number;
+  term = other52.term;
+  received = other52.received;
   spent = other52.spent;
   returned = other52.returned;
+  spentAgeMicros = other52.spentAgeMicros;
+  needed = other52.needed;
   wanted = other52.wanted;
   __isset = other52.__isset;
 }
-TokenRequest& TokenRequest::operator=(const TokenRequest& other53) {
-  nodeId = other53.nodeId;
-  epoch = other53.epoch;
+TokenAsk& TokenAsk::operator=(const TokenAsk& other53) {
   serviceName = other53.serviceName;
   account = other53.account;
-  leaseId = other53.leaseId;
+  number = other53.number;
+  term = other53.term;
+  received = other53.received;
   spent = other53.spent;
   returned = other53.returned;
+  spentAgeMicros = other53.spentAgeMicros;
+  needed = other53.needed;
   wanted = other53.wanted;
   __isset = other53.__isset;
   return *this;
 }
-void TokenRequest::printTo(std::ostream& out) const {
+void TokenAsk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "TokenRequest(";
-  out << "nodeId=" << to_string(nodeId);
-  out << ", " << "epoch=" << to_string(epoch);
-  out << ", " << "serviceName=" << to_string(serviceName);
+  out << "TokenAsk(";
+  out << "serviceName=" << to_string(serviceName);
   out << ", " << "account=" << to_string(account);
-  out << ", " << "leaseId=" << to_string(leaseId);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "received=" << to_string(received);
   out << ", " << "spent=" << to_string(spent);
   out << ", " << "returned=" << to_string(returned);
+  out << ", " << "spentAgeMicros=" << to_string(spentAgeMicros);
+  out << ", " << "needed=" << to_string(needed);
   out << ", " << "wanted=" << to_string(wanted);
   out << ")";
 }
 
 
-TokenReply::~TokenReply() noexcept {
+TokenRequest::~TokenRequest() noexcept {
+}
+
+
+void TokenRequest::__set_nodeId(const std::string& val) {
+  this->nodeId = val;
 }
 
+void TokenRequest::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
 
-void TokenReply::__set_leaseId(const int64_t val) {
-  this->leaseId = val;
+void TokenRequest::__set_asks(const std::vector<TokenAsk> & val) {
+  this->asks = val;
 }
+std::ostream& operator<<(std::ostream& out, const TokenRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TokenRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
 
-void TokenReply::__set_granted(const double val) {
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nodeId);
+          this->__isset.nodeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->asks.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
+            {
+              xfer += this->asks[_i58].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TokenRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenRequest");
+
+  xfer += oprot->writeFieldBegin("nodeId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->nodeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<TokenAsk> ::const_iterator _iter59;
+    for (_iter59 = this->asks.begin(); _iter59 != this->asks.end(); ++_iter59)
+    {
+      xfer += (*_iter59).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenRequest &a, TokenRequest &b) {
+  using ::std::swap;
+  swap(a.nodeId, b.nodeId);
+  swap(a.epoch, b.epoch);
+  swap(a.asks, b.asks);
+  swap(a.__isset, b.__isset);
+}
+
+TokenRequest::TokenRequest(const TokenRequest& other60) {
+  nodeId = other60.nodeId;
+  epoch = other60.epoch;
+  asks = other60.asks;
+  __isset = other60.__isset;
+}
+TokenRequest& TokenRequest::operator=(const TokenRequest& other61) {
+  nodeId = other61.nodeId;
+  epoch = other61.epoch;
+  asks = other61.asks;
+  __isset = other61.__isset;
+  return *this;
+}
+void TokenRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TokenRequest(";
+  out << "nodeId=" << to_string(nodeId);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "asks=" << to_string(asks);
+  out << ")";
+}
+
+
+TokenAnswer::~TokenAnswer() noexcept {
+}
+
+
+void TokenAnswer::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void TokenAnswer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void TokenAnswer::__set_granted(const double val) {
   this->granted = val;
 }
 
-void TokenReply::__set_leaseMs(const int64_t val) {
-  this->leaseMs = val;
+void TokenAnswer::__set_leaseMicros(const int64_t val) {
+  this->leaseMicros = val;
 }
 
-void TokenReply::__set_retryAfterMs(const int64_t val) {
-  this->retryAfterMs = val;
+void TokenAnswer::__set_retryAfterMicros(const int64_t val) {
+  this->retryAfterMicros = val;
 }
-std::ostream& operator<<(std::ostream& out, const TokenReply& obj)
+
+void TokenAnswer::__set_settleWithinMicros(const int64_t val) {
+  this->settleWithinMicros = val;
+}
+
+void TokenAnswer::__set_errorCode(const int32_t val) {
+  this->errorCode = val;
+}
+std::ostream& operator<<(std::ostream& out, const TokenAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t TokenReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TokenAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1822,13 +2066,21 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->leaseId);
-          this->__isset.leaseId = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
           xfer += iprot->readDouble(this->granted);
           this->__isset.granted = true;
@@ -1836,18 +2088,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->leaseMs);
-          this->__isset.leaseMs = true;
+          xfer += iprot->readI64(this->leaseMicros);
+          this->__isset.leaseMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->retryAfterMs);
-          this->__isset.retryAfterMs = true;
+          xfer += iprot->readI64(this->retryAfterMicros);
+          this->__isset.retryAfterMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->settleWithinMicros);
+          this->__isset.settleWithinMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->errorCode);
+          this->__isset.errorCode = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1864,25 +2132,37 @@
   return xfer;
 }
 
-uint32_t TokenReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TokenAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("TokenReply");
+  xfer += oprot->writeStructBegin("TokenAnswer");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaseId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->leaseId);
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_DOUBLE, 3);
   xfer += oprot->writeDouble(this->granted);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaseMs", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->leaseMs);
+  xfer += oprot->writeFieldBegin("leaseMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->leaseMicros);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->retryAfterMs);
+  xfer += oprot->writeFieldBegin("retryAfterMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->retryAfterMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("settleWithinMicros", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->settleWithinMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("errorCode", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->errorCode);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1890,37 +2170,161 @@
   return xfer;
 }
 
-void swap(TokenReply &a, TokenReply &b) {
+void swap(TokenAnswer &a, TokenAnswer &b) {
   using ::std::swap;
-  swap(a.leaseId, b.leaseId);
+  swap(a.term, b.term);
+  swap(a.number, b.number);
   swap(a.granted, b.granted);
-  swap(a.leaseMs, b.leaseMs);
-  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.leaseMicros, b.leaseMicros);
+  swap(a.retryAfterMicros, b.retryAfterMicros);
+  swap(a.settleWithinMicros, b.settleWithinMicros);
+  swap(a.errorCode, b.errorCode);
+  swap(a.__isset, b.__isset);
+}
+
+TokenAnswer::TokenAnswer(const TokenAnswer& other62) noexcept {
+  term = other62.term;
+  number = other62.number;
+  granted = other62.granted;
+  leaseMicros = other62.leaseMicros;
+  retryAfterMicros = other62.retryAfterMicros;
+  settleWithinMicros = other62.settleWithinMicros;
+  errorCode = other62.errorCode;
+  __isset = other62.__isset;
+}
+TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other63) noexcept {
+  term = other63.term;
+  number = other63.number;
+  granted = other63.granted;
+  leaseMicros = other63.leaseMicros;
+  retryAfterMicros = other63.retryAfterMicros;
+  settleWithinMicros = other63.settleWithinMicros;
+  errorCode = other63.errorCode;
+  __isset = other63.__isset;
+  return *this;
+}
+void TokenAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TokenAnswer(";
+  out << "term=" << to_string(term);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "leaseMicros=" << to_string(leaseMicros);
+  out << ", " << "retryAfterMicros=" << to_string(retryAfterMicros);
+  out << ", " << "settleWithinMicros=" << to_string(settleWithinMicros);
+  out << ", " << "errorCode=" << to_string(errorCode);
+  out << ")";
+}
+
+
+TokenReply::~TokenReply() noexcept {
+}
+
+
+void TokenReply::__set_answers(const std::vector<TokenAnswer> & val) {
+  this->answers = val;
+}
+std::ostream& operator<<(std::ostream& out, const TokenReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TokenReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->answers.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
+            {
+              xfer += this->answers[_i68].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TokenReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenReply");
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<TokenAnswer> ::const_iterator _iter69;
+    for (_iter69 = this->answers.begin(); _iter69 != this->answers.end(); ++_iter69)
+    {
+      xfer += (*_iter69).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenReply &a, TokenReply &b) {
+  using ::std::swap;
+  swap(a.answers, b.answers);
   swap(a.__isset, b.__isset);
 }
 
-TokenReply::TokenReply(const TokenReply& other54) noexcept {
-  leaseId = other54.leaseId;
-  granted = other54.granted;
-  leaseMs = other54.leaseMs;
-  retryAfterMs = other54.retryAfterMs;
-  __isset = other54.__isset;
+TokenReply::TokenReply(const TokenReply& other70) {
+  answers = other70.answers;
+  __isset = other70.__isset;
 }
-TokenReply& TokenReply::operator=(const TokenReply& other55) noexcept {
-  leaseId = other55.leaseId;
-  granted = other55.granted;
-  leaseMs = other55.leaseMs;
-  retryAfterMs = other55.retryAfterMs;
-  __isset = other55.__isset;
+TokenReply& TokenReply::operator=(const TokenReply& other71) {
+  answers = other71.answers;
+  __isset = other71.__isset;
   return *this;
 }
 void TokenReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "TokenReply(";
-  out << "leaseId=" << to_string(leaseId);
-  out << ", " << "granted=" << to_string(granted);
-  out << ", " << "leaseMs=" << to_string(leaseMs);
-  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << "answers=" << to_string(answers);
   out << ")";
 }
 
@@ -2034,17 +2438,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimKey::ClaimKey(const ClaimKey& other56) {
-  account = other56.account;
-  serviceName = other56.serviceName;
-  idempotencyKey = other56.idempotencyKey;
-  __isset = other56.__isset;
+ClaimKey::ClaimKey(const ClaimKey& other72) {
+  account = other72.account;
+  serviceName = other72.serviceName;
+  idempotencyKey = other72.idempotencyKey;
+  __isset = other72.__isset;
 }
-ClaimKey& ClaimKey::operator=(const ClaimKey& other57) {
-  account = other57.account;
-  serviceName = other57.serviceName;
-  idempotencyKey = other57.idempotencyKey;
-  __isset = other57.__isset;
+ClaimKey& ClaimKey::operator=(const ClaimKey& other73) {
+  account = other73.account;
+  serviceName = other73.serviceName;
+  idempotencyKey = other73.idempotencyKey;
+  __isset = other73.__isset;
   return *this;
 }
 void ClaimKey::printTo(std::ostream& out) const {
@@ -2200,21 +2604,21 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other58) {
-  key = other58.key;
-  attemptId = other58.attemptId;
-  nodeId = other58.nodeId;
-  fingerprint = other58.fingerprint;
-  deadlineMs = other58.deadlineMs;
-  __isset = other58.__isset;
-}
-BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other59) {
-  key = other59.key;
-  attemptId = other59.attemptId;
-  nodeId = other59.nodeId;
-  fingerprint = other59.fingerprint;
-  deadlineMs = other59.deadlineMs;
-  __isset = other59.__isset;
+BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other74) {
+  key = other74.key;
+  attemptId = other74.attemptId;
+  nodeId = other74.nodeId;
+  fingerprint = other74.fingerprint;
+  deadlineMs = other74.deadlineMs;
+  __isset = other74.__isset;
+}
+BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other75) {
+  key = other75.key;
+  attemptId = other75.attemptId;
+  nodeId = other75.nodeId;
+  fingerprint = other75.fingerprint;
+  deadlineMs = other75.deadlineMs;
+  __isset = other75.__isset;
   return *this;
 }
 void BeginClaimRequest::printTo(std::ostream& out) const {
@@ -2372,21 +2776,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other60) {
-  status = other60.status;
-  contentType = other60.contentType;
-  body = other60.body;
-  bodyKept = other60.bodyKept;
-  bodyDigest = other60.bodyDigest;
-  __isset = other60.__isset;
-}
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other61) {
-  status = other61.status;
-  contentType = other61.contentType;
-  body = other61.body;
-  bodyKept = other61.bodyKept;
-  bodyDigest = other61.bodyDigest;
-  __isset = other61.__isset;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other76) {
+  status = other76.status;
+  contentType = other76.contentType;
+  body = other76.body;
+  bodyKept = other76.bodyKept;
+  bodyDigest = other76.bodyDigest;
+  __isset = other76.__isset;
+}
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other77) {
+  status = other77.status;
+  contentType = other77.contentType;
+  body = other77.body;
+  bodyKept = other77.bodyKept;
+  bodyDigest = other77.bodyDigest;
+  __isset = other77.__isset;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -2443,9 +2847,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast62;
-          xfer += iprot->readI32(ecast62);
-          this->state = static_cast<ClaimState::type>(ecast62);
+          int32_t ecast78;
+          xfer += iprot->readI32(ecast78);
+          this->state = static_cast<ClaimState::type>(ecast78);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2497,15 +2901,15 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimReply::BeginClaimReply(const BeginClaimReply& other63) {
-  state = other63.state;
-  outcome = other63.outcome;
-  __isset = other63.__isset;
+BeginClaimReply::BeginClaimReply(const BeginClaimReply& other79) {
+  state = other79.state;
+  outcome = other79.outcome;
+  __isset = other79.__isset;
 }
-BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other64) {
-  state = other64.state;
-  outcome = other64.outcome;
-  __isset = other64.__isset;
+BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other80) {
+  state = other80.state;
+  outcome = other80.outcome;
+  __isset = other80.__isset;
   return *this;
 }
 void BeginClaimReply::printTo(std::ostream& out) const {
@@ -2532,6 +2936,11 @@
 void FinishClaimRequest::__set_outcome(const ClaimOutcome& val) {
   this->outcome = val;
 }
+
+void FinishClaimRequest::__set_outcomeUnknown(const bool val) {
+  this->outcomeUnknown = val;
+__isset.outcomeUnknown = true;
+}
 std::ostream& operator<<(std::ostream& out, const FinishClaimRequest& obj)
 {
   obj.printTo(out);
@@ -2584,6 +2993,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->outcomeUnknown);
+          this->__isset.outcomeUnknown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2613,6 +3030,11 @@
   xfer += this->outcome.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.outcomeUnknown) {
+    xfer += oprot->writeFieldBegin("outcomeUnknown", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->outcomeUnknown);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2623,20 +3045,23 @@
   swap(a.key, b.key);
   swap(a.attemptId, b.attemptId);
   swap(a.outcome, b.outcome);
+  swap(a.outcomeUnknown, b.outcomeUnknown);
   swap(a.__isset, b.__isset);
 }
 
-FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other65) {
-  key = other65.key;
-  attemptId = other65.attemptId;
-  outcome = other65.outcome;
-  __isset = other65.__isset;
+FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other81) {
+  key = other81.key;
+  attemptId = other81.attemptId;
+  outcome = other81.outcome;
+  outcomeUnknown = other81.outcomeUnknown;
+  __isset = other81.__isset;
 }
-FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other66) {
-  key = other66.key;
-  attemptId = other66.attemptId;
-  outcome = other66.outcome;
-  __isset = other66.__isset;
+FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other82) {
+  key = other82.key;
+  attemptId = other82.attemptId;
+  outcome = other82.outcome;
+  outcomeUnknown = other82.outcomeUnknown;
+  __isset = other82.__isset;
   return *this;
 }
 void FinishClaimRequest::printTo(std::ostream& out) const {
@@ -2645,6 +3070,7 @@
   out << "key=" << to_string(key);
   out << ", " << "attemptId=" << to_string(attemptId);
   out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "outcomeUnknown="; (__isset.outcomeUnknown ? (out << to_string(outcomeUnknown)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2741,15 +3167,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other67) {
-  key = other67.key;
-  attemptId = other67.attemptId;
-  __isset = other67.__isset;
+ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other83) {
+  key = other83.key;
+  attemptId = other83.attemptId;
+  __isset = other83.__isset;
 }
-ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other68) {
-  key = other68.key;
-  attemptId = other68.attemptId;
-  __isset = other68.__isset;
+ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other84) {
+  key = other84.key;
+  attemptId = other84.attemptId;
+  __isset = other84.__isset;
   return *this;
 }
 void ReleaseClaimRequest::printTo(std::ostream& out) const {
@@ -2836,13 +3262,13 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other69) : TException() {
-  leaderRpcAddress = other69.leaderRpcAddress;
-  __isset = other69.__isset;
+NotLeader::NotLeader(const NotLeader& other85) : TException() {
+  leaderRpcAddress = other85.leaderRpcAddress;
+  __isset = other85.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other70) {
-  leaderRpcAddress = other70.leaderRpcAddress;
-  __isset = other70.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other86) {
+  leaderRpcAddress = other86.leaderRpcAddress;
+  __isset = other86.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -2956,15 +3382,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlFailure::ControlFailure(const ControlFailure& other71) : TException() {
-  code = other71.code;
-  message = other71.message;
-  __isset = other71.__isset;
+ControlFailure::ControlFailure(const ControlFailure& other87) : TException() {
+  code = other87.code;
+  message = other87.message;
+  __isset = other87.__isset;
 }
-ControlFailure& ControlFailure::operator=(const ControlFailure& other72) {
-  code = other72.code;
-  message = other72.message;
-  __isset = other72.__isset;
+ControlFailure& ControlFailure::operator=(const ControlFailure& other88) {
+  code = other88.code;
+  message = other88.message;
+  __isset = other88.__isset;
   return *this;
 }
 void ControlFailure::printTo(std::ostream& out) const {
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -52,8 +52,12 @@
 
 class SyncReply;
 
+class TokenAsk;
+
 class TokenRequest;
 
+class TokenAnswer;
+
 class TokenReply;
 
 class ClaimKey;
@@ -459,7 +463,7 @@
 std::ostream& operator<<(std::ostream& out, const RecordRow& obj);
 
 typedef struct _SyncRequest__isset {
-  _SyncRequest__isset() : nodeId(false), epoch(false), stateVersion(false), membersVersion(false), member(false), reportNumber(false), report(false) {}
+  _SyncRequest__isset() : nodeId(false), epoch(false), stateVersion(false), membersVersion(false), member(false), reportNumber(false), report(false), membersTerm(false) {}
   bool nodeId :1;
   bool epoch :1;
   bool stateVersion :1;
@@ -467,6 +471,7 @@
   bool member :1;
   bool reportNumber :1;
   bool report :1;
+  bool membersTerm :1;
 } _SyncRequest__isset;
 
 class SyncRequest : public virtual ::apache::thrift::TBase {
@@ -479,7 +484,8 @@
                 epoch(0),
                 stateVersion(0),
                 membersVersion(0),
-                reportNumber(0) {
+                reportNumber(0),
+                membersTerm(0) {
   }
 
   virtual ~SyncRequest() noexcept;
@@ -490,6 +496,7 @@
   Member member;
   int64_t reportNumber;
   std::vector<RecordRow>  report;
+  int64_t membersTerm;
 
   _SyncRequest__isset __isset;
 
@@ -507,6 +514,8 @@
 
   void __set_report(const std::vector<RecordRow> & val);
 
+  void __set_membersTerm(const int64_t val);
+
   bool operator == (const SyncRequest & rhs) const
   {
     if (!(nodeId == rhs.nodeId))
@@ -525,6 +534,8 @@
       return false;
     if (!(report == rhs.report))
       return false;
+    if (!(membersTerm == rhs.membersTerm))
+      return false;
     return true;
   }
   bool operator != (const SyncRequest &rhs) const {
@@ -544,13 +555,14 @@
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false) {}
+  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false), leaderTerm(false) {}
   bool ageMs :1;
   bool delta :1;
   bool membersIncluded :1;
   bool membersVersion :1;
   bool members :1;
   bool acceptedReportNumber :1;
+  bool leaderTerm :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -562,7 +574,8 @@
             : ageMs(0),
               membersIncluded(0),
               membersVersion(0),
-              acceptedReportNumber(0) {
+              acceptedReportNumber(0),
+              leaderTerm(0) {
   }
 
   virtual ~SyncReply() noexcept;
@@ -572,6 +585,7 @@
   int64_t membersVersion;
   std::vector<Member>  members;
   int64_t acceptedReportNumber;
+  int64_t leaderTerm;
 
   _SyncReply__isset __isset;
 
@@ -587,6 +601,8 @@
 
   void __set_acceptedReportNumber(const int64_t val);
 
+  void __set_leaderTerm(const int64_t val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(ageMs == rhs.ageMs))
@@ -601,6 +617,8 @@
       return false;
     if (!(acceptedReportNumber == rhs.acceptedReportNumber))
       return false;
+    if (!(leaderTerm == rhs.leaderTerm))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
@@ -619,82 +637,152 @@
 
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj);
 
-typedef struct _TokenRequest__isset {
-  _TokenRequest__isset() : nodeId(false), epoch(false), serviceName(false), account(false), leaseId(false), spent(false), returned(false), wanted(false) {}
-  bool nodeId :1;
-  bool epoch :1;
+typedef struct _TokenAsk__isset {
+  _TokenAsk__isset() : serviceName(false), account(false), number(false), term(false), received(false), spent(false), returned(false), spentAgeMicros(false), needed(false), wanted(false) {}
   bool serviceName :1;
   bool account :1;
-  bool leaseId :1;
+  bool number :1;
+  bool term :1;
+  bool received :1;
   bool spent :1;
   bool returned :1;
+  bool spentAgeMicros :1;
+  bool needed :1;
   bool wanted :1;
-} _TokenRequest__isset;
+} _TokenAsk__isset;
 
-class TokenRequest : public virtual ::apache::thrift::TBase {
+class TokenAsk : public virtual ::apache::thrift::TBase {
  public:
 
-  TokenRequest(const TokenRequest&);
-  TokenRequest& operator=(const TokenRequest&);
-  TokenRequest() noexcept
-               : nodeId(),
-                 epoch(0),
-                 serviceName(),
-                 account(),
-                 leaseId(0),
-                 spent(0),
-                 returned(0),
-                 wanted(0) {
+  TokenAsk(const TokenAsk&);
+  TokenAsk& operator=(const TokenAsk&);
+  TokenAsk() noexcept
+           : serviceName(),
+             account(),
+             number(0),
+             term(0),
+             received(0),
+             spent(0),
+             returned(0),
+             spentAgeMicros(0),
+             needed(0),
+             wanted(0) {
   }
 
-  virtual ~TokenRequest() noexcept;
-  std::string nodeId;
-  int64_t epoch;
+  virtual ~TokenAsk() noexcept;
   std::string serviceName;
   std::string account;
-  int64_t leaseId;
+  int64_t number;
+  int64_t term;
+  double received;
   double spent;
   double returned;
+  int64_t spentAgeMicros;
+  double needed;
   double wanted;
 
-  _TokenRequest__isset __isset;
-
-  void __set_nodeId(const std::string& val);
-
-  void __set_epoch(const int64_t val);
+  _TokenAsk__isset __isset;
 
   void __set_serviceName(const std::string& val);
 
   void __set_account(const std::string& val);
 
-  void __set_leaseId(const int64_t val);
+  void __set_number(const int64_t val);
+
+  void __set_term(const int64_t val);
+
+  void __set_received(const double val);
 
   void __set_spent(const double val);
 
   void __set_returned(const double val);
 
+  void __set_spentAgeMicros(const int64_t val);
+
+  void __set_needed(const double val);
+
   void __set_wanted(const double val);
 
-  bool operator == (const TokenRequest & rhs) const
+  bool operator == (const TokenAsk & rhs) const
   {
-    if (!(nodeId == rhs.nodeId))
-      return false;
-    if (!(epoch == rhs.epoch))
-      return false;
     if (!(serviceName == rhs.serviceName))
       return false;
     if (!(account == rhs.account))
       return false;
-    if (!(leaseId == rhs.leaseId))
+    if (!(number == rhs.number))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(received == rhs.received))
       return false;
     if (!(spent == rhs.spent))
       return false;
     if (!(returned == rhs.returned))
       return false;
+    if (!(spentAgeMicros == rhs.spentAgeMicros))
+      return false;
+    if (!(needed == rhs.needed))
+      return false;
     if (!(wanted == rhs.wanted))
       return false;
     return true;
   }
+  bool operator != (const TokenAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TokenAsk &a, TokenAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenAsk& obj);
+
+typedef struct _TokenRequest__isset {
+  _TokenRequest__isset() : nodeId(false), epoch(false), asks(false) {}
+  bool nodeId :1;
+  bool epoch :1;
+  bool asks :1;
+} _TokenRequest__isset;
+
+class TokenRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenRequest(const TokenRequest&);
+  TokenRequest& operator=(const TokenRequest&);
+  TokenRequest() noexcept
+               : nodeId(),
+                 epoch(0) {
+  }
+
+  virtual ~TokenRequest() noexcept;
+  std::string nodeId;
+  int64_t epoch;
+  std::vector<TokenAsk>  asks;
+
+  _TokenRequest__isset __isset;
+
+  void __set_nodeId(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_asks(const std::vector<TokenAsk> & val);
+
+  bool operator == (const TokenRequest & rhs) const
+  {
+    if (!(nodeId == rhs.nodeId))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(asks == rhs.asks))
+      return false;
+    return true;
+  }
   bool operator != (const TokenRequest &rhs) const {
     return !(*this == rhs);
   }
@@ -711,51 +799,114 @@
 
 std::ostream& operator<<(std::ostream& out, const TokenRequest& obj);
 
-typedef struct _TokenReply__isset {
-  _TokenReply__isset() : leaseId(false), granted(false), leaseMs(false), retryAfterMs(false) {}
-  bool leaseId :1;
+typedef struct _TokenAnswer__isset {
+  _TokenAnswer__isset() : term(false), number(false), granted(false), leaseMicros(false), retryAfterMicros(false), settleWithinMicros(false), errorCode(false) {}
+  bool term :1;
+  bool number :1;
   bool granted :1;
-  bool leaseMs :1;
-  bool retryAfterMs :1;
-} _TokenReply__isset;
+  bool leaseMicros :1;
+  bool retryAfterMicros :1;
+  bool settleWithinMicros :1;
+  bool errorCode :1;
+} _TokenAnswer__isset;
 
-class TokenReply : public virtual ::apache::thrift::TBase {
+class TokenAnswer : public virtual ::apache::thrift::TBase {
  public:
 
-  TokenReply(const TokenReply&) noexcept;
-  TokenReply& operator=(const TokenReply&) noexcept;
-  TokenReply() noexcept
-             : leaseId(0),
-               granted(0),
-               leaseMs(0),
-               retryAfterMs(0) {
+  TokenAnswer(const TokenAnswer&) noexcept;
+  TokenAnswer& operator=(const TokenAnswer&) noexcept;
+  TokenAnswer() noexcept
+              : term(0),
+                number(0),
+                granted(0),
+                leaseMicros(0),
+                retryAfterMicros(0),
+                settleWithinMicros(0),
+                errorCode(0) {
   }
 
-  virtual ~TokenReply() noexcept;
-  int64_t leaseId;
+  virtual ~TokenAnswer() noexcept;
+  int64_t term;
+  int64_t number;
   double granted;
-  int64_t leaseMs;
-  int64_t retryAfterMs;
+  int64_t leaseMicros;
+  int64_t retryAfterMicros;
+  int64_t settleWithinMicros;
+  int32_t errorCode;
 
-  _TokenReply__isset __isset;
+  _TokenAnswer__isset __isset;
+
+  void __set_term(const int64_t val);
 
-  void __set_leaseId(const int64_t val);
+  void __set_number(const int64_t val);
 
   void __set_granted(const double val);
 
-  void __set_leaseMs(const int64_t val);
+  void __set_leaseMicros(const int64_t val);
 
-  void __set_retryAfterMs(const int64_t val);
+  void __set_retryAfterMicros(const int64_t val);
 
-  bool operator == (const TokenReply & rhs) const
+  void __set_settleWithinMicros(const int64_t val);
+
+  void __set_errorCode(const int32_t val);
+
+  bool operator == (const TokenAnswer & rhs) const
   {
-    if (!(leaseId == rhs.leaseId))
+    if (!(term == rhs.term))
+      return false;
+    if (!(number == rhs.number))
       return false;
     if (!(granted == rhs.granted))
       return false;
-    if (!(leaseMs == rhs.leaseMs))
+    if (!(leaseMicros == rhs.leaseMicros))
       return false;
-    if (!(retryAfterMs == rhs.retryAfterMs))
+    if (!(retryAfterMicros == rhs.retryAfterMicros))
+      return false;
+    if (!(settleWithinMicros == rhs.settleWithinMicros))
+      return false;
+    if (!(errorCode == rhs.errorCode))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TokenAnswer &a, TokenAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenAnswer& obj);
+
+typedef struct _TokenReply__isset {
+  _TokenReply__isset() : answers(false) {}
+  bool answers :1;
+} _TokenReply__isset;
+
+class TokenReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenReply(const TokenReply&);
+  TokenReply& operator=(const TokenReply&);
+  TokenReply() noexcept {
+  }
+
+  virtual ~TokenReply() noexcept;
+  std::vector<TokenAnswer>  answers;
+
+  _TokenReply__isset __isset;
+
+  void __set_answers(const std::vector<TokenAnswer> & val);
+
+  bool operator == (const TokenReply & rhs) const
+  {
+    if (!(answers == rhs.answers))
       return false;
     return true;
   }
@@ -1029,10 +1180,11 @@
 std::ostream& operator<<(std::ostream& out, const BeginClaimReply& obj);
 
 typedef struct _FinishClaimRequest__isset {
-  _FinishClaimRequest__isset() : key(false), attemptId(false), outcome(false) {}
+  _FinishClaimRequest__isset() : key(false), attemptId(false), outcome(false), outcomeUnknown(false) {}
   bool key :1;
   bool attemptId :1;
   bool outcome :1;
+  bool outcomeUnknown :1;
 } _FinishClaimRequest__isset;
 
 class FinishClaimRequest : public virtual ::apache::thrift::TBase {
@@ -1041,13 +1193,15 @@
   FinishClaimRequest(const FinishClaimRequest&);
   FinishClaimRequest& operator=(const FinishClaimRequest&);
   FinishClaimRequest() noexcept
-                     : attemptId() {
+                     : attemptId(),
+                       outcomeUnknown(0) {
   }
 
   virtual ~FinishClaimRequest() noexcept;
   ClaimKey key;
   std::string attemptId;
   ClaimOutcome outcome;
+  bool outcomeUnknown;
 
   _FinishClaimRequest__isset __isset;
 
@@ -1057,6 +1211,8 @@
 
   void __set_outcome(const ClaimOutcome& val);
 
+  void __set_outcomeUnknown(const bool val);
+
   bool operator == (const FinishClaimRequest & rhs) const
   {
     if (!(key == rhs.key))
@@ -1065,6 +1221,10 @@
       return false;
     if (!(outcome == rhs.outcome))
       return false;
+    if (__isset.outcomeUnknown != rhs.__isset.outcomeUnknown)
+      return false;
+    else if (__isset.outcomeUnknown && !(outcomeUnknown == rhs.outcomeUnknown))
+      return false;
     return true;
   }
   bool operator != (const FinishClaimRequest &rhs) const {
--- /dev/null
+++ b/src/node/answer_relay.cpp
@@ -0,0 +1,94 @@
+#include "acaciapulley/node/detail/answer_relay.hpp"
+
+#include <openssl/evp.h> // EVP_DigestUpdate, EVP_MD_CTX_new
+
+#include "acaciapulley/core/outcome.hpp"        // NameOf, RequestOutcome
+#include "acaciapulley/node/detail/headers.hpp" // kOutcomeHeader
+
+namespace acp::detail {
+
+namespace {
+
+constexpr std::size_t kMaxMessageBytes = 4096;
+
+} // namespace
+
+/// SHA-256 of the bytes passed on so far.
+class RecordedBody::Digest
+{
+public:
+  Digest()
+    : context_(EVP_MD_CTX_new())
+  {
+    EVP_DigestInit_ex(context_, EVP_sha256(), nullptr);
+  }
+  Digest(const Digest&) = delete;
+  Digest& operator=(const Digest&) = delete;
+  ~Digest() { EVP_MD_CTX_free(context_); }
+
+  void Update(const char* bytes, std::size_t count) { EVP_DigestUpdate(context_, bytes, count); }
+
+  [[nodiscard]] std::string Value() const
+  {
+    EVP_MD_CTX* copy = EVP_MD_CTX_new();
+    EVP_MD_CTX_copy_ex(copy, context_);
+    std::string value(static_cast<std::size_t>(EVP_MD_size(EVP_sha256())), '\0');
+    EVP_DigestFinal_ex(copy, reinterpret_cast<unsigned char*>(value.data()), nullptr);
+    EVP_MD_CTX_free(copy);
+    return value;
+  }
+
+private:
+  EVP_MD_CTX* context_;
+};
+
+RecordedBody::RecordedBody(BodySource& source)
+  : source_(source)
+  , digest_(std::make_unique<Digest>())
+{
+}
+
+RecordedBody::~RecordedBody() = default;
+
+std::size_t RecordedBody::Read(char* buffer, std::size_t size)
+{
+  const std::size_t count = source_.Read(buffer, size);
+  digest_->Update(buffer, count);
+  if (isKept_ && kept_.size() + count > kMaxOutcomeBodyBytes) {
+    isKept_ = false;
+    kept_.clear();
+  }
+  if (isKept_) {
+    kept_.append(buffer, count);
+  }
+  return count;
+}
+
+ClaimRecord RecordedBody::Record(const HttpResponseHead& head) const
+{
+  return { .status = head.status,
+           .contentType = head.headers.Find("Content-Type").value_or(""),
+           .body = kept_,
+           .isBodyKept = isKept_,
+           .bodyDigest = digest_->Value() };
+}
+
+bool SaysNotRun(const HttpResponseHead& head)
+{
+  return head.headers.Find(kOutcomeHeader).value_or("") == NameOf(RequestOutcome::NotRun);
+}
+
+std::string ReadMessage(ClientExchange& answer)
+{
+  try {
+    std::string message = ReadAll(answer.Body(), kMaxMessageBytes).value_or("refused");
+    while (message.ends_with('\n')) {
+      message.pop_back();
+    }
+    return message;
+  } catch (const BodyTruncated&) {
+    return "refused";
+  }
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/src/node/blocking_gate.cpp
@@ -0,0 +1,136 @@
+#include "acaciapulley/node/blocking_gate.hpp"
+
+#include <algorithm> // min
+#include <utility>   // exchange, move
+
+namespace acp {
+
+namespace {
+
+// Longest time between two checks whether the caller has gone.
+constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(10);
+constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
+
+auto RefuseBecause(Reason reason)
+{
+  return NotRun(503, reason, "refused: " + std::string(NameOf(reason)), kOverloadRetryAfter);
+}
+
+} // namespace
+
+BlockingGate::Permit::Permit(Permit&& other) noexcept
+  : gate_(std::exchange(other.gate_, nullptr))
+  , id_(other.id_)
+{
+}
+
+BlockingGate::Permit::~Permit()
+{
+  Finish(GateResult::Neutral);
+}
+
+void BlockingGate::Permit::Finish(GateResult result)
+{
+  if (auto* gate = std::exchange(gate_, nullptr)) {
+    gate->Finish(id_, result);
+  }
+}
+
+BlockingGate::BlockingGate(const GateOptions& options, const Clock& clock)
+  : clock_(clock)
+  , gate_(options, clock.Now())
+{
+}
+
+OrRefusal<BlockingGate::Permit> BlockingGate::Enter(GateRequest request,
+                                                    const std::function<bool()>& isCallerGone)
+{
+  std::unique_lock lock(mutex_);
+  request.id = nextId_++;
+  const auto offered = gate_.Offer(request, clock_.Now());
+  OrRefusal<Permit> entered = RefuseBecause(offered.reason);
+  if (offered.decision == OfferDecision::Start) {
+    entered = Permit(*this, request.id);
+  } else if (offered.decision == OfferDecision::Queued) {
+    return WaitForTurn(lock, request.id, isCallerGone);
+  }
+  PollLocked();
+  return entered;
+}
+
+OrRefusal<BlockingGate::Permit> BlockingGate::WaitForTurn(std::unique_lock<std::mutex>& lock,
+                                                          std::uint64_t id,
+                                                          const std::function<bool()>& isCallerGone)
+{
+  Waiter waiter;
+  waiters_.emplace(id, &waiter);
+  PollLocked();
+  while (waiter.state == WaitState::Waiting) {
+    const TimePoint now = clock_.Now();
+    const TimePoint check = now + kCallerCheckInterval;
+    waiter.changed.wait_until(lock, std::min(gate_.NextPoll(now).value_or(check), check));
+    const bool gone = waiter.state == WaitState::Waiting && isCallerGone && isCallerGone();
+    if (gone && gate_.Cancel(id, clock_.Now()) == CancelOutcome::Removed) {
+      waiter.state = WaitState::Refused;
+      waiter.reason = Reason::DeadlineExceeded;
+    }
+    PollLocked();
+  }
+  waiters_.erase(id);
+  if (waiter.state == WaitState::Refused) {
+    return RefuseBecause(waiter.reason);
+  }
+  return Permit(*this, id);
+}
+
+void BlockingGate::PollLocked()
+{
+  const auto outcome = gate_.Poll(clock_.Now());
+  for (const auto id : outcome.start) {
+    Waiter& waiter = *waiters_.at(id);
+    waiter.state = WaitState::Started;
+    waiter.changed.notify_one();
+  }
+  for (const auto& refusal : outcome.refuse) {
+    const auto found = waiters_.find(refusal.id);
+    if (found == waiters_.end()) {
+      continue;
+    }
+    found->second->state = WaitState::Refused;
+    found->second->reason = refusal.reason;
+    found->second->changed.notify_one();
+  }
+}
+
+void BlockingGate::Finish(std::uint64_t id, GateResult result)
+{
+  const std::lock_guard lock(mutex_);
+  gate_.Finish(id, clock_.Now(), result);
+  PollLocked();
+}
+
+void BlockingGate::Announce(int slots, Duration coldStart, bool isDraining)
+{
+  const std::lock_guard lock(mutex_);
+  gate_.Announce(slots, coldStart, clock_.Now());
+  if (isDraining) {
+    gate_.Close(Reason::Draining);
+  } else {
+    gate_.Reopen();
+  }
+  PollLocked();
+}
+
+AdmissionThreshold BlockingGate::Threshold(const std::string& account) const
+{
+  const std::lock_guard lock(mutex_);
+  return gate_.Threshold(account);
+}
+
+LoadReport BlockingGate::Load() const
+{
+  const std::lock_guard lock(mutex_);
+  return gate_.Load(clock_.Now());
+}
+
+} // namespace acp
--- a/src/node/claim_client.cpp
+++ b/src/node/claim_client.cpp
@@ -105,6 +105,21 @@
   return done.has_value();
 }
 
+void ClaimClient::MarkUnknown(const ClaimTicket& ticket)
+{
+  wire::FinishClaimRequest request;
+  request.key = ToWire(ticket);
+  request.attemptId = ticket.attemptId;
+  request.__set_outcomeUnknown(true);
+  const auto done = call_([&](wire::ControlServiceIf& control) { control.FinishClaim(request); });
+  if (!done) {
+    // The claim becomes unknown by itself after its deadline.
+    Log(LogLevel::Warning,
+        "claim_not_marked_unknown",
+        { { "service", ticket.service }, { "error", done.error().Describe() } });
+  }
+}
+
 void ClaimClient::Release(const ClaimTicket& ticket)
 {
   wire::ReleaseClaimRequest request;
--- /dev/null
+++ b/src/node/executor.cpp
@@ -0,0 +1,250 @@
+#include "acaciapulley/node/detail/executor.hpp"
+
+#include <utility> // move
+
+#include "acaciapulley/core/random.hpp"              // RandomHex, Sha256
+#include "acaciapulley/node/detail/answer_relay.hpp" // RecordedBody, SaysNotRun
+#include "acaciapulley/node/detail/headers.hpp"      // kContextHeader
+
+namespace acp::detail {
+
+namespace {
+
+constexpr std::size_t kAttemptIdBytes = 16;
+constexpr Duration kBodySilence = std::chrono::seconds(10);
+constexpr int kFirstServerError = 500;
+
+std::string Fingerprint(const PendingCall& call)
+{
+  const auto& head = call.exchange.Request();
+  std::string text = head.method;
+  text += '\n';
+  text += head.target;
+  text += '\n';
+  text += std::to_string(call.body.Length());
+  text += '\n';
+  // A body beyond kMaxReplayableBytes is told apart by its length and its start.
+  text += call.body.Prefix();
+  return Sha256(text);
+}
+
+} // namespace
+
+Executor::Executor(const ExecutorOptions& options)
+  : options_(options)
+{
+}
+
+Duration Executor::Remaining(const RequestContext& context) const
+{
+  const auto now = CountMillis(options_.clock->WallNow());
+  return std::chrono::milliseconds(CountMillis(context.deadline) - now);
+}
+
+AttemptEnd Executor::Run(PendingCall& call, const RequestContext& context)
+{
+  auto admitted = Admit(call, context);
+  if (!admitted) {
+    return FailedAttempt(admitted.error(), true, context.retriesLeft);
+  }
+  if (!call.request.requestClass->idempotent) {
+    const auto claimed = Claim(call, context, admitted.value());
+    if (!claimed) {
+      return FailedAttempt(claimed.error(), true, context.retriesLeft);
+    }
+    if (claimed.value()) {
+      RespondFromRecord(call, *claimed.value());
+      return { .unusedRetries = context.retriesLeft };
+    }
+  }
+  return Dispatch(call, context, admitted.value());
+}
+
+OrRefusal<Executor::Admitted> Executor::Admit(PendingCall& call, const RequestContext& context)
+{
+  const auto local = options_.upstream->Current();
+  auto pool = options_.upstream->Pool();
+  if (!local || !pool || local->service != call.request.service) {
+    return NotRun(503, Reason::NoUpstream, "no upstream of the service is beside this node");
+  }
+  const auto* limit = call.request.document->LimitOf(context.account);
+  auto permit =
+    options_.gate->Enter({ .account = context.account,
+                           .weight = limit == nullptr ? 1.0 : limit->rate,
+                           .priority = context.priority,
+                           .requestClass = call.request.requestClass->name,
+                           .deadline = options_.clock->Now() + Remaining(context) },
+                         [&call] { return call.exchange.IsCallerGone(); });
+  if (!permit) {
+    return boost::outcome_v2::failure(permit.error());
+  }
+  // The process may have been frozen while the request waited.
+  auto fresh = options_.resolver->CheckFreshness(*call.request.requestClass);
+  if (!fresh) {
+    return boost::outcome_v2::failure(fresh.error());
+  }
+  if (Remaining(context) <= Duration::zero()) {
+    return NotRun(503, Reason::DeadlineExceeded, "the deadline passed before the request ran");
+  }
+  return Admitted{ .permit = std::move(permit).value(), .pool = std::move(pool) };
+}
+
+OrRefusal<std::optional<ClaimRecord>> Executor::Claim(PendingCall& call,
+                                                      const RequestContext& context,
+                                                      Admitted& admitted)
+{
+  admitted.ticket = ClaimTicket{
+    .account = context.account,
+    .service = call.request.service,
+    .idempotencyKey =
+      call.exchange.Request().headers.Find(kIdempotencyKeyHeader).value_or(""),
+    .attemptId = RandomHex(kAttemptIdBytes),
+    .fingerprint = Fingerprint(call),
+    .deadline = context.deadline,
+  };
+  auto begun = options_.claims->Begin(*admitted.ticket);
+  if (!begun || begun.value()) {
+    admitted.ticket.reset();
+  }
+  return begun;
+}
+
+AttemptEnd Executor::Dispatch(PendingCall& call, const RequestContext& context, Admitted& admitted)
+{
+  const auto release = [&] {
+    if (admitted.ticket) {
+      options_.claims->Release(*admitted.ticket);
+    }
+  };
+  if (Remaining(context) <= Duration::zero()) {
+    release();
+    return FailedAttempt(
+      { .reason = Reason::DeadlineExceeded, .message = "the deadline passed" }, true, 0);
+  }
+  if (call.commitToken && !call.commitToken()) {
+    release();
+    return FailedAttempt({ .reason = Reason::RateUnavailable,
+                           .message = "the lease of the rate token has ended" },
+                         true,
+                         context.retriesLeft);
+  }
+  HttpRequestHead head{ .method = call.exchange.Request().method,
+                        .target = call.request.upstreamTarget };
+  head.headers = ForwardedRequestHeaders(call.exchange.Request().headers);
+  const auto forUpstream = options_.hops->Open(context, ClassName(call.request));
+  head.headers.Set(kContextHeader, options_.signer->Sign(forUpstream));
+  const auto remaining = std::chrono::floor<std::chrono::milliseconds>(Remaining(context));
+  head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
+  // A non-idempotent request is followed to its end, since its outcome must be recorded.
+  SendOptions sending{ .timeout = remaining, .bodySilence = kBodySilence };
+  if (call.request.requestClass->idempotent) {
+    sending.isCancelled = [&call] { return call.exchange.IsCallerGone(); };
+  }
+  auto sent = admitted.pool->Send(head, call.body, call.body.Length(), sending);
+  if (!sent) {
+    return EndWithoutAnswer(sent.error(), context, admitted);
+  }
+  return EndWithAnswer(call, context, admitted, *sent.value());
+}
+
+AttemptEnd Executor::EndWithoutAnswer(const TransportError& error,
+                                      const RequestContext& context,
+                                      Admitted& admitted)
+{
+  const int unused = options_.hops->Close(context.hopId);
+  const bool nothingSent = error.code == TransportErrorCode::Unreachable ||
+                           error.code == TransportErrorCode::BodyTooLarge;
+  if (nothingSent) {
+    if (admitted.ticket) {
+      options_.claims->Release(*admitted.ticket);
+    }
+    admitted.permit.Finish(GateResult::Lost);
+    return FailedAttempt(
+      { .reason = Reason::UpstreamUnreachable, .message = error.Describe() }, true, unused);
+  }
+  if (admitted.ticket) {
+    options_.claims->MarkUnknown(*admitted.ticket);
+  }
+  const bool cancelled = error.code == TransportErrorCode::Cancelled;
+  admitted.permit.Finish(cancelled ? GateResult::Neutral : GateResult::Lost);
+  const bool timedOut = error.code == TransportErrorCode::Timeout;
+  auto end = FailedAttempt({ .status = timedOut ? 504 : 502,
+                             .outcome = RequestOutcome::Unknown,
+                             .reason = timedOut ? Reason::UpstreamTimeout
+                                                : Reason::UpstreamConnectionLost,
+                             .message = error.Describe() },
+                           false,
+                           unused);
+  if (cancelled) {
+    end.routing = CallResult::Cancelled;
+  }
+  return end;
+}
+
+HttpResponseHead Executor::AnswerHead(const PendingCall& call,
+                                      const RequestContext& context,
+                                      const HttpResponseHead& upstreamHead,
+                                      int unusedRetries) const
+{
+  HttpResponseHead head{ .status = upstreamHead.status };
+  head.headers = ForwardedResponseHeaders(upstreamHead.headers);
+  head.headers.Set(kOutcomeHeader, std::string(NameOf(RequestOutcome::Ran)));
+  if (call.audience == Audience::Peer) {
+    const auto threshold =
+      Stricter(options_.gate->Threshold(context.account),
+               options_.thresholds->Combined(ClassName(call.request), context.account));
+    head.headers.Set(kThresholdHeader, FormatThreshold(threshold));
+    head.headers.Set(kLoadHeader, FormatLoad(options_.gate->Load()));
+    head.headers.Set(kRetriesLeftHeader, std::to_string(unusedRetries));
+  }
+  return head;
+}
+
+AttemptEnd Executor::EndWithAnswer(PendingCall& call,
+                                   const RequestContext& context,
+                                   Admitted& admitted,
+                                   ClientExchange& answer)
+{
+  const auto& upstreamHead = answer.Response();
+  const int unused = options_.hops->Close(context.hopId);
+  if (SaysNotRun(upstreamHead)) {
+    if (admitted.ticket) {
+      options_.claims->Release(*admitted.ticket);
+    }
+    admitted.permit.Finish(GateResult::Refused);
+    return FailedAttempt(
+      { .reason = Reason::Overloaded, .message = ReadMessage(answer) }, false, unused);
+  }
+  RecordedBody recorded(answer.Body());
+  bool isRecorded = false;
+  const auto record = [&] {
+    isRecorded = true;
+    if (admitted.ticket) {
+      options_.claims->Finish(*admitted.ticket, recorded.Record(upstreamHead));
+    }
+  };
+  BodySource& body = admitted.ticket ? static_cast<BodySource&>(recorded) : answer.Body();
+  call.exchange.RespondStreaming(
+    AnswerHead(call, context, upstreamHead, unused), answer.BodyLength(), body, record);
+  if (!isRecorded && admitted.ticket) {
+    options_.claims->MarkUnknown(*admitted.ticket);
+  }
+  const bool isServerError = upstreamHead.status >= kFirstServerError;
+  admitted.permit.Finish(isServerError ? GateResult::Failed : GateResult::Succeeded);
+  return { .unusedRetries = unused };
+}
+
+void Executor::RespondFromRecord(PendingCall& call, const ClaimRecord& record)
+{
+  HttpResponseHead head{ .status = record.status };
+  head.headers.Set(kOutcomeHeader, std::string(NameOf(RequestOutcome::Ran)));
+  if (!record.contentType.empty()) {
+    head.headers.Set("Content-Type", record.contentType);
+  }
+  if (!record.isBodyKept) {
+    head.headers.Set(kReasonHeader, std::string(NameOf(Reason::OutcomeBodyNotKept)));
+  }
+  call.exchange.Respond(head, record.body);
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/src/node/peer_client.cpp
@@ -0,0 +1,153 @@
+#include "acaciapulley/node/detail/peer_client.hpp"
+
+#include <algorithm> // clamp
+#include <charconv>  // from_chars
+
+#include "acaciapulley/node/detail/answer_relay.hpp" // ReadMessage, SaysNotRun
+#include "acaciapulley/node/detail/headers.hpp"      // kContextHeader
+
+namespace acp::detail {
+
+namespace {
+
+constexpr int kMaxPeerConnections = 256;
+constexpr Duration kBodySilence = std::chrono::seconds(10);
+// A peer answers by the deadline itself; this is for its answer's way back.
+constexpr Duration kAnswerGrace = std::chrono::milliseconds(50);
+
+int ParseRetries(const HttpResponseHead& head, int sent)
+{
+  const std::string text = head.headers.Find(kRetriesLeftHeader).value_or("");
+  int unused = 0;
+  std::from_chars(text.data(), text.data() + text.size(), unused);
+  return std::clamp(unused, 0, sent);
+}
+
+AttemptEnd WithoutAnswer(const TransportError& error, int sentRetries)
+{
+  const bool nothingSent = error.code == TransportErrorCode::Unreachable ||
+                           error.code == TransportErrorCode::BodyTooLarge;
+  if (nothingSent) {
+    return FailedAttempt({ .reason = Reason::UpstreamUnreachable, .message = error.Describe() },
+                         true,
+                         sentRetries);
+  }
+  const bool timedOut = error.code == TransportErrorCode::Timeout;
+  // The peer may have used the retries it was sent, so none come back.
+  auto end = FailedAttempt({ .status = timedOut ? 504 : 502,
+                             .outcome = RequestOutcome::Unknown,
+                             .reason = timedOut ? Reason::UpstreamTimeout
+                                                : Reason::UpstreamConnectionLost,
+                             .message = error.Describe() },
+                           false,
+                           0);
+  if (error.code == TransportErrorCode::Cancelled) {
+    end.routing = CallResult::Cancelled;
+  }
+  return end;
+}
+
+} // namespace
+
+PeerClient::PeerClient(const PeerClientOptions& options)
+  : options_(options)
+{
+}
+
+std::shared_ptr<HttpPool> PeerClient::PoolOf(const std::string& peerAddress)
+{
+  const std::lock_guard lock(mutex_);
+  auto& pool = pools_[peerAddress];
+  if (!pool) {
+    const auto address = Address::Parse(peerAddress);
+    pool = std::make_shared<HttpPool>(
+      HttpPoolOptions{ .address = address ? address.value() : Address{},
+                       .maxConnections = kMaxPeerConnections,
+                       .sendsHeartbeats = true });
+  }
+  return pool;
+}
+
+AttemptEnd PeerClient::Run(PendingCall& call, const RequestContext& context, const Choice& choice)
+{
+  const auto now = CountMillis(options_.clock->WallNow());
+  const auto remaining = std::chrono::milliseconds(CountMillis(context.deadline) - now);
+  if (remaining.count() <= 0) {
+    return FailedAttempt(
+      { .reason = Reason::DeadlineExceeded, .message = "the deadline passed" }, true, 0);
+  }
+  if (call.commitToken && !call.commitToken()) {
+    return FailedAttempt({ .reason = Reason::RateUnavailable,
+                           .message = "the lease of the rate token has ended" },
+                         true,
+                         context.retriesLeft);
+  }
+  HttpRequestHead head{ .method = call.exchange.Request().method,
+                        .target = "/" + call.request.service + call.request.upstreamTarget };
+  head.headers = ForwardedRequestHeaders(call.exchange.Request().headers);
+  head.headers.Set(kContextHeader, options_.signer->Sign(context));
+  SendOptions sending{ .timeout = remaining + kAnswerGrace, .bodySilence = kBodySilence };
+  if (call.request.requestClass->idempotent) {
+    sending.isCancelled = [&call] { return call.exchange.IsCallerGone(); };
+  }
+  const auto sent =
+    PoolOf(choice.peerAddress)->Send(head, call.body, call.body.Length(), sending);
+  if (!sent) {
+    return WithoutAnswer(sent.error(), context.retriesLeft);
+  }
+  auto& answer = *sent.value();
+  Learn(call, context, choice, answer.Response());
+  return Interpret(call, answer, ParseRetries(answer.Response(), context.retriesLeft));
+}
+
+void PeerClient::Learn(const PendingCall& call,
+                       const RequestContext& context,
+                       const Choice& choice,
+                       const HttpResponseHead& answer)
+{
+  if (const auto header = answer.headers.Find(kThresholdHeader)) {
+    const CalleeClass callee{ call.request.service, call.request.requestClass->name };
+    options_.thresholds->Learn(call.ownClass, callee, context.account, *header);
+  }
+  if (const auto header = answer.headers.Find(kLoadHeader)) {
+    const auto load = ParseLoad(*header);
+    if (load) {
+      options_.members->NoteLoad(
+        call.request.service,
+        choice.nodeId,
+        { .inFlight = static_cast<double>(load.value().inFlight),
+          .limit = static_cast<double>(load.value().limit),
+          .queueAge = std::chrono::milliseconds(load.value().queueAgeMs) },
+        options_.clock->Now());
+    }
+  }
+}
+
+AttemptEnd PeerClient::Interpret(PendingCall& call, ClientExchange& answer, int unusedRetries)
+{
+  const auto& head = answer.Response();
+  const auto outcome =
+    FromName<RequestOutcome>(head.headers.Find(kOutcomeHeader).value_or(""));
+  if (outcome != RequestOutcome::Ran) {
+    const auto reason = FromName<Reason>(head.headers.Find(kReasonHeader).value_or(""));
+    // An answer without a known outcome did not come from a node's pipeline.
+    Refusal refusal{ .status = head.status,
+                     .outcome = outcome.value_or(RequestOutcome::Unknown),
+                     .reason = reason.value_or(Reason::UpstreamConnectionLost),
+                     .message = ReadMessage(answer) };
+    if (head.headers.Find("Retry-After")) {
+      refusal.retryAfter = std::chrono::seconds(1);
+    }
+    return FailedAttempt(refusal, false, unusedRetries);
+  }
+  HttpResponseHead forCaller{ .status = head.status };
+  forCaller.headers = ForwardedResponseHeaders(head.headers);
+  forCaller.headers.Set(kOutcomeHeader, std::string(NameOf(RequestOutcome::Ran)));
+  if (const auto reason = head.headers.Find(kReasonHeader)) {
+    forCaller.headers.Set(kReasonHeader, *reason);
+  }
+  call.exchange.RespondStreaming(forCaller, answer.BodyLength(), answer.Body(), nullptr);
+  return { .unusedRetries = unusedRetries };
+}
+
+} // namespace acp::detail
--- a/src/node/refusal.cpp
+++ b/src/node/refusal.cpp
@@ -14,6 +14,15 @@
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retryAfter);
     head.headers.Set("Retry-After", std::to_string(seconds.count()));
   }
+  if (refusal.threshold) {
+    head.headers.Set(detail::kThresholdHeader, FormatThreshold(*refusal.threshold));
+  }
+  if (refusal.load) {
+    head.headers.Set(detail::kLoadHeader, FormatLoad(*refusal.load));
+  }
+  if (refusal.unusedRetries) {
+    head.headers.Set(detail::kRetriesLeftHeader, std::to_string(*refusal.unusedRetries));
+  }
   exchange.Respond(head, refusal.message + "\n");
 }
 
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -1,312 +1,393 @@
 #include "acaciapulley/node/request_pipeline.hpp"
 
-#include <algorithm> // find_if, max, min
-#include <array>     // array
+#include <algorithm> // min
+#include <charconv>  // from_chars
 #include <utility>   // move
 
-#include <fmt/format.h> // format
-
-#include "acaciapulley/core/random.hpp" // RandomHex
+#include "acaciapulley/core/random.hpp"            // RandomHex
+#include "acaciapulley/node/detail/dispatcher.hpp"   // Dispatcher
+#include "acaciapulley/node/detail/headers.hpp"      // kContextHeader, kDeadlineHeader
+#include "acaciapulley/node/detail/token_client.hpp" // TokenClient
 
 namespace acp {
 
 namespace {
 
+using detail::AttemptEnd;
+using detail::Audience;
+using detail::PendingCall;
+using detail::RequestBody;
+using detail::ResolvedRequest;
+
 constexpr std::size_t kRootIdBytes = 16;
-constexpr std::size_t kHopIdBytes = 8;
-constexpr int kDefaultRetryBudget = 2;
 constexpr std::size_t kMaxAnnouncementBytes = 4096;
-constexpr int kPeerConnections = 256;
 constexpr std::string_view kAnnounceTarget = "/.acp/upstream";
+constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
 
-// Fields that describe one connection or that the node itself sets.
-constexpr std::array<std::string_view, 11> kNotForwarded = {
-  "Acp-Key",        "Acp-Context",      "Connection", "Keep-Alive",  "Transfer-Encoding", "Host",
-  "Content-Length", "Proxy-Connection", "Upgrade",    "Acp-Outcome", "Acp-Reason",
-};
-
-bool IsForwarded(std::string_view name)
+/// @brief Returns the time the caller gives, at most the deadline of the class.
+OrRefusal<std::chrono::milliseconds> TimeAllowed(const HttpRequestHead& head,
+                                                 const RequestClass& requestClass)
 {
-  for (const auto& excluded : kNotForwarded) {
-    if (EqualsIgnoreCase(name, excluded)) {
-      return false;
-    }
+  const auto classDeadline =
+    std::chrono::duration_cast<std::chrono::milliseconds>(requestClass.deadline);
+  const auto text = head.headers.Find(detail::kDeadlineHeader);
+  if (!text) {
+    return classDeadline;
   }
-  return true;
-}
-
-HttpHeaders ForwardedHeaders(const HttpHeaders& headers)
-{
-  HttpHeaders kept;
-  for (const auto& [name, value] : headers.Fields()) {
-    if (IsForwarded(name)) {
-      kept.Add(name, value);
-    }
+  std::int64_t millis = 0;
+  const char* end = text->data() + text->size();
+  const auto [rest, error] = std::from_chars(text->data(), end, millis);
+  if (error != std::errc() || rest != end || millis <= 0) {
+    return NotRun(400, Reason::BadRequest, "Acp-Deadline-Ms must be a whole number above 0");
   }
-  return kept;
+  return std::min(classDeadline, std::chrono::milliseconds(millis));
 }
 
-void Refuse(ServerExchange& exchange,
-            int status,
-            RequestOutcome outcome,
-            Reason reason,
-            const std::string& message)
-{
-  HttpResponseHead head{ .status = status };
-  head.headers.Set("Content-Type", "text/plain");
-  head.headers.Set("Acp-Outcome", std::string(NameOf(outcome)));
-  head.headers.Set("Acp-Reason", std::string(NameOf(reason)));
-  exchange.Respond(head, message + "\n");
-}
+} // namespace
 
-void RefuseNotRun(ServerExchange& exchange, int status, Reason reason, const std::string& message)
+class RequestPipeline::Impl
 {
-  Refuse(exchange, status, RequestOutcome::NotRun, reason, message);
-}
+public:
+  explicit Impl(RequestPipelineOptions options);
 
-} // namespace
+  void HandleIngress(ServerExchange& exchange);
+  void HandlePeer(ServerExchange& exchange);
+  void HandleEgress(ServerExchange& exchange);
 
-RequestPipeline::RequestPipeline(RequestPipelineOptions options)
+private:
+  /// A caller's request that may run.
+  struct Root
+  {
+    ResolvedRequest request;
+    RequestContext context;
+    std::shared_ptr<detail::TokenClient::Token> token; ///< null on routes open to all
+  };
+
+  OrRefusal<Root> AdmitRoot(ServerExchange& exchange, EndedRequest& ended);
+  OrRefusal<void> RunRoot(ServerExchange& exchange, Root& root);
+  OrRefusal<void> RunPeerCall(ServerExchange& exchange);
+  OrRefusal<void> RunNestedCall(ServerExchange& exchange);
+  OrRefusal<void> RunOpenCall(ServerExchange& exchange, const ResolvedRequest& request);
+  OrRefusal<void> Announce(ServerExchange& exchange);
+  OrRefusal<RequestContext> VerifyContext(const ServerExchange& exchange) const;
+  OrRefusal<RequestContext> NewContext(const HttpRequestHead& head,
+                                       const ResolvedRequest& request,
+                                       const std::string& account) const;
+
+  RequestPipelineOptions options_;
+  ContextSigner signer_;
+  detail::RequestResolver resolver_;
+  BlockingGate gate_;
+  detail::HopBook hops_;
+  detail::ThresholdBook thresholds_;
+  detail::ClaimClient claims_;
+  detail::TokenClient tokens_;
+  Balancer balancer_;
+  detail::Executor executor_;
+  detail::PeerClient peers_;
+  detail::Dispatcher dispatcher_;
+};
+
+RequestPipeline::Impl::Impl(RequestPipelineOptions options)
   : options_(std::move(options))
   , signer_(options_.fleetSecret)
+  , resolver_(*options_.view, *options_.clock)
+  , gate_({}, *options_.clock)
+  , hops_({ .nodeId = options_.nodeId, .epoch = options_.epoch }, *options_.clock)
+  , thresholds_(*options_.clock)
+  , claims_(options_.control, options_.nodeId)
+  , tokens_({ .nodeId = options_.nodeId,
+              .epoch = options_.epoch,
+              .clock = options_.clock,
+              .call = options_.control })
+  , balancer_({ .ownNodeId = options_.nodeId,
+                .ownDataCentre = options_.dataCentre,
+                .members = options_.members })
+  , executor_({ .clock = options_.clock,
+                .resolver = &resolver_,
+                .signer = &signer_,
+                .upstream = options_.upstream,
+                .gate = &gate_,
+                .hops = &hops_,
+                .claims = &claims_,
+                .thresholds = &thresholds_ })
+  , peers_({ .clock = options_.clock,
+             .signer = &signer_,
+             .thresholds = &thresholds_,
+             .members = options_.members })
+  , dispatcher_({ .nodeId = options_.nodeId,
+                  .epoch = options_.epoch,
+                  .clock = options_.clock,
+                  .executor = &executor_,
+                  .peers = &peers_,
+                  .balancer = &balancer_,
+                  .members = options_.members })
 {
 }
 
-bool RequestPipeline::Route(ServerExchange& exchange, Routed* routed)
+OrRefusal<RequestContext> RequestPipeline::Impl::NewContext(const HttpRequestHead& head,
+                                                            const ResolvedRequest& request,
+                                                            const std::string& account) const
 {
-  const auto& request = exchange.Request();
-  const std::string& target = request.target;
-  const std::size_t serviceEnd = std::min(target.find_first_of("/?", 1), target.size());
-  routed->service = target.substr(1, serviceEnd - 1);
-  routed->upstreamTarget = target.substr(serviceEnd);
-  if (!routed->upstreamTarget.starts_with('/')) {
-    routed->upstreamTarget.insert(0, "/");
-  }
-  routed->document = options_.view->DocumentOf(routed->service);
-  if (!routed->document) {
-    RefuseNotRun(exchange, 404, Reason::UnknownService, "no service '" + routed->service + "'");
-    return false;
-  }
-  const std::string path = routed->upstreamTarget.substr(0, routed->upstreamTarget.find('?'));
-  routed->requestClass = routed->document->Match(request.method, path);
-  if (routed->requestClass == nullptr) {
-    RefuseNotRun(exchange, 404, Reason::UnknownRoute, "no request class matches " + path);
-    return false;
-  }
-  return true;
-}
-
-bool RequestPipeline::Authenticate(ServerExchange& exchange,
-                                   const Routed& routed,
-                                   std::string* account)
-{
-  const bool isOpen = routed.requestClass->openToAll;
-  const Duration bound = isOpen ? kOpenFreshness : kKeyedFreshness;
-  if (!options_.view->IsFresh(options_.clock->Now(), bound)) {
-    RefuseNotRun(exchange, 503, Reason::StaleState, "this node cannot confirm its state");
-    return false;
-  }
-  if (isOpen) {
-    return true;
-  }
-  const auto key = exchange.Request().headers.Find("Acp-Key");
-  if (!key) {
-    RefuseNotRun(exchange, 401, Reason::MissingKey, "send the client account's key in Acp-Key");
-    return false;
-  }
-  if (exchange.Request().target.find(*key) != std::string::npos) {
-    RefuseNotRun(exchange, 400, Reason::KeyInUrl, "the URL must not contain the key");
-    return false;
-  }
-  const auto owner = options_.view->CheckKey(*key);
-  if (!owner) {
-    RefuseNotRun(exchange, 401, Reason::InvalidKey, "the key is not in force");
-    return false;
-  }
-  if (routed.document->LimitOf(*owner) == nullptr) {
-    RefuseNotRun(exchange,
-                 403,
-                 Reason::AccountNotListed,
-                 fmt::format("'{}' has no rate for service '{}'", *owner, routed.service));
-    return false;
-  }
-  *account = *owner;
-  return true;
+  const auto allowed = TimeAllowed(head, *request.requestClass);
+  if (!allowed) {
+    return boost::outcome_v2::failure(allowed.error());
+  }
+  const auto now = CountMillis(options_.clock->WallNow());
+  return RequestContext{ .rootId = RandomHex(kRootIdBytes),
+                         .account = account,
+                         .priority = request.requestClass->priority,
+                         .idempotent = request.requestClass->idempotent,
+                         .deadline = ToUnixMillis(now + allowed.value().count()),
+                         .retriesLeft = options_.retryBudget,
+                         .issuer = options_.nodeId,
+                         .issuerEpoch = options_.epoch };
 }
 
-RequestContext RequestPipeline::NewRoot(const Routed& routed, const std::string& account) const
+OrRefusal<RequestPipeline::Impl::Root> RequestPipeline::Impl::AdmitRoot(ServerExchange& exchange,
+                                                                        EndedRequest& ended)
 {
-  const auto deadline =
-    std::chrono::duration_cast<std::chrono::milliseconds>(routed.requestClass->deadline);
-  RequestContext context;
-  context.rootId = RandomHex(kRootIdBytes);
-  context.hopId = RandomHex(kHopIdBytes);
-  context.account = account;
-  context.priority = routed.requestClass->priority;
-  context.idempotent = routed.requestClass->idempotent;
-  context.deadline = ToUnixMillis(CountMillis(options_.clock->WallNow()) + deadline.count());
-  context.retriesLeft = kDefaultRetryBudget;
-  context.issuer = options_.nodeId;
-  context.issuerEpoch = options_.epoch;
-  return context;
+  const auto& head = exchange.Request();
+  auto resolved = resolver_.Resolve(head, exchange.RequestBodyLength());
+  if (!resolved) {
+    return boost::outcome_v2::failure(resolved.error());
+  }
+  Root root{ .request = std::move(resolved).value() };
+  ended.service = root.request.service;
+  ended.requestClass = root.request.requestClass->name;
+  const auto fresh = resolver_.CheckFreshness(*root.request.requestClass);
+  if (!fresh) {
+    return boost::outcome_v2::failure(fresh.error());
+  }
+  const auto account = resolver_.Authenticate(head, root.request);
+  if (!account) {
+    return boost::outcome_v2::failure(account.error());
+  }
+  ended.account = account.value();
+  auto context = NewContext(head, root.request, account.value());
+  if (!context) {
+    return boost::outcome_v2::failure(context.error());
+  }
+  root.context = std::move(context).value();
+  if (!thresholds_.AdmitsRequest(detail::ClassName(root.request), root.context)) {
+    return NotRun(503,
+                  Reason::Overloaded,
+                  "a service that the request needs is overloaded",
+                  kOverloadRetryAfter);
+  }
+  if (!root.request.requestClass->openToAll) {
+    auto token = tokens_.Take({ root.request.service, account.value() });
+    if (!token) {
+      return boost::outcome_v2::failure(token.error());
+    }
+    root.token = std::move(token).value();
+  }
+  return root;
 }
 
-void RequestPipeline::HandleIngress(ServerExchange& exchange)
+OrRefusal<void> RequestPipeline::Impl::RunRoot(ServerExchange& exchange, Root& root)
 {
-  Routed routed;
-  std::string account;
-  if (!Route(exchange, &routed) || !Authenticate(exchange, routed, &account)) {
-    return;
+  RequestBody body(exchange.RequestBody(),
+                   exchange.RequestBodyLength(),
+                   root.request.requestClass->maxBodyBytes);
+  auto prefetched = body.Prefetch();
+  if (!prefetched) {
+    return prefetched;
   }
-  Dispatch(exchange, routed, NewRoot(routed, account));
+  PendingCall call{ .exchange = exchange,
+                    .request = root.request,
+                    .body = body,
+                    .audience = Audience::Caller,
+                    .ownClass = detail::ClassName(root.request) };
+  if (root.token) {
+    call.commitToken = [&root] { return root.token->Commit(); };
+  }
+  return dispatcher_.Run(call, root.context).result;
 }
 
-void RequestPipeline::HandlePeer(ServerExchange& exchange)
+void RequestPipeline::Impl::HandleIngress(ServerExchange& exchange)
 {
-  const auto header = exchange.Request().headers.Find("Acp-Context");
-  const auto context = signer_.Verify(header.value_or(""), options_.clock->WallNow());
-  if (!context) {
-    RefuseNotRun(exchange, 403, Reason::InvalidContext, context.error().Describe());
-    return;
+  const TimePoint start = options_.clock->Now();
+  EndedRequest ended;
+  OrRefusal<void> result = boost::outcome_v2::success();
+  auto root = AdmitRoot(exchange, ended);
+  if (root) {
+    result = RunRoot(exchange, root.value());
+  } else {
+    result = boost::outcome_v2::failure(root.error());
+  }
+  if (!result) {
+    ended.outcome = result.error().outcome;
+    ended.reason = result.error().reason;
+    SendRefusal(exchange, result.error());
   }
-  Routed routed;
-  if (Route(exchange, &routed)) {
-    RunOnLocalUpstream(exchange, routed, context.value());
+  ended.latency = options_.clock->Now() - start;
+  if (options_.onEnded) {
+    options_.onEnded(ended);
   }
 }
 
-void RequestPipeline::HandleEgress(ServerExchange& exchange)
+OrRefusal<RequestContext> RequestPipeline::Impl::VerifyContext(const ServerExchange& exchange) const
 {
-  if (exchange.Request().target == kAnnounceTarget) {
-    Announce(exchange);
-    return;
-  }
-  Routed routed;
-  if (!Route(exchange, &routed)) {
-    return;
-  }
-  const auto header = exchange.Request().headers.Find("Acp-Context");
-  if (!header) {
-    if (!routed.requestClass->openToAll) {
-      RefuseNotRun(exchange, 403, Reason::InvalidContext, "nested calls must carry Acp-Context");
-      return;
-    }
-    Dispatch(exchange, routed, NewRoot(routed, ""));
-    return;
-  }
-  auto context = signer_.Verify(*header, options_.clock->WallNow());
+  const auto header = exchange.Request().headers.Find(detail::kContextHeader);
+  auto context = signer_.Verify(header.value_or(""), options_.clock->WallNow());
   if (!context) {
-    RefuseNotRun(exchange, 403, Reason::InvalidContext, context.error().Describe());
-    return;
+    return NotRun(403, Reason::InvalidContext, context.error().Describe());
   }
-  RequestContext child = context.value();
-  child.hopId = RandomHex(kHopIdBytes);
-  Dispatch(exchange, routed, child);
+  return std::move(context).value();
 }
 
-void RequestPipeline::Dispatch(ServerExchange& exchange,
-                               const Routed& routed,
-                               const RequestContext& context)
+OrRefusal<void> RequestPipeline::Impl::RunPeerCall(ServerExchange& exchange)
 {
-  const auto local = options_.upstream->Current();
-  if (local && local->service == routed.service && !local->draining) {
-    RunOnLocalUpstream(exchange, routed, context);
-    return;
-  }
-  const auto members = options_.view->MembersOf(routed.service);
-  const auto usable = std::find_if(members.begin(), members.end(), [this](const PeerInfo& peer) {
-    return !peer.draining && peer.nodeId != options_.nodeId;
-  });
-  if (usable == members.end()) {
-    RefuseNotRun(exchange, 503, Reason::NoUpstream, "no upstream serves " + routed.service);
-    return;
-  }
-  Forward(exchange, *PeerPool(usable->peerAddress), exchange.Request().target, context);
+  const auto context = VerifyContext(exchange);
+  if (!context) {
+    return boost::outcome_v2::failure(context.error());
+  }
+  const auto resolved = resolver_.Resolve(exchange.Request(), exchange.RequestBodyLength());
+  if (!resolved) {
+    return boost::outcome_v2::failure(resolved.error());
+  }
+  RequestBody body(exchange.RequestBody(),
+                   exchange.RequestBodyLength(),
+                   resolved.value().requestClass->maxBodyBytes);
+  auto prefetched = body.Prefetch();
+  if (!prefetched) {
+    return prefetched;
+  }
+  PendingCall call{ .exchange = exchange,
+                    .request = resolved.value(),
+                    .body = body,
+                    .audience = Audience::Peer,
+                    .ownClass = detail::ClassName(resolved.value()) };
+  AttemptEnd end = executor_.Run(call, context.value());
+  if (!end.result) {
+    // Refusals carry the same figures as answers, so that callers learn most when it matters most.
+    end.result.error().unusedRetries = end.unusedRetries;
+    end.result.error().threshold =
+      Stricter(gate_.Threshold(context.value().account),
+               thresholds_.Combined(call.ownClass, context.value().account));
+    end.result.error().load = gate_.Load();
+  }
+  return end.result;
 }
 
-void RequestPipeline::RunOnLocalUpstream(ServerExchange& exchange,
-                                         const Routed& routed,
-                                         const RequestContext& context)
+OrRefusal<void> RequestPipeline::Impl::RunOpenCall(ServerExchange& exchange,
+                                                   const ResolvedRequest& request)
 {
-  const auto pool = options_.upstream->Pool();
-  const auto local = options_.upstream->Current();
-  if (!pool || !local || local->service != routed.service) {
-    RefuseNotRun(exchange, 503, Reason::NoUpstream, "no upstream of the service is here");
-    return;
+  if (!request.requestClass->openToAll) {
+    return NotRun(403, Reason::InvalidContext, "a nested call to this route needs Acp-Context");
   }
-  if (local->draining) {
-    RefuseNotRun(exchange, 503, Reason::Draining, "the upstream is draining");
-    return;
+  auto context = NewContext(exchange.Request(), request, "");
+  if (!context) {
+    return boost::outcome_v2::failure(context.error());
   }
-  Forward(exchange, *pool, routed.upstreamTarget, context);
+  Root root{ .request = request, .context = std::move(context).value() };
+  return RunRoot(exchange, root);
 }
 
-void RequestPipeline::Forward(ServerExchange& exchange,
-                              HttpPool& pool,
-                              const std::string& target,
-                              const RequestContext& context)
+OrRefusal<void> RequestPipeline::Impl::RunNestedCall(ServerExchange& exchange)
 {
-  const auto remaining = std::chrono::milliseconds(CountMillis(context.deadline) -
-                                                   CountMillis(options_.clock->WallNow()));
-  if (remaining.count() <= 0) {
-    RefuseNotRun(exchange, 503, Reason::DeadlineExceeded, "the deadline has passed");
-    return;
-  }
-  HttpRequestHead head{ .method = exchange.Request().method, .target = target };
-  head.headers = ForwardedHeaders(exchange.Request().headers);
-  head.headers.Set("Acp-Context", signer_.Sign(context));
-  auto sent = pool.Send(head, exchange.RequestBody(), exchange.RequestBodyLength(), remaining);
-  if (!sent) {
-    const bool nothingSent = sent.error().code == TransportErrorCode::Unreachable;
-    const bool timedOut = sent.error().code == TransportErrorCode::Timeout;
-    if (nothingSent) {
-      RefuseNotRun(exchange, 503, Reason::UpstreamUnreachable, sent.error().Describe());
-    } else {
-      Refuse(exchange,
-             timedOut ? 504 : 502,
-             RequestOutcome::Unknown,
-             timedOut ? Reason::UpstreamTimeout : Reason::UpstreamConnectionLost,
-             sent.error().Describe());
-    }
-    return;
+  const auto& head = exchange.Request();
+  const auto resolved = resolver_.Resolve(head, exchange.RequestBodyLength());
+  if (!resolved) {
+    return boost::outcome_v2::failure(resolved.error());
+  }
+  const auto& request = resolved.value();
+  const auto fresh = resolver_.CheckFreshness(*request.requestClass);
+  if (!fresh) {
+    return fresh;
+  }
+  if (!head.headers.Find(detail::kContextHeader)) {
+    return RunOpenCall(exchange, request);
+  }
+  const auto parent = VerifyContext(exchange);
+  if (!parent) {
+    return boost::outcome_v2::failure(parent.error());
+  }
+  const std::string ownClass = hops_.ClassOf(parent.value().hopId);
+  if (!thresholds_.AdmitsCall(
+        ownClass, { request.service, request.requestClass->name }, parent.value())) {
+    return NotRun(503, Reason::Overloaded, "the called service is overloaded", kOverloadRetryAfter);
   }
-  const auto& answer = *sent.value();
-  HttpResponseHead response{ .status = answer.Response().status };
-  response.headers = ForwardedHeaders(answer.Response().headers);
-  response.headers.Set("Acp-Outcome",
-                       answer.Response().headers.Find("Acp-Outcome").value_or("ran"));
-  if (const auto reason = answer.Response().headers.Find("Acp-Reason")) {
-    response.headers.Set("Acp-Reason", *reason);
+  RequestBody body(
+    exchange.RequestBody(), exchange.RequestBodyLength(), request.requestClass->maxBodyBytes);
+  auto prefetched = body.Prefetch();
+  if (!prefetched) {
+    return prefetched;
   }
-  exchange.RespondStreaming(response, answer.BodyLength(), sent.value()->Body(), nullptr);
+  PendingCall call{ .exchange = exchange,
+                    .request = request,
+                    .body = body,
+                    .audience = Audience::Caller,
+                    .ownClass = ownClass };
+  const RetryDraw draw = hops_.Draw(parent.value());
+  RequestContext child = parent.value();
+  child.retriesLeft = draw.granted;
+  const auto end = dispatcher_.Run(call, child);
+  hops_.Return(draw, end.unusedRetries);
+  return end.result;
 }
 
-void RequestPipeline::Announce(ServerExchange& exchange)
+OrRefusal<void> RequestPipeline::Impl::Announce(ServerExchange& exchange)
 {
   const auto body = ReadAll(exchange.RequestBody(), kMaxAnnouncementBytes);
   if (!body) {
-    RefuseNotRun(exchange, 413, Reason::TooLarge, "the announcement is larger than 4 KiB");
-    return;
+    return NotRun(413, Reason::TooLarge, "the announcement is larger than 4 KiB");
   }
-  const auto announcement = Announcement::Parse(*body);
-  if (!announcement) {
-    RefuseNotRun(exchange, 400, Reason::BadRequest, announcement.error().Describe());
-    return;
+  const auto announced = Announcement::Parse(*body);
+  if (!announced) {
+    return NotRun(400, Reason::BadRequest, announced.error().Describe());
+  }
+  const auto& announcement = announced.value();
+  const bool isNew = options_.upstream->Current() != announcement;
+  if (isNew) {
+    options_.upstream->Announce(announcement);
+    gate_.Announce(announcement.slots,
+                   std::chrono::milliseconds(announcement.coldStartMs),
+                   announcement.draining);
+    options_.onAnnounced();
   }
-  options_.upstream->Announce(announcement.value());
-  options_.onAnnounced();
   exchange.Respond({ .status = 204 }, "");
+  return boost::outcome_v2::success();
+}
+
+void RequestPipeline::Impl::HandlePeer(ServerExchange& exchange)
+{
+  const auto result = RunPeerCall(exchange);
+  if (!result) {
+    SendRefusal(exchange, result.error());
+  }
 }
 
-std::shared_ptr<HttpPool> RequestPipeline::PeerPool(const Address& address)
+void RequestPipeline::Impl::HandleEgress(ServerExchange& exchange)
 {
-  const std::lock_guard lock(poolsMutex_);
-  auto& pool = peerPools_[address.ToString()];
-  if (!pool) {
-    pool = std::make_shared<HttpPool>(
-      HttpPoolOptions{ .address = address, .maxConnections = kPeerConnections });
+  const bool isAnnouncement = exchange.Request().target == kAnnounceTarget;
+  const auto result = isAnnouncement ? Announce(exchange) : RunNestedCall(exchange);
+  if (!result) {
+    SendRefusal(exchange, result.error());
   }
-  return pool;
+}
+
+RequestPipeline::RequestPipeline(RequestPipelineOptions options)
+  : impl_(std::make_unique<Impl>(std::move(options)))
+{
+}
+
+RequestPipeline::~RequestPipeline() = default;
+
+void RequestPipeline::HandleIngress(ServerExchange& exchange)
+{
+  impl_->HandleIngress(exchange);
+}
+
+void RequestPipeline::HandlePeer(ServerExchange& exchange)
+{
+  impl_->HandlePeer(exchange);
+}
+
+void RequestPipeline::HandleEgress(ServerExchange& exchange)
+{
+  impl_->HandleEgress(exchange);
 }
 
 } // namespace acp
--- /dev/null
+++ b/src/node/threshold_book.cpp
@@ -0,0 +1,49 @@
+#include "acaciapulley/node/detail/threshold_book.hpp"
+
+namespace acp::detail {
+
+bool ThresholdBook::AdmitsRequest(const std::string& ownClass, const RequestContext& context)
+{
+  const double coin = AdmissionCoin(context.rootId);
+  const std::lock_guard lock(mutex_);
+  const TimePoint now = clock_.Now();
+  const bool admits =
+    table_.AdmitsRequest(ownClass, context.account, context.priority, coin, now);
+  if (admits) {
+    table_.OnRequest(ownClass, now);
+  }
+  return admits;
+}
+
+bool ThresholdBook::AdmitsCall(const std::string& ownClass,
+                               const CalleeClass& callee,
+                               const RequestContext& context)
+{
+  const double coin = AdmissionCoin(context.rootId);
+  const std::lock_guard lock(mutex_);
+  const TimePoint now = clock_.Now();
+  table_.OnCall(ownClass, callee, now);
+  return table_.AdmitsCall(ownClass, callee, context.account, context.priority, coin, now);
+}
+
+void ThresholdBook::Learn(const std::string& ownClass,
+                          const CalleeClass& callee,
+                          const std::string& account,
+                          const std::string& header)
+{
+  const auto threshold = ParseThreshold(header);
+  if (!threshold) {
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  table_.Learn(ownClass, callee, account, threshold.value(), clock_.Now());
+}
+
+AdmissionThreshold ThresholdBook::Combined(const std::string& ownClass,
+                                           const std::string& account) const
+{
+  const std::lock_guard lock(mutex_);
+  return table_.Combined(ownClass, account, clock_.Now());
+}
+
+} // namespace acp::detail
