--- a/include/acaciapulley/node/local_upstream.hpp
+++ b/include/acaciapulley/node/local_upstream.hpp
@@ -40,6 +40,9 @@
   /// @brief Takes over an announcement; connections are kept when the address stays the same.
   void Announce(const Announcement& announcement);
 
+  /// @brief Marks the upstream as draining for good, since its node is about to stop.
+  void BeginStop();
+
   /// @brief Returns the last announcement, or nothing before the first.
   [[nodiscard]] std::optional<Announcement> Current() const;
 
@@ -49,6 +52,7 @@
 private:
   mutable std::mutex mutex_;
   std::optional<Announcement> current_;
+  bool stopping_ = false;
   std::shared_ptr<HttpPool> pool_;
 };
 
--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -5,9 +5,12 @@
 
 #include <condition_variable> // condition_variable
 #include <cstdint>            // int64_t
+#include <functional>         // function
+#include <map>                // map
 #include <mutex>              // mutex
 #include <string>             // string
 #include <thread>             // thread
+#include <vector>             // vector
 
 #include "acaciapulley/core/clock.hpp"                // Clock
 #include "acaciapulley/node/local_upstream.hpp"       // LocalUpstream
@@ -16,20 +19,38 @@
 
 namespace acp {
 
+/// Counters of one service, class and account since the last report.
+struct ReportRow
+{
+  std::string service;
+  std::string requestClass;
+  std::string account;
+  std::int64_t offered = 0;
+  std::int64_t completed = 0;
+  std::int64_t failed = 0;
+  std::map<std::string, std::int64_t> refusedByReason;
+  std::int64_t refusedWithinRate = 0;
+};
+
 /// Construction options of a SyncLoop.
 struct SyncLoopOptions
 {
   std::string nodeId;
   std::int64_t epoch = 0;
   std::string dataCentre;
-  Address peerAddress; ///< where peers reach this node
-  ControlChannelOptions control;
+  Address peerAddress;               ///< where peers reach this node
+  ControlChannel* channel = nullptr; ///< shared with claim and token calls
   const Clock* clock = nullptr;
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
+  /// Takes the counters since the last call. A report is sent again until control has accepted it.
+  std::function<std::vector<ReportRow>()> takeReport;
+  /// Called after each poll that reached control, to settle spent and returned tokens.
+  std::function<void(ControlChannel& channel)> settleTokens;
 };
 
-/// A thread that polls about once a second, sooner after Wake().
+/// A thread that polls about once a second, sooner after Wake(). After a failure it polls again
+/// with a pause that doubles up to the poll interval; all pauses are jittered.
 class SyncLoop
 {
 public:
@@ -43,10 +64,12 @@
 
 private:
   void Run();
-  void PollOnce();
+  bool PollOnce();
+  void PrepareReport();
 
   SyncLoopOptions options_;
-  ControlChannel channel_;
+  std::int64_t reportNumber_ = 0;
+  std::vector<ReportRow> report_; ///< sent and not yet accepted
   std::mutex mutex_;
   std::condition_variable wakeUp_;
   bool woken_ = false;
--- a/include/acaciapulley/transport/control_channel.hpp
+++ b/include/acaciapulley/transport/control_channel.hpp
@@ -3,10 +3,13 @@
 /// @file
 /// Calls from a node to the control leader.
 
-#include <functional> // function
-#include <memory>     // unique_ptr
-#include <string>     // string
-#include <vector>     // vector
+#include <chrono>             // milliseconds, seconds
+#include <condition_variable> // condition_variable
+#include <cstddef>            // size_t
+#include <functional>         // function
+#include <memory>             // unique_ptr
+#include <mutex>              // mutex
+#include <vector>             // vector
 
 #include "acaciapulley/core/clock.hpp"                // Duration
 #include "acaciapulley/transport/address.hpp"         // Address
@@ -22,10 +25,15 @@
 struct ControlChannelOptions
 {
   std::vector<Address> replicas; ///< rpc addresses of all control replicas
+  /// Bound on connecting, and on each wait for the answer of one replica.
   Duration timeout = std::chrono::milliseconds(500);
+  /// No further replica is tried once a call has taken this long.
+  Duration callBudget = std::chrono::milliseconds(1'500);
+  int maxConnections = 8; ///< calls at once; further ones wait for up to the timeout
+  Duration maxIdle = std::chrono::seconds(5);
 };
 
-/// A channel to whichever control replica leads. Used by one thread at a time.
+/// A channel to whichever control replica leads. Calls may come from any thread.
 ///
 /// After any failure the connection is closed: the plain Thrift client does not match answers to
 /// calls, so that a late answer would reach the next call.
@@ -38,7 +46,8 @@
   ~ControlChannel();
 
   /// @brief Makes one call; follows leader hints and tries each replica once.
-  /// @param call receives the client and makes exactly one call on it
+  /// @param call receives the client and makes exactly one call on it; may be called again with
+  /// another replica, also when an earlier one has run it without an answer
   /// @return nothing, or NotLeader, Unreachable, Timeout, ConnectionLost or Refused
   /// @par Example
   /// @code
@@ -50,13 +59,29 @@
 
 private:
   class Connection;
+  using ConnectionPtr = std::unique_ptr<Connection>;
+  using ControlCall = std::function<void(wire::ControlServiceIf& control)>;
 
-  TransportResult<void> CallOnce(const std::function<void(wire::ControlServiceIf& control)>& call);
-  void MoveToNextReplica();
+  bool TakeSlot(TimePoint deadline);
+  void ReturnSlot();
+  std::size_t Leader();
+  ConnectionPtr TakeIdle(std::size_t replica);
+  void GiveBack(ConnectionPtr connection);
+  void CloseIdle(std::size_t replica);
+  void MoveFrom(std::size_t replica);
+  void MoveTo(const Address& leader, std::size_t from);
+  TransportResult<void> CallOnce(const ControlCall& call, std::size_t replica);
+  TransportResult<void> CallInSlot(const ControlCall& call, TimePoint deadline);
 
-  ControlChannelOptions options_;
-  std::size_t current_ = 0;
-  std::unique_ptr<Connection> connection_;
+  const ControlChannelOptions options_;
+  std::mutex mutex_;
+  std::condition_variable slotFreed_;
+  std::size_t leader_ = 0;
+  int inUse_ = 0;
+  std::vector<ConnectionPtr> idle_;
 };
 
+/// @brief Sends the output of the Thrift library, which it writes to standard error, through Log.
+void RedirectThriftOutput();
+
 } // namespace acp
--- /dev/null
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+/// @file
+/// One TCP connection that carries HTTP/1.1: buffered reads and bounded writes with deadlines.
+
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <memory>      // shared_ptr
+#include <string>      // string
+#include <string_view> // string_view
+
+#include "acaciapulley/core/clock.hpp" // TimePoint
+
+namespace Poco::Net {
+class StreamSocket;
+} // namespace Poco::Net
+
+namespace acp::detail {
+
+/// Result of one read or write.
+enum class IoStatus
+{
+  Ok,
+  Ended,     ///< the peer closed its side
+  TimedOut,  ///< the deadline passed
+  Failed,    ///< the connection broke
+  Cancelled, ///< the caller no longer wants the result
+  TooLarge,  ///< the head is larger than allowed
+};
+
+/// @brief Returns the current monotonic time.
+[[nodiscard]] TimePoint SteadyNow();
+
+/// Buffered, deadline-bounded bytes of one socket. Used by one thread at a time, but for
+/// Shutdown().
+class HttpConnection
+{
+public:
+  /// Returns whether the caller no longer wants the result; asked every 10 ms while waiting.
+  using CancelCheck = std::function<bool()>;
+
+  /// Sets no-delay, TCP_USER_TIMEOUT and keep-alive on the socket.
+  explicit HttpConnection(const Poco::Net::StreamSocket& socket);
+
+  /// @brief Reads up to and including the empty line that ends a head.
+  /// @param limit largest head in bytes
+  IoStatus ReadHead(std::size_t limit,
+                    TimePoint deadline,
+                    const CancelCheck& isCancelled,
+                    std::string* head);
+
+  /// @brief Reads one line without its CRLF; TooLarge when it is longer than @p limit.
+  IoStatus ReadLine(std::size_t limit, TimePoint deadline, std::string* line);
+
+  /// @brief Reads at least one byte and at most @p size.
+  IoStatus Read(char* buffer, std::size_t size, TimePoint deadline, std::size_t* count);
+
+  /// @brief Writes both parts, in one packet where they fit.
+  IoStatus Write(std::string_view first, std::string_view second, TimePoint deadline);
+
+  /// @brief Waits until a read would not block or @p wakeFd (-1 for none) is readable.
+  /// @return Ok when there are bytes, Cancelled when only @p wakeFd is ready
+  IoStatus WaitReadable(TimePoint deadline, int wakeFd);
+
+  /// @brief Returns whether the peer closed or broke the connection; never blocks.
+  [[nodiscard]] bool IsPeerGone() const;
+
+  /// @brief Returns whether there is anything to read, the peer's close included.
+  [[nodiscard]] bool HasInput() const;
+
+  /// @brief Ends both directions at once; a thread blocked on the connection returns.
+  void Shutdown();
+
+  /// @brief Returns the number of bytes the kernel took for sending.
+  [[nodiscard]] std::uint64_t SentBytes() const { return sentBytes_; }
+
+  /// @brief Returns when the last bytes arrived; the time of construction before that.
+  [[nodiscard]] TimePoint LastReceive() const { return lastReceive_; }
+
+  [[nodiscard]] TimePoint CreatedAt() const { return createdAt_; }
+  [[nodiscard]] int Descriptor() const { return fd_; }
+
+private:
+  IoStatus Fill(TimePoint deadline, const CancelCheck& isCancelled);
+  IoStatus WaitFor(short events, TimePoint deadline, const CancelCheck& isCancelled) const;
+
+  std::shared_ptr<Poco::Net::StreamSocket> socket_; ///< owns the descriptor
+  int fd_;
+  std::string buffer_;
+  std::size_t position_ = 0; ///< first byte of buffer_ not yet consumed
+  std::uint64_t sentBytes_ = 0;
+  TimePoint createdAt_;
+  TimePoint lastReceive_;
+};
+
+} // namespace acp::detail
--- /dev/null
+++ b/include/acaciapulley/transport/detail/http_framing.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+/// @file
+/// Strict reading and writing of HTTP/1.1 heads and bodies.
+///
+/// POCO's own parser is not used here: it takes a malformed chunk size for the end of a body,
+/// decodes encoded words in field values, and accepts conflicting lengths, each of which lets an
+/// answer pass as whole or reach another request.
+
+#include <cstdint>     // int64_t
+#include <functional>  // function
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
+
+#include "acaciapulley/core/clock.hpp"                       // Duration
+#include "acaciapulley/transport/detail/http_connection.hpp" // HttpConnection
+#include "acaciapulley/transport/http_message.hpp"           // BodySource, HttpRequestHead
+
+namespace acp::detail {
+
+/// Largest head of a request or an answer.
+inline constexpr std::size_t kMaxHeadBytes = 16'384;
+
+/// Length of a chunked body.
+inline constexpr std::int64_t kChunked = -1;
+
+/// Length of an answer's body that ends with the connection, which cannot be told from a loss.
+inline constexpr std::int64_t kUnframed = -2;
+
+/// How the rest of a message is to be read.
+struct MessageFraming
+{
+  std::int64_t bodyLength = 0; ///< bytes, kChunked or kUnframed
+  bool keepAlive = true;
+  bool expectsContinue = false;
+};
+
+/// @brief Parses a request's head.
+/// @return nothing, or what is wrong with it
+[[nodiscard]] std::optional<std::string> ParseRequestHead(std::string_view text,
+                                                          HttpRequestHead* head,
+                                                          MessageFraming* framing);
+
+/// @brief Parses the head of an answer to @p method.
+/// @return nothing, or what is wrong with it
+[[nodiscard]] std::optional<std::string> ParseResponseHead(std::string_view text,
+                                                           std::string_view method,
+                                                           HttpResponseHead* head,
+                                                           MessageFraming* framing);
+
+/// @brief Returns the bytes of a request's head; the body's length is set from @p bodyLength.
+[[nodiscard]] std::string FormatRequestHead(const HttpRequestHead& head,
+                                            const std::string& host,
+                                            std::int64_t bodyLength);
+
+/// @brief Returns the bytes of an answer's head; the body's length is set from @p bodyLength.
+[[nodiscard]] std::string FormatResponseHead(const HttpResponseHead& head,
+                                             std::int64_t bodyLength,
+                                             bool keepAlive);
+
+/// @brief Returns the line before a chunk of @p size bytes.
+[[nodiscard]] std::string FormatChunkStart(std::size_t size);
+
+/// A body as framed on a connection.
+class FramedBody final : public BodySource
+{
+public:
+  /// @param silence longest wait for the next bytes
+  FramedBody(HttpConnection& connection, std::int64_t length, Duration silence);
+
+  /// @brief Sets what happens before the first bytes are read, such as sending `100 Continue`.
+  void OnFirstRead(std::function<void()> hook) { onFirstRead_ = std::move(hook); }
+
+  std::size_t Read(char* buffer, std::size_t size) override;
+
+  /// @brief Returns whether the whole body was read, so that the connection can be used again.
+  [[nodiscard]] bool IsEnded() const { return ended_; }
+
+private:
+  std::size_t ReadPart(char* buffer, std::size_t size);
+  void StartChunk();
+  void SkipTrailers();
+  std::string Line(std::size_t limit);
+
+  HttpConnection& connection_;
+  std::int64_t remaining_; ///< bytes left of the body, or of the chunk
+  bool isChunked_;
+  bool isUnframed_;
+  bool inChunk_ = false;
+  bool ended_;
+  Duration silence_;
+  std::function<void()> onFirstRead_;
+};
+
+} // namespace acp::detail
--- /dev/null
+++ b/include/acaciapulley/transport/detail/pool_core.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+/// @file
+/// The connections of one HttpPool: which are idle, in use, or to be retired.
+
+#include <condition_variable> // condition_variable
+#include <memory>             // enable_shared_from_this, unique_ptr
+#include <mutex>              // mutex
+#include <optional>           // optional
+#include <set>                // set
+#include <thread>             // thread
+#include <vector>             // vector
+
+#include "acaciapulley/transport/detail/http_connection.hpp" // HttpConnection
+#include "acaciapulley/transport/http_client.hpp"            // HttpPoolOptions, SendOptions
+
+namespace acp::detail {
+
+/// A connection of a pool and when it last carried a request.
+struct PooledConnection
+{
+  explicit PooledConnection(const Poco::Net::StreamSocket& socket)
+    : io(socket)
+    , lastUsed(io.CreatedAt())
+  {
+  }
+
+  HttpConnection io;
+  TimePoint lastUsed;
+};
+
+/// Bookkeeping of a pool's connections. Calls may come from any thread.
+class PoolCore : public std::enable_shared_from_this<PoolCore>
+{
+public:
+  using ConnectionPtr = std::unique_ptr<PooledConnection>;
+
+  explicit PoolCore(HttpPoolOptions options)
+    : options_(std::move(options))
+  {
+  }
+
+  /// @brief Takes the most recently used idle connection, else opens one.
+  TransportResult<ConnectionPtr> Acquire(TimePoint deadline, const SendOptions& call);
+
+  /// @brief Opens a connection although idle ones may exist.
+  TransportResult<ConnectionPtr> Open(TimePoint deadline);
+
+  /// @brief Takes back a connection whose exchange ended cleanly.
+  void GiveBack(ConnectionPtr connection);
+
+  /// @brief Closes a connection that cannot be used again.
+  void Drop(ConnectionPtr connection);
+
+  /// @brief Notes that @p connection gave no answer in time.
+  void NoteSilence(const PooledConnection& connection);
+
+  /// @brief Notes an answer; one on a connection opened after a silence closes the idle connections
+  /// that have not been heard since.
+  void NoteAnswer(const PooledConnection& connection);
+
+  /// @brief Closes idle connections that are too old.
+  void CloseIdle();
+
+  /// @brief Takes the connections on which a heartbeat is due.
+  std::vector<ConnectionPtr> TakeForHeartbeat();
+
+  /// @brief Takes back a connection that answered a heartbeat; its idle time goes on.
+  void EndHeartbeat(ConnectionPtr connection);
+
+  /// @brief Closes all connections opened before @p opened and not heard since @p heard; requests
+  /// waiting on them end with ConnectionLost.
+  void Retire(TimePoint opened, TimePoint heard);
+
+  [[nodiscard]] const HttpPoolOptions& Options() const { return options_; }
+  [[nodiscard]] int OpenConnections() const;
+
+private:
+  ConnectionPtr TakeIdle();
+  TransportResult<ConnectionPtr> Connect(TimePoint deadline);
+  void Forget(const PooledConnection* connection);
+
+  const HttpPoolOptions options_;
+  mutable std::mutex mutex_;
+  std::condition_variable freed_;
+  std::vector<ConnectionPtr> idle_; ///< the most recently used one is last
+  /// Kept for heartbeats only, so that a silence is noticed while all others are in use.
+  ConnectionPtr sentinel_;
+  std::set<PooledConnection*> inUse_;
+  int open_ = 0;
+  std::optional<TimePoint> silentSince_;
+};
+
+/// Sends heartbeats and closes idle connections for all pools of the process, on one thread.
+class PoolKeeper
+{
+public:
+  /// @brief Returns the process's keeper; its thread starts with the first call.
+  static PoolKeeper& Instance();
+
+  PoolKeeper(const PoolKeeper&) = delete;
+  PoolKeeper& operator=(const PoolKeeper&) = delete;
+
+  /// @brief Looks after @p pool for as long as it lives.
+  void Add(const std::shared_ptr<PoolCore>& pool);
+
+private:
+  PoolKeeper();
+  ~PoolKeeper();
+
+  void Run();
+  std::vector<std::shared_ptr<PoolCore>> LivePools();
+
+  std::mutex mutex_;
+  std::condition_variable stopped_;
+  bool stopping_ = false;
+  std::vector<std::weak_ptr<PoolCore>> pools_;
+  std::thread thread_;
+};
+
+} // namespace acp::detail
--- /dev/null
+++ b/include/acaciapulley/transport/detail/server_exchange.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+/// @file
+/// One request on a server's connection and its answer.
+
+#include <functional> // function
+#include <string>     // string
+
+#include "acaciapulley/transport/detail/http_framing.hpp" // FramedBody, MessageFraming
+#include "acaciapulley/transport/http_server.hpp"         // HttpServerOptions, ServerExchange
+
+namespace acp::detail {
+
+/// ServerExchange over one connection.
+class ConnectionExchange final : public ServerExchange
+{
+public:
+  /// @param isStopping asked when the answer's head is written; true ends the connection after it
+  ConnectionExchange(HttpConnection& connection,
+                     const HttpServerOptions& options,
+                     HttpRequestHead head,
+                     const MessageFraming& framing,
+                     std::function<bool()> isStopping);
+
+  [[nodiscard]] const HttpRequestHead& Request() const override { return head_; }
+  [[nodiscard]] std::int64_t RequestBodyLength() const override { return framing_.bodyLength; }
+  BodySource& RequestBody() override { return body_; }
+  void Respond(const HttpResponseHead& head, const std::string& body) override;
+  bool RespondStreaming(const HttpResponseHead& head,
+                        std::int64_t length,
+                        BodySource& body,
+                        const std::function<void()>& beforeLastBytes) override;
+  [[nodiscard]] bool IsCallerGone() const override { return connection_.IsPeerGone(); }
+
+  /// @brief Returns whether the handler has begun an answer.
+  [[nodiscard]] bool IsAnswered() const { return answered_; }
+
+  /// @brief Returns status, outcome and reason of the answer; valid as long as this object.
+  [[nodiscard]] ServedRequest Served() const;
+
+  /// @brief Reads what is left of a small request body.
+  /// @return whether the connection can carry another request
+  bool FinishRequest();
+
+private:
+  std::string StartAnswer(const HttpResponseHead& head, std::int64_t length);
+  bool Send(std::string_view first, std::string_view second);
+  bool CopyBody(std::string start, bool isChunked, BodySource& body, const std::function<void()>&);
+
+  HttpConnection& connection_;
+  const HttpServerOptions& options_;
+  HttpRequestHead head_;
+  MessageFraming framing_;
+  FramedBody body_;
+  std::function<bool()> isStopping_;
+  bool answered_ = false;
+  int status_ = 0;
+  std::string outcome_;
+  std::string reason_;
+  TimePoint startedAt_ = SteadyNow();
+  bool usable_; ///< whether the connection stays open after this answer
+  std::uint64_t answerStart_;
+  Duration sendTime_{};
+};
+
+} // namespace acp::detail
--- a/include/acaciapulley/transport/http_client.hpp
+++ b/include/acaciapulley/transport/http_client.hpp
@@ -3,12 +3,10 @@
 /// @file
 /// HTTP connections to upstreams, peers and control, kept in pools.
 
+#include <chrono>     // milliseconds, seconds
 #include <cstdint>    // int64_t
 #include <functional> // function
-#include <memory>     // unique_ptr
-#include <mutex>      // mutex
-#include <string>     // string
-#include <vector>     // vector
+#include <memory>     // shared_ptr, unique_ptr
 
 #include "acaciapulley/core/clock.hpp"                // Duration
 #include "acaciapulley/transport/address.hpp"         // Address
@@ -17,8 +15,12 @@
 
 namespace acp {
 
+namespace detail {
+class PoolCore;
+} // namespace detail
+
 /// An answer whose body is still being read. Destroying it before the body's end closes the
-/// connection.
+/// connection, which cancels the request at the peer.
 class ClientExchange
 {
 public:
@@ -35,18 +37,38 @@
 
   /// @brief Returns the body.
   virtual BodySource& Body() = 0;
+
+  /// @brief Closes the connection at once; a read of the body then raises BodyTruncated.
+  virtual void Abort() {}
 };
 
 /// Construction options of an HttpPool.
 struct HttpPoolOptions
 {
   Address address;
-  int maxConnections = 64; ///< more calls at once fail with Unreachable
+  int maxConnections = 64;
   Duration connectTimeout = std::chrono::seconds(1);
   Duration maxIdle = std::chrono::seconds(5); ///< idle connections older than this are closed
+  /// Longest wait for a free connection when maxConnections are in use; then Unreachable.
+  Duration maxWait = std::chrono::milliseconds(50);
+  /// Sends `GET /.acp/heartbeat` on idle connections, and retires all older connections when one is
+  /// silent while a fresh one answers. Only for addresses served by an HttpServer.
+  bool sendsHeartbeats = false;
+};
+
+/// Bounds of one call.
+struct SendOptions
+{
+  Duration timeout;       ///< from the call until the head of the answer has arrived
+  Duration bodySilence{}; ///< longest wait for the next bytes of the body; 0 takes the timeout
+  /// Asked every 10 ms while waiting for the answer; true ends the call with Cancelled.
+  std::function<bool()> isCancelled;
 };
 
 /// Connections to one address; the most recently used one is taken first.
+///
+/// A connection whose exchange did not end cleanly is closed, so that no answer reaches another
+/// request.
 class HttpPool
 {
 public:
@@ -56,34 +78,34 @@
   ~HttpPool();
 
   /// @brief Sends a request and waits for the head of its answer.
+  ///
+  /// Up to 16 KiB of the body are read before a connection is taken, so that a slow caller with a
+  /// small body holds none.
   /// @param body body of the request
-  /// @param bodyLength its length, or -1 to send it chunked
-  /// @param timeout longest silence while sending or waiting
-  /// @return the answer; Unreachable means that nothing was sent, every other error that the
-  /// request may have arrived
+  /// @param bodyLength its length, or -1 when it is unknown
+  /// @return the answer; Unreachable and BodyTooLarge mean that no byte was sent, every other error
+  /// that the request may have arrived
   /// @par Example
   /// @code
   /// acp::StringBody empty("");
-  /// auto answer = pool.Send({ .method = "GET", .target = "/" }, empty, 0, timeout);
+  /// auto answer = pool.Send({ .method = "GET", .target = "/" }, empty, 0, { .timeout = timeout });
   /// @endcode
+  TransportResult<std::unique_ptr<ClientExchange>> Send(const HttpRequestHead& head,
+                                                        BodySource& body,
+                                                        std::int64_t bodyLength,
+                                                        const SendOptions& options);
+
+  /// @brief As above, with @p timeout as the only bound.
   TransportResult<std::unique_ptr<ClientExchange>> Send(const HttpRequestHead& head,
                                                         BodySource& body,
                                                         std::int64_t bodyLength,
                                                         Duration timeout);
 
+  /// @brief Returns the number of open connections, idle ones included.
+  [[nodiscard]] int OpenConnections() const;
+
 private:
-  class Connection;
-  class Exchange;
-
-  std::unique_ptr<Connection> TakeIdle();
-  TransportResult<std::unique_ptr<Connection>> Open();
-  void GiveBack(std::unique_ptr<Connection> connection);
-  void Forget();
-
-  HttpPoolOptions options_;
-  std::mutex mutex_;
-  std::vector<std::unique_ptr<Connection>> idle_;
-  int open_ = 0;
+  std::shared_ptr<detail::PoolCore> core_;
 };
 
 } // namespace acp
--- a/include/acaciapulley/transport/http_message.hpp
+++ b/include/acaciapulley/transport/http_message.hpp
@@ -75,6 +75,29 @@
 struct BodyTruncated
 {};
 
+/// Raised by LimitedBody::Read when a body is larger than allowed.
+struct BodyTooLarge
+{};
+
+/// Passes a body on and raises BodyTooLarge once it exceeds a limit, so that a body of unknown
+/// length is bounded while it streams.
+class LimitedBody final : public BodySource
+{
+public:
+  /// @param limit largest body in bytes
+  LimitedBody(BodySource& source, std::size_t limit)
+    : source_(source)
+    , left_(limit)
+  {
+  }
+
+  std::size_t Read(char* buffer, std::size_t size) override;
+
+private:
+  BodySource& source_;
+  std::size_t left_;
+};
+
 /// A body held in memory.
 class StringBody final : public BodySource
 {
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -3,10 +3,12 @@
 /// @file
 /// HTTP listener: a thread for each connection, keep-alive, graceful stop.
 
-#include <cstdint>    // uint16_t
-#include <functional> // function
-#include <memory>     // unique_ptr
-#include <string>     // string
+#include <chrono>      // seconds
+#include <cstdint>     // int64_t, uint16_t
+#include <functional>  // function
+#include <memory>      // unique_ptr
+#include <string>      // string
+#include <string_view> // string_view
 
 #include "acaciapulley/core/clock.hpp"             // Duration
 #include "acaciapulley/transport/address.hpp"      // Address
@@ -44,18 +46,42 @@
                                 std::int64_t length,
                                 BodySource& body,
                                 const std::function<void()>& beforeLastBytes) = 0;
+
+  /// @brief Returns whether the caller closed or broke its connection; never blocks, so that it can
+  /// be polled to cancel work. A caller that only ended its own sending side counts as gone.
+  [[nodiscard]] virtual bool IsCallerGone() const { return false; }
+};
+
+/// A request that was answered, for metrics and logs.
+struct ServedRequest
+{
+  int status = 0;           ///< 0 when the handler gave no answer
+  std::string_view outcome; ///< value of `Acp-Outcome`, or empty
+  std::string_view reason;  ///< value of `Acp-Reason`, or empty
+  Duration time{};          ///< from the end of the request's head to the end of the answer
 };
 
 /// Construction options of an HttpServer.
 struct HttpServerOptions
 {
-  Address address;                                       ///< port 0 picks a free port
-  int maxConnections = 256;                              ///< threads; more connections wait
+  Address address;          ///< port 0 picks a free port
+  int maxConnections = 256; ///< threads; a connection over it gets 503 not-run and is closed
   std::function<void(ServerExchange& exchange)> handler; ///< called on the connection's thread
+  Duration idleTimeout = std::chrono::seconds(15);       ///< longer than HttpPoolOptions::maxIdle
+  Duration headTimeout = std::chrono::seconds(10);       ///< from a head's first byte to its last
+  Duration bodySilence = std::chrono::seconds(30);       ///< longest wait for a body's next bytes
+  /// A caller that has kept the server waiting for this long, and for longer than its answer takes
+  /// at 64 KiB/s, is disconnected, so that a slow reader does not hold an upstream's slot.
+  Duration slowReaderGrace = std::chrono::seconds(5);
+  std::function<void(const ServedRequest& served)>
+    onServed; ///< called after each request; optional
 };
 
 /// A listener. Stop() lets requests in progress end, then closes.
 ///
+/// A malformed, conflicting or oversized head is answered 400 or 413 with `Acp-Outcome: not-run`
+/// before the handler is called. `GET /.acp/heartbeat` is answered 204 by the server itself.
+///
 /// @par Example
 /// @code
 /// acp::HttpServer server({ .address = address, .handler = [](acp::ServerExchange& exchange) {
@@ -74,7 +100,11 @@
   /// @brief Returns the bound port.
   [[nodiscard]] std::uint16_t Port() const;
 
-  /// @brief Stops accepting, waits up to @p patience for requests in progress, then closes.
+  /// @brief Returns the number of open connections.
+  [[nodiscard]] int Connections() const;
+
+  /// @brief Stops accepting, answers requests in progress with `Connection: close`, waits up to
+  /// @p patience for them, then closes. Idle connections are closed at once.
   void Stop(Duration patience);
 
 private:
--- /dev/null
+++ b/include/acaciapulley/transport/metrics.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+/// @file
+/// Counters, gauges and histograms by name and labels, for the path `/metrics`.
+
+#include <memory>  // unique_ptr
+#include <string>  // string
+#include <utility> // pair
+#include <vector>  // vector
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+} // namespace prometheus
+
+namespace acp {
+
+/// Label names and values of one series. Values come from fixed tables, service documents and node
+/// ids, never from a client account's key.
+using MetricLabels = std::vector<std::pair<std::string, std::string>>;
+
+/// A number that only grows. Copies share the series.
+class MetricCounter
+{
+public:
+  explicit MetricCounter(prometheus::Counter& series)
+    : series_(&series)
+  {
+  }
+  void Add(double amount = 1.0);
+
+private:
+  prometheus::Counter* series_;
+};
+
+/// A number that goes up and down. Copies share the series.
+class MetricGauge
+{
+public:
+  explicit MetricGauge(prometheus::Gauge& series)
+    : series_(&series)
+  {
+  }
+  void Set(double value);
+  void Add(double amount);
+
+private:
+  prometheus::Gauge* series_;
+};
+
+/// A distribution of durations in seconds, from 100 us to 10 s. Copies share the series.
+class MetricHistogram
+{
+public:
+  explicit MetricHistogram(prometheus::Histogram& series)
+    : series_(&series)
+  {
+  }
+  void Observe(double seconds);
+
+private:
+  prometheus::Histogram* series_;
+};
+
+/// The series of one process. Calls may come from any thread; keep the returned handles, since a
+/// look-up takes a lock.
+///
+/// A label value of 32 or more hexadecimal digits in a row is written as `redacted`, so that a key
+/// cannot get out by mistake.
+///
+/// @par Example
+/// @code
+/// acp::MetricsRegistry metrics;
+/// auto refused = metrics.Counter("acp_refused_total", "Refused requests.", { { "reason", "rate" }
+/// }); refused.Add();
+/// @endcode
+class MetricsRegistry
+{
+public:
+  MetricsRegistry();
+  MetricsRegistry(const MetricsRegistry&) = delete;
+  MetricsRegistry& operator=(const MetricsRegistry&) = delete;
+  ~MetricsRegistry();
+
+  /// @brief Returns the series of @p name and @p labels, created by the first call.
+  /// @throw std::invalid_argument when a name is not a valid Prometheus name
+  MetricCounter Counter(const std::string& name,
+                        const std::string& help,
+                        const MetricLabels& labels = {});
+  MetricGauge Gauge(const std::string& name,
+                    const std::string& help,
+                    const MetricLabels& labels = {});
+  MetricHistogram Histogram(const std::string& name,
+                            const std::string& help,
+                            const MetricLabels& labels = {});
+
+  /// @brief Returns all series in Prometheus' text format.
+  [[nodiscard]] std::string Serialize() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace acp
--- a/include/acaciapulley/transport/transport_error.hpp
+++ b/include/acaciapulley/transport/transport_error.hpp
@@ -21,12 +21,14 @@
   NotLeader = 1106,      ///< no control replica that answers is the leader
   Refused = 1107,        ///< control refused the call; the message carries its error
   ListenFailed = 1108,   ///< a listener cannot be opened
+  Cancelled = 1109,      ///< the caller gave up after bytes were sent
+  BodyTooLarge = 1110,   ///< the request's body is larger than allowed; nothing was sent
 };
 
 template<>
 struct NameTable<TransportErrorCode>
 {
-  static constexpr std::array<EnumName<TransportErrorCode>, 9> kRows = { {
+  static constexpr std::array<EnumName<TransportErrorCode>, 11> kRows = { {
     { TransportErrorCode::InvalidAddress, "invalid_address" },
     { TransportErrorCode::InvalidSetting, "invalid_setting" },
     { TransportErrorCode::Unreachable, "unreachable" },
@@ -36,6 +38,8 @@
     { TransportErrorCode::NotLeader, "not_leader" },
     { TransportErrorCode::Refused, "refused" },
     { TransportErrorCode::ListenFailed, "listen_failed" },
+    { TransportErrorCode::Cancelled, "cancelled" },
+    { TransportErrorCode::BodyTooLarge, "body_too_large" },
   } };
 };
 
--- a/src/node/local_upstream.cpp
+++ b/src/node/local_upstream.cpp
@@ -44,6 +44,16 @@
       .address = announcement.address, .maxConnections = announcement.maxConnections });
   }
   current_ = announcement;
+  current_->draining = current_->draining || stopping_;
+}
+
+void LocalUpstream::BeginStop()
+{
+  const std::lock_guard lock(mutex_);
+  stopping_ = true;
+  if (current_) {
+    current_->draining = true;
+  }
 }
 
 std::optional<Announcement> LocalUpstream::Current() const
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -1,7 +1,11 @@
 #include "acaciapulley/node/node_process.hpp"
 
-#include "acaciapulley/node/request_pipeline.hpp" // RequestPipeline
-#include "acaciapulley/node/sync_loop.hpp"        // SyncLoop
+#include <algorithm> // max
+
+#include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
+#include "acaciapulley/node/sync_loop.hpp"            // SyncLoop
+#include "acaciapulley/transport/control_channel.hpp" // ControlChannel
+#include "acaciapulley/transport/metrics.hpp"         // MetricsRegistry
 
 namespace acp {
 
@@ -17,6 +21,7 @@
   explicit Impl(const NodeProcessOptions& options)
     : epoch_(CountMillis(options.clock->WallNow()))
     , clock_(*options.clock)
+    , control_({ .replicas = options.control })
     , pipeline_({ .nodeId = options.nodeId,
                   .epoch = epoch_,
                   .fleetSecret = options.fleetSecret,
@@ -28,44 +33,105 @@
               .epoch = epoch_,
               .dataCentre = options.dataCentre,
               .peerAddress = options.peer,
-              .control = { .replicas = options.control },
+              .channel = &control_,
               .clock = options.clock,
               .view = &view_,
               .upstream = &upstream_ })
-    , peer_({ .address = options.peer,
-              .maxConnections = options.maxConnections,
-              .handler = [this](ServerExchange& e) { pipeline_.HandlePeer(e); } })
-    , egress_({ .address = options.egress,
-                .maxConnections = options.maxConnections,
-                .handler = [this](ServerExchange& e) { pipeline_.HandleEgress(e); } })
+    , peer_(Listener("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer))
+    , egress_(
+        Listener("egress", options.egress, options.maxConnections, &RequestPipeline::HandleEgress))
     , admin_({ .address = options.admin,
                .maxConnections = kAdminConnections,
                .handler = [this](ServerExchange& e) { HandleAdmin(e); } })
-    , ingress_({ .address = options.ingress,
-                 .maxConnections = options.maxConnections,
-                 .handler = [this](ServerExchange& e) { pipeline_.HandleIngress(e); } })
+    , ingress_(Listener("ingress",
+                        options.ingress,
+                        options.maxConnections,
+                        &RequestPipeline::HandleIngress))
   {
   }
 
   void Stop(Duration patience)
   {
-    ingress_.Stop(patience);
-    peer_.Stop(patience);
-    egress_.Stop(patience);
-    admin_.Stop(patience);
+    // Peers choose other nodes as soon as control has passed this on.
+    upstream_.BeginStop();
+    sync_.Wake();
+    const TimePoint deadline = clock_.Now() + patience;
+    const auto left = [&] { return std::max(deadline - clock_.Now(), Duration::zero()); };
+    ingress_.Stop(left());
+    peer_.Stop(left());
+    // Requests that ended above may have made nested calls through the egress until now.
+    egress_.Stop(left());
+    admin_.Stop(left());
   }
 
 private:
+  HttpServerOptions Listener(const std::string& name,
+                             const Address& address,
+                             int maxConnections,
+                             void (RequestPipeline::*handle)(ServerExchange&))
+  {
+    return { .address = address,
+             .maxConnections = maxConnections,
+             .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
+             .onServed = [this, name](const ServedRequest& served) { Count(name, served); } };
+  }
+
+  void Count(const std::string& listener, const ServedRequest& served)
+  {
+    metrics_
+      .Counter("acp_requests_total",
+               "Requests by listener, status and outcome.",
+               { { "listener", listener },
+                 { "status", std::to_string(served.status) },
+                 { "outcome", std::string(served.outcome) },
+                 { "reason", std::string(served.reason) } })
+      .Add();
+    metrics_
+      .Histogram("acp_request_seconds",
+                 "Time from the end of the request's head to the end of the answer.",
+                 { { "listener", listener } })
+      .Observe(std::chrono::duration<double>(served.time).count());
+  }
+
   void HandleAdmin(ServerExchange& exchange)
   {
     const bool isFresh = view_.IsFresh(clock_.Now(), kKeyedFreshness);
-    exchange.Respond({ .status = isFresh ? 200 : 503 }, isFresh ? "ok\n" : "state is stale\n");
+    if (exchange.Request().target == "/healthz") {
+      exchange.Respond({ .status = isFresh ? 200 : 503 }, isFresh ? "ok\n" : "state is stale\n");
+    } else if (exchange.Request().target == "/metrics") {
+      HttpResponseHead head{ .status = 200 };
+      head.headers.Set("Content-Type", "text/plain; version=0.0.4");
+      exchange.Respond(head, CollectMetrics(isFresh));
+    } else {
+      exchange.Respond({ .status = 404 }, "paths: /healthz, /metrics\n");
+    }
+  }
+
+  std::string CollectMetrics(bool isFresh)
+  {
+    const auto connections = [this](const std::string& listener, const HttpServer& server) {
+      metrics_
+        .Gauge("acp_connections", "Open connections by listener.", { { "listener", listener } })
+        .Set(server.Connections());
+    };
+    connections("ingress", ingress_);
+    connections("peer", peer_);
+    connections("egress", egress_);
+    const auto pool = upstream_.Pool();
+    metrics_.Gauge("acp_upstream_connections", "Open connections to the upstream.")
+      .Set(pool ? pool->OpenConnections() : 0);
+    metrics_.Gauge("acp_state_version", "Version of the state this node decides by.")
+      .Set(static_cast<double>(view_.Version()));
+    metrics_.Gauge("acp_state_fresh", "1 when keyed requests are served.").Set(isFresh ? 1 : 0);
+    return metrics_.Serialize();
   }
 
   std::int64_t epoch_;
   const Clock& clock_;
+  MetricsRegistry metrics_;
   NodeView view_;
   LocalUpstream upstream_;
+  ControlChannel control_;
   RequestPipeline pipeline_;
   SyncLoop sync_;
   HttpServer peer_;
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -303,8 +303,8 @@
   const std::lock_guard lock(poolsMutex_);
   auto& pool = peerPools_[address.ToString()];
   if (!pool) {
-    pool = std::make_shared<HttpPool>(
-      HttpPoolOptions{ .address = address, .maxConnections = kPeerConnections });
+    pool = std::make_shared<HttpPool>(HttpPoolOptions{
+      .address = address, .maxConnections = kPeerConnections, .sendsHeartbeats = true });
   }
   return pool;
 }
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/node/sync_loop.hpp"
 
-#include <utility> // move
+#include <algorithm> // min
+#include <utility>   // move
 
 #include "acaciapulley/core/log.hpp"    // Log
 #include "acaciapulley/core/random.hpp" // Jittered
@@ -11,7 +12,7 @@
 namespace {
 
 constexpr Duration kPollInterval = std::chrono::seconds(1);
-constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
+constexpr Duration kFirstRetryPause = std::chrono::milliseconds(50);
 // Keeps the polls of many nodes from falling together.
 constexpr double kPollJitter = 0.2;
 
@@ -53,11 +54,44 @@
   return peers;
 }
 
+std::vector<wire::RecordRow> ToWire(const std::vector<ReportRow>& report)
+{
+  std::vector<wire::RecordRow> rows;
+  rows.reserve(report.size());
+  for (const auto& entry : report) {
+    wire::RecordRow row;
+    row.serviceName = entry.service;
+    row.requestClass = entry.requestClass;
+    row.account = entry.account;
+    row.offered = entry.offered;
+    row.completed = entry.completed;
+    row.failed = entry.failed;
+    row.refusedByReason = entry.refusedByReason;
+    row.refusedWithinRate = entry.refusedWithinRate;
+    rows.push_back(row);
+  }
+  return rows;
+}
+
+wire::Member ToWire(const SyncLoopOptions& options, const Announcement& announced)
+{
+  wire::Member member;
+  member.nodeId = options.nodeId;
+  member.epoch = options.epoch;
+  member.serviceName = announced.service;
+  member.dataCentre = options.dataCentre;
+  member.peerAddress = options.peerAddress.ToString();
+  member.slots = announced.slots;
+  member.maxConnections = announced.maxConnections;
+  member.coldStartMs = announced.coldStartMs;
+  member.draining = announced.draining;
+  return member;
+}
+
 } // namespace
 
 SyncLoop::SyncLoop(SyncLoopOptions options)
   : options_(std::move(options))
-  , channel_(options_.control)
   , thread_([this] { Run(); })
 {
 }
@@ -83,52 +117,65 @@
 
 void SyncLoop::Run()
 {
+  Duration retryPause = kFirstRetryPause;
   std::unique_lock lock(mutex_);
   while (!stopping_) {
     woken_ = false;
     lock.unlock();
-    PollOnce();
-    const bool isFresh = options_.view->IsFresh(options_.clock->Now(), kPollInterval);
+    const bool reached = PollOnce();
+    const Duration pause = reached ? kPollInterval : retryPause;
+    retryPause = reached ? kFirstRetryPause : std::min(retryPause * 2, kPollInterval);
     lock.lock();
-    const Duration pause = Jittered(isFresh ? kPollInterval : kRetryInterval, kPollJitter);
-    wakeUp_.wait_for(lock, pause, [this] { return woken_ || stopping_; });
+    // Announcements come every second; while control fails they must not shorten the pause.
+    wakeUp_.wait_for(lock, Jittered(pause, kPollJitter), [this, reached] {
+      return (woken_ && reached) || stopping_;
+    });
   }
 }
 
-void SyncLoop::PollOnce()
+void SyncLoop::PrepareReport()
 {
+  if (!report_.empty() || !options_.takeReport) {
+    return;
+  }
+  report_ = options_.takeReport();
+  reportNumber_ += report_.empty() ? 0 : 1;
+}
+
+bool SyncLoop::PollOnce()
+{
+  PrepareReport();
   wire::SyncRequest request;
   request.nodeId = options_.nodeId;
   request.epoch = options_.epoch;
   request.stateVersion = options_.view->Version();
   request.membersVersion = options_.view->MembersVersion();
+  request.reportNumber = reportNumber_;
+  request.report = ToWire(report_);
   if (const auto announced = options_.upstream->Current()) {
-    wire::Member member;
-    member.nodeId = options_.nodeId;
-    member.epoch = options_.epoch;
-    member.serviceName = announced->service;
-    member.dataCentre = options_.dataCentre;
-    member.peerAddress = options_.peerAddress.ToString();
-    member.slots = announced->slots;
-    member.maxConnections = announced->maxConnections;
-    member.coldStartMs = announced->coldStartMs;
-    member.draining = announced->draining;
-    request.__set_member(member);
+    request.__set_member(ToWire(options_, *announced));
   }
   wire::SyncReply reply;
   TimePoint askedAt;
-  const auto done = channel_.Call([&](wire::ControlServiceIf& control) {
+  const auto done = options_.channel->Call([&](wire::ControlServiceIf& control) {
     askedAt = options_.clock->Now();
     control.Sync(reply, request);
   });
   if (!done) {
     Log(LogLevel::Warning, "poll_failed", { { "error", done.error().Describe() } });
-    return;
+    return false;
+  }
+  if (reply.acceptedReportNumber >= reportNumber_) {
+    report_.clear();
   }
   options_.view->Apply(FromWire(reply.delta), askedAt - std::chrono::milliseconds(reply.ageMs));
   if (reply.membersIncluded) {
     options_.view->ApplyMembers(reply.membersVersion, FromWire(reply.members));
   }
+  if (options_.settleTokens) {
+    options_.settleTokens(*options_.channel);
+  }
+  return true;
 }
 
 } // namespace acp
--- a/src/transport/control_channel.cpp
+++ b/src/transport/control_channel.cpp
@@ -1,11 +1,14 @@
 #include "acaciapulley/transport/control_channel.hpp"
 
-#include <utility> // move
+#include <algorithm> // find
+#include <utility>   // move
 
+#include <thrift/TOutput.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
+#include "acaciapulley/core/log.hpp" // Log
 #include "gen/ControlService.h"
 
 namespace acp {
@@ -24,11 +27,19 @@
 
 } // namespace
 
+void RedirectThriftOutput()
+{
+  apache::thrift::GlobalOutput.setOutputFunction([](const char* text) {
+    Log(LogLevel::Warning, "thrift", { { "message", text } });
+  });
+}
+
 class ControlChannel::Connection
 {
 public:
-  Connection(const Address& address, Duration timeout)
-    : socket_(std::make_shared<TSocket>(address.ip, address.port))
+  Connection(std::size_t replica, const Address& address, Duration timeout)
+    : replica_(replica)
+    , socket_(std::make_shared<TSocket>(address.ip, address.port))
     , client_(std::make_shared<TCompactProtocol>(std::make_shared<TFramedTransport>(socket_)))
   {
     socket_->setConnTimeout(ToMillis(timeout));
@@ -39,44 +50,128 @@
   }
 
   wire::ControlServiceClient& Client() { return client_; }
+  [[nodiscard]] std::size_t Replica() const { return replica_; }
+  void Touch() { lastUsed_ = std::chrono::steady_clock::now(); }
+  [[nodiscard]] TimePoint LastUsed() const { return lastUsed_; }
 
 private:
+  std::size_t replica_;
   std::shared_ptr<TSocket> socket_;
   wire::ControlServiceClient client_;
+  TimePoint lastUsed_;
 };
 
 ControlChannel::ControlChannel(ControlChannelOptions options)
   : options_(std::move(options))
 {
+  RedirectThriftOutput();
 }
 
 ControlChannel::~ControlChannel() = default;
 
-void ControlChannel::MoveToNextReplica()
+bool ControlChannel::TakeSlot(TimePoint deadline)
+{
+  std::unique_lock lock(mutex_);
+  const bool isFree =
+    slotFreed_.wait_until(lock, deadline, [this] { return inUse_ < options_.maxConnections; });
+  inUse_ += isFree ? 1 : 0;
+  return isFree;
+}
+
+void ControlChannel::ReturnSlot()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    --inUse_;
+  }
+  slotFreed_.notify_one();
+}
+
+std::size_t ControlChannel::Leader()
+{
+  const std::lock_guard lock(mutex_);
+  return leader_;
+}
+
+ControlChannel::ConnectionPtr ControlChannel::TakeIdle(std::size_t replica)
+{
+  const TimePoint oldest = std::chrono::steady_clock::now() - options_.maxIdle;
+  std::vector<ConnectionPtr> closed; // destroyed after the lock is released
+  const std::lock_guard lock(mutex_);
+  while (!idle_.empty()) {
+    ConnectionPtr connection = std::move(idle_.back());
+    idle_.pop_back();
+    if (connection->Replica() == replica && connection->LastUsed() >= oldest) {
+      return connection;
+    }
+    closed.push_back(std::move(connection));
+  }
+  return nullptr;
+}
+
+void ControlChannel::GiveBack(ConnectionPtr connection)
 {
-  connection_.reset();
-  current_ = (current_ + 1) % options_.replicas.size();
+  connection->Touch();
+  const std::lock_guard lock(mutex_);
+  idle_.push_back(std::move(connection));
 }
 
-TransportResult<void> ControlChannel::CallOnce(
-  const std::function<void(wire::ControlServiceIf& control)>& call)
+/// Idle connections to a replica that went silent are likely silent too.
+void ControlChannel::CloseIdle(std::size_t replica)
 {
-  const std::string where = options_.replicas[current_].ToString();
+  const std::lock_guard lock(mutex_);
+  std::erase_if(idle_, [replica](const ConnectionPtr& idle) { return idle->Replica() == replica; });
+}
+
+void ControlChannel::MoveFrom(std::size_t replica)
+{
+  const std::lock_guard lock(mutex_);
+  // Another thread may already have found the leader.
+  if (leader_ == replica) {
+    leader_ = (replica + 1) % options_.replicas.size();
+  }
+}
+
+void ControlChannel::MoveTo(const Address& leader, std::size_t from)
+{
+  const auto found = std::find(options_.replicas.begin(), options_.replicas.end(), leader);
+  const auto index = static_cast<std::size_t>(found - options_.replicas.begin());
+  if (found == options_.replicas.end() || index == from) {
+    MoveFrom(from);
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  leader_ = index;
+}
+
+TransportResult<void> ControlChannel::CallOnce(const ControlCall& call, std::size_t replica)
+{
+  const std::string where = options_.replicas[replica].ToString();
   bool isConnected = false;
   try {
-    if (!connection_) {
-      connection_ = std::make_unique<Connection>(options_.replicas[current_], options_.timeout);
+    ConnectionPtr connection = TakeIdle(replica);
+    if (!connection) {
+      connection =
+        std::make_unique<Connection>(replica, options_.replicas[replica], options_.timeout);
     }
     isConnected = true;
-    call(connection_->Client());
+    try {
+      call(connection->Client());
+    } catch (const wire::NotLeader&) {
+      GiveBack(std::move(connection));
+      throw;
+    } catch (const wire::ControlFailure&) {
+      GiveBack(std::move(connection));
+      throw;
+    }
+    GiveBack(std::move(connection));
     return boost::outcome_v2::success();
   } catch (const wire::NotLeader& e) {
     const auto hint = Address::Parse(e.leaderRpcAddress);
-    MoveToNextReplica();
-    for (std::size_t i = 0; hint && i < options_.replicas.size(); ++i) {
-      if (options_.replicas[i] == hint.value()) {
-        current_ = i;
-      }
+    if (hint) {
+      MoveTo(hint.value(), replica);
+    } else {
+      MoveFrom(replica);
     }
     return Fail(TransportErrorCode::NotLeader, where + " does not lead");
   } catch (const wire::ControlFailure& e) {
@@ -85,7 +180,8 @@
     const auto* transport = dynamic_cast<const TTransportException*>(&e);
     const bool timedOut =
       transport != nullptr && transport->getType() == TTransportException::TIMED_OUT;
-    MoveToNextReplica();
+    CloseIdle(replica);
+    MoveFrom(replica);
     if (!isConnected) {
       return Fail(TransportErrorCode::Unreachable, where + ": " + e.what());
     }
@@ -94,18 +190,32 @@
   }
 }
 
-TransportResult<void> ControlChannel::Call(
-  const std::function<void(wire::ControlServiceIf& control)>& call)
+TransportResult<void> ControlChannel::CallInSlot(const ControlCall& call, TimePoint deadline)
 {
   TransportResult<void> result = Fail(TransportErrorCode::NotLeader, "no control replica is set");
   // One extra round reaches the leader that the last follower named.
   for (std::size_t i = 0; i < options_.replicas.size() + 1; ++i) {
-    result = CallOnce(call);
-    if (result || result.error().code == TransportErrorCode::Refused) {
+    result = CallOnce(call, Leader());
+    const bool isFinal = result || result.error().code == TransportErrorCode::Refused;
+    if (isFinal || std::chrono::steady_clock::now() >= deadline) {
       return result;
     }
   }
   return result;
 }
 
+TransportResult<void> ControlChannel::Call(const ControlCall& call)
+{
+  if (options_.replicas.empty()) {
+    return Fail(TransportErrorCode::NotLeader, "no control replica is set");
+  }
+  const TimePoint start = std::chrono::steady_clock::now();
+  if (!TakeSlot(start + options_.timeout)) {
+    return Fail(TransportErrorCode::Unreachable, "all connections to control are in use");
+  }
+  auto result = CallInSlot(call, start + options_.callBudget);
+  ReturnSlot();
+  return result;
+}
+
 } // namespace acp
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,272 +1,286 @@
 #include "acaciapulley/transport/http_client.hpp"
 
 #include <array>   // array
-#include <istream> // istream
-#include <ostream> // ostream
+#include <string>  // string
 #include <utility> // move
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocketImpl.h>
+#include "acaciapulley/transport/detail/http_framing.hpp" // FormatRequestHead, FramedBody
+#include "acaciapulley/transport/detail/pool_core.hpp"    // PoolCore, PoolKeeper
 
 namespace acp {
 
 namespace {
 
-constexpr std::size_t kCopyChunkBytes = 16'384;
+using detail::IoStatus;
+using detail::PoolCore;
+using detail::PooledConnection;
+using detail::SteadyNow;
 
-Poco::Timespan ToTimespan(Duration span)
-{
-  return Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
-}
+constexpr std::size_t kCopyBytes = 16'384;
+constexpr int kMaxInterimAnswers = 8;
+// A peer that refuses a request early answers before it closes.
+constexpr Duration kEarlyAnswerTime = std::chrono::milliseconds(100);
+
+using ExchangePtr = std::unique_ptr<ClientExchange>;
 
-/// Remembers that the peer closed: a complete answer never reads up to the end of the connection,
-/// while POCO's chunked stream reports a truncated answer as a normal end.
-class WatchedSocketImpl final : public Poco::Net::StreamSocketImpl
+/// An answer on a pooled connection.
+class PooledExchange final
+  : public ClientExchange
+  , public BodySource
 {
 public:
-  int receiveBytes(void* buffer, int length, int flags) override
+  PooledExchange(std::shared_ptr<PoolCore> pool,
+                 PoolCore::ConnectionPtr connection,
+                 HttpResponseHead head,
+                 const detail::MessageFraming& framing,
+                 Duration silence)
+    : pool_(std::move(pool))
+    , connection_(std::move(connection))
+    , head_(std::move(head))
+    , framing_(framing)
+    , body_(connection_->io, framing.bodyLength, silence)
   {
-    const int count = StreamSocketImpl::receiveBytes(buffer, length, flags);
-    if (count == 0 && length > 0) {
-      sawEnd_ = true;
-    }
-    return count;
   }
+  PooledExchange(const PooledExchange&) = delete;
+  PooledExchange& operator=(const PooledExchange&) = delete;
 
-  [[nodiscard]] bool SawEnd() const { return sawEnd_; }
-
-private:
-  bool sawEnd_ = false;
-};
-
-} // namespace
+  ~PooledExchange() override
+  {
+    if (body_.IsEnded() && framing_.keepAlive && !aborted_) {
+      pool_->GiveBack(std::move(connection_));
+    } else {
+      pool_->Drop(std::move(connection_));
+    }
+  }
 
-class HttpPool::Connection
-{
-public:
-  Connection(WatchedSocketImpl* impl, const Poco::Net::StreamSocket& socket)
-    : impl_(impl)
-    , session_(socket)
+  [[nodiscard]] const HttpResponseHead& Response() const override { return head_; }
+  [[nodiscard]] std::int64_t BodyLength() const override
   {
-    session_.setKeepAlive(true);
+    return std::max(framing_.bodyLength, detail::kChunked);
   }
+  BodySource& Body() override { return *this; }
 
-  Poco::Net::HTTPClientSession& Session() { return session_; }
-  [[nodiscard]] bool SawEnd() const { return impl_->SawEnd(); }
-  void SetTimeout(Duration timeout) { session_.socket().setReceiveTimeout(ToTimespan(timeout)); }
-  void Touch() { lastUsed_ = std::chrono::steady_clock::now(); }
-  [[nodiscard]] TimePoint LastUsed() const { return lastUsed_; }
+  std::size_t Read(char* buffer, std::size_t size) override
+  {
+    if (aborted_) {
+      throw BodyTruncated{};
+    }
+    return body_.Read(buffer, size);
+  }
 
-  /// @brief Returns whether the peer has closed or sent bytes nobody asked for.
-  bool IsStale()
+  void Abort() override
   {
-    return session_.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    aborted_ = true;
+    connection_->io.Shutdown();
   }
 
 private:
-  WatchedSocketImpl* impl_; ///< owned by the session's socket
-  Poco::Net::HTTPClientSession session_;
-  TimePoint lastUsed_ = std::chrono::steady_clock::now();
+  std::shared_ptr<PoolCore> pool_;
+  PoolCore::ConnectionPtr connection_;
+  HttpResponseHead head_;
+  detail::MessageFraming framing_;
+  detail::FramedBody body_;
+  bool aborted_ = false;
 };
 
-class HttpPool::Exchange final
-  : public ClientExchange
-  , public BodySource
+/// One call of Send.
+class Call
 {
 public:
-  Exchange(HttpPool& pool, std::unique_ptr<Connection> connection)
-    : pool_(pool)
-    , connection_(std::move(connection))
+  Call(std::shared_ptr<PoolCore> pool,
+       const HttpRequestHead& head,
+       BodySource& body,
+       std::int64_t bodyLength,
+       const SendOptions& options)
+    : pool_(std::move(pool))
+    , head_(head)
+    , body_(body)
+    , bodyLength_(bodyLength)
+    , options_(options)
+    , deadline_(SteadyNow() + options.timeout)
   {
   }
 
-  ~Exchange() override
+  TransportResult<ExchangePtr> Run()
   {
-    if (ended_ && keepAlive_) {
-      pool_.GiveBack(std::move(connection_));
-    } else {
-      pool_.Forget();
+    try {
+      ReadFirstPart();
+    } catch (const BodyTruncated&) {
+      return Fail(TransportErrorCode::Unreachable, "the request's body ended early; not sent");
+    } catch (const BodyTooLarge&) {
+      return Fail(TransportErrorCode::BodyTooLarge, "the request's body is too large; not sent");
+    }
+    const std::string start = FormatStart();
+    // A reused connection may have been closed by the peer a moment ago. Another one is tried as
+    // long as the kernel has taken no byte.
+    while (true) {
+      auto acquired = pool_->Acquire(deadline_, options_);
+      if (!acquired) {
+        return boost::outcome_v2::failure(acquired.error());
+      }
+      auto connection = std::move(acquired).value();
+      const std::uint64_t sentBefore = connection->io.SentBytes();
+      const IoStatus status = connection->io.Write(start, first_, deadline_);
+      if (status == IoStatus::Ok || connection->io.SentBytes() != sentBefore) {
+        return Finish(std::move(connection), status);
+      }
+      const bool wasReused = sentBefore > 0;
+      pool_->Drop(std::move(connection));
+      if (!wasReused) {
+        return Fail(TransportErrorCode::Unreachable, Where() + ": closed before anything was sent");
+      }
     }
   }
 
-  /// @brief Waits for the head of the answer.
-  void Receive(bool isHeadRequest)
+private:
+  [[nodiscard]] std::string Where() const { return pool_->Options().address.ToString(); }
+
+  /// Reads a small body whole, so that it goes out in one packet with its head.
+  void ReadFirstPart()
   {
-    Poco::Net::HTTPResponse response;
-    stream_ = &connection_->Session().receiveResponse(response);
-    head_.status = response.getStatus();
-    for (const auto& [name, value] : response) {
-      head_.headers.Add(name, value);
+    std::array<char, kCopyBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    while (first_.size() < kCopyBytes && !isWhole_) {
+      isWhole_ = static_cast<std::int64_t>(first_.size()) == bodyLength_;
+      const std::size_t count =
+        isWhole_ ? 0 : body_.Read(buffer.data(), kCopyBytes - first_.size());
+      isWhole_ = isWhole_ || count == 0;
+      first_.append(buffer.data(), count);
     }
-    keepAlive_ = response.getKeepAlive();
-    const bool hasNoBody = isHeadRequest || head_.status == 204 || head_.status == 304;
-    if (hasNoBody) {
-      length_ = 0;
-    } else if (!response.getChunkedTransferEncoding() && response.hasContentLength()) {
-      length_ = response.getContentLength64();
-    } else if (!response.getChunkedTransferEncoding()) {
-      // Without length and chunks the end of the body cannot be told from a lost connection.
-      unframed_ = true;
-    }
-    ended_ = length_ == 0;
+    isWhole_ = isWhole_ || static_cast<std::int64_t>(first_.size()) == bodyLength_;
   }
 
-  [[nodiscard]] const HttpResponseHead& Response() const override { return head_; }
-  [[nodiscard]] std::int64_t BodyLength() const override { return length_; }
-  BodySource& Body() override { return *this; }
-
-  std::size_t Read(char* buffer, std::size_t size) override
+  std::string FormatStart()
   {
-    if (ended_) {
-      return 0;
+    if (isWhole_) {
+      bodyLength_ = static_cast<std::int64_t>(first_.size());
     }
-    stream_->read(buffer, static_cast<std::streamsize>(size));
-    const auto count = stream_->gcount();
-    received_ += count;
-    const bool failed = connection_->Session().networkException() != nullptr;
-    if (failed || unframed_ || (count == 0 && connection_->SawEnd())) {
-      throw BodyTruncated{};
+    std::string start = detail::FormatRequestHead(head_, Where(), bodyLength_);
+    if (bodyLength_ < 0) {
+      start += detail::FormatChunkStart(first_.size());
+      first_ += "\r\n";
     }
-    if (length_ >= 0 && count == 0 && received_ < length_) {
-      throw BodyTruncated{};
-    }
-    ended_ = count == 0 || received_ == length_;
-    return static_cast<std::size_t>(count);
+    return start;
   }
 
-private:
-  HttpPool& pool_;
-  std::unique_ptr<Connection> connection_;
-  std::istream* stream_ = nullptr;
-  HttpResponseHead head_;
-  std::int64_t length_ = -1;
-  std::int64_t received_ = 0;
-  bool keepAlive_ = false;
-  bool unframed_ = false;
-  bool ended_ = false;
-};
-
-HttpPool::HttpPool(HttpPoolOptions options)
-  : options_(std::move(options))
-{
-}
-
-HttpPool::~HttpPool() = default;
-
-std::unique_ptr<HttpPool::Connection> HttpPool::TakeIdle()
-{
-  const std::lock_guard lock(mutex_);
-  const auto oldest = std::chrono::steady_clock::now() - options_.maxIdle;
-  while (!idle_.empty()) {
-    auto connection = std::move(idle_.back());
-    idle_.pop_back();
-    if (connection->LastUsed() >= oldest && !connection->IsStale()) {
-      return connection;
+  IoStatus SendRest(PooledConnection& connection)
+  {
+    const bool isChunked = bodyLength_ < 0;
+    std::array<char, kCopyBytes + 2> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    while (const std::size_t count = body_.Read(buffer.data(), kCopyBytes)) {
+      const std::string start = isChunked ? detail::FormatChunkStart(count) : "";
+      buffer[count] = '\r';
+      buffer[count + 1] = '\n';
+      const std::string_view part(buffer.data(), isChunked ? count + 2 : count);
+      const IoStatus status = connection.io.Write(start, part, deadline_);
+      if (status != IoStatus::Ok) {
+        return status;
+      }
     }
-    --open_;
+    return isChunked ? connection.io.Write("0\r\n\r\n", {}, deadline_) : IoStatus::Ok;
   }
-  return nullptr;
-}
 
-TransportResult<std::unique_ptr<HttpPool::Connection>> HttpPool::Open()
-{
+  /// Sends the rest of the body and waits for the answer; the request may have arrived.
+  TransportResult<ExchangePtr> Finish(PoolCore::ConnectionPtr connection, IoStatus status)
   {
-    const std::lock_guard lock(mutex_);
-    if (open_ >= options_.maxConnections) {
-      return Fail(TransportErrorCode::Unreachable,
-                  "all connections to " + options_.address.ToString() + " are in use");
+    try {
+      if (status == IoStatus::Ok && !isWhole_) {
+        status = SendRest(*connection);
+      }
+    } catch (const BodyTruncated&) {
+      return Lose(std::move(connection), IoStatus::Failed, "the request's body ended early");
+    } catch (const BodyTooLarge&) {
+      return Lose(std::move(connection), IoStatus::Failed, "the request's body is too large");
     }
-    ++open_;
+    const bool sentWhole = status == IoStatus::Ok;
+    if (!sentWhole && status != IoStatus::Failed) {
+      return Lose(std::move(connection), status, "while sending");
+    }
+    return Receive(std::move(connection), sentWhole);
   }
-  try {
-    auto* impl = new WatchedSocketImpl;
-    Poco::Net::StreamSocket socket(impl);
-    socket.connect(Poco::Net::SocketAddress(options_.address.ip, options_.address.port),
-                   ToTimespan(options_.connectTimeout));
-    socket.setNoDelay(true);
-    socket.setKeepAlive(true);
-    return std::make_unique<Connection>(impl, socket);
-  } catch (const Poco::Exception& e) {
-    Forget();
-    return Fail(TransportErrorCode::Unreachable,
-                options_.address.ToString() + ": " + e.displayText());
+
+  TransportResult<ExchangePtr> Receive(PoolCore::ConnectionPtr connection, bool sentWhole)
+  {
+    const TimePoint deadline = sentWhole ? deadline_ : SteadyNow() + kEarlyAnswerTime;
+    for (int i = 0; i < kMaxInterimAnswers; ++i) {
+      std::string text;
+      const IoStatus status =
+        connection->io.ReadHead(detail::kMaxHeadBytes, deadline, options_.isCancelled, &text);
+      if (status != IoStatus::Ok) {
+        return Lose(std::move(connection), sentWhole ? status : IoStatus::Failed, "no answer");
+      }
+      HttpResponseHead head;
+      detail::MessageFraming framing;
+      if (auto wrong = detail::ParseResponseHead(text, head_.method, &head, &framing)) {
+        return Lose(std::move(connection), IoStatus::Failed, *wrong);
+      }
+      if (head.status >= 200) {
+        framing.keepAlive = framing.keepAlive && sentWhole;
+        pool_->NoteAnswer(*connection);
+        const Duration silence =
+          options_.bodySilence.count() > 0 ? options_.bodySilence : options_.timeout;
+        return ExchangePtr(std::make_unique<PooledExchange>(
+          pool_, std::move(connection), std::move(head), framing, silence));
+      }
+    }
+    return Lose(std::move(connection), IoStatus::Failed, "too many interim answers");
   }
-}
 
-void HttpPool::GiveBack(std::unique_ptr<Connection> connection)
-{
-  connection->Touch();
-  const std::lock_guard lock(mutex_);
-  idle_.push_back(std::move(connection));
-}
+  TransportResult<ExchangePtr> Lose(PoolCore::ConnectionPtr connection,
+                                    IoStatus status,
+                                    const std::string& what)
+  {
+    if (status == IoStatus::TimedOut) {
+      pool_->NoteSilence(*connection);
+    }
+    pool_->Drop(std::move(connection));
+    TransportErrorCode code = TransportErrorCode::ConnectionLost;
+    if (status == IoStatus::TimedOut) {
+      code = TransportErrorCode::Timeout;
+    } else if (status == IoStatus::Cancelled) {
+      code = TransportErrorCode::Cancelled;
+    }
+    return Fail(code, Where() + ": " + what);
+  }
 
-void HttpPool::Forget()
-{
-  const std::lock_guard lock(mutex_);
-  --open_;
-}
+  std::shared_ptr<PoolCore> pool_;
+  const HttpRequestHead& head_;
+  BodySource& body_;
+  std::int64_t bodyLength_;
+  const SendOptions& options_;
+  TimePoint deadline_;
+  std::string first_; ///< first part of the body
+  bool isWhole_ = false;
+};
 
-namespace {
+} // namespace
 
-Poco::Net::HTTPRequest ToPoco(const HttpRequestHead& head, std::int64_t bodyLength)
+HttpPool::HttpPool(HttpPoolOptions options)
+  : core_(std::make_shared<PoolCore>(std::move(options)))
 {
-  Poco::Net::HTTPRequest request(head.method, head.target, Poco::Net::HTTPMessage::HTTP_1_1);
-  for (const auto& [name, value] : head.headers.Fields()) {
-    request.add(name, value);
-  }
-  request.setKeepAlive(true);
-  if (bodyLength < 0) {
-    request.setChunkedTransferEncoding(true);
-  } else if (bodyLength > 0 || head.method == "POST" || head.method == "PUT") {
-    request.setContentLength64(bodyLength);
-  }
-  return request;
+  detail::PoolKeeper::Instance().Add(core_);
 }
 
-void CopyBody(BodySource& body, std::ostream& out)
+HttpPool::~HttpPool() = default;
+
+TransportResult<std::unique_ptr<ClientExchange>> HttpPool::Send(const HttpRequestHead& head,
+                                                                BodySource& body,
+                                                                std::int64_t bodyLength,
+                                                                const SendOptions& options)
 {
-  std::array<char, kCopyChunkBytes> buffer{};
-  while (const std::size_t count = body.Read(buffer.data(), buffer.size())) {
-    out.write(buffer.data(), static_cast<std::streamsize>(count));
-  }
-  out.flush();
+  return Call(core_, head, body, bodyLength, options).Run();
 }
 
-} // namespace
-
 TransportResult<std::unique_ptr<ClientExchange>> HttpPool::Send(const HttpRequestHead& head,
                                                                 BodySource& body,
                                                                 std::int64_t bodyLength,
                                                                 Duration timeout)
 {
-  auto connection = TakeIdle();
-  if (!connection) {
-    auto opened = Open();
-    if (!opened) {
-      return boost::outcome_v2::failure(opened.error());
-    }
-    connection = std::move(opened).value();
-  }
-  connection->SetTimeout(timeout);
-  auto& session = connection->Session();
-  auto exchange = std::make_unique<Exchange>(*this, std::move(connection));
-  try {
-    auto request = ToPoco(head, bodyLength);
-    CopyBody(body, session.sendRequest(request));
-    exchange->Receive(head.method == "HEAD");
-    return std::unique_ptr<ClientExchange>(std::move(exchange));
-  } catch (const Poco::TimeoutException& e) {
-    return Fail(TransportErrorCode::Timeout, options_.address.ToString() + ": " + e.displayText());
-  } catch (const Poco::Exception& e) {
-    return Fail(TransportErrorCode::ConnectionLost,
-                options_.address.ToString() + ": " + e.displayText());
-  } catch (const BodyTruncated&) {
-    return Fail(TransportErrorCode::ConnectionLost, "the caller's request body ended early");
-  }
+  return Send(head, body, bodyLength, SendOptions{ .timeout = timeout });
+}
+
+int HttpPool::OpenConnections() const
+{
+  return core_->OpenConnections();
 }
 
 } // namespace acp
--- /dev/null
+++ b/src/transport/http_connection.cpp
@@ -0,0 +1,244 @@
+#include "acaciapulley/transport/detail/http_connection.hpp"
+
+#include <algorithm> // clamp, min
+#include <array>     // array
+#include <cerrno>    // errno
+#include <cstring>   // memcpy
+
+#include <Poco/Net/StreamSocket.h>
+#include <netinet/in.h>  // IPPROTO_TCP
+#include <netinet/tcp.h> // TCP_KEEPIDLE, TCP_USER_TIMEOUT
+#include <poll.h>        // poll
+#include <sys/socket.h>  // recv, sendmsg, setsockopt
+
+namespace acp::detail {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16'384;
+// How often a waiting call asks whether its caller is still there.
+constexpr Duration kCancelInterval = std::chrono::milliseconds(10);
+// Bound on unacknowledged data; with the heartbeat it gives detection within 2 s.
+constexpr int kUserTimeoutMs = 2'000;
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 3;
+
+void SetOption(int fd, int level, int name, int value)
+{
+  // A refused option only weakens failure detection, so that the result is not checked.
+  ::setsockopt(fd, level, name, &value, sizeof value);
+}
+
+int MillisUntil(TimePoint deadline)
+{
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - SteadyNow()).count();
+  return static_cast<int>(std::clamp<std::int64_t>(left, 0, 3'600'000));
+}
+
+bool IsRetryable(int error)
+{
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+TimePoint SteadyNow()
+{
+  return std::chrono::steady_clock::now();
+}
+
+HttpConnection::HttpConnection(const Poco::Net::StreamSocket& socket)
+  : socket_(std::make_shared<Poco::Net::StreamSocket>(socket))
+  , fd_(socket.impl()->sockfd())
+  , createdAt_(SteadyNow())
+  , lastReceive_(createdAt_)
+{
+  SetOption(fd_, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetOption(fd_, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd_, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(fd_, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(fd_, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+IoStatus HttpConnection::WaitFor(short events,
+                                 TimePoint deadline,
+                                 const CancelCheck& isCancelled) const
+{
+  while (true) {
+    const TimePoint slice = isCancelled ? SteadyNow() + kCancelInterval : deadline;
+    pollfd entry{ .fd = fd_, .events = events, .revents = 0 };
+    const int ready = ::poll(&entry, 1, MillisUntil(std::min(slice, deadline)));
+    if (ready > 0) {
+      return IoStatus::Ok;
+    }
+    if (ready < 0 && errno != EINTR) {
+      return IoStatus::Failed;
+    }
+    if (SteadyNow() >= deadline) {
+      return IoStatus::TimedOut;
+    }
+    if (isCancelled && isCancelled()) {
+      return IoStatus::Cancelled;
+    }
+  }
+}
+
+IoStatus HttpConnection::Fill(TimePoint deadline, const CancelCheck& isCancelled)
+{
+  buffer_.erase(0, position_);
+  position_ = 0;
+  while (true) {
+    const IoStatus waited = WaitFor(POLLIN, deadline, isCancelled);
+    if (waited != IoStatus::Ok) {
+      return waited;
+    }
+    std::array<char, kReadBytes> bytes; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    const auto count = ::recv(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count > 0) {
+      lastReceive_ = SteadyNow();
+      buffer_.append(bytes.data(), static_cast<std::size_t>(count));
+      return IoStatus::Ok;
+    }
+    if (count == 0) {
+      return IoStatus::Ended;
+    }
+    if (!IsRetryable(errno)) {
+      return IoStatus::Failed;
+    }
+  }
+}
+
+IoStatus HttpConnection::ReadHead(std::size_t limit,
+                                  TimePoint deadline,
+                                  const CancelCheck& isCancelled,
+                                  std::string* head)
+{
+  std::size_t scanned = 0;
+  while (true) {
+    const std::string_view unread = std::string_view(buffer_).substr(position_);
+    const std::size_t end = unread.find("\r\n\r\n", scanned < 3 ? 0 : scanned - 3);
+    if (end != std::string_view::npos && end + 4 <= limit) {
+      head->assign(unread.substr(0, end + 4));
+      position_ += end + 4;
+      return IoStatus::Ok;
+    }
+    if (end != std::string_view::npos || unread.size() > limit) {
+      return IoStatus::TooLarge;
+    }
+    scanned = unread.size();
+    const IoStatus filled = Fill(deadline, isCancelled);
+    if (filled != IoStatus::Ok) {
+      return filled;
+    }
+  }
+}
+
+IoStatus HttpConnection::ReadLine(std::size_t limit, TimePoint deadline, std::string* line)
+{
+  while (true) {
+    const std::string_view unread = std::string_view(buffer_).substr(position_);
+    const std::size_t end = unread.find("\r\n");
+    if (end != std::string_view::npos && end <= limit) {
+      line->assign(unread.substr(0, end));
+      position_ += end + 2;
+      return IoStatus::Ok;
+    }
+    if (unread.size() > limit + 1) {
+      return IoStatus::TooLarge;
+    }
+    const IoStatus filled = Fill(deadline, nullptr);
+    if (filled != IoStatus::Ok) {
+      return filled;
+    }
+  }
+}
+
+IoStatus HttpConnection::Read(char* buffer,
+                              std::size_t size,
+                              TimePoint deadline,
+                              std::size_t* count)
+{
+  if (position_ == buffer_.size()) {
+    const IoStatus filled = Fill(deadline, nullptr);
+    if (filled != IoStatus::Ok) {
+      return filled;
+    }
+  }
+  *count = std::min(size, buffer_.size() - position_);
+  std::memcpy(buffer, buffer_.data() + position_, *count);
+  position_ += *count;
+  return IoStatus::Ok;
+}
+
+IoStatus HttpConnection::Write(std::string_view first, std::string_view second, TimePoint deadline)
+{
+  while (!first.empty() || !second.empty()) {
+    std::array<iovec, 2> parts = { iovec{ const_cast<char*>(first.data()), first.size() },
+                                   iovec{ const_cast<char*>(second.data()), second.size() } };
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    const auto count = ::sendmsg(fd_, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count < 0 && !IsRetryable(errno)) {
+      return IoStatus::Failed;
+    }
+    if (count < 0) {
+      const IoStatus waited = WaitFor(POLLOUT, deadline, nullptr);
+      if (waited != IoStatus::Ok) {
+        return waited;
+      }
+      continue;
+    }
+    auto written = static_cast<std::size_t>(count);
+    sentBytes_ += written;
+    const std::size_t ofFirst = std::min(written, first.size());
+    first.remove_prefix(ofFirst);
+    second.remove_prefix(written - ofFirst);
+  }
+  return IoStatus::Ok;
+}
+
+IoStatus HttpConnection::WaitReadable(TimePoint deadline, int wakeFd)
+{
+  if (position_ < buffer_.size()) {
+    return IoStatus::Ok;
+  }
+  while (true) {
+    std::array<pollfd, 2> entries = { pollfd{ .fd = fd_, .events = POLLIN, .revents = 0 },
+                                      pollfd{ .fd = wakeFd, .events = POLLIN, .revents = 0 } };
+    const int ready = ::poll(entries.data(), entries.size(), MillisUntil(deadline));
+    if (ready < 0 && errno != EINTR) {
+      return IoStatus::Failed;
+    }
+    if (ready > 0) {
+      return entries[0].revents != 0 ? IoStatus::Ok : IoStatus::Cancelled;
+    }
+    if (SteadyNow() >= deadline) {
+      return IoStatus::TimedOut;
+    }
+  }
+}
+
+bool HttpConnection::IsPeerGone() const
+{
+  pollfd entry{ .fd = fd_, .events = POLLRDHUP, .revents = 0 };
+  return ::poll(&entry, 1, 0) > 0;
+}
+
+bool HttpConnection::HasInput() const
+{
+  if (position_ < buffer_.size()) {
+    return true;
+  }
+  pollfd entry{ .fd = fd_, .events = POLLIN | POLLRDHUP, .revents = 0 };
+  return ::poll(&entry, 1, 0) != 0;
+}
+
+void HttpConnection::Shutdown()
+{
+  ::shutdown(fd_, SHUT_RDWR);
+}
+
+} // namespace acp::detail
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -46,6 +46,16 @@
   return std::nullopt;
 }
 
+std::size_t LimitedBody::Read(char* buffer, std::size_t size)
+{
+  const std::size_t count = source_.Read(buffer, size);
+  if (count > left_) {
+    throw BodyTooLarge{};
+  }
+  left_ -= count;
+  return count;
+}
+
 std::size_t StringBody::Read(char* buffer, std::size_t size)
 {
   const std::size_t count = std::min(size, text_.size() - position_);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,294 +1,370 @@
 #include "acaciapulley/transport/http_server.hpp"
 
-#include <array>     // array
-#include <atomic>    // atomic
-#include <istream>   // istream
-#include <ostream>   // ostream
-#include <stdexcept> // runtime_error
-#include <thread>    // sleep_for
-#include <utility>   // move
+#include <array>              // array
+#include <atomic>             // atomic
+#include <cerrno>             // errno
+#include <condition_variable> // condition_variable
+#include <deque>              // deque
+#include <mutex>              // mutex
+#include <set>                // set
+#include <stdexcept>          // runtime_error
+#include <thread>             // thread
+#include <utility>            // move
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
+#include <poll.h>        // poll
+#include <sys/eventfd.h> // eventfd
+#include <sys/socket.h>  // accept4
+#include <unistd.h>      // close, write
 
-#include "acaciapulley/core/log.hpp" // Log
+#include "acaciapulley/core/log.hpp"                         // Log
+#include "acaciapulley/core/outcome.hpp"                     // Reason, RequestOutcome
+#include "acaciapulley/transport/detail/http_connection.hpp" // HttpConnection
+#include "acaciapulley/transport/detail/http_framing.hpp"    // ParseRequestHead
+#include "acaciapulley/transport/detail/server_exchange.hpp" // ConnectionExchange
 
 namespace acp {
 
 namespace {
 
-constexpr std::size_t kCopyChunkBytes = 16'384;
+using detail::HttpConnection;
+using detail::IoStatus;
+using detail::SteadyNow;
+
 constexpr int kListenBacklog = 1024;
 constexpr int kWorkerStackBytes = 256 * 1024;
-// Idle callers are kept longer than peers' pools keep their side, so that the pool closes first.
-constexpr int kKeepAliveSeconds = 15;
-constexpr int kReceiveTimeoutSeconds = 30;
-constexpr auto kStopPollInterval = std::chrono::milliseconds(5);
+constexpr int kWorkerIdleSeconds = 60;
+// A thread that has just ended its connection is not yet idle in the pool.
+constexpr int kSpareWorkers = 64;
+constexpr std::size_t kMaxLingering = 64;
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+constexpr int kLingerPollMs = 50;
+// After a stop, a request that was on its way on an idle connection is still answered.
+constexpr Duration kStopGrace = std::chrono::milliseconds(100);
+constexpr Duration kRefusalTimeout = std::chrono::seconds(1);
+constexpr std::string_view kHeartbeatTarget = "/.acp/heartbeat";
+
+HttpResponseHead NotRun(int status, Reason reason)
+{
+  HttpResponseHead head{ .status = status };
+  head.headers.Set("Content-Type", "text/plain");
+  head.headers.Set("Acp-Outcome", std::string(NameOf(RequestOutcome::NotRun)));
+  head.headers.Set("Acp-Reason", std::string(NameOf(reason)));
+  return head;
+}
+
+Poco::Net::ServerSocket Listen(const Address& address)
+{
+  try {
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress(address.ip, address.port), true);
+    socket.listen(kListenBacklog);
+    socket.setBlocking(false);
+    return socket;
+  } catch (const Poco::Exception& e) {
+    throw std::runtime_error("cannot listen on " + address.ToString() + ": " + e.displayText());
+  }
+}
 
-class RequestBodySource final : public BodySource
+/// A descriptor that becomes readable once and stays so, which wakes every thread that polls it.
+class StopEvent
 {
 public:
-  RequestBodySource(std::istream& stream, std::int64_t length)
-    : stream_(stream)
-    , remaining_(length)
+  StopEvent()
+    : fd_(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
   {
+    if (fd_ < 0) {
+      throw std::runtime_error("no descriptor for the stop event");
+    }
   }
+  StopEvent(const StopEvent&) = delete;
+  StopEvent& operator=(const StopEvent&) = delete;
+  ~StopEvent() { ::close(fd_); }
 
-  std::size_t Read(char* buffer, std::size_t size) override
+  void Set()
   {
-    if (remaining_ == 0) {
-      return 0;
-    }
-    stream_.read(buffer, static_cast<std::streamsize>(size));
-    const auto count = stream_.gcount();
-    if (remaining_ > 0) {
-      if (count == 0) {
-        throw BodyTruncated{};
-      }
-      remaining_ -= count;
-    }
-    return static_cast<std::size_t>(count);
+    isSet_ = true;
+    const std::uint64_t one = 1;
+    // Fails only when the counter is full, and then the descriptor is readable anyway.
+    [[maybe_unused]] const auto written = ::write(fd_, &one, sizeof one);
   }
 
+  [[nodiscard]] bool IsSet() const { return isSet_.load(); }
+  [[nodiscard]] int Descriptor() const { return fd_; }
+
 private:
-  std::istream& stream_;
-  std::int64_t remaining_; ///< -1 when the body is chunked
+  int fd_;
+  std::atomic<bool> isSet_{ false };
 };
 
-HttpRequestHead ReadHead(const Poco::Net::HTTPServerRequest& request)
-{
-  HttpRequestHead head;
-  head.method = request.getMethod();
-  head.target = request.getURI();
-  for (const auto& [name, value] : request) {
-    head.headers.Add(name, value);
-  }
-  return head;
-}
+} // namespace
 
-class PocoExchange final : public ServerExchange
+class HttpServer::Impl
 {
 public:
-  PocoExchange(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
-    : request_(request)
-    , response_(response)
-    , head_(ReadHead(request))
-    , length_(BodyLength(request))
-    , body_(request.stream(), length_)
+  explicit Impl(HttpServerOptions options)
+    : options_(std::move(options))
+    , socket_(Listen(options_.address))
+    , port_(socket_.address().port())
+    , workers_(1, options_.maxConnections + kSpareWorkers, kWorkerIdleSeconds, kWorkerStackBytes)
+    , acceptor_([this] { Accept(); })
   {
   }
 
-  [[nodiscard]] const HttpRequestHead& Request() const override { return head_; }
-  [[nodiscard]] std::int64_t RequestBodyLength() const override { return length_; }
-  BodySource& RequestBody() override { return body_; }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+  ~Impl() { Stop(Duration::zero()); }
 
-  void Respond(const HttpResponseHead& head, const std::string& body) override
-  {
-    WriteHead(head, static_cast<std::int64_t>(body.size()));
-    response_.sendBuffer(body.data(), body.size());
-  }
+  [[nodiscard]] std::uint16_t Port() const { return port_; }
 
-  bool RespondStreaming(const HttpResponseHead& head,
-                        std::int64_t length,
-                        BodySource& body,
-                        const std::function<void()>& beforeLastBytes) override
+  [[nodiscard]] int Connections() const
   {
-    WriteHead(head, length);
-    std::ostream& out = response_.send();
-    try {
-      CopyWithOneChunkHeldBack(body, out, beforeLastBytes);
-    } catch (const BodyTruncated&) {
-      Abort();
-      return false;
-    }
-    out.flush();
-    return out.good();
+    const std::lock_guard lock(mutex_);
+    return static_cast<int>(open_.size());
   }
 
-  void Abort()
+  void Stop(Duration patience)
   {
-    static_cast<Poco::Net::HTTPServerRequestImpl&>(request_).socket().shutdown();
-    response_.setKeepAlive(false);
+    if (!acceptor_.joinable()) {
+      return;
+    }
+    stop_.Set();
+    acceptor_.join();
+    {
+      std::unique_lock lock(mutex_);
+      const bool ended = allClosed_.wait_for(lock, patience, [this] { return open_.empty(); });
+      if (!ended) {
+        Log(LogLevel::Warning, "stop_cut", { { "connections", std::to_string(open_.size()) } });
+      }
+      for (auto* connection : open_) {
+        connection->Shutdown();
+      }
+      allClosed_.wait(lock, [this] { return open_.empty(); });
+    }
+    workers_.joinAll();
   }
 
 private:
-  static std::int64_t BodyLength(const Poco::Net::HTTPServerRequest& request)
+  /// Serves one connection, then deletes itself.
+  class Worker final : public Poco::Runnable
   {
-    if (request.getChunkedTransferEncoding()) {
-      return -1;
+  public:
+    Worker(Impl& server, const Poco::Net::StreamSocket& socket)
+      : server_(server)
+      , connection_(socket)
+    {
+      server_.Enter(connection_);
     }
-    return request.hasContentLength() ? request.getContentLength64() : 0;
-  }
+    Worker(const Worker&) = delete;
+    Worker& operator=(const Worker&) = delete;
+    ~Worker() override { server_.Leave(connection_); }
 
-  void WriteHead(const HttpResponseHead& head, std::int64_t length)
-  {
-    response_.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(head.status));
-    response_.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response_.getStatus()));
-    for (const auto& [name, value] : head.headers.Fields()) {
-      response_.add(name, value);
+    void run() override
+    {
+      while (ServeNext()) {
+      }
+      delete this;
     }
-    if (length >= 0) {
-      response_.setContentLength64(length);
-    } else {
-      response_.setChunkedTransferEncoding(true);
+
+  private:
+    bool WaitForRequest()
+    {
+      const int stopFd = server_.stop_.Descriptor();
+      IoStatus status =
+        connection_.WaitReadable(SteadyNow() + server_.options_.idleTimeout, stopFd);
+      if (status == IoStatus::Cancelled) {
+        status = connection_.WaitReadable(SteadyNow() + kStopGrace, -1);
+      }
+      return status == IoStatus::Ok;
     }
-  }
 
-  static void CopyWithOneChunkHeldBack(BodySource& body,
-                                       std::ostream& out,
-                                       const std::function<void()>& beforeLastBytes)
-  {
-    std::array<char, kCopyChunkBytes> held{};
-    std::array<char, kCopyChunkBytes> next{};
-    std::size_t heldCount = body.Read(held.data(), held.size());
-    while (heldCount > 0 && out.good()) {
-      const std::size_t nextCount = body.Read(next.data(), next.size());
-      if (nextCount == 0) {
-        break;
+    bool ServeNext()
+    {
+      if (!WaitForRequest()) {
+        return false;
+      }
+      std::string text;
+      const auto deadline = SteadyNow() + server_.options_.headTimeout;
+      const auto status = connection_.ReadHead(detail::kMaxHeadBytes, deadline, nullptr, &text);
+      if (status == IoStatus::TooLarge) {
+        return Refuse(NotRun(413, Reason::TooLarge), "the head is larger than 16 KiB\n");
+      }
+      if (status != IoStatus::Ok) {
+        return false;
+      }
+      HttpRequestHead head;
+      detail::MessageFraming framing;
+      if (const auto wrong = detail::ParseRequestHead(text, &head, &framing)) {
+        return Refuse(NotRun(400, Reason::BadRequest), *wrong + "\n");
+      }
+      detail::ConnectionExchange exchange(
+        connection_, server_.options_, std::move(head), framing, [this] {
+          return server_.stop_.IsSet();
+        });
+      Handle(exchange);
+      if (server_.options_.onServed) {
+        server_.options_.onServed(exchange.Served());
       }
-      out.write(held.data(), static_cast<std::streamsize>(heldCount));
-      held.swap(next);
-      heldCount = nextCount;
+      return exchange.IsAnswered() && exchange.FinishRequest();
     }
-    if (beforeLastBytes) {
-      beforeLastBytes();
+
+    void Handle(detail::ConnectionExchange& exchange)
+    {
+      if (exchange.Request().target == kHeartbeatTarget) {
+        exchange.Respond({ .status = 204 }, "");
+        return;
+      }
+      try {
+        server_.options_.handler(exchange);
+      } catch (const BodyTruncated&) {
+        Log(LogLevel::Debug, "request_body_ended_early", {});
+      } catch (const std::exception& e) {
+        Log(LogLevel::Error, "handler_failed", { { "error", e.what() } });
+      }
     }
-    out.write(held.data(), static_cast<std::streamsize>(heldCount));
-  }
 
-  Poco::Net::HTTPServerRequest& request_;
-  Poco::Net::HTTPServerResponse& response_;
-  HttpRequestHead head_;
-  std::int64_t length_;
-  RequestBodySource body_;
-};
+    /// Answers without a handler and closes, since the rest of the input cannot be framed.
+    bool Refuse(const HttpResponseHead& head, const std::string& body)
+    {
+      const auto length = static_cast<std::int64_t>(body.size());
+      const std::string start = detail::FormatResponseHead(head, length, false);
+      connection_.Write(start, body, SteadyNow() + kRefusalTimeout);
+      server_.Linger(connection_);
+      return false;
+    }
 
-using Handler = std::function<void(ServerExchange&)>;
+    Impl& server_;
+    HttpConnection connection_;
+  };
 
-class RequestHandler final : public Poco::Net::HTTPRequestHandler
-{
-public:
-  RequestHandler(const Handler& handler, std::atomic<int>& inProgress, std::atomic<bool>& stopping)
-    : handler_(handler)
-    , inProgress_(inProgress)
-    , stopping_(stopping)
+  /// A refused connection. Closing it with unread input would reset it and lose the refusal.
+  struct Lingering
   {
+    Poco::Net::StreamSocket socket;
+    TimePoint deadline;
+  };
+
+  void Enter(HttpConnection& connection)
+  {
+    const std::lock_guard lock(mutex_);
+    open_.insert(&connection);
   }
 
-  void handleRequest(Poco::Net::HTTPServerRequest& request,
-                     Poco::Net::HTTPServerResponse& response) override
+  void Leave(HttpConnection& connection)
   {
-    ++inProgress_;
-    if (stopping_.load()) {
-      response.setKeepAlive(false);
-    }
-    try {
-      static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().setNoDelay(true);
-      PocoExchange exchange(request, response);
-      handler_(exchange);
-    } catch (const Poco::Exception& e) {
-      Log(LogLevel::Debug, "exchange_ended", { { "error", e.displayText() } });
-    } catch (const std::exception& e) {
-      Log(LogLevel::Error, "handler_failed", { { "error", e.what() } });
+    const std::lock_guard lock(mutex_);
+    open_.erase(&connection);
+    if (open_.empty()) {
+      allClosed_.notify_all();
     }
-    --inProgress_;
   }
 
-private:
-  const Handler& handler_;
-  std::atomic<int>& inProgress_;
-  std::atomic<bool>& stopping_;
-};
-
-class HandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-  HandlerFactory(Handler handler, std::atomic<int>& inProgress, std::atomic<bool>& stopping)
-    : handler_(std::move(handler))
-    , inProgress_(inProgress)
-    , stopping_(stopping)
+  /// Reads and drops input until the peer closes, for at most kLingerTime.
+  static void Linger(HttpConnection& connection)
   {
+    ::shutdown(connection.Descriptor(), SHUT_WR);
+    const TimePoint deadline = SteadyNow() + kLingerTime;
+    std::array<char, 4096> dropped; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    std::size_t count = 0;
+    while (connection.Read(dropped.data(), dropped.size(), deadline, &count) == IoStatus::Ok &&
+           SteadyNow() < deadline) {
+    }
   }
 
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-    const Poco::Net::HTTPServerRequest& /*request*/) override
+  void Accept()
   {
-    return new RequestHandler(handler_, inProgress_, stopping_);
+    const int listenFd = socket_.impl()->sockfd();
+    while (!stop_.IsSet()) {
+      std::array<pollfd, 2> entries = {
+        pollfd{ .fd = listenFd, .events = POLLIN, .revents = 0 },
+        pollfd{ .fd = stop_.Descriptor(), .events = POLLIN, .revents = 0 }
+      };
+      ::poll(entries.data(), entries.size(), lingering_.empty() ? -1 : kLingerPollMs);
+      AcceptWaiting(listenFd);
+      DropLingering();
+    }
+    // Connections that the kernel had already accepted may carry requests.
+    AcceptWaiting(listenFd);
+    socket_.close();
+    lingering_.clear();
   }
 
-private:
-  Handler handler_;
-  std::atomic<int>& inProgress_;
-  std::atomic<bool>& stopping_;
-};
-
-Poco::Net::ServerSocket Listen(const Address& address)
-{
-  try {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(address.ip, address.port), true);
-    socket.listen(kListenBacklog);
-    return socket;
-  } catch (const Poco::Exception& e) {
-    throw std::runtime_error("cannot listen on " + address.ToString() + ": " + e.displayText());
+  void AcceptWaiting(int listenFd)
+  {
+    while (true) {
+      const int fd = ::accept4(listenFd, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        return;
+      }
+      if (fd < 0 && (errno == EMFILE || errno == ENFILE || errno == ENOMEM)) {
+        Log(LogLevel::Error, "accept_failed", { { "error", std::to_string(errno) } });
+        std::this_thread::sleep_for(kAcceptPause);
+        return;
+      }
+      if (fd >= 0) {
+        Start(Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(fd)));
+      }
+    }
   }
-}
-
-Poco::Net::HTTPServerParams::Ptr MakeParams(int maxConnections)
-{
-  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-  params->setMaxThreads(maxConnections);
-  params->setMaxQueued(maxConnections);
-  params->setKeepAlive(true);
-  params->setMaxKeepAliveRequests(0);
-  params->setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
-  params->setTimeout(Poco::Timespan(kReceiveTimeoutSeconds, 0));
-  return params;
-}
-
-} // namespace
 
-class HttpServer::Impl
-{
-public:
-  explicit Impl(HttpServerOptions options)
-    : socket_(Listen(options.address))
-    , pool_(1, options.maxConnections, 60, kWorkerStackBytes)
-    , server_(new HandlerFactory(std::move(options.handler), inProgress_, stopping_),
-              pool_,
-              socket_,
-              MakeParams(options.maxConnections))
+  void Start(const Poco::Net::StreamSocket& socket)
   {
-    server_.start();
+    if (Connections() >= options_.maxConnections) {
+      RefuseConnection(socket);
+      return;
+    }
+    auto worker = std::make_unique<Worker>(*this, socket);
+    try {
+      workers_.start(*worker);
+      // The worker deletes itself at the end of run().
+      [[maybe_unused]] const auto* started = worker.release();
+    } catch (const Poco::Exception& e) {
+      Log(LogLevel::Error, "no_worker", { { "error", e.displayText() } });
+    }
   }
 
-  [[nodiscard]] std::uint16_t Port() const { return server_.port(); }
-
-  void Stop(Duration patience)
+  void RefuseConnection(const Poco::Net::StreamSocket& socket)
   {
-    stopping_ = true;
-    server_.stop();
-    const auto deadline = std::chrono::steady_clock::now() + patience;
-    while (inProgress_.load() > 0 && std::chrono::steady_clock::now() < deadline) {
-      std::this_thread::sleep_for(kStopPollInterval);
+    HttpConnection connection(socket);
+    auto head = NotRun(503, Reason::Overloaded);
+    head.headers.Set("Retry-After", "1");
+    const std::string body = "this listener has no free connection\n";
+    const auto length = static_cast<std::int64_t>(body.size());
+    connection.Write(detail::FormatResponseHead(head, length, false), body, SteadyNow());
+    ::shutdown(connection.Descriptor(), SHUT_WR);
+    if (lingering_.size() < kMaxLingering) {
+      lingering_.push_back({ .socket = socket, .deadline = SteadyNow() + kLingerTime });
     }
-    server_.stopAll(true);
-    pool_.joinAll();
   }
 
-private:
-  std::atomic<int> inProgress_{ 0 };
-  std::atomic<bool> stopping_{ false };
+  void DropLingering()
+  {
+    const TimePoint now = SteadyNow();
+    std::erase_if(lingering_, [now](const Lingering& entry) {
+      std::array<char, 4096> dropped; // NOLINT(cppcoreguidelines-pro-type-member-init)
+      const int fd = entry.socket.impl()->sockfd();
+      const auto count = ::recv(fd, dropped.data(), dropped.size(), MSG_DONTWAIT);
+      const bool ended = count == 0 || (count < 0 && errno != EAGAIN);
+      return ended || entry.deadline <= now;
+    });
+  }
+
+  HttpServerOptions options_;
   Poco::Net::ServerSocket socket_;
-  Poco::ThreadPool pool_;
-  Poco::Net::HTTPServer server_;
+  std::uint16_t port_;
+  StopEvent stop_;
+  mutable std::mutex mutex_;
+  std::condition_variable allClosed_;
+  std::set<HttpConnection*> open_;
+  std::deque<Lingering> lingering_; ///< used by the accepting thread only
+  Poco::ThreadPool workers_;
+  std::thread acceptor_;
 };
 
 HttpServer::HttpServer(HttpServerOptions options)
@@ -303,6 +379,11 @@
   return impl_->Port();
 }
 
+int HttpServer::Connections() const
+{
+  return impl_->Connections();
+}
+
 void HttpServer::Stop(Duration patience)
 {
   impl_->Stop(patience);
--- /dev/null
+++ b/src/transport/pool_core.cpp
@@ -0,0 +1,217 @@
+#include "acaciapulley/transport/detail/pool_core.hpp"
+
+#include <algorithm> // any_of, find_if, max, min
+#include <utility>   // move
+
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
+
+namespace acp::detail {
+
+namespace {
+
+// How long a connection may be unheard of before it carries a heartbeat.
+constexpr Duration kHeartbeatAfter = std::chrono::milliseconds(300);
+// The sentinel of a pool that is no longer used is closed after this.
+constexpr Duration kSentinelIdle = std::chrono::seconds(60);
+constexpr Duration kWaitSlice = std::chrono::milliseconds(10);
+
+Poco::Timespan ToTimespan(Duration span)
+{
+  return Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
+}
+
+} // namespace
+
+int PoolCore::OpenConnections() const
+{
+  const std::lock_guard lock(mutex_);
+  return open_;
+}
+
+PoolCore::ConnectionPtr PoolCore::TakeIdle()
+{
+  const TimePoint oldest = SteadyNow() - options_.maxIdle;
+  while (!idle_.empty()) {
+    auto connection = std::move(idle_.back());
+    idle_.pop_back();
+    // Input on an idle connection is the peer's close, or bytes that nobody asked for.
+    if (connection->lastUsed >= oldest && !connection->io.HasInput()) {
+      inUse_.insert(connection.get());
+      return connection;
+    }
+    --open_;
+  }
+  return nullptr;
+}
+
+TransportResult<PoolCore::ConnectionPtr> PoolCore::Acquire(TimePoint deadline,
+                                                           const SendOptions& call)
+{
+  const TimePoint giveUp = std::min(deadline, SteadyNow() + options_.maxWait);
+  std::unique_lock lock(mutex_);
+  while (true) {
+    if (auto connection = TakeIdle()) {
+      return connection;
+    }
+    if (open_ < options_.maxConnections) {
+      ++open_;
+      lock.unlock();
+      return Connect(deadline);
+    }
+    const bool cancelled = call.isCancelled && call.isCancelled();
+    if (cancelled || SteadyNow() >= giveUp) {
+      return Fail(TransportErrorCode::Unreachable,
+                  "all connections to " + options_.address.ToString() + " are in use");
+    }
+    freed_.wait_until(lock, std::min(giveUp, SteadyNow() + kWaitSlice));
+  }
+}
+
+TransportResult<PoolCore::ConnectionPtr> PoolCore::Open(TimePoint deadline)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    ++open_;
+  }
+  return Connect(deadline);
+}
+
+TransportResult<PoolCore::ConnectionPtr> PoolCore::Connect(TimePoint deadline)
+{
+  try {
+    Poco::Net::StreamSocket socket;
+    const Duration left = std::max(deadline - SteadyNow(), Duration(1'000'000));
+    socket.connect(Poco::Net::SocketAddress(options_.address.ip, options_.address.port),
+                   ToTimespan(std::min(options_.connectTimeout, left)));
+    auto connection = std::make_unique<PooledConnection>(socket);
+    const std::lock_guard lock(mutex_);
+    inUse_.insert(connection.get());
+    return connection;
+  } catch (const Poco::Exception& e) {
+    Forget(nullptr);
+    return Fail(TransportErrorCode::Unreachable,
+                options_.address.ToString() + ": " + e.displayText());
+  }
+}
+
+void PoolCore::GiveBack(ConnectionPtr connection)
+{
+  connection->lastUsed = SteadyNow();
+  {
+    const std::lock_guard lock(mutex_);
+    inUse_.erase(connection.get());
+    if (options_.sendsHeartbeats && !sentinel_) {
+      sentinel_ = std::move(connection);
+    } else {
+      idle_.push_back(std::move(connection));
+    }
+  }
+  freed_.notify_one();
+}
+
+void PoolCore::Drop(ConnectionPtr connection)
+{
+  Forget(connection.get());
+}
+
+void PoolCore::Forget(const PooledConnection* connection)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    inUse_.erase(const_cast<PooledConnection*>(connection));
+    --open_;
+  }
+  freed_.notify_one();
+}
+
+void PoolCore::NoteSilence(const PooledConnection& connection)
+{
+  const std::lock_guard lock(mutex_);
+  const TimePoint since = connection.io.LastReceive();
+  silentSince_ = std::max(since, silentSince_.value_or(since));
+}
+
+void PoolCore::NoteAnswer(const PooledConnection& connection)
+{
+  const std::lock_guard lock(mutex_);
+  if (!silentSince_ || connection.io.CreatedAt() <= *silentSince_) {
+    return;
+  }
+  const TimePoint silentSince = *silentSince_;
+  const auto closed = std::erase_if(idle_, [silentSince](const ConnectionPtr& idle) {
+    return idle->io.LastReceive() <= silentSince;
+  });
+  open_ -= static_cast<int>(closed);
+  silentSince_.reset();
+}
+
+void PoolCore::CloseIdle()
+{
+  const TimePoint now = SteadyNow();
+  const std::lock_guard lock(mutex_);
+  const auto closed = std::erase_if(idle_, [&](const ConnectionPtr& idle) {
+    return now - idle->lastUsed > options_.maxIdle || idle->io.HasInput();
+  });
+  open_ -= static_cast<int>(closed);
+  if (sentinel_ && (now - sentinel_->lastUsed > kSentinelIdle || sentinel_->io.HasInput())) {
+    sentinel_.reset();
+    --open_;
+  }
+}
+
+std::vector<PoolCore::ConnectionPtr> PoolCore::TakeForHeartbeat()
+{
+  std::vector<ConnectionPtr> due;
+  const TimePoint heardBefore = SteadyNow() - kHeartbeatAfter;
+  const std::lock_guard lock(mutex_);
+  for (auto& idle : idle_) {
+    if (idle->io.LastReceive() < heardBefore) {
+      due.push_back(std::move(idle));
+    }
+  }
+  std::erase(idle_, nullptr);
+  if (sentinel_) {
+    due.push_back(std::move(sentinel_));
+  }
+  for (const auto& connection : due) {
+    inUse_.insert(connection.get());
+  }
+  return due;
+}
+
+void PoolCore::EndHeartbeat(ConnectionPtr connection)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    inUse_.erase(connection.get());
+    if (!sentinel_) {
+      sentinel_ = std::move(connection);
+    } else {
+      // Less recently used than any that carried a request meanwhile.
+      idle_.insert(idle_.begin(), std::move(connection));
+    }
+  }
+  freed_.notify_one();
+}
+
+void PoolCore::Retire(TimePoint opened, TimePoint heard)
+{
+  const auto isOld = [&](const PooledConnection& connection) {
+    return connection.io.CreatedAt() < opened && connection.io.LastReceive() < heard;
+  };
+  const std::lock_guard lock(mutex_);
+  const auto closed = std::erase_if(idle_, [&](const ConnectionPtr& idle) { return isOld(*idle); });
+  open_ -= static_cast<int>(closed);
+  if (sentinel_ && isOld(*sentinel_)) {
+    sentinel_.reset();
+    --open_;
+  }
+  for (auto* connection : inUse_) {
+    if (isOld(*connection)) {
+      connection->io.Shutdown();
+    }
+  }
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/src/transport/pool_keeper.cpp
@@ -0,0 +1,192 @@
+#include "acaciapulley/transport/detail/pool_core.hpp"
+
+#include <string>  // string
+#include <utility> // move
+
+#include "acaciapulley/core/log.hpp"                      // Log
+#include "acaciapulley/core/random.hpp"                   // Jittered
+#include "acaciapulley/transport/detail/http_framing.hpp" // FormatRequestHead, ParseResponseHead
+
+namespace acp::detail {
+
+namespace {
+
+// A silent connection is found within interval + answer time + connect time + late time, below the
+// bound of 2 s.
+constexpr Duration kInterval = std::chrono::milliseconds(400);
+constexpr double kIntervalJitter = 0.2;
+constexpr Duration kAnswerTime = std::chrono::milliseconds(600);
+constexpr Duration kConnectTime = std::chrono::milliseconds(200);
+// A peer that stood still as a whole answers on the old connection as soon as on a fresh one.
+constexpr Duration kLateTime = std::chrono::milliseconds(200);
+// Bound on probing for one round, so that many lost peers do not delay the heartbeats of others.
+constexpr Duration kProbeBudget = std::chrono::seconds(1);
+
+/// A connection that carries a heartbeat.
+struct Heartbeat
+{
+  std::shared_ptr<PoolCore> pool;
+  PoolCore::ConnectionPtr connection;
+  TimePoint sentAt;
+};
+
+bool SendHeartbeat(PooledConnection& connection, const PoolCore& pool)
+{
+  const HttpRequestHead head{ .method = "GET", .target = "/.acp/heartbeat" };
+  const std::string text = FormatRequestHead(head, pool.Options().address.ToString(), 0);
+  return connection.io.Write(text, {}, SteadyNow()) == IoStatus::Ok;
+}
+
+/// Waits for the answer; TimedOut means that the connection is silent.
+IoStatus AwaitHeartbeat(PooledConnection& connection, TimePoint deadline)
+{
+  std::string text;
+  const IoStatus status = connection.io.ReadHead(kMaxHeadBytes, deadline, nullptr, &text);
+  if (status != IoStatus::Ok) {
+    return status;
+  }
+  HttpResponseHead head;
+  MessageFraming framing;
+  const bool isValid = !ParseResponseHead(text, "GET", &head, &framing);
+  const bool isReusable = isValid && framing.bodyLength == 0 && framing.keepAlive;
+  return isReusable ? IoStatus::Ok : IoStatus::Failed;
+}
+
+/// Retires older connections when a fresh one answers and the silent one stays silent.
+void ProbeSilent(Heartbeat heartbeat)
+{
+  auto& pool = *heartbeat.pool;
+  auto fresh = pool.Open(SteadyNow() + kConnectTime);
+  if (!fresh) {
+    pool.Drop(std::move(heartbeat.connection));
+    return;
+  }
+  const TimePoint opened = fresh.value()->io.CreatedAt();
+  const bool answers = SendHeartbeat(*fresh.value(), pool) &&
+                       AwaitHeartbeat(*fresh.value(), SteadyNow() + kAnswerTime) == IoStatus::Ok;
+  const TimePoint late = SteadyNow() + kLateTime;
+  if (AwaitHeartbeat(*heartbeat.connection, late) == IoStatus::Ok) {
+    pool.EndHeartbeat(std::move(heartbeat.connection));
+  } else {
+    pool.Drop(std::move(heartbeat.connection));
+    if (answers) {
+      Log(LogLevel::Warning,
+          "silent_connections_retired",
+          { { "peer", pool.Options().address.ToString() } });
+      pool.Retire(opened, heartbeat.sentAt);
+    }
+  }
+  if (answers) {
+    pool.EndHeartbeat(std::move(fresh).value());
+  } else {
+    pool.Drop(std::move(fresh).value());
+  }
+}
+
+std::vector<Heartbeat> SendAll(const std::vector<std::shared_ptr<PoolCore>>& pools)
+{
+  std::vector<Heartbeat> sent;
+  for (const auto& pool : pools) {
+    for (auto& connection : pool->TakeForHeartbeat()) {
+      const TimePoint now = SteadyNow();
+      if (SendHeartbeat(*connection, *pool)) {
+        sent.push_back({ .pool = pool, .connection = std::move(connection), .sentAt = now });
+      } else {
+        pool->Drop(std::move(connection));
+      }
+    }
+  }
+  return sent;
+}
+
+/// Waits for all answers and returns one silent connection for each pool that has any.
+std::vector<Heartbeat> AwaitAll(std::vector<Heartbeat> sent)
+{
+  const TimePoint deadline = SteadyNow() + kAnswerTime;
+  std::vector<Heartbeat> silent;
+  for (auto& heartbeat : sent) {
+    const IoStatus status = AwaitHeartbeat(*heartbeat.connection, deadline);
+    const bool isKnown = !silent.empty() && silent.back().pool == heartbeat.pool;
+    if (status == IoStatus::Ok) {
+      heartbeat.pool->EndHeartbeat(std::move(heartbeat.connection));
+    } else if (status == IoStatus::TimedOut && !isKnown) {
+      silent.push_back(std::move(heartbeat));
+    } else {
+      heartbeat.pool->Drop(std::move(heartbeat.connection));
+    }
+  }
+  return silent;
+}
+
+} // namespace
+
+PoolKeeper& PoolKeeper::Instance()
+{
+  static PoolKeeper keeper;
+  return keeper;
+}
+
+PoolKeeper::PoolKeeper()
+  : thread_([this] { Run(); })
+{
+}
+
+PoolKeeper::~PoolKeeper()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  stopped_.notify_all();
+  thread_.join();
+}
+
+void PoolKeeper::Add(const std::shared_ptr<PoolCore>& pool)
+{
+  const std::lock_guard lock(mutex_);
+  pools_.push_back(pool);
+}
+
+std::vector<std::shared_ptr<PoolCore>> PoolKeeper::LivePools()
+{
+  std::vector<std::shared_ptr<PoolCore>> live;
+  std::erase_if(pools_, [&live](const std::weak_ptr<PoolCore>& entry) {
+    auto pool = entry.lock();
+    if (pool) {
+      live.push_back(std::move(pool));
+      return false;
+    }
+    return true;
+  });
+  return live;
+}
+
+void PoolKeeper::Run()
+{
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    auto pools = LivePools();
+    lock.unlock();
+    std::vector<std::shared_ptr<PoolCore>> withHeartbeat;
+    for (const auto& pool : pools) {
+      pool->CloseIdle();
+      if (pool->Options().sendsHeartbeats) {
+        withHeartbeat.push_back(pool);
+      }
+    }
+    const TimePoint start = SteadyNow();
+    for (auto& silent : AwaitAll(SendAll(withHeartbeat))) {
+      if (SteadyNow() - start < kAnswerTime + kProbeBudget) {
+        ProbeSilent(std::move(silent));
+      } else {
+        silent.pool->Drop(std::move(silent.connection));
+      }
+    }
+    pools.clear();
+    withHeartbeat.clear();
+    lock.lock();
+    stopped_.wait_for(lock, Jittered(kInterval, kIntervalJitter), [this] { return stopping_; });
+  }
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/src/transport/server_exchange.cpp
@@ -0,0 +1,169 @@
+#include "acaciapulley/transport/detail/server_exchange.hpp"
+
+#include <algorithm> // min
+#include <array>     // array
+#include <utility>   // move, swap
+
+namespace acp::detail {
+
+namespace {
+
+constexpr std::size_t kCopyBytes = 16'384;
+constexpr std::size_t kSendBytes = 65'536;
+// What an answered request may still have on its way before closing is cheaper than reading on.
+constexpr std::size_t kMaxSkippedBytes = 262'144;
+// Slower readers than this would hold an upstream's slot for minutes.
+constexpr double kSlowestBytesPerSecond = 65'536.0;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+} // namespace
+
+ConnectionExchange::ConnectionExchange(HttpConnection& connection,
+                                       const HttpServerOptions& options,
+                                       HttpRequestHead head,
+                                       const MessageFraming& framing,
+                                       std::function<bool()> isStopping)
+  : connection_(connection)
+  , options_(options)
+  , head_(std::move(head))
+  , framing_(framing)
+  , body_(connection, framing.bodyLength, options.bodySilence)
+  , isStopping_(std::move(isStopping))
+  , usable_(framing.keepAlive)
+  , answerStart_(connection.SentBytes())
+{
+  if (framing_.expectsContinue) {
+    body_.OnFirstRead([this] { Send(kContinue, {}); });
+  }
+}
+
+bool ConnectionExchange::Send(std::string_view first, std::string_view second)
+{
+  IoStatus status = IoStatus::Ok;
+  while (status == IoStatus::Ok && (!first.empty() || !second.empty())) {
+    const auto sent = static_cast<double>(connection_.SentBytes() - answerStart_);
+    const std::chrono::duration<double> earned(sent / kSlowestBytesPerSecond);
+    const Duration left =
+      options_.slowReaderGrace + std::chrono::duration_cast<Duration>(earned) - sendTime_;
+    const std::string_view part = second.substr(0, kSendBytes);
+    const TimePoint start = SteadyNow();
+    // Bytes in the kernel's buffers count as taken, so that each part has its own bound as well.
+    status = connection_.Write(first, part, start + std::min(left, options_.slowReaderGrace));
+    sendTime_ += SteadyNow() - start;
+    first = {};
+    second.remove_prefix(part.size());
+  }
+  usable_ = usable_ && status == IoStatus::Ok;
+  return status == IoStatus::Ok;
+}
+
+std::string ConnectionExchange::StartAnswer(const HttpResponseHead& head, std::int64_t length)
+{
+  answered_ = true;
+  status_ = head.status;
+  outcome_ = head.headers.Find("Acp-Outcome").value_or("");
+  reason_ = head.headers.Find("Acp-Reason").value_or("");
+  // A caller that waits for `100 Continue` and gets a final answer may or may not send its body.
+  const bool bodyIsUncertain = framing_.expectsContinue && !body_.IsEnded();
+  usable_ = usable_ && !isStopping_() && !bodyIsUncertain;
+  return FormatResponseHead(head, length, usable_);
+}
+
+void ConnectionExchange::Respond(const HttpResponseHead& head, const std::string& body)
+{
+  const std::string start = StartAnswer(head, static_cast<std::int64_t>(body.size()));
+  Send(start, head_.method == "HEAD" ? std::string_view() : std::string_view(body));
+}
+
+bool ConnectionExchange::RespondStreaming(const HttpResponseHead& head,
+                                          std::int64_t length,
+                                          BodySource& body,
+                                          const std::function<void()>& beforeLastBytes)
+{
+  const bool hasNoBody = head_.method == "HEAD" || head.status == 204 || head.status == 304;
+  const bool isChunked = length < 0;
+  std::string start = StartAnswer(head, isChunked ? kChunked : length);
+  if (hasNoBody) {
+    if (beforeLastBytes) {
+      beforeLastBytes();
+    }
+    return Send(start, {});
+  }
+  bool isWhole = false;
+  try {
+    isWhole = CopyBody(std::move(start), isChunked, body, beforeLastBytes);
+  } catch (const BodyTruncated&) {
+    isWhole = false;
+  }
+  if (!isWhole) {
+    connection_.Shutdown();
+    usable_ = false;
+  }
+  return isWhole;
+}
+
+/// Sends @p start and the body; holds back the last bytes until @p beforeLastBytes has returned.
+bool ConnectionExchange::CopyBody(std::string start,
+                                  bool isChunked,
+                                  BodySource& body,
+                                  const std::function<void()>& beforeLastBytes)
+{
+  std::array<char, kCopyBytes> held;  // NOLINT(cppcoreguidelines-pro-type-member-init)
+  std::array<char, kCopyBytes> ahead; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  char* current = held.data();
+  char* next = ahead.data();
+  std::size_t count = body.Read(current, kCopyBytes);
+  while (count > 0) {
+    const std::size_t nextCount = body.Read(next, kCopyBytes);
+    if (nextCount == 0) {
+      break;
+    }
+    if (isChunked) {
+      start += FormatChunkStart(count);
+    }
+    if (!Send(start, { current, count })) {
+      return false;
+    }
+    start = isChunked ? "\r\n" : "";
+    std::swap(current, next);
+    count = nextCount;
+  }
+  if (beforeLastBytes) {
+    beforeLastBytes();
+  }
+  std::string last;
+  if (isChunked && count > 0) {
+    start += FormatChunkStart(count);
+  }
+  start.append(current, count);
+  if (isChunked) {
+    start += count > 0 ? "\r\n0\r\n\r\n" : "0\r\n\r\n";
+  }
+  return Send(start, {});
+}
+
+ServedRequest ConnectionExchange::Served() const
+{
+  return {
+    .status = status_, .outcome = outcome_, .reason = reason_, .time = SteadyNow() - startedAt_
+  };
+}
+
+bool ConnectionExchange::FinishRequest()
+{
+  if (!usable_) {
+    return false;
+  }
+  try {
+    std::array<char, kCopyBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    std::size_t skipped = 0;
+    while (!body_.IsEnded() && skipped <= kMaxSkippedBytes) {
+      skipped += body_.Read(buffer.data(), buffer.size());
+    }
+  } catch (const BodyTruncated&) {
+    return false;
+  }
+  return body_.IsEnded();
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/tests/transport_test/client_failure_test.cpp
@@ -0,0 +1,207 @@
+#include <boost/test/unit_test.hpp>
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <atomic>
+#include <functional>
+#include <future>
+#include <thread>
+
+#include "acaciapulley/transport/http_client.hpp"
+#include "acaciapulley/transport/http_server.hpp"
+
+namespace {
+
+constexpr acp::Duration kTimeout = std::chrono::seconds(10);
+const acp::Address kAnyPort{ .ip = "127.0.0.1", .port = 0 };
+
+/// Runs one script over the connections it accepts.
+class ScriptedServer
+{
+public:
+  explicit ScriptedServer(std::function<void(Poco::Net::ServerSocket&)> script)
+    : socket_(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , thread_([this, script = std::move(script)] { script(socket_); })
+  {
+  }
+
+  [[nodiscard]] acp::Address Where() const
+  {
+    return { .ip = "127.0.0.1", .port = socket_.address().port() };
+  }
+
+private:
+  Poco::Net::ServerSocket socket_;
+  std::jthread thread_;
+};
+
+std::string Take(Poco::Net::StreamSocket& connection)
+{
+  char buffer[4096];
+  const int count = connection.receiveBytes(buffer, sizeof buffer);
+  return std::string(buffer, static_cast<std::size_t>(std::max(count, 0)));
+}
+
+void Give(Poco::Net::StreamSocket& connection, const std::string& bytes)
+{
+  connection.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+std::string Answer(const std::string& body)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Get(acp::HttpPool& pool, const acp::SendOptions& options = { .timeout = kTimeout })
+{
+  acp::StringBody empty("");
+  const auto sent = pool.Send({ .method = "GET", .target = "/" }, empty, 0, options);
+  if (!sent) {
+    return std::string(acp::NameOf(sent.error().code));
+  }
+  return acp::ReadAll(sent.value()->Body(), 1000).value_or("too large");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(client_failures)
+
+// Guards against "nothing was sent" for a request that may have run, and the other way round.
+BOOST_AUTO_TEST_CASE(errors_tell_whether_anything_was_sent)
+{
+  acp::HttpServer closed({ .address = kAnyPort, .handler = [](acp::ServerExchange&) {} });
+  acp::HttpPool pool({ .address = { .ip = "127.0.0.1", .port = closed.Port() } });
+  BOOST_TEST(Get(pool) == "connection_lost");
+  closed.Stop(kTimeout);
+  BOOST_TEST(Get(pool) == "unreachable");
+
+  const ScriptedServer reused([](Poco::Net::ServerSocket& socket) {
+    auto connection = socket.acceptConnection();
+    Take(connection);
+    Give(connection, Answer("one"));
+    Take(connection);
+    connection.close();
+  });
+  acp::HttpPool reusing({ .address = reused.Where() });
+  BOOST_TEST(Get(reusing) == "one");
+  BOOST_TEST(Get(reusing) == "connection_lost");
+}
+
+// Guards against a body over its limit that reaches an upstream whole, and against "not sent" once
+// a part of it has left.
+BOOST_AUTO_TEST_CASE(body_limits_hold_while_streaming)
+{
+  std::atomic<int> whole{ 0 };
+  acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                            acp::ReadAll(exchange.RequestBody(), 1'000'000);
+                            ++whole;
+                            exchange.Respond({ .status = 200 }, "");
+                          } });
+  acp::HttpPool pool({ .address = { .ip = "127.0.0.1", .port = server.Port() } });
+  const auto send = [&pool](std::size_t size, std::size_t limit) {
+    acp::StringBody body(std::string(size, 'x'));
+    acp::LimitedBody limited(body, limit);
+    const auto sent = pool.Send({ .method = "POST", .target = "/" }, limited, -1, kTimeout);
+    return sent ? "sent" : std::string(acp::NameOf(sent.error().code));
+  };
+  BOOST_TEST(send(100, 100) == "sent");
+  BOOST_TEST(send(100'000, 100'000) == "sent");
+  BOOST_TEST(send(101, 100) == "body_too_large");
+  BOOST_TEST(send(100'001, 100'000) == "connection_lost");
+  BOOST_TEST(whole == 2);
+  server.Stop(kTimeout);
+}
+
+// Guards against an answer that reaches another request: after a timeout, a cancellation or an
+// abort the late bytes must find their connection closed.
+BOOST_AUTO_TEST_CASE(late_answers_never_reach_another_request)
+{
+  std::promise<void> timedOut;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    auto late = socket.acceptConnection();
+    Take(late);
+    timedOut.get_future().get();
+    auto fresh = socket.acceptConnection();
+    Take(fresh);
+    // The client has closed this connection, so that the send may fail.
+    try {
+      Give(late, Answer("late"));
+    } catch (const Poco::Exception&) {
+    }
+    Give(fresh, Answer("fresh"));
+    Take(fresh);
+    Give(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\npart");
+    auto last = socket.acceptConnection();
+    Take(last);
+    Give(last, Answer("last"));
+    Take(last);
+    BOOST_TEST(Take(last) == "");
+  });
+  acp::HttpPool pool({ .address = server.Where() });
+  BOOST_TEST(Get(pool, { .timeout = std::chrono::milliseconds(20) }) == "timeout");
+  timedOut.set_value();
+  BOOST_TEST(Get(pool) == "fresh");
+  {
+    acp::StringBody empty("");
+    const auto cut = pool.Send({ .method = "GET", .target = "/" }, empty, 0, kTimeout);
+    cut.value()->Abort();
+    char byte = 0;
+    BOOST_CHECK_THROW(cut.value()->Body().Read(&byte, 1), acp::BodyTruncated);
+  }
+  BOOST_TEST(Get(pool) == "last");
+  BOOST_TEST(Get(pool, { .timeout = kTimeout, .isCancelled = [] { return true; } }) == "cancelled");
+  BOOST_TEST(pool.OpenConnections() == 0);
+}
+
+// Guards against waiting without bound for a free connection.
+BOOST_AUTO_TEST_CASE(a_full_pool_refuses_without_sending)
+{
+  std::promise<void> release;
+  acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                            release.get_future().get();
+                            exchange.Respond({ .status = 200 }, "done");
+                          } });
+  acp::HttpPool pool({ .address = { .ip = "127.0.0.1", .port = server.Port() },
+                       .maxConnections = 1,
+                       .maxWait = std::chrono::milliseconds(20) });
+  auto first = std::async(std::launch::async, [&] { return Get(pool); });
+  while (pool.OpenConnections() == 0) {
+    std::this_thread::yield();
+  }
+  BOOST_TEST(Get(pool) == "unreachable");
+  release.set_value();
+  BOOST_TEST(first.get() == "done");
+  server.Stop(kTimeout);
+}
+
+// Guards against requests that wait on connections that went silent for good while new ones work.
+BOOST_AUTO_TEST_CASE(silent_connections_are_retired_once_a_fresh_one_answers)
+{
+  std::vector<std::jthread> threads;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    // The first two connections answer one request each and are silent from then on.
+    auto first = socket.acceptConnection();
+    Take(first);
+    auto second = socket.acceptConnection();
+    Take(second);
+    Give(first, Answer("first"));
+    Give(second, Answer("second"));
+    auto fresh = socket.acceptConnection();
+    BOOST_TEST(Take(fresh).starts_with("GET /.acp/heartbeat "));
+    Give(fresh, "HTTP/1.1 204 No Content\r\n\r\n");
+    // The keeper's close of both is what the test waits for.
+    while (!Take(first).empty()) {
+    }
+    while (!Take(second).empty()) {
+    }
+  });
+  acp::HttpPool pool({ .address = server.Where(), .sendsHeartbeats = true });
+  auto one = std::async(std::launch::async, [&] { return Get(pool); });
+  auto two = std::async(std::launch::async, [&] { return Get(pool); });
+  one.get();
+  two.get();
+  // One of the two is idle; this request uses it, and ends when the connection is retired.
+  BOOST_TEST(Get(pool) == "connection_lost");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/transport_test/server_failure_test.cpp
@@ -0,0 +1,235 @@
+#include <boost/test/unit_test.hpp>
+
+#include <Poco/Net/StreamSocket.h>
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "acaciapulley/transport/http_client.hpp"
+#include "acaciapulley/transport/http_server.hpp"
+
+namespace {
+
+constexpr acp::Duration kTimeout = std::chrono::seconds(10);
+const acp::Address kAnyPort{ .ip = "127.0.0.1", .port = 0 };
+
+/// A connection that sends exactly the given bytes.
+class RawClient
+{
+public:
+  explicit RawClient(const acp::HttpServer& server)
+    : socket_(Poco::Net::SocketAddress("127.0.0.1", server.Port()))
+  {
+    socket_.setReceiveTimeout(Poco::Timespan(10, 0));
+  }
+
+  void Send(const std::string& bytes)
+  {
+    socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  }
+
+  /// Reads until the received text contains @p end, or to the end of the connection.
+  std::string Receive(const std::string& end = "\x01never")
+  {
+    std::string text;
+    char buffer[4096];
+    while (text.find(end) == std::string::npos) {
+      const int count = socket_.receiveBytes(buffer, sizeof buffer);
+      if (count <= 0) {
+        return text;
+      }
+      text.append(buffer, static_cast<std::size_t>(count));
+    }
+    return text;
+  }
+
+  void EndSending() { socket_.shutdownSend(); }
+
+private:
+  Poco::Net::StreamSocket socket_;
+};
+
+/// Reads each request's body and answers with its size.
+void Echo(acp::ServerExchange& exchange)
+{
+  const auto body = acp::ReadAll(exchange.RequestBody(), 1'000'000);
+  exchange.Respond({ .status = 200 }, std::to_string(body->size()) + " bytes\n");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(server_failures)
+
+// Guards against a request body that ended early and is run as if it were whole.
+BOOST_AUTO_TEST_CASE(truncated_request_bodies_are_told_from_whole_ones)
+{
+  std::atomic<int> whole{ 0 };
+  std::atomic<int> truncated{ 0 };
+  acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                            try {
+                              Echo(exchange);
+                              ++whole;
+                            } catch (const acp::BodyTruncated&) {
+                              ++truncated;
+                              throw;
+                            }
+                          } });
+  const std::string chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const auto& request : { std::string("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhello"),
+                               chunked + "5\r\nhello\r\n",
+                               chunked + "5\r\nhello\r\n0\r\n",
+                               chunked + "5\r\nhello\r\nzz\r\n",
+                               chunked + "5\r\nhelloXX0\r\n\r\n" }) {
+    RawClient client(server);
+    client.Send(request);
+    client.EndSending();
+    BOOST_TEST(client.Receive() == "");
+  }
+  BOOST_TEST(truncated == 5);
+  RawClient client(server);
+  client.Send(chunked + "5;x=y\r\nhello\r\n2\r\n!!\r\n0\r\nTrailer: t\r\n\r\n");
+  BOOST_TEST(client.Receive("bytes\n").ends_with("\r\n\r\n7 bytes\n"));
+  BOOST_TEST(whole == 1);
+  server.Stop(kTimeout);
+}
+
+// Guards against requests that two parties could read differently, and against "not run" for a
+// request that reached a handler.
+BOOST_AUTO_TEST_CASE(unclear_or_oversized_heads_are_refused_before_anything_runs)
+{
+  std::atomic<int> handled{ 0 };
+  acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                            ++handled;
+                            exchange.Respond({ .status = 200 }, "");
+                          } });
+  const std::string post = "POST /a HTTP/1.1\r\n";
+  for (const auto& head : { post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+                            post + "Content-Length: 5\r\nContent-Length: 5\r\n",
+                            post + "Content-Length: +5\r\n",
+                            post + "Content-Length: 99999999999999999999\r\n",
+                            post + "Transfer-Encoding: gzip, chunked\r\n",
+                            post + "Acp-Key: a\r\nAcp-Key: a\r\n",
+                            post + "acp-key: a\r\nACP-KEY: b\r\n",
+                            post + "Name : value\r\n",
+                            post + "Name: value\r\n folded\r\n",
+                            post + "Name: a\rb\r\n",
+                            post + "Name: a\nHost: b\r\n",
+                            post + "Expect: magic\r\n",
+                            std::string("POST a HTTP/1.1\r\n"),
+                            std::string("POST /a b HTTP/1.1\r\n"),
+                            std::string("POST /a HTTP/2.0\r\n") }) {
+    RawClient client(server);
+    client.Send(head + "\r\n");
+    const std::string answer = client.Receive();
+    BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), head << answer);
+    BOOST_TEST(answer.find("Acp-Outcome: not-run\r\n") != std::string::npos);
+  }
+  RawClient client(server);
+  client.Send(post + "Large: " + std::string(16'384, 'x') + "\r\n\r\n");
+  const std::string answer = client.Receive();
+  BOOST_TEST(answer.starts_with("HTTP/1.1 413 "));
+  BOOST_TEST(answer.find("Acp-Outcome: not-run\r\n") != std::string::npos);
+  BOOST_TEST(handled == 0);
+  server.Stop(kTimeout);
+}
+
+// Guards against a caller that waits for 100 Continue for ever, and against mixing up requests
+// that arrive together on one connection.
+BOOST_AUTO_TEST_CASE(continue_and_pipelined_requests_are_answered_in_order)
+{
+  acp::HttpServer server({ .address = kAnyPort, .handler = Echo });
+  RawClient client(server);
+  client.Send("POST / HTTP/1.1\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
+  BOOST_TEST(client.Receive("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+  client.Send("abcPOST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nxGET / HTTP/1.1\r\n\r\n");
+  const std::string answers = client.Receive("0 bytes\n");
+  const auto first = answers.find("3 bytes");
+  const auto second = answers.find("1 bytes");
+  BOOST_TEST((first < second && second < answers.find("0 bytes")));
+  server.Stop(kTimeout);
+}
+
+// Guards against a listener that lets connections over its cap wait without an answer.
+BOOST_AUTO_TEST_CASE(a_connection_over_the_cap_is_refused_as_not_run)
+{
+  acp::HttpServer server({ .address = kAnyPort, .maxConnections = 1, .handler = Echo });
+  RawClient first(server);
+  first.Send("GET / HTTP/1.1\r\n\r\n");
+  first.Receive("bytes\n");
+  RawClient second(server);
+  second.Send("GET / HTTP/1.1\r\n\r\n");
+  const std::string answer = second.Receive();
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(answer.find("Acp-Outcome: not-run\r\n") != std::string::npos);
+  server.Stop(kTimeout);
+}
+
+// Guards against a caller that takes its answer so slowly that it holds an upstream's slot.
+BOOST_AUTO_TEST_CASE(a_reader_that_stands_still_is_disconnected)
+{
+  std::promise<bool> sentWhole;
+  acp::HttpServer server({ .address = kAnyPort,
+                           .handler =
+                             [&](acp::ServerExchange& exchange) {
+                               acp::StringBody body(std::string(50'000'000, 'x'));
+                               sentWhole.set_value(
+                                 exchange.RespondStreaming({}, 50'000'000, body, nullptr));
+                             },
+                           .slowReaderGrace = std::chrono::milliseconds(50) });
+  RawClient client(server);
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  BOOST_TEST(!sentWhole.get_future().get());
+  server.Stop(kTimeout);
+}
+
+// Guards against work that goes on for a caller that has left.
+BOOST_AUTO_TEST_CASE(a_caller_that_left_is_seen)
+{
+  std::promise<void> started;
+  std::promise<void> seen;
+  acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                            BOOST_TEST(!exchange.IsCallerGone());
+                            started.set_value();
+                            while (!exchange.IsCallerGone()) {
+                              std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                            }
+                            seen.set_value();
+                          } });
+  {
+    RawClient client(server);
+    client.Send("GET / HTTP/1.1\r\n\r\n");
+    started.get_future().get();
+  }
+  seen.get_future().get();
+  server.Stop(kTimeout);
+}
+
+// Guards against a planned stop that cuts a request in progress, or waits for idle connections.
+BOOST_AUTO_TEST_CASE(a_stop_finishes_requests_in_progress_and_closes_idle_connections)
+{
+  std::promise<void> started;
+  std::promise<void> release;
+  acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                            if (exchange.Request().target == "/slow") {
+                              started.set_value();
+                              release.get_future().get();
+                            }
+                            Echo(exchange);
+                          } });
+  RawClient idle(server);
+  idle.Send("GET / HTTP/1.1\r\n\r\n");
+  idle.Receive("bytes\n");
+  RawClient slow(server);
+  slow.Send("POST /slow HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+  started.get_future().get();
+  std::thread stopper([&] { server.Stop(kTimeout); });
+  BOOST_TEST(idle.Receive() == "");
+  slow.Send("cd");
+  release.set_value();
+  const std::string answer = slow.Receive();
+  stopper.join();
+  BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+  BOOST_TEST(answer.ends_with("4 bytes\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
