--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -93,6 +93,9 @@
   3: string idempotencyKey
 }
 
+/// `attemptId` is new for each try and the same when a call is resent after a lost answer.
+/// `deadlineMs` is the attempt's absolute deadline in Unix milliseconds: the node dispatches nothing
+/// after it.
 struct BeginClaimRequest {
   1: ClaimKey key
   2: string attemptId
@@ -110,6 +113,7 @@
   MISMATCH = 6
 }
 
+/// `body` is empty unless `bodyKept`; bodies above 16 KiB are kept as SHA-256 digests only.
 struct ClaimOutcome {
   1: i32 status
   2: string contentType
@@ -127,6 +131,8 @@
   1: ClaimKey key
   2: string attemptId
   3: ClaimOutcome outcome
+  /// True: the request may have run and no outcome is known; `outcome` is ignored.
+  4: optional bool outcomeUnknown
 }
 
 struct ReleaseClaimRequest {
--- a/include/acaciapulley/control/control_service.hpp
+++ b/include/acaciapulley/control/control_service.hpp
@@ -3,33 +3,55 @@
 /// @file
 /// The control process: answers nodes over Thrift and operators over HTTP.
 
-#include <memory> // unique_ptr
-#include <string> // string
+#include <cstdint> // uint16_t
+#include <memory>  // unique_ptr
 
-#include "acaciapulley/core/clock.hpp"        // Clock, Duration
-#include "acaciapulley/transport/address.hpp" // Address
+#include "acaciapulley/control/control_hooks.hpp"      // ControlHooks
+#include "acaciapulley/control/control_state.hpp"      // ControlState
+#include "acaciapulley/control/operator_directory.hpp" // OperatorDirectory
+#include "acaciapulley/core/clock.hpp"                 // Clock, Duration
+#include "acaciapulley/replication/replicated_log.hpp" // ReplicatedLog
+#include "acaciapulley/transport/address.hpp"          // Address
 
 namespace acp {
 
-/// Construction options of a ControlProcess.
+/// Construction options of a ControlProcess. The pointers outlive it.
 struct ControlProcessOptions
 {
-  Address rpcAddress;
-  Address operatorAddress;
-  std::string operatorKeyHash; ///< SHA-256 of the operator key in hexadecimal
+  Address rpcAddress;      ///< where nodes connect; port 0 picks a free one
+  Address operatorAddress; ///< port 0 picks a free one
+  OperatorDirectory operators;
   const Clock* clock = nullptr;
+  ReplicatedLog* log = nullptr;  ///< drives `state`
+  ControlState* state = nullptr; ///< the state machine of `log`
+  ControlHooks hooks;
 };
 
 /// One control process.
+///
+/// @par Example
+/// @code
+/// acp::ControlState state;
+/// acp::Replica log(replicaOptions, state);
+/// acp::ControlProcess process({ .clock = &clock, .log = &log, .state = &state });
+/// @endcode
 class ControlProcess
 {
 public:
+  /// @throw std::runtime_error when an address cannot be bound
   explicit ControlProcess(const ControlProcessOptions& options);
   ControlProcess(const ControlProcess&) = delete;
   ControlProcess& operator=(const ControlProcess&) = delete;
   ~ControlProcess();
 
-  /// @brief Ends open calls and stops.
+  /// @brief Returns the bound port for nodes.
+  [[nodiscard]] std::uint16_t RpcPort() const;
+
+  /// @brief Returns the bound port for operators.
+  [[nodiscard]] std::uint16_t OperatorPort() const;
+
+  /// @brief Lets operators' requests in progress end for up to @p patience, then closes. Nodes'
+  /// calls end first; nodes go to another replica.
   void Stop(Duration patience);
 
 private:
--- a/include/acaciapulley/control/control_state.hpp
+++ b/include/acaciapulley/control/control_state.hpp
@@ -1,79 +1,106 @@
 #pragma once
 
 /// @file
-/// The state that control shares with the nodes: documents, keys and their versions.
+/// The durable state of control: a deterministic state machine driven by the replicated log.
 
-#include <cstdint> // int64_t
-#include <map>     // map
-#include <string>  // string
-#include <vector>  // vector
+#include <cstdint>  // int64_t
+#include <memory>   // unique_ptr
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
-#include "acaciapulley/accounts/key_table.hpp"      // KeyRecord, KeyTable
-#include "acaciapulley/config/service_document.hpp" // ServiceDocument
-#include "acaciapulley/control/control_error.hpp"   // ControlResult
+#include "acaciapulley/claims/claim_registry.hpp"      // ClaimLimits
+#include "acaciapulley/control/audit_trail.hpp"        // AuditEntry
+#include "acaciapulley/control/change_feed.hpp"        // StateChanges
+#include "acaciapulley/control/document_store.hpp"     // StoredDocument
+#include "acaciapulley/control/key_store.hpp"          // KeyRecord
+#include "acaciapulley/replication/replicated_log.hpp" // StateMachine
 
 namespace acp {
 
-/// A stored service document.
-struct StoredDocument
+/// Version of the format of commands and snapshots that this program writes.
+inline constexpr int kControlFormat = 1;
+
+/// Months of the record that are kept, and the most of it that is kept.
+inline constexpr std::chrono::milliseconds kRecordRetention = std::chrono::hours(24 * 62);
+inline constexpr std::size_t kMaxRecordRows = 65'536;
+
+/// A node that the log knows: it joined and is not lost.
+struct KnownNode
 {
+  std::string nodeId;
   std::string service;
-  std::int64_t version = 0; ///< starts at 1, grows by 1 with each accepted change
-  std::string body;         ///< the text as the operator sent it
+  bool isDraining = false;
+
+  bool operator==(const KnownNode&) const = default;
 };
 
-/// Changes from one state version to another.
-struct StateChanges
+/// Rows of the monthly record of one hour, encoded by the module record.
+struct RecordRows
 {
-  bool isSnapshot = false; ///< true: replaces everything
-  std::int64_t fromVersion = 0;
-  std::int64_t toVersion = 0;
-  std::vector<StoredDocument> documents;
-  std::vector<KeyRecord> issuedKeys;
-  std::vector<std::string> revokedKeyIds;
+  UnixMillis hour{};
+  std::string source; ///< who collected them; a new leader is a new source
+  std::string rows;
 };
 
-/// Documents and keys. Each accepted change raises the state version by one.
-class ControlState
+/// Documents, keys, claims, operators' requests, audit trail, known nodes and record.
+///
+/// Commands are the Thrift structs of idl/command.thrift. Replicas that apply the same entries have
+/// byte-equal snapshots. Reading calls may come from any thread.
+class ControlState final : public StateMachine
 {
 public:
-  /// @brief Stores @p body as the next version of its service's document.
-  /// @param ifVersion version the operator edited, 0 for a new service
-  /// @return the new document version, or InvalidDocument or VersionConflict
-  ControlResult<std::int64_t> PutDocument(const std::string& body, std::int64_t ifVersion);
+  explicit ControlState(ClaimLimits claimLimits = {});
+  ~ControlState() override;
 
-  /// @brief Puts a key in force.
-  ControlResult<void> IssueKey(const KeyRecord& record);
+  /// @brief Applies an encoded wire::ControlCommand.
+  /// @return an encoded wire::CommandReply; an entry that cannot be read is refused
+  /// @throw std::runtime_error when a newer program wrote the entry: going on would make this
+  /// replica's state differ from the others'
+  std::string Apply(const CommittedEntry& entry) override;
 
-  /// @brief Takes a key out of force.
-  ControlResult<KeyRecord> RevokeKey(const std::string& id);
+  [[nodiscard]] std::string TakeSnapshot() const override;
+  bool Restore(const std::string& snapshot) override;
 
   /// @brief Returns what a node that has @p version lacks; a snapshot when it is too far behind.
   [[nodiscard]] StateChanges ChangesSince(std::int64_t version) const;
 
-  /// @brief Returns the state version.
-  [[nodiscard]] std::int64_t Version() const { return version_; }
+  /// @brief Returns the state version; each change of documents or keys raises it by one.
+  [[nodiscard]] std::int64_t Version() const;
 
-  /// @brief Returns the current document of @p service, or nullptr.
-  [[nodiscard]] const StoredDocument* DocumentOf(const std::string& service) const;
+  /// @brief Returns the current document of @p service, or nothing.
+  [[nodiscard]] std::optional<StoredDocument> DocumentOf(const std::string& service) const;
+
+  /// @brief Returns the current documents of all services.
+  [[nodiscard]] std::vector<StoredDocument> Documents() const;
+
+  /// @brief Returns the kept versions of @p service's document, oldest first.
+  [[nodiscard]] std::vector<StoredDocument> History(const std::string& service) const;
 
   /// @brief Returns the keys of @p account, or all when it is empty.
   [[nodiscard]] std::vector<KeyRecord> Keys(const std::string& account) const;
 
+  /// @brief Returns up to @p limit entries of the audit trail with numbers from @p number on.
+  [[nodiscard]] std::vector<AuditEntry> AuditFrom(std::int64_t number, std::size_t limit) const;
+
+  /// @brief Returns the number that the next entry of the audit trail gets.
+  [[nodiscard]] std::int64_t NextAuditNumber() const;
+
+  /// @brief Returns the nodes that joined and are not lost, ordered by id.
+  [[nodiscard]] std::vector<KnownNode> Roster() const;
+
+  /// @brief Returns the stored record of the hours in [@p from, @p to), ordered by hour.
+  [[nodiscard]] std::vector<RecordRows> Record(UnixMillis from, UnixMillis to) const;
+
+  /// @brief Returns the identities of replicas that were replaced.
+  [[nodiscard]] std::vector<std::string> RetiredReplicas() const;
+
+  /// @brief Returns the number of claims.
+  [[nodiscard]] std::size_t ClaimCount() const;
+
 private:
-  struct Change
-  {
-    std::int64_t version = 0;
-    StateChanges content;
-  };
-
-  void Remember(StateChanges content);
-  [[nodiscard]] StateChanges Snapshot() const;
-
-  std::int64_t version_ = 0;
-  std::map<std::string, StoredDocument> documents_;
-  KeyTable keys_;
-  std::vector<Change> recent_; ///< the last kMaxRecentChanges changes, oldest first
+  class Impl;
+  std::unique_ptr<Impl> impl_;
 };
 
 } // namespace acp
--- a/include/acaciapulley/control/detail/operator_api.hpp
+++ b/include/acaciapulley/control/detail/operator_api.hpp
@@ -3,35 +3,92 @@
 /// @file
 /// The operators' HTTP/JSON interface.
 
-#include <string> // string
+#include <functional>  // function
+#include <string>      // string
+#include <string_view> // string_view
+#include <vector>      // vector
 
-#include "acaciapulley/control/shared_state.hpp"  // SharedState
-#include "acaciapulley/core/clock.hpp"            // Clock
-#include "acaciapulley/transport/http_server.hpp" // ServerExchange
+#include "acaciapulley/control/detail/control_context.hpp" // ControlContext
+#include "acaciapulley/transport/http_server.hpp"          // ServerExchange
 
 namespace acp::detail {
 
-/// Answers operators' requests.
+/// An answer; errors carry what to do next.
+struct OperatorAnswer
+{
+  int status = 200;
+  std::string json;
+  std::string leader; ///< operator address of the leader, with status 421
+};
+
+/// One authorised request.
+struct OperatorCall
+{
+  std::string operatorName;
+  std::string requestId;
+  std::string method;
+  std::vector<std::string> segments; ///< of the path, after `v1`
+  std::string query;
+  std::string ifVersion;
+  std::string body;
+};
+
+/// Answers operators' requests. All calls may come from any thread.
 class OperatorApi
 {
 public:
-  OperatorApi(SharedState& state, const Clock& clock, std::string operatorKeyHash);
+  /// @param pause waits between two looks at the nodes' confirmations
+  OperatorApi(ControlContext& context, std::function<void(Duration)> pause);
 
-  /// @brief Answers one request; 401 without the operator key, except on `/healthz`.
+  /// @brief Answers one request; 401 without an operator key, except on `/healthz` and `/metrics`.
   void Handle(ServerExchange& exchange);
 
+  /// @brief Answers an authorised request; used by Handle and by tests.
+  OperatorAnswer Answer(const OperatorCall& call);
+
 private:
-  void PutDocument(ServerExchange& exchange);
-  void GetDocument(ServerExchange& exchange, const std::string& service);
-  void IssueKey(ServerExchange& exchange, const std::string& account);
-  void ListKeys(ServerExchange& exchange, const std::string& account);
-  void RevokeKey(ServerExchange& exchange, const std::string& keyId);
-  void ListMembers(ServerExchange& exchange);
-  [[nodiscard]] bool IsOperator(const ServerExchange& exchange) const;
-
-  SharedState& state_;
-  const Clock& clock_;
-  std::string operatorKeyHash_;
+  OperatorAnswer Change(const OperatorCall& call);
+  OperatorAnswer View(const OperatorCall& call);
+
+  OperatorAnswer PutDocument(const OperatorCall& call, const std::string& service);
+  OperatorAnswer IssueKey(const OperatorCall& call, const std::string& account);
+  OperatorAnswer RevokeKey(const OperatorCall& call,
+                           const std::string& account,
+                           const std::string& keyId);
+  OperatorAnswer ReplaceReplica(const OperatorCall& call);
+  OperatorAnswer AnswerRefusal(const wire::CommandReply& reply) const;
+
+  OperatorAnswer ShowDocument(const std::string& service);
+  OperatorAnswer ShowHistory(const std::string& service);
+  OperatorAnswer ShowStatus();
+  OperatorAnswer ShowKeys(const std::string& account);
+  OperatorAnswer ShowMembers();
+  OperatorAnswer ShowAudit(const std::string& query);
+  OperatorAnswer ShowControl();
+  OperatorAnswer ShowReport(const std::string& query);
+
+  [[nodiscard]] ControlGauges ReadGauges();
+  ForceStatus AwaitConfirmation(std::int64_t stateVersion);
+
+  ControlContext& context_;
+  std::function<void(Duration)> pause_;
 };
 
+/// @brief Builds an error answer.
+/// @param next what the operator should do
+[[nodiscard]] OperatorAnswer MakeError(int status,
+                                       int code,
+                                       std::string_view name,
+                                       const std::string& message,
+                                       const std::string& next);
+
+/// @brief Builds an error answer for @p error, with the status that belongs to it.
+[[nodiscard]] OperatorAnswer MakeError(const ControlError& error);
+
+/// @brief Builds the answer of a replica that does not lead.
+[[nodiscard]] OperatorAnswer MakeNotLeader(const ReplicaStatus& status);
+
+/// @brief Returns the value of @p name in @p query, or an empty text.
+[[nodiscard]] std::string QueryValue(const std::string& query, std::string_view name);
+
 } // namespace acp::detail
--- a/include/acaciapulley/control/detail/rpc_handler.hpp
+++ b/include/acaciapulley/control/detail/rpc_handler.hpp
@@ -3,27 +3,36 @@
 /// @file
 /// Answers the nodes' Thrift calls.
 
-#include "acaciapulley/control/shared_state.hpp" // SharedState
-#include "acaciapulley/core/clock.hpp"           // Clock
+#include "acaciapulley/control/detail/control_context.hpp" // ControlContext
 #include "gen/ControlService.h"
 
 namespace acp::detail {
 
-/// One handler for all connections.
+/// One handler for all connections. Every call answers NotLeader unless this replica leads; a call
+/// that answers ControlFailure with `unconfirmed` may be resent.
 class RpcHandler final : public wire::ControlServiceIf
 {
 public:
-  RpcHandler(SharedState& state, const Clock& clock);
+  explicit RpcHandler(ControlContext& context);
 
+  /// @throw wire::NotLeader when leadership was not confirmed within the last second
   void Sync(wire::SyncReply& reply, const wire::SyncRequest& request) override;
   void AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request) override;
+
+  /// @throw wire::ControlFailure with a number of ClaimsErrorCode or ControlErrorCode: the claim is
+  /// not granted. After `unconfirmed` a resend of the same attempt may still be granted.
   void BeginClaim(wire::BeginClaimReply& reply, const wire::BeginClaimRequest& request) override;
   void FinishClaim(const wire::FinishClaimRequest& request) override;
   void ReleaseClaim(const wire::ReleaseClaimRequest& request) override;
 
 private:
-  SharedState& state_;
-  const Clock& clock_;
+  Duration RequireLeadership(std::string_view call);
+  wire::CommandReply Propose(std::string_view call, wire::ControlCommand command);
+  void FillMembers(wire::SyncReply& reply, const wire::SyncRequest& request);
+  [[noreturn]] void ThrowNotLeader(std::string_view call);
+  [[noreturn]] void ThrowFailure(std::string_view call, int code, const std::string& message);
+
+  ControlContext& context_;
 };
 
 } // namespace acp::detail
--- /dev/null
+++ b/include/acaciapulley/control/detail/wire_codec.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+/// @file
+/// Thrift structs as bytes in the compact protocol.
+
+#include <cstdint> // uint8_t, uint32_t
+#include <memory>  // make_shared
+#include <string>  // string
+
+#include <thrift/Thrift.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace acp::detail {
+
+/// @brief Returns @p message as bytes.
+template<typename Message>
+std::string EncodeWire(const Message& message)
+{
+  auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+  apache::thrift::protocol::TCompactProtocol protocol(buffer);
+  message.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+/// @brief Reads @p bytes into @p message.
+/// @return false when they are not a whole message of this type
+template<typename Message>
+bool DecodeWire(const std::string& bytes, Message* message)
+{
+  using apache::thrift::transport::TMemoryBuffer;
+  try {
+    std::string copy = bytes;
+    auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()),
+                                                  static_cast<std::uint32_t>(copy.size()));
+    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    message->read(&protocol);
+    return buffer->available_read() == 0;
+  } catch (const apache::thrift::TException&) {
+    return false;
+  }
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/src/control/control_commands.cpp
@@ -0,0 +1,273 @@
+#include <utility> // move
+
+#include <fmt/format.h> // format
+
+#include "acaciapulley/control/detail/control_state_impl.hpp" // Impl
+#include "acaciapulley/control/detail/control_wire.hpp"       // FromWire, ToWire
+#include "acaciapulley/control/detail/wire_codec.hpp"         // DecodeWire, EncodeWire
+#include "acaciapulley/core/random.hpp"                       // Sha256
+
+namespace acp {
+
+namespace {
+
+/// Operator name in the audit trail of what the leader saw itself.
+constexpr const char* kOwnName = "control";
+
+template<typename Code>
+wire::CommandReply Refusal(const BasicError<Code>& error)
+{
+  wire::CommandReply reply;
+  reply.errorCode = static_cast<int>(error.code);
+  reply.errorName = NameOf(error.code);
+  reply.message = error.message;
+  return reply;
+}
+
+wire::CommandReply Refusal(ControlErrorCode code, const std::string& message)
+{
+  return Refusal(ControlError{ code, message });
+}
+
+const char* ActionOf(wire::NodeEvent::type event)
+{
+  switch (event) {
+    case wire::NodeEvent::JOINED:
+      return "node_joined";
+    case wire::NodeEvent::DRAINING:
+      return "node_draining";
+    case wire::NodeEvent::SERVING:
+      return "node_serving";
+    case wire::NodeEvent::LOST:
+      return "node_lost";
+  }
+  return "node_unknown";
+}
+
+} // namespace
+
+wire::CommandReply ControlState::Impl::Apply(const wire::ControlCommand& command, UnixMillis time)
+{
+  ledger.Expire(time);
+  if (command.__isset.putDocument) {
+    return ApplyPut(command.putDocument, time);
+  }
+  if (command.__isset.issueKey) {
+    return ApplyIssue(command.issueKey, time);
+  }
+  if (command.__isset.revokeKey) {
+    return ApplyRevoke(command.revokeKey, time);
+  }
+  if (command.__isset.replaceReplica) {
+    return ApplyReplace(command.replaceReplica, time);
+  }
+  if (command.__isset.noteNodes) {
+    return ApplyNotes(command.noteNodes, time);
+  }
+  if (command.__isset.storeRecord) {
+    return ApplyRecord(command.storeRecord, time);
+  }
+  if (command.__isset.beginClaim) {
+    return ApplyBegin(command.beginClaim, time);
+  }
+  if (command.__isset.finishClaim) {
+    return ApplyFinish(command.finishClaim, time);
+  }
+  if (command.__isset.releaseClaim) {
+    return ApplyRelease(command.releaseClaim, time);
+  }
+  return Refusal(ControlErrorCode::InvalidCommand, "the entry of the log holds no known command");
+}
+
+wire::CommandReply ControlState::Impl::ApplyOnce(
+  const Change& change,
+  UnixMillis time,
+  const std::function<ControlResult<Applied>()>& apply)
+{
+  const std::string fingerprint = Sha256(change.action + '\n' + change.content);
+  const auto known = ledger.Find(change.origin, fingerprint);
+  if (!known) {
+    return Refusal(known.error());
+  }
+  wire::CommandReply reply;
+  if (known.value() != nullptr) {
+    (void)detail::DecodeWire(known.value()->reply, &reply);
+    reply.isResend = true;
+    return reply;
+  }
+  const auto applied = apply();
+  if (applied) {
+    reply.version = applied.value().toVersion;
+    reply.subject = applied.value().subject;
+    reply.stateVersion = feed.Version();
+    audit.Append({ .time = time,
+                   .operatorName = change.origin.operatorName,
+                   .action = change.action,
+                   .subject = change.subject,
+                   .fromVersion = applied.value().fromVersion,
+                   .toVersion = applied.value().toVersion,
+                   .requestId = change.origin.requestId });
+  } else {
+    reply = Refusal(applied.error());
+  }
+  // A refusal is a result too: a resend must not succeed where its first answer was a refusal.
+  ledger.Record({ .origin = change.origin,
+                  .time = time,
+                  .fingerprint = fingerprint,
+                  .reply = detail::EncodeWire(reply) });
+  return reply;
+}
+
+wire::CommandReply ControlState::Impl::ApplyPut(const wire::PutDocumentCommand& command,
+                                                UnixMillis time)
+{
+  const Change change{ .origin = detail::FromWire(command.origin),
+                       .action = "config_put",
+                       .subject = command.serviceName,
+                       .content = fmt::format(
+                         "{}\n{}\n{}", command.serviceName, command.ifVersion, command.body) };
+  return ApplyOnce(change, time, [&]() -> ControlResult<Applied> {
+    auto stored = documents.Put({ .service = command.serviceName,
+                                  .body = command.body,
+                                  .changedAt = time,
+                                  .operatorName = command.origin.operatorName,
+                                  .stateVersion = feed.Version() + 1 },
+                                command.ifVersion);
+    if (!stored) {
+      return boost::outcome_v2::failure(stored.error());
+    }
+    feed.Append({ .documents = { stored.value() } });
+    return Applied{ .fromVersion = command.ifVersion,
+                    .toVersion = stored.value().version,
+                    .subject = command.serviceName };
+  });
+}
+
+wire::CommandReply ControlState::Impl::ApplyIssue(const wire::IssueKeyCommand& command,
+                                                  UnixMillis time)
+{
+  const KeyRecord key = detail::FromWire(command.record);
+  // The key itself is no part of the content: a resend carries another random key.
+  const Change change{ .origin = detail::FromWire(command.origin),
+                       .action = "key_give",
+                       .subject = key.account + "/" + key.id,
+                       .content = key.account };
+  return ApplyOnce(change, time, [&]() -> ControlResult<Applied> {
+    const auto issued = keys.Issue(key);
+    if (!issued) {
+      return boost::outcome_v2::failure(issued.error());
+    }
+    feed.Append({ .issuedKeys = { key } });
+    return Applied{ .toVersion = feed.Version(), .subject = key.id };
+  });
+}
+
+wire::CommandReply ControlState::Impl::ApplyRevoke(const wire::RevokeKeyCommand& command,
+                                                   UnixMillis time)
+{
+  const Change change{ .origin = detail::FromWire(command.origin),
+                       .action = "key_withdraw",
+                       .subject = command.account + "/" + command.keyId,
+                       .content = command.account + "/" + command.keyId };
+  return ApplyOnce(change, time, [&]() -> ControlResult<Applied> {
+    const auto revoked = keys.Revoke(command.account, command.keyId);
+    if (!revoked) {
+      return boost::outcome_v2::failure(revoked.error());
+    }
+    feed.Append({ .revokedKeyIds = { command.keyId } });
+    return Applied{ .toVersion = feed.Version(), .subject = command.keyId };
+  });
+}
+
+wire::CommandReply ControlState::Impl::ApplyReplace(const wire::ReplaceReplicaCommand& command,
+                                                    UnixMillis time)
+{
+  const Change change{ .origin = detail::FromWire(command.origin),
+                       .action = "control_replace",
+                       .subject = command.lostId + " by " + command.newId,
+                       .content = command.lostId + "/" + command.newId };
+  return ApplyOnce(change, time, [&]() -> ControlResult<Applied> {
+    retiredReplicas.insert(command.lostId);
+    return Applied{ .subject = command.newId };
+  });
+}
+
+bool ControlState::Impl::ApplyNote(const wire::NodeNote& note)
+{
+  const auto known = roster.find(note.nodeId);
+  const bool isKnown = known != roster.end();
+  const bool isDraining = note.event == wire::NodeEvent::DRAINING;
+  switch (note.event) {
+    case wire::NodeEvent::JOINED:
+      return roster.emplace(note.nodeId, KnownNode{ note.nodeId, note.serviceName }).second;
+    case wire::NodeEvent::DRAINING:
+    case wire::NodeEvent::SERVING:
+      if (!isKnown || known->second.isDraining == isDraining) {
+        return false;
+      }
+      known->second.isDraining = isDraining;
+      return true;
+    case wire::NodeEvent::LOST:
+      return roster.erase(note.nodeId) > 0;
+  }
+  return false;
+}
+
+wire::CommandReply ControlState::Impl::ApplyNotes(const wire::NoteNodesCommand& command,
+                                                  UnixMillis time)
+{
+  for (const auto& note : command.notes) {
+    if (ApplyNote(note)) {
+      audit.Append({ .time = time,
+                     .operatorName = kOwnName,
+                     .action = ActionOf(note.event),
+                     .subject = note.serviceName + "/" + note.nodeId });
+    }
+  }
+  return {};
+}
+
+wire::CommandReply ControlState::Impl::ApplyRecord(const wire::StoreRecordCommand& command,
+                                                   UnixMillis time)
+{
+  if (command.rows.size() > kMaxRecordRows) {
+    return Refusal(ControlErrorCode::InvalidRequest,
+                   fmt::format("rows of one hour have at most {} bytes", kMaxRecordRows));
+  }
+  record[{ command.hourMs, command.source }] = command.rows;
+  const std::int64_t oldest = CountMillis(time) - kRecordRetention.count();
+  record.erase(record.begin(), record.lower_bound({ oldest, "" }));
+  return {};
+}
+
+wire::CommandReply ControlState::Impl::ApplyBegin(const wire::BeginClaimRequest& request,
+                                                  UnixMillis time)
+{
+  const auto decision = claims.Begin(detail::FromWire(request), time);
+  if (!decision) {
+    return Refusal(decision.error());
+  }
+  wire::CommandReply reply;
+  reply.__set_claim(detail::ToWire(decision.value()));
+  return reply;
+}
+
+wire::CommandReply ControlState::Impl::ApplyFinish(const wire::FinishClaimRequest& request,
+                                                   UnixMillis time)
+{
+  const ClaimKey key = detail::FromWire(request.key);
+  const bool isUnknown = request.__isset.outcomeUnknown && request.outcomeUnknown;
+  const auto done =
+    isUnknown ? claims.MarkUnknown(key, request.attemptId, time)
+              : claims.Finish(key, request.attemptId, detail::FromWire(request.outcome), time);
+  return done ? wire::CommandReply{} : Refusal(done.error());
+}
+
+wire::CommandReply ControlState::Impl::ApplyRelease(const wire::ReleaseClaimRequest& request,
+                                                    UnixMillis time)
+{
+  const auto done = claims.Release(detail::FromWire(request.key), request.attemptId, time);
+  return done ? wire::CommandReply{} : Refusal(done.error());
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/control/control_context.cpp
@@ -0,0 +1,65 @@
+#include "acaciapulley/control/detail/control_context.hpp"
+
+#include <utility> // move
+
+#include <fmt/format.h> // format
+
+#include "acaciapulley/control/detail/wire_codec.hpp" // DecodeWire, EncodeWire
+
+namespace acp::detail {
+
+ControlResult<Duration> ControlContext::ConfirmedAge()
+{
+  const auto age = log.LeadershipAge();
+  if (!age) {
+    return Fail(ControlErrorCode::NotLeader, age.error().Describe());
+  }
+  if (age.value() >= kMaxLeadershipAge) {
+    return Fail(ControlErrorCode::NotLeader, "no quorum confirmed this leader within the last 1 s");
+  }
+  return age.value();
+}
+
+Leadership ControlContext::CurrentLeadership() const
+{
+  return { .term = log.Status().term, .leadingFor = log.LeadingFor().value_or(Duration{}) };
+}
+
+ControlResult<wire::CommandReply> ControlContext::Propose(wire::ControlCommand command,
+                                                          Duration timeout)
+{
+  command.formatVersion = kControlFormat;
+  const auto applied = log.Propose(EncodeWire(command), timeout);
+  if (!applied) {
+    metrics.CountProposalFailure(NameOf(applied.error().code));
+    switch (applied.error().code) {
+      case ReplicationErrorCode::NotLeader:
+        return Fail(ControlErrorCode::NotLeader, applied.error().Describe());
+      case ReplicationErrorCode::Unconfirmed:
+        return Fail(ControlErrorCode::Unconfirmed, applied.error().Describe());
+      default:
+        // The entry may have reached other replicas before this one stopped.
+        return Fail(ControlErrorCode::Unavailable, applied.error().Describe());
+    }
+  }
+  wire::CommandReply reply;
+  if (!DecodeWire(applied.value(), &reply)) {
+    return Fail(ControlErrorCode::Unconfirmed, "the result of the entry cannot be read");
+  }
+  return reply;
+}
+
+ForceStatus ControlContext::ForceOf(std::int64_t version)
+{
+  std::vector<std::string> known;
+  for (const auto& node : state.Roster()) {
+    known.push_back(node.nodeId);
+  }
+  const Leadership leadership = CurrentLeadership();
+  const std::lock_guard lock(nodesMutex);
+  nodes.StartTerm(leadership.term);
+  nodes.Expire(clock.Now());
+  return nodes.ForceOf(version, known, leadership.leadingFor);
+}
+
+} // namespace acp::detail
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -1,28 +1,61 @@
 #include "acaciapulley/control/control_service.hpp"
 
-#include <thread> // thread
+#include <stdexcept> // runtime_error
+#include <thread>    // sleep_for, thread
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
+#include "acaciapulley/control/detail/node_journal.hpp" // NodeJournal
 #include "acaciapulley/control/detail/operator_api.hpp" // OperatorApi
 #include "acaciapulley/control/detail/rpc_handler.hpp"  // RpcHandler
 #include "acaciapulley/transport/http_server.hpp"       // HttpServer
 
 namespace acp {
 
+namespace {
+
+constexpr int kMaxOperatorConnections = 64;
+// 540 nodes with a few connections each.
+constexpr int kMaxRpcConnections = 4096;
+constexpr int kSendTimeoutMillis = 5000;
+
+/// A listening socket that is opened before the server's thread starts, so that an address that
+/// cannot be bound is an error at start.
+class ListeningSocket final : public apache::thrift::transport::TServerSocket
+{
+public:
+  using TServerSocket::TServerSocket;
+
+  void listen() override
+  {
+    if (!isOpen()) {
+      TServerSocket::listen();
+    }
+  }
+};
+
+} // namespace
+
 class ControlProcess::Impl
 {
 public:
   explicit Impl(const ControlProcessOptions& options)
-    : operatorApi_(state_, *options.clock, options.operatorKeyHash)
+    : context_{ .clock = *options.clock,
+                .log = *options.log,
+                .state = *options.state,
+                .hooks = options.hooks,
+                .operators = options.operators }
+    , operatorApi_(context_, [](Duration pause) { std::this_thread::sleep_for(pause); })
     , operatorServer_({ .address = options.operatorAddress,
-                        .maxConnections = 64,
+                        .maxConnections = kMaxOperatorConnections,
                         .handler = [this](ServerExchange& e) { operatorApi_.Handle(e); } })
-    , rpcServer_(MakeRpcServer(options))
+    , rpcSocket_(OpenSocket(options.rpcAddress))
+    , rpcServer_(MakeRpcServer())
     , rpcThread_([this] { rpcServer_->serve(); })
+    , journal_(context_)
   {
   }
 
@@ -30,26 +63,47 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
+  [[nodiscard]] std::uint16_t RpcPort() const
+  {
+    return static_cast<std::uint16_t>(rpcSocket_->getPort());
+  }
+  [[nodiscard]] std::uint16_t OperatorPort() const { return operatorServer_.Port(); }
+
   void Stop(Duration patience)
   {
+    journal_.Stop();
     StopRpc();
     operatorServer_.Stop(patience);
   }
 
 private:
-  std::unique_ptr<apache::thrift::server::TServer> MakeRpcServer(
-    const ControlProcessOptions& options)
+  static std::shared_ptr<ListeningSocket> OpenSocket(const Address& address)
+  {
+    auto socket = std::make_shared<ListeningSocket>(address.ip, address.port);
+    // A node that vanished must not hold a thread for ever; calls of live nodes may be rare.
+    socket->setKeepAlive(true);
+    socket->setSendTimeout(kSendTimeoutMillis);
+    try {
+      socket->listen();
+    } catch (const apache::thrift::TException& e) {
+      throw std::runtime_error("cannot listen on " + address.ToString() + ": " + e.what());
+    }
+    return socket;
+  }
+
+  std::unique_ptr<apache::thrift::server::TServer> MakeRpcServer()
   {
     using apache::thrift::protocol::TCompactProtocolFactory;
     using apache::thrift::server::TThreadedServer;
     using apache::thrift::transport::TFramedTransportFactory;
-    using apache::thrift::transport::TServerSocket;
-    auto handler = std::make_shared<detail::RpcHandler>(state_, *options.clock);
-    return std::make_unique<TThreadedServer>(
-      std::make_shared<wire::ControlServiceProcessor>(handler),
-      std::make_shared<TServerSocket>(options.rpcAddress.ip, options.rpcAddress.port),
-      std::make_shared<TFramedTransportFactory>(),
-      std::make_shared<TCompactProtocolFactory>());
+    auto handler = std::make_shared<detail::RpcHandler>(context_);
+    auto server =
+      std::make_unique<TThreadedServer>(std::make_shared<wire::ControlServiceProcessor>(handler),
+                                        rpcSocket_,
+                                        std::make_shared<TFramedTransportFactory>(),
+                                        std::make_shared<TCompactProtocolFactory>());
+    server->setConcurrentClientLimit(kMaxRpcConnections);
+    return server;
   }
 
   void StopRpc()
@@ -60,11 +114,13 @@
     }
   }
 
-  SharedState state_;
+  detail::ControlContext context_;
   detail::OperatorApi operatorApi_;
   HttpServer operatorServer_;
+  std::shared_ptr<ListeningSocket> rpcSocket_;
   std::unique_ptr<apache::thrift::server::TServer> rpcServer_;
   std::thread rpcThread_;
+  detail::NodeJournal journal_;
 };
 
 ControlProcess::ControlProcess(const ControlProcessOptions& options)
@@ -74,6 +130,16 @@
 
 ControlProcess::~ControlProcess() = default;
 
+std::uint16_t ControlProcess::RpcPort() const
+{
+  return impl_->RpcPort();
+}
+
+std::uint16_t ControlProcess::OperatorPort() const
+{
+  return impl_->OperatorPort();
+}
+
 void ControlProcess::Stop(Duration patience)
 {
   impl_->Stop(patience);
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -1,113 +1,132 @@
 #include "acaciapulley/control/control_state.hpp"
 
-#include <utility> // move
+#include <mutex>     // unique_lock
+#include <stdexcept> // runtime_error
+#include <utility>   // move
 
-#include <fmt/format.h> // format
+#include "acaciapulley/control/detail/control_state_impl.hpp" // Impl
+#include "acaciapulley/control/detail/wire_codec.hpp"         // DecodeWire, EncodeWire
 
 namespace acp {
 
-namespace {
-
-// A day has 470 changes of configuration; a node that lacks more takes a snapshot.
-constexpr std::size_t kMaxRecentChanges = 1000;
+ControlState::ControlState(ClaimLimits claimLimits)
+  : impl_(std::make_unique<Impl>(claimLimits))
+{
+}
 
-} // namespace
+ControlState::~ControlState() = default;
 
-ControlResult<std::int64_t> ControlState::PutDocument(const std::string& body,
-                                                      std::int64_t ifVersion)
+std::string ControlState::Apply(const CommittedEntry& entry)
 {
-  const auto parsed = ServiceDocument::Parse(body);
-  if (!parsed) {
-    return Fail(ControlErrorCode::InvalidDocument, parsed.error().Describe());
-  }
-  const std::string& service = parsed.value().Service();
-  StoredDocument& stored = documents_[service];
-  if (stored.version != ifVersion) {
-    return Fail(ControlErrorCode::VersionConflict,
-                fmt::format("service '{}' is at version {}, the change was made from {}",
-                            service,
-                            stored.version,
-                            ifVersion));
+  wire::ControlCommand command;
+  const bool isRead = detail::DecodeWire(entry.command, &command);
+  if (isRead && command.formatVersion > kControlFormat) {
+    throw std::runtime_error("a newer version of acp-control wrote an entry of the log that this "
+                             "one cannot apply; update this replica");
   }
-  stored.service = service;
-  stored.version = ifVersion + 1;
-  stored.body = body;
-  Remember({ .documents = { stored } });
-  return stored.version;
+  const std::unique_lock lock(impl_->mutex);
+  return detail::EncodeWire(impl_->Apply(isRead ? command : wire::ControlCommand{}, entry.time));
 }
 
-ControlResult<void> ControlState::IssueKey(const KeyRecord& record)
+std::string ControlState::TakeSnapshot() const
 {
-  const auto issued = keys_.Issue(record);
-  if (!issued) {
-    return Fail(ControlErrorCode::KeyRefused, issued.error().Describe());
-  }
-  Remember({ .issuedKeys = { record } });
-  return boost::outcome_v2::success();
+  const std::shared_lock lock(impl_->mutex);
+  return detail::EncodeWire(impl_->Take());
 }
 
-ControlResult<KeyRecord> ControlState::RevokeKey(const std::string& id)
+bool ControlState::Restore(const std::string& snapshot)
 {
-  const auto revoked = keys_.Revoke(id);
-  if (!revoked) {
-    return Fail(ControlErrorCode::KeyRefused, revoked.error().Describe());
+  wire::ControlSnapshot message;
+  if (!detail::DecodeWire(snapshot, &message) || message.formatVersion > kControlFormat) {
+    return false;
   }
-  Remember({ .revokedKeyIds = { id } });
-  return revoked.value();
+  const std::unique_lock lock(impl_->mutex);
+  impl_->Restore(message);
+  return true;
 }
 
-void ControlState::Remember(StateChanges content)
+StateChanges ControlState::ChangesSince(std::int64_t version) const
 {
-  ++version_;
-  recent_.push_back({ .version = version_, .content = std::move(content) });
-  if (recent_.size() > kMaxRecentChanges) {
-    recent_.erase(recent_.begin());
-  }
+  const std::shared_lock lock(impl_->mutex);
+  StateChanges changes;
+  return impl_->feed.Collect(version, &changes) ? changes : impl_->Snapshot();
 }
 
-StateChanges ControlState::Snapshot() const
+std::int64_t ControlState::Version() const
 {
-  StateChanges all{ .isSnapshot = true, .toVersion = version_ };
-  for (const auto& [service, document] : documents_) {
-    if (document.version > 0) {
-      all.documents.push_back(document);
-    }
-  }
-  all.issuedKeys = keys_.List("");
-  return all;
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->feed.Version();
 }
 
-StateChanges ControlState::ChangesSince(std::int64_t version) const
+std::optional<StoredDocument> ControlState::DocumentOf(const std::string& service) const
+{
+  const std::shared_lock lock(impl_->mutex);
+  const StoredDocument* document = impl_->documents.Current(service);
+  return document == nullptr ? std::nullopt : std::optional(*document);
+}
+
+std::vector<StoredDocument> ControlState::Documents() const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->documents.AllCurrent();
+}
+
+std::vector<StoredDocument> ControlState::History(const std::string& service) const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->documents.History(service);
+}
+
+std::vector<KeyRecord> ControlState::Keys(const std::string& account) const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->keys.List(account);
+}
+
+std::vector<AuditEntry> ControlState::AuditFrom(std::int64_t number, std::size_t limit) const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->audit.From(number, limit);
+}
+
+std::int64_t ControlState::NextAuditNumber() const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->audit.NextNumber();
+}
+
+std::vector<KnownNode> ControlState::Roster() const
 {
-  const std::int64_t oldestKnown = version_ - static_cast<std::int64_t>(recent_.size());
-  if (version < oldestKnown || version > version_ || version == 0) {
-    return Snapshot();
+  const std::shared_lock lock(impl_->mutex);
+  std::vector<KnownNode> nodes;
+  for (const auto& [nodeId, node] : impl_->roster) {
+    nodes.push_back(node);
   }
-  StateChanges changes{ .fromVersion = version, .toVersion = version_ };
-  for (const auto& change : recent_) {
-    if (change.version <= version) {
-      continue;
-    }
-    const auto& content = change.content;
-    changes.documents.insert(
-      changes.documents.end(), content.documents.begin(), content.documents.end());
-    changes.issuedKeys.insert(
-      changes.issuedKeys.end(), content.issuedKeys.begin(), content.issuedKeys.end());
-    changes.revokedKeyIds.insert(
-      changes.revokedKeyIds.end(), content.revokedKeyIds.begin(), content.revokedKeyIds.end());
+  return nodes;
+}
+
+std::vector<RecordRows> ControlState::Record(UnixMillis from, UnixMillis to) const
+{
+  const std::shared_lock lock(impl_->mutex);
+  std::vector<RecordRows> rows;
+  const auto end = impl_->record.lower_bound({ CountMillis(to), "" });
+  for (auto row = impl_->record.lower_bound({ CountMillis(from), "" }); row != end; ++row) {
+    rows.push_back(
+      { .hour = ToUnixMillis(row->first.first), .source = row->first.second, .rows = row->second });
   }
-  return changes;
+  return rows;
 }
 
-const StoredDocument* ControlState::DocumentOf(const std::string& service) const
+std::vector<std::string> ControlState::RetiredReplicas() const
 {
-  const auto found = documents_.find(service);
-  return found == documents_.end() || found->second.version == 0 ? nullptr : &found->second;
+  const std::shared_lock lock(impl_->mutex);
+  return { impl_->retiredReplicas.begin(), impl_->retiredReplicas.end() };
 }
 
-std::vector<KeyRecord> ControlState::Keys(const std::string& account) const
+std::size_t ControlState::ClaimCount() const
 {
-  return keys_.List(account);
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->claims.Size();
 }
 
 } // namespace acp
--- /dev/null
+++ b/src/control/operator_answers.cpp
@@ -0,0 +1,99 @@
+#include <algorithm> // min
+#include <sstream>   // ostringstream
+
+#include <Poco/JSON/Object.h>
+
+#include "acaciapulley/control/detail/operator_api.hpp"
+
+namespace acp::detail {
+
+namespace {
+
+/// How an error is answered.
+struct ErrorRule
+{
+  ControlErrorCode code;
+  int status;
+  const char* next;
+};
+
+constexpr const char* kResend = "resend the command with the same --request-id; it is carried out "
+                                "at most once";
+constexpr ErrorRule kRules[] = {
+  { ControlErrorCode::InvalidDocument, 400, "correct the document; acpctl config check FILE" },
+  { ControlErrorCode::VersionConflict, 409, "acpctl config get SERVICE, then edit and put that" },
+  { ControlErrorCode::KeyRefused, 409, "acpctl key list ACCOUNT" },
+  { ControlErrorCode::RequestIdReused, 409, "leave --request-id out to get a new one" },
+  { ControlErrorCode::TooManyRequests, 429, "wait until requests of yesterday are forgotten" },
+  { ControlErrorCode::TooManyKeys, 429, "acpctl key withdraw ACCOUNT KEY-ID" },
+  { ControlErrorCode::TooManyServices, 429, "put the document of an existing service" },
+  { ControlErrorCode::InvalidRequest, 400, "see acpctl --help" },
+  { ControlErrorCode::UnsupportedCall, 501, "update acp-control" },
+  { ControlErrorCode::Unconfirmed, 504, kResend },
+  { ControlErrorCode::Unavailable, 504, kResend },
+  { ControlErrorCode::NotLeader, 503, "try again in a second, or another control address" },
+};
+
+} // namespace
+
+OperatorAnswer MakeError(int status,
+                         int code,
+                         std::string_view name,
+                         const std::string& message,
+                         const std::string& next)
+{
+  Poco::JSON::Object object;
+  object.set("error", message);
+  object.set("code", code);
+  object.set("name", std::string(name));
+  object.set("next", next);
+  std::ostringstream text;
+  object.stringify(text);
+  return { .status = status, .json = text.str() };
+}
+
+OperatorAnswer MakeError(const ControlError& error)
+{
+  for (const auto& rule : kRules) {
+    if (rule.code == error.code) {
+      return MakeError(
+        rule.status, static_cast<int>(error.code), NameOf(error.code), error.message, rule.next);
+    }
+  }
+  return MakeError(500,
+                   static_cast<int>(error.code),
+                   NameOf(error.code),
+                   error.message,
+                   "report this with the log of acp-control");
+}
+
+OperatorAnswer MakeNotLeader(const ReplicaStatus& status)
+{
+  if (status.isLeader || status.leaderOperatorAddress.empty()) {
+    return MakeError({ ControlErrorCode::NotLeader, "no control replica is known to lead" });
+  }
+  auto answer = MakeError(421,
+                          static_cast<int>(ControlErrorCode::NotLeader),
+                          NameOf(ControlErrorCode::NotLeader),
+                          "this replica does not lead",
+                          "ask the leader at " + status.leaderOperatorAddress);
+  answer.leader = status.leaderOperatorAddress;
+  return answer;
+}
+
+std::string QueryValue(const std::string& query, std::string_view name)
+{
+  std::size_t start = 0;
+  while (start < query.size()) {
+    const std::size_t end = std::min(query.find('&', start), query.size());
+    const std::string part = query.substr(start, end - start);
+    const std::size_t equals = part.find('=');
+    if (equals != std::string::npos && part.substr(0, equals) == name) {
+      return part.substr(equals + 1);
+    }
+    start = end + 1;
+  }
+  return "";
+}
+
+} // namespace acp::detail
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -1,200 +1,217 @@
 #include "acaciapulley/control/detail/operator_api.hpp"
 
-#include <charconv> // from_chars
-#include <sstream>  // ostringstream
-#include <utility>  // move
-
-#include <Poco/JSON/Array.h>
-#include <Poco/JSON/Object.h>
+#include <algorithm> // all_of
+#include <optional>  // optional
+#include <utility>   // move
 
 #include "acaciapulley/config/detail/path_pattern.hpp" // SplitPath
-#include "acaciapulley/core/random.hpp"                // Sha256, ToHex
+#include "acaciapulley/core/log.hpp"                   // Log
 
 namespace acp::detail {
 
 namespace {
 
-constexpr std::size_t kMaxDocumentBytes = 1'048'576;
 constexpr std::string_view kBearer = "Bearer ";
+constexpr std::size_t kMaxTargetBytes = 2048;
+constexpr std::size_t kMaxHeaderBytes = 16'384;
+constexpr std::size_t kMinRequestId = 8;
+constexpr std::size_t kMaxRequestId = 64;
 
-void RespondJson(ServerExchange& exchange, int status, const Poco::JSON::Object& object)
+void Send(ServerExchange& exchange, const OperatorAnswer& answer)
 {
-  std::ostringstream text;
-  object.stringify(text);
-  HttpResponseHead head{ .status = status };
+  HttpResponseHead head{ .status = answer.status };
   head.headers.Set("Content-Type", "application/json");
-  exchange.Respond(head, text.str() + "\n");
+  if (!answer.leader.empty()) {
+    head.headers.Set("Acp-Leader", answer.leader);
+  }
+  exchange.Respond(head, answer.json + "\n");
 }
 
-void RespondError(ServerExchange& exchange, int status, const std::string& message)
+bool IsIdCharacter(char c)
 {
-  Poco::JSON::Object object;
-  object.set("error", message);
-  RespondJson(exchange, status, object);
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+         c == '_';
 }
 
-template<typename Code>
-void RespondError(ServerExchange& exchange, int status, const BasicError<Code>& error)
+bool IsRequestId(const std::string& id)
 {
-  RespondError(exchange, status, error.Describe());
+  return id.size() >= kMinRequestId && id.size() <= kMaxRequestId &&
+         std::all_of(id.begin(), id.end(), IsIdCharacter);
 }
 
-} // namespace
+OperatorAnswer BadRequest(const std::string& message)
+{
+  return MakeError({ ControlErrorCode::InvalidRequest, message });
+}
 
-OperatorApi::OperatorApi(SharedState& state, const Clock& clock, std::string operatorKeyHash)
-  : state_(state)
-  , clock_(clock)
-  , operatorKeyHash_(std::move(operatorKeyHash))
+/// Returns why the head is refused, or nothing.
+std::optional<OperatorAnswer> CheckHead(const HttpRequestHead& head)
 {
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : head.headers.Fields()) {
+    bytes += name.size() + value.size();
+  }
+  if (head.target.size() > kMaxTargetBytes || bytes > kMaxHeaderBytes) {
+    return MakeError(431, 0, "too_large", "the request's head is too large", "shorten it");
+  }
+  return std::nullopt;
 }
 
-bool OperatorApi::IsOperator(const ServerExchange& exchange) const
+OperatorCall ReadCall(const HttpRequestHead& head)
 {
-  const auto value = exchange.Request().headers.Find("Authorization");
-  if (!value || !value->starts_with(kBearer)) {
-    return false;
+  OperatorCall call;
+  const std::size_t question = std::min(head.target.find('?'), head.target.size());
+  for (const auto& segment : SplitPath(std::string_view(head.target).substr(0, question))) {
+    call.segments.emplace_back(segment);
+  }
+  const bool isVersion1 = !call.segments.empty() && call.segments.front() == "v1";
+  call.segments.erase(call.segments.begin(), call.segments.begin() + (isVersion1 ? 1 : 0));
+  if (!isVersion1) {
+    call.segments.clear();
   }
-  return ToHex(Sha256(value->substr(kBearer.size()))) == operatorKeyHash_;
+  call.method = head.method;
+  call.query = question < head.target.size() ? head.target.substr(question + 1) : "";
+  call.requestId = head.headers.Find("Acp-Request-Id").value_or("");
+  call.ifVersion = head.headers.Find("If-Version").value_or("");
+  return call;
+}
+
+} // namespace
+
+OperatorApi::OperatorApi(ControlContext& context, std::function<void(Duration)> pause)
+  : context_(context)
+  , pause_(std::move(pause))
+{
 }
 
 void OperatorApi::Handle(ServerExchange& exchange)
 {
-  const auto& request = exchange.Request();
-  const std::string path = request.target.substr(0, request.target.find('?'));
+  const HttpRequestHead& head = exchange.Request();
+  const std::string path = head.target.substr(0, head.target.find('?'));
   if (path == "/healthz") {
     exchange.Respond({ .status = 200 }, "ok\n");
     return;
   }
-  if (!IsOperator(exchange)) {
-    RespondError(exchange, 401, "the operator key is missing or wrong; set ACP_OPERATOR_KEY_FILE");
+  if (path == "/metrics") {
+    HttpResponseHead answer{ .status = 200 };
+    answer.headers.Set("Content-Type", "text/plain; version=0.0.4");
+    exchange.Respond(answer, context_.metrics.Render(ReadGauges()));
     return;
   }
-  const auto segments = SplitPath(path);
-  const bool isV1 = segments.size() >= 2 && segments[0] == "v1";
-  const std::string kind = isV1 ? std::string(segments[1]) : "";
-  const std::string name = segments.size() >= 3 ? std::string(segments[2]) : "";
-  if (kind == "services" && request.method == "PUT") {
-    PutDocument(exchange);
-  } else if (kind == "services" && request.method == "GET") {
-    GetDocument(exchange, name);
-  } else if (kind == "accounts" && request.method == "POST") {
-    IssueKey(exchange, name);
-  } else if (kind == "accounts" && request.method == "GET") {
-    ListKeys(exchange, name);
-  } else if (kind == "accounts" && request.method == "DELETE" && segments.size() == 5) {
-    RevokeKey(exchange, std::string(segments[4]));
-  } else if (kind == "members" && request.method == "GET") {
-    ListMembers(exchange);
-  } else {
-    RespondError(exchange, 404, "no such operation: " + request.method + " " + path);
-  }
-}
-
-void OperatorApi::PutDocument(ServerExchange& exchange)
-{
-  const auto body = ReadAll(exchange.RequestBody(), kMaxDocumentBytes);
-  if (!body) {
-    RespondError(exchange, 413, "the document is larger than 1 MiB");
+  if (const auto refusal = CheckHead(head)) {
+    Send(exchange, *refusal);
     return;
   }
-  const std::string ifVersion = exchange.Request().headers.Find("If-Version").value_or("");
-  std::int64_t version = 0;
-  const char* end = ifVersion.data() + ifVersion.size();
-  const auto [rest, error] = std::from_chars(ifVersion.data(), end, version);
-  if (error != std::errc() || rest != end) {
-    RespondError(exchange, 400, "If-Version must be the version that was edited, 0 for a new one");
+  const std::string authorization = head.headers.Find("Authorization").value_or("");
+  const bool hasKey = authorization.starts_with(kBearer);
+  const auto name =
+    hasKey ? context_.operators.NameOf(authorization.substr(kBearer.size())) : std::nullopt;
+  if (!name) {
+    Send(exchange,
+         MakeError(401,
+                   0,
+                   "unauthorized",
+                   "the operator key is missing or not known to this replica",
+                   "set --operator-key-file; the operator key file of each control host must have "
+                   "a line for your key"));
     return;
   }
-  const std::lock_guard lock(state_.mutex);
-  const auto stored = state_.control.PutDocument(*body, version);
-  if (!stored) {
-    const bool isConflict = stored.error().code == ControlErrorCode::VersionConflict;
-    RespondError(exchange, isConflict ? 409 : 400, stored.error());
-    return;
+  OperatorCall call = ReadCall(head);
+  call.operatorName = *name;
+  const auto body = ReadAll(exchange.RequestBody(), kMaxDocumentBytes);
+  OperatorAnswer answer =
+    body ? OperatorAnswer{}
+         : MakeError(413, 0, "too_large", "the body is larger than 128 KiB", "shorten it");
+  if (body) {
+    call.body = *body;
+    answer = Answer(call);
   }
-  Poco::JSON::Object object;
-  object.set("version", stored.value());
-  object.set("state_version", state_.control.Version());
-  RespondJson(exchange, 200, object);
-}
-
-void OperatorApi::GetDocument(ServerExchange& exchange, const std::string& service)
-{
-  const std::lock_guard lock(state_.mutex);
-  const auto* document = state_.control.DocumentOf(service);
-  if (document == nullptr) {
-    RespondError(exchange, 404, "no document for service '" + service + "'");
-    return;
+  context_.metrics.CountOperatorRequest(answer.status);
+  if (call.method != "GET") {
+    Log(LogLevel::Info,
+        "operator_request",
+        { { "operator", call.operatorName },
+          { "method", call.method },
+          { "path", path },
+          { "request_id", call.requestId },
+          { "status", std::to_string(answer.status) } });
   }
-  Poco::JSON::Object object;
-  object.set("version", document->version);
-  object.set("document", document->body);
-  RespondJson(exchange, 200, object);
+  Send(exchange, answer);
 }
 
-void OperatorApi::IssueKey(ServerExchange& exchange, const std::string& account)
+OperatorAnswer OperatorApi::Answer(const OperatorCall& call)
 {
-  const NewKey key = MakeKey(account, clock_.WallNow());
-  const std::lock_guard lock(state_.mutex);
-  const auto issued = state_.control.IssueKey(key.record);
-  if (!issued) {
-    RespondError(exchange, 409, issued.error());
-    return;
+  if (call.segments.empty()) {
+    return MakeError(404, 0, "not_found", "no such operation", "see acpctl --help");
   }
-  Poco::JSON::Object object;
-  object.set("id", key.record.id);
-  object.set("account", account);
-  object.set("key", key.text);
-  RespondJson(exchange, 201, object);
-}
-
-void OperatorApi::ListKeys(ServerExchange& exchange, const std::string& account)
-{
-  Poco::JSON::Array keys;
-  const std::lock_guard lock(state_.mutex);
-  for (const auto& record : state_.control.Keys(account)) {
-    Poco::JSON::Object object;
-    object.set("id", record.id);
-    object.set("account", record.account);
-    object.set("issued_at_ms", CountMillis(record.issuedAt));
-    keys.add(object);
-  }
-  Poco::JSON::Object object;
-  object.set("keys", keys);
-  RespondJson(exchange, 200, object);
+  const bool isView = call.method == "GET";
+  if (isView && !call.body.empty()) {
+    return BadRequest("GET takes no body");
+  }
+  if (!isView && !IsRequestId(call.requestId)) {
+    return BadRequest("Acp-Request-Id must have 8 to 64 characters of A-Z a-z 0-9 - _");
+  }
+  if (isView && call.segments[0] == "control" && call.segments.size() == 1) {
+    // Each replica tells what it knows itself; on the night of a failure there may be no leader.
+    return ShowControl();
+  }
+  if (!context_.ConfirmedAge()) {
+    return MakeNotLeader(context_.log.Status());
+  }
+  auto answer = isView ? View(call) : Change(call);
+  const auto notLeader = MakeError({ ControlErrorCode::NotLeader, "" }).status;
+  return answer.status == notLeader ? MakeNotLeader(context_.log.Status()) : answer;
 }
 
-void OperatorApi::RevokeKey(ServerExchange& exchange, const std::string& keyId)
+OperatorAnswer OperatorApi::Change(const OperatorCall& call)
 {
-  const std::lock_guard lock(state_.mutex);
-  const auto revoked = state_.control.RevokeKey(keyId);
-  if (!revoked) {
-    RespondError(exchange, 404, revoked.error());
-    return;
+  const auto& path = call.segments;
+  const bool isKeys = path[0] == "accounts" && path.size() >= 3 && path[2] == "keys";
+  if (call.method == "PUT" && path[0] == "services" && path.size() == 3 && path[2] == "document") {
+    return PutDocument(call, path[1]);
   }
-  Poco::JSON::Object object;
-  object.set("id", keyId);
-  object.set("state_version", state_.control.Version());
-  RespondJson(exchange, 200, object);
+  if (call.method == "POST" && path[0] == "control" && path.size() == 2 && path[1] == "replace") {
+    return ReplaceReplica(call);
+  }
+  if (!call.body.empty()) {
+    return BadRequest("this operation takes no body");
+  }
+  if (call.method == "POST" && isKeys && path.size() == 3) {
+    return IssueKey(call, path[1]);
+  }
+  if (call.method == "DELETE" && isKeys && path.size() == 4) {
+    return RevokeKey(call, path[1], path[3]);
+  }
+  return MakeError(404, 0, "not_found", "no such operation", "see acpctl --help");
 }
 
-void OperatorApi::ListMembers(ServerExchange& exchange)
+OperatorAnswer OperatorApi::View(const OperatorCall& call)
 {
-  Poco::JSON::Array members;
-  const std::lock_guard lock(state_.mutex);
-  for (const auto& member : state_.members.Members()) {
-    Poco::JSON::Object object;
-    object.set("node", member.nodeId);
-    object.set("service", member.service);
-    object.set("data_centre", member.dataCentre);
-    object.set("peer_address", member.peerAddress);
-    object.set("slots", member.slots);
-    object.set("draining", member.draining);
-    members.add(object);
-  }
-  Poco::JSON::Object object;
-  object.set("members", members);
-  RespondJson(exchange, 200, object);
+  const auto& path = call.segments;
+  const std::string name = path.size() >= 2 ? path[1] : "";
+  const std::string part = path.size() >= 3 ? path[2] : "";
+  if (path[0] == "services" && path.size() == 3 && part == "document") {
+    return ShowDocument(name);
+  }
+  if (path[0] == "services" && path.size() == 3 && part == "history") {
+    return ShowHistory(name);
+  }
+  if (path[0] == "accounts" && path.size() == 3 && part == "keys") {
+    return ShowKeys(name);
+  }
+  if (path.size() == 1 && path[0] == "status") {
+    return ShowStatus();
+  }
+  if (path.size() == 1 && path[0] == "members") {
+    return ShowMembers();
+  }
+  if (path.size() == 1 && path[0] == "audit") {
+    return ShowAudit(call.query);
+  }
+  if (path.size() == 1 && path[0] == "report") {
+    return ShowReport(call.query);
+  }
+  return MakeError(404, 0, "not_found", "no such operation", "see acpctl --help");
 }
 
 } // namespace acp::detail
--- /dev/null
+++ b/src/control/operator_changes.cpp
@@ -0,0 +1,232 @@
+#include <charconv> // from_chars
+#include <sstream>  // ostringstream
+#include <utility>  // move
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include "acaciapulley/config/service_document.hpp"     // ServiceDocument
+#include "acaciapulley/control/detail/control_wire.hpp" // ToWire
+#include "acaciapulley/control/detail/operator_api.hpp" // OperatorApi
+#include "acaciapulley/core/json_reader.hpp"            // JsonReader
+
+namespace acp::detail {
+
+namespace {
+
+constexpr Duration kChangeTimeout = std::chrono::seconds(3);
+// P5: a node that has not confirmed a withdrawal refuses keyed requests by then.
+constexpr Duration kWithdrawBound = std::chrono::seconds(5);
+constexpr Duration kConfirmationPause = std::chrono::milliseconds(50);
+constexpr std::size_t kMaxAccountName = 64;
+
+std::string Text(const Poco::JSON::Object& object)
+{
+  std::ostringstream text;
+  object.stringify(text);
+  return text.str();
+}
+
+Poco::JSON::Array ToArray(const std::vector<std::string>& texts)
+{
+  Poco::JSON::Array array;
+  for (const auto& text : texts) {
+    array.add(text);
+  }
+  return array;
+}
+
+bool IsAccountName(const std::string& name)
+{
+  for (const char c : name) {
+    const bool isAllowed = (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+    if (!isAllowed) {
+      return false;
+    }
+  }
+  return !name.empty() && name.size() <= kMaxAccountName;
+}
+
+bool ReadVersion(const std::string& text, std::int64_t* version)
+{
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, *version);
+  return error == std::errc() && rest == end && *version >= 0;
+}
+
+wire::OperatorRequest OriginOf(const OperatorCall& call)
+{
+  return ToWire(RequestOrigin{ call.operatorName, call.requestId });
+}
+
+} // namespace
+
+OperatorAnswer OperatorApi::AnswerRefusal(const wire::CommandReply& reply) const
+{
+  return MakeError({ static_cast<ControlErrorCode>(reply.errorCode), reply.message });
+}
+
+OperatorAnswer OperatorApi::PutDocument(const OperatorCall& call, const std::string& service)
+{
+  std::int64_t ifVersion = 0;
+  if (!ReadVersion(call.ifVersion, &ifVersion)) {
+    return MakeError({ ControlErrorCode::InvalidRequest,
+                       "If-Version must be the version that was edited, 0 for a new document" });
+  }
+  const auto parsed = ServiceDocument::Parse(call.body);
+  if (!parsed) {
+    return MakeError({ ControlErrorCode::InvalidDocument, parsed.error().Describe() });
+  }
+  if (parsed.value().Service() != service) {
+    return MakeError({ ControlErrorCode::InvalidDocument,
+                       "the document is for service '" + parsed.value().Service() + "'" });
+  }
+  wire::ControlCommand command;
+  command.__isset.putDocument = true;
+  command.putDocument.origin = OriginOf(call);
+  command.putDocument.serviceName = service;
+  command.putDocument.body = call.body;
+  command.putDocument.ifVersion = ifVersion;
+  const auto reply = context_.Propose(std::move(command), kChangeTimeout);
+  if (!reply) {
+    return MakeError(reply.error());
+  }
+  if (reply.value().errorCode != 0) {
+    return AnswerRefusal(reply.value());
+  }
+  Poco::JSON::Object object;
+  object.set("service", service);
+  object.set("version", reply.value().version);
+  object.set("state_version", reply.value().stateVersion);
+  object.set("resend", reply.value().isResend);
+  return { .json = Text(object) };
+}
+
+OperatorAnswer OperatorApi::IssueKey(const OperatorCall& call, const std::string& account)
+{
+  if (!IsAccountName(account)) {
+    return MakeError({ ControlErrorCode::InvalidRequest,
+                       "an account has 1 to 64 characters of a-z, 0-9, - and _" });
+  }
+  const NewKey key = MakeKey(account, context_.clock.WallNow());
+  wire::ControlCommand command;
+  command.__isset.issueKey = true;
+  command.issueKey.origin = OriginOf(call);
+  command.issueKey.record = ToWire(key.record);
+  const auto reply = context_.Propose(std::move(command), kChangeTimeout);
+  if (!reply) {
+    return MakeError(reply.error());
+  }
+  if (reply.value().errorCode != 0) {
+    return AnswerRefusal(reply.value());
+  }
+  const std::string& id = reply.value().subject;
+  if (id != key.record.id) {
+    return MakeError(409,
+                     static_cast<int>(ControlErrorCode::KeyRefused),
+                     "key_shown_once",
+                     "the first request with this id issued key " + id +
+                       "; its text was in the first answer only and is stored nowhere",
+                     "if that answer is lost: acpctl key withdraw " + account + " " + id +
+                       ", then acpctl key give " + account);
+  }
+  Poco::JSON::Object object;
+  object.set("id", id);
+  object.set("account", account);
+  object.set("key", key.text);
+  object.set("state_version", reply.value().stateVersion);
+  return { .status = 201, .json = Text(object) };
+}
+
+ForceStatus OperatorApi::AwaitConfirmation(std::int64_t stateVersion)
+{
+  const TimePoint end = context_.clock.Now() + kWithdrawBound;
+  ForceStatus status = context_.ForceOf(stateVersion);
+  while (!status.isInForce && context_.clock.Now() < end) {
+    pause_(kConfirmationPause);
+    status = context_.ForceOf(stateVersion);
+  }
+  return status;
+}
+
+OperatorAnswer OperatorApi::RevokeKey(const OperatorCall& call,
+                                      const std::string& account,
+                                      const std::string& keyId)
+{
+  wire::ControlCommand command;
+  command.__isset.revokeKey = true;
+  command.revokeKey.origin = OriginOf(call);
+  command.revokeKey.account = account;
+  command.revokeKey.keyId = keyId;
+  const auto reply = context_.Propose(std::move(command), kChangeTimeout);
+  if (!reply) {
+    return MakeError(reply.error());
+  }
+  if (reply.value().errorCode != 0) {
+    return AnswerRefusal(reply.value());
+  }
+  const ForceStatus force = AwaitConfirmation(reply.value().stateVersion);
+  Poco::JSON::Object object;
+  object.set("id", keyId);
+  object.set("account", account);
+  object.set("state_version", reply.value().stateVersion);
+  object.set("resend", reply.value().isResend);
+  object.set("confirmed_by_all", force.isInForce);
+  object.set("not_confirmed", ToArray(force.behind));
+  object.set("not_heard", ToArray(force.unheard));
+  object.set("may_miss_nodes", force.mayMissNodes);
+  return { .json = Text(object) };
+}
+
+OperatorAnswer OperatorApi::ReplaceReplica(const OperatorCall& call)
+{
+  std::string lostId;
+  std::string newId;
+  try {
+    auto reader = JsonReader::FromText(call.body);
+    lostId = reader.String("lost");
+    newId = reader.String("new");
+    reader.RejectUnknownFields();
+  } catch (const JsonPlaceError& e) {
+    return MakeError({ ControlErrorCode::InvalidRequest, e.what() });
+  }
+  bool isDone = false;
+  for (const auto& replica : context_.log.Status().replicas) {
+    isDone = isDone || (replica.id == newId && replica.isVoter);
+  }
+  for (const auto& replica : context_.log.Status().replicas) {
+    isDone = isDone && replica.id != lostId;
+  }
+  if (!isDone) {
+    const auto replaced = context_.log.ReplaceReplica(lostId, newId, kChangeTimeout);
+    if (!replaced) {
+      const auto code = replaced.error().code;
+      const bool isRefused = code == ReplicationErrorCode::ChangeRefused;
+      const bool isNotLeader = code == ReplicationErrorCode::NotLeader;
+      const auto converted = isRefused     ? ControlErrorCode::InvalidRequest
+                             : isNotLeader ? ControlErrorCode::NotLeader
+                                           : ControlErrorCode::Unconfirmed;
+      return MakeError({ converted, replaced.error().Describe() });
+    }
+  }
+  wire::ControlCommand command;
+  command.__isset.replaceReplica = true;
+  command.replaceReplica.origin = OriginOf(call);
+  command.replaceReplica.lostId = lostId;
+  command.replaceReplica.newId = newId;
+  const auto reply = context_.Propose(std::move(command), kChangeTimeout);
+  if (!reply) {
+    // The replica set was changed; only the audit entry is not certain.
+    return MakeError({ ControlErrorCode::Unconfirmed, reply.error().Describe() });
+  }
+  if (reply.value().errorCode != 0) {
+    return AnswerRefusal(reply.value());
+  }
+  Poco::JSON::Object object;
+  object.set("lost", lostId);
+  object.set("new", newId);
+  object.set("resend", reply.value().isResend);
+  return { .json = Text(object) };
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/src/control/request_ledger.cpp
@@ -0,0 +1,65 @@
+#include "acaciapulley/control/request_ledger.hpp"
+
+#include <utility> // move
+
+#include <fmt/format.h> // format
+
+namespace acp {
+
+ControlResult<const AnsweredRequest*> RequestLedger::Find(const RequestOrigin& origin,
+                                                          const std::string& fingerprint) const
+{
+  const auto found = byOrigin_.find(origin);
+  if (found == byOrigin_.end()) {
+    if (byOrigin_.size() >= kMaxRequests) {
+      return Fail(ControlErrorCode::TooManyRequests,
+                  fmt::format("{} changes were made in 24 h, the most that are remembered; wait",
+                              kMaxRequests));
+    }
+    return nullptr;
+  }
+  if (found->second.fingerprint != fingerprint) {
+    return Fail(
+      ControlErrorCode::RequestIdReused,
+      fmt::format("request id '{}' was used for another change; use a new one", origin.requestId));
+  }
+  return &found->second;
+}
+
+void RequestLedger::Record(AnsweredRequest request)
+{
+  RequestOrigin origin = request.origin;
+  const std::int64_t time = CountMillis(request.time);
+  if (byOrigin_.emplace(origin, std::move(request)).second) {
+    byTime_.emplace(time, std::move(origin));
+  }
+}
+
+void RequestLedger::Expire(UnixMillis now)
+{
+  const std::int64_t bound = CountMillis(now) - kRequestRetention.count();
+  while (!byTime_.empty() && byTime_.begin()->first <= bound) {
+    byOrigin_.erase(byTime_.begin()->second);
+    byTime_.erase(byTime_.begin());
+  }
+}
+
+std::vector<AnsweredRequest> RequestLedger::All() const
+{
+  std::vector<AnsweredRequest> requests;
+  for (const auto& [origin, request] : byOrigin_) {
+    requests.push_back(request);
+  }
+  return requests;
+}
+
+void RequestLedger::Restore(const std::vector<AnsweredRequest>& requests)
+{
+  byOrigin_.clear();
+  byTime_.clear();
+  for (const auto& request : requests) {
+    Record(request);
+  }
+}
+
+} // namespace acp
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -1,121 +1,205 @@
 #include "acaciapulley/control/detail/rpc_handler.hpp"
 
+#include <algorithm> // min
+#include <chrono>    // ceil
+#include <utility>   // move
+
+#include "acaciapulley/control/detail/control_wire.hpp" // FromWire, ToWire
+
 namespace acp::detail {
 
 namespace {
 
-MemberInfo FromWire(const wire::Member& member)
+// Below the node's call timeout of 500 ms, so that the node learns the result.
+constexpr Duration kClaimTimeout = std::chrono::milliseconds(400);
+constexpr std::size_t kMaxIdentifier = 128;
+constexpr std::size_t kMaxContentType = 256;
+
+bool IsIdentifier(const std::string& text)
 {
-  return { .nodeId = member.nodeId,
-           .epoch = member.epoch,
-           .service = member.serviceName,
-           .dataCentre = member.dataCentre,
-           .peerAddress = member.peerAddress,
-           .slots = member.slots,
-           .maxConnections = member.maxConnections,
-           .coldStartMs = member.coldStartMs,
-           .draining = member.draining };
+  return !text.empty() && text.size() <= kMaxIdentifier;
 }
 
-wire::Member ToWire(const MemberInfo& info)
+bool IsAcceptable(const wire::ClaimKey& key)
 {
-  wire::Member member;
-  member.nodeId = info.nodeId;
-  member.epoch = info.epoch;
-  member.serviceName = info.service;
-  member.dataCentre = info.dataCentre;
-  member.peerAddress = info.peerAddress;
-  member.slots = info.slots;
-  member.maxConnections = info.maxConnections;
-  member.coldStartMs = info.coldStartMs;
-  member.draining = info.draining;
-  return member;
+  return IsIdentifier(key.account) && IsIdentifier(key.serviceName) &&
+         IsIdentifier(key.idempotencyKey);
 }
 
-wire::StateDelta ToWire(const StateChanges& changes)
+bool IsAcceptable(const wire::SyncRequest& request)
 {
-  wire::StateDelta delta;
-  delta.snapshot = changes.isSnapshot;
-  delta.fromVersion = changes.fromVersion;
-  delta.toVersion = changes.toVersion;
-  for (const auto& document : changes.documents) {
-    wire::DocumentRecord record;
-    record.serviceName = document.service;
-    record.version = document.version;
-    record.body = document.body;
-    delta.documents.push_back(record);
-  }
-  for (const auto& key : changes.issuedKeys) {
-    wire::IssuedKey issued;
-    issued.id = key.id;
-    issued.hash = key.hash;
-    issued.account = key.account;
-    issued.issuedAtMs = CountMillis(key.issuedAt);
-    delta.issuedKeys.push_back(issued);
-  }
-  delta.revokedKeyIds = changes.revokedKeyIds;
-  return delta;
+  const bool hasMember = request.__isset.member;
+  return IsIdentifier(request.nodeId) &&
+         (!hasMember ||
+          (IsIdentifier(request.member.serviceName) && IsIdentifier(request.member.peerAddress) &&
+           request.member.dataCentre.size() <= kMaxIdentifier));
+}
+
+/// Removes what the log does not keep before it is written to disks and sent to replicas.
+wire::FinishClaimRequest Trimmed(const wire::FinishClaimRequest& request)
+{
+  wire::FinishClaimRequest trimmed = request;
+  trimmed.outcome = ToWire(TrimOutcome(FromWire(request.outcome)));
+  trimmed.outcome.contentType.resize(std::min(trimmed.outcome.contentType.size(), kMaxContentType));
+  return trimmed;
 }
 
 } // namespace
 
-RpcHandler::RpcHandler(SharedState& state, const Clock& clock)
-  : state_(state)
-  , clock_(clock)
+RpcHandler::RpcHandler(ControlContext& context)
+  : context_(context)
+{
+}
+
+void RpcHandler::ThrowNotLeader(std::string_view call)
+{
+  context_.metrics.CountCall(call, "not_leader");
+  wire::NotLeader notLeader;
+  const ReplicaStatus status = context_.log.Status();
+  // A leader that cannot confirm itself names no one: its nodes look for another.
+  notLeader.leaderRpcAddress = status.isLeader ? "" : status.leaderRpcAddress;
+  throw notLeader;
+}
+
+void RpcHandler::ThrowFailure(std::string_view call, int code, const std::string& message)
+{
+  context_.metrics.CountCall(call, "refused");
+  wire::ControlFailure failure;
+  failure.code = code;
+  failure.message = message;
+  throw failure;
+}
+
+Duration RpcHandler::RequireLeadership(std::string_view call)
 {
+  const auto age = context_.ConfirmedAge();
+  if (!age) {
+    ThrowNotLeader(call);
+  }
+  return age.value();
 }
 
 void RpcHandler::Sync(wire::SyncReply& reply, const wire::SyncRequest& request)
 {
-  const std::lock_guard lock(state_.mutex);
-  const TimePoint now = clock_.Now();
+  // The age is taken before the state is read, so that the state is at least that fresh.
+  const Duration age = RequireLeadership("sync");
+  if (!IsAcceptable(request)) {
+    ThrowFailure("sync", static_cast<int>(ControlErrorCode::InvalidRequest), "invalid node");
+  }
+  reply.ageMs = std::chrono::ceil<std::chrono::milliseconds>(age).count();
+  reply.delta = ToWire(context_.state.ChangesSince(request.stateVersion));
+  FillMembers(reply, request);
+  reply.acceptedReportNumber =
+    context_.hooks.acceptReport ? context_.hooks.acceptReport(request) : request.reportNumber;
+  context_.metrics.CountCall("sync", "ok");
+}
+
+void RpcHandler::FillMembers(wire::SyncReply& reply, const wire::SyncRequest& request)
+{
+  const Leadership leadership = context_.CurrentLeadership();
+  const TimePoint now = context_.clock.Now();
+  NodeReport report{ .nodeId = request.nodeId,
+                     .epoch = request.epoch,
+                     .stateVersion = request.stateVersion };
   if (request.__isset.member) {
-    state_.members.Report(FromWire(request.member), now);
+    report.member = FromWire(request.member);
+    report.member->nodeId = request.nodeId;
+    report.member->epoch = request.epoch;
+  }
+  const std::lock_guard lock(context_.nodesMutex);
+  context_.nodes.StartTerm(leadership.term);
+  context_.nodes.Report(report, now);
+  context_.nodes.Expire(now);
+  // A new leader has heard few nodes; until it has, nodes keep the list that they have.
+  const bool hasList = request.membersVersion != 0;
+  if (hasList && leadership.leadingFor < kMembersRelearned) {
+    reply.membersVersion = request.membersVersion;
+    reply.membersIncluded = false;
+    return;
   }
-  state_.members.Expire(now);
-  reply.ageMs = 0;
-  reply.delta = ToWire(state_.control.ChangesSince(request.stateVersion));
-  reply.acceptedReportNumber = request.reportNumber;
-  reply.membersVersion = state_.members.Version();
+  reply.membersVersion = context_.nodes.MembersVersion();
   reply.membersIncluded = request.membersVersion != reply.membersVersion;
   if (reply.membersIncluded) {
-    for (const auto& member : state_.members.Members()) {
+    for (const auto& member : context_.nodes.Members()) {
       reply.members.push_back(ToWire(member));
     }
   }
 }
 
-namespace {
-
-[[noreturn]] void RefuseUnsupported()
+void RpcHandler::AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request)
 {
-  wire::ControlFailure failure;
-  failure.code = 0;
-  failure.message = "not supported by this version of control";
-  throw failure;
+  RequireLeadership("acquire_tokens");
+  if (!context_.hooks.acquireTokens) {
+    ThrowFailure("acquire_tokens",
+                 static_cast<int>(ControlErrorCode::UnsupportedCall),
+                 "this control process grants no tokens");
+  }
+  const auto granted = context_.hooks.acquireTokens(reply, request, context_.CurrentLeadership());
+  if (!granted) {
+    if (granted.error().code == ControlErrorCode::NotLeader) {
+      ThrowNotLeader("acquire_tokens");
+    }
+    ThrowFailure(
+      "acquire_tokens", static_cast<int>(granted.error().code), granted.error().Describe());
+  }
+  context_.metrics.CountCall("acquire_tokens", "ok");
 }
 
-} // namespace
-
-void RpcHandler::AcquireTokens(wire::TokenReply& /*reply*/, const wire::TokenRequest& /*request*/)
+wire::CommandReply RpcHandler::Propose(std::string_view call, wire::ControlCommand command)
 {
-  RefuseUnsupported();
+  const auto proposed = context_.Propose(std::move(command), kClaimTimeout);
+  if (!proposed) {
+    if (proposed.error().code == ControlErrorCode::NotLeader) {
+      ThrowNotLeader(call);
+    }
+    ThrowFailure(call,
+                 static_cast<int>(proposed.error().code),
+                 proposed.error().Describe() + "; not granted, resend the same attempt");
+  }
+  if (proposed.value().errorCode != 0) {
+    ThrowFailure(call,
+                 proposed.value().errorCode,
+                 proposed.value().errorName + ": " + proposed.value().message);
+  }
+  context_.metrics.CountCall(call, "ok");
+  return proposed.value();
 }
 
-void RpcHandler::BeginClaim(wire::BeginClaimReply& /*reply*/,
-                            const wire::BeginClaimRequest& /*request*/)
+void RpcHandler::BeginClaim(wire::BeginClaimReply& reply, const wire::BeginClaimRequest& request)
 {
-  RefuseUnsupported();
+  const bool isAcceptable = IsAcceptable(request.key) && IsIdentifier(request.attemptId) &&
+                            IsIdentifier(request.fingerprint) &&
+                            request.nodeId.size() <= kMaxIdentifier;
+  if (!isAcceptable) {
+    ThrowFailure("begin_claim",
+                 static_cast<int>(ClaimsErrorCode::InvalidAttempt),
+                 "an identifier is empty or longer than 128 bytes");
+  }
+  wire::ControlCommand command;
+  command.__set_beginClaim(request);
+  reply = Propose("begin_claim", std::move(command)).claim;
 }
 
-void RpcHandler::FinishClaim(const wire::FinishClaimRequest& /*request*/)
+void RpcHandler::FinishClaim(const wire::FinishClaimRequest& request)
 {
-  RefuseUnsupported();
+  if (!IsAcceptable(request.key) || !IsIdentifier(request.attemptId)) {
+    ThrowFailure(
+      "finish_claim", static_cast<int>(ClaimsErrorCode::InvalidAttempt), "invalid identifier");
+  }
+  wire::ControlCommand command;
+  command.__set_finishClaim(Trimmed(request));
+  Propose("finish_claim", std::move(command));
 }
 
-void RpcHandler::ReleaseClaim(const wire::ReleaseClaimRequest& /*request*/)
+void RpcHandler::ReleaseClaim(const wire::ReleaseClaimRequest& request)
 {
-  RefuseUnsupported();
+  if (!IsAcceptable(request.key) || !IsIdentifier(request.attemptId)) {
+    ThrowFailure(
+      "release_claim", static_cast<int>(ClaimsErrorCode::InvalidAttempt), "invalid identifier");
+  }
+  wire::ControlCommand command;
+  command.__set_releaseClaim(request);
+  Propose("release_claim", std::move(command));
 }
 
 } // namespace acp::detail
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -2532,6 +2532,11 @@
 void FinishClaimRequest::__set_outcome(const ClaimOutcome& val) {
   this->outcome = val;
 }
+
+void FinishClaimRequest::__set_outcomeUnknown(const bool val) {
+  this->outcomeUnknown = val;
+__isset.outcomeUnknown = true;
+}
 std::ostream& operator<<(std::ostream& out, const FinishClaimRequest& obj)
 {
   obj.printTo(out);
@@ -2584,6 +2589,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->outcomeUnknown);
+          this->__isset.outcomeUnknown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2613,6 +2626,11 @@
   xfer += this->outcome.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.outcomeUnknown) {
+    xfer += oprot->writeFieldBegin("outcomeUnknown", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->outcomeUnknown);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2623,6 +2641,7 @@
   swap(a.key, b.key);
   swap(a.attemptId, b.attemptId);
   swap(a.outcome, b.outcome);
+  swap(a.outcomeUnknown, b.outcomeUnknown);
   swap(a.__isset, b.__isset);
 }
 
@@ -2630,12 +2649,14 @@
   key = other65.key;
   attemptId = other65.attemptId;
   outcome = other65.outcome;
+  outcomeUnknown = other65.outcomeUnknown;
   __isset = other65.__isset;
 }
 FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other66) {
   key = other66.key;
   attemptId = other66.attemptId;
   outcome = other66.outcome;
+  outcomeUnknown = other66.outcomeUnknown;
   __isset = other66.__isset;
   return *this;
 }
@@ -2645,6 +2666,7 @@
   out << "key=" << to_string(key);
   out << ", " << "attemptId=" << to_string(attemptId);
   out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "outcomeUnknown="; (__isset.outcomeUnknown ? (out << to_string(outcomeUnknown)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -1029,10 +1029,11 @@
 std::ostream& operator<<(std::ostream& out, const BeginClaimReply& obj);
 
 typedef struct _FinishClaimRequest__isset {
-  _FinishClaimRequest__isset() : key(false), attemptId(false), outcome(false) {}
+  _FinishClaimRequest__isset() : key(false), attemptId(false), outcome(false), outcomeUnknown(false) {}
   bool key :1;
   bool attemptId :1;
   bool outcome :1;
+  bool outcomeUnknown :1;
 } _FinishClaimRequest__isset;
 
 class FinishClaimRequest : public virtual ::apache::thrift::TBase {
@@ -1041,13 +1042,15 @@
   FinishClaimRequest(const FinishClaimRequest&);
   FinishClaimRequest& operator=(const FinishClaimRequest&);
   FinishClaimRequest() noexcept
-                     : attemptId() {
+                     : attemptId(),
+                       outcomeUnknown(0) {
   }
 
   virtual ~FinishClaimRequest() noexcept;
   ClaimKey key;
   std::string attemptId;
   ClaimOutcome outcome;
+  bool outcomeUnknown;
 
   _FinishClaimRequest__isset __isset;
 
@@ -1057,6 +1060,8 @@
 
   void __set_outcome(const ClaimOutcome& val);
 
+  void __set_outcomeUnknown(const bool val);
+
   bool operator == (const FinishClaimRequest & rhs) const
   {
     if (!(key == rhs.key))
@@ -1065,6 +1070,10 @@
       return false;
     if (!(outcome == rhs.outcome))
       return false;
+    if (__isset.outcomeUnknown != rhs.__isset.outcomeUnknown)
+      return false;
+    else if (__isset.outcomeUnknown && !(outcomeUnknown == rhs.outcomeUnknown))
+      return false;
     return true;
   }
   bool operator != (const FinishClaimRequest &rhs) const {
--- a/src/programs/acp-control/main.cpp
+++ b/src/programs/acp-control/main.cpp
@@ -2,31 +2,49 @@
 /// acp-control: one replica of the fleet's control state.
 
 #include <exception> // exception
+#include <stdexcept> // runtime_error
 
 #include "acaciapulley/control/control_service.hpp" // ControlProcess
 #include "acaciapulley/core/log.hpp"                // Log
 #include "acaciapulley/transport/process.hpp"       // BlockStopSignals, WaitForStopSignal
 #include "acaciapulley/transport/settings.hpp"      // Settings
+#include "open_log.hpp"                             // OpenLog
 
 namespace {
 
+// A key withdrawal waits up to 5 s for confirmations and 3 s for the log.
 constexpr acp::Duration kStopPatience = std::chrono::seconds(10);
 
+acp::OperatorDirectory ReadOperators(const acp::Settings& settings)
+{
+  const std::string path = settings.GetText("operator-key-hash-file");
+  const auto operators = acp::OperatorDirectory::Parse(acp::ReadFile(path));
+  if (!operators) {
+    throw std::runtime_error("--operator-key-hash-file " + path + ": " +
+                             operators.error().Describe());
+  }
+  return operators.value();
+}
+
 int Run(const acp::Settings& settings)
 {
   const acp::SystemClock clock;
-  const std::string hash =
-    acp::TrimRight(acp::ReadFile(settings.GetText("operator-key-hash-file")));
+  const acp::OperatorDirectory operators = ReadOperators(settings);
+  acp::ControlState state;
+  const auto log = acp::OpenLog(settings, state);
   acp::ControlProcess process({ .rpcAddress = settings.GetAddress("rpc"),
                                 .operatorAddress = settings.GetAddress("operator"),
-                                .operatorKeyHash = hash,
-                                .clock = &clock });
+                                .operators = operators,
+                                .clock = &clock,
+                                .log = log.get(),
+                                .state = &state });
   acp::Log(acp::LogLevel::Info,
            "control_started",
            { { "rpc", settings.GetText("rpc") }, { "operator", settings.GetText("operator") } });
   acp::WaitForStopSignal();
   acp::Log(acp::LogLevel::Info, "control_stopping", {});
   process.Stop(kStopPatience);
+  acp::Log(acp::LogLevel::Info, "control_stopped", {});
   return 0;
 }
 
@@ -38,8 +56,9 @@
   settings.AddAddress("rpc", "where nodes and replicas connect", "127.0.0.1:7300");
   settings.AddAddress("operator", "where operators connect", "127.0.0.1:7310");
   settings.AddText("operator-key-hash-file",
-                   "file with the SHA-256 of the operator key in hexadecimal",
+                   "operators, one name:sha256 of the operator's key for each line",
                    acp::Settings::kRequired);
+  acp::AddLogSettings(settings);
   settings.ParseOrExit(argc, argv);
   acp::BlockStopSignals();
   try {
