Add the operators' commands, rpc and HTTP tests of control

Cause: operators need answers that say what to do next, one result for a change whose answer was lost, and commands that find the leader by themselves. Conclusion: the program needs the replicated log in open_log.cpp to be tried whole.

--- /dev/null
+++ b/src/programs/acpctl/control_client.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// Requests to whichever control replica leads.
+
+#include <string> // string
+#include <vector> // vector
+
+#include "acaciapulley/core/clock.hpp"        // Clock, Duration
+#include "acaciapulley/transport/address.hpp" // Address
+
+namespace acp {
+
+/// One request. A change carries a request id and is carried out at most once however often it is
+/// sent.
+struct ControlRequest
+{
+  std::string method = "GET";
+  std::string target;
+  std::string body;
+  std::string requestId; ///< empty for a request that changes nothing
+  std::string ifVersion;
+};
+
+/// How a request ended.
+enum class RequestEnd
+{
+  Answered,    ///< `status` and `body` are the answer
+  Unreachable, ///< no leader answered; nothing was changed
+  Unknown,     ///< the change may have been carried out
+};
+
+/// End of a request.
+struct ControlReply
+{
+  RequestEnd end = RequestEnd::Unreachable;
+  int status = 0;
+  std::string body;
+  std::string problem; ///< why there is no answer
+};
+
+/// Construction options of a ControlClient.
+struct ControlClientOptions
+{
+  std::vector<Address> replicas; ///< operator addresses, tried in turn
+  std::string operatorKey;
+  const Clock* clock = nullptr;
+  Duration patience = std::chrono::seconds(15); ///< how long replicas are tried
+};
+
+/// Sends requests, follows leader hints and resends changes after lost answers.
+class ControlClient
+{
+public:
+  explicit ControlClient(ControlClientOptions options);
+
+  /// @brief Sends @p request until a leader answers it or patience ends.
+  ControlReply Call(const ControlRequest& request);
+
+private:
+  struct Attempt;
+
+  Attempt Send(const Address& address, const ControlRequest& request) const;
+
+  ControlClientOptions options_;
+  std::size_t current_ = 0;
+};
+
+} // namespace acp
--- /dev/null
+++ b/tests/control_test/operator_api_test.cpp
@@ -0,0 +1,279 @@
+#include <boost/test/unit_test.hpp>
+
+#include <functional> // function
+#include <string>     // string
+#include <vector>     // vector
+
+#include "acaciapulley/control/detail/operator_api.hpp"
+#include "control_fixture.hpp"
+
+namespace {
+
+using acp::detail::OperatorAnswer;
+using acp::detail::OperatorCall;
+using NextResult = acp::test::MemoryLog::NextResult;
+
+struct ApiFixture : acp::test::ControlFixture
+{
+  OperatorAnswer Put(const std::string& requestId,
+                     int rate,
+                     const std::string& ifVersion,
+                     const std::string& operatorName = "sari")
+  {
+    return api.Answer({ .operatorName = operatorName,
+                        .requestId = requestId,
+                        .method = "PUT",
+                        .segments = { "services", "orders", "document" },
+                        .ifVersion = ifVersion,
+                        .body = acp::test::OrdersDocument(rate) });
+  }
+
+  OperatorAnswer Give(const std::string& requestId)
+  {
+    return api.Answer({ .operatorName = "sari",
+                        .requestId = requestId,
+                        .method = "POST",
+                        .segments = { "accounts", "workshop", "keys" } });
+  }
+
+  OperatorAnswer Withdraw(const std::string& requestId, const std::string& keyId)
+  {
+    return api.Answer({ .operatorName = "sari",
+                        .requestId = requestId,
+                        .method = "DELETE",
+                        .segments = { "accounts", "workshop", "keys", keyId } });
+  }
+
+  OperatorAnswer Get(const std::vector<std::string>& segments)
+  {
+    return api.Answer({ .operatorName = "sari", .method = "GET", .segments = segments });
+  }
+
+  void Poll(const std::string& nodeId, std::int64_t version)
+  {
+    context.nodes.StartTerm(log.term);
+    context.nodes.Report({ .nodeId = nodeId, .epoch = 1, .stateVersion = version }, clock.Now());
+  }
+
+  std::function<void()> whilePaused = [] {};
+  acp::detail::OperatorApi api{ context, [this](acp::Duration pause) {
+                                 clock.Advance(pause);
+                                 whilePaused();
+                               } };
+};
+
+bool Contains(const OperatorAnswer& answer, const std::string& text)
+{
+  return answer.json.find(text) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(operator_api, ApiFixture)
+
+// P12. Guards against a change that is carried out twice, or not at all, when its answer is lost.
+BOOST_AUTO_TEST_CASE(a_resend_after_a_lost_answer_gets_the_first_result)
+{
+  log.next = NextResult::LoseAnswer;
+  BOOST_TEST(Put("request-1", 1, "0").status == 504);
+  BOOST_TEST(Put("request-2", 2, "1").status == 200);
+  const auto again = Put("request-1", 1, "0");
+  BOOST_TEST(again.status == 200);
+  BOOST_TEST(Contains(again, R"("version":1)"));
+  log.next = NextResult::LoseProposal;
+  BOOST_TEST(Put("request-3", 3, "2").status == 504);
+  BOOST_TEST(Contains(Put("request-3", 3, "2"), R"("version":3)"));
+  BOOST_TEST(state.DocumentOf("orders")->version == 3);
+}
+
+// P12. Guards against operators who race with equal versions and are both told that they won.
+BOOST_AUTO_TEST_CASE(a_racing_operator_is_told_who_won)
+{
+  BOOST_TEST(Put("request-1", 1, "0", "sari").status == 200);
+  const auto lost = Put("request-1", 2, "0", "budi");
+  BOOST_TEST(lost.status == 409);
+  BOOST_TEST(Contains(lost, "sari"));
+  BOOST_TEST(Contains(lost, R"("next":)"));
+  BOOST_TEST(Contains(Get({ "audit" }), R"("operator":"sari")"));
+  BOOST_TEST(!Contains(Get({ "audit" }), R"("operator":"budi")"));
+}
+
+// P3. Guards against a second key that nobody knows of when the answer to key give is lost.
+BOOST_AUTO_TEST_CASE(a_resent_key_give_issues_no_second_key)
+{
+  log.next = NextResult::LoseAnswer;
+  BOOST_TEST(Give("request-1").status == 504);
+  const auto again = Give("request-1");
+  BOOST_TEST(again.status == 409);
+  const auto keys = state.Keys("workshop");
+  BOOST_REQUIRE(keys.size() == 1U);
+  BOOST_TEST(Contains(again, keys[0].id));
+  BOOST_TEST(!Contains(again, R"("key":)"));
+  const auto given = Give("request-2");
+  BOOST_TEST(given.status == 201);
+  BOOST_TEST(Contains(given, "acp_"));
+  BOOST_TEST((state.TakeSnapshot().find("acp_") == std::string::npos));
+}
+
+// P5. Guards against a withdrawal that is reported as complete while a node still accepts the key,
+// and against one that waits for a dead node for ever.
+BOOST_AUTO_TEST_CASE(a_withdrawal_waits_for_confirmations_up_to_the_bound)
+{
+  BOOST_TEST(Give("request-1").status == 201);
+  BOOST_TEST(Give("request-2").status == 201);
+  const auto keys = state.Keys("workshop");
+  Poll("n1", 2);
+  Poll("n2", 2);
+  whilePaused = [this] {
+    Poll("n1", state.Version());
+    Poll("n2", state.Version());
+  };
+  auto start = clock.Now();
+  BOOST_TEST(Contains(Withdraw("request-3", keys[0].id), R"("confirmed_by_all":true)"));
+  BOOST_TEST((clock.Now() - start < std::chrono::seconds(1)));
+  whilePaused = [this] { Poll("n1", state.Version()); };
+  start = clock.Now();
+  const auto partial = Withdraw("request-4", keys[1].id);
+  BOOST_TEST(Contains(partial, R"("confirmed_by_all":false)"));
+  BOOST_TEST(Contains(partial, R"("not_confirmed":["n2"])"));
+  BOOST_TEST((clock.Now() - start == std::chrono::seconds(5)));
+  // Node n2 serves nothing once it was silent for 15 s.
+  BOOST_TEST(Contains(Get({ "status" }), R"("in_force":"no")"));
+  clock.Advance(std::chrono::seconds(11));
+  Poll("n1", state.Version());
+  BOOST_TEST(Contains(Get({ "status" }), R"("in_force":"yes")"));
+}
+
+// P12. Guards against a new leader that calls a change in force before it has heard all nodes.
+BOOST_AUTO_TEST_CASE(a_new_leader_reports_in_force_as_unknown)
+{
+  Put("request-1", 1, "0");
+  acp::wire::ControlCommand joined;
+  joined.__isset.noteNodes = true;
+  joined.noteNodes.notes.emplace_back();
+  joined.noteNodes.notes[0].nodeId = "n2";
+  joined.noteNodes.notes[0].event = acp::wire::NodeEvent::JOINED;
+  BOOST_TEST(context.Propose(joined, {}).has_value());
+  Poll("n1", 1);
+  BOOST_TEST(Contains(Get({ "status" }), R"("in_force":"yes")"));
+  TakeOver();
+  Poll("n1", 1);
+  const auto status = Get({ "status" });
+  BOOST_TEST(Contains(status, R"("in_force":"unknown")"));
+  BOOST_TEST(Contains(status, R"("not_heard":["n2"])"));
+  clock.Advance(acp::kNodeSilent + std::chrono::milliseconds(1));
+  Poll("n1", 1);
+  BOOST_TEST(Contains(Get({ "status" }), R"("in_force":"yes")"));
+}
+
+// Guards against input that changes state although it was refused.
+BOOST_AUTO_TEST_CASE(bad_input_changes_nothing)
+{
+  Put("request-1", 1, "0");
+  const std::string before = state.TakeSnapshot();
+  const std::vector<std::string> document = { "services", "orders", "document" };
+  const std::string good = acp::test::OrdersDocument(2);
+  const std::vector<OperatorCall> calls = {
+    { .requestId = "request-2", .method = "PUT", .segments = document, .body = good },
+    { .requestId = "request-2",
+      .method = "PUT",
+      .segments = document,
+      .ifVersion = "-1",
+      .body = good },
+    { .requestId = "request-2",
+      .method = "PUT",
+      .segments = document,
+      .ifVersion = "1x",
+      .body = good },
+    { .requestId = "request-2",
+      .method = "PUT",
+      .segments = document,
+      .ifVersion = "1",
+      .body = "{" },
+    { .requestId = "short", .method = "PUT", .segments = document, .ifVersion = "1", .body = good },
+    { .requestId = "request 2",
+      .method = "PUT",
+      .segments = document,
+      .ifVersion = "1",
+      .body = good },
+    { .requestId = "request-2",
+      .method = "PUT",
+      .segments = { "services", "other", "document" },
+      .ifVersion = "1",
+      .body = good },
+    { .requestId = "request-2", .method = "POST", .segments = { "accounts", "A b", "keys" } },
+    { .requestId = "request-2",
+      .method = "POST",
+      .segments = { "accounts", "a", "keys" },
+      .body = "x" },
+    { .requestId = "request-2", .method = "DELETE", .segments = { "accounts", "a", "keys" } },
+    { .requestId = "request-2",
+      .method = "POST",
+      .segments = { "control", "replace" },
+      .body = R"({"lost":"r1","new":"r2","force":true})" },
+    { .requestId = "request-2", .method = "PATCH", .segments = document, .body = good },
+    { .requestId = "request-2", .method = "PUT" },
+  };
+  for (const auto& call : calls) {
+    const auto answer = api.Answer(call);
+    BOOST_TEST((answer.status == 400 || answer.status == 404));
+    BOOST_TEST(Contains(answer, R"("next":)"));
+  }
+  BOOST_TEST((state.TakeSnapshot() == before));
+  BOOST_TEST(log.voter == "r1");
+}
+
+// P12. Guards against answers from a replica that was isolated or that does not lead.
+BOOST_AUTO_TEST_CASE(only_a_confirmed_leader_answers)
+{
+  Put("request-1", 1, "0");
+  log.age = std::chrono::seconds(1);
+  BOOST_TEST(Get({ "status" }).status == 503);
+  BOOST_TEST(Put("request-2", 2, "1").status == 503);
+  BOOST_TEST(Get({ "control" }).status == 200);
+  log.isLeader = false;
+  const auto moved = Put("request-2", 2, "1");
+  BOOST_TEST(moved.status == 421);
+  BOOST_TEST(moved.leader == "127.0.0.1:7310");
+  BOOST_TEST(state.DocumentOf("orders")->version == 1);
+}
+
+// Guards against a resent replacement that is refused, and against one that leaves no trace.
+BOOST_AUTO_TEST_CASE(a_replacement_is_recorded_once)
+{
+  const OperatorCall call{ .operatorName = "budi",
+                           .requestId = "request-1",
+                           .method = "POST",
+                           .segments = { "control", "replace" },
+                           .body = R"({"lost":"r1","new":"r2"})" };
+  log.next = NextResult::LoseAnswer;
+  BOOST_TEST(api.Answer(call).status == 504);
+  BOOST_TEST(Contains(api.Answer(call), R"("resend":true)"));
+  BOOST_TEST(log.voter == "r2");
+  BOOST_TEST(state.AuditFrom(1, 10).size() == 1U);
+  BOOST_TEST(state.AuditFrom(1, 10)[0].operatorName == "budi");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(operator_directory)
+
+// Guards against an audit trail that cannot name the operator, and against a file whose mistakes
+// pass unseen.
+BOOST_AUTO_TEST_CASE(operators_are_named_by_their_key)
+{
+  const auto operators = acp::test::TwoOperators();
+  BOOST_TEST(operators.NameOf("key-budi").value() == "budi");
+  BOOST_TEST(!operators.NameOf("key-unknown").has_value());
+  const std::string hash(64, 'a');
+  for (const std::string& text : { std::string(),
+                                   hash,
+                                   "sari:" + hash + "\nsari:" + std::string(64, 'b'),
+                                   "sari:" + hash + "\nbudi:" + hash,
+                                   "sari:" + hash.substr(1),
+                                   "Sari:" + hash }) {
+    BOOST_TEST(!acp::OperatorDirectory::Parse(text).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/control_test/rpc_handler_test.cpp
@@ -0,0 +1,183 @@
+#include <boost/test/unit_test.hpp>
+
+#include <string> // string
+
+#include "acaciapulley/control/control_service.hpp"
+#include "acaciapulley/control/detail/node_journal.hpp"
+#include "acaciapulley/control/detail/rpc_handler.hpp"
+#include "acaciapulley/transport/control_channel.hpp"
+#include "acaciapulley/transport/http_client.hpp"
+#include "control_fixture.hpp"
+
+namespace {
+
+using NextResult = acp::test::MemoryLog::NextResult;
+using acp::wire::ClaimState;
+
+struct RpcFixture : acp::test::ControlFixture
+{
+  acp::wire::SyncReply Sync(const std::string& nodeId,
+                            std::int64_t membersVersion = 0,
+                            bool draining = false)
+  {
+    acp::wire::SyncRequest request;
+    request.nodeId = nodeId;
+    request.epoch = 1;
+    request.membersVersion = membersVersion;
+    acp::wire::Member member;
+    member.serviceName = "orders";
+    member.peerAddress = "127.0.0.1:9000";
+    member.draining = draining;
+    request.__set_member(member);
+    acp::wire::SyncReply reply;
+    handler.Sync(reply, request);
+    return reply;
+  }
+
+  acp::wire::BeginClaimRequest Claim(const std::string& attemptId) const
+  {
+    acp::wire::BeginClaimRequest request;
+    request.key.account = "workshop";
+    request.key.serviceName = "orders";
+    request.key.idempotencyKey =
+      std::to_string(acp::CountMillis(clock.WallNow()) / 1000) + "-order-0001";
+    request.attemptId = attemptId;
+    request.fingerprint = "f";
+    request.deadlineMs = acp::CountMillis(clock.WallNow()) + 1000;
+    return request;
+  }
+
+  ClaimState::type Begin(const std::string& attemptId)
+  {
+    acp::wire::BeginClaimReply reply;
+    handler.BeginClaim(reply, Claim(attemptId));
+    return reply.state;
+  }
+
+  acp::detail::RpcHandler handler{ context };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(rpc_handler, RpcFixture)
+
+// P5, P12. Guards against a deposed or isolated leader whose answers make old state look fresh.
+BOOST_AUTO_TEST_CASE(sync_is_answered_by_a_confirmed_leader_with_the_age)
+{
+  log.age = std::chrono::microseconds(999'001);
+  BOOST_TEST(Sync("n1").ageMs == 1000);
+  log.age = std::chrono::seconds(1);
+  BOOST_CHECK_THROW(Sync("n1"), acp::wire::NotLeader);
+  log.isLeader = false;
+  try {
+    Sync("n1");
+    BOOST_TEST(false);
+  } catch (const acp::wire::NotLeader& e) {
+    BOOST_TEST(e.leaderRpcAddress == "127.0.0.1:7300");
+  }
+}
+
+// P9. Guards against a second run when the answer to a claim is lost or the leader changes.
+BOOST_AUTO_TEST_CASE(a_claim_with_a_lost_answer_is_not_granted_until_it_is_resent)
+{
+  log.next = NextResult::LoseAnswer;
+  BOOST_CHECK_THROW(Begin("a1"), acp::wire::ControlFailure);
+  TakeOver();
+  BOOST_TEST((Begin("a2") == ClaimState::IN_PROGRESS));
+  BOOST_TEST((Begin("a1") == ClaimState::GRANTED));
+  log.isLeader = false;
+  BOOST_CHECK_THROW(Begin("a1"), acp::wire::NotLeader);
+  log.isLeader = true;
+  acp::wire::ReleaseClaimRequest release;
+  release.key = Claim("a2").key;
+  release.attemptId = "a2";
+  BOOST_CHECK_THROW(handler.ReleaseClaim(release), acp::wire::ControlFailure);
+  release.attemptId = "a1";
+  handler.ReleaseClaim(release);
+  BOOST_TEST((Begin("a2") == ClaimState::GRANTED));
+  acp::wire::FinishClaimRequest finish;
+  finish.key = release.key;
+  finish.attemptId = "a2";
+  finish.__set_outcomeUnknown(true);
+  handler.FinishClaim(finish);
+  BOOST_TEST((Begin("a3") == ClaimState::UNKNOWN));
+}
+
+// P8, P11. Guards against a new leader that empties all nodes' member lists, and against a list
+// that nodes do not take over because its version is that of another leader's list.
+BOOST_AUTO_TEST_CASE(a_new_leader_withholds_its_member_list_until_it_has_heard_the_nodes)
+{
+  Sync("n1");
+  const auto both = Sync("n2");
+  BOOST_TEST(both.members.size() == 2U);
+  BOOST_TEST(!Sync("n1", both.membersVersion).membersIncluded);
+  TakeOver();
+  BOOST_TEST(!Sync("n1", both.membersVersion).membersIncluded);
+  clock.Advance(acp::kMembersRelearned);
+  const auto relearned = Sync("n2", both.membersVersion);
+  BOOST_TEST(relearned.membersIncluded);
+  BOOST_TEST(relearned.members.size() == 2U);
+  BOOST_TEST(relearned.membersVersion > both.membersVersion);
+  clock.Advance(acp::kMemberLease - std::chrono::milliseconds(1));
+  BOOST_TEST(Sync("n2").members.size() == 1U);
+}
+
+// P10. Guards against joins, drains and losses that leave no trace, and against a new leader that
+// reports nodes as lost which it has not heard yet.
+BOOST_AUTO_TEST_CASE(notes_are_the_difference_between_log_and_leader)
+{
+  using acp::wire::NodeEvent;
+  const acp::MemberInfo draining{ .service = "orders", .draining = true };
+  const std::vector<acp::NodeStatus> heard = { { .nodeId = "new", .member = acp::MemberInfo{} },
+                                               { .nodeId = "old", .member = draining },
+                                               { .nodeId = "silent" } };
+  const std::vector<acp::KnownNode> roster = { { "old", "orders" }, { "silent", "orders" } };
+  const auto notes = acp::detail::NotesFor(roster, heard, false, 10);
+  BOOST_REQUIRE(notes.size() == 3U);
+  BOOST_TEST((notes[0].event == NodeEvent::JOINED));
+  BOOST_TEST((notes[1].event == NodeEvent::DRAINING));
+  BOOST_TEST((notes[2].event == NodeEvent::LOST));
+  BOOST_TEST(acp::detail::NotesFor(roster, heard, true, 10).size() == 2U);
+  BOOST_TEST(acp::detail::NotesFor(roster, heard, false, 1).size() == 1U);
+}
+
+// P12. Guards against servers that are not wired to the state: an operator's change over HTTP must
+// reach a node over Thrift, and only with an operator key.
+BOOST_AUTO_TEST_CASE(a_change_over_http_reaches_a_node_over_thrift)
+{
+  const acp::Address any{ .ip = "127.0.0.1" };
+  acp::ControlProcess process({ .rpcAddress = any,
+                                .operatorAddress = any,
+                                .operators = acp::test::TwoOperators(),
+                                .clock = &clock,
+                                .log = &log,
+                                .state = &state });
+  acp::HttpPool pool({ .address = { .ip = "127.0.0.1", .port = process.OperatorPort() } });
+  const auto send = [&pool](const std::string& target, const std::string& key) {
+    const std::string document = acp::test::OrdersDocument(1);
+    acp::HttpRequestHead head{ .method = target == "/metrics" ? "GET" : "PUT", .target = target };
+    head.headers.Set("Authorization", "Bearer " + key);
+    head.headers.Set("Acp-Request-Id", "request-1");
+    head.headers.Set("If-Version", "0");
+    acp::StringBody body(head.method == "GET" ? "" : document);
+    const auto length = static_cast<std::int64_t>(head.method == "GET" ? 0 : document.size());
+    const auto sent = pool.Send(head, body, length, std::chrono::seconds(10)).value()->Response();
+    return sent.status;
+  };
+  BOOST_TEST(send("/v1/services/orders/document", "wrong") == 401);
+  BOOST_TEST(send("/v1/services/orders/document?" + std::string(2048, 'x'), "key-sari") == 431);
+  BOOST_TEST(state.Version() == 0);
+  BOOST_TEST(send("/v1/services/orders/document", "key-sari") == 200);
+  BOOST_TEST(send("/metrics", "") == 200);
+  acp::ControlChannel channel({ .replicas = { { .ip = "127.0.0.1", .port = process.RpcPort() } },
+                                .timeout = std::chrono::seconds(10) });
+  acp::wire::SyncRequest request;
+  request.nodeId = "n1";
+  acp::wire::SyncReply reply;
+  BOOST_TEST(channel.Call([&](auto& control) { control.Sync(reply, request); }).has_value());
+  BOOST_REQUIRE(reply.delta.documents.size() == 1U);
+  BOOST_TEST(reply.delta.documents[0].body == acp::test::OrdersDocument(1));
+  process.Stop(std::chrono::seconds(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
