Add the overload bench on the paused clock

Cause: the decisions under overload need figures, with and without each of them. Change: bench/overload runs the unmodified Gate, ThresholdTable, HopLedger, RatioBudget and DecideRetry over fake upstreams with slots, service times, connection cost and retrying callers; fixed seed.

--- /dev/null
+++ b/bench/overload/model.hpp
@@ -0,0 +1,208 @@
+#pragma once
+
+/// @file
+/// Fake upstreams and callers around the decision classes of one endpoint.
+
+#include <cstdint>       // uint64_t
+#include <deque>         // deque
+#include <functional>    // function
+#include <memory>        // shared_ptr, unique_ptr
+#include <random>        // mt19937_64
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+#include "acaciapulley/admission/gate.hpp"            // Gate
+#include "acaciapulley/admission/threshold_table.hpp" // ThresholdTable
+#include "acaciapulley/retries/hop_ledger.hpp"        // HopLedger
+#include "acaciapulley/retries/retry_policy.hpp"      // RatioBudget
+#include "event_queue.hpp"                            // EventQueue
+
+namespace bench {
+
+/// What is compared.
+struct Policy
+{
+  std::string name;
+  bool gate = true; ///< false: everything goes straight to the upstream
+  bool adaptiveLimit = true;
+  bool byPriority = true;
+  bool byAccount = true;
+  bool ageBound = true;
+  bool thresholds = true;
+  bool conservedBudget = true; ///< false: plain retries, 3 per hop, each hop with its own timeout
+  bool ratioBudget = true;
+};
+
+/// A request class of the root service.
+struct RootClass
+{
+  std::string name;
+  int priority;
+  bool idempotent;
+  double share;     ///< of the root requests
+  int deepestCalls; ///< calls of the deepest service that one request needs
+};
+
+/// One service of the chain; each calls the next, and the last is the deepest.
+struct ServiceShape
+{
+  int endpoints = 4;
+  int slots = 50;
+  acp::Duration work = std::chrono::milliseconds(2); ///< mean own time per request
+};
+
+/// One attempt of a client, with what every hop knows about it.
+struct Root
+{
+  std::string id;
+  double coin = 0.0;
+  int account = 0;
+  int classIndex = 0;
+  acp::TimePoint deadline;
+  acp::UnixMillis wallDeadline{};
+};
+
+/// Answer of a hop.
+struct Answer
+{
+  bool ok = false;
+  acp::RequestOutcome outcome = acp::RequestOutcome::Unknown;
+  acp::Reason reason = acp::Reason::None;
+  acp::AdmissionThreshold threshold;
+  int inFlight = 0;
+  int retriesLeft = 0;
+};
+
+using AnswerCallback = std::function<void(const Answer&)>;
+
+/// Counts at the deepest service.
+struct DeepCounts
+{
+  long offered = 0; ///< calls that reached an endpoint
+  long started = 0; ///< calls that its upstream worked on
+};
+
+class Endpoint;
+
+/// All endpoints of a chain of services.
+struct Mesh
+{
+  EventQueue events;
+  std::mt19937_64 random;
+  Policy policy;
+  std::vector<RootClass> classes;
+  std::vector<std::string> accounts;
+  std::vector<double> weights; ///< of the accounts
+  std::vector<std::vector<std::unique_ptr<Endpoint>>> services;
+  DeepCounts deep;
+  std::uint64_t nextId = 1;
+
+  double Uniform() { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }
+  std::string HopId();
+};
+
+/// A fake upstream: a fixed number of workers and an unbounded backlog in front of them.
+class FakeUpstream
+{
+public:
+  FakeUpstream(Mesh& mesh, const ServiceShape& shape);
+
+  /// @param nested called when a worker has done its own work; the worker waits for its callback
+  /// @param done called once; false when the upstream was lost
+  void Run(std::function<void(std::function<void()>)> nested, std::function<void(bool)> done);
+
+  void SetSlowdown(double factor) { slowdown_ = factor; }
+  void Kill();
+  void Revive();
+  [[nodiscard]] bool IsAlive() const { return isAlive_; }
+
+private:
+  struct Job
+  {
+    std::uint64_t id;
+    std::function<void(std::function<void()>)> nested;
+  };
+
+  void StartNext();
+  void End(std::uint64_t id);
+  acp::Duration WorkTime();
+
+  Mesh& mesh_;
+  ServiceShape shape_;
+  double slowdown_ = 1.0;
+  bool isAlive_ = true;
+  int busy_ = 0;
+  int connections_ = 0;
+  std::deque<Job> backlog_;
+  std::unordered_map<std::uint64_t, std::function<void(bool)>> open_;
+};
+
+/// An upstream with its node.
+class Endpoint
+{
+public:
+  Endpoint(Mesh& mesh, std::size_t service, std::size_t index, const ServiceShape& shape);
+
+  /// @brief Takes a root request at the ingress.
+  void HandleRoot(const Root& root, AnswerCallback done);
+
+  /// @brief Takes a call of a peer.
+  void HandleCall(const Root& root, const acp::RequestContext& context, AnswerCallback done);
+
+  FakeUpstream& Upstream() { return upstream_; }
+  void Kill();
+  void Revive();
+  [[nodiscard]] bool IsUsable(acp::TimePoint now) const { return now >= avoidedUntil_; }
+  void Avoid(acp::TimePoint until) { avoidedUntil_ = until; }
+
+private:
+  struct Waiting
+  {
+    Root root;
+    acp::RequestContext context;
+    AnswerCallback done;
+  };
+
+  // One nested call with its attempts.
+  struct Call
+  {
+    Root root;
+    acp::RequestContext parent;
+    acp::RetryDraw draw;
+    int left = 0; // retries left for this call and its callee
+    int attempt = 0;
+    bool isSettled = false; // of the attempt in progress
+    AnswerCallback done;
+  };
+
+  void PollGate();
+  void ScheduleTimer();
+  void RunUpstream(const Waiting& waiting, std::uint64_t gateId);
+  void NestedCalls(const Root& root,
+                   const acp::RequestContext& own,
+                   int left,
+                   const AnswerCallback& done);
+  void StartCall(const Root& root, const acp::RequestContext& parent, AnswerCallback done);
+  void Attempt(const std::shared_ptr<Call>& call);
+  void OnAttemptEnd(const std::shared_ptr<Call>& call, const Answer& answer, int kept);
+  void PlainRetry(const std::shared_ptr<Call>& call, const Answer& answer);
+  std::size_t PickCallee();
+  Answer Refused(const Root& root, acp::Reason reason);
+  acp::AdmissionThreshold ThresholdFor(const Root& root);
+  const std::string& ClassOf(const Root& root) const;
+
+  Mesh& mesh_;
+  std::size_t service_;
+  FakeUpstream upstream_;
+  acp::Gate gate_;
+  acp::ThresholdTable table_;
+  acp::HopLedger ledger_;
+  acp::RatioBudget ratio_;
+  std::unordered_map<std::uint64_t, Waiting> waiting_;
+  std::vector<int> outstanding_; // per endpoint of the next service
+  acp::TimePoint timerAt_ = acp::TimePoint::max();
+  acp::TimePoint avoidedUntil_{};
+};
+
+} // namespace bench
