--- a/bench/overload/main.cpp
+++ b/bench/overload/main.cpp
@@ -1,5 +1,8 @@
-#include <string> // string
-#include <vector> // vector
+#include <algorithm> // max
+#include <cstdio>    // fflush
+#include <future>    // async, future
+#include <string>    // string
+#include <vector>    // vector
 
 #include <fmt/format.h> // print
 
@@ -12,6 +15,8 @@
 using bench::Scenario;
 using bench::Trigger;
 
+constexpr int kSeeds = 3;
+
 Policy NoControl()
 {
   return { .name = "no control",
@@ -52,13 +57,44 @@
   };
 }
 
+// Means over the seeds; of the recovery times the longest.
+Figures RunSeeds(const Scenario& scenario, const Policy& policy)
+{
+  std::vector<std::future<Figures>> runs;
+  for (std::uint64_t seed = 1; seed <= static_cast<std::uint64_t>(kSeeds); ++seed) {
+    Scenario seeded = scenario;
+    seeded.seed = seed;
+    runs.push_back(
+      std::async(std::launch::async, [seeded, policy] { return bench::Run(seeded, policy); }));
+  }
+  Figures mean{ .shed = std::vector<double>(scenario.classes.size(), 0.0) };
+  bool hasRecovered = true;
+  for (auto& run : runs) {
+    const Figures figures = run.get();
+    mean.before += figures.before / kSeeds;
+    mean.during += figures.during / kSeeds;
+    mean.after += figures.after / kSeeds;
+    mean.worstShare += figures.worstShare / kSeeds;
+    mean.callsPerRequest += figures.callsPerRequest / kSeeds;
+    mean.recoverySeconds = std::max(mean.recoverySeconds, figures.recoverySeconds);
+    hasRecovered = hasRecovered && figures.recoverySeconds >= 0.0;
+    for (std::size_t i = 0; i < mean.shed.size(); ++i) {
+      mean.shed[i] += figures.shed[i] / kSeeds;
+    }
+  }
+  if (!hasRecovered) {
+    mean.recoverySeconds = -1.0;
+  }
+  return mean;
+}
+
 void PrintTable(const Scenario& scenario, const std::vector<Policy>& policies)
 {
   fmt::print("\n### {}\n\n", scenario.name);
   fmt::print("| policy | before | goodput | after | worst account | recovery | calls per request | "
              "shed by class |\n|---|---|---|---|---|---|---|---|\n");
   for (const Policy& policy : policies) {
-    const Figures figures = bench::Run(scenario, policy);
+    const Figures figures = RunSeeds(scenario, policy);
     std::string shed;
     for (std::size_t i = 0; i < figures.shed.size(); ++i) {
       shed += fmt::format(
@@ -79,6 +115,16 @@
   std::fflush(stdout);
 }
 
+// Prints the goodput by 100 ms, ten values a line.
+void PrintTimeline(const Scenario& scenario, const Policy& policy)
+{
+  fmt::print("\n{}, {}:\n", scenario.name, policy.name);
+  const auto timeline = bench::Run(scenario, policy).timeline;
+  for (std::size_t i = 0; i < timeline.size(); ++i) {
+    fmt::print("{:.2f}{}", timeline[i], i % 10 == 9 ? "\n" : " ");
+  }
+}
+
 Scenario Named(Scenario scenario, const std::string& name, Trigger trigger, double surge)
 {
   scenario.name = name;
@@ -143,6 +189,13 @@
 int main(int argc, char** argv)
 {
   const bool isQuick = argc > 1 && std::string(argv[1]) == "--quick";
+  if (argc > 1 && std::string(argv[1]) == "--timeline") {
+    PrintTimeline(Surges().back(), { .name = "this" });
+    PrintTimeline(Others().front(), { .name = "this" });
+    PrintTimeline(Metastable(), NoControl());
+    PrintTimeline(Metastable(), { .name = "this" });
+    return 0;
+  }
   const std::vector<Policy> onlyThis = { { .name = "this" } };
   for (const auto& group : { Surges(), Others(), Shapes() }) {
     for (const Scenario& scenario : group) {
--- a/bench/overload/scenarios.cpp
+++ b/bench/overload/scenarios.cpp
@@ -304,6 +304,9 @@
       const double whole = std::accumulate(whole_[i].begin(), whole_[i].end(), 0.0);
       figures.shed.push_back(offered > 0.0 ? 1.0 - whole / offered : 0.0);
     }
+    for (const double calls : goodput_) {
+      figures.timeline.push_back(calls / Seconds(kBucket) / Capacity());
+    }
     return figures;
   }
 
--- a/bench/overload/scenarios.hpp
+++ b/bench/overload/scenarios.hpp
@@ -48,6 +48,7 @@
   double recoverySeconds = 0.0; ///< -1: not recovered within the run
   double callsPerRequest = 0.0; ///< calls at the deepest service per call that was needed
   std::vector<double> shed;     ///< per class, share of its requests that failed in the trigger
+  std::vector<double> timeline; ///< goodput by 100 ms, share of the deepest's capacity
 };
 
 /// @brief Runs @p scenario under @p policy.
