Run requests through gate, claims, rate tokens, routing and retry budgets

Cause: the first path forwarded requests without any decision. Change: the node's pipeline resolves, authenticates, takes a rate token, checks learnt thresholds, picks a member, passes the upstream's gate, claims non-idempotent requests, and retries within the request's and the node's budgets. Control grants tokens on the leader. Ruled out: committing the token at the ingress for all requests, since a request that the gate refuses would be paid for; it is spent right before dispatch.

--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -57,8 +57,6 @@
   5: optional Member member
   6: i64 reportNumber
   7: list<RecordRow> report
-  /// Term to which `membersVersion` belongs.
-  8: i64 membersTerm
 }
 
 struct SyncReply {
@@ -68,8 +66,6 @@
   4: i64 membersVersion
   5: list<Member> members
   6: i64 acceptedReportNumber
-  /// Term of the leader that counts `membersVersion`.
-  7: i64 leaderTerm
 }
 
 /// A node's report of one service and account's tokens, and its wish for more. Totals count since
--- /dev/null
+++ b/include/acaciapulley/control/rate_service.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+/// @file
+/// Grants rate tokens to nodes on the leader.
+
+#include <cstdint> // int64_t, uint64_t
+#include <map>     // map
+#include <mutex>   // mutex
+#include <string>  // string
+
+#include "acaciapulley/control/control_hooks.hpp"      // Leadership
+#include "acaciapulley/control/control_state.hpp"      // ControlState
+#include "acaciapulley/core/clock.hpp"                 // Clock
+#include "acaciapulley/limits/rate_authority.hpp"      // RateAuthority
+#include "acaciapulley/replication/replicated_log.hpp" // ReplicatedLog
+
+namespace acp {
+
+/// A RateAuthority that follows leadership and the documents. Calls may come from any thread.
+class RateService
+{
+public:
+  /// All parameters outlive the service.
+  RateService(const ControlState& state, ReplicatedLog& log, const Clock& clock);
+
+  /// @brief Answers a node; the function for ControlHooks::acquireTokens.
+  ControlResult<void> Acquire(wire::TokenReply& reply,
+                              const wire::TokenRequest& request,
+                              const Leadership& leadership);
+
+private:
+  void FollowTerm(const Leadership& leadership, TimePoint now);
+  void FollowDocuments(TimePoint now);
+
+  const ControlState& state_;
+  ReplicatedLog& log_;
+  const Clock& clock_;
+  std::mutex mutex_;
+  RateAuthority authority_;
+  std::uint64_t term_ = 0;
+  std::int64_t stateVersion_ = -1;
+  std::map<LimitKey, TokenLimit> inForce_;
+};
+
+} // namespace acp
--- a/include/acaciapulley/node/detail/dispatcher.hpp
+++ b/include/acaciapulley/node/detail/dispatcher.hpp
@@ -44,7 +44,10 @@
   DispatchEnd Run(PendingCall& call, const RequestContext& context);
 
 private:
-  AttemptEnd Attempt(PendingCall& call, RequestContext context, const Choice& choice, int calleeRetries);
+  AttemptEnd Attempt(PendingCall& call,
+                     RequestContext context,
+                     const Choice& choice,
+                     int calleeRetries);
   [[nodiscard]] RetryDecision Decide(const PendingCall& call,
                                      const RequestContext& context,
                                      const AttemptEnd& end,
--- a/include/acaciapulley/node/detail/hop_book.hpp
+++ b/include/acaciapulley/node/detail/hop_book.hpp
@@ -8,7 +8,7 @@
 #include <string>        // string
 #include <unordered_map> // unordered_map
 
-#include "acaciapulley/core/clock.hpp"          // Clock
+#include "acaciapulley/core/clock.hpp"         // Clock
 #include "acaciapulley/retries/hop_ledger.hpp" // HopLedger, RetryDraw
 
 namespace acp::detail {
--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -24,6 +24,7 @@
   Address admin;
   std::vector<Address> control; ///< rpc addresses of the control replicas
   int maxConnections = 1024;    ///< for each listener
+  int retryBudget = 2;          ///< retries of one request over its whole call chain, 0 to 8
   const Clock* clock = nullptr;
 };
 
--- a/include/acaciapulley/node/node_view.hpp
+++ b/include/acaciapulley/node/node_view.hpp
@@ -14,7 +14,6 @@
 #include "acaciapulley/accounts/key_table.hpp"      // KeyRecord, KeyTable
 #include "acaciapulley/config/service_document.hpp" // ServiceDocument
 #include "acaciapulley/core/clock.hpp"              // Duration, TimePoint
-#include "acaciapulley/transport/address.hpp"       // Address
 
 namespace acp {
 
@@ -26,18 +25,6 @@
 /// which an accepted configuration is in force everywhere.
 inline constexpr Duration kOpenFreshness = std::chrono::seconds(15);
 
-/// An upstream of the fleet as its node reported it.
-struct PeerInfo
-{
-  std::string nodeId;
-  std::int64_t epoch = 0;
-  std::string service;
-  std::string dataCentre;
-  Address peerAddress;
-  int slots = 0;
-  bool draining = false;
-};
-
 /// A service document as control sent it.
 struct ReceivedDocument
 {
@@ -63,15 +50,9 @@
   /// @param confirmedAt moment on this node's clock at which the state was surely current
   void Apply(const ReceivedChanges& changes, TimePoint confirmedAt);
 
-  /// @brief Takes over the list of members.
-  void ApplyMembers(std::int64_t version, std::vector<PeerInfo> members);
-
   /// @brief Returns the state version, 0 before the first Apply.
   [[nodiscard]] std::int64_t Version() const;
 
-  /// @brief Returns the version of the member list.
-  [[nodiscard]] std::int64_t MembersVersion() const;
-
   /// @brief Returns whether the state was current within the last @p bound.
   [[nodiscard]] bool IsFresh(TimePoint now, Duration bound) const;
 
@@ -81,17 +62,12 @@
   /// @brief Returns the client account of @p keyText, or nothing.
   [[nodiscard]] std::optional<std::string> CheckKey(const std::string& keyText) const;
 
-  /// @brief Returns the members that serve @p service.
-  [[nodiscard]] std::vector<PeerInfo> MembersOf(const std::string& service) const;
-
 private:
   mutable std::shared_mutex mutex_;
   std::int64_t version_ = 0;
-  std::int64_t membersVersion_ = 0;
   std::optional<TimePoint> confirmedAt_;
   std::map<std::string, std::shared_ptr<const ServiceDocument>> documents_;
   KeyTable keys_;
-  std::map<std::string, std::vector<PeerInfo>> membersByService_;
 };
 
 } // namespace acp
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -8,13 +8,13 @@
 #include <memory>     // unique_ptr
 #include <string>     // string
 
-#include "acaciapulley/core/clock.hpp"            // Clock
+#include "acaciapulley/core/clock.hpp"               // Clock
 #include "acaciapulley/node/detail/claim_client.hpp" // ControlCall
-#include "acaciapulley/node/local_upstream.hpp"   // LocalUpstream
-#include "acaciapulley/node/node_view.hpp"        // NodeView
-#include "acaciapulley/node/refusal.hpp"          // Refusal
-#include "acaciapulley/routing/member_table.hpp"  // MemberTable
-#include "acaciapulley/transport/http_server.hpp" // ServerExchange
+#include "acaciapulley/node/local_upstream.hpp"      // LocalUpstream
+#include "acaciapulley/node/node_view.hpp"           // NodeView
+#include "acaciapulley/node/refusal.hpp"             // Refusal
+#include "acaciapulley/routing/member_table.hpp"     // MemberTable
+#include "acaciapulley/transport/http_server.hpp"    // ServerExchange
 
 namespace acp {
 
@@ -41,8 +41,8 @@
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
   MemberTable* members = nullptr;
-  detail::ControlCall control;                     ///< claims and rate tokens
-  std::function<void()> onAnnounced;               ///< called after each changed announcement
+  detail::ControlCall control;                      ///< claims and rate tokens
+  std::function<void()> onAnnounced;                ///< called after each changed announcement
   std::function<void(const EndedRequest&)> onEnded; ///< called for each request of the ingress
 };
 
--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -15,6 +15,7 @@
 #include "acaciapulley/core/clock.hpp"                // Clock
 #include "acaciapulley/node/local_upstream.hpp"       // LocalUpstream
 #include "acaciapulley/node/node_view.hpp"            // NodeView
+#include "acaciapulley/routing/member_table.hpp"      // MemberTable
 #include "acaciapulley/transport/control_channel.hpp" // ControlChannel
 
 namespace acp {
@@ -43,6 +44,7 @@
   const Clock* clock = nullptr;
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
+  MemberTable* members = nullptr;
   /// Takes the counters since the last call. A report is sent again until control has accepted it.
   std::function<std::vector<ReportRow>()> takeReport;
   /// Called after each poll that reached control, to settle spent and returned tokens.
@@ -68,6 +70,7 @@
   void PrepareReport();
 
   SyncLoopOptions options_;
+  std::int64_t membersVersion_ = 0;
   std::int64_t reportNumber_ = 0;
   std::vector<ReportRow> report_; ///< sent and not yet accepted
   std::mutex mutex_;
--- /dev/null
+++ b/src/control/rate_service.cpp
@@ -0,0 +1,125 @@
+#include "acaciapulley/control/rate_service.hpp"
+
+#include <utility> // move
+
+#include "acaciapulley/config/service_document.hpp" // ServiceDocument
+#include "gen/ControlService.h"
+
+namespace acp {
+
+namespace {
+
+TokenAsk FromWire(const wire::TokenAsk& ask, const wire::TokenRequest& request)
+{
+  return { .nodeId = request.nodeId,
+           .epoch = request.epoch,
+           .key = { ask.serviceName, ask.account },
+           .number = ask.number,
+           .term = ask.term,
+           .received = ask.received,
+           .spent = ask.spent,
+           .returned = ask.returned,
+           .spentAge = std::chrono::microseconds(ask.spentAgeMicros),
+           .needed = ask.needed,
+           .wanted = ask.wanted };
+}
+
+std::int64_t ToMicros(Duration span)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+}
+
+wire::TokenAnswer ToWire(const LimitsResult<TokenAnswer>& answer, std::int64_t number)
+{
+  wire::TokenAnswer wired;
+  wired.number = number;
+  if (!answer) {
+    wired.errorCode = static_cast<std::int32_t>(answer.error().code);
+    return wired;
+  }
+  wired.term = answer.value().term;
+  wired.number = answer.value().number;
+  wired.granted = answer.value().granted;
+  // Rounded down, so that a lease never ends later than the authority counts.
+  wired.leaseMicros = ToMicros(answer.value().lease);
+  wired.retryAfterMicros = ToMicros(answer.value().retryAfter);
+  wired.settleWithinMicros = ToMicros(answer.value().settleWithin);
+  return wired;
+}
+
+std::map<LimitKey, TokenLimit> LimitsOf(const std::vector<StoredDocument>& documents)
+{
+  std::map<LimitKey, TokenLimit> limits;
+  for (const auto& stored : documents) {
+    const auto document = ServiceDocument::Parse(stored.body);
+    if (!document) {
+      continue;
+    }
+    for (const auto& [account, limit] : document.value().Accounts()) {
+      limits[{ stored.service, account }] = { .rate = limit.rate, .burst = limit.burst };
+    }
+  }
+  return limits;
+}
+
+} // namespace
+
+RateService::RateService(const ControlState& state, ReplicatedLog& log, const Clock& clock)
+  : state_(state)
+  , log_(log)
+  , clock_(clock)
+  , authority_({})
+{
+}
+
+void RateService::FollowTerm(const Leadership& leadership, TimePoint now)
+{
+  if (term_ == leadership.term) {
+    return;
+  }
+  term_ = leadership.term;
+  authority_.BeginTerm(static_cast<std::int64_t>(term_), now - leadership.leadingFor);
+}
+
+void RateService::FollowDocuments(TimePoint now)
+{
+  const std::int64_t version = state_.Version();
+  if (version == stateVersion_) {
+    return;
+  }
+  auto limits = LimitsOf(state_.Documents());
+  for (const auto& [key, limit] : inForce_) {
+    if (!limits.contains(key)) {
+      authority_.RemoveLimit(key, now);
+    }
+  }
+  for (const auto& [key, limit] : limits) {
+    const auto found = inForce_.find(key);
+    if (found == inForce_.end() || found->second != limit) {
+      authority_.SetLimit(key, limit, now);
+    }
+  }
+  inForce_ = std::move(limits);
+  stateVersion_ = version;
+}
+
+ControlResult<void> RateService::Acquire(wire::TokenReply& reply,
+                                         const wire::TokenRequest& request,
+                                         const Leadership& leadership)
+{
+  const std::lock_guard lock(mutex_);
+  const TimePoint now = clock_.Now();
+  const auto age = log_.LeadershipAge();
+  if (!age || leadership.term < term_) {
+    return Fail(ControlErrorCode::NotLeader, "this replica does not lead");
+  }
+  FollowTerm(leadership, now);
+  FollowDocuments(now);
+  for (const auto& ask : request.asks) {
+    const auto answer = authority_.Acquire(FromWire(ask, request), now - age.value(), now);
+    reply.answers.push_back(ToWire(answer, ask.number));
+  }
+  return boost::outcome_v2::success();
+}
+
+} // namespace acp
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -1127,10 +1127,6 @@
 void SyncRequest::__set_report(const std::vector<RecordRow> & val) {
   this->report = val;
 }
-
-void SyncRequest::__set_membersTerm(const int64_t val) {
-  this->membersTerm = val;
-}
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
 {
   obj.printTo(out);
@@ -1227,14 +1223,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->membersTerm);
-          this->__isset.membersTerm = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1289,10 +1277,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("membersTerm", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->membersTerm);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1307,7 +1291,6 @@
   swap(a.member, b.member);
   swap(a.reportNumber, b.reportNumber);
   swap(a.report, b.report);
-  swap(a.membersTerm, b.membersTerm);
   swap(a.__isset, b.__isset);
 }
 
@@ -1319,7 +1302,6 @@
   member = other42.member;
   reportNumber = other42.reportNumber;
   report = other42.report;
-  membersTerm = other42.membersTerm;
   __isset = other42.__isset;
 }
 SyncRequest& SyncRequest::operator=(const SyncRequest& other43) {
@@ -1330,7 +1312,6 @@
   member = other43.member;
   reportNumber = other43.reportNumber;
   report = other43.report;
-  membersTerm = other43.membersTerm;
   __isset = other43.__isset;
   return *this;
 }
@@ -1344,7 +1325,6 @@
   out << ", " << "member="; (__isset.member ? (out << to_string(member)) : (out << "<null>"));
   out << ", " << "reportNumber=" << to_string(reportNumber);
   out << ", " << "report=" << to_string(report);
-  out << ", " << "membersTerm=" << to_string(membersTerm);
   out << ")";
 }
 
@@ -1376,10 +1356,6 @@
 void SyncReply::__set_acceptedReportNumber(const int64_t val) {
   this->acceptedReportNumber = val;
 }
-
-void SyncReply::__set_leaderTerm(const int64_t val) {
-  this->leaderTerm = val;
-}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -1468,14 +1444,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->leaderTerm);
-          this->__isset.leaderTerm = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1525,10 +1493,6 @@
   xfer += oprot->writeI64(this->acceptedReportNumber);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaderTerm", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->leaderTerm);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1542,7 +1506,6 @@
   swap(a.membersVersion, b.membersVersion);
   swap(a.members, b.members);
   swap(a.acceptedReportNumber, b.acceptedReportNumber);
-  swap(a.leaderTerm, b.leaderTerm);
   swap(a.__isset, b.__isset);
 }
 
@@ -1553,7 +1516,6 @@
   membersVersion = other50.membersVersion;
   members = other50.members;
   acceptedReportNumber = other50.acceptedReportNumber;
-  leaderTerm = other50.leaderTerm;
   __isset = other50.__isset;
 }
 SyncReply& SyncReply::operator=(const SyncReply& other51) {
@@ -1563,7 +1525,6 @@
   membersVersion = other51.membersVersion;
   members = other51.members;
   acceptedReportNumber = other51.acceptedReportNumber;
-  leaderTerm = other51.leaderTerm;
   __isset = other51.__isset;
   return *this;
 }
@@ -1576,7 +1537,6 @@
   out << ", " << "membersVersion=" << to_string(membersVersion);
   out << ", " << "members=" << to_string(members);
   out << ", " << "acceptedReportNumber=" << to_string(acceptedReportNumber);
-  out << ", " << "leaderTerm=" << to_string(leaderTerm);
   out << ")";
 }
 
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -463,7 +463,7 @@
 std::ostream& operator<<(std::ostream& out, const RecordRow& obj);
 
 typedef struct _SyncRequest__isset {
-  _SyncRequest__isset() : nodeId(false), epoch(false), stateVersion(false), membersVersion(false), member(false), reportNumber(false), report(false), membersTerm(false) {}
+  _SyncRequest__isset() : nodeId(false), epoch(false), stateVersion(false), membersVersion(false), member(false), reportNumber(false), report(false) {}
   bool nodeId :1;
   bool epoch :1;
   bool stateVersion :1;
@@ -471,7 +471,6 @@
   bool member :1;
   bool reportNumber :1;
   bool report :1;
-  bool membersTerm :1;
 } _SyncRequest__isset;
 
 class SyncRequest : public virtual ::apache::thrift::TBase {
@@ -484,8 +483,7 @@
                 epoch(0),
                 stateVersion(0),
                 membersVersion(0),
-                reportNumber(0),
-                membersTerm(0) {
+                reportNumber(0) {
   }
 
   virtual ~SyncRequest() noexcept;
@@ -496,7 +494,6 @@
   Member member;
   int64_t reportNumber;
   std::vector<RecordRow>  report;
-  int64_t membersTerm;
 
   _SyncRequest__isset __isset;
 
@@ -514,8 +511,6 @@
 
   void __set_report(const std::vector<RecordRow> & val);
 
-  void __set_membersTerm(const int64_t val);
-
   bool operator == (const SyncRequest & rhs) const
   {
     if (!(nodeId == rhs.nodeId))
@@ -534,8 +529,6 @@
       return false;
     if (!(report == rhs.report))
       return false;
-    if (!(membersTerm == rhs.membersTerm))
-      return false;
     return true;
   }
   bool operator != (const SyncRequest &rhs) const {
@@ -555,14 +548,13 @@
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false), leaderTerm(false) {}
+  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false) {}
   bool ageMs :1;
   bool delta :1;
   bool membersIncluded :1;
   bool membersVersion :1;
   bool members :1;
   bool acceptedReportNumber :1;
-  bool leaderTerm :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -574,8 +566,7 @@
             : ageMs(0),
               membersIncluded(0),
               membersVersion(0),
-              acceptedReportNumber(0),
-              leaderTerm(0) {
+              acceptedReportNumber(0) {
   }
 
   virtual ~SyncReply() noexcept;
@@ -585,7 +576,6 @@
   int64_t membersVersion;
   std::vector<Member>  members;
   int64_t acceptedReportNumber;
-  int64_t leaderTerm;
 
   _SyncReply__isset __isset;
 
@@ -601,8 +591,6 @@
 
   void __set_acceptedReportNumber(const int64_t val);
 
-  void __set_leaderTerm(const int64_t val);
-
   bool operator == (const SyncReply & rhs) const
   {
     if (!(ageMs == rhs.ageMs))
@@ -617,8 +605,6 @@
       return false;
     if (!(acceptedReportNumber == rhs.acceptedReportNumber))
       return false;
-    if (!(leaderTerm == rhs.leaderTerm))
-      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/src/node/blocking_gate.cpp
+++ b/src/node/blocking_gate.cpp
@@ -48,14 +48,14 @@
   std::unique_lock lock(mutex_);
   request.id = nextId_++;
   const auto offered = gate_.Offer(request, clock_.Now());
-  OrRefusal<Permit> entered = RefuseBecause(offered.reason);
-  if (offered.decision == OfferDecision::Start) {
-    entered = Permit(*this, request.id);
-  } else if (offered.decision == OfferDecision::Queued) {
+  if (offered.decision == OfferDecision::Queued) {
     return WaitForTurn(lock, request.id, isCallerGone);
   }
   PollLocked();
-  return entered;
+  if (offered.decision == OfferDecision::Refused) {
+    return RefuseBecause(offered.reason);
+  }
+  return Permit(*this, request.id);
 }
 
 OrRefusal<BlockingGate::Permit> BlockingGate::WaitForTurn(std::unique_lock<std::mutex>& lock,
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -40,11 +40,11 @@
   OrRefusal<void> last =
     NotRun(503, Reason::NoUpstream, "no upstream of '" + call.request.service + "' is available");
   for (int attempt = 0;; ++attempt) {
-    const auto choice = options_.balancer->Pick({ .service = call.request.service,
-                                                  .tried = tried,
-                                                  .isIdempotent =
-                                                    call.request.requestClass->idempotent },
-                                                options_.clock->Now());
+    const auto choice =
+      options_.balancer->Pick({ .service = call.request.service,
+                                .tried = tried,
+                                .isIdempotent = call.request.requestClass->idempotent },
+                              options_.clock->Now());
     if (!choice) {
       return { .result = last, .unusedRetries = retriesLeft };
     }
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -68,13 +68,12 @@
     return NotRun(503, Reason::NoUpstream, "no upstream of the service is beside this node");
   }
   const auto* limit = call.request.document->LimitOf(context.account);
-  auto permit =
-    options_.gate->Enter({ .account = context.account,
-                           .weight = limit == nullptr ? 1.0 : limit->rate,
-                           .priority = context.priority,
-                           .requestClass = call.request.requestClass->name,
-                           .deadline = options_.clock->Now() + Remaining(context) },
-                         [&call] { return call.exchange.IsCallerGone(); });
+  auto permit = options_.gate->Enter({ .account = context.account,
+                                       .weight = limit == nullptr ? 1.0 : limit->rate,
+                                       .priority = context.priority,
+                                       .requestClass = call.request.requestClass->name,
+                                       .deadline = options_.clock->Now() + Remaining(context) },
+                                     [&call] { return call.exchange.IsCallerGone(); });
   if (!permit) {
     return boost::outcome_v2::failure(permit.error());
   }
@@ -96,8 +95,7 @@
   admitted.ticket = ClaimTicket{
     .account = context.account,
     .service = call.request.service,
-    .idempotencyKey =
-      call.exchange.Request().headers.Find(kIdempotencyKeyHeader).value_or(""),
+    .idempotencyKey = call.exchange.Request().headers.Find(kIdempotencyKeyHeader).value_or(""),
     .attemptId = RandomHex(kAttemptIdBytes),
     .fingerprint = Fingerprint(call),
     .deadline = context.deadline,
@@ -123,10 +121,10 @@
   }
   if (call.commitToken && !call.commitToken()) {
     release();
-    return FailedAttempt({ .reason = Reason::RateUnavailable,
-                           .message = "the lease of the rate token has ended" },
-                         true,
-                         context.retriesLeft);
+    return FailedAttempt(
+      { .reason = Reason::RateUnavailable, .message = "the lease of the rate token has ended" },
+      true,
+      context.retriesLeft);
   }
   HttpRequestHead head{ .method = call.exchange.Request().method,
                         .target = call.request.upstreamTarget };
@@ -152,8 +150,8 @@
                                       Admitted& admitted)
 {
   const int unused = options_.hops->Close(context.hopId);
-  const bool nothingSent = error.code == TransportErrorCode::Unreachable ||
-                           error.code == TransportErrorCode::BodyTooLarge;
+  const bool nothingSent =
+    error.code == TransportErrorCode::Unreachable || error.code == TransportErrorCode::BodyTooLarge;
   if (nothingSent) {
     if (admitted.ticket) {
       options_.claims->Release(*admitted.ticket);
@@ -168,13 +166,13 @@
   const bool cancelled = error.code == TransportErrorCode::Cancelled;
   admitted.permit.Finish(cancelled ? GateResult::Neutral : GateResult::Lost);
   const bool timedOut = error.code == TransportErrorCode::Timeout;
-  auto end = FailedAttempt({ .status = timedOut ? 504 : 502,
-                             .outcome = RequestOutcome::Unknown,
-                             .reason = timedOut ? Reason::UpstreamTimeout
-                                                : Reason::UpstreamConnectionLost,
-                             .message = error.Describe() },
-                           false,
-                           unused);
+  auto end =
+    FailedAttempt({ .status = timedOut ? 504 : 502,
+                    .outcome = RequestOutcome::Unknown,
+                    .reason = timedOut ? Reason::UpstreamTimeout : Reason::UpstreamConnectionLost,
+                    .message = error.Describe() },
+                  false,
+                  unused);
   if (cancelled) {
     end.routing = CallResult::Cancelled;
   }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -24,10 +24,14 @@
     , control_({ .replicas = options.control })
     , pipeline_({ .nodeId = options.nodeId,
                   .epoch = epoch_,
+                  .dataCentre = options.dataCentre,
                   .fleetSecret = options.fleetSecret,
+                  .retryBudget = options.retryBudget,
                   .clock = options.clock,
                   .view = &view_,
                   .upstream = &upstream_,
+                  .members = &members_,
+                  .control = [this](const auto& call) { return control_.Call(call); },
                   .onAnnounced = [this] { sync_.Wake(); } })
     , sync_({ .nodeId = options.nodeId,
               .epoch = epoch_,
@@ -36,7 +40,8 @@
               .channel = &control_,
               .clock = options.clock,
               .view = &view_,
-              .upstream = &upstream_ })
+              .upstream = &upstream_,
+              .members = &members_ })
     , peer_(Listener("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer))
     , egress_(
         Listener("egress", options.egress, options.maxConnections, &RequestPipeline::HandleEgress))
@@ -131,6 +136,7 @@
   MetricsRegistry metrics_;
   NodeView view_;
   LocalUpstream upstream_;
+  MemberTable members_;
   ControlChannel control_;
   RequestPipeline pipeline_;
   SyncLoop sync_;
--- a/src/node/node_view.cpp
+++ b/src/node/node_view.cpp
@@ -40,28 +40,12 @@
   }
 }
 
-void NodeView::ApplyMembers(std::int64_t version, std::vector<PeerInfo> members)
-{
-  const std::unique_lock lock(mutex_);
-  membersByService_.clear();
-  for (auto& member : members) {
-    membersByService_[member.service].push_back(std::move(member));
-  }
-  membersVersion_ = version;
-}
-
 std::int64_t NodeView::Version() const
 {
   const std::shared_lock lock(mutex_);
   return version_;
 }
 
-std::int64_t NodeView::MembersVersion() const
-{
-  const std::shared_lock lock(mutex_);
-  return membersVersion_;
-}
-
 bool NodeView::IsFresh(TimePoint now, Duration bound) const
 {
   const std::shared_lock lock(mutex_);
@@ -81,11 +65,4 @@
   return keys_.Check(keyText);
 }
 
-std::vector<PeerInfo> NodeView::MembersOf(const std::string& service) const
-{
-  const std::shared_lock lock(mutex_);
-  const auto found = membersByService_.find(service);
-  return found == membersByService_.end() ? std::vector<PeerInfo>{} : found->second;
-}
-
 } // namespace acp
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -25,22 +25,21 @@
 
 AttemptEnd WithoutAnswer(const TransportError& error, int sentRetries)
 {
-  const bool nothingSent = error.code == TransportErrorCode::Unreachable ||
-                           error.code == TransportErrorCode::BodyTooLarge;
+  const bool nothingSent =
+    error.code == TransportErrorCode::Unreachable || error.code == TransportErrorCode::BodyTooLarge;
   if (nothingSent) {
-    return FailedAttempt({ .reason = Reason::UpstreamUnreachable, .message = error.Describe() },
-                         true,
-                         sentRetries);
+    return FailedAttempt(
+      { .reason = Reason::UpstreamUnreachable, .message = error.Describe() }, true, sentRetries);
   }
   const bool timedOut = error.code == TransportErrorCode::Timeout;
   // The peer may have used the retries it was sent, so none come back.
-  auto end = FailedAttempt({ .status = timedOut ? 504 : 502,
-                             .outcome = RequestOutcome::Unknown,
-                             .reason = timedOut ? Reason::UpstreamTimeout
-                                                : Reason::UpstreamConnectionLost,
-                             .message = error.Describe() },
-                           false,
-                           0);
+  auto end =
+    FailedAttempt({ .status = timedOut ? 504 : 502,
+                    .outcome = RequestOutcome::Unknown,
+                    .reason = timedOut ? Reason::UpstreamTimeout : Reason::UpstreamConnectionLost,
+                    .message = error.Describe() },
+                  false,
+                  0);
   if (error.code == TransportErrorCode::Cancelled) {
     end.routing = CallResult::Cancelled;
   }
@@ -60,10 +59,10 @@
   auto& pool = pools_[peerAddress];
   if (!pool) {
     const auto address = Address::Parse(peerAddress);
-    pool = std::make_shared<HttpPool>(
-      HttpPoolOptions{ .address = address ? address.value() : Address{},
-                       .maxConnections = kMaxPeerConnections,
-                       .sendsHeartbeats = true });
+    pool =
+      std::make_shared<HttpPool>(HttpPoolOptions{ .address = address ? address.value() : Address{},
+                                                  .maxConnections = kMaxPeerConnections,
+                                                  .sendsHeartbeats = true });
   }
   return pool;
 }
@@ -77,10 +76,10 @@
       { .reason = Reason::DeadlineExceeded, .message = "the deadline passed" }, true, 0);
   }
   if (call.commitToken && !call.commitToken()) {
-    return FailedAttempt({ .reason = Reason::RateUnavailable,
-                           .message = "the lease of the rate token has ended" },
-                         true,
-                         context.retriesLeft);
+    return FailedAttempt(
+      { .reason = Reason::RateUnavailable, .message = "the lease of the rate token has ended" },
+      true,
+      context.retriesLeft);
   }
   HttpRequestHead head{ .method = call.exchange.Request().method,
                         .target = "/" + call.request.service + call.request.upstreamTarget };
@@ -90,8 +89,7 @@
   if (call.request.requestClass->idempotent) {
     sending.isCancelled = [&call] { return call.exchange.IsCallerGone(); };
   }
-  const auto sent =
-    PoolOf(choice.peerAddress)->Send(head, call.body, call.body.Length(), sending);
+  const auto sent = PoolOf(choice.peerAddress)->Send(head, call.body, call.body.Length(), sending);
   if (!sent) {
     return WithoutAnswer(sent.error(), context.retriesLeft);
   }
@@ -112,13 +110,12 @@
   if (const auto header = answer.headers.Find(kLoadHeader)) {
     const auto load = ParseLoad(*header);
     if (load) {
-      options_.members->NoteLoad(
-        call.request.service,
-        choice.nodeId,
-        { .inFlight = static_cast<double>(load.value().inFlight),
-          .limit = static_cast<double>(load.value().limit),
-          .queueAge = std::chrono::milliseconds(load.value().queueAgeMs) },
-        options_.clock->Now());
+      options_.members->NoteLoad(call.request.service,
+                                 choice.nodeId,
+                                 { .inFlight = static_cast<double>(load.value().inFlight),
+                                   .limit = static_cast<double>(load.value().limit),
+                                   .queueAge = std::chrono::milliseconds(load.value().queueAgeMs) },
+                                 options_.clock->Now());
     }
   }
 }
@@ -126,8 +123,7 @@
 AttemptEnd PeerClient::Interpret(PendingCall& call, ClientExchange& answer, int unusedRetries)
 {
   const auto& head = answer.Response();
-  const auto outcome =
-    FromName<RequestOutcome>(head.headers.Find(kOutcomeHeader).value_or(""));
+  const auto outcome = FromName<RequestOutcome>(head.headers.Find(kOutcomeHeader).value_or(""));
   if (outcome != RequestOutcome::Ran) {
     const auto reason = FromName<Reason>(head.headers.Find(kReasonHeader).value_or(""));
     // An answer without a known outcome did not come from a node's pipeline.
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -4,7 +4,7 @@
 #include <charconv>  // from_chars
 #include <utility>   // move
 
-#include "acaciapulley/core/random.hpp"            // RandomHex
+#include "acaciapulley/core/random.hpp"              // RandomHex
 #include "acaciapulley/node/detail/dispatcher.hpp"   // Dispatcher
 #include "acaciapulley/node/detail/headers.hpp"      // kContextHeader, kDeadlineHeader
 #include "acaciapulley/node/detail/token_client.hpp" // TokenClient
@@ -187,9 +187,8 @@
 
 OrRefusal<void> RequestPipeline::Impl::RunRoot(ServerExchange& exchange, Root& root)
 {
-  RequestBody body(exchange.RequestBody(),
-                   exchange.RequestBodyLength(),
-                   root.request.requestClass->maxBodyBytes);
+  RequestBody body(
+    exchange.RequestBody(), exchange.RequestBodyLength(), root.request.requestClass->maxBodyBytes);
   auto prefetched = body.Prefetch();
   if (!prefetched) {
     return prefetched;
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -34,24 +34,25 @@
   return changes;
 }
 
-std::vector<PeerInfo> FromWire(const std::vector<wire::Member>& members)
+std::vector<RoutedMember> FromWire(const std::vector<wire::Member>& members)
 {
-  std::vector<PeerInfo> peers;
+  std::vector<RoutedMember> routed;
   for (const auto& member : members) {
     const auto address = Address::Parse(member.peerAddress);
     if (!address) {
       Log(LogLevel::Error, "member_rejected", { { "error", address.error().Describe() } });
       continue;
     }
-    peers.push_back({ .nodeId = member.nodeId,
-                      .epoch = member.epoch,
-                      .service = member.serviceName,
-                      .dataCentre = member.dataCentre,
-                      .peerAddress = address.value(),
-                      .slots = member.slots,
-                      .draining = member.draining });
+    routed.push_back({ .nodeId = member.nodeId,
+                       .epoch = member.epoch,
+                       .service = member.serviceName,
+                       .dataCentre = member.dataCentre,
+                       .peerAddress = member.peerAddress,
+                       .slots = member.slots,
+                       .coldStart = std::chrono::milliseconds(member.coldStartMs),
+                       .isDraining = member.draining });
   }
-  return peers;
+  return routed;
 }
 
 std::vector<wire::RecordRow> ToWire(const std::vector<ReportRow>& report)
@@ -149,7 +150,7 @@
   request.nodeId = options_.nodeId;
   request.epoch = options_.epoch;
   request.stateVersion = options_.view->Version();
-  request.membersVersion = options_.view->MembersVersion();
+  request.membersVersion = membersVersion_;
   request.reportNumber = reportNumber_;
   request.report = ToWire(report_);
   if (const auto announced = options_.upstream->Current()) {
@@ -170,7 +171,8 @@
   }
   options_.view->Apply(FromWire(reply.delta), askedAt - std::chrono::milliseconds(reply.ageMs));
   if (reply.membersIncluded) {
-    options_.view->ApplyMembers(reply.membersVersion, FromWire(reply.members));
+    membersVersion_ = reply.membersVersion;
+    options_.members->Apply(0, membersVersion_, FromWire(reply.members), options_.clock->Now());
   }
   if (options_.settleTokens) {
     options_.settleTokens(*options_.channel);
--- a/src/node/threshold_book.cpp
+++ b/src/node/threshold_book.cpp
@@ -7,8 +7,7 @@
   const double coin = AdmissionCoin(context.rootId);
   const std::lock_guard lock(mutex_);
   const TimePoint now = clock_.Now();
-  const bool admits =
-    table_.AdmitsRequest(ownClass, context.account, context.priority, coin, now);
+  const bool admits = table_.AdmitsRequest(ownClass, context.account, context.priority, coin, now);
   if (admits) {
     table_.OnRequest(ownClass, now);
   }
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -93,7 +93,8 @@
     return std::make_shared<Token>(*this, key, taken.hold);
   }
   if (taken.status == TakeStatus::Refused) {
-    return NotRun(429, Reason::RateExceeded, "the client account's rate is used up", taken.retryAfter);
+    return NotRun(
+      429, Reason::RateExceeded, "the client account's rate is used up", taken.retryAfter);
   }
   table_.EnterWait(key);
   auto waited = WaitForToken(key);
--- a/src/programs/acp-control/main.cpp
+++ b/src/programs/acp-control/main.cpp
@@ -5,6 +5,7 @@
 #include <stdexcept> // runtime_error
 
 #include "acaciapulley/control/control_service.hpp" // ControlProcess
+#include "acaciapulley/control/rate_service.hpp"    // RateService
 #include "acaciapulley/core/log.hpp"                // Log
 #include "acaciapulley/transport/process.hpp"       // BlockStopSignals, WaitForStopSignal
 #include "acaciapulley/transport/settings.hpp"      // Settings
@@ -32,12 +33,18 @@
   const acp::OperatorDirectory operators = ReadOperators(settings);
   acp::ControlState state;
   const auto log = acp::OpenLog(settings, state);
+  acp::RateService rates(state, *log, clock);
+  acp::ControlHooks hooks;
+  hooks.acquireTokens = [&rates](auto& reply, const auto& request, const auto& leadership) {
+    return rates.Acquire(reply, request, leadership);
+  };
   acp::ControlProcess process({ .rpcAddress = settings.GetAddress("rpc"),
                                 .operatorAddress = settings.GetAddress("operator"),
                                 .operators = operators,
                                 .clock = &clock,
                                 .log = log.get(),
-                                .state = &state });
+                                .state = &state,
+                                .hooks = hooks });
   acp::Log(acp::LogLevel::Info,
            "control_started",
            { { "rpc", settings.GetText("rpc") }, { "operator", settings.GetText("operator") } });
--- a/src/programs/acp-node/main.cpp
+++ b/src/programs/acp-node/main.cpp
@@ -36,6 +36,7 @@
       .admin = settings.GetAddress("admin"),
       .control = settings.GetAddresses("control"),
       .maxConnections = static_cast<int>(settings.GetInteger("max-connections")),
+      .retryBudget = static_cast<int>(settings.GetInteger("retry-budget")),
       .clock = &clock });
   acp::Log(acp::LogLevel::Info,
            "node_started",
@@ -62,6 +63,7 @@
   settings.AddAddress("admin", "serves /metrics and /healthz", "127.0.0.1:8083");
   settings.AddAddresses("control", "rpc addresses of the control replicas", "127.0.0.1:7300");
   settings.AddInteger("max-connections", "connections for each listener", 1024, 1, 10'000);
+  settings.AddInteger("retry-budget", "retries of one request over its call chain", 2, 0, 8);
   settings.ParseOrExit(argc, argv);
   acp::BlockStopSignals();
   try {
