Test the core of the replicated log under random faults

Change: a simulated cluster on a paused clock, with a network and disks that fail by a seeded schedule; one test for the properties, one that shows for each of five rules that schedules find a violation without it and none with it.

--- a/include/acaciapulley/replication/raft_core.hpp
+++ b/include/acaciapulley/replication/raft_core.hpp
@@ -24,7 +24,7 @@
 {
   bool voteOnlyWhenUpToDate = true;  ///< a vote needs a log that is at least as complete
   bool syncBeforeAnswer = true;      ///< answers wait for the sync of what they promise
-  bool learnersWithoutVote = true;   ///< replicas outside the set do not count in quorums
+  bool learnersWithoutVote = true;   ///< a replica that is in no set it knows does not vote
   bool confirmByQuorum = true;       ///< the age counts from a round that a quorum answered
   bool commitOnlyCurrentTerm = true; ///< older entries are committed only by a newer one
 };
@@ -234,6 +234,7 @@
   LogPosition AppendOwn(EntryKind kind, std::string data, UnixMillis wall);
   [[nodiscard]] std::uint64_t ConfirmedRound() const;
   std::shared_ptr<const std::string> EncodedSnapshot();
+  [[nodiscard]] std::uint64_t FirstIndexToKeep(std::uint64_t snapshotIndex) const;
 
   // Writes and messages out.
   void NoteEntries(std::uint64_t firstIndex);
--- a/src/replication/raft_core.cpp
+++ b/src/replication/raft_core.cpp
@@ -92,7 +92,8 @@
     return false;
   }
   if (hard_.clusterId.empty()) {
-    return message.kind == MessageKind::Append || message.kind == MessageKind::Snapshot;
+    return message.kind == MessageKind::Append || message.kind == MessageKind::Snapshot ||
+           !options_.guards.learnersWithoutVote;
   }
   if (message.clusterId.empty()) {
     return message.kind == MessageKind::Join;
@@ -247,9 +248,7 @@
                                                          .state = std::move(state) });
   encodedSnapshot_.reset();
   snapshotToWrite_ = snapshot_;
-  if (index > options_.entriesKept) {
-    log_.Compact(index - options_.entriesKept);
-  }
+  log_.Compact(FirstIndexToKeep(index) - 1);
 }
 
 void RaftCore::NoteEntries(std::uint64_t firstIndex)
@@ -306,9 +305,6 @@
 
 bool RaftCore::HasQuorum(const std::set<std::string>& ids) const
 {
-  if (!options_.guards.learnersWithoutVote) {
-    return ids.size() * 2 > log_.Newest().voters.size();
-  }
   return log_.Newest().HasQuorum(ids);
 }
 
--- a/src/replication/raft_leader.cpp
+++ b/src/replication/raft_leader.cpp
@@ -17,6 +17,10 @@
 /// A learner that lacks at most so many committed entries has caught up.
 constexpr std::uint64_t kCaughtUpEntries = 100;
 
+/// A replica that is sent a snapshot and can be reached must find the entries after it when it is
+/// done, however fast snapshots follow each other. The bound limits the memory this takes.
+constexpr std::uint64_t kMaxKeptFactor = 20;
+
 /// Rounds that wait for a quorum; at the default interval those of 12 s, far longer than a leader
 /// keeps its role without one.
 constexpr std::size_t kMaxRounds = 256;
@@ -241,6 +245,22 @@
   progress.snapshotChunkDue = true;
 }
 
+std::uint64_t RaftCore::FirstIndexToKeep(std::uint64_t snapshotIndex) const
+{
+  const auto countedBack = [&](std::uint64_t count) {
+    return snapshotIndex > count ? snapshotIndex - count + 1 : 1;
+  };
+  std::uint64_t first = countedBack(options_.entriesKept);
+  for (const auto& [id, progress] : progress_) {
+    if (nextHeartbeat_ - progress.lastHeard < options_.electionTimeout) {
+      const std::uint64_t held =
+        progress.snapshot ? progress.snapshotPosition.index : progress.matchIndex;
+      first = std::min(first, held + 1);
+    }
+  }
+  return std::max(first, countedBack(options_.entriesKept * kMaxKeptFactor));
+}
+
 std::shared_ptr<const std::string> RaftCore::EncodedSnapshot()
 {
   if (!encodedSnapshot_) {
--- /dev/null
+++ b/tests/replication_test/core_test.cpp
@@ -0,0 +1,88 @@
+#include <boost/test/unit_test.hpp>
+
+#include "simulation.hpp"
+
+namespace {
+
+constexpr std::uint64_t kFirstSeed = 7'000;
+constexpr int kScheduleMillis = 12'000;
+
+SimulationOptions MakeOptions(std::uint64_t seed)
+{
+  return { .seed = seed, .replicas = seed % 2 == 0 ? 3U : 5U };
+}
+
+/// A rule, and the faults that show its lack.
+struct GuardCase
+{
+  const char* name;
+  acp::RaftGuards guards;
+  FaultMix faults;
+  std::size_t replicas;
+};
+
+/// Returns the first violation that schedules of @p guardCase find with @p guards.
+std::string FindViolation(const GuardCase& guardCase, const acp::RaftGuards& guards)
+{
+  for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + 100; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    options.replicas = guardCase.replicas;
+    options.guards = guards;
+    options.faults = guardCase.faults;
+    if (guardCase.faults == FaultMix::OldEntries) {
+      // Leaves the longest time between the answers to entries of different terms.
+      options.maxAppendBytes = 1;
+      options.maxEntriesInFlight = 1;
+    }
+    const std::string violation = Simulation(options).Run(kScheduleMillis);
+    if (!violation.empty()) {
+      return violation;
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(core)
+
+// Guards against lost acknowledged entries, diverging replicas, two leaders in a term, stale
+// confirmed reads, and clusters that do not recover, under random faults.
+BOOST_AUTO_TEST_CASE(random_schedules_keep_all_properties)
+{
+  BOOST_TEST_MESSAGE("seeds from " << kFirstSeed);
+  std::size_t acknowledged = 0;
+  std::size_t replacements = 0;
+  for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + 60; ++seed) {
+    Simulation simulation(MakeOptions(seed));
+    BOOST_REQUIRE_EQUAL(simulation.Run(kScheduleMillis), "");
+    BOOST_REQUIRE_EQUAL(simulation.Heal(), "");
+    acknowledged += simulation.Acknowledged();
+    replacements += simulation.Replacements();
+  }
+  // The schedules are worth something only if the cluster works most of the time.
+  BOOST_TEST_MESSAGE(acknowledged << " entries acknowledged, " << replacements << " replacements");
+  BOOST_TEST(acknowledged > 10'000U);
+  BOOST_TEST(replacements > 20U);
+}
+
+// Guards against schedules that are too weak to notice the lack of a rule.
+BOOST_AUTO_TEST_CASE(each_guard_is_needed)
+{
+  const std::vector<GuardCase> cases = {
+    { "vote only when up to date", { .voteOnlyWhenUpToDate = false }, FaultMix::Any, 3 },
+    { "sync before answer", { .syncBeforeAnswer = false }, FaultMix::Any, 3 },
+    { "learners without vote", { .learnersWithoutVote = false }, FaultMix::LaggardAndLostDisk, 3 },
+    { "confirm by quorum", { .confirmByQuorum = false }, FaultMix::LateAnswers, 3 },
+    { "commit only current term", { .commitOnlyCurrentTerm = false }, FaultMix::OldEntries, 5 },
+  };
+  for (const auto& guardCase : cases) {
+    const std::string violation = FindViolation(guardCase, guardCase.guards);
+    BOOST_TEST_MESSAGE(guardCase.name << " off: " << violation);
+    BOOST_TEST(violation != "", guardCase.name);
+    BOOST_TEST(FindViolation(guardCase, {}) == "", guardCase.name);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/replication_test/memory_disk.hpp
+++ b/tests/replication_test/memory_disk.hpp
@@ -10,13 +10,24 @@
 
 #include "acaciapulley/replication/disk.hpp"
 
+/// Thrown by the disk at the operation at which the host crashes.
+struct DiskCrash
+{};
+
 /// Contents of a disk; they outlive the process that uses them.
 struct DiskContents
 {
   std::map<std::string, std::string> files;   ///< as the process sees them
   std::map<std::string, std::string> durable; ///< contents after the last sync, by current name
   std::map<std::string, std::string> names;   ///< durable names and their durable contents
-  int syncs = 0;
+  int operationsUntilCrash = -1;              ///< negative: none is planned
+
+  void Operate()
+  {
+    if (operationsUntilCrash >= 0 && operationsUntilCrash-- == 0) {
+      throw DiskCrash{};
+    }
+  }
 
   /// Keeps what was synced and, of each appended tail, a random part that may be damaged.
   void Crash(std::mt19937_64& random)
@@ -61,18 +72,23 @@
   }
   acp::ReplicationResult<void> Append(const std::string& name, const std::string& bytes) override
   {
+    if (disk_->operationsUntilCrash == 0) {
+      disk_->files[name] += bytes.substr(0, bytes.size() / 2);
+    }
+    disk_->Operate();
     disk_->files[name] += bytes;
     return boost::outcome_v2::success();
   }
   acp::ReplicationResult<void> Overwrite(const std::string& name, const std::string& bytes) override
   {
+    disk_->Operate();
     auto& file = disk_->files[name];
     file = bytes + file.substr(std::min(file.size(), bytes.size()));
     return boost::outcome_v2::success();
   }
   acp::ReplicationResult<void> Sync(const std::string& name) override
   {
-    ++disk_->syncs;
+    disk_->Operate();
     disk_->durable[name] = disk_->files.at(name);
     if (disk_->names.contains(name)) {
       disk_->names[name] = disk_->durable[name];
@@ -81,11 +97,13 @@
   }
   acp::ReplicationResult<void> Truncate(const std::string& name, std::uint64_t size) override
   {
+    disk_->Operate();
     disk_->files[name].resize(size);
     return boost::outcome_v2::success();
   }
   acp::ReplicationResult<void> Rename(const std::string& from, const std::string& to) override
   {
+    disk_->Operate();
     disk_->files[to] = disk_->files.at(from);
     disk_->durable[to] = disk_->durable[from];
     disk_->files.erase(from);
@@ -94,12 +112,14 @@
   }
   acp::ReplicationResult<void> Remove(const std::string& name) override
   {
+    disk_->Operate();
     disk_->files.erase(name);
     disk_->durable.erase(name);
     return boost::outcome_v2::success();
   }
   acp::ReplicationResult<void> SyncFolder() override
   {
+    disk_->Operate();
     disk_->names.clear();
     for (const auto& [name, bytes] : disk_->files) {
       disk_->names[name] = disk_->durable[name];
--- /dev/null
+++ b/tests/replication_test/simulation.cpp
@@ -0,0 +1,527 @@
+#include "simulation.hpp"
+
+#include <algorithm> // any_of, all_of
+#include <utility>   // move, exchange
+
+namespace {
+
+constexpr std::uint64_t kSnapshotEvery = 40;
+
+std::string Join(const std::vector<std::string>& lines)
+{
+  std::string text;
+  for (const auto& line : lines) {
+    text += line + "\n";
+  }
+  return text;
+}
+
+} // namespace
+
+Simulation::Simulation(const SimulationOptions& options)
+  : options_(options)
+  , random_(options.seed)
+  , hosts_(options.replicas)
+{
+  acp::Membership initial;
+  initial.clusterId = "cluster";
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    hosts_[i].address = "host" + std::to_string(i);
+    Start(hosts_[i]);
+    initial.voters.push_back({ hosts_[i].identity, hosts_[i].address, {} });
+  }
+  for (auto& host : hosts_) {
+    (void)host.core->Bootstrap(initial, clock_.WallNow());
+  }
+}
+
+void Simulation::Violate(const std::string& what)
+{
+  if (violation_.empty()) {
+    violation_ =
+      "seed " + std::to_string(options_.seed) + ", " + std::to_string(millis_) + " ms: " + what;
+  }
+}
+
+void Simulation::Start(Host& host)
+{
+  host.disk->operationsUntilCrash = -1;
+  host.storage = std::make_unique<acp::FileStorage>(
+    std::make_unique<MemoryDisk>(host.disk),
+    acp::FileStorageOptions{ .segmentBytes = 400, .newIdentity = [this, &host] {
+                              // Without the guard a host that lost its disk returns under its old
+                              // identity.
+                              return options_.guards.learnersWithoutVote
+                                       ? "id" + std::to_string(random_())
+                                       : "id" + host.address;
+                            } });
+  auto state = host.storage->Load();
+  if (!state) {
+    Violate(host.address + " cannot start: " + state.error().message);
+    return;
+  }
+  host.identity = state.value().hardState.identity;
+  acp::RaftOptions options;
+  options.self = { {}, host.address, {} };
+  options.maxAppendBytes = options_.maxAppendBytes;
+  options.maxEntriesInFlight = options_.maxEntriesInFlight;
+  options.snapshotChunkBytes = 2000;
+  options.entriesKept = 10;
+  options.random = [this] { return random_(); };
+  options.guards = options_.guards;
+  host.core = std::make_unique<acp::RaftCore>(options, std::move(state.value()), clock_.Now());
+}
+
+void Simulation::Crash(Host& host)
+{
+  host.core.reset();
+  host.storage.reset();
+  host.disk->Crash(random_);
+  host.writes.clear();
+  host.syncAt = 0;
+  host.state.clear();
+  host.applied = 0;
+  host.proposals.clear();
+  host.restartAt = millis_ + static_cast<std::int64_t>(Draw(800));
+}
+
+Simulation::Host* Simulation::Leader()
+{
+  Host* leader = nullptr;
+  for (auto& host : hosts_) {
+    if (host.core && host.core->Role() == acp::RaftRole::Leader &&
+        (leader == nullptr || host.core->Term() > leader->core->Term())) {
+      leader = &host;
+    }
+  }
+  return leader;
+}
+
+void Simulation::LoseDisk(Host& host)
+{
+  // The set survives one lost disk; the next may follow as soon as its replacement is committed.
+  Host* leader = Leader();
+  if (!lostIdentities_.empty() || leader == nullptr || !leader->core->MembershipIsSettled()) {
+    return;
+  }
+  lostIdentities_.insert(host.identity);
+  Crash(host);
+  host.disk = std::make_shared<DiskContents>();
+}
+
+/// The operator: replaces a lost identity by the one that the host has now.
+void Simulation::Operate()
+{
+  Host* leader = Leader();
+  if (leader == nullptr || lostIdentities_.empty() || (faults_ && Draw(20) != 0)) {
+    return;
+  }
+  const std::string lost = *lostIdentities_.begin();
+  const auto& membership = leader->core->CurrentMembership();
+  const bool isBack = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& host) {
+    return host.core && host.identity == lost &&
+           host.core->Status().lastIndex >= leader->core->CommitIndex();
+  });
+  if (isBack) {
+    lostIdentities_.clear();
+    return;
+  }
+  if (!membership.IsVoter(lost) && leader->core->MembershipIsSettled()) {
+    lostIdentities_.clear();
+    ++replacements_;
+    return;
+  }
+  for (const auto& host : hosts_) {
+    if (host.core && !membership.IsVoter(host.identity)) {
+      (void)leader->core->Replace(lost, host.identity, clock_.WallNow());
+    }
+  }
+}
+
+void Simulation::InjectSimple(std::size_t chosen)
+{
+  const auto until = millis_ + 100 + static_cast<std::int64_t>(Draw(1500));
+  Host& host = hosts_[chosen];
+  switch (Draw(10)) {
+    case 0:
+    case 1: // the host crashes in the middle of a write, or at once when it writes nothing
+      if (host.core) {
+        host.disk->operationsUntilCrash = static_cast<int>(Draw(8));
+      }
+      break;
+    case 2: // the power fails everywhere
+      for (auto& other : hosts_) {
+        if (other.core) {
+          Crash(other);
+        }
+      }
+      break;
+    case 3:
+    case 4: // a partition in both directions
+      Isolate(chosen, until - millis_);
+      break;
+    case 5: // a partition in one direction
+      blockedUntil_[{ chosen, Draw(hosts_.size()) }] = until;
+      break;
+    case 6:
+    case 7:
+      host.frozenUntil = until;
+      break;
+    case 8:
+      if (host.core) {
+        LoseDisk(host);
+      }
+      break;
+    default:
+      lossPercent_ = Draw(30);
+      clock_.StepWall(std::chrono::milliseconds(static_cast<std::int64_t>(Draw(4000)) - 2000));
+      break;
+  }
+}
+
+void Simulation::After(std::int64_t millis, std::function<void()> action)
+{
+  planned_.emplace(millis_ + millis, std::move(action));
+}
+
+void Simulation::Isolate(std::size_t index, std::int64_t millis)
+{
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    blockedUntil_[{ i, index }] = millis_ + millis;
+    blockedUntil_[{ index, i }] = millis_ + millis;
+  }
+}
+
+void Simulation::Reconnect()
+{
+  blockedUntil_.clear();
+  slowUntil_.clear();
+}
+
+void Simulation::InjectLaggardAndLostDisk(std::size_t leader)
+{
+  const std::size_t laggard = (leader + 1) % hosts_.size();
+  const std::size_t lost = (leader + 2) % hosts_.size();
+  Isolate(laggard, 1000);
+  After(static_cast<std::int64_t>(50 + Draw(200)), [this, leader, lost] {
+    Reconnect();
+    Isolate(leader, 1500);
+    if (hosts_[lost].core) {
+      LoseDisk(hosts_[lost]);
+    }
+  });
+}
+
+void Simulation::InjectLateAnswers(std::size_t leader)
+{
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    slowUntil_[{ i, leader }] = millis_ + 100;
+  }
+  After(static_cast<std::int64_t>(1 + Draw(99)), [this, leader] { Isolate(leader, 1500); });
+}
+
+void Simulation::InjectOldEntries(std::size_t leader)
+{
+  // An entry reaches one follower only; the rest elects a leader whose first entry reaches nobody.
+  const std::size_t holder = (leader + 1) % hosts_.size();
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    if (i != holder) {
+      blockedUntil_[{ leader, i }] = millis_ + 1000;
+    }
+  }
+  After(50, [this, leader, holder] {
+    if (hosts_[leader].core) {
+      Crash(hosts_[leader]);
+    }
+    Isolate(holder, 2000);
+    appendsAreLost_ = true;
+  });
+  // That leader is cut off, the entry spreads in a new term, and the new leader crashes.
+  After(static_cast<std::int64_t>(700 + Draw(300)), [this] {
+    Reconnect();
+    appendsAreLost_ = false;
+    Host* second = Leader();
+    if (second != nullptr) {
+      Isolate(static_cast<std::size_t>(second - hosts_.data()), 3000);
+      crashOnOldCommit_ = true;
+    }
+  });
+}
+
+void Simulation::Inject()
+{
+  const Host* leader = Leader();
+  FaultMix mix = options_.faults;
+  if (mix == FaultMix::Any && Draw(5) == 0) {
+    mix = static_cast<FaultMix>(1 + Draw(3));
+  }
+  if (mix == FaultMix::Any) {
+    InjectSimple(leader != nullptr && Draw(2) == 0
+                   ? static_cast<std::size_t>(leader - hosts_.data())
+                   : Draw(hosts_.size()));
+  } else if (leader != nullptr && planned_.empty()) {
+    const auto index = static_cast<std::size_t>(leader - hosts_.data());
+    if (mix == FaultMix::LaggardAndLostDisk) {
+      InjectLaggardAndLostDisk(index);
+    } else if (mix == FaultMix::LateAnswers) {
+      InjectLateAnswers(index);
+    } else {
+      InjectOldEntries(index);
+    }
+  }
+}
+
+void Simulation::SendAll(std::size_t from, const std::vector<acp::RaftMessage>& messages)
+{
+  for (const auto& message : messages) {
+    for (std::size_t to = 0; to < hosts_.size(); ++to) {
+      // A message without an addressee is a Join, which goes to all hosts.
+      const bool isMeant = message.to.empty() ? to != from : hosts_[to].identity == message.to;
+      const auto blocked = blockedUntil_.find({ from, to });
+      if ((blocked != blockedUntil_.end() && blocked->second > millis_) ||
+          (appendsAreLost_ && message.kind == acp::MessageKind::Append)) {
+        continue;
+      }
+      for (auto copies = isMeant ? 1 + (Draw(20) == 0 ? 1 : 0) : 0; copies > 0; --copies) {
+        if (Draw(100) >= lossPercent_) {
+          const auto slow = slowUntil_.find({ from, to });
+          const bool isSlow = slow != slowUntil_.end() && slow->second > millis_;
+          const auto delay = static_cast<std::int64_t>(1 + Draw(isSlow || Draw(30) == 0 ? 400 : 8));
+          network_.emplace(millis_ + delay, Packet{ from, to, message });
+        }
+      }
+    }
+  }
+}
+
+void Simulation::Deliver()
+{
+  while (!network_.empty() && network_.begin()->first <= millis_) {
+    const Packet packet = std::move(network_.extract(network_.begin()).mapped());
+    Host& host = hosts_[packet.to];
+    if (!host.core) {
+      continue;
+    }
+    if (host.frozenUntil > millis_) {
+      network_.emplace(host.frozenUntil, packet); // the kernel keeps it
+      continue;
+    }
+    host.core->Step(packet.message, Time());
+  }
+}
+
+void Simulation::FinishWrites(std::size_t index)
+{
+  Host& host = hosts_[index];
+  if (host.writes.empty() || host.syncAt > millis_) {
+    return;
+  }
+  acp::WriteBatch batch;
+  for (const auto& write : host.writes) {
+    batch.Merge(write.batch);
+  }
+  (void)host.storage->Write(batch).value();
+  const auto writes = std::exchange(host.writes, {});
+  host.core->Persisted(writes.back().number, Time());
+  for (const auto& write : writes) {
+    SendAll(index, write.afterSync);
+  }
+}
+
+void Simulation::Apply(Host& host, const acp::LogEntry& entry)
+{
+  if (entry.position.index != host.applied + 1) {
+    Violate(host.address + " applied entry " + std::to_string(entry.position.index) + " after " +
+            std::to_string(host.applied));
+  }
+  host.applied = entry.position.index;
+  const auto [known, isNew] = history_.emplace(entry.position.index, entry);
+  if (!(known->second == entry)) {
+    Violate("two different entries applied at " + std::to_string(host.applied));
+  }
+  if (isNew && known != history_.begin() && std::prev(known)->second.time > entry.time) {
+    Violate("the time of entry " + std::to_string(host.applied) + " decreases");
+  }
+  if (entry.kind == acp::EntryKind::Command) {
+    host.state.push_back(entry.data);
+  }
+  const auto proposal = host.proposals.find(entry.position.index);
+  if (proposal != host.proposals.end()) {
+    if (proposal->second == entry.position.term) {
+      acknowledged_.emplace(entry.position.index, clock_.Now());
+    }
+    host.proposals.erase(proposal);
+  }
+}
+
+void Simulation::Restore(Host& host, const acp::Snapshot& snapshot)
+{
+  host.state.clear();
+  host.applied = snapshot.position.index;
+  for (const auto& [index, entry] : history_) {
+    if (index <= host.applied && entry.kind == acp::EntryKind::Command) {
+      host.state.push_back(entry.data);
+    }
+  }
+  if (Join(host.state) != snapshot.state) {
+    Violate("the snapshot at " + std::to_string(host.applied) + " differs from the history");
+  }
+}
+
+void Simulation::Pump(std::size_t index)
+{
+  Host& host = hosts_[index];
+  acp::RaftReady ready = host.core->TakeReady(clock_.Now());
+  SendAll(index, ready.messages);
+  if (ready.restore) {
+    Restore(host, *ready.restore);
+  }
+  for (const auto& entry : ready.committed) {
+    Apply(host, entry);
+  }
+  host.core->Applied(host.applied);
+  if (crashOnOldCommit_ && !ready.committed.empty() && host.core->Role() == acp::RaftRole::Leader) {
+    crashOnOldCommit_ = false;
+    Reconnect();
+    throw DiskCrash{};
+  }
+  if (!ready.committed.empty() && host.applied % kSnapshotEvery == 0) {
+    host.core->Compact(host.applied, Join(host.state));
+  }
+  if (!ready.write.IsEmpty() || !ready.afterSync.empty()) {
+    if (host.writes.empty()) {
+      host.syncAt = millis_ + static_cast<std::int64_t>(1 + Draw(Draw(20) == 0 ? 100 : 4));
+    }
+    host.writes.push_back(
+      { std::move(ready.write), ready.writeNumber, std::move(ready.afterSync) });
+  }
+}
+
+void Simulation::CheckLeaders()
+{
+  for (const auto& host : hosts_) {
+    if (!host.core || host.frozenUntil > millis_ || host.core->Role() != acp::RaftRole::Leader) {
+      continue;
+    }
+    const auto [leader, isNew] = leaders_.emplace(host.core->Term(), host.identity);
+    if (leader->second != host.identity) {
+      Violate("two leaders in term " + std::to_string(host.core->Term()));
+    }
+    const auto confirmedAt = host.core->ConfirmedAt();
+    for (auto entry = acknowledged_.rbegin(); confirmedAt && entry != acknowledged_.rend();
+         ++entry) {
+      if (entry->first <= host.applied) {
+        break;
+      }
+      if (entry->second < *confirmedAt) {
+        Violate("a confirmed leader lacks entry " + std::to_string(entry->first) +
+                ", acknowledged before its confirmation");
+      }
+    }
+  }
+}
+
+void Simulation::Step()
+{
+  ++millis_;
+  clock_.Advance(std::chrono::milliseconds(1));
+  if (faults_ && Draw(options_.faultEveryMillis) == 0) {
+    Inject();
+  }
+  while (!planned_.empty() && planned_.begin()->first <= millis_) {
+    planned_.extract(planned_.begin()).mapped()();
+  }
+  Deliver();
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    Host& host = hosts_[i];
+    if (!host.core && host.restartAt <= millis_) {
+      Start(host);
+    }
+    if (!host.core || host.frozenUntil > millis_) {
+      continue;
+    }
+    host.core->Tick(Time());
+    if (host.core->Role() == acp::RaftRole::Leader && Draw(8) == 0) {
+      const auto position =
+        host.core->Propose("command " + std::to_string(++commands_), clock_.WallNow());
+      host.proposals[position.value().index] = position.value().term;
+    }
+    try {
+      FinishWrites(i);
+      Pump(i);
+    } catch (const DiskCrash&) {
+      Crash(host);
+    }
+  }
+  if (millis_ % 50 == 0) {
+    Operate();
+  }
+  CheckLeaders();
+}
+
+std::string Simulation::Describe() const
+{
+  std::string text;
+  for (const auto& host : hosts_) {
+    text += "\n" + host.address + " " + host.identity;
+    if (host.core) {
+      const auto status = host.core->Status();
+      const auto& membership = host.core->CurrentMembership();
+      text += " role " + std::to_string(static_cast<int>(host.core->Role())) + " term " +
+              std::to_string(status.term) + " last " + std::to_string(status.lastIndex) +
+              " commit " + std::to_string(status.commitIndex) + " leader " + status.leaderId +
+              " voters";
+      for (const auto& voter : membership.voters) {
+        text += " " + voter.id;
+      }
+      text += membership.oldVoters.empty() ? "" : " (joint)";
+    }
+  }
+  for (const auto& id : lostIdentities_) {
+    text += "\nlost " + id;
+  }
+  return text;
+}
+
+std::string Simulation::Run(int millis)
+{
+  try {
+    for (int i = 0; i < millis && violation_.empty(); ++i) {
+      Step();
+    }
+  } catch (const std::logic_error& e) {
+    Violate(e.what());
+  }
+  return violation_;
+}
+
+std::string Simulation::Heal()
+{
+  faults_ = false;
+  lossPercent_ = 0;
+  planned_.clear();
+  appendsAreLost_ = false;
+  crashOnOldCommit_ = false;
+  Reconnect();
+  for (auto& host : hosts_) {
+    host.frozenUntil = 0;
+    host.disk->operationsUntilCrash = -1;
+  }
+  for (int i = 0; i < 300; ++i) {
+    const std::string violation = Run(100);
+    if (!violation.empty()) {
+      return violation;
+    }
+    const std::uint64_t last = acknowledged_.empty() ? 0 : acknowledged_.rbegin()->first;
+    const bool areEqual = std::all_of(hosts_.begin(), hosts_.end(), [&](const Host& host) {
+      return host.core && host.applied >= last &&
+             host.core->CurrentMembership().IsVoter(host.identity);
+    });
+    Host* leader = Leader();
+    if (leader != nullptr && areEqual && lostIdentities_.empty() && leader->core->ConfirmedAt()) {
+      return {};
+    }
+  }
+  return "seed " + std::to_string(options_.seed) +
+         ": no agreement 30 s after the last fault:" + Describe();
+}
--- /dev/null
+++ b/tests/replication_test/simulation.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+/// @file
+/// A cluster of cores on a paused clock, with a network and disks that fail by a seeded schedule.
+
+#include <functional> // function
+#include <map>        // map, multimap
+#include <memory>     // unique_ptr
+#include <optional>   // optional
+#include <random>     // mt19937_64
+#include <set>        // set
+#include <string>     // string
+#include <vector>     // vector
+
+#include "acaciapulley/replication/raft_core.hpp"
+#include "memory_disk.hpp"
+
+/// Faults of a run: random ones, or only one adversarial sequence with random times.
+enum class FaultMix
+{
+  Any,
+  LaggardAndLostDisk, ///< the disk of the replica that holds an entry beside the leader is lost
+  LateAnswers,        ///< a leader is cut off while answers to it are still under way
+  OldEntries,         ///< a leader replicates entries of an older term and crashes
+};
+
+/// Settings of one run.
+struct SimulationOptions
+{
+  std::uint64_t seed = 1;
+  std::size_t replicas = 3;
+  acp::RaftGuards guards;
+  std::size_t maxAppendBytes = 64;
+  std::uint64_t maxEntriesInFlight = 64;
+  std::uint64_t faultEveryMillis = 200; ///< on average
+  FaultMix faults = FaultMix::Any;
+};
+
+/// Runs a schedule of crashes, lost disks, partitions, lost, doubled and reordered messages and
+/// frozen replicas, and checks after each millisecond what must always hold.
+class Simulation
+{
+public:
+  explicit Simulation(const SimulationOptions& options);
+
+  /// @return the first violation, or an empty string
+  std::string Run(int millis);
+
+  /// Ends all faults and waits until all replicas agree.
+  /// @return what is missing, or an empty string
+  std::string Heal();
+
+  [[nodiscard]] std::size_t Acknowledged() const { return acknowledged_.size(); }
+  [[nodiscard]] std::size_t Replacements() const { return replacements_; }
+
+private:
+  struct Write
+  {
+    acp::WriteBatch batch;
+    std::uint64_t number = 0;
+    std::vector<acp::RaftMessage> afterSync;
+  };
+  struct Host
+  {
+    std::shared_ptr<DiskContents> disk = std::make_shared<DiskContents>();
+    std::unique_ptr<acp::FileStorage> storage;
+    std::unique_ptr<acp::RaftCore> core;
+    std::string address;
+    std::string identity;
+    std::vector<Write> writes;
+    std::int64_t syncAt = 0;
+    std::int64_t frozenUntil = 0;
+    std::int64_t restartAt = 0;
+    std::vector<std::string> state;
+    std::uint64_t applied = 0;
+    std::map<std::uint64_t, std::uint64_t> proposals; ///< index to term
+  };
+  struct Packet
+  {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    acp::RaftMessage message;
+  };
+
+  [[nodiscard]] acp::RaftTime Time() const { return { clock_.Now(), clock_.WallNow() }; }
+  std::uint64_t Draw(std::uint64_t bound) { return random_() % bound; }
+  void Start(Host& host);
+  void Crash(Host& host);
+  void Step();
+  void Inject();
+  void InjectSimple(std::size_t chosen);
+  void InjectLaggardAndLostDisk(std::size_t leader);
+  void InjectLateAnswers(std::size_t leader);
+  void InjectOldEntries(std::size_t leader);
+  void Isolate(std::size_t index, std::int64_t millis);
+  void Reconnect();
+  void After(std::int64_t millis, std::function<void()> action);
+  void LoseDisk(Host& host);
+  void Operate();
+  void Deliver();
+  void Pump(std::size_t index);
+  void FinishWrites(std::size_t index);
+  void SendAll(std::size_t from, const std::vector<acp::RaftMessage>& messages);
+  void Apply(Host& host, const acp::LogEntry& entry);
+  void Restore(Host& host, const acp::Snapshot& snapshot);
+  void CheckLeaders();
+  void Violate(const std::string& what);
+  [[nodiscard]] Host* Leader();
+  [[nodiscard]] std::string Describe() const;
+
+  SimulationOptions options_;
+  std::mt19937_64 random_;
+  acp::ManualClock clock_;
+  std::int64_t millis_ = 0;
+  std::vector<Host> hosts_;
+  std::multimap<std::int64_t, Packet> network_;
+  std::map<std::pair<std::size_t, std::size_t>, std::int64_t> blockedUntil_;
+  std::map<std::pair<std::size_t, std::size_t>, std::int64_t> slowUntil_;
+  std::multimap<std::int64_t, std::function<void()>> planned_;
+  bool appendsAreLost_ = false;
+  bool crashOnOldCommit_ = false;
+  std::uint64_t lossPercent_ = 0;
+  bool faults_ = true;
+
+  std::map<std::uint64_t, acp::LogEntry> history_;       ///< what any replica applied
+  std::map<std::uint64_t, acp::TimePoint> acknowledged_; ///< index to time
+  std::map<std::uint64_t, std::string> leaders_;         ///< term to identity
+  std::set<std::string> lostIdentities_;
+  std::size_t replacements_ = 0;
+  std::uint64_t commands_ = 0;
+  std::string violation_;
+};
