Add the replica: threads, disk and connections around the core

Cause: the control process needs the replicated log behind the interface ReplicatedLog.

Change: Replica drives the core on one thread, writes on another with one sync for all that waits, applies on a third, and sends to each peer on its own. Messages travel one way, so no answer is matched to a call, and a timeout closes the connection. The service is registered under a name on a multiplexed processor, so that nodes and replicas can share one listener. An empty set of hosts founds a cluster only when all listed ones are empty; identities are random and the initial set names them, so a host that lost its disk cannot return to a vote.

Ruled out: one call for each message with its reply as the result, since a slow disk would hold the connection and a late reply would need matching.

Conclusion: the tests of the module pass, among them one of three replicas over loopback with restarts, a lost disk, its replacement and a second lost disk.

--- /dev/null
+++ b/include/acaciapulley/replication/detail/replica_impl.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+/// @file
+/// The thread that drives the core of a replica.
+
+#include <atomic>             // atomic
+#include <condition_variable> // condition_variable
+#include <cstdint>            // uint64_t
+#include <future>             // promise
+#include <memory>             // shared_ptr, unique_ptr
+#include <mutex>              // mutex
+#include <optional>           // optional
+#include <string>             // string
+#include <thread>             // thread
+#include <vector>             // vector
+
+#include "acaciapulley/replication/detail/peer_channel.hpp"       // HelloAnswer, PeerSet
+#include "acaciapulley/replication/detail/replica_workers.hpp"    // ApplyWorker, DiskWorker
+#include "acaciapulley/replication/detail/replication_server.hpp" // ReplicationServer
+#include "acaciapulley/replication/raft_core.hpp"                 // RaftCore
+#include "acaciapulley/replication/replica.hpp"                   // Replica, ReplicaOptions
+
+namespace acp {
+
+class Replica::Impl
+{
+public:
+  Impl(const ReplicaOptions& options,
+       StateMachine& machine,
+       std::unique_ptr<Storage> storage,
+       StoredState state);
+  ~Impl();
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  /// @brief Begins to listen, unless the owner does, and to form a cluster if that is wanted.
+  ReplicationResult<void> Listen();
+
+  ReplicationResult<std::string> Propose(const std::string& command, Duration timeout);
+  ReplicationResult<Duration> LeadershipAge() const;
+  std::optional<Duration> LeadingFor() const;
+  ReplicationResult<void> ReplaceReplica(const std::string& lostId,
+                                         const std::string& newId,
+                                         Duration timeout);
+  ReplicaStatus Status() const;
+  std::shared_ptr<apache::thrift::TProcessor> Processor() const { return processor_; }
+
+private:
+  struct Proposal
+  {
+    std::string command;
+    detail::ProposalPromise promise;
+  };
+  struct Replacement
+  {
+    std::string lostId;
+    std::string newId;
+    std::shared_ptr<std::promise<ReplicationResult<void>>> promise;
+    std::uint64_t term = 0; ///< when it was accepted
+  };
+  struct TakenSnapshot
+  {
+    std::uint64_t index = 0;
+    std::string state;
+  };
+  struct Founding
+  {
+    Membership membership;
+    UnixMillis time{};
+  };
+  /// What the other threads leave for the driving one.
+  struct Inbox
+  {
+    std::vector<RaftMessage> messages;
+    std::vector<Proposal> proposals;
+    std::vector<Replacement> replacements;
+    std::uint64_t persisted = 0;
+    std::uint64_t applied = 0;
+    std::optional<TakenSnapshot> snapshot;
+    std::optional<Founding> founding;
+
+    [[nodiscard]] bool IsEmpty() const;
+  };
+  /// What the driving thread shows the other ones.
+  struct View
+  {
+    ReplicaStatus status;
+    std::optional<TimePoint> confirmedAt;
+    std::optional<TimePoint> leaderSince;
+    std::string clusterId;
+    std::optional<LogEntry> initialEntry;
+  };
+
+  void Run();
+  void RunOnce(Inbox inbox);
+  void Dispatch(RaftReady ready);
+  void StartProposals(std::vector<Proposal> proposals);
+  void StartReplacements(std::vector<Replacement> replacements);
+  void FinishReplacements();
+  void Found(const Founding& founding);
+  void Publish();
+  void LearnAddresses(const std::vector<RaftMessage>& messages);
+  void Stop(const ReplicationError& error);
+  void Fail(const ReplicationError& error);
+
+  void RunBootstrap();
+  std::optional<Founding> FindFounding();
+  std::optional<Founding> ReadInitialSet(const detail::HelloAnswer& answer) const;
+
+  template<typename Change>
+  void Post(Change change);
+  detail::HelloAnswer Hello() const;
+  void Deliver(std::vector<RaftMessage> messages);
+  [[nodiscard]] RaftTime Time() const;
+
+  ReplicaOptions options_;
+  ReplicaRecord self_;
+  RaftCore core_; ///< used by the driving thread only
+  detail::PeerSet peers_;
+  std::vector<Replacement> replacements_;
+
+  mutable std::mutex viewMutex_;
+  View view_;
+
+  std::mutex inboxMutex_;
+  std::condition_variable inboxChanged_;
+  Inbox inbox_;
+  bool stopping_ = false;
+  std::atomic<bool> failed_{ false };
+
+  detail::ApplyWorker applier_;
+  detail::DiskWorker disk_;
+  std::shared_ptr<apache::thrift::TProcessor> processor_;
+  std::unique_ptr<detail::ReplicationServer> server_;
+  std::thread thread_;
+  std::thread bootstrapThread_;
+};
+
+} // namespace acp
--- /dev/null
+++ b/include/acaciapulley/replication/detail/replica_workers.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+/// @file
+/// The threads of a replica beside the one that drives the core.
+
+#include <condition_variable> // condition_variable
+#include <cstdint>            // uint64_t
+#include <functional>         // function
+#include <future>             // promise
+#include <map>                // map
+#include <memory>             // shared_ptr, unique_ptr
+#include <mutex>              // mutex
+#include <string>             // string
+#include <thread>             // thread
+#include <utility>            // exchange, move
+#include <vector>             // vector
+
+#include "acaciapulley/replication/raft_types.hpp"     // LogEntry, RaftMessage, SnapshotPtr
+#include "acaciapulley/replication/replicated_log.hpp" // StateMachine
+#include "acaciapulley/replication/storage.hpp"        // Storage, WriteBatch
+
+namespace acp::detail {
+
+/// A queue that one thread empties as a whole.
+template<typename Item>
+class WorkQueue
+{
+public:
+  void Push(Item item)
+  {
+    {
+      const std::lock_guard lock(mutex_);
+      items_.push_back(std::move(item));
+    }
+    changed_.notify_one();
+  }
+
+  /// @brief Waits for items; returns none when the queue is closed.
+  std::vector<Item> TakeAll()
+  {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return closed_ || !items_.empty(); });
+    return closed_ ? std::vector<Item>{} : std::exchange(items_, {});
+  }
+
+  void Close()
+  {
+    {
+      const std::lock_guard lock(mutex_);
+      closed_ = true;
+    }
+    changed_.notify_all();
+  }
+
+private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<Item> items_;
+  bool closed_ = false;
+};
+
+/// Work for the disk thread.
+struct DiskJob
+{
+  WriteBatch write;
+  std::uint64_t number = 0;
+  std::vector<RaftMessage> afterSync;
+};
+
+/// What the disk thread reports.
+struct DiskHooks
+{
+  std::function<void(const RaftMessage&)> send;
+  std::function<void(std::uint64_t number)> persisted;
+  std::function<void(const ReplicationError&)> failed;
+};
+
+/// Writes to the storage. Everything that waits when a write begins shares its sync.
+class DiskWorker
+{
+public:
+  DiskWorker(std::unique_ptr<Storage> storage, DiskHooks hooks);
+  ~DiskWorker();
+  DiskWorker(const DiskWorker&) = delete;
+  DiskWorker& operator=(const DiskWorker&) = delete;
+
+  void Push(DiskJob job) { queue_.Push(std::move(job)); }
+
+private:
+  void Run();
+
+  std::unique_ptr<Storage> storage_;
+  DiskHooks hooks_;
+  WorkQueue<DiskJob> queue_;
+  std::thread thread_;
+};
+
+/// Work for the applying thread; the snapshot comes first.
+struct ApplyJob
+{
+  SnapshotPtr restore;
+  std::vector<LogEntry> committed;
+};
+
+/// What the applying thread reports.
+struct ApplyHooks
+{
+  std::function<void(std::uint64_t index)> applied;
+  std::function<void(std::uint64_t index, std::string state)> snapshotTaken;
+  std::function<void(const ReplicationError&)> failed;
+};
+
+/// When the applying thread takes a snapshot.
+struct SnapshotPolicy
+{
+  std::uint64_t everyEntries = 0;
+  std::uint64_t everyBytes = 0;
+};
+
+using ProposalPromise = std::shared_ptr<std::promise<ReplicationResult<std::string>>>;
+
+/// Applies committed entries and answers their proposers.
+class ApplyWorker
+{
+public:
+  ApplyWorker(StateMachine& machine, SnapshotPolicy policy, ApplyHooks hooks);
+  ~ApplyWorker();
+  ApplyWorker(const ApplyWorker&) = delete;
+  ApplyWorker& operator=(const ApplyWorker&) = delete;
+
+  void Push(ApplyJob job) { queue_.Push(std::move(job)); }
+
+  /// @brief Answers @p promise when the entry at @p position, or another one in its place, is
+  /// applied. To be called before the entry is pushed.
+  void Expect(const LogPosition& position, ProposalPromise promise);
+
+  /// @brief Answers all proposers that still wait.
+  void FailAll(const ReplicationError& error);
+
+private:
+  struct Waiter
+  {
+    std::uint64_t term = 0;
+    ProposalPromise promise;
+  };
+
+  void Run();
+  bool Restore(const Snapshot& snapshot);
+  void Apply(LogEntry entry);
+  void MaybeTakeSnapshot();
+
+  StateMachine& machine_;
+  SnapshotPolicy policy_;
+  ApplyHooks hooks_;
+  WorkQueue<ApplyJob> queue_;
+  std::mutex mutex_;
+  std::map<std::uint64_t, Waiter> waiters_;
+  std::uint64_t appliedIndex_ = 0;
+  std::uint64_t entriesSinceSnapshot_ = 0;
+  std::uint64_t bytesSinceSnapshot_ = 0;
+  std::thread thread_;
+};
+
+} // namespace acp::detail
--- a/include/acaciapulley/replication/replication_error.hpp
+++ b/include/acaciapulley/replication/replication_error.hpp
@@ -19,12 +19,14 @@
   StorageFailed = 804,  ///< the disk refused a write or sync
   ChangeRefused = 805,  ///< a change of the replica set is not possible now
   InvalidMessage = 806, ///< a peer sent something that cannot be read
+  ListenFailed = 807,   ///< the replica's address cannot be used
+  TooLarge = 808,       ///< the command does not fit into a message
 };
 
 template<>
 struct NameTable<ReplicationErrorCode>
 {
-  static constexpr std::array<EnumName<ReplicationErrorCode>, 7> kRows = { {
+  static constexpr std::array<EnumName<ReplicationErrorCode>, 9> kRows = { {
     { ReplicationErrorCode::NotLeader, "not_leader" },
     { ReplicationErrorCode::Unconfirmed, "unconfirmed" },
     { ReplicationErrorCode::Stopped, "stopped" },
@@ -32,6 +34,8 @@
     { ReplicationErrorCode::StorageFailed, "storage_failed" },
     { ReplicationErrorCode::ChangeRefused, "change_refused" },
     { ReplicationErrorCode::InvalidMessage, "invalid_message" },
+    { ReplicationErrorCode::ListenFailed, "listen_failed" },
+    { ReplicationErrorCode::TooLarge, "too_large" },
   } };
 };
 
--- /dev/null
+++ b/src/replication/peer_channel.cpp
@@ -0,0 +1,212 @@
+#include "acaciapulley/replication/detail/peer_channel.hpp"
+
+#include <utility> // exchange, move
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/protocol/TMultiplexedProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include "acaciapulley/core/random.hpp"                      // Jittered
+#include "acaciapulley/replication/detail/wire_messages.hpp" // ToWire, FromWire
+#include "acaciapulley/replication/replica.hpp"              // kReplicationServiceName
+#include "gen/ReplicationService.h"
+
+namespace acp::detail {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::protocol::TMultiplexedProtocol;
+using apache::thrift::transport::TFramedTransport;
+using apache::thrift::transport::TSocket;
+
+/// Data that may wait for one peer; the protocol repeats what is dropped.
+constexpr std::size_t kMaxQueuedBytes = 16U << 20U;
+constexpr std::size_t kMaxQueuedMessages = 8192;
+
+/// Fixed part of a message's size, so that many empty ones count too.
+constexpr std::size_t kMessageOverheadBytes = 200;
+
+/// Pause after a failure, so that an absent peer costs little.
+constexpr Duration kRetryPause = std::chrono::milliseconds(50);
+constexpr double kRetryJitter = 0.2;
+
+std::size_t SizeOf(const RaftMessage& message)
+{
+  std::size_t size = kMessageOverheadBytes + message.data.size();
+  for (const auto& entry : message.entries) {
+    size += entry.data.size();
+  }
+  return size;
+}
+
+int ToMillis(Duration span)
+{
+  return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+} // namespace
+
+class PeerChannel::Connection
+{
+public:
+  Connection(const Address& address, Duration timeout)
+    : socket_(std::make_shared<TSocket>(address.ip, address.port))
+    , client_(std::make_shared<TMultiplexedProtocol>(
+        std::make_shared<TCompactProtocol>(std::make_shared<TFramedTransport>(socket_)),
+        kReplicationServiceName))
+  {
+    socket_->setConnTimeout(ToMillis(timeout));
+    socket_->setRecvTimeout(ToMillis(timeout));
+    socket_->setSendTimeout(ToMillis(timeout));
+    socket_->setNoDelay(true);
+    socket_->open();
+  }
+
+  wire::ReplicationServiceClient& Client() { return client_; }
+
+private:
+  std::shared_ptr<TSocket> socket_;
+  wire::ReplicationServiceClient client_;
+};
+
+std::optional<HelloAnswer> AskHello(const Address& address, Duration timeout)
+{
+  try {
+    const auto socket = std::make_shared<TSocket>(address.ip, address.port);
+    socket->setConnTimeout(ToMillis(timeout));
+    socket->setRecvTimeout(ToMillis(timeout));
+    socket->setSendTimeout(ToMillis(timeout));
+    socket->open();
+    wire::ReplicationServiceClient client(std::make_shared<TMultiplexedProtocol>(
+      std::make_shared<TCompactProtocol>(std::make_shared<TFramedTransport>(socket)),
+      kReplicationServiceName));
+    wire::ReplicaHello hello;
+    client.Hello(hello);
+    HelloAnswer answer;
+    answer.id = hello.id;
+    answer.clusterId = hello.clusterId;
+    answer.operatorAddress = hello.operatorAddress;
+    if (hello.__isset.initialEntry) {
+      answer.initialEntry = FromWire(hello.initialEntry);
+    }
+    return answer;
+  } catch (const apache::thrift::TException&) {
+    return std::nullopt;
+  }
+}
+
+PeerChannel::PeerChannel(Address address, Duration timeout)
+  : address_(std::move(address))
+  , timeout_(timeout)
+  , thread_([this] { Run(); })
+{
+}
+
+PeerChannel::~PeerChannel()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  thread_.join();
+}
+
+void PeerChannel::Send(RaftMessage message)
+{
+  const std::size_t size = SizeOf(message);
+  {
+    const std::lock_guard lock(mutex_);
+    if (queuedBytes_ + size > kMaxQueuedBytes || queue_.size() >= kMaxQueuedMessages) {
+      return;
+    }
+    queuedBytes_ += size;
+    queue_.push_back(std::move(message));
+  }
+  changed_.notify_one();
+}
+
+void PeerChannel::Run()
+{
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    changed_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+    const auto batch = std::exchange(queue_, {});
+    queuedBytes_ = 0;
+    lock.unlock();
+    const bool isDelivered = batch.empty() || Deliver(batch);
+    lock.lock();
+    if (!isDelivered) {
+      changed_.wait_for(lock, Jittered(kRetryPause, kRetryJitter), [this] { return stopping_; });
+      queue_.clear();
+      queuedBytes_ = 0;
+    }
+  }
+}
+
+bool PeerChannel::Deliver(const std::vector<RaftMessage>& batch)
+{
+  std::vector<wire::ReplicaMessage> messages;
+  messages.reserve(batch.size());
+  for (const auto& message : batch) {
+    messages.push_back(ToWire(message));
+  }
+  try {
+    if (!connection_) {
+      connection_ = std::make_unique<Connection>(address_, timeout_);
+    }
+    connection_->Client().Deliver(messages);
+    return true;
+  } catch (const apache::thrift::TException&) {
+    // After a timeout the answer may still come, so the connection must not be used again.
+    connection_.reset();
+    return false;
+  }
+}
+
+PeerSet::PeerSet(Address self, std::vector<Address> known, Duration timeout)
+  : self_(std::move(self))
+  , known_(std::move(known))
+  , timeout_(timeout)
+{
+}
+
+void PeerSet::Learn(const std::string& id, const std::string& rpcAddress)
+{
+  const auto address = Address::Parse(rpcAddress);
+  if (address && !(address.value() == self_)) {
+    const std::lock_guard lock(mutex_);
+    addresses_.insert_or_assign(id, address.value());
+  }
+}
+
+void PeerSet::Send(const RaftMessage& message)
+{
+  const std::lock_guard lock(mutex_);
+  if (message.to.empty()) {
+    for (const auto& address : known_) {
+      SendTo(address, message);
+    }
+    return;
+  }
+  const auto found = addresses_.find(message.to);
+  if (found != addresses_.end()) {
+    SendTo(found->second, message);
+  }
+}
+
+void PeerSet::SendTo(const Address& address, const RaftMessage& message)
+{
+  if (address == self_) {
+    return;
+  }
+  auto& channel = channels_[address.ToString()];
+  if (!channel) {
+    channel = std::make_unique<PeerChannel>(address, timeout_);
+  }
+  channel->Send(message);
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/src/replication/replica_impl.cpp
@@ -0,0 +1,370 @@
+#include "acaciapulley/replication/detail/replica_impl.hpp"
+
+#include <random>    // mt19937_64, random_device
+#include <stdexcept> // logic_error
+#include <utility>   // exchange, move
+
+#include "acaciapulley/core/log.hpp" // Log
+
+namespace acp {
+
+namespace {
+
+/// Longest sleep of the driving thread; the core wants ten ticks per heartbeat interval.
+constexpr Duration kTick = std::chrono::milliseconds(5);
+
+/// Messages that may wait for the driving thread; the protocol repeats what is dropped.
+constexpr std::size_t kMaxInboxMessages = 20'000;
+
+RaftOptions MakeCoreOptions(const ReplicaOptions& options)
+{
+  RaftOptions core;
+  core.self = { {}, options.rpcAddress.ToString(), options.operatorAddress };
+  core.electionTimeout = options.electionTimeout;
+  core.heartbeatInterval = options.heartbeatInterval;
+  core.random = [generator = std::make_shared<std::mt19937_64>(std::random_device{}())] {
+    return (*generator)();
+  };
+  return core;
+}
+
+} // namespace
+
+bool Replica::Impl::Inbox::IsEmpty() const
+{
+  return messages.empty() && proposals.empty() && replacements.empty() && persisted == 0 &&
+         applied == 0 && !snapshot && !founding;
+}
+
+Replica::Impl::Impl(const ReplicaOptions& options,
+                    StateMachine& machine,
+                    std::unique_ptr<Storage> storage,
+                    StoredState state)
+  : options_(options)
+  , self_({ state.hardState.identity, options.rpcAddress.ToString(), options.operatorAddress })
+  , core_(MakeCoreOptions(options), std::move(state), options.clock->Now())
+  , peers_(options.rpcAddress, options.replicaAddresses, options.rpcTimeout)
+  , applier_(
+      machine,
+      { options.snapshotEveryEntries, options.snapshotEveryBytes },
+      { .applied = [this](std::uint64_t index) { Post([&](Inbox& i) { i.applied = index; }); },
+        .snapshotTaken =
+          [this](std::uint64_t index, std::string taken) {
+            Post([&](Inbox& i) { i.snapshot = TakenSnapshot{ index, std::move(taken) }; });
+          },
+        .failed = [this](const ReplicationError& error) { Fail(error); } })
+  , disk_(std::move(storage),
+          { .send = [this](const RaftMessage& message) { peers_.Send(message); },
+            .persisted =
+              [this](std::uint64_t number) { Post([&](Inbox& i) { i.persisted = number; }); },
+            .failed = [this](const ReplicationError& error) { Fail(error); } })
+  , processor_(detail::MakeReplicationProcessor(
+      { .hello = [this] { return Hello(); },
+        .deliver = [this](std::vector<RaftMessage> m) { Deliver(std::move(m)); } }))
+{
+  Publish();
+  thread_ = std::thread([this] { Run(); });
+}
+
+Replica::Impl::~Impl()
+{
+  server_.reset();
+  {
+    const std::lock_guard lock(inboxMutex_);
+    stopping_ = true;
+  }
+  inboxChanged_.notify_all();
+  if (bootstrapThread_.joinable()) {
+    bootstrapThread_.join();
+  }
+  thread_.join();
+  applier_.FailAll({ ReplicationErrorCode::Unconfirmed, "the replica is stopping" });
+}
+
+ReplicationResult<void> Replica::Impl::Listen()
+{
+  if (options_.ownListener) {
+    auto server = detail::ReplicationServer::Start(options_.rpcAddress, processor_);
+    if (!server) {
+      return server.as_failure();
+    }
+    server_ = std::move(server.value());
+  }
+  // Only a replica that owns its address may found a cluster.
+  if (options_.bootstrap && Hello().clusterId.empty()) {
+    bootstrapThread_ = std::thread([this] { RunBootstrap(); });
+  }
+  return boost::outcome_v2::success();
+}
+
+RaftTime Replica::Impl::Time() const
+{
+  return { options_.clock->Now(), options_.clock->WallNow() };
+}
+
+template<typename Change>
+void Replica::Impl::Post(Change change)
+{
+  {
+    const std::lock_guard lock(inboxMutex_);
+    change(inbox_);
+  }
+  inboxChanged_.notify_one();
+}
+
+void Replica::Impl::Deliver(std::vector<RaftMessage> messages)
+{
+  Post([&](Inbox& inbox) {
+    if (inbox.messages.size() < kMaxInboxMessages) {
+      inbox.messages.insert(inbox.messages.end(),
+                            std::make_move_iterator(messages.begin()),
+                            std::make_move_iterator(messages.end()));
+    }
+  });
+}
+
+detail::HelloAnswer Replica::Impl::Hello() const
+{
+  const std::lock_guard lock(viewMutex_);
+  return { self_.id, view_.clusterId, self_.operatorAddress, view_.initialEntry };
+}
+
+void Replica::Impl::Run()
+{
+  std::unique_lock lock(inboxMutex_);
+  while (!stopping_) {
+    inboxChanged_.wait_for(lock, kTick, [this] { return stopping_ || !inbox_.IsEmpty(); });
+    Inbox inbox = std::exchange(inbox_, {});
+    lock.unlock();
+    if (!failed_) {
+      try {
+        RunOnce(std::move(inbox));
+      } catch (const std::logic_error& e) {
+        Fail({ ReplicationErrorCode::Corrupt, e.what() });
+      }
+    } else {
+      Stop({ ReplicationErrorCode::Stopped, "the replica has stopped because of an error" });
+      StartProposals(std::move(inbox.proposals));
+      StartReplacements(std::move(inbox.replacements));
+    }
+    lock.lock();
+  }
+  lock.unlock();
+  Stop({ ReplicationErrorCode::Unconfirmed, "the replica is stopping" });
+}
+
+void Replica::Impl::RunOnce(Inbox inbox)
+{
+  if (inbox.persisted != 0) {
+    core_.Persisted(inbox.persisted, Time());
+  }
+  if (inbox.applied != 0) {
+    core_.Applied(inbox.applied);
+  }
+  if (inbox.snapshot) {
+    core_.Compact(inbox.snapshot->index, std::move(inbox.snapshot->state));
+  }
+  if (inbox.founding) {
+    Found(*inbox.founding);
+  }
+  LearnAddresses(inbox.messages);
+  for (const auto& message : inbox.messages) {
+    core_.Step(message, Time());
+  }
+  core_.Tick(Time());
+  StartProposals(std::move(inbox.proposals));
+  StartReplacements(std::move(inbox.replacements));
+  Dispatch(core_.TakeReady(options_.clock->Now()));
+  FinishReplacements();
+  Publish();
+}
+
+void Replica::Impl::LearnAddresses(const std::vector<RaftMessage>& messages)
+{
+  for (const auto& message : messages) {
+    peers_.Learn(message.from, message.sender.rpcAddress);
+  }
+  for (const auto& voter : core_.CurrentMembership().voters) {
+    peers_.Learn(voter.id, voter.rpcAddress);
+  }
+}
+
+void Replica::Impl::Dispatch(RaftReady ready)
+{
+  const auto sign = [this](std::vector<RaftMessage>& messages) {
+    for (auto& message : messages) {
+      message.sender = self_;
+    }
+  };
+  sign(ready.messages);
+  sign(ready.afterSync);
+  for (const auto& message : ready.messages) {
+    peers_.Send(message);
+  }
+  if (!ready.write.IsEmpty() || !ready.afterSync.empty()) {
+    disk_.Push({ std::move(ready.write), ready.writeNumber, std::move(ready.afterSync) });
+  }
+  if (ready.restore || !ready.committed.empty()) {
+    applier_.Push({ std::move(ready.restore), std::move(ready.committed) });
+  }
+}
+
+void Replica::Impl::StartProposals(std::vector<Proposal> proposals)
+{
+  for (auto& proposal : proposals) {
+    if (failed_) {
+      proposal.promise->set_value(
+        acp::Fail(ReplicationErrorCode::Stopped, "the replica has stopped because of an error"));
+      continue;
+    }
+    auto position = core_.Propose(std::move(proposal.command), options_.clock->WallNow());
+    if (position) {
+      applier_.Expect(position.value(), std::move(proposal.promise));
+    } else {
+      proposal.promise->set_value(position.as_failure());
+    }
+  }
+}
+
+void Replica::Impl::StartReplacements(std::vector<Replacement> replacements)
+{
+  for (auto& replacement : replacements) {
+    if (failed_) {
+      replacement.promise->set_value(
+        acp::Fail(ReplicationErrorCode::Stopped, "the replica has stopped because of an error"));
+      continue;
+    }
+    auto position = core_.Replace(replacement.lostId, replacement.newId, options_.clock->WallNow());
+    if (position) {
+      replacement.term = position.value().term;
+      replacements_.push_back(std::move(replacement));
+    } else {
+      replacement.promise->set_value(position.as_failure());
+    }
+  }
+}
+
+void Replica::Impl::FinishReplacements()
+{
+  for (auto i = replacements_.begin(); i != replacements_.end();) {
+    const Membership& membership = core_.CurrentMembership();
+    if (core_.MembershipIsSettled() && membership.IsVoter(i->newId) &&
+        membership.IsRetired(i->lostId)) {
+      i->promise->set_value(boost::outcome_v2::success());
+      Log(LogLevel::Info, "replica_replaced", { { "lost", i->lostId }, { "new", i->newId } });
+    } else if (core_.Role() != RaftRole::Leader || core_.Term() != i->term) {
+      i->promise->set_value(
+        acp::Fail(ReplicationErrorCode::Unconfirmed, "leadership was lost during the replacement"));
+    } else {
+      ++i;
+      continue;
+    }
+    i = replacements_.erase(i);
+  }
+}
+
+void Replica::Impl::Found(const Founding& founding)
+{
+  const auto founded = core_.Bootstrap(founding.membership, founding.time);
+  Log(founded ? LogLevel::Info : LogLevel::Error,
+      founded ? "cluster_founded" : "bootstrap_refused",
+      { { "cluster", founding.membership.clusterId },
+        { "error", founded ? "" : founded.error().Describe() } });
+}
+
+void Replica::Impl::Publish()
+{
+  View view;
+  view.status = core_.Status();
+  view.confirmedAt = core_.ConfirmedAt();
+  view.leaderSince = core_.LeaderSince();
+  view.clusterId = core_.Hard().clusterId;
+  view.initialEntry = core_.InitialEntry();
+  const std::lock_guard lock(viewMutex_);
+  if (view.status.isLeader != view_.status.isLeader) {
+    Log(LogLevel::Info,
+        view.status.isLeader ? "leadership_gained" : "leadership_lost",
+        { { "replica", self_.id }, { "term", std::to_string(view.status.term) } });
+  }
+  view_ = std::move(view);
+}
+
+void Replica::Impl::Stop(const ReplicationError& error)
+{
+  applier_.FailAll({ ReplicationErrorCode::Unconfirmed, error.message });
+  for (auto& replacement : replacements_) {
+    replacement.promise->set_value(acp::Fail(ReplicationErrorCode::Unconfirmed, error.message));
+  }
+  replacements_.clear();
+  const std::lock_guard lock(viewMutex_);
+  view_.status.isLeader = false;
+  view_.confirmedAt.reset();
+  view_.leaderSince.reset();
+}
+
+void Replica::Impl::Fail(const ReplicationError& error)
+{
+  if (failed_.exchange(true)) {
+    return;
+  }
+  Log(LogLevel::Error, "replica_failed", { { "error", error.Describe() } });
+  if (options_.onFailure) {
+    options_.onFailure(error);
+  }
+}
+
+ReplicationResult<std::string> Replica::Impl::Propose(const std::string& command, Duration timeout)
+{
+  if (command.size() > options_.maxCommandBytes) {
+    return acp::Fail(ReplicationErrorCode::TooLarge,
+                     "a command of " + std::to_string(command.size()) + " bytes exceeds " +
+                       std::to_string(options_.maxCommandBytes));
+  }
+  auto promise = std::make_shared<std::promise<ReplicationResult<std::string>>>();
+  auto answer = promise->get_future();
+  Post([&](Inbox& inbox) { inbox.proposals.push_back({ command, std::move(promise) }); });
+  if (answer.wait_for(timeout) != std::future_status::ready) {
+    return acp::Fail(ReplicationErrorCode::Unconfirmed, "the proposal was not committed in time");
+  }
+  return answer.get();
+}
+
+ReplicationResult<Duration> Replica::Impl::LeadershipAge() const
+{
+  const std::lock_guard lock(viewMutex_);
+  if (!view_.confirmedAt) {
+    return acp::Fail(ReplicationErrorCode::NotLeader, "replica " + self_.id + " does not lead");
+  }
+  return options_.clock->Now() - *view_.confirmedAt;
+}
+
+std::optional<Duration> Replica::Impl::LeadingFor() const
+{
+  const std::lock_guard lock(viewMutex_);
+  if (!view_.leaderSince) {
+    return std::nullopt;
+  }
+  return options_.clock->Now() - *view_.leaderSince;
+}
+
+ReplicationResult<void> Replica::Impl::ReplaceReplica(const std::string& lostId,
+                                                      const std::string& newId,
+                                                      Duration timeout)
+{
+  auto promise = std::make_shared<std::promise<ReplicationResult<void>>>();
+  auto answer = promise->get_future();
+  Post([&](Inbox& inbox) { inbox.replacements.push_back({ lostId, newId, std::move(promise) }); });
+  if (answer.wait_for(timeout) != std::future_status::ready) {
+    return acp::Fail(ReplicationErrorCode::Unconfirmed,
+                     "the replacement was not committed in time");
+  }
+  return answer.get();
+}
+
+ReplicaStatus Replica::Impl::Status() const
+{
+  const std::lock_guard lock(viewMutex_);
+  return view_.status;
+}
+
+} // namespace acp
--- /dev/null
+++ b/src/replication/replication_server.cpp
@@ -0,0 +1,134 @@
+#include "acaciapulley/replication/detail/replication_server.hpp"
+
+#include <future>  // promise
+#include <thread>  // thread
+#include <utility> // move
+
+#include <thrift/processor/TMultiplexedProcessor.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+
+#include "acaciapulley/replication/detail/wire_messages.hpp" // FromWire, ToWire
+#include "acaciapulley/replication/replica.hpp"              // kReplicationServiceName
+#include "gen/ReplicationService.h"
+
+namespace acp::detail {
+
+namespace {
+
+class Handler final : public wire::ReplicationServiceIf
+{
+public:
+  explicit Handler(ReplicationHooks hooks)
+    : hooks_(std::move(hooks))
+  {
+  }
+
+  void Hello(wire::ReplicaHello& reply) override
+  {
+    const HelloAnswer answer = hooks_.hello();
+    reply.id = answer.id;
+    reply.clusterId = answer.clusterId;
+    reply.operatorAddress = answer.operatorAddress;
+    if (answer.initialEntry) {
+      reply.__set_initialEntry(ToWire(*answer.initialEntry));
+    }
+  }
+
+  void Deliver(const std::vector<wire::ReplicaMessage>& messages) override
+  {
+    std::vector<RaftMessage> converted;
+    converted.reserve(messages.size());
+    for (const auto& message : messages) {
+      converted.push_back(FromWire(message));
+    }
+    hooks_.deliver(std::move(converted));
+  }
+
+private:
+  ReplicationHooks hooks_;
+};
+
+/// Tells when the server listens.
+class ListenNotice final : public apache::thrift::server::TServerEventHandler
+{
+public:
+  void preServe() override { listening.set_value(); }
+  std::promise<void> listening;
+};
+
+} // namespace
+
+std::shared_ptr<apache::thrift::TProcessor> MakeReplicationProcessor(ReplicationHooks hooks)
+{
+  return std::make_shared<wire::ReplicationServiceProcessor>(
+    std::make_shared<Handler>(std::move(hooks)));
+}
+
+class ReplicationServer::Impl
+{
+public:
+  Impl(const Address& address, const std::shared_ptr<apache::thrift::TProcessor>& processor)
+    : notice_(std::make_shared<ListenNotice>())
+  {
+    using namespace apache::thrift; // NOLINT(google-build-using-namespace)
+    auto multiplexed = std::make_shared<TMultiplexedProcessor>();
+    multiplexed->registerProcessor(kReplicationServiceName, processor);
+    server_ = std::make_unique<server::TThreadedServer>(
+      multiplexed,
+      std::make_shared<transport::TServerSocket>(address.ip, address.port),
+      std::make_shared<transport::TFramedTransportFactory>(),
+      std::make_shared<protocol::TCompactProtocolFactory>());
+    server_->setServerEventHandler(notice_);
+    thread_ = std::thread([this] { Serve(); });
+  }
+
+  ~Impl()
+  {
+    server_->stop();
+    thread_.join();
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  /// Throws what the listener threw.
+  void WaitUntilListening() { notice_->listening.get_future().get(); }
+
+private:
+  void Serve()
+  {
+    try {
+      server_->serve();
+    } catch (const apache::thrift::TException&) {
+      notice_->listening.set_exception(std::current_exception());
+    }
+  }
+
+  std::shared_ptr<ListenNotice> notice_;
+  std::unique_ptr<apache::thrift::server::TServer> server_;
+  std::thread thread_;
+};
+
+ReplicationServer::ReplicationServer(std::unique_ptr<Impl> impl)
+  : impl_(std::move(impl))
+{
+}
+
+ReplicationServer::~ReplicationServer() = default;
+
+ReplicationResult<std::unique_ptr<ReplicationServer>> ReplicationServer::Start(
+  const Address& address,
+  const std::shared_ptr<apache::thrift::TProcessor>& processor)
+{
+  auto impl = std::make_unique<Impl>(address, processor);
+  try {
+    impl->WaitUntilListening();
+  } catch (const apache::thrift::TException& e) {
+    return Fail(ReplicationErrorCode::ListenFailed, address.ToString() + ": " + e.what());
+  }
+  return std::unique_ptr<ReplicationServer>(new ReplicationServer(std::move(impl)));
+}
+
+} // namespace acp::detail
--- /dev/null
+++ b/tests/replication_test/replica_test.cpp
@@ -0,0 +1,131 @@
+#include <boost/test/unit_test.hpp>
+
+#include "local_cluster.hpp"
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kPatience = 30s;
+
+/// Proposes until a leader accepts; the command must be safe to repeat.
+std::string ProposeSomewhere(LocalCluster& cluster, const std::string& command)
+{
+  std::string result;
+  LocalCluster::WaitFor([&] {
+    const std::size_t leader = cluster.Leader();
+    if (leader < cluster.hosts.size()) {
+      auto answer = cluster.hosts[leader].replica->Propose(command, kPatience);
+      result = answer ? answer.value() : "";
+    }
+    return !result.empty();
+  });
+  return result;
+}
+
+bool WaitUntilAllHave(LocalCluster& cluster, const std::string& command)
+{
+  return LocalCluster::WaitFor([&] {
+    for (const auto& host : cluster.hosts) {
+      if (host.replica && host.machine->Text().find(command + "\n") == std::string::npos) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(replica)
+
+// Guards against a cluster that does not form, loses entries when replicas restart, or lets a host
+// that lost its disk vote or found a cluster before it is in the set again.
+BOOST_AUTO_TEST_CASE(cluster_survives_restarts_and_a_lost_disk)
+{
+  LocalCluster cluster(3);
+  for (auto& host : cluster.hosts) {
+    host.options.snapshotEveryEntries = 20;
+  }
+  BOOST_REQUIRE(cluster.Start(0).has_value());
+  BOOST_REQUIRE(cluster.Start(1).has_value());
+  BOOST_TEST(cluster.Leader() == 3U); // two of three must not found a cluster
+  BOOST_REQUIRE(cluster.Start(2).has_value());
+  for (int i = 0; i < 50; ++i) {
+    const std::string command = "first " + std::to_string(i);
+    BOOST_TEST(ProposeSomewhere(cluster, command) == "applied " + command);
+  }
+  BOOST_TEST(WaitUntilAllHave(cluster, "first 49"));
+
+  BOOST_REQUIRE(cluster.WaitForLeader());
+  const std::size_t leader = cluster.Leader();
+  const std::size_t follower = (leader + 1) % 3;
+  BOOST_TEST((cluster.hosts[follower].replica->Propose("x", kPatience).error().code ==
+              acp::ReplicationErrorCode::NotLeader));
+  BOOST_TEST(!cluster.hosts[follower].replica->LeadershipAge().has_value());
+  BOOST_TEST(cluster.hosts[leader].replica->LeadershipAge().has_value());
+  BOOST_TEST(cluster.hosts[follower].replica->Status().leaderOperatorAddress ==
+             cluster.hosts[leader].options.operatorAddress);
+
+  // The leader goes; the two others continue, and it catches up when it is back.
+  cluster.hosts[leader].replica.reset();
+  BOOST_TEST(ProposeSomewhere(cluster, "second") == "applied second");
+  BOOST_REQUIRE(cluster.Start(leader).has_value());
+  BOOST_TEST(WaitUntilAllHave(cluster, "second"));
+
+  // Its disk is lost: the new identity has no vote until the replacement.
+  const auto before = cluster.hosts[leader].replica->Status();
+  std::string lostId;
+  for (const auto& info : before.replicas) {
+    lostId = info.isSelf ? info.id : lostId;
+  }
+  cluster.LoseDisk(leader);
+  BOOST_REQUIRE(cluster.Start(leader).has_value());
+  BOOST_TEST(ProposeSomewhere(cluster, "third") == "applied third");
+  BOOST_TEST(WaitUntilAllHave(cluster, "third"));
+  std::string newId;
+  BOOST_TEST(LocalCluster::WaitFor([&] {
+    const std::size_t now = cluster.Leader();
+    if (now == cluster.hosts.size()) {
+      return false;
+    }
+    for (const auto& info : cluster.hosts[now].replica->Status().replicas) {
+      newId = info.isVoter ? newId : info.id;
+    }
+    return !newId.empty() &&
+           cluster.hosts[now].replica->ReplaceReplica(lostId, newId, kPatience).has_value();
+  }));
+  BOOST_TEST(newId != lostId);
+
+  // Another host is lost right after the repair; the replaced one now counts.
+  cluster.LoseDisk((leader + 1) % 3);
+  BOOST_TEST(ProposeSomewhere(cluster, "fourth") == "applied fourth");
+  BOOST_TEST(WaitUntilAllHave(cluster, "first 0"));
+  BOOST_TEST(WaitUntilAllHave(cluster, "fourth"));
+}
+
+// Guards against a second process on the address or the folder of a replica, and against commands
+// that no message can carry.
+BOOST_AUTO_TEST_CASE(misuse_is_refused)
+{
+  LocalCluster cluster(2);
+  cluster.hosts.pop_back();
+  cluster.hosts[0].options.replicaAddresses.pop_back();
+  cluster.hosts[0].options.maxCommandBytes = 10;
+  BOOST_REQUIRE(cluster.Start(0).has_value());
+  BOOST_REQUIRE(cluster.WaitForLeader());
+  auto& replica = *cluster.hosts[0].replica;
+  BOOST_TEST((replica.Propose("more than ten bytes", kPatience).error().code ==
+              acp::ReplicationErrorCode::TooLarge));
+  BOOST_TEST((replica.ReplaceReplica("a", "b", kPatience).error().code ==
+              acp::ReplicationErrorCode::ChangeRefused));
+  ListMachine machine;
+  acp::ReplicaOptions second = cluster.hosts[0].options;
+  BOOST_TEST((acp::Replica::Start(second, machine).error().code ==
+              acp::ReplicationErrorCode::StorageFailed));
+  second.dataFolder += "-second";
+  BOOST_TEST(
+    (acp::Replica::Start(second, machine).error().code == acp::ReplicationErrorCode::ListenFailed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
