--- a/bench/overload/main.cpp
+++ b/bench/overload/main.cpp
@@ -73,6 +73,7 @@
     const Figures figures = run.get();
     mean.before += figures.before / kSeeds;
     mean.during += figures.during / kSeeds;
+    mean.busy += figures.busy / kSeeds;
     mean.after += figures.after / kSeeds;
     mean.worstShare += figures.worstShare / kSeeds;
     mean.callsPerRequest += figures.callsPerRequest / kSeeds;
@@ -91,8 +92,8 @@
 void PrintTable(const Scenario& scenario, const std::vector<Policy>& policies)
 {
   fmt::print("\n### {}\n\n", scenario.name);
-  fmt::print("| policy | before | goodput | after | worst account | recovery | calls per request | "
-             "shed by class |\n|---|---|---|---|---|---|---|---|\n");
+  fmt::print("| policy | before | goodput | deepest busy | after | worst account | recovery | calls per request | "
+             "shed by class |\n|---|---|---|---|---|---|---|---|---|\n");
   for (const Policy& policy : policies) {
     const Figures figures = RunSeeds(scenario, policy);
     std::string shed;
@@ -102,10 +103,11 @@
     }
     const std::string recovery =
       figures.recoverySeconds < 0.0 ? "none" : fmt::format("{:.1f} s", figures.recoverySeconds);
-    fmt::print("| {} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {} | {:.2f} | {} |\n",
+    fmt::print("| {} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {} | {:.2f} | {} |\n",
                policy.name,
                figures.before,
                figures.during,
+               figures.busy,
                figures.after,
                figures.worstShare,
                recovery,
--- a/bench/overload/scenarios.cpp
+++ b/bench/overload/scenarios.cpp
@@ -117,6 +117,7 @@
 
   void SetFault(bool isOn)
   {
+    startedInTrigger_ = mesh_.deep.started - startedInTrigger_;
     auto& deepest = mesh_.services.back();
     if (scenario_.trigger == Trigger::SlowDeepest) {
       for (auto& endpoint : deepest) {
@@ -294,6 +295,8 @@
       std::min(CapacityInTrigger(), demand / Seconds(scenario_.triggerLength));
     figures.before = before / Capacity();
     figures.during = Goodput(TriggerStart() - start_, TriggerEnd() - start_) / possible;
+    figures.busy =
+      static_cast<double>(startedInTrigger_) / Seconds(scenario_.triggerLength) / possible;
     figures.after = Goodput(end - 3s, end) / before;
     figures.worstShare = WorstShare();
     figures.recoverySeconds = RecoverySeconds(before);
@@ -317,6 +320,7 @@
   CallCounts served_;           // completed in the trigger
   std::vector<double> goodput_; // calls per bucket
   double total_ = 0.0;
+  long startedInTrigger_ = 0; // before the trigger ends: started until it began
 };
 
 std::vector<RootClass> MixedClasses()
