Give the last retry of a budget to the callee

Cause: with a budget of 2, the first two of four hops kept one retry each, and the caller of the deepest service, where refusals happen, had none. Change: SplitDraw keeps one only of two or more; a refusal returns its budget.

--- a/bench/overload/main.cpp
+++ b/bench/overload/main.cpp
@@ -92,7 +92,8 @@
 void PrintTable(const Scenario& scenario, const std::vector<Policy>& policies)
 {
   fmt::print("\n### {}\n\n", scenario.name);
-  fmt::print("| policy | before | goodput | deepest busy | after | worst account | recovery | calls per request | "
+  fmt::print("| policy | before | goodput | deepest busy | after | worst account | recovery | "
+             "calls per request | "
              "shed by class |\n|---|---|---|---|---|---|---|---|---|\n");
   for (const Policy& policy : policies) {
     const Figures figures = RunSeeds(scenario, policy);
--- a/bench/overload/model.cpp
+++ b/bench/overload/model.cpp
@@ -143,12 +143,13 @@
   return acp::Stricter(gate_.Threshold(account), callees);
 }
 
-Answer Endpoint::Refused(const Root& root, acp::Reason reason)
+Answer Endpoint::Refused(const Root& root, int retriesLeft, acp::Reason reason)
 {
   return { .ok = false,
            .outcome = acp::RequestOutcome::NotRun,
            .reason = reason,
-           .threshold = ThresholdFor(root) };
+           .threshold = ThresholdFor(root),
+           .retriesLeft = retriesLeft };
 }
 
 void Endpoint::HandleRoot(const Root& root, AnswerCallback done)
@@ -156,7 +157,7 @@
   const auto& rootClass = mesh_.classes[static_cast<std::size_t>(root.classIndex)];
   const auto& account = mesh_.accounts[static_cast<std::size_t>(root.account)];
   if (!table_.AdmitsRequest(rootClass.name, account, rootClass.priority, mesh_.events.Now())) {
-    done(Refused(root, acp::Reason::Overloaded));
+    done(Refused(root, 0, acp::Reason::Overloaded));
     return;
   }
   acp::RequestContext context{ .rootId = root.id,
@@ -177,7 +178,7 @@
     ++mesh_.deep.offered;
   }
   if (!upstream_.IsAlive()) {
-    done(Refused(root, acp::Reason::NoUpstream));
+    done(Refused(root, context.retriesLeft, acp::Reason::NoUpstream));
     return;
   }
   const std::uint64_t id = mesh_.nextId++;
@@ -195,7 +196,7 @@
                   .deadline = mesh_.policy.ageBound ? root.deadline : acp::TimePoint::max() },
                 mesh_.events.Now());
   if (offered.decision == acp::OfferDecision::Refused) {
-    waiting.done(Refused(root, offered.reason));
+    waiting.done(Refused(root, context.retriesLeft, offered.reason));
   } else if (offered.decision == acp::OfferDecision::Start) {
     RunUpstream(waiting, id);
   } else {
@@ -209,7 +210,8 @@
   const auto polled = gate_.Poll(mesh_.events.Now());
   for (const auto& refusal : polled.refuse) {
     const auto node = waiting_.extract(refusal.id);
-    node.mapped().done(Refused(node.mapped().root, refusal.reason));
+    const Waiting& waiting = node.mapped();
+    waiting.done(Refused(waiting.root, waiting.context.retriesLeft, refusal.reason));
   }
   for (const auto id : polled.start) {
     const auto node = waiting_.extract(id);
--- a/bench/overload/model.hpp
+++ b/bench/overload/model.hpp
@@ -187,7 +187,7 @@
   void OnAttemptEnd(const std::shared_ptr<Call>& call, const Answer& answer, int kept);
   void PlainRetry(const std::shared_ptr<Call>& call, const Answer& answer);
   std::size_t PickCallee();
-  Answer Refused(const Root& root, acp::Reason reason);
+  Answer Refused(const Root& root, int retriesLeft, acp::Reason reason);
   acp::AdmissionThreshold ThresholdFor(const Root& root);
   const std::string& ClassOf(const Root& root) const;
 
--- a/bench/overload/scenarios.hpp
+++ b/bench/overload/scenarios.hpp
@@ -41,10 +41,10 @@
 /// Figures of one run; goodput counts calls of the deepest service in whole requests.
 struct Figures
 {
-  double before = 0.0;          ///< goodput before the trigger, share of the deepest's capacity
-  double during = 0.0;          ///< goodput during the trigger, share of what could be served then
-  double busy = 0.0; ///< calls started by the deepest service, share of what could be served then
-  double after = 0.0;           ///< goodput in the last three seconds, share of the one before
+  double before = 0.0; ///< goodput before the trigger, share of the deepest's capacity
+  double during = 0.0; ///< goodput during the trigger, share of what could be served then
+  double busy = 0.0;   ///< calls started by the deepest service, share of what could be served then
+  double after = 0.0;  ///< goodput in the last three seconds, share of the one before
   double worstShare = 0.0;      ///< worst account's part of its max-min fair share in the trigger
   double recoverySeconds = 0.0; ///< -1: not recovered within the run
   double callsPerRequest = 0.0; ///< calls at the deepest service per call that was needed
--- a/include/acaciapulley/retries/hop_ledger.hpp
+++ b/include/acaciapulley/retries/hop_ledger.hpp
@@ -39,11 +39,13 @@
   int callee = 0; ///< sent to the callee in its context
 };
 
-/// @brief Divides @p granted: one retry stays with the caller, the rest goes to the callee. The
-/// caller's retry survives when the answer, and with it the callee's part, is lost.
+/// @brief Divides @p granted: of two or more, one retry stays with the caller and survives when the
+/// answer, and with it the callee's part, is lost. A single one goes to the callee, because calls
+/// are refused most often at the deepest service, whose caller would otherwise have none; a refusal
+/// returns it.
 [[nodiscard]] constexpr CallBudget SplitDraw(int granted)
 {
-  const int own = granted > 0 ? 1 : 0;
+  const int own = granted >= 2 ? 1 : 0;
   return { .own = own, .callee = granted - own };
 }
 
