Extend the stub upstream and the load generator

The stub enforces slots and connections, charges new connections and probes, makes several nested calls, can be told at run time to slow, fail, refuse, stall or cut, and records all heads and executions by idempotency key.

--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -50,6 +50,9 @@
   /// @brief Returns whether the caller closed or broke its connection; never blocks, so that it can
   /// be polled to cancel work. A caller that only ended its own sending side counts as gone.
   [[nodiscard]] virtual bool IsCallerGone() const { return false; }
+
+  /// @brief Returns whether this is the first request on its connection.
+  [[nodiscard]] virtual bool IsFirstOnConnection() const { return false; }
 };
 
 /// A request that was answered, for metrics and logs.
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -76,6 +76,13 @@
              .onServed = [this, name](const ServedRequest& served) { Count(name, served); } };
   }
 
+  /// Label values come from tables, since an upstream may send any text as its reason.
+  template<typename Enum>
+  static std::string KnownName(std::string_view name)
+  {
+    return name.empty() || FromName<Enum>(name) ? std::string(name) : "other";
+  }
+
   void Count(const std::string& listener, const ServedRequest& served)
   {
     metrics_
@@ -83,8 +90,8 @@
                "Requests by listener, status and outcome.",
                { { "listener", listener },
                  { "status", std::to_string(served.status) },
-                 { "outcome", std::string(served.outcome) },
-                 { "reason", std::string(served.reason) } })
+                 { "outcome", KnownName<RequestOutcome>(served.outcome) },
+                 { "reason", KnownName<Reason>(served.reason) } })
       .Add();
     metrics_
       .Histogram("acp_request_seconds",
--- /dev/null
+++ b/src/programs/acp-load/load_options.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+/// @file
+/// What acp-load sends.
+
+#include <cstdint> // int64_t
+#include <string>  // string
+#include <vector>  // vector
+
+#include "acaciapulley/core/clock.hpp"         // Duration
+#include "acaciapulley/transport/address.hpp"  // Address
+#include "acaciapulley/transport/settings.hpp" // Settings
+
+/// A client account and its key.
+struct LoadAccount
+{
+  std::string name; ///< file name of the key without its extension
+  std::string key;  ///< empty for requests without a key
+};
+
+/// Settings of one run.
+struct LoadOptions
+{
+  std::vector<acp::Address> targets;
+  std::vector<LoadAccount> accounts;
+  std::string path;
+  std::string method;
+  std::string body;
+  std::int64_t requests = 0;    ///< 0 for no bound by count
+  acp::Duration duration{};     ///< 0 for no bound by time
+  std::int64_t connections = 1; ///< requests under way at once
+  std::int64_t rate = 0;        ///< requests a second; 0 sends the next when the last is answered
+  std::int64_t retries = 0;
+  acp::Duration retryPause{};
+  std::int64_t resends = 0; ///< times each request is sent again with its idempotency key
+  acp::Duration timeout{};
+  std::int64_t deadlineMs = 0; ///< value of Acp-Deadline-Ms; 0 for none
+  bool printBody = false;
+  bool printJson = false;
+
+  /// @brief Declares the flags.
+  static void Declare(acp::Settings& settings);
+
+  /// @brief Reads the flags and the key files.
+  /// @throw std::runtime_error when a key file cannot be read or no bound is given
+  static LoadOptions Read(const acp::Settings& settings);
+};
--- /dev/null
+++ b/src/programs/acp-load/tally.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+/// @file
+/// What the callers saw.
+
+#include <cstdint> // int64_t
+#include <map>     // map
+#include <mutex>   // mutex
+#include <string>  // string
+#include <vector>  // vector
+
+#include "acaciapulley/core/clock.hpp" // Duration
+
+/// Result of one request with its retries.
+struct LoadResult
+{
+  std::string name;          ///< status, outcome and reason, or the name of the error
+  bool isGood = false;       ///< the whole answer of the upstream with a status below 400
+  bool isMismatched = false; ///< looked whole, yet is not the answer to this request
+};
+
+/// Counts and latencies of a run. Calls may come from any thread.
+class Tally
+{
+public:
+  /// @param latency from the moment the request was due to the end of its answer
+  void Count(const std::string& account, const LoadResult& result, acp::Duration latency);
+
+  /// @brief Counts an attempt that was followed by another one.
+  void CountRetry();
+
+  /// @brief Counts a request that could not be sent in time because all connections were in use.
+  void CountLate();
+
+  [[nodiscard]] std::int64_t Mismatched();
+
+  /// @param span time from the first request to the last answer
+  [[nodiscard]] std::string ToText(acp::Duration span);
+  [[nodiscard]] std::string ToJson(acp::Duration span);
+
+private:
+  struct Group
+  {
+    std::int64_t good = 0;
+    std::map<std::string, std::int64_t> byResult;
+    std::vector<acp::Duration> latencies; ///< of the good ones
+  };
+
+  std::mutex mutex_;
+  std::map<std::string, Group> byAccount_;
+  std::int64_t retries_ = 0;
+  std::int64_t late_ = 0;
+  std::int64_t mismatched_ = 0;
+};
--- a/src/programs/acp-upstream/main.cpp
+++ b/src/programs/acp-upstream/main.cpp
@@ -1,118 +1,40 @@
 /// @file
 /// acp-upstream: a stub upstream for the demo, the tests and the bench.
 
-#include <algorithm> // max
-#include <exception> // exception
-#include <mutex>     // mutex
-#include <semaphore> // counting_semaphore
-#include <string>    // string
-#include <thread>    // sleep_for
-
-#include <fmt/format.h> // format
+#include <condition_variable> // condition_variable_any
+#include <exception>          // exception
+#include <memory>             // unique_ptr
+#include <mutex>              // mutex
+#include <thread>             // jthread
 
 #include "acaciapulley/core/log.hpp"              // Log
-#include "acaciapulley/transport/http_client.hpp" // HttpPool
 #include "acaciapulley/transport/http_server.hpp" // HttpServer
 #include "acaciapulley/transport/process.hpp"     // BlockStopSignals, WaitForStopSignal
 #include "acaciapulley/transport/settings.hpp"    // Settings
+#include "stub_upstream.hpp"
 
 namespace {
 
-constexpr acp::Duration kStopPatience = std::chrono::seconds(10);
-constexpr acp::Duration kCallTimeout = std::chrono::seconds(10);
+constexpr acp::Duration kStopPatience = std::chrono::seconds(30);
 constexpr acp::Duration kAnnounceInterval = std::chrono::seconds(1);
+constexpr acp::Duration kFirstAnnounceInterval = std::chrono::milliseconds(100);
+constexpr int kFirstAnnouncements = 10;
+constexpr int kAdminConnections = 8;
 
-/// Serves each request after a fixed time and, if set, after one nested call.
-class StubUpstream
+/// Announces often at first, since the node may start a little later than its upstream.
+void AnnounceUntilStopped(StubUpstream& upstream, const std::stop_token& stop)
 {
-public:
-  explicit StubUpstream(const acp::Settings& settings)
-    : settings_(settings)
-    , serviceTime_(std::chrono::microseconds(settings.GetInteger("service-us")))
-    , answerBytes_(static_cast<std::size_t>(settings.GetInteger("answer-bytes")))
-    , slots_(settings.GetInteger("slots"))
-    , egress_({ .address = settings.GetAddress("egress"), .maxConnections = 1024 })
-  {
-  }
-
-  void Handle(acp::ServerExchange& exchange)
-  {
-    for (const auto& [name, value] : exchange.Request().headers.Fields()) {
-      acp::Log(acp::LogLevel::Debug, "header", { { "name", name }, { "value", value } });
-    }
-    const auto body = acp::ReadAll(exchange.RequestBody(), kMaxBodyBytes);
-    slots_.acquire();
-    std::this_thread::sleep_for(serviceTime_);
-    const std::string nested = CallNext(exchange);
-    slots_.release();
-    if (!nested.empty() && !nested.starts_with("200 ")) {
-      exchange.Respond({ .status = 502 }, "nested call failed: " + nested);
-      return;
-    }
-    acp::HttpResponseHead head{ .status = 200 };
-    head.headers.Set("Content-Type", "text/plain");
-    std::string answer = fmt::format("{} {} {}\n",
-                                     settings_.GetText("service"),
-                                     exchange.Request().method,
-                                     exchange.Request().target);
-    answer += nested;
-    answer.resize(std::max(answer.size(), answerBytes_), '.');
-    exchange.Respond(head, answer);
-  }
-
-  /// @brief Tells the node beside this upstream that it is there.
-  void Announce(bool draining)
-  {
-    const std::string body = fmt::format(
-      R"({{"service":"{}","address":"{}","slots":{},"max_connections":{},"draining":{}}})",
-      settings_.GetText("service"),
-      settings_.GetText("listen"),
-      settings_.GetInteger("slots"),
-      settings_.GetInteger("max-connections"),
-      draining);
-    acp::StringBody source(body);
-    const acp::HttpRequestHead head{ .method = "PUT", .target = "/.acp/upstream" };
-    const auto sent =
-      egress_.Send(head, source, static_cast<std::int64_t>(body.size()), kCallTimeout);
-    if (!sent) {
-      acp::Log(acp::LogLevel::Warning, "announce_failed", { { "error", sent.error().Describe() } });
-    } else if (sent.value()->Response().status != 204) {
-      acp::Log(acp::LogLevel::Warning,
-               "announce_refused",
-               { { "status", std::to_string(sent.value()->Response().status) } });
-    }
-  }
-
-private:
-  static constexpr std::size_t kMaxBodyBytes = 1'073'741'824;
-
-  std::string CallNext(const acp::ServerExchange& exchange)
-  {
-    const std::string& next = settings_.GetText("next");
-    if (next.empty()) {
-      return "";
-    }
-    acp::HttpRequestHead head{ .method = "GET", .target = next };
-    head.headers.Set("Acp-Context", exchange.Request().headers.Find("Acp-Context").value_or(""));
-    acp::StringBody empty("");
-    const auto sent = egress_.Send(head, empty, 0, kCallTimeout);
-    if (!sent) {
-      return sent.error().Describe();
-    }
-    try {
-      const auto body = acp::ReadAll(sent.value()->Body(), kMaxBodyBytes);
-      return fmt::format("{} {}", sent.value()->Response().status, body.value_or(""));
-    } catch (const acp::BodyTruncated&) {
-      return "truncated";
-    }
+  std::mutex mutex;
+  std::condition_variable_any stopped;
+  std::unique_lock lock(mutex);
+  for (int i = 0; !stop.stop_requested(); ++i) {
+    upstream.Announce(false);
+    stopped.wait_for(lock,
+                     stop,
+                     i < kFirstAnnouncements ? kFirstAnnounceInterval : kAnnounceInterval,
+                     [] { return false; });
   }
-
-  const acp::Settings& settings_;
-  std::chrono::microseconds serviceTime_;
-  std::size_t answerBytes_;
-  std::counting_semaphore<> slots_;
-  acp::HttpPool egress_;
-};
+}
 
 int Run(const acp::Settings& settings)
 {
@@ -121,12 +43,15 @@
     { .address = settings.GetAddress("listen"),
       .maxConnections = static_cast<int>(settings.GetInteger("max-connections")),
       .handler = [&](acp::ServerExchange& e) { upstream.Handle(e); } });
-  std::jthread announcer([&](const std::stop_token& stop) {
-    while (!stop.stop_requested()) {
-      upstream.Announce(false);
-      std::this_thread::sleep_for(kAnnounceInterval);
-    }
-  });
+  std::unique_ptr<acp::HttpServer> admin;
+  if (!settings.GetText("admin").empty()) {
+    admin = std::make_unique<acp::HttpServer>(acp::HttpServerOptions{
+      .address = settings.GetAddress("admin"),
+      .maxConnections = kAdminConnections,
+      .handler = [&](acp::ServerExchange& e) { upstream.HandleAdmin(e); } });
+  }
+  std::jthread announcer(
+    [&](const std::stop_token& stop) { AnnounceUntilStopped(upstream, stop); });
   acp::Log(
     acp::LogLevel::Info,
     "upstream_started",
@@ -134,6 +59,7 @@
   acp::WaitForStopSignal();
   announcer.request_stop();
   announcer.join();
+  acp::Log(acp::LogLevel::Info, "upstream_draining", {});
   upstream.Announce(true);
   server.Stop(kStopPatience);
   return 0;
@@ -147,17 +73,23 @@
   settings.AddText("service", "service to announce", acp::Settings::kRequired);
   settings.AddAddress("listen", "where the node connects", acp::Settings::kRequired);
   settings.AddAddress("egress", "egress listener of the node", acp::Settings::kRequired);
+  settings.AddAddress("admin", "serves /stats and /behaviour; empty for none", "");
   settings.AddInteger("slots", "requests served at once", 50, 1, 100'000);
   settings.AddInteger("max-connections", "connections accepted", 400, 1, 100'000);
   settings.AddInteger(
     "service-us", "time to serve a request, in microseconds", 1000, 0, 60'000'000);
+  settings.AddSwitch("exponential", "service times vary, with service-us as the mean");
+  settings.AddInteger(
+    "connection-us", "slot time that a new connection costs, in microseconds", 1000, 0, 1'000'000);
+  settings.AddInteger(
+    "probe-us", "slot time that GET /healthz or /load costs, in microseconds", 5000, 0, 1'000'000);
+  settings.AddInteger(
+    "cold-start-ms", "time during which it starts slowly, in milliseconds", 0, 0, 3'600'000);
   settings.AddInteger("answer-bytes", "smallest size of an answer", 0, 0, 100'000'000);
-  settings.AddText("next", "path of the nested call, such as /members/list; empty for none", "");
-  settings.AddSwitch("debug", "log each request's header fields");
+  settings.AddText(
+    "next", "nested calls, comma-separated, such as /members/listings/1,POST:/orders/dye-lots", "");
+  settings.AddText("record-file", "file for the heads of all requests; empty for none", "");
   settings.ParseOrExit(argc, argv);
-  if (settings.GetSwitch("debug")) {
-    acp::SetLogLevel(acp::LogLevel::Debug);
-  }
   acp::BlockStopSignals();
   try {
     return Run(settings);
--- /dev/null
+++ b/src/programs/acp-upstream/request_record.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+/// @file
+/// What the stub upstream has received, for tests that prove what must not arrive.
+
+#include <cstdint> // int64_t
+#include <fstream> // ofstream
+#include <map>     // map
+#include <mutex>   // mutex
+#include <set>     // set
+#include <string>  // string
+
+#include "acaciapulley/transport/http_message.hpp" // HttpRequestHead
+
+/// Heads of all requests, header values by hash, and executions by idempotency key.
+class RequestRecord
+{
+public:
+  /// @param path file for the heads of all requests, one JSON object a line; empty for none
+  /// @throw std::runtime_error when the file cannot be opened
+  explicit RequestRecord(const std::string& path);
+
+  /// @brief Notes a request that arrived.
+  void NoteArrival(const acp::HttpRequestHead& head);
+
+  /// @brief Notes that a request began to run.
+  void NoteExecution(const acp::HttpRequestHead& head);
+
+  void NoteCancelled();
+  void NoteFinished();
+
+  /// @brief Returns all counts as a JSON object.
+  [[nodiscard]] std::string ToJson();
+
+private:
+  std::mutex mutex_;
+  std::ofstream file_;
+  std::int64_t arrived_ = 0;
+  std::int64_t executed_ = 0;
+  std::int64_t cancelled_ = 0;
+  std::int64_t finished_ = 0;
+  std::map<std::string, std::int64_t> executionsByKey_;
+  std::map<std::string, std::set<std::string>> valueHashesByHeader_;
+};
--- /dev/null
+++ b/src/programs/acp-upstream/stub_upstream.cpp
@@ -0,0 +1,314 @@
+#include "stub_upstream.hpp"
+
+#include <algorithm> // max, min
+#include <charconv>  // from_chars
+#include <cstring>   // memcpy, memset
+#include <thread>    // sleep_for
+
+#include <fmt/format.h> // format
+
+#include "acaciapulley/core/log.hpp"    // Log
+#include "acaciapulley/core/random.hpp" // Sha256, ToHex
+
+namespace {
+
+constexpr acp::Duration kCallTimeout = std::chrono::seconds(10);
+constexpr acp::Duration kCallerCheckInterval = std::chrono::milliseconds(5);
+constexpr std::size_t kMaxBodyBytes = 1'073'741'824;
+constexpr std::size_t kNestedKeyDigits = 24;
+// A cold upstream serves this many times slower at its start, and speeds up evenly.
+constexpr double kColdFactor = 5.0;
+
+acp::TimePoint Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+std::int64_t ToNumber(const std::string& text, std::int64_t fallback)
+{
+  std::int64_t number = fallback;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+/// Value of `bytes=` in the query of @p target.
+std::int64_t AskedBytes(const std::string& target, std::int64_t fallback)
+{
+  const std::size_t start = target.find("bytes=");
+  return start == std::string::npos ? fallback : ToNumber(target.substr(start + 6), fallback);
+}
+
+/// Head and tail that name the request, with filler between them.
+class EchoBody final : public acp::BodySource
+{
+public:
+  /// @param cutAt number of bytes after which the body ends early; -1 for a whole body
+  EchoBody(std::string head, std::string tail, std::int64_t length, std::int64_t cutAt)
+    : head_(std::move(head))
+    , tail_(std::move(tail))
+    , length_(length)
+    , cutAt_(cutAt)
+  {
+  }
+
+  std::size_t Read(char* buffer, std::size_t size) override
+  {
+    if (cutAt_ >= 0 && position_ >= cutAt_) {
+      throw acp::BodyTruncated{};
+    }
+    const auto count = std::min<std::int64_t>(static_cast<std::int64_t>(size), length_ - position_);
+    const auto headSize = static_cast<std::int64_t>(head_.size());
+    const auto tailStart = length_ - static_cast<std::int64_t>(tail_.size());
+    std::memset(buffer, '.', static_cast<std::size_t>(count));
+    for (std::int64_t i = position_; i < std::min(position_ + count, headSize); ++i) {
+      buffer[i - position_] = head_[static_cast<std::size_t>(i)];
+    }
+    for (std::int64_t i = std::max(position_, tailStart); i < position_ + count; ++i) {
+      buffer[i - position_] = tail_[static_cast<std::size_t>(i - tailStart)];
+    }
+    position_ += count;
+    return static_cast<std::size_t>(count);
+  }
+
+private:
+  std::string head_;
+  std::string tail_;
+  std::int64_t length_;
+  std::int64_t cutAt_;
+  std::int64_t position_ = 0;
+};
+
+void RefuseNotRun(acp::ServerExchange& exchange, const std::string& reason)
+{
+  acp::HttpResponseHead head{ .status = 503 };
+  head.headers.Set("Acp-Outcome", "not-run");
+  head.headers.Set("Acp-Reason", reason);
+  exchange.Respond(head, reason + "\n");
+}
+
+} // namespace
+
+StubUpstream::StubUpstream(const acp::Settings& settings)
+  : settings_(settings)
+  , behaviour_({ .serviceUs = settings.GetInteger("service-us"),
+                 .isExponential = settings.GetSwitch("exponential") })
+  , record_(settings.GetText("record-file"))
+  , egress_({ .address = settings.GetAddress("egress"),
+              .maxConnections = 1024,
+              .maxWait = std::chrono::seconds(1) })
+  , startedAt_(Now())
+  , freeSlots_(settings.GetInteger("slots"))
+{
+  std::string rest = settings.GetText("next");
+  while (!rest.empty()) {
+    const std::string item = rest.substr(0, rest.find(','));
+    const std::size_t colon = item.find(':');
+    const bool namesMethod = colon != std::string::npos;
+    nested_.push_back({ .method = namesMethod ? item.substr(0, colon) : "GET",
+                        .target = namesMethod ? item.substr(colon + 1) : item });
+    rest.erase(0, item.size() + 1);
+  }
+}
+
+bool StubUpstream::TakeSlot(acp::TimePoint deadline, const acp::ServerExchange& exchange)
+{
+  std::unique_lock lock(mutex_);
+  while (freeSlots_ == 0) {
+    if (Now() >= deadline || exchange.IsCallerGone()) {
+      return false;
+    }
+    slotFreed_.wait_until(lock, std::min(deadline, Now() + kCallerCheckInterval));
+  }
+  --freeSlots_;
+  return true;
+}
+
+void StubUpstream::ReturnSlot()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    ++freeSlots_;
+  }
+  slotFreed_.notify_one();
+}
+
+bool StubUpstream::Work(acp::Duration span, const acp::ServerExchange& exchange)
+{
+  const acp::TimePoint end = Now() + span;
+  while (Now() < end) {
+    std::this_thread::sleep_for(std::min<acp::Duration>(end - Now(), kCallerCheckInterval));
+    if (Now() < end && exchange.IsCallerGone()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+acp::Duration StubUpstream::ServiceTime(const BehaviourValues& values) const
+{
+  const acp::Duration time = DrawServiceTime(values);
+  const acp::Duration coldTime = std::chrono::milliseconds(settings_.GetInteger("cold-start-ms"));
+  const acp::Duration age = Now() - startedAt_;
+  if (age >= coldTime) {
+    return time;
+  }
+  const double cold =
+    1.0 - static_cast<double>(age.count()) / static_cast<double>(coldTime.count());
+  return std::chrono::duration_cast<acp::Duration>(time * (1.0 + (kColdFactor - 1.0) * cold));
+}
+
+void StubUpstream::Handle(acp::ServerExchange& exchange)
+{
+  const auto& head = exchange.Request();
+  record_.NoteArrival(head);
+  const auto left = head.headers.Find("Acp-Deadline-Ms");
+  const acp::TimePoint deadline =
+    Now() + std::chrono::milliseconds(ToNumber(left.value_or(""), 60'000));
+  acp::ReadAll(exchange.RequestBody(), kMaxBodyBytes);
+  const BehaviourValues values = behaviour_.Current();
+  if (Happens(values.refuse)) {
+    RefuseNotRun(exchange, "overloaded");
+    return;
+  }
+  if (!TakeSlot(deadline, exchange)) {
+    record_.NoteCancelled();
+    RefuseNotRun(exchange, "deadline_exceeded");
+    return;
+  }
+  if (exchange.IsFirstOnConnection()) {
+    std::this_thread::sleep_for(std::chrono::microseconds(settings_.GetInteger("connection-us")));
+  }
+  if (head.target == "/healthz" || head.target == "/load") {
+    Probe(exchange);
+    ReturnSlot();
+    return;
+  }
+  record_.NoteExecution(head);
+  ServeInSlot(exchange, values);
+}
+
+/// The answer to a probe says nothing of use, as health endpoints of real upstreams lag or mislead.
+void StubUpstream::Probe(acp::ServerExchange& exchange)
+{
+  std::this_thread::sleep_for(std::chrono::microseconds(settings_.GetInteger("probe-us")));
+  exchange.Respond({ .status = 200 }, "ok\n");
+}
+
+void StubUpstream::ServeInSlot(acp::ServerExchange& exchange, const BehaviourValues& values)
+{
+  bool isWanted = Work(ServiceTime(values), exchange);
+  while (isWanted && Happens(values.stall)) {
+    isWanted = Work(kCallTimeout, exchange);
+  }
+  std::string log;
+  for (std::size_t i = 0; isWanted && i < nested_.size(); ++i) {
+    const std::string result = CallNested(nested_[i], exchange.Request());
+    log += result + "\n";
+    isWanted = !exchange.IsCallerGone();
+    if (!result.starts_with("200 ")) {
+      ReturnSlot();
+      exchange.Respond({ .status = 502 }, "nested call failed: " + log);
+      return;
+    }
+  }
+  ReturnSlot();
+  if (!isWanted) {
+    record_.NoteCancelled();
+    return;
+  }
+  record_.NoteFinished();
+  Answer(exchange, values, log);
+}
+
+void StubUpstream::Answer(acp::ServerExchange& exchange,
+                          const BehaviourValues& values,
+                          const std::string& log)
+{
+  if (Happens(values.fail)) {
+    exchange.Respond({ .status = 500 }, "the stub was told to fail\n");
+    return;
+  }
+  const auto& request = exchange.Request();
+  const std::string id = request.headers.Find("X-Request-Id").value_or("none");
+  const std::string start = fmt::format(
+    "id={} {} {} {}\n{}", id, settings_.GetText("service"), request.method, request.target, log);
+  const std::string tail = fmt::format("\nend={}\n", id);
+  const auto smallest = static_cast<std::int64_t>(start.size() + tail.size());
+  const std::int64_t length =
+    std::max(smallest, AskedBytes(request.target, settings_.GetInteger("answer-bytes")));
+  EchoBody body(start, tail, length, Happens(values.cut) ? length / 2 : -1);
+  acp::HttpResponseHead head{ .status = 200 };
+  head.headers.Set("Content-Type", "text/plain");
+  head.headers.Set("X-Request-Id", id);
+  const bool isChunked = request.target.find("chunked") != std::string::npos;
+  exchange.RespondStreaming(head, isChunked ? -1 : length, body, nullptr);
+}
+
+std::string StubUpstream::CallNested(const NestedCall& call, const acp::HttpRequestHead& parent)
+{
+  acp::HttpRequestHead head{ .method = call.method, .target = call.target };
+  for (const auto* name : { "Acp-Context", "Acp-Deadline-Ms" }) {
+    if (const auto value = parent.headers.Find(name)) {
+      head.headers.Set(name, *value);
+    }
+  }
+  const std::string key = parent.headers.Find("Idempotency-Key").value_or("");
+  if (!key.empty() && call.method != "GET") {
+    // The same parent makes the same nested key, so that its resend is not a second nested run.
+    const std::string hash = acp::ToHex(acp::Sha256(key + call.target));
+    head.headers.Set("Idempotency-Key",
+                     key.substr(0, key.find('-')) + "-" + hash.substr(0, kNestedKeyDigits));
+  }
+  acp::StringBody empty("");
+  const auto sent = egress_.Send(head, empty, 0, kCallTimeout);
+  if (!sent) {
+    return sent.error().Describe();
+  }
+  try {
+    const auto body = acp::ReadAll(sent.value()->Body(), kMaxBodyBytes);
+    return fmt::format("{} {}", sent.value()->Response().status, body.value_or(""));
+  } catch (const acp::BodyTruncated&) {
+    return "truncated";
+  }
+}
+
+void StubUpstream::HandleAdmin(acp::ServerExchange& exchange)
+{
+  const auto& request = exchange.Request();
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  const std::string query = request.target.substr(std::min(path.size() + 1, request.target.size()));
+  if (path == "/stats" && request.method == "GET") {
+    exchange.Respond({ .status = 200 }, record_.ToJson());
+  } else if (path == "/behaviour" && request.method == "GET") {
+    exchange.Respond({ .status = 200 }, behaviour_.ToJson());
+  } else if (path == "/behaviour" && request.method == "PUT") {
+    const std::string wrong = behaviour_.Change(query);
+    exchange.Respond({ .status = wrong.empty() ? 200 : 400 },
+                     wrong.empty() ? behaviour_.ToJson() : wrong + "\n");
+  } else {
+    exchange.Respond({ .status = 404 }, "paths: /stats, /behaviour\n");
+  }
+}
+
+void StubUpstream::Announce(bool draining)
+{
+  const std::string body = fmt::format(R"({{"service":"{}","address":"{}","slots":{},)"
+                                       R"("max_connections":{},"cold_start_ms":{},"draining":{}}})",
+                                       settings_.GetText("service"),
+                                       settings_.GetText("listen"),
+                                       settings_.GetInteger("slots"),
+                                       settings_.GetInteger("max-connections"),
+                                       settings_.GetInteger("cold-start-ms"),
+                                       draining);
+  acp::StringBody source(body);
+  const acp::HttpRequestHead head{ .method = "PUT", .target = "/.acp/upstream" };
+  const auto sent =
+    egress_.Send(head, source, static_cast<std::int64_t>(body.size()), kCallTimeout);
+  if (!sent) {
+    acp::Log(acp::LogLevel::Warning, "announce_failed", { { "error", sent.error().Describe() } });
+  } else if (sent.value()->Response().status != 204) {
+    acp::Log(acp::LogLevel::Warning,
+             "announce_refused",
+             { { "status", std::to_string(sent.value()->Response().status) } });
+  }
+}
--- /dev/null
+++ b/src/programs/acp-upstream/stub_upstream.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+/// @file
+/// The stub upstream: slots, service times, nested calls, announcements.
+
+#include <condition_variable> // condition_variable
+#include <mutex>              // mutex
+#include <string>             // string
+#include <vector>             // vector
+
+#include "acaciapulley/transport/http_client.hpp" // HttpPool
+#include "acaciapulley/transport/http_server.hpp" // ServerExchange
+#include "acaciapulley/transport/settings.hpp"    // Settings
+#include "behaviour.hpp"
+#include "request_record.hpp"
+
+/// Serves each request in a slot for a while, makes the nested calls, and echoes the request's id.
+class StubUpstream
+{
+public:
+  explicit StubUpstream(const acp::Settings& settings);
+
+  /// @brief Serves a request of the node.
+  void Handle(acp::ServerExchange& exchange);
+
+  /// @brief Serves `GET /stats`, `GET /behaviour` and `PUT /behaviour?name=value&...`.
+  void HandleAdmin(acp::ServerExchange& exchange);
+
+  /// @brief Tells the node beside this upstream that it is there.
+  void Announce(bool draining);
+
+private:
+  /// A nested call: method and path.
+  struct NestedCall
+  {
+    std::string method;
+    std::string target;
+  };
+
+  bool TakeSlot(acp::TimePoint deadline, const acp::ServerExchange& exchange);
+  void ReturnSlot();
+  /// Waits for @p span in the slot; false when the caller left before its end.
+  static bool Work(acp::Duration span, const acp::ServerExchange& exchange);
+  [[nodiscard]] acp::Duration ServiceTime(const BehaviourValues& values) const;
+  void ServeInSlot(acp::ServerExchange& exchange, const BehaviourValues& values);
+  std::string CallNested(const NestedCall& call, const acp::HttpRequestHead& parent);
+  void Answer(acp::ServerExchange& exchange, const BehaviourValues& values, const std::string& log);
+  void Probe(acp::ServerExchange& exchange);
+
+  const acp::Settings& settings_;
+  Behaviour behaviour_;
+  RequestRecord record_;
+  std::vector<NestedCall> nested_;
+  acp::HttpPool egress_;
+  acp::TimePoint startedAt_;
+  std::mutex mutex_;
+  std::condition_variable slotFreed_;
+  std::int64_t freeSlots_;
+};
