Measure rate tokens and fold old debits into the bucket's base

Cause: with more than 64 late debits the bucket merged the oldest into one later moment; the sum could exceed the burst and the level sank far below zero. Ruled out: the lease table (a synchronous replay of the same demand lost nothing).

--- /dev/null
+++ b/bench/limits/limits_bench.cpp
@@ -0,0 +1,157 @@
+/// @file
+/// Measures rate tokens on a simulated clock: fake nodes around the real authority and lease table.
+
+#include <cstdlib>    // strtod
+#include <functional> // function
+#include <map>        // map
+#include <string>     // string
+#include <vector>     // vector
+
+#include <fmt/core.h> // print
+
+#include "limit_fleet.hpp"
+
+namespace {
+
+using acp::test::FleetOptions;
+using acp::test::FleetResult;
+using acp::test::LimitFleet;
+
+constexpr std::uint64_t kSeed = 1;
+constexpr double kPercent = 100;
+constexpr double kKilobyte = 1000;
+
+/// A load pattern or fault.
+struct Scenario
+{
+  std::string name;
+  std::function<void(FleetOptions&)> apply;
+};
+
+std::vector<Scenario> Scenarios()
+{
+  return {
+    { "steady", [](FleetOptions&) {} },
+    { "groups", [](FleetOptions& options) { options.isBursty = true; } },
+    { "moving",
+      [](FleetOptions& options) {
+        options.moveEvery = std::chrono::seconds(1);
+        options.activeNodes = std::max(1, options.nodes / 10);
+      } },
+    { "failover",
+      [](FleetOptions& options) {
+        options.failoverEvery = std::chrono::seconds(20);
+        options.isolationAfterElection = acp::Duration::zero();
+      } },
+  };
+}
+
+/// Numeric settings that can be changed from the command line.
+using Settings = std::map<std::string, double>;
+
+acp::Duration FromMillis(double millis)
+{
+  return std::chrono::duration_cast<acp::Duration>(
+    std::chrono::duration<double, std::milli>(millis));
+}
+
+FleetOptions Build(const Settings& settings, int nodes, double burst)
+{
+  FleetOptions options;
+  options.seed = kSeed;
+  options.nodes = nodes;
+  options.limit = { .rate = settings.at("rate"), .burst = burst };
+  options.demandPart = settings.at("demand");
+  options.clockDrift = settings.at("drift");
+  options.length = FromMillis(1000 * settings.at("seconds"));
+  options.authority.prefetchPart = settings.at("prefetch-part");
+  options.authority.settlePart = settings.at("settle-part");
+  options.authority.creditSpendTime = settings.at("credit") != 0;
+  options.table.prefetchIntervals = settings.at("prefetch-intervals");
+  options.table.longestWait = FromMillis(settings.at("wait-ms"));
+  return options;
+}
+
+void RunAll(const Settings& settings)
+{
+  fmt::print("rate {} per second, demand {} of it, {} s, seed {}\n",
+             settings.at("rate"),
+             settings.at("demand"),
+             settings.at("seconds"),
+             kSeed);
+  fmt::print("{:<9} {:>5} {:>5} {:>8} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}\n",
+             "scenario",
+             "nodes",
+             "burst",
+             "offered",
+             "lowest",
+             "refused",
+             "false",
+             "net",
+             "waited",
+             "KB/s");
+  for (const Scenario& scenario : Scenarios()) {
+    for (const int nodes : { 1, 10, 60, 540 }) {
+      for (const double burst : { 1.0, 10.0, 100.0, 500.0 }) {
+        FleetOptions options = Build(settings, nodes, burst);
+        scenario.apply(options);
+        const FleetResult result = LimitFleet(options).Run();
+        const auto offered = static_cast<double>(result.offered);
+        const auto part = [offered](std::int64_t count) {
+          return kPercent * static_cast<double>(count) / offered;
+        };
+        fmt::print(
+          "{:<9} {:>5} {:>5} {:>8} {:>7.2f} {:>6.2f}% {:>6.2f}% {:>6.2f}% {:>6.1f}% {:>7.2f}\n",
+          scenario.name,
+          nodes,
+          burst,
+          result.offered,
+          result.lowestLevel,
+          part(result.refused),
+          part(result.falselyRefused),
+          part(result.referenceAdmitted - result.admitted),
+          part(result.waited),
+          result.bytesPerNodeSecond / kKilobyte);
+      }
+    }
+  }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  const acp::RateAuthorityOptions authority;
+  const acp::TokenLeaseTableOptions table;
+  Settings settings{
+    { "rate", 100 },
+    { "demand", 0.8 },
+    { "drift", 0 },
+    { "seconds", 65 },
+    { "prefetch-part", authority.prefetchPart },
+    { "settle-part", authority.settlePart },
+    { "credit", authority.creditSpendTime ? 1 : 0 },
+    { "prefetch-intervals", table.prefetchIntervals },
+    { "wait-ms", std::chrono::duration<double, std::milli>(table.longestWait).count() },
+  };
+  for (int i = 1; i < argc; ++i) {
+    const std::string argument = argv[i];
+    const auto equals = argument.find('=');
+    const auto found = settings.find(argument.substr(0, equals));
+    if (equals == std::string::npos || found == settings.end()) {
+      fmt::print("settings, as name=value:\n");
+      for (const auto& [name, value] : settings) {
+        fmt::print("  {}={}\n", name, value);
+      }
+      return argument == "--help" ? 0 : 2;
+    }
+    found->second = std::strtod(argument.c_str() + equals + 1, nullptr);
+  }
+  fmt::print(
+    "false: refused although the true bucket held a token on arrival; net: admitted by a central "
+    "bucket and not here; waited: admitted after a round trip; KB/s: for one account, for each "
+    "node "
+    "with demand\n");
+  RunAll(settings);
+  return 0;
+}
--- a/include/acaciapulley/limits/token_bucket.hpp
+++ b/include/acaciapulley/limits/token_bucket.hpp
@@ -15,7 +15,8 @@
 /// A debit that arrives late is entered at the moment of the spend, so that the bucket regains what
 /// it could not take up while it looked full. The level at any moment is never above that of a
 /// bucket that was debited at the true moments, provided that each debit is entered at or after its
-/// true moment. Memory is bounded: old debits are folded together, rounding their moments up.
+/// true moment. Memory is bounded: the oldest debits are folded into a base level, and a debit
+/// that arrives for a moment before the base counts at the base.
 class TokenBucket
 {
 public:
--- a/src/limits/token_bucket.cpp
+++ b/src/limits/token_bucket.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-// Bounds memory and the cost of LevelAt; more debits are merged into later ones.
+// Bounds memory and the cost of LevelAt. With more debits the oldest are folded into the base, and
+// even later reports count from there.
 constexpr std::size_t kMaxDebits = 64;
 
 double Seconds(Duration span)
@@ -42,9 +43,7 @@
     });
   debits_.insert(place, Entry{ .moment = at, .amount = amount });
   if (debits_.size() > kMaxDebits) {
-    // A later moment never raises the level, so merging forward is safe.
-    debits_[1].amount += debits_[0].amount;
-    debits_.pop_front();
+    Trim(debits_.front().moment);
   }
 }
 
