--- /dev/null
+++ b/tests/record_test/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE record
+#include <boost/test/unit_test.hpp>
