--- a/include/acaciapulley/control/control_service.hpp
+++ b/include/acaciapulley/control/control_service.hpp
@@ -4,7 +4,8 @@
 /// The control process: answers nodes over Thrift and operators over HTTP.
 
 #include <cstdint> // uint16_t
-#include <memory>  // unique_ptr
+#include <memory>  // shared_ptr, unique_ptr
+#include <string>  // string
 
 #include "acaciapulley/control/control_hooks.hpp"      // ControlHooks
 #include "acaciapulley/control/control_state.hpp"      // ControlState
@@ -13,6 +14,10 @@
 #include "acaciapulley/replication/replicated_log.hpp" // ReplicatedLog
 #include "acaciapulley/transport/address.hpp"          // Address
 
+namespace apache::thrift {
+class TProcessor;
+} // namespace apache::thrift
+
 namespace acp {
 
 /// Construction options of a ControlProcess. The pointers outlive it.
@@ -25,6 +30,10 @@
   ReplicatedLog* log = nullptr;  ///< drives `state`
   ControlState* state = nullptr; ///< the state machine of `log`
   ControlHooks hooks;
+  /// Service of the replicated log, served on the listener for nodes under @ref replicationName;
+  /// null when the log has a listener of its own.
+  std::shared_ptr<apache::thrift::TProcessor> replication;
+  std::string replicationName;
 };
 
 /// One control process.
--- a/include/acaciapulley/control/live_nodes.hpp
+++ b/include/acaciapulley/control/live_nodes.hpp
@@ -39,7 +39,7 @@
 };
 
 /// One poll.
-struct NodeReport
+struct NodePoll
 {
   std::string nodeId;
   std::int64_t epoch = 0;
@@ -75,7 +75,7 @@
   void StartTerm(std::uint64_t term);
 
   /// @brief Takes a poll; a report of an older epoch of the same node is ignored.
-  void Report(const NodeReport& report, TimePoint now);
+  void Report(const NodePoll& report, TimePoint now);
 
   /// @brief Removes members whose lease has ended, and nodes that are silent.
   void Expire(TimePoint now);
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -3,6 +3,7 @@
 #include <stdexcept> // runtime_error
 #include <thread>    // sleep_for, thread
 
+#include <thrift/processor/TMultiplexedProcessor.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -53,7 +54,7 @@
                         .maxConnections = kMaxOperatorConnections,
                         .handler = [this](ServerExchange& e) { operatorApi_.Handle(e); } })
     , rpcSocket_(OpenSocket(options.rpcAddress))
-    , rpcServer_(MakeRpcServer())
+    , rpcServer_(MakeRpcServer(options))
     , rpcThread_([this] { rpcServer_->serve(); })
     , journal_(context_)
   {
@@ -91,14 +92,26 @@
     return socket;
   }
 
-  std::unique_ptr<apache::thrift::server::TServer> MakeRpcServer()
+  /// Nodes call without a service name, replicas with theirs.
+  std::shared_ptr<apache::thrift::TProcessor> MakeProcessor(const ControlProcessOptions& options)
+  {
+    auto handler = std::make_shared<detail::RpcHandler>(context_);
+    auto processor = std::make_shared<apache::thrift::TMultiplexedProcessor>();
+    processor->registerDefault(std::make_shared<wire::ControlServiceProcessor>(handler));
+    if (options.replication) {
+      processor->registerProcessor(options.replicationName, options.replication);
+    }
+    return processor;
+  }
+
+  std::unique_ptr<apache::thrift::server::TServer> MakeRpcServer(
+    const ControlProcessOptions& options)
   {
     using apache::thrift::protocol::TCompactProtocolFactory;
     using apache::thrift::server::TThreadedServer;
     using apache::thrift::transport::TFramedTransportFactory;
-    auto handler = std::make_shared<detail::RpcHandler>(context_);
     auto server =
-      std::make_unique<TThreadedServer>(std::make_shared<wire::ControlServiceProcessor>(handler),
+      std::make_unique<TThreadedServer>(MakeProcessor(options),
                                         rpcSocket_,
                                         std::make_shared<TFramedTransportFactory>(),
                                         std::make_shared<TCompactProtocolFactory>());
--- a/src/control/live_nodes.cpp
+++ b/src/control/live_nodes.cpp
@@ -20,7 +20,7 @@
   }
 }
 
-void LiveNodes::Report(const NodeReport& report, TimePoint now)
+void LiveNodes::Report(const NodePoll& report, TimePoint now)
 {
   Entry& entry = byNode_[report.nodeId];
   if (entry.epoch > report.epoch) {
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -98,7 +98,7 @@
 {
   const Leadership leadership = context_.CurrentLeadership();
   const TimePoint now = context_.clock.Now();
-  NodeReport report{ .nodeId = request.nodeId,
+  NodePoll report{ .nodeId = request.nodeId,
                      .epoch = request.epoch,
                      .stateVersion = request.stateVersion };
   if (request.__isset.member) {
--- a/src/node/threshold_book.cpp
+++ b/src/node/threshold_book.cpp
@@ -4,10 +4,9 @@
 
 bool ThresholdBook::AdmitsRequest(const std::string& ownClass, const RequestContext& context)
 {
-  const double coin = AdmissionCoin(context.rootId);
   const std::lock_guard lock(mutex_);
   const TimePoint now = clock_.Now();
-  const bool admits = table_.AdmitsRequest(ownClass, context.account, context.priority, coin, now);
+  const bool admits = table_.AdmitsRequest(ownClass, context.account, context.priority, now);
   if (admits) {
     table_.OnRequest(ownClass, now);
   }
@@ -18,11 +17,10 @@
                                const CalleeClass& callee,
                                const RequestContext& context)
 {
-  const double coin = AdmissionCoin(context.rootId);
   const std::lock_guard lock(mutex_);
   const TimePoint now = clock_.Now();
   table_.OnCall(ownClass, callee, now);
-  return table_.AdmitsCall(ownClass, callee, context.account, context.priority, coin, now);
+  return table_.AdmitsCall(ownClass, callee, context.account, context.priority, now);
 }
 
 void ThresholdBook::Learn(const std::string& ownClass,
--- a/src/programs/acp-control/main.cpp
+++ b/src/programs/acp-control/main.cpp
@@ -32,7 +32,7 @@
   const acp::SystemClock clock;
   const acp::OperatorDirectory operators = ReadOperators(settings);
   acp::ControlState state;
-  const auto log = acp::OpenLog(settings, state);
+  const auto log = acp::OpenLog(settings, clock, state);
   acp::RateService rates(state, *log, clock);
   acp::ControlHooks hooks;
   hooks.acquireTokens = [&rates](auto& reply, const auto& request, const auto& leadership) {
@@ -44,7 +44,9 @@
                                 .clock = &clock,
                                 .log = log.get(),
                                 .state = &state,
-                                .hooks = hooks });
+                                .hooks = hooks,
+                                .replication = log->Processor(),
+                                .replicationName = acp::kReplicationServiceName });
   acp::Log(acp::LogLevel::Info,
            "control_started",
            { { "rpc", settings.GetText("rpc") }, { "operator", settings.GetText("operator") } });
--- a/src/programs/acp-control/open_log.hpp
+++ b/src/programs/acp-control/open_log.hpp
@@ -1,21 +1,24 @@
 #pragma once
 
 /// @file
-/// Opens the replicated log that drives the control state.
+/// Opens the replica of the log that drives the control state.
 
 #include <memory> // unique_ptr
 
-#include "acaciapulley/control/control_state.hpp"      // ControlState
-#include "acaciapulley/replication/replicated_log.hpp" // ReplicatedLog
-#include "acaciapulley/transport/settings.hpp"         // Settings
+#include "acaciapulley/control/control_state.hpp" // ControlState
+#include "acaciapulley/core/clock.hpp"            // Clock
+#include "acaciapulley/replication/replica.hpp"   // Replica
+#include "acaciapulley/transport/settings.hpp"    // Settings
 
 namespace acp {
 
 /// @brief Declares the settings of the replicated log.
 void AddLogSettings(Settings& settings);
 
-/// @brief Opens the log of this replica.
-/// @throw std::runtime_error when it cannot be opened
-[[nodiscard]] std::unique_ptr<ReplicatedLog> OpenLog(const Settings& settings, ControlState& state);
+/// @brief Opens the replica; it is served on the rpc listener of the control process.
+/// @throw std::runtime_error when the settings or the data folder cannot be used
+[[nodiscard]] std::unique_ptr<Replica> OpenLog(const Settings& settings,
+                                               const Clock& clock,
+                                               ControlState& state);
 
 } // namespace acp
