--- a/include/acaciapulley/control/control_error.hpp
+++ b/include/acaciapulley/control/control_error.hpp
@@ -26,12 +26,13 @@
   TooManyServices = 911,  ///< as many services as are kept have a document
   UnsupportedCall = 912,  ///< this control process has no part that answers the call
   InvalidOperators = 913, ///< the operator key file cannot be read
+  ReplaceRefused = 914,   ///< the replica set cannot be changed like this now
 };
 
 template<>
 struct NameTable<ControlErrorCode>
 {
-  static constexpr std::array<EnumName<ControlErrorCode>, 14> kRows = { {
+  static constexpr std::array<EnumName<ControlErrorCode>, 15> kRows = { {
     { ControlErrorCode::InvalidDocument, "invalid_document" },
     { ControlErrorCode::VersionConflict, "version_conflict" },
     { ControlErrorCode::KeyRefused, "key_refused" },
@@ -46,6 +47,7 @@
     { ControlErrorCode::TooManyServices, "too_many_services" },
     { ControlErrorCode::UnsupportedCall, "unsupported_call" },
     { ControlErrorCode::InvalidOperators, "invalid_operators" },
+    { ControlErrorCode::ReplaceRefused, "replace_refused" },
   } };
 };
 
--- a/include/acaciapulley/control/detail/control_context.hpp
+++ b/include/acaciapulley/control/detail/control_context.hpp
@@ -42,7 +42,7 @@
   /// @brief Proposes @p command and waits for its result.
   /// @return the reply, which may carry a refusal; or NotLeader (nothing changed), Unconfirmed or
   /// Unavailable
-  ControlResult<wire::CommandReply> Propose(wire::ControlCommand command, Duration timeout);
+  ControlResult<wire::CommandReply> Propose(const wire::ControlCommand& command, Duration timeout);
 
   /// @brief Returns which nodes have confirmed @p version, after forgetting silent ones.
   [[nodiscard]] ForceStatus ForceOf(std::int64_t version);
--- a/include/acaciapulley/control/detail/rpc_handler.hpp
+++ b/include/acaciapulley/control/detail/rpc_handler.hpp
@@ -27,7 +27,7 @@
 
 private:
   Duration RequireLeadership(std::string_view call);
-  wire::CommandReply Propose(std::string_view call, wire::ControlCommand command);
+  wire::CommandReply Propose(std::string_view call, const wire::ControlCommand& command);
   void FillMembers(wire::SyncReply& reply, const wire::SyncRequest& request);
   [[noreturn]] void ThrowNotLeader(std::string_view call);
   [[noreturn]] void ThrowFailure(std::string_view call, int code, const std::string& message);
--- a/src/control/control_context.cpp
+++ b/src/control/control_context.cpp
@@ -1,7 +1,5 @@
 #include "acaciapulley/control/detail/control_context.hpp"
 
-#include <utility> // move
-
 #include <fmt/format.h> // format
 
 #include "acaciapulley/control/detail/wire_codec.hpp" // DecodeWire, EncodeWire
@@ -25,11 +23,12 @@
   return { .term = log.Status().term, .leadingFor = log.LeadingFor().value_or(Duration{}) };
 }
 
-ControlResult<wire::CommandReply> ControlContext::Propose(wire::ControlCommand command,
+ControlResult<wire::CommandReply> ControlContext::Propose(const wire::ControlCommand& command,
                                                           Duration timeout)
 {
-  command.formatVersion = kControlFormat;
-  const auto applied = log.Propose(EncodeWire(command), timeout);
+  wire::ControlCommand versioned = command;
+  versioned.formatVersion = kControlFormat;
+  const auto applied = log.Propose(EncodeWire(versioned), timeout);
   if (!applied) {
     metrics.CountProposalFailure(NameOf(applied.error().code));
     switch (applied.error().code) {
--- a/src/control/node_journal.cpp
+++ b/src/control/node_journal.cpp
@@ -131,7 +131,7 @@
   wire::ControlCommand command;
   command.__isset.noteNodes = true;
   command.noteNodes.notes = std::move(notes);
-  const auto written = context_.Propose(std::move(command), kTimeout);
+  const auto written = context_.Propose(command, kTimeout);
   if (!written) {
     Log(LogLevel::Warning, "journal_delayed", { { "error", written.error().Describe() } });
   }
@@ -151,7 +151,7 @@
   command.storeRecord.hourMs = collected->hourMs;
   command.storeRecord.source = source_;
   command.storeRecord.rows = collected->rows;
-  const auto written = context_.Propose(std::move(command), kTimeout);
+  const auto written = context_.Propose(command, kTimeout);
   wasStored_ = written && written.value().errorCode == 0;
   if (!wasStored_) {
     Log(LogLevel::Warning,
--- a/src/control/operator_changes.cpp
+++ b/src/control/operator_changes.cpp
@@ -1,6 +1,5 @@
 #include <charconv> // from_chars
 #include <sstream>  // ostringstream
-#include <utility>  // move
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -87,7 +86,7 @@
   command.putDocument.serviceName = service;
   command.putDocument.body = call.body;
   command.putDocument.ifVersion = ifVersion;
-  const auto reply = context_.Propose(std::move(command), kChangeTimeout);
+  const auto reply = context_.Propose(command, kChangeTimeout);
   if (!reply) {
     return MakeError(reply.error());
   }
@@ -113,7 +112,7 @@
   command.__isset.issueKey = true;
   command.issueKey.origin = OriginOf(call);
   command.issueKey.record = ToWire(key.record);
-  const auto reply = context_.Propose(std::move(command), kChangeTimeout);
+  const auto reply = context_.Propose(command, kChangeTimeout);
   if (!reply) {
     return MakeError(reply.error());
   }
@@ -158,7 +157,7 @@
   command.revokeKey.origin = OriginOf(call);
   command.revokeKey.account = account;
   command.revokeKey.keyId = keyId;
-  const auto reply = context_.Propose(std::move(command), kChangeTimeout);
+  const auto reply = context_.Propose(command, kChangeTimeout);
   if (!reply) {
     return MakeError(reply.error());
   }
@@ -203,7 +202,7 @@
       const auto code = replaced.error().code;
       const bool isRefused = code == ReplicationErrorCode::ChangeRefused;
       const bool isNotLeader = code == ReplicationErrorCode::NotLeader;
-      const auto converted = isRefused     ? ControlErrorCode::InvalidRequest
+      const auto converted = isRefused     ? ControlErrorCode::ReplaceRefused
                              : isNotLeader ? ControlErrorCode::NotLeader
                                            : ControlErrorCode::Unconfirmed;
       return MakeError({ converted, replaced.error().Describe() });
@@ -214,7 +213,7 @@
   command.replaceReplica.origin = OriginOf(call);
   command.replaceReplica.lostId = lostId;
   command.replaceReplica.newId = newId;
-  const auto reply = context_.Propose(std::move(command), kChangeTimeout);
+  const auto reply = context_.Propose(command, kChangeTimeout);
   if (!reply) {
     // The replica set was changed; only the audit entry is not certain.
     return MakeError({ ControlErrorCode::Unconfirmed, reply.error().Describe() });
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm> // min
 #include <chrono>    // ceil
-#include <utility>   // move
 
 #include "acaciapulley/control/detail/control_wire.hpp" // FromWire, ToWire
 
@@ -145,9 +144,9 @@
   context_.metrics.CountCall("acquire_tokens", "ok");
 }
 
-wire::CommandReply RpcHandler::Propose(std::string_view call, wire::ControlCommand command)
+wire::CommandReply RpcHandler::Propose(std::string_view call, const wire::ControlCommand& command)
 {
-  const auto proposed = context_.Propose(std::move(command), kClaimTimeout);
+  const auto proposed = context_.Propose(command, kClaimTimeout);
   if (!proposed) {
     if (proposed.error().code == ControlErrorCode::NotLeader) {
       ThrowNotLeader(call);
@@ -177,7 +176,7 @@
   }
   wire::ControlCommand command;
   command.__set_beginClaim(request);
-  reply = Propose("begin_claim", std::move(command)).claim;
+  reply = Propose("begin_claim", command).claim;
 }
 
 void RpcHandler::FinishClaim(const wire::FinishClaimRequest& request)
@@ -188,7 +187,7 @@
   }
   wire::ControlCommand command;
   command.__set_finishClaim(Trimmed(request));
-  Propose("finish_claim", std::move(command));
+  Propose("finish_claim", command);
 }
 
 void RpcHandler::ReleaseClaim(const wire::ReleaseClaimRequest& request)
@@ -199,7 +198,7 @@
   }
   wire::ControlCommand command;
   command.__set_releaseClaim(request);
-  Propose("release_claim", std::move(command));
+  Propose("release_claim", command);
 }
 
 } // namespace acp::detail
--- a/tests/control_test/operator_api_test.cpp
+++ b/tests/control_test/operator_api_test.cpp
@@ -4,6 +4,8 @@
 #include <string>     // string
 #include <vector>     // vector
 
+#include <fmt/format.h> // format
+
 #include "acaciapulley/control/detail/operator_api.hpp"
 #include "control_fixture.hpp"
 
@@ -269,7 +271,7 @@
   for (const std::string& text : { std::string(),
                                    hash,
                                    "sari:" + hash + "\nsari:" + std::string(64, 'b'),
-                                   "sari:" + hash + "\nbudi:" + hash,
+                                   fmt::format("sari:{0}\nbudi:{0}", hash),
                                    "sari:" + hash.substr(1),
                                    "Sari:" + hash }) {
     BOOST_TEST(!acp::OperatorDirectory::Parse(text).has_value());
