Estimate the division among accounts from more arrivals than the demand

Cause: within 250 ms a small account sends about two requests of a marginal priority, so its announced share jumped between nothing and everything.

--- a/include/acaciapulley/admission/threshold_controller.hpp
+++ b/include/acaciapulley/admission/threshold_controller.hpp
@@ -34,7 +34,9 @@
 /// the capacity: priorities in their order, the marginal one max-min fair among accounts.
 ///
 /// The demand before the callers' refusals is the arrival rate divided by the share that was
-/// announced; the capacity is limit / mean latency. Shares fall at once and rise step by step, so
+/// announced; the capacity is limit / mean latency. The demand of a priority follows within the
+/// memory, its division among accounts over more arrivals, or small accounts would get shares from
+/// a handful of requests. Shares fall at once and rise step by step, so
 /// that admission reopens within about a second without a new overload.
 ///
 /// Not thread-safe.
@@ -60,26 +62,30 @@
   [[nodiscard]] AdmissionThreshold For(const std::string& account) const;
 
 private:
+  // Demand before the callers' refusals is counted by adding 1 / share for each arrival.
   struct Demand
   {
     double weight = 1.0;
-    double arrivals = 0.0;     // decayed count
+    double mass = 0.0;         // decayed demand over the priority's composition memory
     double share = 1.0;        // announced now
-    double averageShare = 1.0; // announced over the memory
+    double appliedShare = 1.0; // that the arriving requests have passed, as far as known
   };
 
   struct Priority
   {
     std::map<std::string, Demand> accounts;
-    double cap = 1.0;   // bound on the announced share of this priority's demand
-    double share = 1.0; // average over accounts, for accounts that have sent nothing
+    double demand = 0.0;   // decayed demand of all accounts over the memory
+    double arrivals = 0.0; // decayed count over the memory
+    double mass = 0.0;     // sum over accounts
+    double cap = 1.0;      // bound on the announced share of this priority's demand
   };
 
-  void Decay(double keep);
+  void Decay(Duration elapsed);
+  void DecayComposition(Priority& priority, double elapsedSeconds) const;
   void Compute(double room);
-  void Divide(Priority& priority, double room, double demand);
-  [[nodiscard]] double DemandOf(const Demand& demand) const;
-  [[nodiscard]] double DemandOf(const Priority& priority) const;
+  void Divide(Priority& priority, double room) const;
+  [[nodiscard]] double RateOf(const Priority& priority) const;
+  [[nodiscard]] double RateOf(const Priority& priority, const Demand& demand) const;
 
   ThresholdControllerOptions options_;
   std::array<Priority, kPriorityCount> priorities_;
--- a/src/admission/threshold_controller.cpp
+++ b/src/admission/threshold_controller.cpp
@@ -1,7 +1,9 @@
 #include "acaciapulley/admission/threshold_controller.hpp"
 
-#include <algorithm> // clamp, max, min
+#include <algorithm> // clamp, max, min, sort
 #include <cmath>     // exp
+#include <utility>   // pair
+#include <vector>    // vector
 
 namespace acp {
 
@@ -17,8 +19,14 @@
 constexpr double kTrimStep = 0.02;
 constexpr double kTrimLowest = 0.8;
 constexpr double kTrimHighest = 1.5;
-// Accounts with fewer decayed arrivals than this are forgotten.
-constexpr double kForgottenArrivals = 0.01;
+// Accounts with less decayed demand than this are forgotten.
+constexpr double kForgottenMass = 0.01;
+// The division among accounts is estimated from about this many arrivals, but over no longer than
+// kLongestComposition, so that an account that grows is limited within a second.
+constexpr double kCompositionArrivals = 200.0;
+constexpr double kLongestComposition = 2.0;
+// Announced shares reach the callers with the next answers, within about a period.
+constexpr double kAppliedPerPeriod = 0.6;
 
 double Seconds(Duration span)
 {
@@ -38,12 +46,17 @@
   const int clamped = std::clamp(priority, 0, kPriorityCount - 1);
   Priority& level = priorities_[static_cast<std::size_t>(clamped)];
   auto [found, isNew] = level.accounts.try_emplace(options_.byAccount ? account : std::string());
+  Demand& demand = found->second;
   if (isNew) {
-    found->second.share = level.share;
-    found->second.averageShare = level.share;
+    demand.share = level.cap;
+    demand.appliedShare = level.cap;
   }
-  found->second.weight = options_.byAccount ? std::max(weight, 1e-3) : 1.0;
-  found->second.arrivals += 1.0;
+  demand.weight = options_.byAccount ? std::max(weight, 1e-3) : 1.0;
+  const double sent = 1.0 / std::max(demand.appliedShare, kSmallestShare);
+  demand.mass += sent;
+  level.mass += sent;
+  level.demand += sent;
+  level.arrivals += 1.0;
 }
 
 void ThresholdController::OnOverloadRefusal()
@@ -64,7 +77,7 @@
   }
   const Duration elapsed = now - lastUpdate_;
   lastUpdate_ = now;
-  Decay(std::exp(-Seconds(elapsed) / Seconds(options_.memory)));
+  Decay(elapsed);
   const bool isOverloaded = refusals_ > 0 || state.queueAge > options_.targetAge;
   const bool isIdle = refusals_ == 0 && state.inFlight < state.limit;
   refusals_ = 0;
@@ -84,34 +97,47 @@
   Compute(trim_ * state.limit / latency);
 }
 
-void ThresholdController::Decay(double keep)
+void ThresholdController::Decay(Duration elapsed)
 {
+  const double keep = std::exp(-Seconds(elapsed) / Seconds(options_.memory));
   latencySum_ *= keep;
   finished_ *= keep;
   for (Priority& priority : priorities_) {
-    for (auto next = priority.accounts.begin(); next != priority.accounts.end();) {
-      Demand& demand = next->second;
-      demand.arrivals *= keep;
-      demand.averageShare = keep * demand.averageShare + (1.0 - keep) * demand.share;
-      const bool isForgotten = demand.arrivals < kForgottenArrivals;
-      next = isForgotten ? priority.accounts.erase(next) : std::next(next);
+    priority.demand *= keep;
+    priority.arrivals *= keep;
+    DecayComposition(priority, Seconds(elapsed));
+  }
+}
+
+void ThresholdController::DecayComposition(Priority& priority, double elapsedSeconds) const
+{
+  const double shortest = Seconds(options_.memory);
+  const double rate = std::max(priority.arrivals / shortest, 1e-3);
+  const double span =
+    std::clamp(kCompositionArrivals / rate, shortest, std::max(shortest, kLongestComposition));
+  const double keep = std::exp(-elapsedSeconds / span);
+  priority.mass = 0.0;
+  for (auto next = priority.accounts.begin(); next != priority.accounts.end();) {
+    Demand& demand = next->second;
+    demand.mass *= keep;
+    demand.appliedShare += kAppliedPerPeriod * (demand.share - demand.appliedShare);
+    if (demand.mass < kForgottenMass) {
+      next = priority.accounts.erase(next);
+    } else {
+      priority.mass += demand.mass;
+      ++next;
     }
   }
 }
 
-double ThresholdController::DemandOf(const Demand& demand) const
+double ThresholdController::RateOf(const Priority& priority) const
 {
-  const double rate = demand.arrivals / Seconds(options_.memory);
-  return rate / std::max(demand.averageShare, kSmallestShare);
+  return priority.demand / Seconds(options_.memory);
 }
 
-double ThresholdController::DemandOf(const Priority& priority) const
+double ThresholdController::RateOf(const Priority& priority, const Demand& demand) const
 {
-  double sum = 0.0;
-  for (const auto& [name, demand] : priority.accounts) {
-    sum += DemandOf(demand);
-  }
-  return sum;
+  return priority.mass > 0.0 ? RateOf(priority) * demand.mass / priority.mass : 0.0;
 }
 
 void ThresholdController::Compute(double room)
@@ -123,16 +149,16 @@
     Priority& priority = priorities_[static_cast<std::size_t>(i)];
     if (isClosed) {
       priority.cap = 0.0;
-      Divide(priority, 0.0, 1.0);
+      Divide(priority, 0.0);
       continue;
     }
-    const double demand = DemandOf(priority);
+    const double demand = RateOf(priority);
     const double fits = demand > room ? room / demand : 1.0;
     const double risen = std::min(1.0, priority.cap * kRiseFactor + kRiseStep);
     // A priority that sends nothing opens at once, or it would delay the ones behind it. Its cap
     // still rises step by step when it was closed, because closing hides its demand.
     priority.cap = std::min(fits, risen);
-    Divide(priority, std::min(room, priority.cap * demand), demand);
+    Divide(priority, std::min(room, priority.cap * demand));
     room -= std::min(room, demand);
     if (priority.cap < 1.0) {
       marginal_ = i;
@@ -142,37 +168,29 @@
   }
 }
 
-void ThresholdController::Divide(Priority& priority, double room, double demand)
+void ThresholdController::Divide(Priority& priority, double room) const
 {
-  priority.share = priority.cap;
-  // Water level: the rate per weight that no account exceeds. Accounts below it keep their demand.
-  double level = 0.0;
-  double left = room;
+  std::vector<std::pair<double, const Demand*>> byNeed; // rate per weight
   double weights = 0.0;
   for (const auto& [name, account] : priority.accounts) {
+    byNeed.emplace_back(RateOf(priority, account) / account.weight, &account);
     weights += account.weight;
   }
-  std::map<double, const Demand*> byNeed;
-  for (const auto& [name, account] : priority.accounts) {
-    double need = DemandOf(account) / account.weight;
-    while (byNeed.contains(need)) {
-      need = std::nextafter(need, 1e300);
-    }
-    byNeed.emplace(need, &account);
-  }
+  std::sort(byNeed.begin(), byNeed.end());
+  // Water level: the rate per weight that no account exceeds. Accounts below it keep their demand.
+  double level = 0.0;
+  double left = room;
   for (const auto& [need, account] : byNeed) {
-    level = weights > 0.0 ? left / weights : 0.0;
+    level = left / weights;
     if (need >= level) {
       break;
     }
     left -= need * account->weight;
     weights -= account->weight;
-    level = need;
   }
   for (auto& [name, account] : priority.accounts) {
-    const double own = DemandOf(account);
-    const bool isKnown = own > 0.0 && demand > 0.0;
-    const double fair = isKnown ? std::min(1.0, level * account.weight / own) : priority.cap;
+    const double rate = RateOf(priority, account);
+    const double fair = rate > 0.0 ? std::min(1.0, level * account.weight / rate) : priority.cap;
     account.share = priority.cap >= 1.0 ? 1.0 : fair;
   }
 }
@@ -184,7 +202,7 @@
   }
   const Priority& priority = priorities_[static_cast<std::size_t>(marginal_)];
   const auto found = priority.accounts.find(options_.byAccount ? account : std::string());
-  const double share = found == priority.accounts.end() ? priority.share : found->second.share;
+  const double share = found == priority.accounts.end() ? priority.cap : found->second.share;
   return { .priority = marginal_, .share = share };
 }
 
