Serve an account that starts to wait in its first turn

Cause: a small account seldom waits, and each time it collected deficit over several rounds before its first request was served, often beyond the age bound.

--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -87,6 +87,9 @@
   AccountQueue& queue = found->second;
   if (isNew) {
     queue.weight = options_.byAccount ? std::max(request.weight, kSmallestWeight) : 1.0;
+    // Served in its first turn: an account that seldom waits would otherwise collect deficit over
+    // several rounds each time, while accounts that always wait keep theirs.
+    queue.deficit = 1.0;
     queue.turn = level.round.insert(level.round.end(), place.account);
     level.weightSum += queue.weight;
   }
