--- a/include/acaciapulley/admission/threshold_controller.hpp
+++ b/include/acaciapulley/admission/threshold_controller.hpp
@@ -82,7 +82,7 @@
 
   void Decay(Duration elapsed);
   void DecayComposition(Priority& priority, double elapsedSeconds) const;
-  void Compute(double room);
+  void Compute(double room, double idle);
   void Divide(Priority& priority, double room) const;
   [[nodiscard]] double RateOf(const Priority& priority) const;
   [[nodiscard]] double RateOf(const Priority& priority, const Demand& demand) const;
--- a/src/admission/threshold_controller.cpp
+++ b/src/admission/threshold_controller.cpp
@@ -15,6 +15,9 @@
 // 0.6 s from 0 to 1 with a period of 50 ms.
 constexpr double kRiseFactor = 1.5;
 constexpr double kRiseStep = 0.02;
+// Added to both at an idle upstream, in proportion to its free slots: there is room for errors.
+constexpr double kIdleRiseFactor = 1.5;
+constexpr double kIdleRiseStep = 0.08;
 // The trim moves by 2% a period. Its bounds keep a wrong latency estimate from closing the gate.
 constexpr double kTrimStep = 0.02;
 constexpr double kTrimLowest = 0.8;
@@ -94,7 +97,8 @@
   if (latency <= 0.0) {
     return;
   }
-  Compute(trim_ * state.limit / latency);
+  const double busy = static_cast<double>(state.inFlight) / std::max(1, state.limit);
+  Compute(trim_ * state.limit / latency, std::clamp(1.0 - busy, 0.0, 1.0));
 }
 
 void ThresholdController::Decay(Duration elapsed)
@@ -140,8 +144,10 @@
   return priority.mass > 0.0 ? RateOf(priority) * demand.mass / priority.mass : 0.0;
 }
 
-void ThresholdController::Compute(double room)
+void ThresholdController::Compute(double room, double idle)
 {
+  const double riseFactor = kRiseFactor + idle * kIdleRiseFactor;
+  const double riseStep = kRiseStep + idle * kIdleRiseStep;
   marginal_ = kPriorityCount - 1;
   isOpen_ = true;
   bool isClosed = false; // whether a more important priority has taken all room
@@ -154,7 +160,7 @@
     }
     const double demand = RateOf(priority);
     const double fits = demand > room ? room / demand : 1.0;
-    const double risen = std::min(1.0, priority.cap * kRiseFactor + kRiseStep);
+    const double risen = std::min(1.0, priority.cap * riseFactor + riseStep);
     // A priority that sends nothing opens at once, or it would delay the ones behind it. Its cap
     // still rises step by step when it was closed, because closing hides its demand.
     priority.cap = std::min(fits, risen);
