--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -89,6 +89,7 @@
   int fd_;
   std::string buffer_;
   std::size_t position_ = 0; ///< first byte of buffer_ not yet consumed
+  bool isReadable_ = false;  ///< a wait has just found input, so that the next read needs none
   std::uint64_t sentBytes_ = 0;
   TimePoint createdAt_;
   TimePoint lastReceive_;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -1,6 +1,10 @@
 #include "acaciapulley/node/node_process.hpp"
 
 #include <algorithm> // max
+#include <map>       // map
+#include <mutex>     // mutex
+#include <optional>  // optional
+#include <utility>   // move
 
 #include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
 #include "acaciapulley/node/sync_loop.hpp"            // SyncLoop
@@ -13,6 +17,62 @@
 
 constexpr int kAdminConnections = 16;
 
+/// Counts the requests of one listener. Series are looked up once, since a look-up takes locks.
+class ListenerMetrics
+{
+public:
+  ListenerMetrics(MetricsRegistry& metrics, std::string listener)
+    : metrics_(metrics)
+    , listener_(std::move(listener))
+    , seconds_(
+        metrics.Histogram("acp_request_seconds",
+                          "Time from the end of the request's head to the end of the answer.",
+                          { { "listener", listener_ } }))
+  {
+  }
+
+  void Count(const ServedRequest& served)
+  {
+    seconds_.Observe(std::chrono::duration<double>(served.time).count());
+    const Key key{ .status = served.status,
+                   .outcome = FromName<RequestOutcome>(served.outcome),
+                   .reason = FromName<Reason>(served.reason) };
+    const std::lock_guard lock(mutex_);
+    auto found = counters_.find(key);
+    if (found == counters_.end()) {
+      found = counters_.emplace(key, Find(key)).first;
+    }
+    found->second.Add();
+  }
+
+private:
+  /// Values outside the tables count as none: an upstream may send any text as its reason.
+  struct Key
+  {
+    int status = 0;
+    std::optional<RequestOutcome> outcome;
+    std::optional<Reason> reason;
+    auto operator<=>(const Key&) const = default;
+  };
+
+  MetricCounter Find(const Key& key)
+  {
+    const auto name = [](const auto& value) { return value ? std::string(NameOf(*value)) : ""; };
+    return metrics_.Counter("acp_requests_total",
+                            "Requests by listener, status and outcome.",
+                            { { "listener", listener_ },
+                              { "status", std::to_string(key.status) },
+                              { "outcome", name(key.outcome) },
+                              { "reason", name(key.reason) } });
+  }
+
+  MetricsRegistry& metrics_;
+  std::string listener_;
+  MetricHistogram seconds_;
+  std::mutex mutex_;
+  std::map<Key, MetricCounter> counters_;
+};
+
 } // namespace
 
 class NodeProcess::Impl
@@ -73,31 +133,8 @@
     return { .address = address,
              .maxConnections = maxConnections,
              .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
-             .onServed = [this, name](const ServedRequest& served) { Count(name, served); } };
-  }
-
-  /// Label values come from tables, since an upstream may send any text as its reason.
-  template<typename Enum>
-  static std::string KnownName(std::string_view name)
-  {
-    return name.empty() || FromName<Enum>(name) ? std::string(name) : "other";
-  }
-
-  void Count(const std::string& listener, const ServedRequest& served)
-  {
-    metrics_
-      .Counter("acp_requests_total",
-               "Requests by listener, status and outcome.",
-               { { "listener", listener },
-                 { "status", std::to_string(served.status) },
-                 { "outcome", KnownName<RequestOutcome>(served.outcome) },
-                 { "reason", KnownName<Reason>(served.reason) } })
-      .Add();
-    metrics_
-      .Histogram("acp_request_seconds",
-                 "Time from the end of the request's head to the end of the answer.",
-                 { { "listener", listener } })
-      .Observe(std::chrono::duration<double>(served.time).count());
+             .onServed = [counts = std::make_shared<ListenerMetrics>(metrics_, name)](
+                           const ServedRequest& served) { counts->Count(served); } };
   }
 
   void HandleAdmin(ServerExchange& exchange)
--- a/src/programs/acp-upstream/stub_upstream.cpp
+++ b/src/programs/acp-upstream/stub_upstream.cpp
@@ -183,7 +183,6 @@
     ReturnSlot();
     return;
   }
-  record_.NoteExecution(head);
   ServeInSlot(exchange, values);
 }
 
@@ -194,23 +193,35 @@
   exchange.Respond({ .status = 200 }, "ok\n");
 }
 
+/// Makes the nested calls, then does its own work. Before the first nested call has run nothing has
+/// had an effect, so that its refusal is passed on as this upstream's own.
 void StubUpstream::ServeInSlot(acp::ServerExchange& exchange, const BehaviourValues& values)
 {
-  bool isWanted = Work(ServiceTime(values), exchange);
-  while (isWanted && Happens(values.stall)) {
-    isWanted = Work(kCallTimeout, exchange);
-  }
   std::string log;
-  for (std::size_t i = 0; isWanted && i < nested_.size(); ++i) {
-    const std::string result = CallNested(nested_[i], exchange.Request());
-    log += result + "\n";
-    isWanted = !exchange.IsCallerGone();
-    if (!result.starts_with("200 ")) {
+  for (std::size_t i = 0; i < nested_.size(); ++i) {
+    const NestedResult result = CallNested(nested_[i], exchange.Request());
+    log += result.text + "\n";
+    if (i == 0 && !result.notRunReason.empty()) {
+      ReturnSlot();
+      RefuseNotRun(exchange, result.notRunReason);
+      return;
+    }
+    if (i == 0) {
+      record_.NoteExecution(exchange.Request());
+    }
+    if (!result.isGood) {
       ReturnSlot();
       exchange.Respond({ .status = 502 }, "nested call failed: " + log);
       return;
     }
   }
+  if (nested_.empty()) {
+    record_.NoteExecution(exchange.Request());
+  }
+  bool isWanted = !exchange.IsCallerGone() && Work(ServiceTime(values), exchange);
+  while (isWanted && Happens(values.stall)) {
+    isWanted = Work(kCallTimeout, exchange);
+  }
   ReturnSlot();
   if (!isWanted) {
     record_.NoteCancelled();
@@ -244,7 +255,8 @@
   exchange.RespondStreaming(head, isChunked ? -1 : length, body, nullptr);
 }
 
-std::string StubUpstream::CallNested(const NestedCall& call, const acp::HttpRequestHead& parent)
+StubUpstream::NestedResult StubUpstream::CallNested(const NestedCall& call,
+                                                    const acp::HttpRequestHead& parent)
 {
   acp::HttpRequestHead head{ .method = call.method, .target = call.target };
   for (const auto* name : { "Acp-Context", "Acp-Deadline-Ms" }) {
@@ -262,14 +274,21 @@
   acp::StringBody empty("");
   const auto sent = egress_.Send(head, empty, 0, kCallTimeout);
   if (!sent) {
-    return sent.error().Describe();
+    return { .text = sent.error().Describe() };
+  }
+  const auto& response = sent.value()->Response();
+  NestedResult result;
+  if (response.headers.Find("Acp-Outcome").value_or("") == "not-run") {
+    result.notRunReason = response.headers.Find("Acp-Reason").value_or("overloaded");
   }
   try {
     const auto body = acp::ReadAll(sent.value()->Body(), kMaxBodyBytes);
-    return fmt::format("{} {}", sent.value()->Response().status, body.value_or(""));
+    result.text = fmt::format("{} {}", response.status, body.value_or(""));
+    result.isGood = response.status == 200;
   } catch (const acp::BodyTruncated&) {
-    return "truncated";
+    result.text = "truncated";
   }
+  return result;
 }
 
 void StubUpstream::HandleAdmin(acp::ServerExchange& exchange)
--- a/src/programs/acp-upstream/stub_upstream.hpp
+++ b/src/programs/acp-upstream/stub_upstream.hpp
@@ -37,13 +37,21 @@
     std::string target;
   };
 
+  /// What became of a nested call.
+  struct NestedResult
+  {
+    std::string text; ///< status and body, or the error
+    std::string notRunReason;
+    bool isGood = false;
+  };
+
   bool TakeSlot(acp::TimePoint deadline, const acp::ServerExchange& exchange);
   void ReturnSlot();
   /// Waits for @p span in the slot; false when the caller left before its end.
   static bool Work(acp::Duration span, const acp::ServerExchange& exchange);
   [[nodiscard]] acp::Duration ServiceTime(const BehaviourValues& values) const;
   void ServeInSlot(acp::ServerExchange& exchange, const BehaviourValues& values);
-  std::string CallNested(const NestedCall& call, const acp::HttpRequestHead& parent);
+  NestedResult CallNested(const NestedCall& call, const acp::HttpRequestHead& parent);
   void Answer(acp::ServerExchange& exchange, const BehaviourValues& values, const std::string& log);
   void Probe(acp::ServerExchange& exchange);
 
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -4,6 +4,7 @@
 #include <array>     // array
 #include <cerrno>    // errno
 #include <cstring>   // memcpy
+#include <utility>   // exchange
 
 #include <Poco/Net/StreamSocket.h>
 #include <netinet/in.h>  // IPPROTO_TCP
@@ -90,9 +91,11 @@
   buffer_.erase(0, position_);
   position_ = 0;
   while (true) {
-    const IoStatus waited = WaitFor(POLLIN, deadline, isCancelled);
-    if (waited != IoStatus::Ok) {
-      return waited;
+    if (!std::exchange(isReadable_, false)) {
+      const IoStatus waited = WaitFor(POLLIN, deadline, isCancelled);
+      if (waited != IoStatus::Ok) {
+        return waited;
+      }
     }
     std::array<char, kReadBytes> bytes; // NOLINT(cppcoreguidelines-pro-type-member-init)
     const auto count = ::recv(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT);
@@ -213,7 +216,8 @@
       return IoStatus::Failed;
     }
     if (ready > 0) {
-      return entries[0].revents != 0 ? IoStatus::Ok : IoStatus::Cancelled;
+      isReadable_ = entries[0].revents != 0;
+      return isReadable_ ? IoStatus::Ok : IoStatus::Cancelled;
     }
     if (SteadyNow() >= deadline) {
       return IoStatus::TimedOut;
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,203 @@
+"""Starts and stops processes of a fleet on loopback, for the demo and the measurements."""
+
+import hashlib
+import http.client
+import json
+import os
+import re
+import secrets
+import socket
+import subprocess
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+KEY_PATTERN = re.compile(r"acp_[0-9a-f]{64}")
+START_SECONDS = 20
+STOP_SECONDS = 40
+
+
+class FleetError(Exception):
+    """A process did not start, or an operator's command failed."""
+
+
+def free_ports(count):
+    """Returns ports that were free a moment ago; all are held while the others are looked for."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [held.getsockname()[1] for held in sockets]
+    for held in sockets:
+        held.close()
+    return ports
+
+
+def get(port, path, headers=None, method="GET", timeout=5):
+    """Returns status, headers and body of one request."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, path, headers=headers or {})
+        response = connection.getresponse()
+        return response.status, response.headers, response.read().decode()
+    finally:
+        connection.close()
+
+
+class Node:
+    """A node and the stub upstream beside it."""
+
+    def __init__(self, name, service, data_centre):
+        self.name = name
+        self.service = service
+        self.data_centre = data_centre
+        ports = free_ports(6)
+        self.ingress, self.egress, self.peer, self.admin = ports[:4]
+        self.upstream, self.upstream_admin = ports[4:]
+        self.record_file = None
+        self.upstream_process = None
+
+    def stats(self):
+        return json.loads(get(self.upstream_admin, "/stats")[2])
+
+    def behave(self, settings):
+        status, _, body = get(self.upstream_admin, "/behaviour?" + settings, method="PUT")
+        if status != 200:
+            raise FleetError(f"{self.name} refused '{settings}': {body}")
+
+
+class Fleet:
+    """One control process and any number of nodes, with files in one folder."""
+
+    def __init__(self, folder, build):
+        self.folder = folder
+        self.bin = os.path.join(build, "src")
+        self.nodes = []
+        self.keys = {}
+        self.processes = []
+        self._secrets = os.path.join(folder, "fleet.secret")
+        self._operator_key = os.path.join(folder, "operator.key")
+        self._write(self._secrets, secrets.token_hex(32))
+        self._write(self._operator_key, secrets.token_hex(32))
+
+    def _write(self, path, text):
+        with open(path, "w", encoding="ascii") as file:
+            file.write(text)
+        os.chmod(path, 0o600)
+
+    def _start(self, name, program, *flags):
+        log = open(os.path.join(self.folder, name + ".log"), "w", encoding="utf-8")
+        command = [os.path.join(self.bin, program)] + [str(flag) for flag in flags]
+        process = subprocess.Popen(command, stdout=log, stderr=log)
+        log.close()
+        self.processes.append((name, process))
+        return process
+
+    def wait_for(self, what, check):
+        """Waits until @p check returns something true; errors of connecting count as false."""
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            for name, process in self.processes:
+                if process.poll() not in (None, 0):
+                    raise FleetError(f"{name} ended with {process.returncode}; see its log")
+            try:
+                if check():
+                    return
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(0.05)
+        raise FleetError(f"not within {START_SECONDS} s: {what}")
+
+    def start_control(self):
+        rpc, operator = free_ports(2)
+        self.control = f"127.0.0.1:{rpc}"
+        self.operator = f"127.0.0.1:{operator}"
+        with open(self._operator_key, encoding="ascii") as file:
+            digest = hashlib.sha256(file.read().encode()).hexdigest()
+        hash_file = os.path.join(self.folder, "operator.hash")
+        self._write(hash_file, digest)
+        self._start("control", "acp-control", "--rpc", self.control, "--operator", self.operator,
+                    "--operator-key-hash-file", hash_file)
+        self.wait_for("control answers", lambda: get(operator, "/healthz")[0] == 200)
+
+    def acpctl(self, *words):
+        command = [os.path.join(self.bin, "acpctl"), "--control", self.operator,
+                   "--operator-key-file", self._operator_key] + list(words)
+        done = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
+        if done.returncode != 0:
+            raise FleetError(f"acpctl {' '.join(words)}: {done.stderr.strip()}")
+        return done.stdout
+
+    def put_document(self, path):
+        self.acpctl("config", "put", path, "--if-version", "0")
+
+    def give_key(self, account):
+        """Issues a key and returns the file that holds it; the account's name is the file's."""
+        key = KEY_PATTERN.search(self.acpctl("key", "give", account)).group()
+        path = os.path.join(self.folder, account + ".key")
+        self._write(path, key)
+        self.keys[account] = key
+        return path
+
+    def start_node(self, name, service, data_centre, upstream_flags, records=True):
+        """Starts a node and, if it has a service, the upstream beside it.
+
+        With @p records the upstream writes all request heads to node.record_file.
+        """
+        node = Node(name, service, data_centre)
+        if records:
+            node.record_file = os.path.join(self.folder, name + ".requests")
+            upstream_flags = upstream_flags + ["--record-file", node.record_file]
+        self._start(
+            name, "acp-node", "--node-id", name, "--data-centre", data_centre,
+            "--fleet-secret-file", self._secrets, "--control", self.control,
+            "--ingress", f"127.0.0.1:{node.ingress}", "--egress", f"127.0.0.1:{node.egress}",
+            "--peer", f"127.0.0.1:{node.peer}", "--admin", f"127.0.0.1:{node.admin}")
+        if service:
+            node.upstream_process = self._start(
+                name + "-upstream", "acp-upstream", "--service", service,
+                "--listen", f"127.0.0.1:{node.upstream}", "--egress", f"127.0.0.1:{node.egress}",
+                "--admin", f"127.0.0.1:{node.upstream_admin}", *upstream_flags)
+        self.nodes.append(node)
+        return node
+
+    def wait_until_ready(self):
+        """Waits until each node is fresh and control knows each announced upstream."""
+        for node in self.nodes:
+            self.wait_for(f"{node.name} is fresh", lambda: get(node.admin, "/healthz")[0] == 200)
+        names = [node.name for node in self.nodes if node.service]
+        self.wait_for("all members are known",
+                      lambda: all(name in self.acpctl("members") for name in names))
+        # One more poll of each node passes the members on.
+        time.sleep(2.5)
+
+    def load(self, targets, path, *flags, key_files=()):
+        """Runs acp-load; returns its JSON result and its exit code."""
+        command = [os.path.join(self.bin, "acp-load"), "--json", "--path", path,
+                   "--target", ",".join(f"127.0.0.1:{port}" for port in targets)]
+        if key_files:
+            command += ["--key-file", ",".join(key_files)]
+        done = subprocess.run(command + [str(flag) for flag in flags], capture_output=True,
+                              text=True, timeout=180, check=False)
+        if done.returncode not in (0, 3):
+            raise FleetError(f"acp-load: {done.stderr.strip()}")
+        return json.loads(done.stdout), done.returncode
+
+    def stop(self):
+        """Ends all processes, those started last first; returns the names of unclean ends."""
+        for _, process in reversed(self.processes):
+            if process.poll() is None:
+                process.terminate()
+        unclean = []
+        deadline = time.monotonic() + STOP_SECONDS
+        for name, process in reversed(self.processes):
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+            if process.returncode != 0:
+                unclean.append(f"{name} ({process.returncode})")
+        return unclean
+
+
+def count_results(result, prefix):
+    """Returns how many results of a load, over all accounts, start with @p prefix."""
+    return sum(count for account in result["accounts"].values()
+               for name, count in account["results"].items() if name.startswith(prefix))
