--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -37,18 +37,6 @@
   6: list<string> revokedKeyIds
 }
 
-/// Counters of one service, class and account since the node's last accepted report.
-struct RecordRow {
-  1: string serviceName
-  2: string requestClass
-  3: string account
-  4: i64 offered
-  5: i64 completed
-  6: i64 failed
-  7: map<string, i64> refusedByReason
-  8: i64 refusedWithinRate
-}
-
 struct SyncRequest {
   1: string nodeId
   2: i64 epoch
@@ -56,7 +44,8 @@
   4: i64 membersVersion
   5: optional Member member
   6: i64 reportNumber
-  7: list<RecordRow> report
+  /// Lines that SerialiseRow wrote: counters since the node's last accepted report.
+  7: list<string> report
 }
 
 struct SyncReply {
--- a/include/acaciapulley/control/control_hooks.hpp
+++ b/include/acaciapulley/control/control_hooks.hpp
@@ -13,7 +13,6 @@
 #include "acaciapulley/core/clock.hpp"            // Duration
 
 namespace acp::wire {
-class RecordRow;
 class SyncRequest;
 class TokenReply;
 class TokenRequest;
--- a/include/acaciapulley/control/control_state.hpp
+++ b/include/acaciapulley/control/control_state.hpp
@@ -23,7 +23,7 @@
 
 /// Months of the record that are kept, and the most of it that is kept.
 inline constexpr std::chrono::milliseconds kRecordRetention = std::chrono::hours(24 * 62);
-inline constexpr std::size_t kMaxRecordRows = 65'536;
+inline constexpr std::size_t kMaxRecordRows = 524'288;
 
 /// A node that the log knows: it joined and is not lost.
 struct KnownNode
--- a/include/acaciapulley/node/detail/token_client.hpp
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Takes rate tokens for callers' requests and fetches more from control.
 
+#include <atomic>             // atomic
 #include <condition_variable> // condition_variable
 #include <memory>             // shared_ptr
 #include <mutex>              // mutex
@@ -73,6 +74,7 @@
 
   TokenClientOptions options_;
   TokenLeaseTable table_;
+  std::atomic<TimePoint> lastAnswer_{ TimePoint() };
   std::mutex mutex_;
   std::condition_variable answered_; ///< an answer arrived, or the client stops
   bool stopping_ = false;
--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -6,33 +6,19 @@
 #include <condition_variable> // condition_variable
 #include <cstdint>            // int64_t
 #include <functional>         // function
-#include <map>                // map
 #include <mutex>              // mutex
 #include <string>             // string
 #include <thread>             // thread
-#include <vector>             // vector
 
 #include "acaciapulley/core/clock.hpp"                // Clock
 #include "acaciapulley/node/local_upstream.hpp"       // LocalUpstream
 #include "acaciapulley/node/node_view.hpp"            // NodeView
+#include "acaciapulley/record/record_counters.hpp"    // RecordCounters
 #include "acaciapulley/routing/member_table.hpp"      // MemberTable
 #include "acaciapulley/transport/control_channel.hpp" // ControlChannel
 
 namespace acp {
 
-/// Counters of one service, class and account since the last report.
-struct ReportRow
-{
-  std::string service;
-  std::string requestClass;
-  std::string account;
-  std::int64_t offered = 0;
-  std::int64_t completed = 0;
-  std::int64_t failed = 0;
-  std::map<std::string, std::int64_t> refusedByReason;
-  std::int64_t refusedWithinRate = 0;
-};
-
 /// Construction options of a SyncLoop.
 struct SyncLoopOptions
 {
@@ -45,8 +31,7 @@
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
   MemberTable* members = nullptr;
-  /// Takes the counters since the last call. A report is sent again until control has accepted it.
-  std::function<std::vector<ReportRow>()> takeReport;
+  RecordCounters* record = nullptr; ///< reported until control has accepted it
   /// Called after each poll that reached control, to settle spent and returned tokens.
   std::function<void(ControlChannel& channel)> settleTokens;
 };
@@ -67,12 +52,9 @@
 private:
   void Run();
   bool PollOnce();
-  void PrepareReport();
 
   SyncLoopOptions options_;
   std::int64_t membersVersion_ = 0;
-  std::int64_t reportNumber_ = 0;
-  std::vector<ReportRow> report_; ///< sent and not yet accepted
   std::mutex mutex_;
   std::condition_variable wakeUp_;
   bool woken_ = false;
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -110,11 +110,10 @@
     using apache::thrift::protocol::TCompactProtocolFactory;
     using apache::thrift::server::TThreadedServer;
     using apache::thrift::transport::TFramedTransportFactory;
-    auto server =
-      std::make_unique<TThreadedServer>(MakeProcessor(options),
-                                        rpcSocket_,
-                                        std::make_shared<TFramedTransportFactory>(),
-                                        std::make_shared<TCompactProtocolFactory>());
+    auto server = std::make_unique<TThreadedServer>(MakeProcessor(options),
+                                                    rpcSocket_,
+                                                    std::make_shared<TFramedTransportFactory>(),
+                                                    std::make_shared<TCompactProtocolFactory>());
     server->setConcurrentClientLimit(kMaxRpcConnections);
     return server;
   }
--- /dev/null
+++ b/src/control/record_service.cpp
@@ -0,0 +1,201 @@
+#include "acaciapulley/control/record_service.hpp"
+
+#include <charconv> // from_chars
+#include <limits>   // numeric_limits
+#include <sstream>  // istringstream, ostringstream
+#include <utility>  // move
+
+#include <Poco/JSON/Object.h>
+#include <Poco/URI.h>
+
+#include "acaciapulley/core/log.hpp"      // Log
+#include "acaciapulley/record/report.hpp" // BuildReport
+#include "gen/ControlService.h"
+
+namespace acp {
+
+namespace {
+
+constexpr std::int64_t kHourMillis = 3'600'000;
+constexpr Duration kStoreInterval = std::chrono::seconds(60);
+
+std::int64_t HourOf(UnixMillis time)
+{
+  return CountMillis(time) / kHourMillis * kHourMillis;
+}
+
+/// What an operator asked for.
+struct ReportQuery
+{
+  std::string format = "text";
+  std::int64_t from = 0;
+  std::int64_t to = std::numeric_limits<std::int64_t>::max();
+};
+
+bool ReadNumber(const std::string& text, std::int64_t* number)
+{
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, *number);
+  return error == std::errc() && rest == end && !text.empty();
+}
+
+ControlResult<ReportQuery> ParseQuery(const std::string& text)
+{
+  ReportQuery query;
+  for (const auto& [name, value] : Poco::URI("/?" + text).getQueryParameters()) {
+    const bool isFormat =
+      name == "format" && (value == "text" || value == "json" || value == "gnuplot");
+    const bool isFrom = name == "from" && ReadNumber(value, &query.from);
+    const bool isTo = name == "to" && ReadNumber(value, &query.to);
+    if (isFormat) {
+      query.format = value;
+    } else if (!isFrom && !isTo) {
+      return Fail(ControlErrorCode::InvalidRequest,
+                  "'" + name + "=" + value + "' is not format=text|json|gnuplot, from=MS or to=MS");
+    }
+  }
+  return query;
+}
+
+std::string InObject(const std::string& text)
+{
+  Poco::JSON::Object object;
+  object.set("text", text);
+  std::ostringstream out;
+  object.stringify(out);
+  return out.str();
+}
+
+/// Rows and surges of one stored hour.
+void AppendLines(const std::string& lines,
+                 std::vector<TimedRow>& rows,
+                 std::vector<ServiceSurge>& surges)
+{
+  std::istringstream in(lines);
+  for (std::string line; std::getline(in, line);) {
+    const auto row = DeserialiseRow(line);
+    if (row) {
+      rows.push_back(row.value());
+      continue;
+    }
+    const auto surge = DeserialiseSurge(line);
+    if (surge) {
+      surges.push_back(surge.value());
+    }
+  }
+}
+
+} // namespace
+
+RecordService::RecordService(const Clock& clock)
+  : clock_(clock)
+{
+}
+
+std::int64_t RecordService::Accept(const wire::SyncRequest& request)
+{
+  NodeReport report{ .number = request.reportNumber };
+  for (const auto& line : request.report) {
+    const auto row = DeserialiseRow(line);
+    if (!row) {
+      Log(LogLevel::Warning,
+          "report_row_rejected",
+          { { "node", request.nodeId }, { "error", row.error().Describe() } });
+      continue;
+    }
+    report.from = row.value().start;
+    report.to = ToUnixMillis(CountMillis(report.from) + row.value().spanMillis);
+    report.rows.push_back({ .key = row.value().key, .counts = row.value().counts });
+  }
+  const std::lock_guard lock(mutex_);
+  return collector_.Accept(request.nodeId, request.epoch, report);
+}
+
+void RecordService::TakeFinished(UnixMillis now)
+{
+  for (auto& row : collector_.TakeFinished(now)) {
+    Hour& hour = hours_[HourOf(row.start)];
+    hour.rows.push_back(std::move(row));
+    hour.rows = MergeRows(hour.rows, kHourMillis);
+    hour.isDirty = true;
+  }
+  for (const auto& surge : collector_.TakeFinishedSurges(now)) {
+    Hour& hour = hours_[HourOf(surge.surge.start)];
+    hour.surges.push_back(SerialiseSurge(surge));
+    hour.isDirty = true;
+  }
+}
+
+std::string RecordService::Lines(const Hour& hour)
+{
+  std::string lines;
+  for (const auto& row : hour.rows) {
+    lines += SerialiseRow(row) + "\n";
+  }
+  for (const auto& surge : hour.surges) {
+    lines += surge + "\n";
+  }
+  return lines;
+}
+
+std::optional<RecordToStore> RecordService::Collect(bool wasStored)
+{
+  const std::lock_guard lock(mutex_);
+  if (sent_ && !wasStored) {
+    hours_[*sent_].isDirty = true;
+  }
+  sent_.reset();
+  TakeFinished(clock_.WallNow());
+  if (sentAt_ && clock_.Now() - *sentAt_ < kStoreInterval) {
+    return std::nullopt;
+  }
+  for (auto& [start, hour] : hours_) {
+    if (!hour.isDirty) {
+      continue;
+    }
+    hour.isDirty = false;
+    sent_ = start;
+    sentAt_ = clock_.Now();
+    return RecordToStore{ .hourMs = start, .rows = Lines(hour) };
+  }
+  // Reports of an earlier hour arrive at most minutes late.
+  std::erase_if(hours_, [this](const auto& item) {
+    return item.first + 2 * kHourMillis < CountMillis(clock_.WallNow());
+  });
+  return std::nullopt;
+}
+
+ControlResult<std::string> RecordService::Answer(const ControlState& state,
+                                                 const std::string& query)
+{
+  const auto parsed = ParseQuery(query);
+  if (!parsed) {
+    return boost::outcome_v2::failure(parsed.error());
+  }
+  const auto& asked = parsed.value();
+  std::vector<TimedRow> rows;
+  std::vector<ServiceSurge> surges;
+  for (const auto& stored : state.Record(ToUnixMillis(asked.from), ToUnixMillis(asked.to))) {
+    AppendLines(stored.rows, rows, surges);
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& row : collector_.CurrentRows()) {
+      if (CountMillis(row.start) >= asked.from && CountMillis(row.start) < asked.to) {
+        rows.push_back(row);
+      }
+    }
+    for (const auto& [service, series] : collector_.Series()) {
+      for (const auto& surge : FindSurges(series)) {
+        surges.push_back({ service, surge });
+      }
+    }
+  }
+  const Report report = BuildReport(rows, surges);
+  if (asked.format == "json") {
+    return ReportJson(report);
+  }
+  return InObject(asked.format == "text" ? ReportText(report) : ReportGnuplot(report));
+}
+
+} // namespace acp
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -98,8 +98,8 @@
   const Leadership leadership = context_.CurrentLeadership();
   const TimePoint now = context_.clock.Now();
   NodePoll report{ .nodeId = request.nodeId,
-                     .epoch = request.epoch,
-                     .stateVersion = request.stateVersion };
+                   .epoch = request.epoch,
+                   .stateVersion = request.stateVersion };
   if (request.__isset.member) {
     report.member = FromWire(request.member);
     report.member->nodeId = request.nodeId;
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -839,262 +839,6 @@
 }
 
 
-RecordRow::~RecordRow() noexcept {
-}
-
-
-void RecordRow::__set_serviceName(const std::string& val) {
-  this->serviceName = val;
-}
-
-void RecordRow::__set_requestClass(const std::string& val) {
-  this->requestClass = val;
-}
-
-void RecordRow::__set_account(const std::string& val) {
-  this->account = val;
-}
-
-void RecordRow::__set_offered(const int64_t val) {
-  this->offered = val;
-}
-
-void RecordRow::__set_completed(const int64_t val) {
-  this->completed = val;
-}
-
-void RecordRow::__set_failed(const int64_t val) {
-  this->failed = val;
-}
-
-void RecordRow::__set_refusedByReason(const std::map<std::string, int64_t> & val) {
-  this->refusedByReason = val;
-}
-
-void RecordRow::__set_refusedWithinRate(const int64_t val) {
-  this->refusedWithinRate = val;
-}
-std::ostream& operator<<(std::ostream& out, const RecordRow& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t RecordRow::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->serviceName);
-          this->__isset.serviceName = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->requestClass);
-          this->__isset.requestClass = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->account);
-          this->__isset.account = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->offered);
-          this->__isset.offered = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->completed);
-          this->__isset.completed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->failed);
-          this->__isset.failed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
-          {
-            this->refusedByReason.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _ktype27;
-            ::apache::thrift::protocol::TType _vtype28;
-            xfer += iprot->readMapBegin(_ktype27, _vtype28, _size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
-            {
-              std::string _key31;
-              xfer += iprot->readString(_key31);
-              int64_t& _val32 = this->refusedByReason[_key31];
-              xfer += iprot->readI64(_val32);
-            }
-            xfer += iprot->readMapEnd();
-          }
-          this->__isset.refusedByReason = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->refusedWithinRate);
-          this->__isset.refusedWithinRate = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t RecordRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RecordRow");
-
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->serviceName);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("requestClass", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->requestClass);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->account);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("offered", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->offered);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->completed);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("failed", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->failed);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("refusedByReason", ::apache::thrift::protocol::T_MAP, 7);
-  {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refusedByReason.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter33;
-    for (_iter33 = this->refusedByReason.begin(); _iter33 != this->refusedByReason.end(); ++_iter33)
-    {
-      xfer += oprot->writeString(_iter33->first);
-      xfer += oprot->writeI64(_iter33->second);
-    }
-    xfer += oprot->writeMapEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("refusedWithinRate", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->refusedWithinRate);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(RecordRow &a, RecordRow &b) {
-  using ::std::swap;
-  swap(a.serviceName, b.serviceName);
-  swap(a.requestClass, b.requestClass);
-  swap(a.account, b.account);
-  swap(a.offered, b.offered);
-  swap(a.completed, b.completed);
-  swap(a.failed, b.failed);
-  swap(a.refusedByReason, b.refusedByReason);
-  swap(a.refusedWithinRate, b.refusedWithinRate);
-  swap(a.__isset, b.__isset);
-}
-
-RecordRow::RecordRow(const RecordRow& other34) {
-  serviceName = other34.serviceName;
-  requestClass = other34.requestClass;
-  account = other34.account;
-  offered = other34.offered;
-  completed = other34.completed;
-  failed = other34.failed;
-  refusedByReason = other34.refusedByReason;
-  refusedWithinRate = other34.refusedWithinRate;
-  __isset = other34.__isset;
-}
-RecordRow& RecordRow::operator=(const RecordRow& other35) {
-  serviceName = other35.serviceName;
-  requestClass = other35.requestClass;
-  account = other35.account;
-  offered = other35.offered;
-  completed = other35.completed;
-  failed = other35.failed;
-  refusedByReason = other35.refusedByReason;
-  refusedWithinRate = other35.refusedWithinRate;
-  __isset = other35.__isset;
-  return *this;
-}
-void RecordRow::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "RecordRow(";
-  out << "serviceName=" << to_string(serviceName);
-  out << ", " << "requestClass=" << to_string(requestClass);
-  out << ", " << "account=" << to_string(account);
-  out << ", " << "offered=" << to_string(offered);
-  out << ", " << "completed=" << to_string(completed);
-  out << ", " << "failed=" << to_string(failed);
-  out << ", " << "refusedByReason=" << to_string(refusedByReason);
-  out << ", " << "refusedWithinRate=" << to_string(refusedWithinRate);
-  out << ")";
-}
-
-
 SyncRequest::~SyncRequest() noexcept {
 }
 
@@ -1124,7 +868,7 @@
   this->reportNumber = val;
 }
 
-void SyncRequest::__set_report(const std::vector<RecordRow> & val) {
+void SyncRequest::__set_report(const std::vector<std::string> & val) {
   this->report = val;
 }
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
@@ -1207,14 +951,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->report.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->report.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->report.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->report[_i40].read(iprot);
+              xfer += iprot->readString(this->report[_i30]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1267,11 +1011,11 @@
 
   xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_LIST, 7);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->report.size()));
-    std::vector<RecordRow> ::const_iterator _iter41;
-    for (_iter41 = this->report.begin(); _iter41 != this->report.end(); ++_iter41)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->report.size()));
+    std::vector<std::string> ::const_iterator _iter31;
+    for (_iter31 = this->report.begin(); _iter31 != this->report.end(); ++_iter31)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += oprot->writeString((*_iter31));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1294,25 +1038,25 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncRequest::SyncRequest(const SyncRequest& other42) {
-  nodeId = other42.nodeId;
-  epoch = other42.epoch;
-  stateVersion = other42.stateVersion;
-  membersVersion = other42.membersVersion;
-  member = other42.member;
-  reportNumber = other42.reportNumber;
-  report = other42.report;
-  __isset = other42.__isset;
-}
-SyncRequest& SyncRequest::operator=(const SyncRequest& other43) {
-  nodeId = other43.nodeId;
-  epoch = other43.epoch;
-  stateVersion = other43.stateVersion;
-  membersVersion = other43.membersVersion;
-  member = other43.member;
-  reportNumber = other43.reportNumber;
-  report = other43.report;
-  __isset = other43.__isset;
+SyncRequest::SyncRequest(const SyncRequest& other32) {
+  nodeId = other32.nodeId;
+  epoch = other32.epoch;
+  stateVersion = other32.stateVersion;
+  membersVersion = other32.membersVersion;
+  member = other32.member;
+  reportNumber = other32.reportNumber;
+  report = other32.report;
+  __isset = other32.__isset;
+}
+SyncRequest& SyncRequest::operator=(const SyncRequest& other33) {
+  nodeId = other33.nodeId;
+  epoch = other33.epoch;
+  stateVersion = other33.stateVersion;
+  membersVersion = other33.membersVersion;
+  member = other33.member;
+  reportNumber = other33.reportNumber;
+  report = other33.report;
+  __isset = other33.__isset;
   return *this;
 }
 void SyncRequest::printTo(std::ostream& out) const {
@@ -1420,14 +1164,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->members.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->members.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->members[_i48].read(iprot);
+              xfer += this->members[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1480,10 +1224,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter49;
-    for (_iter49 = this->members.begin(); _iter49 != this->members.end(); ++_iter49)
+    std::vector<Member> ::const_iterator _iter39;
+    for (_iter39 = this->members.begin(); _iter39 != this->members.end(); ++_iter39)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1509,23 +1253,23 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other50) {
-  ageMs = other50.ageMs;
-  delta = other50.delta;
-  membersIncluded = other50.membersIncluded;
-  membersVersion = other50.membersVersion;
-  members = other50.members;
-  acceptedReportNumber = other50.acceptedReportNumber;
-  __isset = other50.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other51) {
-  ageMs = other51.ageMs;
-  delta = other51.delta;
-  membersIncluded = other51.membersIncluded;
-  membersVersion = other51.membersVersion;
-  members = other51.members;
-  acceptedReportNumber = other51.acceptedReportNumber;
-  __isset = other51.__isset;
+SyncReply::SyncReply(const SyncReply& other40) {
+  ageMs = other40.ageMs;
+  delta = other40.delta;
+  membersIncluded = other40.membersIncluded;
+  membersVersion = other40.membersVersion;
+  members = other40.members;
+  acceptedReportNumber = other40.acceptedReportNumber;
+  __isset = other40.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other41) {
+  ageMs = other41.ageMs;
+  delta = other41.delta;
+  membersIncluded = other41.membersIncluded;
+  membersVersion = other41.membersVersion;
+  members = other41.members;
+  acceptedReportNumber = other41.acceptedReportNumber;
+  __isset = other41.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -1769,31 +1513,31 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenAsk::TokenAsk(const TokenAsk& other52) {
-  serviceName = other52.serviceName;
-  account = other52.account;
-  number = other52.number;
-  term = other52.term;
-  received = other52.received;
-  spent = other52.spent;
-  returned = other52.returned;
-  spentAgeMicros = other52.spentAgeMicros;
-  needed = other52.needed;
-  wanted = other52.wanted;
-  __isset = other52.__isset;
+TokenAsk::TokenAsk(const TokenAsk& other42) {
+  serviceName = other42.serviceName;
+  account = other42.account;
+  number = other42.number;
+  term = other42.term;
+  received = other42.received;
+  spent = other42.spent;
+  returned = other42.returned;
+  spentAgeMicros = other42.spentAgeMicros;
+  needed = other42.needed;
+  wanted = other42.wanted;
+  __isset = other42.__isset;
 }
-TokenAsk& TokenAsk::operator=(const TokenAsk& other53) {
-  serviceName = other53.serviceName;
-  account = other53.account;
-  number = other53.number;
-  term = other53.term;
-  received = other53.received;
-  spent = other53.spent;
-  returned = other53.returned;
-  spentAgeMicros = other53.spentAgeMicros;
-  needed = other53.needed;
-  wanted = other53.wanted;
-  __isset = other53.__isset;
+TokenAsk& TokenAsk::operator=(const TokenAsk& other43) {
+  serviceName = other43.serviceName;
+  account = other43.account;
+  number = other43.number;
+  term = other43.term;
+  received = other43.received;
+  spent = other43.spent;
+  returned = other43.returned;
+  spentAgeMicros = other43.spentAgeMicros;
+  needed = other43.needed;
+  wanted = other43.wanted;
+  __isset = other43.__isset;
   return *this;
 }
 void TokenAsk::printTo(std::ostream& out) const {
@@ -1876,14 +1620,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->asks.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->asks.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->asks[_i58].read(iprot);
+              xfer += this->asks[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1920,10 +1664,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<TokenAsk> ::const_iterator _iter59;
-    for (_iter59 = this->asks.begin(); _iter59 != this->asks.end(); ++_iter59)
+    std::vector<TokenAsk> ::const_iterator _iter49;
+    for (_iter49 = this->asks.begin(); _iter49 != this->asks.end(); ++_iter49)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1942,17 +1686,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenRequest::TokenRequest(const TokenRequest& other60) {
-  nodeId = other60.nodeId;
-  epoch = other60.epoch;
-  asks = other60.asks;
-  __isset = other60.__isset;
+TokenRequest::TokenRequest(const TokenRequest& other50) {
+  nodeId = other50.nodeId;
+  epoch = other50.epoch;
+  asks = other50.asks;
+  __isset = other50.__isset;
 }
-TokenRequest& TokenRequest::operator=(const TokenRequest& other61) {
-  nodeId = other61.nodeId;
-  epoch = other61.epoch;
-  asks = other61.asks;
-  __isset = other61.__isset;
+TokenRequest& TokenRequest::operator=(const TokenRequest& other51) {
+  nodeId = other51.nodeId;
+  epoch = other51.epoch;
+  asks = other51.asks;
+  __isset = other51.__isset;
   return *this;
 }
 void TokenRequest::printTo(std::ostream& out) const {
@@ -2142,25 +1886,25 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenAnswer::TokenAnswer(const TokenAnswer& other62) noexcept {
-  term = other62.term;
-  number = other62.number;
-  granted = other62.granted;
-  leaseMicros = other62.leaseMicros;
-  retryAfterMicros = other62.retryAfterMicros;
-  settleWithinMicros = other62.settleWithinMicros;
-  errorCode = other62.errorCode;
-  __isset = other62.__isset;
+TokenAnswer::TokenAnswer(const TokenAnswer& other52) noexcept {
+  term = other52.term;
+  number = other52.number;
+  granted = other52.granted;
+  leaseMicros = other52.leaseMicros;
+  retryAfterMicros = other52.retryAfterMicros;
+  settleWithinMicros = other52.settleWithinMicros;
+  errorCode = other52.errorCode;
+  __isset = other52.__isset;
 }
-TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other63) noexcept {
-  term = other63.term;
-  number = other63.number;
-  granted = other63.granted;
-  leaseMicros = other63.leaseMicros;
-  retryAfterMicros = other63.retryAfterMicros;
-  settleWithinMicros = other63.settleWithinMicros;
-  errorCode = other63.errorCode;
-  __isset = other63.__isset;
+TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other53) noexcept {
+  term = other53.term;
+  number = other53.number;
+  granted = other53.granted;
+  leaseMicros = other53.leaseMicros;
+  retryAfterMicros = other53.retryAfterMicros;
+  settleWithinMicros = other53.settleWithinMicros;
+  errorCode = other53.errorCode;
+  __isset = other53.__isset;
   return *this;
 }
 void TokenAnswer::printTo(std::ostream& out) const {
@@ -2216,14 +1960,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->answers.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->answers.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->answers[_i68].read(iprot);
+              xfer += this->answers[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2252,10 +1996,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<TokenAnswer> ::const_iterator _iter69;
-    for (_iter69 = this->answers.begin(); _iter69 != this->answers.end(); ++_iter69)
+    std::vector<TokenAnswer> ::const_iterator _iter59;
+    for (_iter59 = this->answers.begin(); _iter59 != this->answers.end(); ++_iter59)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2272,13 +2016,13 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenReply::TokenReply(const TokenReply& other70) {
-  answers = other70.answers;
-  __isset = other70.__isset;
+TokenReply::TokenReply(const TokenReply& other60) {
+  answers = other60.answers;
+  __isset = other60.__isset;
 }
-TokenReply& TokenReply::operator=(const TokenReply& other71) {
-  answers = other71.answers;
-  __isset = other71.__isset;
+TokenReply& TokenReply::operator=(const TokenReply& other61) {
+  answers = other61.answers;
+  __isset = other61.__isset;
   return *this;
 }
 void TokenReply::printTo(std::ostream& out) const {
@@ -2398,17 +2142,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimKey::ClaimKey(const ClaimKey& other72) {
-  account = other72.account;
-  serviceName = other72.serviceName;
-  idempotencyKey = other72.idempotencyKey;
-  __isset = other72.__isset;
+ClaimKey::ClaimKey(const ClaimKey& other62) {
+  account = other62.account;
+  serviceName = other62.serviceName;
+  idempotencyKey = other62.idempotencyKey;
+  __isset = other62.__isset;
 }
-ClaimKey& ClaimKey::operator=(const ClaimKey& other73) {
-  account = other73.account;
-  serviceName = other73.serviceName;
-  idempotencyKey = other73.idempotencyKey;
-  __isset = other73.__isset;
+ClaimKey& ClaimKey::operator=(const ClaimKey& other63) {
+  account = other63.account;
+  serviceName = other63.serviceName;
+  idempotencyKey = other63.idempotencyKey;
+  __isset = other63.__isset;
   return *this;
 }
 void ClaimKey::printTo(std::ostream& out) const {
@@ -2564,21 +2308,21 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other74) {
-  key = other74.key;
-  attemptId = other74.attemptId;
-  nodeId = other74.nodeId;
-  fingerprint = other74.fingerprint;
-  deadlineMs = other74.deadlineMs;
-  __isset = other74.__isset;
-}
-BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other75) {
-  key = other75.key;
-  attemptId = other75.attemptId;
-  nodeId = other75.nodeId;
-  fingerprint = other75.fingerprint;
-  deadlineMs = other75.deadlineMs;
-  __isset = other75.__isset;
+BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other64) {
+  key = other64.key;
+  attemptId = other64.attemptId;
+  nodeId = other64.nodeId;
+  fingerprint = other64.fingerprint;
+  deadlineMs = other64.deadlineMs;
+  __isset = other64.__isset;
+}
+BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other65) {
+  key = other65.key;
+  attemptId = other65.attemptId;
+  nodeId = other65.nodeId;
+  fingerprint = other65.fingerprint;
+  deadlineMs = other65.deadlineMs;
+  __isset = other65.__isset;
   return *this;
 }
 void BeginClaimRequest::printTo(std::ostream& out) const {
@@ -2736,21 +2480,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other76) {
-  status = other76.status;
-  contentType = other76.contentType;
-  body = other76.body;
-  bodyKept = other76.bodyKept;
-  bodyDigest = other76.bodyDigest;
-  __isset = other76.__isset;
-}
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other77) {
-  status = other77.status;
-  contentType = other77.contentType;
-  body = other77.body;
-  bodyKept = other77.bodyKept;
-  bodyDigest = other77.bodyDigest;
-  __isset = other77.__isset;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other66) {
+  status = other66.status;
+  contentType = other66.contentType;
+  body = other66.body;
+  bodyKept = other66.bodyKept;
+  bodyDigest = other66.bodyDigest;
+  __isset = other66.__isset;
+}
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other67) {
+  status = other67.status;
+  contentType = other67.contentType;
+  body = other67.body;
+  bodyKept = other67.bodyKept;
+  bodyDigest = other67.bodyDigest;
+  __isset = other67.__isset;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -2807,9 +2551,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast78;
-          xfer += iprot->readI32(ecast78);
-          this->state = static_cast<ClaimState::type>(ecast78);
+          int32_t ecast68;
+          xfer += iprot->readI32(ecast68);
+          this->state = static_cast<ClaimState::type>(ecast68);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2861,15 +2605,15 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimReply::BeginClaimReply(const BeginClaimReply& other79) {
-  state = other79.state;
-  outcome = other79.outcome;
-  __isset = other79.__isset;
+BeginClaimReply::BeginClaimReply(const BeginClaimReply& other69) {
+  state = other69.state;
+  outcome = other69.outcome;
+  __isset = other69.__isset;
 }
-BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other80) {
-  state = other80.state;
-  outcome = other80.outcome;
-  __isset = other80.__isset;
+BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other70) {
+  state = other70.state;
+  outcome = other70.outcome;
+  __isset = other70.__isset;
   return *this;
 }
 void BeginClaimReply::printTo(std::ostream& out) const {
@@ -3009,19 +2753,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other81) {
-  key = other81.key;
-  attemptId = other81.attemptId;
-  outcome = other81.outcome;
-  outcomeUnknown = other81.outcomeUnknown;
-  __isset = other81.__isset;
+FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other71) {
+  key = other71.key;
+  attemptId = other71.attemptId;
+  outcome = other71.outcome;
+  outcomeUnknown = other71.outcomeUnknown;
+  __isset = other71.__isset;
 }
-FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other82) {
-  key = other82.key;
-  attemptId = other82.attemptId;
-  outcome = other82.outcome;
-  outcomeUnknown = other82.outcomeUnknown;
-  __isset = other82.__isset;
+FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other72) {
+  key = other72.key;
+  attemptId = other72.attemptId;
+  outcome = other72.outcome;
+  outcomeUnknown = other72.outcomeUnknown;
+  __isset = other72.__isset;
   return *this;
 }
 void FinishClaimRequest::printTo(std::ostream& out) const {
@@ -3127,15 +2871,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other83) {
-  key = other83.key;
-  attemptId = other83.attemptId;
-  __isset = other83.__isset;
+ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other73) {
+  key = other73.key;
+  attemptId = other73.attemptId;
+  __isset = other73.__isset;
 }
-ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other84) {
-  key = other84.key;
-  attemptId = other84.attemptId;
-  __isset = other84.__isset;
+ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other74) {
+  key = other74.key;
+  attemptId = other74.attemptId;
+  __isset = other74.__isset;
   return *this;
 }
 void ReleaseClaimRequest::printTo(std::ostream& out) const {
@@ -3222,13 +2966,13 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other85) : TException() {
-  leaderRpcAddress = other85.leaderRpcAddress;
-  __isset = other85.__isset;
+NotLeader::NotLeader(const NotLeader& other75) : TException() {
+  leaderRpcAddress = other75.leaderRpcAddress;
+  __isset = other75.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other86) {
-  leaderRpcAddress = other86.leaderRpcAddress;
-  __isset = other86.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other76) {
+  leaderRpcAddress = other76.leaderRpcAddress;
+  __isset = other76.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -3342,15 +3086,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlFailure::ControlFailure(const ControlFailure& other87) : TException() {
-  code = other87.code;
-  message = other87.message;
-  __isset = other87.__isset;
+ControlFailure::ControlFailure(const ControlFailure& other77) : TException() {
+  code = other77.code;
+  message = other77.message;
+  __isset = other77.__isset;
 }
-ControlFailure& ControlFailure::operator=(const ControlFailure& other88) {
-  code = other88.code;
-  message = other88.message;
-  __isset = other88.__isset;
+ControlFailure& ControlFailure::operator=(const ControlFailure& other78) {
+  code = other78.code;
+  message = other78.message;
+  __isset = other78.__isset;
   return *this;
 }
 void ControlFailure::printTo(std::ostream& out) const {
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -46,8 +46,6 @@
 
 class StateDelta;
 
-class RecordRow;
-
 class SyncRequest;
 
 class SyncReply;
@@ -371,97 +369,6 @@
 
 std::ostream& operator<<(std::ostream& out, const StateDelta& obj);
 
-typedef struct _RecordRow__isset {
-  _RecordRow__isset() : serviceName(false), requestClass(false), account(false), offered(false), completed(false), failed(false), refusedByReason(false), refusedWithinRate(false) {}
-  bool serviceName :1;
-  bool requestClass :1;
-  bool account :1;
-  bool offered :1;
-  bool completed :1;
-  bool failed :1;
-  bool refusedByReason :1;
-  bool refusedWithinRate :1;
-} _RecordRow__isset;
-
-class RecordRow : public virtual ::apache::thrift::TBase {
- public:
-
-  RecordRow(const RecordRow&);
-  RecordRow& operator=(const RecordRow&);
-  RecordRow() noexcept
-            : serviceName(),
-              requestClass(),
-              account(),
-              offered(0),
-              completed(0),
-              failed(0),
-              refusedWithinRate(0) {
-  }
-
-  virtual ~RecordRow() noexcept;
-  std::string serviceName;
-  std::string requestClass;
-  std::string account;
-  int64_t offered;
-  int64_t completed;
-  int64_t failed;
-  std::map<std::string, int64_t>  refusedByReason;
-  int64_t refusedWithinRate;
-
-  _RecordRow__isset __isset;
-
-  void __set_serviceName(const std::string& val);
-
-  void __set_requestClass(const std::string& val);
-
-  void __set_account(const std::string& val);
-
-  void __set_offered(const int64_t val);
-
-  void __set_completed(const int64_t val);
-
-  void __set_failed(const int64_t val);
-
-  void __set_refusedByReason(const std::map<std::string, int64_t> & val);
-
-  void __set_refusedWithinRate(const int64_t val);
-
-  bool operator == (const RecordRow & rhs) const
-  {
-    if (!(serviceName == rhs.serviceName))
-      return false;
-    if (!(requestClass == rhs.requestClass))
-      return false;
-    if (!(account == rhs.account))
-      return false;
-    if (!(offered == rhs.offered))
-      return false;
-    if (!(completed == rhs.completed))
-      return false;
-    if (!(failed == rhs.failed))
-      return false;
-    if (!(refusedByReason == rhs.refusedByReason))
-      return false;
-    if (!(refusedWithinRate == rhs.refusedWithinRate))
-      return false;
-    return true;
-  }
-  bool operator != (const RecordRow &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const RecordRow & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(RecordRow &a, RecordRow &b);
-
-std::ostream& operator<<(std::ostream& out, const RecordRow& obj);
-
 typedef struct _SyncRequest__isset {
   _SyncRequest__isset() : nodeId(false), epoch(false), stateVersion(false), membersVersion(false), member(false), reportNumber(false), report(false) {}
   bool nodeId :1;
@@ -493,7 +400,7 @@
   int64_t membersVersion;
   Member member;
   int64_t reportNumber;
-  std::vector<RecordRow>  report;
+  std::vector<std::string>  report;
 
   _SyncRequest__isset __isset;
 
@@ -509,7 +416,7 @@
 
   void __set_reportNumber(const int64_t val);
 
-  void __set_report(const std::vector<RecordRow> & val);
+  void __set_report(const std::vector<std::string> & val);
 
   bool operator == (const SyncRequest & rhs) const
   {
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -8,6 +8,7 @@
 
 #include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
 #include "acaciapulley/node/sync_loop.hpp"            // SyncLoop
+#include "acaciapulley/record/record_counters.hpp"    // RecordCounters
 #include "acaciapulley/transport/control_channel.hpp" // ControlChannel
 #include "acaciapulley/transport/metrics.hpp"         // MetricsRegistry
 
@@ -81,6 +82,7 @@
   explicit Impl(const NodeProcessOptions& options)
     : epoch_(CountMillis(options.clock->WallNow()))
     , clock_(*options.clock)
+    , record_(options.clock->WallNow())
     , control_({ .replicas = options.control })
     , pipeline_({ .nodeId = options.nodeId,
                   .epoch = epoch_,
@@ -92,7 +94,8 @@
                   .upstream = &upstream_,
                   .members = &members_,
                   .control = [this](const auto& call) { return control_.Call(call); },
-                  .onAnnounced = [this] { sync_.Wake(); } })
+                  .onAnnounced = [this] { sync_.Wake(); },
+                  .onEnded = [this](const EndedRequest& ended) { Record(ended); } })
     , sync_({ .nodeId = options.nodeId,
               .epoch = epoch_,
               .dataCentre = options.dataCentre,
@@ -101,7 +104,8 @@
               .clock = options.clock,
               .view = &view_,
               .upstream = &upstream_,
-              .members = &members_ })
+              .members = &members_,
+              .record = &record_ })
     , peer_(Listener("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer))
     , egress_(
         Listener("egress", options.egress, options.maxConnections, &RequestPipeline::HandleEgress))
@@ -142,6 +146,23 @@
                            const ServedRequest& served) { counts->Count(served); } };
   }
 
+  void Record(const EndedRequest& ended)
+  {
+    if (ended.requestClass.empty()) {
+      return;
+    }
+    const RecordKey key{ ended.service, ended.requestClass, ended.account };
+    record_.Offered(key);
+    if (ended.outcome == RequestOutcome::NotRun) {
+      // Control was out of reach, so nobody has found the account above its rate.
+      record_.Refused(key, ended.reason, ended.reason == Reason::RateUnavailable);
+    } else if (ended.outcome == RequestOutcome::Ran) {
+      record_.Completed(key, ended.latency);
+    } else {
+      record_.Failed(key);
+    }
+  }
+
   void HandleAdmin(ServerExchange& exchange)
   {
     const bool isFresh = view_.IsFresh(clock_.Now(), kKeyedFreshness);
@@ -181,6 +202,7 @@
   NodeView view_;
   LocalUpstream upstream_;
   MemberTable members_;
+  RecordCounters record_;
   ControlChannel control_;
   RequestPipeline pipeline_;
   SyncLoop sync_;
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -55,23 +55,17 @@
   return routed;
 }
 
-std::vector<wire::RecordRow> ToWire(const std::vector<ReportRow>& report)
+std::vector<std::string> ToWire(const NodeReport& report)
 {
-  std::vector<wire::RecordRow> rows;
-  rows.reserve(report.size());
-  for (const auto& entry : report) {
-    wire::RecordRow row;
-    row.serviceName = entry.service;
-    row.requestClass = entry.requestClass;
-    row.account = entry.account;
-    row.offered = entry.offered;
-    row.completed = entry.completed;
-    row.failed = entry.failed;
-    row.refusedByReason = entry.refusedByReason;
-    row.refusedWithinRate = entry.refusedWithinRate;
-    rows.push_back(row);
+  std::vector<std::string> lines;
+  lines.reserve(report.rows.size());
+  for (const auto& row : report.rows) {
+    lines.push_back(SerialiseRow({ .start = report.from,
+                                   .spanMillis = CountMillis(report.to) - CountMillis(report.from),
+                                   .key = row.key,
+                                   .counts = row.counts }));
   }
-  return rows;
+  return lines;
 }
 
 wire::Member ToWire(const SyncLoopOptions& options, const Announcement& announced)
@@ -134,25 +128,16 @@
   }
 }
 
-void SyncLoop::PrepareReport()
-{
-  if (!report_.empty() || !options_.takeReport) {
-    return;
-  }
-  report_ = options_.takeReport();
-  reportNumber_ += report_.empty() ? 0 : 1;
-}
-
 bool SyncLoop::PollOnce()
 {
-  PrepareReport();
   wire::SyncRequest request;
   request.nodeId = options_.nodeId;
   request.epoch = options_.epoch;
   request.stateVersion = options_.view->Version();
   request.membersVersion = membersVersion_;
-  request.reportNumber = reportNumber_;
-  request.report = ToWire(report_);
+  const NodeReport report = options_.record->CurrentReport(options_.clock->WallNow());
+  request.reportNumber = report.number;
+  request.report = ToWire(report);
   if (const auto announced = options_.upstream->Current()) {
     request.__set_member(ToWire(options_, *announced));
   }
@@ -166,9 +151,7 @@
     Log(LogLevel::Warning, "poll_failed", { { "error", done.error().Describe() } });
     return false;
   }
-  if (reply.acceptedReportNumber >= reportNumber_) {
-    report_.clear();
-  }
+  options_.record->Accepted(reply.acceptedReportNumber);
   options_.view->Apply(FromWire(reply.delta), askedAt - std::chrono::milliseconds(reply.ageMs));
   if (reply.membersIncluded) {
     membersVersion_ = reply.membersVersion;
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -118,6 +118,10 @@
       return NotRun(
         429, Reason::RateExceeded, "the client account's rate is used up", taken.retryAfter);
     }
+    if (now >= giveUpAt && lastAnswer_.load() >= now - kLongestWait) {
+      return NotRun(
+        429, Reason::RateExceeded, "the client account's rate is used up", taken.retryAfter);
+    }
     if (now >= giveUpAt) {
       return NotRun(503,
                     Reason::RateUnavailable,
@@ -153,6 +157,7 @@
     }
     return;
   }
+  lastAnswer_ = now;
   for (std::size_t i = 0; i < asks.size(); ++i) {
     if (reply.answers[i].errorCode == 0) {
       table_.OnAnswer(asks[i].key, FromWire(reply.answers[i]), now);
--- a/src/programs/acp-control/main.cpp
+++ b/src/programs/acp-control/main.cpp
@@ -6,6 +6,7 @@
 
 #include "acaciapulley/control/control_service.hpp" // ControlProcess
 #include "acaciapulley/control/rate_service.hpp"    // RateService
+#include "acaciapulley/control/record_service.hpp"  // RecordService
 #include "acaciapulley/core/log.hpp"                // Log
 #include "acaciapulley/transport/process.hpp"       // BlockStopSignals, WaitForStopSignal
 #include "acaciapulley/transport/settings.hpp"      // Settings
@@ -38,6 +39,12 @@
   hooks.acquireTokens = [&rates](auto& reply, const auto& request, const auto& leadership) {
     return rates.Acquire(reply, request, leadership);
   };
+  acp::RecordService record(clock);
+  hooks.acceptReport = [&record](const auto& request) { return record.Accept(request); };
+  hooks.collectRecord = [&record](bool wasStored) { return record.Collect(wasStored); };
+  hooks.report = [&record](const auto& reported, const auto& query) {
+    return record.Answer(reported, query);
+  };
   acp::ControlProcess process({ .rpcAddress = settings.GetAddress("rpc"),
                                 .operatorAddress = settings.GetAddress("operator"),
                                 .operators = operators,
--- a/src/programs/acp-control/open_log.cpp
+++ b/src/programs/acp-control/open_log.cpp
@@ -11,7 +11,8 @@
 
 void AddLogSettings(Settings& settings)
 {
-  settings.AddText("data-folder", "folder of this replica's log; needs a disk", Settings::kRequired);
+  settings.AddText(
+    "data-folder", "folder of this replica's log; needs a disk", Settings::kRequired);
   settings.AddAddresses("replicas", "rpc addresses of all replicas, this one included", "");
   settings.AddSwitch("bootstrap", "let empty replicas form a new cluster when all are empty");
 }
@@ -26,21 +27,21 @@
   if (std::find(replicas.begin(), replicas.end(), self) == replicas.end()) {
     throw std::runtime_error("--replicas does not contain --rpc " + self.ToString());
   }
-  auto started = Replica::Start(
-    { .clock = &clock,
-      .dataFolder = settings.GetText("data-folder"),
-      .rpcAddress = self,
-      .operatorAddress = settings.GetText("operator"),
-      .replicaAddresses = replicas,
-      .bootstrap = settings.GetSwitch("bootstrap"),
-      .ownListener = false,
-      .onFailure =
-        [](const ReplicationError& error) {
-          Log(LogLevel::Error, "replica_failed", { { "error", error.Describe() } });
-          // A replica that cannot use its disk must not answer any more.
-          std::raise(SIGTERM);
-        } },
-    state);
+  auto started =
+    Replica::Start({ .clock = &clock,
+                     .dataFolder = settings.GetText("data-folder"),
+                     .rpcAddress = self,
+                     .operatorAddress = settings.GetText("operator"),
+                     .replicaAddresses = replicas,
+                     .bootstrap = settings.GetSwitch("bootstrap"),
+                     .ownListener = false,
+                     .onFailure =
+                       [](const ReplicationError& error) {
+                         Log(LogLevel::Error, "replica_failed", { { "error", error.Describe() } });
+                         // A replica that cannot use its disk must not answer any more.
+                         std::raise(SIGTERM);
+                       } },
+                   state);
   if (!started) {
     throw std::runtime_error(started.error().Describe());
   }
--- a/src/programs/acpctl/commands.cpp
+++ b/src/programs/acpctl/commands.cpp
@@ -35,7 +35,8 @@
   "  audit [--from N] [--follow]        who changed what\n"
   "  control status                     control replicas\n"
   "  control replace LOST-ID NEW-ID     give a lost replica's vote to one that has caught up\n"
-  "  report [NAME=VALUE...]             the monthly record\n"
+  "  report [text|json|gnuplot] [from=MS] [to=MS]\n"
+  "                                     the monthly record; times are Unix milliseconds\n"
   "\n"
   "Exit codes:\n"
   "  0  done\n"
@@ -347,13 +348,23 @@
               });
 }
 
+/// `report [text|json|gnuplot] [from=MS] [to=MS]`
 ExitCode Report(Session& session, const Words& words)
 {
+  std::string format = session.IsJson() ? "json" : "text";
   std::string query;
   for (std::size_t i = 1; i < words.size(); ++i) {
-    query += (query.empty() ? "?" : "&") + words[i];
+    if (words[i].find('=') == std::string::npos) {
+      format = words[i];
+    } else {
+      query += "&" + words[i];
+    }
   }
-  return Send(session, { .target = "/v1/report" + query }, [](const auto& object) {
+  return Send(session, { .target = "/v1/report?format=" + format + query }, [](const auto& object) {
+    if (object->has("text")) {
+      fmt::print("{}", object->template getValue<std::string>("text"));
+      return;
+    }
     std::ostringstream text;
     object->stringify(text, 2);
     fmt::print("{}\n", text.str());
