--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -30,8 +30,11 @@
 
 std::string ControlState::TakeSnapshot() const
 {
-  const std::shared_lock lock(impl_->mutex);
-  return detail::EncodeWire(impl_->Take());
+  return detail::EncodeWire([this] {
+    // Readers go on while the copy is made; the log's thread goes on while it is encoded.
+    const std::shared_lock lock(impl_->mutex);
+    return impl_->Take();
+  }());
 }
 
 bool ControlState::Restore(const std::string& snapshot)
