Forget demand faster while the upstream is idle

Cause: after a surge of 10x the demand estimate stayed above the capacity for 0.6 s, so shares could not rise although slots were free.

--- a/include/acaciapulley/admission/threshold_controller.hpp
+++ b/include/acaciapulley/admission/threshold_controller.hpp
@@ -74,18 +74,19 @@
   struct Priority
   {
     std::map<std::string, Demand> accounts;
-    double demand = 0.0;   // decayed demand of all accounts over the memory
-    double arrivals = 0.0; // decayed count over the memory
-    double mass = 0.0;     // sum over accounts
-    double cap = 1.0;      // bound on the announced share of this priority's demand
+    double sent = 0.0;        // demand since the last computation
+    double arrived = 0.0;     // arrivals since the last computation
+    double rate = 0.0;        // demand per second, averaged over the memory
+    double arrivalRate = 0.0; // arrivals per second, averaged over the memory
+    double mass = 0.0;        // sum over accounts
+    double cap = 1.0;         // bound on the announced share of this priority's demand
   };
 
-  void Decay(Duration elapsed);
+  void Average(double elapsedSeconds, double idle);
   void DecayComposition(Priority& priority, double elapsedSeconds) const;
   void Compute(double room, double idle);
-  void Divide(Priority& priority, double room) const;
-  [[nodiscard]] double RateOf(const Priority& priority) const;
-  [[nodiscard]] double RateOf(const Priority& priority, const Demand& demand) const;
+  static void Divide(Priority& priority, double room);
+  [[nodiscard]] static double RateOf(const Priority& priority, const Demand& demand);
 
   ThresholdControllerOptions options_;
   std::array<Priority, kPriorityCount> priorities_;
--- a/src/admission/threshold_controller.cpp
+++ b/src/admission/threshold_controller.cpp
@@ -18,6 +18,9 @@
 // Added to both at an idle upstream, in proportion to its free slots: there is room for errors.
 constexpr double kIdleRiseFactor = 1.5;
 constexpr double kIdleRiseStep = 0.08;
+// The memory of the demand is up to this much shorter at an idle upstream. It would otherwise
+// remember a surge of 10x as more than the capacity for 0.6 s after its end.
+constexpr double kIdleForgetting = 3.0;
 // The trim moves by 2% a period. Its bounds keep a wrong latency estimate from closing the gate.
 constexpr double kTrimStep = 0.02;
 constexpr double kTrimLowest = 0.8;
@@ -58,8 +61,8 @@
   const double sent = 1.0 / std::max(demand.appliedShare, kSmallestShare);
   demand.mass += sent;
   level.mass += sent;
-  level.demand += sent;
-  level.arrivals += 1.0;
+  level.sent += sent;
+  level.arrived += 1.0;
 }
 
 void ThresholdController::OnOverloadRefusal()
@@ -80,7 +83,9 @@
   }
   const Duration elapsed = now - lastUpdate_;
   lastUpdate_ = now;
-  Decay(elapsed);
+  const double busy = static_cast<double>(state.inFlight) / std::max(1, state.limit);
+  const double idle = std::clamp(1.0 - busy, 0.0, 1.0);
+  Average(Seconds(elapsed), isOpen_ ? 0.0 : idle);
   const bool isOverloaded = refusals_ > 0 || state.queueAge > options_.targetAge;
   const bool isIdle = refusals_ == 0 && state.inFlight < state.limit;
   refusals_ = 0;
@@ -97,26 +102,31 @@
   if (latency <= 0.0) {
     return;
   }
-  const double busy = static_cast<double>(state.inFlight) / std::max(1, state.limit);
-  Compute(trim_ * state.limit / latency, std::clamp(1.0 - busy, 0.0, 1.0));
+  Compute(trim_ * state.limit / latency, idle);
 }
 
-void ThresholdController::Decay(Duration elapsed)
+void ThresholdController::Average(double elapsedSeconds, double idle)
 {
-  const double keep = std::exp(-Seconds(elapsed) / Seconds(options_.memory));
+  const double memory = Seconds(options_.memory);
+  const double keep = std::exp(-elapsedSeconds / memory);
   latencySum_ *= keep;
   finished_ *= keep;
+  const double keepDemand = std::exp(-elapsedSeconds * (1.0 + idle * kIdleForgetting) / memory);
   for (Priority& priority : priorities_) {
-    priority.demand *= keep;
-    priority.arrivals *= keep;
-    DecayComposition(priority, Seconds(elapsed));
+    priority.rate =
+      keepDemand * priority.rate + (1.0 - keepDemand) * priority.sent / elapsedSeconds;
+    priority.arrivalRate =
+      keep * priority.arrivalRate + (1.0 - keep) * priority.arrived / elapsedSeconds;
+    priority.sent = 0.0;
+    priority.arrived = 0.0;
+    DecayComposition(priority, elapsedSeconds);
   }
 }
 
 void ThresholdController::DecayComposition(Priority& priority, double elapsedSeconds) const
 {
   const double shortest = Seconds(options_.memory);
-  const double rate = std::max(priority.arrivals / shortest, 1e-3);
+  const double rate = std::max(priority.arrivalRate, 1e-3);
   const double span =
     std::clamp(kCompositionArrivals / rate, shortest, std::max(shortest, kLongestComposition));
   const double keep = std::exp(-elapsedSeconds / span);
@@ -134,14 +144,9 @@
   }
 }
 
-double ThresholdController::RateOf(const Priority& priority) const
-{
-  return priority.demand / Seconds(options_.memory);
-}
-
-double ThresholdController::RateOf(const Priority& priority, const Demand& demand) const
+double ThresholdController::RateOf(const Priority& priority, const Demand& demand)
 {
-  return priority.mass > 0.0 ? RateOf(priority) * demand.mass / priority.mass : 0.0;
+  return priority.mass > 0.0 ? priority.rate * demand.mass / priority.mass : 0.0;
 }
 
 void ThresholdController::Compute(double room, double idle)
@@ -158,7 +163,7 @@
       Divide(priority, 0.0);
       continue;
     }
-    const double demand = RateOf(priority);
+    const double demand = priority.rate;
     const double fits = demand > room ? room / demand : 1.0;
     const double risen = std::min(1.0, priority.cap * riseFactor + riseStep);
     // A priority that sends nothing opens at once, or it would delay the ones behind it. Its cap
@@ -174,7 +179,7 @@
   }
 }
 
-void ThresholdController::Divide(Priority& priority, double room) const
+void ThresholdController::Divide(Priority& priority, double room)
 {
   std::vector<std::pair<double, const Demand*>> byNeed; // rate per weight
   double weights = 0.0;
