--- /dev/null
+++ b/tests/scenarios/host/lua_binding.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+/// @file
+/// What a binding file needs: registration, objects with methods, and tables with fields.
+
+#include <cstdint> // int64_t
+#include <memory>  // shared_ptr
+#include <new>     // placement new
+#include <string>  // string
+#include <utility> // move
+
+#include <lua.hpp> // lua_State
+
+#include "acaciapulley/core/clock.hpp" // Duration, TimePoint
+
+namespace acp::scenario {
+
+/// Registers a binding at program start. Each binding file holds one object of this type.
+class Binding
+{
+public:
+  /// @param name global name of the library in scripts
+  /// @param functions functions of the library, ended by { nullptr, nullptr }
+  Binding(const char* name, const luaL_Reg* functions);
+
+  /// @brief Adds all registered libraries to @p lua.
+  static void OpenAll(lua_State* lua);
+
+private:
+  const char* name_;
+  const luaL_Reg* functions_;
+  Binding* next_;
+};
+
+/// Objects of type T in scripts; several script values may share one object.
+template<typename T>
+class Object
+{
+public:
+  /// @brief Pushes @p value as an object with @p methods, ended by { nullptr, nullptr }.
+  static int Push(lua_State* lua,
+                  const char* type,
+                  const luaL_Reg* methods,
+                  std::shared_ptr<T> value)
+  {
+    void* memory = lua_newuserdatauv(lua, sizeof(std::shared_ptr<T>), 0);
+    new (memory) std::shared_ptr<T>(std::move(value));
+    if (luaL_newmetatable(lua, type) != 0) {
+      lua_newtable(lua);
+      luaL_setfuncs(lua, methods, 0);
+      lua_setfield(lua, -2, "__index");
+      lua_pushcfunction(lua, Collect);
+      lua_setfield(lua, -2, "__gc");
+    }
+    lua_setmetatable(lua, -2);
+    return 1;
+  }
+
+  /// @brief Returns the object at @p index; a script error when it is of another type.
+  static const std::shared_ptr<T>& Get(lua_State* lua, int index, const char* type)
+  {
+    return *static_cast<std::shared_ptr<T>*>(luaL_checkudata(lua, index, type));
+  }
+
+private:
+  static int Collect(lua_State* lua)
+  {
+    using Pointer = std::shared_ptr<T>;
+    static_cast<Pointer*>(lua_touserdata(lua, 1))->~Pointer();
+    return 0;
+  }
+};
+
+/// @brief Returns the moment that a script writes as seconds since the start.
+[[nodiscard]] TimePoint TimeAt(lua_State* lua, int index);
+
+/// @brief Returns a span that a script writes in seconds.
+[[nodiscard]] Duration SpanAt(lua_State* lua, int index);
+
+/// @brief Returns @p span in seconds, as scripts read it.
+[[nodiscard]] double ToSeconds(Duration span);
+
+/// @brief Returns a span written in seconds.
+[[nodiscard]] Duration FromSeconds(double seconds);
+
+/// Fields of the table at one index; absent fields give the default.
+class Fields
+{
+public:
+  Fields(lua_State* lua, int index);
+
+  [[nodiscard]] double Number(const char* name, double standard = 0) const;
+  [[nodiscard]] std::int64_t Integer(const char* name, std::int64_t standard = 0) const;
+  [[nodiscard]] bool Boolean(const char* name, bool standard) const;
+  [[nodiscard]] std::string String(const char* name) const;
+
+private:
+  lua_State* lua_;
+  int index_;
+};
+
+/// @brief Sets a field of the table on top of the stack.
+void SetNumber(lua_State* lua, const char* name, double value);
+void SetInteger(lua_State* lua, const char* name, std::int64_t value);
+void SetString(lua_State* lua, const char* name, const std::string& value);
+
+/// @brief Pushes nil and an error's description; for `return Failure(...)`.
+int Failure(lua_State* lua, const std::string& description);
+
+} // namespace acp::scenario
