Run the demo on three control replicas

Cause: the demo's fleet started one control process without a data folder, and the scenario host used the control state's calls of before it became a state machine.

--- a/tests/scenarios/host/bind_state.cpp
+++ b/tests/scenarios/host/bind_state.cpp
@@ -4,8 +4,11 @@
 #include "lua_binding.hpp"
 
 #include "acaciapulley/accounts/key_table.hpp"
+#include "acaciapulley/config/service_document.hpp"
 #include "acaciapulley/control/control_state.hpp"
+#include "acaciapulley/control/detail/wire_codec.hpp"
 #include "acaciapulley/node/node_view.hpp"
+#include "gen/command_types.h"
 
 namespace acp::scenario {
 
@@ -26,23 +29,63 @@
   return *Object<NodeView>::Get(lua, 1, kView);
 }
 
+/// Applies @p command as the next committed entry; a new request id makes it a new change.
+wire::CommandReply ApplyCommand(lua_State* lua, wire::ControlCommand command)
+{
+  static std::uint64_t entries = 0;
+  ++entries;
+  command.formatVersion = kControlFormat;
+  const CommittedEntry entry{ .position = { .term = 1, .index = entries },
+                              .time = ToUnixMillis(static_cast<std::int64_t>(entries)),
+                              .command = detail::EncodeWire(command) };
+  wire::CommandReply reply;
+  detail::DecodeWire(Control(lua).Apply(entry), &reply);
+  return reply;
+}
+
+wire::OperatorRequest NewRequest()
+{
+  static int requests = 0;
+  wire::OperatorRequest request;
+  request.operatorName = "scenario";
+  request.requestId = "request-" + std::to_string(++requests);
+  return request;
+}
+
 int PutDocument(lua_State* lua)
 {
-  const auto version =
-    Control(lua).PutDocument(luaL_checkstring(lua, 2), luaL_checkinteger(lua, 3));
-  if (!version) {
-    return Failure(lua, version.error().Describe());
+  const std::string body = luaL_checkstring(lua, 2);
+  const auto document = ServiceDocument::Parse(body);
+  if (!document) {
+    return Failure(lua, document.error().Describe());
+  }
+  wire::ControlCommand command;
+  command.__isset.putDocument = true;
+  command.putDocument.origin = NewRequest();
+  command.putDocument.serviceName = document.value().Service();
+  command.putDocument.body = body;
+  command.putDocument.ifVersion = luaL_checkinteger(lua, 3);
+  const auto reply = ApplyCommand(lua, command);
+  if (reply.errorCode != 0) {
+    return Failure(lua, reply.message);
   }
-  lua_pushinteger(lua, version.value());
+  lua_pushinteger(lua, command.putDocument.ifVersion + 1);
   return 1;
 }
 
 int IssueKey(lua_State* lua)
 {
   const NewKey key = MakeKey(luaL_checkstring(lua, 2), ToUnixMillis(1));
-  const auto issued = Control(lua).IssueKey(key.record);
-  if (!issued) {
-    return Failure(lua, issued.error().Describe());
+  wire::ControlCommand command;
+  command.__isset.issueKey = true;
+  command.issueKey.origin = NewRequest();
+  command.issueKey.record.id = key.record.id;
+  command.issueKey.record.hash = key.record.hash;
+  command.issueKey.record.account = key.record.account;
+  command.issueKey.record.issuedAtMs = CountMillis(key.record.issuedAt);
+  const auto reply = ApplyCommand(lua, command);
+  if (reply.errorCode != 0) {
+    return Failure(lua, reply.message);
   }
   lua_pushlstring(lua, key.text.data(), key.text.size());
   lua_pushlstring(lua, key.record.id.data(), key.record.id.size());
@@ -51,14 +94,31 @@
 
 int RevokeKey(lua_State* lua)
 {
-  const auto revoked = Control(lua).RevokeKey(luaL_checkstring(lua, 2));
-  if (!revoked) {
-    return Failure(lua, revoked.error().Describe());
+  wire::ControlCommand command;
+  command.__isset.revokeKey = true;
+  command.revokeKey.origin = NewRequest();
+  command.revokeKey.keyId = luaL_checkstring(lua, 2);
+  for (const auto& record : Control(lua).Keys("")) {
+    if (record.id == command.revokeKey.keyId) {
+      command.revokeKey.account = record.account;
+    }
+  }
+  const auto reply = ApplyCommand(lua, command);
+  if (reply.errorCode != 0) {
+    return Failure(lua, reply.message);
   }
   lua_pushboolean(lua, 1);
   return 1;
 }
 
+/// A replica that restored this one's snapshot.
+int CopyControl(lua_State* lua)
+{
+  auto copy = std::make_shared<ControlState>();
+  copy->Restore(Control(lua).TakeSnapshot());
+  return Object<ControlState>::Push(lua, kControl, kNoMethods, std::move(copy));
+}
+
 int ChangesSince(lua_State* lua)
 {
   auto changes =
@@ -112,13 +172,7 @@
                                            lua_pushinteger(state, Control(state).Version());
                                            return 1;
                                          } },
-                                       { "copy",
-                                         [](lua_State* state) {
-                                           auto copy =
-                                             std::make_shared<ControlState>(Control(state));
-                                           return Object<ControlState>::Push(
-                                             state, kControl, kNoMethods, std::move(copy));
-                                         } },
+                                       { "copy", CopyControl },
                                        { nullptr, nullptr } };
   return Object<ControlState>::Push(lua, kControl, kMethods, std::make_shared<ControlState>());
 }
--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -330,7 +330,7 @@
         for node in started.nodes:
             print(f"{node.name:<16} {node.data_centre:<10} ingress 127.0.0.1:{node.ingress} "
                   f"admin 127.0.0.1:{node.admin}")
-        print(f"control {started.operator}, logs and keys in {folder}, to end all:\n  kill "
+        print(f"control (operators) {started.operator}, logs and keys in {folder}, to end all:\n  kill "
               + " ".join(str(process.pid) for _, process in started.processes))
     elif table.all_right():
         shutil.rmtree(folder)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -63,7 +63,7 @@
 
 
 class Fleet:
-    """One control process and any number of nodes, with files in one folder."""
+    """Three control replicas and any number of nodes, with files in one folder."""
 
     def __init__(self, folder, build):
         self.folder = folder
@@ -99,22 +99,31 @@
             try:
                 if check():
                     return
-            except (OSError, http.client.HTTPException):
+            except (OSError, http.client.HTTPException, FleetError):
                 pass
             time.sleep(0.05)
         raise FleetError(f"not within {START_SECONDS} s: {what}")
 
-    def start_control(self):
-        rpc, operator = free_ports(2)
-        self.control = f"127.0.0.1:{rpc}"
-        self.operator = f"127.0.0.1:{operator}"
+    def start_control(self, replicas=3):
+        ports = free_ports(2 * replicas)
+        self.rpc = [f"127.0.0.1:{port}" for port in ports[:replicas]]
+        self.operators = [f"127.0.0.1:{port}" for port in ports[replicas:]]
+        self.control = ",".join(self.rpc)
+        self.operator = ",".join(self.operators)
         with open(self._operator_key, encoding="ascii") as file:
             digest = hashlib.sha256(file.read().encode()).hexdigest()
-        hash_file = os.path.join(self.folder, "operator.hash")
-        self._write(hash_file, digest)
-        self._start("control", "acp-control", "--rpc", self.control, "--operator", self.operator,
-                    "--operator-key-hash-file", hash_file)
-        self.wait_for("control answers", lambda: get(operator, "/healthz")[0] == 200)
+        self._operators_file = os.path.join(self.folder, "operators")
+        self._write(self._operators_file, f"lead:{digest}\n")
+        self.controls = [self.start_replica(index) for index in range(replicas)]
+        self.wait_for("control has a leader", lambda: self.acpctl("members"))
+
+    def start_replica(self, index, folder=None):
+        """Starts or restarts a control replica on its data folder."""
+        folder = folder or os.path.join(self.folder, f"control-{index + 1}")
+        return self._start(f"control-{index + 1}", "acp-control", "--rpc", self.rpc[index],
+                           "--operator", self.operators[index], "--replicas", self.control,
+                           "--data-folder", folder, "--bootstrap",
+                           "--operator-key-hash-file", self._operators_file)
 
     def acpctl(self, *words):
         command = [os.path.join(self.bin, "acpctl"), "--control", self.operator,
