Give each fleet of the demo and the tests its own loopback address

Cause: ports that were free a moment ago can be taken by another fleet. Change: addresses derive from the process id; ports count up from 10000.

--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -187,7 +187,7 @@
         key_ids = [word.strip('",:{}[]') for word in listed.replace(",", " ").replace(":", " ").split()]
         key_ids = [word for word in key_ids
                    if len(word) == 16 and all(c in "0123456789abcdef" for c in word)]
-        connection = http.client.HTTPConnection("127.0.0.1", self.nodes["patterns-1"].ingress)
+        connection = http.client.HTTPConnection(fleet.HOST, self.nodes["patterns-1"].ingress)
 
         def status():
             connection.request("GET", "/patterns/sheets/1", headers={"Acp-Key": key})
@@ -328,8 +328,8 @@
     table.show()
     if arguments.keep:
         for node in started.nodes:
-            print(f"{node.name:<16} {node.data_centre:<10} ingress 127.0.0.1:{node.ingress} "
-                  f"admin 127.0.0.1:{node.admin}")
+            print(f"{node.name:<16} {node.data_centre:<10} ingress {fleet.HOST}:{node.ingress} "
+                  f"admin {fleet.HOST}:{node.admin}")
         print(f"control (operators) {started.operator}, logs and keys in {folder}, to end all:\n  kill "
               + " ".join(str(process.pid) for _, process in started.processes))
     elif table.all_right():
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -2,17 +2,17 @@
 
 import hashlib
 import http.client
+import itertools
 import json
 import os
 import re
 import secrets
-import socket
 import subprocess
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 KEY_PATTERN = re.compile(r"acp_[0-9a-f]{64}")
-START_SECONDS = 20
+START_SECONDS = 60
 STOP_SECONDS = 40
 
 
@@ -20,18 +20,28 @@
     """A process did not start, or an operator's command failed."""
 
 
+def own_address():
+    """Returns a loopback address that no other live process derives.
+
+    Fleets that run at the same time then never meet on a port, and neither do the ephemeral ports of
+    outgoing connections, which have the address 127.0.0.1.
+    """
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 16) % 254}.{(pid >> 8) % 256}.{pid % 256}"
+
+
+HOST = own_address()
+_next_port = itertools.count(10000)
+
+
 def free_ports(count):
-    """Returns ports that were free a moment ago; all are held while the others are looked for."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [held.getsockname()[1] for held in sockets]
-    for held in sockets:
-        held.close()
-    return ports
+    """Returns ports that were never returned before."""
+    return [next(_next_port) for _ in range(count)]
 
 
 def get(port, path, headers=None, method="GET", timeout=5):
     """Returns status, headers and body of one request."""
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
     try:
         connection.request(method, path, headers=headers or {})
         response = connection.getresponse()
@@ -106,8 +116,8 @@
 
     def start_control(self, replicas=3):
         ports = free_ports(2 * replicas)
-        self.rpc = [f"127.0.0.1:{port}" for port in ports[:replicas]]
-        self.operators = [f"127.0.0.1:{port}" for port in ports[replicas:]]
+        self.rpc = [f"{HOST}:{port}" for port in ports[:replicas]]
+        self.operators = [f"{HOST}:{port}" for port in ports[replicas:]]
         self.control = ",".join(self.rpc)
         self.operator = ",".join(self.operators)
         with open(self._operator_key, encoding="ascii") as file:
@@ -156,13 +166,13 @@
         self._start(
             name, "acp-node", "--node-id", name, "--data-centre", data_centre,
             "--fleet-secret-file", self._secrets, "--control", self.control,
-            "--ingress", f"127.0.0.1:{node.ingress}", "--egress", f"127.0.0.1:{node.egress}",
-            "--peer", f"127.0.0.1:{node.peer}", "--admin", f"127.0.0.1:{node.admin}")
+            "--ingress", f"{HOST}:{node.ingress}", "--egress", f"{HOST}:{node.egress}",
+            "--peer", f"{HOST}:{node.peer}", "--admin", f"{HOST}:{node.admin}")
         if service:
             node.upstream_process = self._start(
                 name + "-upstream", "acp-upstream", "--service", service,
-                "--listen", f"127.0.0.1:{node.upstream}", "--egress", f"127.0.0.1:{node.egress}",
-                "--admin", f"127.0.0.1:{node.upstream_admin}", *upstream_flags)
+                "--listen", f"{HOST}:{node.upstream}", "--egress", f"{HOST}:{node.egress}",
+                "--admin", f"{HOST}:{node.upstream_admin}", *upstream_flags)
         self.nodes.append(node)
         return node
 
@@ -179,7 +189,7 @@
     def load(self, targets, path, *flags, key_files=()):
         """Runs acp-load; returns its JSON result and its exit code."""
         command = [os.path.join(self.bin, "acp-load"), "--json", "--path", path,
-                   "--target", ",".join(f"127.0.0.1:{port}" for port in targets)]
+                   "--target", ",".join(f"{HOST}:{port}" for port in targets)]
         if key_files:
             command += ["--key-file", ",".join(key_files)]
         done = subprocess.run(command + [str(flag) for flag in flags], capture_output=True,
