--- a/include/acaciapulley/transport/detail/pool_core.hpp
+++ b/include/acaciapulley/transport/detail/pool_core.hpp
@@ -76,7 +76,8 @@
   [[nodiscard]] int OpenConnections() const;
 
 private:
-  ConnectionPtr TakeIdle();
+  ConnectionPtr PopIdle();
+  [[nodiscard]] bool IsUsable(const PooledConnection& connection) const;
   TransportResult<ConnectionPtr> Connect(TimePoint deadline);
   void Forget(const PooledConnection* connection);
 
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -4,6 +4,7 @@
 #include <map>       // map
 #include <mutex>     // mutex
 #include <optional>  // optional
+#include <tuple>     // tie
 #include <utility>   // move
 
 #include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
@@ -52,7 +53,11 @@
     int status = 0;
     std::optional<RequestOutcome> outcome;
     std::optional<Reason> reason;
-    auto operator<=>(const Key&) const = default;
+    bool operator<(const Key& other) const
+    {
+      return std::tie(status, outcome, reason) <
+             std::tie(other.status, other.outcome, other.reason);
+    }
   };
 
   MetricCounter Find(const Key& key)
--- a/src/transport/pool_core.cpp
+++ b/src/transport/pool_core.cpp
@@ -29,20 +29,21 @@
   return open_;
 }
 
-PoolCore::ConnectionPtr PoolCore::TakeIdle()
-{
-  const TimePoint oldest = SteadyNow() - options_.maxIdle;
-  while (!idle_.empty()) {
-    auto connection = std::move(idle_.back());
-    idle_.pop_back();
-    // Input on an idle connection is the peer's close, or bytes that nobody asked for.
-    if (connection->lastUsed >= oldest && !connection->io.HasInput()) {
-      inUse_.insert(connection.get());
-      return connection;
-    }
-    --open_;
+PoolCore::ConnectionPtr PoolCore::PopIdle()
+{
+  if (idle_.empty()) {
+    return nullptr;
   }
-  return nullptr;
+  auto connection = std::move(idle_.back());
+  idle_.pop_back();
+  inUse_.insert(connection.get());
+  return connection;
+}
+
+/// Input on an idle connection is the peer's close, or bytes that nobody asked for.
+bool PoolCore::IsUsable(const PooledConnection& connection) const
+{
+  return SteadyNow() - connection.lastUsed <= options_.maxIdle && !connection.io.HasInput();
 }
 
 TransportResult<PoolCore::ConnectionPtr> PoolCore::Acquire(TimePoint deadline,
@@ -51,8 +52,15 @@
   const TimePoint giveUp = std::min(deadline, SteadyNow() + options_.maxWait);
   std::unique_lock lock(mutex_);
   while (true) {
-    if (auto connection = TakeIdle()) {
-      return connection;
+    if (auto connection = PopIdle()) {
+      // The check is a system call, during which others must not wait.
+      lock.unlock();
+      if (IsUsable(*connection)) {
+        return connection;
+      }
+      Drop(std::move(connection));
+      lock.lock();
+      continue;
     }
     if (open_ < options_.maxConnections) {
       ++open_;
--- a/tests/transport_test/control_channel_test.cpp
+++ b/tests/transport_test/control_channel_test.cpp
@@ -134,6 +134,7 @@
                                 .timeout = std::chrono::seconds(10),
                                 .maxConnections = kConnections });
   std::vector<std::future<std::string>> results;
+  results.reserve(std::size_t{ 3 } * kConnections);
   for (int i = 0; i < 3 * kConnections; ++i) {
     results.push_back(std::async(std::launch::async, [&channel, i] { return Sync(channel, i); }));
   }
--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -171,7 +171,9 @@
   acp::HttpServer server({ .address = kAnyPort,
                            .handler =
                              [&](acp::ServerExchange& exchange) {
-                               acp::StringBody body(std::string(50'000'000, 'x'));
+                               std::string large;
+                               large.resize(50'000'000);
+                               acp::StringBody body(std::move(large));
                                sentWhole.set_value(
                                  exchange.RespondStreaming({}, 50'000'000, body, nullptr));
                              },
