--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -154,6 +154,13 @@
         self.keys[account] = key
         return path
 
+    def withdraw_key(self, account):
+        """Withdraws all keys of @p account; returns when each node has confirmed or the bound has
+        passed."""
+        listed = json.loads(self.acpctl("--json", "key", "list", account))
+        for key in listed["keys"]:
+            self.acpctl("key", "withdraw", account, key["id"])
+
     def start_node(self, name, service, data_centre, upstream_flags, records=True):
         """Starts a node and, if it has a service, the upstream beside it.
 
