--- /dev/null
+++ b/spec/rate.pml
@@ -0,0 +1,129 @@
+/*
+ * Rate leases across a change of the leader: one bucket of BURST tokens that gains one per tick.
+ * The old leader leases tokens to a node; the new one leases them after the old leases have ended.
+ *
+ * Property: every admission finds a token in an ideal bucket that sees all admissions, so in each
+ * window of w ticks there are at most w + BURST.
+ *
+ * Guards, switched off by: NO_WAIT (the new leader begins at once), REFILL_WHILE_WAITING (its
+ * bucket gains tokens while old leases last), LEASE_FROM_ANSWER (the node counts its lease from the
+ * answer, not from its question), STALE_GRANT (the old leader grants without confirming after the
+ * question that it still leads).
+ */
+#define BURST 2
+#define LEASE 2
+#define END 10
+#define NEVER 99
+
+byte now;
+byte ideal = BURST;
+
+bool deposed;
+byte deposedAt = NEVER;
+byte level = BURST;       /* of the leader that grants */
+byte outstanding;         /* granted by it, lease not ended */
+byte outstandingUntil;
+
+bool asked;
+byte askedAt;
+bool answered;
+byte grant;
+bool grantIsOld;          /* by the old leader */
+
+byte held;                /* the node's tokens */
+byte heldUntil;
+byte oldHeld;             /* those of an answer by the old leader */
+byte oldHeldUntil;
+
+#ifdef NO_WAIT
+#define MAY_GRANT_NEW (deposed)
+#else
+#define MAY_GRANT_NEW (deposed && now > deposedAt + LEASE)
+#endif
+#if defined(REFILL_WHILE_WAITING) || defined(NO_WAIT)
+#define MAY_REFILL (true)
+#else
+#define MAY_REFILL (!deposed || now > deposedAt + LEASE)
+#endif
+#ifdef STALE_GRANT
+#define MAY_GRANT_OLD (!deposed || now <= deposedAt + 1)
+#else
+#define MAY_GRANT_OLD (!deposed)
+#endif
+
+byte oldLevel; /* what the old leader still has when it is cut off */
+
+active proctype System()
+{
+  do
+  /* Time: tokens are added, and leases end. */
+  :: now < END -> atomic {
+       now++;
+       ideal = (ideal < BURST -> ideal + 1 : BURST);
+       if
+       :: outstanding > 0 && now > outstandingUntil -> outstanding = 0
+       :: else
+       fi;
+       if
+       :: MAY_REFILL && level + outstanding < BURST -> level++
+       :: else
+       fi;
+       held = (now > heldUntil -> 0 : held);
+       oldHeld = (now > oldHeldUntil -> 0 : oldHeld)
+     }
+  /* A new leader begins with an empty bucket. */
+  :: !deposed -> atomic {
+       deposed = true;
+       deposedAt = now;
+       oldLevel = level;
+       level = 0;
+       outstanding = 0
+     }
+  /* The node asks for tokens. */
+  :: !asked -> atomic { asked = true; answered = false; askedAt = now }
+  :: asked && !answered && !deposed && level > 0 -> atomic {
+       answered = true;
+       grantIsOld = true;
+       grant = level;
+       outstanding = outstanding + level;
+       outstandingUntil = now + LEASE;
+       level = 0
+     }
+#ifdef STALE_GRANT
+  :: asked && !answered && deposed && MAY_GRANT_OLD && oldLevel > 0 -> atomic {
+       answered = true;
+       grantIsOld = true;
+       grant = oldLevel;
+       oldLevel = 0
+     }
+#endif
+  :: asked && !answered && MAY_GRANT_NEW && level > 0 -> atomic {
+       answered = true;
+       grantIsOld = false;
+       grant = level;
+       outstanding = outstanding + level;
+       outstandingUntil = now + LEASE;
+       level = 0
+     }
+  /* The answer arrives any time later. */
+  :: asked && answered -> atomic {
+       asked = false;
+#ifdef LEASE_FROM_ANSWER
+       askedAt = now;
+#endif
+       if
+       :: now > askedAt + LEASE
+       :: now <= askedAt + LEASE && grantIsOld ->
+          oldHeld = oldHeld + grant;
+          oldHeldUntil = askedAt + LEASE
+       :: now <= askedAt + LEASE && !grantIsOld ->
+          held = held + grant;
+          heldUntil = askedAt + LEASE
+       fi;
+       grant = 0
+     }
+  /* A request is admitted. */
+  :: held > 0 -> atomic { held--; assert(ideal > 0); ideal-- }
+  :: oldHeld > 0 -> atomic { oldHeld--; assert(ideal > 0); ideal-- }
+  od
+}
