Test the replica set, and bound frames and removals

Change: tests for replaced identities that are alive, refused replacements, and strangers. What waits for a peer fits into one Thrift frame (12 MiB; the limit is 16,384,000 bytes). Removed segments are synced one by one.

--- a/src/replication/file_storage_log.cpp
+++ b/src/replication/file_storage_log.cpp
@@ -292,7 +292,9 @@
 {
   // Only from the front: a later segment may replace entries of an earlier one.
   while (segments_.size() > 1 && (all || segments_.front().highestIndex <= snapshotIndex_)) {
+    // Synced one by one, so that a crash cannot bring back a segment without its successor.
     BOOST_OUTCOME_TRYV(disk_->Remove(segments_.front().name));
+    BOOST_OUTCOME_TRYV(disk_->SyncFolder());
     segments_.erase(segments_.begin());
   }
   return success();
--- a/src/replication/peer_channel.cpp
+++ b/src/replication/peer_channel.cpp
@@ -21,8 +21,9 @@
 using apache::thrift::transport::TFramedTransport;
 using apache::thrift::transport::TSocket;
 
-/// Data that may wait for one peer; the protocol repeats what is dropped.
-constexpr std::size_t kMaxQueuedBytes = 16U << 20U;
+/// Data that may wait for one peer and goes out as one frame, of which Thrift accepts 16,384,000
+/// bytes; the protocol repeats what is dropped.
+constexpr std::size_t kMaxQueuedBytes = 12U << 20U;
 constexpr std::size_t kMaxQueuedMessages = 8192;
 
 /// Fixed part of a message's size, so that many empty ones count too.
--- /dev/null
+++ b/tests/replication_test/membership_test.cpp
@@ -0,0 +1,217 @@
+#include <map> // map
+
+#include <boost/test/unit_test.hpp>
+
+#include "acaciapulley/replication/raft_core.hpp"
+#include "memory_disk.hpp"
+
+namespace {
+
+using namespace std::chrono_literals;
+using acp::ReplicationErrorCode;
+
+/// Cores whose messages arrive at once, except to and from those cut off.
+class Wire
+{
+public:
+  std::map<std::string, std::unique_ptr<acp::RaftCore>> cores;
+  std::set<std::string> cutOff;
+  acp::ManualClock clock;
+  int repliesToStrangers = 0; ///< messages to identities that are no core
+
+  void Add(const std::string& id, const std::string& clusterId = {})
+  {
+    acp::RaftOptions options;
+    options.self = { {}, "address of " + id, {} };
+    options.random = [this] { return random_(); };
+    acp::StoredState state;
+    state.hardState.identity = id;
+    state.hardState.clusterId = clusterId;
+    cores[id] = std::make_unique<acp::RaftCore>(options, state, clock.Now());
+  }
+
+  void Run(acp::Duration span)
+  {
+    for (const auto end = clock.Now() + span; clock.Now() < end; clock.Advance(5ms)) {
+      for (auto& [id, core] : cores) {
+        core->Tick(Time());
+      }
+      while (PumpAll()) {
+      }
+    }
+  }
+
+  [[nodiscard]] acp::RaftTime Time() const { return { clock.Now(), clock.WallNow() }; }
+
+  acp::RaftCore& Leader()
+  {
+    for (auto& [id, core] : cores) {
+      if (core->Role() == acp::RaftRole::Leader && !cutOff.contains(id)) {
+        return *core;
+      }
+    }
+    throw std::logic_error("no leader");
+  }
+
+  std::string Follower()
+  {
+    for (auto& [id, core] : cores) {
+      if (core->Role() != acp::RaftRole::Leader && core->CurrentMembership().IsVoter(id)) {
+        return id;
+      }
+    }
+    return {};
+  }
+
+private:
+  bool PumpAll()
+  {
+    bool isBusy = false;
+    for (auto& [id, core] : cores) {
+      acp::RaftReady ready = core->TakeReady(clock.Now());
+      isBusy = isBusy || !ready.IsEmpty();
+      core->Persisted(ready.writeNumber, Time());
+      core->Applied(core->CommitIndex());
+      ready.messages.insert(ready.messages.end(), ready.afterSync.begin(), ready.afterSync.end());
+      for (const auto& message : ready.messages) {
+        Pass(id, message);
+      }
+    }
+    return isBusy;
+  }
+
+  void Pass(const std::string& from, const acp::RaftMessage& message)
+  {
+    if (!message.to.empty() && !cores.contains(message.to)) {
+      ++repliesToStrangers;
+    }
+    for (auto& [id, core] : cores) {
+      const bool isMeant = message.to.empty() ? id != from : id == message.to;
+      if (isMeant && !cutOff.contains(from) && !cutOff.contains(id)) {
+        core->Step(message, Time());
+      }
+    }
+  }
+
+  std::mt19937_64 random_{ 1 };
+};
+
+/// A cluster of three with a leader, and a learner "d".
+void Form(Wire& wire)
+{
+  acp::Membership initial{ .clusterId = "cluster" };
+  for (const char* id : { "a", "b", "c" }) {
+    wire.Add(id);
+    initial.voters.push_back({ id, std::string("address of ") + id, {} });
+  }
+  for (auto& [id, core] : wire.cores) {
+    BOOST_REQUIRE(core->Bootstrap(initial, wire.clock.WallNow()).has_value());
+  }
+  wire.Add("d");
+  wire.Run(3s);
+}
+
+ReplicationErrorCode CodeOf(const acp::ReplicationResult<acp::LogPosition>& result)
+{
+  return result.error().code;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(membership)
+
+// Guards against a replaced identity that still votes or disturbs, and against its return.
+BOOST_AUTO_TEST_CASE(replaced_identity_is_refused_for_good)
+{
+  Wire wire;
+  Form(wire);
+  const std::string lost = wire.Follower();
+  wire.cutOff.insert(lost);
+  BOOST_REQUIRE(wire.Leader().Replace(lost, "d", wire.clock.WallNow()).has_value());
+  wire.Run(1s);
+  acp::RaftCore& leader = wire.Leader();
+  BOOST_TEST(leader.MembershipIsSettled());
+  BOOST_TEST(leader.CurrentMembership().IsVoter("d"));
+  BOOST_TEST(leader.CurrentMembership().IsRetired(lost));
+
+  // The old identity is alive after all: it must not be heard, nor be taken back as a learner.
+  const std::uint64_t term = leader.Term();
+  wire.cutOff.clear();
+  wire.Run(5s);
+  BOOST_TEST(wire.Leader().Term() == term);
+  BOOST_TEST(wire.cores[lost]->CommitIndex() < wire.Leader().CommitIndex());
+  BOOST_TEST((CodeOf(wire.Leader().Replace("d", lost, wire.clock.WallNow())) ==
+              ReplicationErrorCode::ChangeRefused));
+
+  // The new voter counts: it and one more are a quorum.
+  wire.cutOff = { lost, wire.Follower() == "d" ? "none" : wire.Follower() };
+  const auto position = wire.Leader().Propose("x", wire.clock.WallNow());
+  wire.Run(1s);
+  BOOST_TEST(wire.Leader().CommitIndex() >= position.value().index);
+}
+
+// Guards against changes that could leave two quorums or a set that cannot work.
+BOOST_AUTO_TEST_CASE(unsafe_replacements_are_refused)
+{
+  Wire wire;
+  Form(wire);
+  acp::RaftCore& leader = wire.Leader();
+  const std::string self = leader.Hard().identity;
+  const std::string follower = wire.Follower();
+  const auto wall = wire.clock.WallNow();
+  for (const auto& [lostId, newId] : std::vector<std::pair<std::string, std::string>>{
+         { self, "d" }, { follower, "unknown" }, { "unknown", "d" }, { follower, self } }) {
+    BOOST_TEST(
+      (CodeOf(leader.Replace(lostId, newId, wall)) == ReplicationErrorCode::ChangeRefused));
+  }
+  BOOST_TEST(
+    (CodeOf(wire.cores[follower]->Replace(self, "d", wall)) == ReplicationErrorCode::NotLeader));
+
+  // A learner that is behind, and a second change beside one that is not committed.
+  wire.cutOff.insert("d");
+  for (int i = 0; i < 200; ++i) {
+    (void)leader.Propose("x", wall);
+  }
+  wire.Run(100ms);
+  BOOST_TEST((CodeOf(leader.Replace(follower, "d", wall)) == ReplicationErrorCode::ChangeRefused));
+  wire.cutOff.clear();
+  wire.Run(1s);
+  BOOST_REQUIRE(leader.Replace(follower, "d", wall).has_value());
+  BOOST_TEST((CodeOf(leader.Replace(follower, "d", wall)) == ReplicationErrorCode::ChangeRefused));
+}
+
+// Guards against a host without its disk that bootstraps itself back to a vote, and against
+// messages between clusters.
+BOOST_AUTO_TEST_CASE(strangers_have_no_vote)
+{
+  Wire wire;
+  Form(wire);
+  const acp::Membership initial = wire.Leader().CurrentMembership();
+  wire.Add("fresh");
+  BOOST_TEST(!wire.cores["fresh"]->Bootstrap(initial, wire.clock.WallNow()).has_value());
+  acp::Membership other{ .clusterId = "other" };
+  other.voters.push_back({ "a", "address of a", {} });
+  BOOST_TEST(!wire.cores["a"]->Bootstrap(other, wire.clock.WallNow()).has_value());
+
+  const std::uint64_t term = wire.Leader().Term();
+  for (const char* clusterId : { "other", "" }) {
+    for (const auto kind : { acp::MessageKind::PreVote,
+                             acp::MessageKind::Vote,
+                             acp::MessageKind::Append,
+                             acp::MessageKind::Snapshot }) {
+      acp::RaftMessage message;
+      message.kind = kind;
+      message.clusterId = clusterId;
+      message.from = "stranger";
+      message.to = wire.Follower();
+      message.term = term + 10;
+      message.position = { term + 9, 1000 };
+      wire.cores[message.to]->Step(message, wire.Time());
+    }
+  }
+  wire.Run(1s);
+  BOOST_TEST(wire.Leader().Term() == term);
+  BOOST_TEST(wire.repliesToStrangers == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
