--- a/bench/replication/main.cpp
+++ b/bench/replication/main.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::seconds kPatience(10);
 constexpr int kRecoveryRounds = 5;
 constexpr int kReplayEntries = 10'000;
+constexpr std::size_t kReplayProposers = 64;
 
 double MillisSince(SteadyTime start)
 {
@@ -48,6 +49,7 @@
 {
   std::vector<std::vector<double>> latencies(proposers);
   std::vector<std::thread> threads;
+  threads.reserve(proposers);
   const SteadyTime end = std::chrono::steady_clock::now() + kRunTime;
   for (std::size_t i = 0; i < proposers; ++i) {
     threads.emplace_back([&, i] {
@@ -134,7 +136,8 @@
   const std::size_t follower = (leader + 1) % 3;
   std::vector<std::thread> threads;
   std::atomic<int> left{ kReplayEntries };
-  for (int i = 0; i < 64; ++i) {
+  threads.reserve(kReplayProposers);
+  for (std::size_t i = 0; i < kReplayProposers; ++i) {
     threads.emplace_back([&] {
       while (left-- > 0) {
         (void)cluster.hosts[leader].replica->Propose(std::string(kCommandBytes, 'x'), kPatience);
--- a/tests/replication_test/core_test.cpp
+++ b/tests/replication_test/core_test.cpp
@@ -35,7 +35,7 @@
       options.maxAppendBytes = 1;
       options.maxEntriesInFlight = 1;
     }
-    const std::string violation = Simulation(options).Run(kScheduleMillis);
+    std::string violation = Simulation(options).Run(kScheduleMillis);
     if (!violation.empty()) {
       return violation;
     }
--- a/tests/replication_test/simulation.cpp
+++ b/tests/replication_test/simulation.cpp
@@ -23,15 +23,14 @@
   , random_(options.seed)
   , hosts_(options.replicas)
 {
-  acp::Membership initial;
-  initial.clusterId = "cluster";
+  initial_.clusterId = "cluster";
   for (std::size_t i = 0; i < hosts_.size(); ++i) {
     hosts_[i].address = "host" + std::to_string(i);
     Start(hosts_[i]);
-    initial.voters.push_back({ hosts_[i].identity, hosts_[i].address, {} });
+    initial_.voters.push_back({ hosts_[i].identity, hosts_[i].address, {} });
   }
   for (auto& host : hosts_) {
-    (void)host.core->Bootstrap(initial, clock_.WallNow());
+    Found(host);
   }
 }
 
@@ -72,6 +71,12 @@
   host.core = std::make_unique<acp::RaftCore>(options, std::move(state.value()), clock_.Now());
 }
 
+void Simulation::Found(Host& host)
+{
+  // A replica of the initial set repeats this until it is synced; a new identity is refused.
+  (void)host.core->Bootstrap(initial_, acp::ToUnixMillis(1));
+}
+
 void Simulation::Crash(Host& host)
 {
   host.core.reset();
@@ -436,6 +441,7 @@
     Host& host = hosts_[i];
     if (!host.core && host.restartAt <= millis_) {
       Start(host);
+      Found(host);
     }
     if (!host.core || host.frozenUntil > millis_) {
       continue;
@@ -508,7 +514,7 @@
     host.disk->operationsUntilCrash = -1;
   }
   for (int i = 0; i < 300; ++i) {
-    const std::string violation = Run(100);
+    std::string violation = Run(100);
     if (!violation.empty()) {
       return violation;
     }
--- a/tests/replication_test/simulation.hpp
+++ b/tests/replication_test/simulation.hpp
@@ -85,6 +85,7 @@
   [[nodiscard]] acp::RaftTime Time() const { return { clock_.Now(), clock_.WallNow() }; }
   std::uint64_t Draw(std::uint64_t bound) { return random_() % bound; }
   void Start(Host& host);
+  void Found(Host& host);
   void Crash(Host& host);
   void Step();
   void Inject();
@@ -112,6 +113,7 @@
   std::mt19937_64 random_;
   acp::ManualClock clock_;
   std::int64_t millis_ = 0;
+  acp::Membership initial_;
   std::vector<Host> hosts_;
   std::multimap<std::int64_t, Packet> network_;
   std::map<std::pair<std::size_t, std::size_t>, std::int64_t> blockedUntil_;
