--- a/tests/control_test/memory_log.hpp
+++ b/tests/control_test/memory_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>   // atomic
 #include <mutex>    // mutex
 #include <optional> // optional
 #include <string>   // string
@@ -88,7 +89,7 @@
   StateMachine& state_;
   const Clock& clock_;
   std::mutex mutex_;
-  std::uint64_t index_ = 0;
+  std::atomic<std::uint64_t> index_{ 0 };
 };
 
 } // namespace acp::test
--- a/tests/control_test/operator_api_test.cpp
+++ b/tests/control_test/operator_api_test.cpp
@@ -146,6 +146,20 @@
   BOOST_TEST(Contains(Get({ "status" }), R"("in_force":"yes")"));
 }
 
+// P5. Guards against a new leader that calls a withdrawal complete although a node that it has not
+// heard yet may still accept the key.
+BOOST_AUTO_TEST_CASE(a_new_leader_waits_for_the_bound_of_a_withdrawal)
+{
+  BOOST_TEST(Give("request-1").status == 201);
+  TakeOver();
+  whilePaused = [this] { Poll("n1", state.Version()); };
+  const auto start = clock.Now();
+  const auto withdrawn = Withdraw("request-2", state.Keys("workshop")[0].id);
+  BOOST_TEST(Contains(withdrawn, R"("confirmed_by_all":false)"));
+  BOOST_TEST(Contains(withdrawn, R"("may_miss_nodes":true)"));
+  BOOST_TEST((clock.Now() - start == std::chrono::seconds(5)));
+}
+
 // P12. Guards against a new leader that calls a change in force before it has heard all nodes.
 BOOST_AUTO_TEST_CASE(a_new_leader_reports_in_force_as_unknown)
 {
