--- a/src/admission/threshold_controller.cpp
+++ b/src/admission/threshold_controller.cpp
@@ -21,10 +21,14 @@
 // The memory of the demand is up to this much shorter at an idle upstream. It would otherwise
 // remember a surge of 10x as more than the capacity for 0.6 s after its end.
 constexpr double kIdleForgetting = 3.0;
-// The trim moves by 2% a period. Its bounds keep a wrong latency estimate from closing the gate.
+// The trim moves by 2% a period. Its lower bound is near 1 because the important priorities may
+// need nearly all capacity: with 0.8, orders that needed 0.83 of it were refused after chance
+// refusals. Its upper bound keeps a wrong latency estimate from closing the gate.
 constexpr double kTrimStep = 0.02;
-constexpr double kTrimLowest = 0.8;
+constexpr double kTrimLowest = 0.95;
 constexpr double kTrimHighest = 1.5;
+// Refusals up to this share of the arrivals keep the upstream busy and do not count as overload.
+constexpr double kToleratedRefusals = 0.05;
 // Accounts with less decayed demand than this are forgotten.
 constexpr double kForgottenMass = 0.01;
 // The division among accounts is estimated from about this many arrivals, but over no longer than
@@ -83,21 +87,22 @@
   }
   const Duration elapsed = now - lastUpdate_;
   lastUpdate_ = now;
+  double arrived = 0.0;
+  for (const Priority& priority : priorities_) {
+    arrived += priority.arrived;
+  }
+  const bool isOverloaded =
+    refusals_ > kToleratedRefusals * arrived || state.queueAge > options_.targetAge;
+  refusals_ = 0;
   const double busy = static_cast<double>(state.inFlight) / std::max(1, state.limit);
   const double idle = std::clamp(1.0 - busy, 0.0, 1.0);
   Average(Seconds(elapsed), isOpen_ ? 0.0 : idle);
-  const bool isOverloaded = refusals_ > 0 || state.queueAge > options_.targetAge;
-  const bool isIdle = refusals_ == 0 && state.inFlight < state.limit;
-  refusals_ = 0;
   if (isOpen_ && !isOverloaded) {
     trim_ = 1.0;
     return;
   }
-  if (isIdle) {
-    trim_ = std::min(trim_ + kTrimStep, kTrimHighest);
-  } else if (isOverloaded) {
-    trim_ = std::max(trim_ - kTrimStep, kTrimLowest);
-  }
+  trim_ = isOverloaded ? std::max(trim_ - kTrimStep, kTrimLowest)
+                       : std::min(trim_ + kTrimStep, kTrimHighest);
   const double latency = finished_ > 0.0 ? latencySum_ / finished_ : 0.0;
   if (latency <= 0.0) {
     return;
