--- a/src/admission/threshold_table.cpp
+++ b/src/admission/threshold_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // max, min
 #include <cmath>      // exp
 #include <functional> // hash
+#include <utility>    // move
 
 namespace acp {
 
@@ -27,7 +28,7 @@
 } // namespace
 
 ThresholdTable::ThresholdTable(ThresholdTableOptions options)
-  : options_(options)
+  : options_(std::move(options))
 {
 }
 
--- /dev/null
+++ b/tests/admission_test/fair_queue_test.cpp
@@ -0,0 +1,53 @@
+#include <boost/test/unit_test.hpp>
+
+#include "acaciapulley/admission/fair_queue.hpp"
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr acp::TimePoint kStart{ std::chrono::hours(1) };
+
+acp::GateRequest MakeRequest(std::uint64_t id, const std::string& account, int priority)
+{
+  return {
+    .id = id, .account = account, .priority = priority, .deadline = kStart + std::chrono::hours(1)
+  };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fair_queue)
+
+// Guards against a queue that answers everything late: after a burst the age bound is short.
+BOOST_AUTO_TEST_CASE(a_standing_queue_has_a_shorter_age_bound_than_a_burst)
+{
+  acp::FairQueue queue;
+  BOOST_TEST(!queue.Push(MakeRequest(1, "a", 6), kStart).has_value());
+  BOOST_TEST((queue.NextExpiry(kStart) == kStart + 100ms));
+  BOOST_TEST(queue.Expire(kStart + 100ms).empty());
+  BOOST_TEST(!queue.Push(MakeRequest(2, "a", 6), kStart + 70ms).has_value());
+  BOOST_TEST(!queue.Push(MakeRequest(3, "a", 6), kStart + 90ms).has_value());
+  const auto refusals = queue.Expire(kStart + 101ms);
+  BOOST_REQUIRE(refusals.size() == 2U);
+  BOOST_TEST(refusals.front().id == 1U);
+  BOOST_TEST((refusals.front().reason == acp::Reason::QueueTimeout));
+  BOOST_TEST(queue.Pop(kStart + 101ms)->id == 3U);
+}
+
+// Guards against a full queue that refuses an important request or one of an under-served account.
+BOOST_AUTO_TEST_CASE(a_full_queue_evicts_the_newest_of_the_most_over_served_account)
+{
+  acp::FairQueue queue({ .maxCount = 3 });
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    BOOST_TEST(!queue.Push(MakeRequest(id, id < 3 ? "large" : "small", 6), kStart).has_value());
+  }
+  BOOST_TEST(queue.Push(MakeRequest(4, "large", 6), kStart)->id == 4U);
+  BOOST_TEST(queue.Push(MakeRequest(5, "other", 7), kStart)->id == 5U);
+  BOOST_TEST(queue.Push(MakeRequest(6, "other", 6), kStart)->id == 2U);
+  BOOST_TEST(queue.Push(MakeRequest(7, "large", 1), kStart)->id != 7U);
+  BOOST_TEST(queue.Pop(kStart)->id == 7U);
+  BOOST_TEST(queue.Size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
