Let slow readers pause for 5 s and refuse HTTP/1.0

Cause: TCP_USER_TIMEOUT of 2 s also ends a connection whose peer has not read for that long, below the 5 s that a slow reader is given. A pool of one connection kept it for heartbeats. HTTP/1.0 cannot frame an answer of unknown length, so that a truncated one could not be told from a whole one.

--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -19,8 +19,9 @@
 constexpr std::size_t kReadBytes = 16'384;
 // How often a waiting call asks whether its caller is still there.
 constexpr Duration kCancelInterval = std::chrono::milliseconds(10);
-// Bound on unacknowledged data; with the heartbeat it gives detection within 2 s.
-constexpr int kUserTimeoutMs = 2'000;
+// Bound on unacknowledged data. It also ends a connection whose peer has not read for this long, so
+// that it must not be below the time a slow reader is given; the heartbeat detects silence sooner.
+constexpr int kUserTimeoutMs = 5'000;
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 3;
--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -206,7 +206,8 @@
   if (!target.starts_with('/') || !std::all_of(target.begin(), target.end(), IsVisible)) {
     return "the request line has no path";
   }
-  if (version != "HTTP/1.1" && version != "HTTP/1.0") {
+  // A caller of HTTP/1.0 could not be told where an answer of unknown length ends.
+  if (version != "HTTP/1.1") {
     return "the protocol is not HTTP/1.1";
   }
   head->method = method;
@@ -214,7 +215,7 @@
   if (auto wrong = ParseFields(text, &head->headers)) {
     return wrong;
   }
-  if (auto wrong = ParseFraming(head->headers, version == "HTTP/1.0", 0, framing)) {
+  if (auto wrong = ParseFraming(head->headers, false, 0, framing)) {
     return wrong;
   }
   const auto expectation = head->headers.Find("Expect");
--- a/src/transport/pool_core.cpp
+++ b/src/transport/pool_core.cpp
@@ -31,6 +31,10 @@
 
 PoolCore::ConnectionPtr PoolCore::PopIdle()
 {
+  const bool needsSentinel = idle_.empty() && open_ >= options_.maxConnections;
+  if (needsSentinel && sentinel_) {
+    idle_.push_back(std::move(sentinel_));
+  }
   if (idle_.empty()) {
     return nullptr;
   }
@@ -40,10 +44,12 @@
   return connection;
 }
 
-/// Input on an idle connection is the peer's close, or bytes that nobody asked for.
+// Input on an idle connection is the peer's close, or bytes that nobody asked for.
 bool PoolCore::IsUsable(const PooledConnection& connection) const
 {
-  return SteadyNow() - connection.lastUsed <= options_.maxIdle && !connection.io.HasInput();
+  // A connection that has answered a heartbeat is as good as one that has answered a request.
+  const TimePoint alive = std::max(connection.lastUsed, connection.io.LastReceive());
+  return SteadyNow() - alive <= options_.maxIdle && !connection.io.HasInput();
 }
 
 TransportResult<PoolCore::ConnectionPtr> PoolCore::Acquire(TimePoint deadline,
--- a/tests/transport_test/client_failure_test.cpp
+++ b/tests/transport_test/client_failure_test.cpp
@@ -174,6 +174,21 @@
   server.Stop(kTimeout);
 }
 
+// Guards against a pool whose only connection is kept back for heartbeats.
+BOOST_AUTO_TEST_CASE(heartbeats_leave_a_pool_of_one_connection_usable)
+{
+  acp::HttpServer server({ .address = kAnyPort, .handler = [](acp::ServerExchange& exchange) {
+                            exchange.Respond({ .status = 200 }, "done");
+                          } });
+  acp::HttpPool pool({ .address = { .ip = "127.0.0.1", .port = server.Port() },
+                       .maxConnections = 1,
+                       .sendsHeartbeats = true });
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(Get(pool) == "done");
+  }
+  server.Stop(kTimeout);
+}
+
 // Guards against requests that wait on connections that went silent for good while new ones work.
 BOOST_AUTO_TEST_CASE(silent_connections_are_retired_once_a_fresh_one_answers)
 {
--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -117,6 +117,7 @@
                             post + "Expect: magic\r\n",
                             std::string("POST a HTTP/1.1\r\n"),
                             std::string("POST /a b HTTP/1.1\r\n"),
+                            std::string("GET /a HTTP/1.0\r\n"),
                             std::string("POST /a HTTP/2.0\r\n") }) {
     RawClient client(server);
     client.Send(head + "\r\n");
