Refuse asks that know a later leader; end a drain learned from a refusal

Cause: an isolated leader took the ask of a node that had moved to its successor and back for one without tokens, and freed tokens the node could still spend. A drain learned from a refusal never ended if it was cancelled before control knew of it. Ruled out: covering the first case in the node, which cannot know what the older leader counts. Change: such asks fail with not_confirmed; a refusal as draining counts for 5 s beside control's list.

--- a/bench/limits/limits_bench.cpp
+++ b/bench/limits/limits_bench.cpp
@@ -76,6 +76,7 @@
   options.table.prefetchIntervals = settings.at("prefetch-intervals");
   options.table.longestPrefetch = FromMillis(settings.at("prefetch-ms"));
   options.authority.longestSettle = FromMillis(settings.at("settle-ms"));
+  options.authority.shortestSettle = FromMillis(settings.at("settle-min-ms"));
   options.table.longestWait = FromMillis(settings.at("wait-ms"));
   return options;
 }
@@ -121,7 +122,7 @@
   const std::vector<int> nodeCounts =
     isQuick ? std::vector{ 10, 60 } : std::vector{ 1, 10, 60, 540 };
   const std::vector<double> bursts =
-    isQuick ? std::vector{ 10.0, 100.0 } : std::vector{ 1.0, 10.0, 100.0, 500.0 };
+    isQuick ? std::vector{ 1.0, 10.0, 100.0 } : std::vector{ 1.0, 10.0, 100.0, 500.0 };
   for (const Scenario& scenario : Scenarios()) {
     for (const int nodes : nodeCounts) {
       for (const double burst : bursts) {
@@ -167,6 +168,7 @@
     { "credit", authority.creditSpendTime ? 1 : 0 },
     { "prefetch-intervals", table.prefetchIntervals },
     { "prefetch-ms", Millis(table.longestPrefetch) },
+    { "settle-min-ms", Millis(authority.shortestSettle) },
     { "settle-ms", Millis(authority.longestSettle) },
     { "wait-ms", Millis(table.longestWait) },
   };
--- a/include/acaciapulley/limits/limits_error.hpp
+++ b/include/acaciapulley/limits/limits_error.hpp
@@ -14,7 +14,7 @@
 {
   UnknownLimit = 300,   ///< no document lists this account for this service
   StaleAsk = 301,       ///< overtaken by a later ask, or from an earlier start of the node
-  NotConfirmed = 302,   ///< leadership was not confirmed recently enough to grant
+  NotConfirmed = 302,   ///< leadership was not confirmed recently, or a later leader exists
   TooManyHolders = 303, ///< the table of holding nodes is full
   InvalidAsk = 304,     ///< a negative, infinite or inconsistent amount
 };
--- a/include/acaciapulley/routing/member_table.hpp
+++ b/include/acaciapulley/routing/member_table.hpp
@@ -38,6 +38,10 @@
   Duration queueAge{};
 };
 
+/// A member's refusal as draining counts this long; by then control's list says so as well, or the
+/// drain was cancelled.
+inline constexpr Duration kDrainRefusalCounts = std::chrono::seconds(5);
+
 /// How a call to a member ended, as far as routing is concerned.
 enum class CallResult
 {
@@ -54,8 +58,9 @@
   RoutedMember info;
   SlowStart slowStart;
   OutlierDetector outlier;
-  bool isDraining = false;   ///< by control's list or by the member's own refusal
-  int inFlight = 0;          ///< calls of this node
+  bool isDraining = false; ///< by control's list or by the member's own refusal
+  TimePoint drainingUntil; ///< until then its refusal counts, even if the list does not say so yet
+  int inFlight = 0;        ///< calls of this node
   double latencySeconds = 0; ///< moving average of answered calls; 0 before the first
   double refusedPart = 0;    ///< moving average of refusals at lastRefusal
   TimePoint lastRefusal;
--- a/src/limits/rate_authority.cpp
+++ b/src/limits/rate_authority.cpp
@@ -119,6 +119,10 @@
   if (!confirmed && options_.guards.boundByConfirmation) {
     return Fail(LimitsErrorCode::NotConfirmed, "leadership not confirmed lately");
   }
+  if (ask.term > term_) {
+    // The node holds tokens of a later leader; this one must not count them as free.
+    return Fail(LimitsErrorCode::NotConfirmed, "a later leader has answered " + ask.nodeId);
+  }
   const auto found = accounts_.find(ask.key);
   if (found == accounts_.end() || !found->second.isListed) {
     return Fail(LimitsErrorCode::UnknownLimit, ask.key.account + " at " + ask.key.service);
@@ -294,7 +298,7 @@
 Duration RateAuthority::SettleWithin(const Account& account, TimePoint now) const
 {
   const TokenLimit& limit = account.bucket.Limit();
-  if (limit.rate <= 0) {
+  if (limit.rate <= 0 || limit.burst <= 0) {
     return options_.longestSettle;
   }
   const double part =
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -61,7 +61,7 @@
     if (known != nullptr && known->info.epoch == info.epoch) {
       MemberState state = std::move(*known);
       // A list older than the member's own refusal must not end the drain that it announced.
-      state.isDraining = info.isDraining || (state.isDraining && !state.info.isDraining);
+      state.isDraining = info.isDraining || now < state.drainingUntil;
       state.info = info;
       next.push_back(std::move(state));
       continue;
@@ -109,7 +109,10 @@
   }
   // A refusal comes from a live node, so it counts as a success for outlier detection.
   member->outlier.OnSuccess();
-  member->isDraining = member->isDraining || result == CallResult::Draining;
+  if (result == CallResult::Draining) {
+    member->isDraining = true;
+    member->drainingUntil = now + kDrainRefusalCounts;
+  }
   const double refused = result == CallResult::Refused ? 1 : 0;
   member->refusedPart = (1 - kNewest) * RefusedPartAt(*member, now) + kNewest * refused;
   member->lastRefusal = now;
--- a/tests/limits_test/rate_authority_test.cpp
+++ b/tests/limits_test/rate_authority_test.cpp
@@ -140,6 +140,9 @@
   BOOST_TEST((ErrorOf(excess) == acp::LimitsErrorCode::InvalidAsk));
   const auto late = authority.Acquire(Ask("d", 3, 1), clock.Now() - seconds(1), clock.Now());
   BOOST_TEST((late.error().code == acp::LimitsErrorCode::NotConfirmed));
+  auto later = Ask("d", 4, 1);
+  later.term = 2;
+  BOOST_TEST((ErrorOf(later) == acp::LimitsErrorCode::NotConfirmed));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing_test/balancer_test.cpp
+++ b/tests/routing_test/balancer_test.cpp
@@ -84,6 +84,9 @@
   table.Apply(1, 1, { Member("n1") }, clock.Now());
   BOOST_TEST(PickMany(200)["n3"] == 200);
   BOOST_TEST(Pick({ "n3" }).empty());
+  clock.Advance(seconds(6));
+  Apply({ leaving, Member("n2"), Member("n3") });
+  BOOST_TEST(PickMany(200)["n2"] > 50);
 }
 
 // Guards against a peer hop while the own upstream has room, and against queueing at it when a peer
