Say when a refusal may have been within the account's rate

Cause: the record counts refusals within the rate, which a node cannot tell alone. Change: the authority's answer says whether tokens held elsewhere or the wait after an election caused the shortage; TryTake passes it on.

--- a/include/acaciapulley/limits/token_lease_table.hpp
+++ b/include/acaciapulley/limits/token_lease_table.hpp
@@ -54,6 +54,9 @@
   TakeStatus status = TakeStatus::Wait;
   TokenHold hold;        ///< valid when Taken
   Duration retryAfter{}; ///< for `Retry-After` when Refused, for the next attempt when Wait
+  /// When Refused: for the record's count of refusals within the rate. A request that waited in
+  /// vain because no answer came counts there as well.
+  bool mayBeWithinRate = false;
 };
 
 /// Holds leased tokens for each service and account, and says when to ask the authority and what.
@@ -148,8 +151,9 @@
     std::optional<PendingAsk> pending;
     int waiting = 0;
     TimePoint refusedUntil;
-    TimePoint settleAt;     ///< next report of spent or idle tokens
-    TimePoint nextPrefetch; ///< no ask only for later requests before this
+    bool mayBeWithinRate = false; ///< as the answer to the last ask said
+    TimePoint settleAt;           ///< next report of spent or idle tokens
+    TimePoint nextPrefetch;       ///< no ask only for later requests before this
     Duration settleWithin = std::chrono::milliseconds(100);
     double usePerSecond = 0;
     TimePoint lastUse;
--- a/include/acaciapulley/limits/token_messages.hpp
+++ b/include/acaciapulley/limits/token_messages.hpp
@@ -70,6 +70,9 @@
   Duration lease{};        ///< all tokens held end this long after the ask; 0: nothing renewed
   Duration retryAfter{};   ///< when granted < needed: a token is unlikely before this
   Duration settleWithin{}; ///< report spent and idle tokens within this time
+  /// When granted < needed: tokens that others hold, or the wait after an election, caused it, so
+  /// the account may have been within its rate.
+  bool mayBeWithinRate = false;
 };
 
 } // namespace acp
--- a/src/limits/rate_authority.cpp
+++ b/src/limits/rate_authority.cpp
@@ -160,6 +160,7 @@
   answer.settleWithin = SettleWithin(account, now);
   if (holder.unmet > 0) {
     answer.retryAfter = RetryAfter(account, now);
+    answer.mayBeWithinRate = now < grantsFrom_ || account.bucket.LevelAt(now) >= 1;
   }
   if (holder.outstanding > 0) {
     holder.leaseEnd = now + Scaled(answer.lease, 1 + kClockDrift);
--- a/src/limits/token_lease_table.cpp
+++ b/src/limits/token_lease_table.cpp
@@ -60,7 +60,8 @@
   const bool isRefused = retryAfter > options_.longestWait;
   return { .status = isRefused ? TakeStatus::Refused : TakeStatus::Wait,
            .hold = {},
-           .retryAfter = retryAfter };
+           .retryAfter = retryAfter,
+           .mayBeWithinRate = entry.mayBeWithinRate };
 }
 
 bool TokenLeaseTable::Commit(const LimitKey& key, const TokenHold& hold, TimePoint now)
@@ -184,6 +185,7 @@
   entry.settleAt = now + entry.settleWithin;
   entry.nextPrefetch = now + entry.settleWithin / 2;
   const bool isShort = answer.granted < pending.ask.needed;
+  entry.mayBeWithinRate = isShort && answer.mayBeWithinRate;
   entry.refusedUntil = isShort ? now + answer.retryAfter : now;
 }
 
--- a/tests/limits_test/rate_authority_test.cpp
+++ b/tests/limits_test/rate_authority_test.cpp
@@ -96,6 +96,7 @@
   const auto refused = Acquire(Ask("b", 1, 10)).value();
   BOOST_TEST(refused.granted == 0.0);
   BOOST_TEST((refused.retryAfter >= milliseconds(100)));
+  BOOST_TEST(refused.mayBeWithinRate);
   auto spent = Ask("a", 2, 20);
   spent.term = 1;
   spent.received = 20;
