--- a/include/acaciapulley/control/rate_service.hpp
+++ b/include/acaciapulley/control/rate_service.hpp
@@ -28,6 +28,10 @@
                               const wire::TokenRequest& request,
                               const Leadership& leadership);
 
+  /// @brief Follows leadership and documents. Call it about once a second: buckets start empty and
+  /// fill only from the moment at which the authority knows of them.
+  void Follow();
+
 private:
   void FollowTerm(const Leadership& leadership, TimePoint now);
   void FollowDocuments(TimePoint now);
--- a/src/control/rate_service.cpp
+++ b/src/control/rate_service.cpp
@@ -103,6 +103,19 @@
   stateVersion_ = version;
 }
 
+void RateService::Follow()
+{
+  const std::lock_guard lock(mutex_);
+  const auto leadingFor = log_.LeadingFor();
+  const std::uint64_t term = log_.Status().term;
+  if (!leadingFor || term < term_) {
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  FollowTerm({ .term = term, .leadingFor = *leadingFor }, now);
+  FollowDocuments(now);
+}
+
 ControlResult<void> RateService::Acquire(wire::TokenReply& reply,
                                          const wire::TokenRequest& request,
                                          const Leadership& leadership)
--- a/src/programs/acp-control/main.cpp
+++ b/src/programs/acp-control/main.cpp
@@ -41,7 +41,10 @@
   };
   acp::RecordService record(clock);
   hooks.acceptReport = [&record](const auto& request) { return record.Accept(request); };
-  hooks.collectRecord = [&record](bool wasStored) { return record.Collect(wasStored); };
+  hooks.collectRecord = [&record, &rates](bool wasStored) {
+    rates.Follow();
+    return record.Collect(wasStored);
+  };
   hooks.report = [&record](const auto& reported, const auto& query) {
     return record.Answer(reported, query);
   };
