--- a/src/replication/raft_core.cpp
+++ b/src/replication/raft_core.cpp
@@ -70,14 +70,18 @@
   }
   ResetElectionTimer(time.now);
   leaderId_.clear();
-  if (log_.Newest().IsVoter(hard_.identity)) {
+  const bool isVoter = log_.Newest().IsVoter(hard_.identity);
+  // A set that is not committed may have been dropped by a later leader, which then does not know
+  // this replica. A leader that does know it ignores the message.
+  if (!isVoter || !MembershipIsSettled()) {
+    // Without an addressee the message goes to every known address.
+    RaftMessage join = MakeMessage(MessageKind::Join, {});
+    join.sender = options_.self;
+    Send(std::move(join));
+  }
+  if (isVoter) {
     StartPreVote(time);
-    return;
   }
-  // Without an addressee the message goes to every known address.
-  RaftMessage join = MakeMessage(MessageKind::Join, {});
-  join.sender = options_.self;
-  Send(std::move(join));
 }
 
 bool RaftCore::Admits(const RaftMessage& message) const
