Let a replica vote before it knows that it is in the set

Change: the candidate alone decides, from the set in its own log, whose votes count. A lost disk means a new identity, which is in no such set, so the answer of a learner changes nothing.

Ruled out: waiting for the new voter before the second entry of a replacement, since its loss would then leave the replacement open for good.

--- a/include/acaciapulley/replication/raft_core.hpp
+++ b/include/acaciapulley/replication/raft_core.hpp
@@ -24,7 +24,7 @@
 {
   bool voteOnlyWhenUpToDate = true;  ///< a vote needs a log that is at least as complete
   bool syncBeforeAnswer = true;      ///< answers wait for the sync of what they promise
-  bool learnersWithoutVote = true;   ///< a replica that is in no set it knows does not vote
+  bool learnersWithoutVote = true;   ///< a replica that never belonged to a cluster does not vote
   bool confirmByQuorum = true;       ///< the age counts from a round that a quorum answered
   bool commitOnlyCurrentTerm = true; ///< older entries are committed only by a newer one
 };
--- a/src/replication/raft_election.cpp
+++ b/src/replication/raft_election.cpp
@@ -81,11 +81,8 @@
 {
   const bool hearsLeader = role_ == RaftRole::Leader ||
                            (leaderHeardAt_ && now - *leaderHeardAt_ < options_.electionTimeout);
-  const bool mayVote =
-    log_.Newest().IsVoter(hard_.identity) || !options_.guards.learnersWithoutVote;
   RaftMessage reply = MakeMessage(MessageKind::PreVoteReply, message.from);
-  reply.accepted =
-    mayVote && !hearsLeader && message.term > hard_.term && IsUpToDate(message.position);
+  reply.accepted = !hearsLeader && message.term > hard_.term && IsUpToDate(message.position);
   if (reply.accepted) {
     reply.term = message.term;
   }
@@ -106,13 +103,14 @@
   }
 }
 
+// A replica answers whether or not it knows itself as a voter: one that has just replaced another
+// may not have the entry that says so, and may already be needed. The candidate counts the answer
+// only if the set in its own log holds the identity.
 void RaftCore::StepVote(const RaftMessage& message, TimePoint now)
 {
-  const bool mayVote =
-    log_.Newest().IsVoter(hard_.identity) || !options_.guards.learnersWithoutVote;
   const bool isFree = hard_.vote.empty() || hard_.vote == message.from;
   RaftMessage reply = MakeMessage(MessageKind::VoteReply, message.from);
-  reply.accepted = mayVote && isFree && role_ != RaftRole::Leader && IsUpToDate(message.position);
+  reply.accepted = isFree && role_ != RaftRole::Leader && IsUpToDate(message.position);
   if (reply.accepted) {
     if (hard_.vote.empty()) {
       SetHardState(hard_.term, message.from);
