--- a/bench/overload/main.cpp
+++ b/bench/overload/main.cpp
@@ -168,7 +168,11 @@
 std::vector<Scenario> Others()
 {
   const auto chain = bench::AssociationChain(4);
+  auto longSlow =
+    Named(chain, "Deepest service 5x slower for 20 s, depth 4", Trigger::SlowDeepest, 5.0);
+  longSlow.triggerLength = std::chrono::seconds(20);
   return { Named(chain, "Deepest service 5x slower, depth 4", Trigger::SlowDeepest, 5.0),
+           longSlow,
            LargeAccount(),
            Named(chain,
                  "One of four upstreams of the deepest service lost, depth 4",
