Estimate the capacity from the occupancy of the slots

Cause: one long export that ends raises the mean latency of the last 250 ms many times over, so limit / mean latency fell with it and the gate announced shares that were far too small while overloaded. Change: capacity = finished requests per second of occupied slot, for all slots; the gate reports the requests in flight before each change.

--- a/include/acaciapulley/admission/threshold_controller.hpp
+++ b/include/acaciapulley/admission/threshold_controller.hpp
@@ -34,7 +34,9 @@
 /// the capacity: priorities in their order, the marginal one max-min fair among accounts.
 ///
 /// The demand before the callers' refusals is the arrival rate divided by the share that was
-/// announced; the capacity is limit / mean latency. The demand of a priority follows within the
+/// announced; the capacity is the rate at which
+/// occupied slots finish requests, for all slots. (A mean latency would jump with each long export
+/// that ends.) The demand of a priority follows within the
 /// memory, its division among accounts over more arrivals, or small accounts would get shares from
 /// a handful of requests. Shares fall at once and rise step by step, so
 /// that admission reopens within about a second without a new overload.
@@ -52,10 +54,11 @@
   /// @brief Records a request that the gate refused because of load.
   void OnOverloadRefusal();
 
-  /// @brief Records an answered request and its time at the upstream.
-  void OnFinish(Duration latency);
+  /// @brief Records a request that has left the upstream.
+  void OnFinish();
 
-  /// @brief Computes new thresholds when a period has passed.
+  /// @brief Computes new thresholds when a period has passed. To be called before each change of
+  /// the requests in flight, so that the occupancy of the slots is exact.
   void Update(const GateState& state, TimePoint now);
 
   /// @brief Returns what callers should send for @p account.
@@ -90,13 +93,14 @@
 
   ThresholdControllerOptions options_;
   std::array<Priority, kPriorityCount> priorities_;
-  double latencySum_ = 0.0; // decayed, seconds
-  double finished_ = 0.0;   // decayed count
-  int refusals_ = 0;        // since the last computation
-  double trim_ = 1.0;       // correction of the capacity estimate by what the queue shows
+  double occupancy_ = 0.0; // decayed sum of requests in flight by time, in seconds
+  double finished_ = 0.0;  // decayed count
+  int refusals_ = 0;       // since the last computation
+  double trim_ = 1.0;      // correction of the capacity estimate by what the queue shows
   int marginal_ = kPriorityCount - 1;
   bool isOpen_ = true;
   TimePoint lastUpdate_;
+  TimePoint lastSeen_;
 };
 
 } // namespace acp
--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -84,12 +84,12 @@
   if (found == running_.end()) {
     return false;
   }
+  Tick(now);
   const Running ended = found->second;
   running_.erase(found);
   const Duration latency = now - ended.startedAt;
   limit_.OnFinish(ended.requestClass, latency, result, ended.wasFull);
-  controller_.OnFinish(latency);
-  Tick(now);
+  controller_.OnFinish();
   return true;
 }
 
--- a/src/admission/threshold_controller.cpp
+++ b/src/admission/threshold_controller.cpp
@@ -12,14 +12,14 @@
 // A share below this leaves too few arrivals to estimate the demand behind it.
 constexpr double kSmallestShare = 0.005;
 // Step of a share that rises: by half and by 2 percentage points in each period, which takes
-// 0.6 s from 0 to 1 with a period of 50 ms.
+// 0.4 s from 0 to 1 with a period of 50 ms.
 constexpr double kRiseFactor = 1.5;
 constexpr double kRiseStep = 0.02;
 // Added to both at an idle upstream, in proportion to its free slots: there is room for errors.
 constexpr double kIdleRiseFactor = 1.5;
 constexpr double kIdleRiseStep = 0.08;
 // The memory of the demand is up to this much shorter at an idle upstream. It would otherwise
-// remember a surge of 10x as more than the capacity for 0.6 s after its end.
+// remember a surge from 0.8 to 8 times the capacity as an overload for 0.9 s after its end.
 constexpr double kIdleForgetting = 3.0;
 // The trim moves by 2% a period. Its lower bound is near 1 because the important priorities may
 // need nearly all capacity: with 0.8, orders that needed 0.83 of it were refused after chance
@@ -32,9 +32,9 @@
 // Accounts with less decayed demand than this are forgotten.
 constexpr double kForgottenMass = 0.01;
 // The division among accounts is estimated from about this many arrivals, but over no longer than
-// kLongestComposition, so that an account that grows is limited within a second.
+// kLongestComposition, so that an account that grows is limited soon.
 constexpr double kCompositionArrivals = 200.0;
-constexpr double kLongestComposition = 2.0;
+constexpr double kLongestComposition = 2.0; // seconds
 // Announced shares reach the callers with the next answers, within about a period.
 constexpr double kAppliedPerPeriod = 0.6;
 
@@ -48,6 +48,7 @@
 ThresholdController::ThresholdController(ThresholdControllerOptions options, TimePoint now)
   : options_(options)
   , lastUpdate_(now)
+  , lastSeen_(now)
 {
 }
 
@@ -74,14 +75,15 @@
   ++refusals_;
 }
 
-void ThresholdController::OnFinish(Duration latency)
+void ThresholdController::OnFinish()
 {
-  latencySum_ += Seconds(latency);
   finished_ += 1.0;
 }
 
 void ThresholdController::Update(const GateState& state, TimePoint now)
 {
+  occupancy_ += state.inFlight * Seconds(now - lastSeen_);
+  lastSeen_ = now;
   if (!options_.enabled || now - lastUpdate_ < options_.period) {
     return;
   }
@@ -103,18 +105,18 @@
   }
   trim_ = isOverloaded ? std::max(trim_ - kTrimStep, kTrimLowest)
                        : std::min(trim_ + kTrimStep, kTrimHighest);
-  const double latency = finished_ > 0.0 ? latencySum_ / finished_ : 0.0;
-  if (latency <= 0.0) {
+  if (finished_ <= 0.0 || occupancy_ <= 0.0) {
     return;
   }
-  Compute(trim_ * state.limit / latency, idle);
+  // Requests finished per second of occupied slot, for all slots.
+  Compute(trim_ * state.limit * finished_ / occupancy_, idle);
 }
 
 void ThresholdController::Average(double elapsedSeconds, double idle)
 {
   const double memory = Seconds(options_.memory);
   const double keep = std::exp(-elapsedSeconds / memory);
-  latencySum_ *= keep;
+  occupancy_ *= keep;
   finished_ *= keep;
   const double keepDemand = std::exp(-elapsedSeconds * (1.0 + idle * kIdleForgetting) / memory);
   for (Priority& priority : priorities_) {
@@ -171,8 +173,7 @@
     const double demand = priority.rate;
     const double fits = demand > room ? room / demand : 1.0;
     const double risen = std::min(1.0, priority.cap * riseFactor + riseStep);
-    // A priority that sends nothing opens at once, or it would delay the ones behind it. Its cap
-    // still rises step by step when it was closed, because closing hides its demand.
+    // Closing hid the demand of this priority, so its cap rises step by step whatever arrives.
     priority.cap = std::min(fits, risen);
     Divide(priority, std::min(room, priority.cap * demand));
     room -= std::min(room, demand);
--- a/tests/admission_test/threshold_test.cpp
+++ b/tests/admission_test/threshold_test.cpp
@@ -37,7 +37,7 @@
       for (; load > 1.0; load -= 1.0) {
         controller_.OnOverloadRefusal();
       }
-      controller_.OnFinish(10ms);
+      controller_.OnFinish();
       controller_.Update({ .limit = 10, .inFlight = load < 0.95 ? 9 : 10 }, clock_.Now());
     }
     return sent;
