--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -176,7 +176,8 @@
                        and lookups["good"] + refused == total)
         count = sum(fleet.count_results(orders["result"], digit) for digit in "12345")
         self.table.add("dye-lot orders meanwhile", "25 of 25 good",
-                       f"{orders['result']['good']} of {count} good",
+                       f"{orders['result']['good']} of {count} good: "
+                       + describe(orders["result"]),
                        orders["result"]["good"] == 25)
 
     def revocation(self):
