Keep a reserve of the burst that a new leader grants early

Cause: a new leader's level filled while old leases could still be spent. Ruled out: starting the level only at the end of the wait, which is safe but costs 2 s of demand at each leader change. Change: nodes never hold the last tenth of the burst. A new leader grants up to that part 0.51 s after its election, if only its direct predecessor's leases can run; else it waits the full 2.02 s with an empty level.

--- a/include/acaciapulley/limits/rate_authority.hpp
+++ b/include/acaciapulley/limits/rate_authority.hpp
@@ -3,10 +3,11 @@
 /// @file
 /// The one place that grants rate tokens: part of the control leader.
 
-#include <cstddef> // size_t
-#include <cstdint> // int64_t
-#include <map>     // map
-#include <string>  // string
+#include <cstddef>  // size_t
+#include <cstdint>  // int64_t
+#include <map>      // map
+#include <optional> // nullopt, optional
+#include <string>   // string
 
 #include "acaciapulley/core/clock.hpp"            // Duration, TimePoint
 #include "acaciapulley/limits/limits_error.hpp"   // LimitsResult
@@ -22,6 +23,7 @@
   bool settleOnce = true;          ///< an ask that was answered or overtaken settles nothing
   bool countOutstanding = true;    ///< unsettled tokens stay subtracted from the level
   bool boundByConfirmation = true; ///< leases end in time after the last confirmed leadership
+  bool keepReserve = true;         ///< nodes never hold the part that a successor grants early
 };
 
 /// Construction options of a RateAuthority.
@@ -30,6 +32,9 @@
   Duration lease = kTokenLease;
   /// No grants when leadership was last confirmed longer ago than this.
   Duration confirmationLimit = std::chrono::milliseconds(500);
+  /// Part of the burst, at least one token, that nodes never hold, so that a later leader may grant
+  /// it before all earlier leases have ended. Nothing is kept of a burst below 2.
+  double reservePart = 0.1;
   /// Part of the burst that nodes may hold in advance, all together.
   double prefetchPart = 0.5;
   /// While tokens are scarce, nodes report within this part of the time that the rate needs to fill
@@ -43,6 +48,13 @@
   RateGuards guards;
 };
 
+/// What a new leader knows of the leader before it.
+struct PreviousTerm
+{
+  std::int64_t term = 0;
+  TimePoint knownSince; ///< when this replica first heard of that leader, on its own clock
+};
+
 /// Grants tokens to nodes so that for each service and account, in every window of length w, all
 /// nodes together admit at most rate x w + burst requests (P6).
 ///
@@ -64,11 +76,17 @@
 
   /// @brief Forgets all grants and levels and starts to count for @p term.
   ///
-  /// Levels start empty. Grants begin when every lease of an earlier leader has ended: one lease
-  /// length and the drift margin from @p now.
+  /// Levels start empty. Full grants begin when every lease of an earlier leader has ended: one
+  /// lease length and the drift margin from @p now. The reserve may be granted earlier, as soon as
+  /// the previous leader has certainly stopped granting, if only that leader's leases can still
+  /// run:
+  /// @p previous is the term before @p term and was known for a lease length.
   /// @param term term of the leader that holds this authority, above 0 and above all earlier ones
   /// @param now moment at which the leader was elected
-  void BeginTerm(std::int64_t term, TimePoint now);
+  /// @param previous nothing when the replica did not follow a leader before
+  void BeginTerm(std::int64_t term,
+                 TimePoint now,
+                 const std::optional<PreviousTerm>& previous = std::nullopt);
 
   /// @brief Puts a limit in force. Lowering holds at once for new grants; raising adds no tokens.
   void SetLimit(const LimitKey& key, const TokenLimit& limit, TimePoint now);
@@ -114,7 +132,9 @@
 
   struct Account
   {
+    TokenLimit limit; ///< with the reduced rate
     TokenBucket bucket;
+    bool isEarly = false; ///< only the reserve is granted yet; the bucket's burst is the reserve
     std::map<std::string, Holder> holders;
     double outstanding = 0;
     TimePoint nextSweep;  ///< no lease ends before this
@@ -122,10 +142,14 @@
   };
 
   [[nodiscard]] TokenLimit Reduced(const TokenLimit& limit) const;
+  [[nodiscard]] double ReserveOf(const TokenLimit& limit) const;
+  [[nodiscard]] Account NewAccount(const TokenLimit& limit, TimePoint now) const;
+  void EndEarlyGrants(Account& account, TimePoint now) const;
   void Expire(Account& account, TimePoint now);
   void Settle(Account& account, Holder& holder, const TokenAsk& ask, TimePoint now) const;
   void SetAsideEarlierStart(Account& account, const TokenAsk& ask);
   [[nodiscard]] double Level(const Account& account, TimePoint now) const;
+  [[nodiscard]] double Grantable(const Account& account, TimePoint now) const;
   [[nodiscard]] double Grant(const Account& account,
                              const TokenAsk& ask,
                              double kept,
@@ -136,8 +160,8 @@
 
   RateAuthorityOptions options_;
   std::int64_t term_ = 0;
-  TimePoint grantsFrom_;
-  TimePoint emptyUntil_;
+  TimePoint earlyFrom_;  ///< the reserve is granted from here on
+  TimePoint grantsFrom_; ///< all leases of earlier leaders have ended
   std::map<LimitKey, Account> accounts_;
 };
 
--- a/src/limits/rate_authority.cpp
+++ b/src/limits/rate_authority.cpp
@@ -54,22 +54,51 @@
 {
 }
 
-void RateAuthority::BeginTerm(std::int64_t term, TimePoint now)
+void RateAuthority::BeginTerm(std::int64_t term,
+                              TimePoint now,
+                              const std::optional<PreviousTerm>& previous)
 {
   term_ = term;
-  grantsFrom_ = now + Scaled(options_.lease, 1 + kClockDrift);
-  // Until here an earlier leader that does not know of this term may have used the rate.
-  emptyUntil_ = now + Scaled(options_.confirmationLimit, (1 + kClockDrift) / (1 - kClockDrift));
-  if (!options_.guards.waitAfterElection) {
-    grantsFrom_ = now;
-    emptyUntil_ = now;
-  }
+  const Duration fullWait = Scaled(options_.lease, 1 + kClockDrift);
+  // An earlier leader that does not know of this term may grant so long after its last
+  // confirmation.
+  const double bothDrifts = (1 + kClockDrift) / (1 - kClockDrift);
+  const Duration shortWait = Scaled(options_.confirmationLimit, bothDrifts);
+  const bool isOnlyPrevious =
+    previous && previous->term + 1 == term && now - previous->knownSince >= fullWait;
+  grantsFrom_ = options_.guards.waitAfterElection ? now + fullWait : now;
+  earlyFrom_ = isOnlyPrevious ? std::min(now + shortWait, grantsFrom_) : grantsFrom_;
   std::erase_if(accounts_, [](const auto& item) { return !item.second.isListed; });
   for (auto& [key, account] : accounts_) {
-    account = Account{ .bucket = TokenBucket(account.bucket.Limit(), emptyUntil_),
-                       .holders = {},
-                       .outstanding = 0,
-                       .nextSweep = now };
+    account = NewAccount(account.limit, now);
+  }
+}
+
+double RateAuthority::ReserveOf(const TokenLimit& limit) const
+{
+  return limit.burst < 2 ? 0 : std::max(1.0, std::floor(options_.reservePart * limit.burst));
+}
+
+RateAuthority::Account RateAuthority::NewAccount(const TokenLimit& limit, TimePoint now) const
+{
+  // A limit that is new to this term may have been in force under an earlier leader.
+  const TimePoint start = std::max(now, earlyFrom_);
+  const bool isEarly = start < grantsFrom_;
+  const TokenLimit first =
+    isEarly ? TokenLimit{ .rate = limit.rate, .burst = ReserveOf(limit) } : limit;
+  return { .limit = limit,
+           .bucket = TokenBucket(first, start),
+           .isEarly = isEarly,
+           .holders = {},
+           .outstanding = 0,
+           .nextSweep = now };
+}
+
+void RateAuthority::EndEarlyGrants(Account& account, TimePoint now) const
+{
+  if (account.isEarly && now >= grantsFrom_) {
+    account.bucket.ChangeLimit(account.limit, grantsFrom_);
+    account.isEarly = false;
   }
 }
 
@@ -84,17 +113,16 @@
   const TokenLimit reduced = Reduced(limit);
   const auto found = accounts_.find(key);
   if (found == accounts_.end()) {
-    // A limit that is new to this term may have been in force under an earlier leader.
-    const TimePoint start = std::max(now, emptyUntil_);
-    accounts_.emplace(
-      key,
-      Account{
-        .bucket = TokenBucket(reduced, start), .holders = {}, .outstanding = 0, .nextSweep = now });
+    accounts_.emplace(key, NewAccount(reduced, now));
     return;
   }
-  found->second.isListed = true;
-  if (found->second.bucket.Limit() != reduced) {
-    found->second.bucket.ChangeLimit(reduced, now);
+  Account& account = found->second;
+  EndEarlyGrants(account, now);
+  account.isListed = true;
+  if (account.limit != reduced) {
+    account.limit = reduced;
+    const double burst = account.isEarly ? ReserveOf(reduced) : reduced.burst;
+    account.bucket.ChangeLimit({ .rate = reduced.rate, .burst = burst }, now);
   }
 }
 
@@ -104,8 +132,11 @@
   if (found == accounts_.end()) {
     return;
   }
-  found->second.isListed = false;
-  found->second.bucket.ChangeLimit({ .rate = 0, .burst = 0 }, now);
+  Account& account = found->second;
+  EndEarlyGrants(account, now);
+  account.isListed = false;
+  account.limit = { .rate = 0, .burst = 0 };
+  account.bucket.ChangeLimit(account.limit, now);
 }
 
 LimitsResult<TokenAnswer> RateAuthority::Acquire(const TokenAsk& ask,
@@ -172,6 +203,7 @@
 
 void RateAuthority::Expire(Account& account, TimePoint now)
 {
+  EndEarlyGrants(account, now);
   account.bucket.Trim(now - options_.lease);
   if (now < account.nextSweep) {
     return;
@@ -251,7 +283,9 @@
   const double missing = std::max(1.0 - Level(account, now), 0.0);
   const double rate = std::max(account.bucket.Limit().rate, kLowestRate);
   const Duration untilOne = FromSeconds(std::min(missing / rate, kLongestRetrySeconds));
-  return std::max({ untilOne, grantsFrom_ - now, kShortestRetry });
+  const bool hasReserve = ReserveOf(account.limit) >= 1;
+  const Duration untilGrants = (hasReserve ? earlyFrom_ : grantsFrom_) - now;
+  return std::max({ untilOne, untilGrants, kShortestRetry });
 }
 
 double RateAuthority::Level(const Account& account, TimePoint now) const
@@ -260,15 +294,26 @@
   return options_.guards.countOutstanding ? level - account.outstanding : level;
 }
 
+double RateAuthority::Grantable(const Account& account, TimePoint now) const
+{
+  const double level = std::floor(Level(account, now) + kRounding);
+  const RateGuards& guards = options_.guards;
+  if (account.isEarly || !guards.keepReserve || !guards.countOutstanding) {
+    return level;
+  }
+  // The reserve is granted too, but only after the nodes have settled other tokens.
+  return std::min(level, account.limit.burst - ReserveOf(account.limit) - account.outstanding);
+}
+
 double RateAuthority::Grant(const Account& account,
                             const TokenAsk& ask,
                             double kept,
                             TimePoint now) const
 {
-  if (now < grantsFrom_) {
+  if (now < earlyFrom_) {
     return 0;
   }
-  const double level = std::floor(Level(account, now) + kRounding);
+  const double level = Grantable(account, now);
   if (level < 1) {
     return 0;
   }
--- a/tests/limits_test/limit_fleet.hpp
+++ b/tests/limits_test/limit_fleet.hpp
@@ -31,11 +31,12 @@
   Duration moveEvery{};    ///< all demand moves to other nodes this often; 0: never
   int activeNodes = 0;     ///< nodes that get demand at a time; 0: all
   Duration oneWayDelay = std::chrono::microseconds(400);
-  double lossPart = 0;       ///< messages lost
-  double delayedPart = 0;    ///< messages delayed by up to 3 s
-  double duplicatedPart = 0; ///< asks delivered twice, the second up to 3 s later
-  double clockDrift = 0;     ///< each clock runs at 1 +- up to this
-  Duration failoverEvery{};  ///< 0: never
+  double lossPart = 0;             ///< messages lost
+  double delayedPart = 0;          ///< messages delayed by up to 3 s
+  double duplicatedPart = 0;       ///< asks delivered twice, the second up to 3 s later
+  double clockDrift = 0;           ///< each clock runs at 1 +- up to this
+  Duration failoverEvery{};        ///< 0: never
+  double repeatedFailoverPart = 0; ///< failovers followed by another one after a second
   Duration isolationAfterElection = std::chrono::seconds(8); ///< old leader stays isolated so long
   Duration freezeEvery{};  ///< a random node freezes for up to 5 s this often
   Duration restartEvery{}; ///< a random node restarts this often
@@ -106,6 +107,7 @@
   {
     double clockRate = 1;
     std::unique_ptr<RateAuthority> authority;
+    Duration electedAt{};
     bool isDead = false;
     bool isIsolated = false;
     Duration isolatedAt{};
@@ -135,6 +137,7 @@
   void StartNode(Node& node);
   void AddLeader(std::int64_t term);
   void FailOver();
+  void ChangeLeader();
   void Freeze();
   void Restart();
   void MoveDemand();
--- a/tests/limits_test/rate_window_test.cpp
+++ b/tests/limits_test/rate_window_test.cpp
@@ -34,6 +34,7 @@
   options.activeNodes = 3;
   // Leaders change shortly before a surge meets full buckets.
   options.failoverEvery = std::chrono::milliseconds(6600 + 50 * (seed % 10));
+  options.repeatedFailoverPart = 0.3;
   options.freezeEvery = std::chrono::milliseconds(1700);
   options.restartEvery = std::chrono::milliseconds(2300);
   options.longestQueueing = std::chrono::milliseconds(20);
