--- a/src/programs/acpctl/control_client.cpp
+++ b/src/programs/acpctl/control_client.cpp
@@ -12,6 +12,8 @@
 
 // A key withdrawal waits up to 5 s for confirmations after up to 3 s for the log.
 constexpr Duration kAnswerTimeout = std::chrono::seconds(10);
+// A question can go to the next replica soon: a frozen host accepts connections and never answers.
+constexpr Duration kReadTimeout = std::chrono::seconds(2);
 constexpr Duration kPause = std::chrono::milliseconds(300);
 constexpr std::size_t kMaxAnswerBytes = 16'777'216;
 constexpr int kUnauthorized = 401;
@@ -52,7 +54,8 @@
   StringBody body(request.body);
   const auto length = static_cast<std::int64_t>(request.body.size());
   const std::string where = address.ToString() + ": ";
-  const auto sent = pool.Send(head, body, length, kAnswerTimeout);
+  const auto sent = pool.Send(
+    head, body, length, request.requestId.empty() ? kReadTimeout : kAnswerTimeout);
   if (!sent) {
     return { .mayHaveArrived = sent.error().code != TransportErrorCode::Unreachable,
              .problem = where + sent.error().Describe() };
