--- a/tests/replication_test/membership_test.cpp
+++ b/tests/replication_test/membership_test.cpp
@@ -150,6 +150,42 @@
   BOOST_TEST(wire.Leader().CommitIndex() >= position.value().index);
 }
 
+// Guards against a set without a leader when a second host is lost right after a repair, before the
+// new voter has the entry that made it one.
+BOOST_AUTO_TEST_CASE(new_voter_votes_before_it_knows_that_it_is_one)
+{
+  Wire wire;
+  Form(wire);
+  const std::string leader = wire.Leader().Hard().identity;
+  const std::string lost = wire.Follower();
+  wire.cutOff = { lost, "d" };
+  BOOST_REQUIRE(wire.Leader().Replace(lost, "d", wire.clock.WallNow()).has_value());
+  wire.Run(500ms);
+  BOOST_TEST(wire.Leader().MembershipIsSettled());
+  BOOST_TEST(!wire.cores["d"]->CurrentMembership().IsVoter("d"));
+  wire.cutOff = { lost, leader };
+  wire.Run(5s);
+  BOOST_TEST(wire.Leader().MembershipIsSettled());
+  BOOST_TEST(wire.cores["d"]->CurrentMembership().IsVoter("d"));
+}
+
+// Guards against a learner that is left alone because it holds a replacement that was dropped.
+BOOST_AUTO_TEST_CASE(learner_of_a_dropped_replacement_joins_again)
+{
+  Wire wire;
+  Form(wire);
+  const std::string leader = wire.Leader().Hard().identity;
+  wire.cutOff = { "a", "b", "c" };
+  wire.cutOff.erase(leader);
+  BOOST_REQUIRE(wire.Leader().Replace(wire.Follower(), "d", wire.clock.WallNow()).has_value());
+  wire.Run(100ms);
+  BOOST_TEST(wire.cores["d"]->CurrentMembership().IsVoter("d"));
+  wire.cutOff = { leader };
+  wire.Run(5s);
+  BOOST_TEST(!wire.Leader().CurrentMembership().IsVoter("d"));
+  BOOST_TEST(wire.cores["d"]->CommitIndex() == wire.Leader().CommitIndex());
+}
+
 // Guards against changes that could leave two quorums or a set that cannot work.
 BOOST_AUTO_TEST_CASE(unsafe_replacements_are_refused)
 {
