Log when a replica becomes reachable or unreachable

Cause: the Thrift client wrote lines of its own to standard error for each refused connection.

Change: these lines go to the log at level debug; a change of reachability is one line.

--- a/include/acaciapulley/replication/detail/peer_channel.hpp
+++ b/include/acaciapulley/replication/detail/peer_channel.hpp
@@ -59,6 +59,7 @@
   std::size_t queuedBytes_ = 0;
   bool stopping_ = false;
   std::unique_ptr<Connection> connection_; ///< used by the thread only
+  bool isReachable_ = false;               ///< used by the thread only
   std::thread thread_;
 };
 
--- a/src/replication/peer_channel.cpp
+++ b/src/replication/peer_channel.cpp
@@ -2,11 +2,13 @@
 
 #include <utility> // exchange, move
 
+#include <thrift/TOutput.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/protocol/TMultiplexedProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
+#include "acaciapulley/core/log.hpp"                         // Log
 #include "acaciapulley/core/random.hpp"                      // Jittered
 #include "acaciapulley/replication/detail/wire_messages.hpp" // ToWire, FromWire
 #include "acaciapulley/replication/replica.hpp"              // kReplicationServiceName
@@ -42,6 +44,17 @@
   return size;
 }
 
+/// Thrift writes lines of its own to standard error for each refused connection.
+void RouteThriftOutput()
+{
+  static std::once_flag once;
+  std::call_once(once, [] {
+    apache::thrift::GlobalOutput.setOutputFunction([](const char* text) {
+      Log(LogLevel::Debug, "thrift", { { "text", text } });
+    });
+  });
+}
+
 int ToMillis(Duration span)
 {
   return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
@@ -138,6 +151,12 @@
     queuedBytes_ = 0;
     lock.unlock();
     const bool isDelivered = batch.empty() || Deliver(batch);
+    if (!batch.empty() && isDelivered != isReachable_) {
+      isReachable_ = isDelivered;
+      Log(isReachable_ ? LogLevel::Info : LogLevel::Warning,
+          isReachable_ ? "replica_reachable" : "replica_unreachable",
+          { { "address", address_.ToString() } });
+    }
     lock.lock();
     if (!isDelivered) {
       changed_.wait_for(lock, Jittered(kRetryPause, kRetryJitter), [this] { return stopping_; });
@@ -172,6 +191,7 @@
   , known_(std::move(known))
   , timeout_(timeout)
 {
+  RouteThriftOutput();
 }
 
 void PeerSet::Learn(const std::string& id, const std::string& rpcAddress)
