--- a/include/acaciapulley/replication/detail/replica_impl.hpp
+++ b/include/acaciapulley/replication/detail/replica_impl.hpp
@@ -63,7 +63,7 @@
     std::uint64_t index = 0;
     std::string state;
   };
-  struct Founding
+  struct InitialSet
   {
     Membership membership;
     UnixMillis time{};
@@ -77,7 +77,7 @@
     std::uint64_t persisted = 0;
     std::uint64_t applied = 0;
     std::optional<TakenSnapshot> snapshot;
-    std::optional<Founding> founding;
+    std::optional<InitialSet> initialSet;
 
     [[nodiscard]] bool IsEmpty() const;
   };
@@ -97,15 +97,15 @@
   void StartProposals(std::vector<Proposal> proposals);
   void StartReplacements(std::vector<Replacement> replacements);
   void FinishReplacements();
-  void Found(const Founding& founding);
+  void Bootstrap(const InitialSet& initialSet);
   void Publish();
   void LearnAddresses(const std::vector<RaftMessage>& messages);
   void Stop(const ReplicationError& error);
   void Fail(const ReplicationError& error);
 
   void RunBootstrap();
-  std::optional<Founding> FindFounding();
-  std::optional<Founding> ReadInitialSet(const detail::HelloAnswer& answer) const;
+  std::optional<InitialSet> FindInitialSet();
+  std::optional<InitialSet> ReadInitialSet(const detail::HelloAnswer& answer) const;
 
   template<typename Change>
   void Post(Change change);
--- a/include/acaciapulley/replication/replica.hpp
+++ b/include/acaciapulley/replication/replica.hpp
@@ -33,9 +33,9 @@
   std::string operatorAddress;           ///< told to operators
   std::vector<Address> replicaAddresses; ///< all replicas, also this one; equal on all of them
 
-  /// Lets empty replicas form a new cluster. The first of `replicaAddresses` founds it when all
+  /// Lets empty replicas form a new cluster. The first of `replicaAddresses` bootstraps it when all
   /// listed replicas answer and all of them are empty; a replica that lost its disk is then alone
-  /// in being empty, so it founds nothing and joins as a learner.
+  /// in being empty, so it bootstraps nothing and joins as a learner.
   bool bootstrap = false;
 
   /// Whether the replica has a listener of its own. If not, the owner serves Processor() at
--- a/src/replication/replica_bootstrap.cpp
+++ b/src/replication/replica_bootstrap.cpp
@@ -20,7 +20,7 @@
   std::unique_lock lock(inboxMutex_);
   while (!stopping_) {
     lock.unlock();
-    auto founding = FindFounding();
+    auto initialSet = FindInitialSet();
     bool belongs = false;
     {
       const std::lock_guard viewLock(viewMutex_);
@@ -30,15 +30,15 @@
     if (belongs) {
       return;
     }
-    if (founding) {
-      inbox_.founding = std::move(founding);
+    if (initialSet) {
+      inbox_.initialSet = std::move(initialSet);
       inboxChanged_.notify_all();
     }
     inboxChanged_.wait_for(lock, Jittered(kAskInterval, kAskJitter), [this] { return stopping_; });
   }
 }
 
-std::optional<Replica::Impl::Founding> Replica::Impl::FindFounding()
+std::optional<Replica::Impl::InitialSet> Replica::Impl::FindInitialSet()
 {
   std::vector<ReplicaRecord> empty;
   for (const auto& address : options_.replicaAddresses) {
@@ -50,25 +50,25 @@
     if (!answer) {
       continue;
     }
-    if (auto founding = ReadInitialSet(*answer)) {
-      return founding;
+    if (auto initialSet = ReadInitialSet(*answer)) {
+      return initialSet;
     }
     if (answer->clusterId.empty()) {
       empty.push_back({ answer->id, address.ToString(), answer->operatorAddress });
     }
   }
-  const bool isFounder = options_.replicaAddresses.front() == options_.rpcAddress;
-  if (!isFounder || empty.size() != options_.replicaAddresses.size()) {
+  const bool isInitiator = options_.replicaAddresses.front() == options_.rpcAddress;
+  if (!isInitiator || empty.size() != options_.replicaAddresses.size()) {
     return std::nullopt;
   }
-  Founding founding;
-  founding.membership.clusterId = RandomHex(kClusterIdBytes);
-  founding.membership.voters = std::move(empty);
-  founding.time = options_.clock->WallNow();
-  return founding;
+  InitialSet initialSet;
+  initialSet.membership.clusterId = RandomHex(kClusterIdBytes);
+  initialSet.membership.voters = std::move(empty);
+  initialSet.time = options_.clock->WallNow();
+  return initialSet;
 }
 
-std::optional<Replica::Impl::Founding> Replica::Impl::ReadInitialSet(
+std::optional<Replica::Impl::InitialSet> Replica::Impl::ReadInitialSet(
   const detail::HelloAnswer& answer) const
 {
   if (!answer.initialEntry) {
@@ -79,7 +79,7 @@
   if (!membership || !membership.value().IsVoter(self_.id)) {
     return std::nullopt;
   }
-  return Founding{ std::move(membership.value()), answer.initialEntry->time };
+  return InitialSet{ std::move(membership.value()), answer.initialEntry->time };
 }
 
 } // namespace acp
--- a/src/replication/replica_impl.cpp
+++ b/src/replication/replica_impl.cpp
@@ -33,7 +33,7 @@
 bool Replica::Impl::Inbox::IsEmpty() const
 {
   return messages.empty() && proposals.empty() && replacements.empty() && persisted == 0 &&
-         applied == 0 && !snapshot && !founding;
+         applied == 0 && !snapshot && !initialSet;
 }
 
 Replica::Impl::Impl(const ReplicaOptions& options,
@@ -90,7 +90,7 @@
     }
     server_ = std::move(server.value());
   }
-  // Only a replica that owns its address may found a cluster.
+  // Only a replica that owns its address may bootstrap a cluster.
   if (options_.bootstrap && Hello().clusterId.empty()) {
     bootstrapThread_ = std::thread([this] { RunBootstrap(); });
   }
@@ -164,8 +164,8 @@
   if (inbox.snapshot) {
     core_.Compact(inbox.snapshot->index, std::move(inbox.snapshot->state));
   }
-  if (inbox.founding) {
-    Found(*inbox.founding);
+  if (inbox.initialSet) {
+    Bootstrap(*inbox.initialSet);
   }
   LearnAddresses(inbox.messages);
   for (const auto& message : inbox.messages) {
@@ -263,13 +263,17 @@
   }
 }
 
-void Replica::Impl::Found(const Founding& founding)
+void Replica::Impl::Bootstrap(const InitialSet& initialSet)
 {
-  const auto founded = core_.Bootstrap(founding.membership, founding.time);
-  Log(founded ? LogLevel::Info : LogLevel::Error,
-      founded ? "cluster_founded" : "bootstrap_refused",
-      { { "cluster", founding.membership.clusterId },
-        { "error", founded ? "" : founded.error().Describe() } });
+  const std::string& cluster = initialSet.membership.clusterId;
+  const auto done = core_.Bootstrap(initialSet.membership, initialSet.time);
+  if (done) {
+    Log(LogLevel::Info, "cluster_bootstrapped", { { "cluster", cluster } });
+  } else {
+    Log(LogLevel::Error,
+        "bootstrap_refused",
+        { { "cluster", cluster }, { "error", done.error().Describe() } });
+  }
 }
 
 void Replica::Impl::Publish()
--- a/tests/replication_test/replica_test.cpp
+++ b/tests/replication_test/replica_test.cpp
@@ -40,7 +40,7 @@
 BOOST_AUTO_TEST_SUITE(replica)
 
 // Guards against a cluster that does not form, loses entries when replicas restart, or lets a host
-// that lost its disk vote or found a cluster before it is in the set again.
+// that lost its disk vote or bootstrap a cluster before it is in the set again.
 BOOST_AUTO_TEST_CASE(cluster_survives_restarts_and_a_lost_disk)
 {
   LocalCluster cluster(3);
@@ -49,7 +49,7 @@
   }
   BOOST_REQUIRE(cluster.Start(0).has_value());
   BOOST_REQUIRE(cluster.Start(1).has_value());
-  BOOST_TEST(cluster.Leader() == 3U); // two of three must not found a cluster
+  BOOST_TEST(cluster.Leader() == 3U); // two of three must not bootstrap a cluster
   BOOST_REQUIRE(cluster.Start(2).has_value());
   for (int i = 0; i < 50; ++i) {
     const std::string command = "first " + std::to_string(i);
--- a/tests/replication_test/simulation.cpp
+++ b/tests/replication_test/simulation.cpp
@@ -30,7 +30,7 @@
     initial_.voters.push_back({ hosts_[i].identity, hosts_[i].address, {} });
   }
   for (auto& host : hosts_) {
-    Found(host);
+    Bootstrap(host);
   }
 }
 
@@ -71,7 +71,7 @@
   host.core = std::make_unique<acp::RaftCore>(options, std::move(state.value()), clock_.Now());
 }
 
-void Simulation::Found(Host& host)
+void Simulation::Bootstrap(Host& host)
 {
   // A replica of the initial set repeats this until it is synced; a new identity is refused.
   (void)host.core->Bootstrap(initial_, acp::ToUnixMillis(1));
@@ -441,7 +441,7 @@
     Host& host = hosts_[i];
     if (!host.core && host.restartAt <= millis_) {
       Start(host);
-      Found(host);
+      Bootstrap(host);
     }
     if (!host.core || host.frozenUntil > millis_) {
       continue;
--- a/tests/replication_test/simulation.hpp
+++ b/tests/replication_test/simulation.hpp
@@ -85,7 +85,7 @@
   [[nodiscard]] acp::RaftTime Time() const { return { clock_.Now(), clock_.WallNow() }; }
   std::uint64_t Draw(std::uint64_t bound) { return random_() % bound; }
   void Start(Host& host);
-  void Found(Host& host);
+  void Bootstrap(Host& host);
   void Crash(Host& host);
   void Step();
   void Inject();
