Refuse to record a replacement of a replica that never was

Cause: control replace with a mistyped lost id and an existing voter as the new one was answered as done, and recorded, since it looked like a resend. Ruled out: recording the intent first, which would leave an audit entry for a refused replacement. Change: the process remembers the replacements that it made or may have made, and only a resend of one of them counts as done. An exception while a request is answered ends in an answer.

--- a/include/acaciapulley/control/control_service.hpp
+++ b/include/acaciapulley/control/control_service.hpp
@@ -32,8 +32,9 @@
 /// @par Example
 /// @code
 /// acp::ControlState state;
-/// acp::Replica log(replicaOptions, state);
-/// acp::ControlProcess process({ .clock = &clock, .log = &log, .state = &state });
+/// const std::unique_ptr<acp::ReplicatedLog> log = OpenLog(settings, state);
+/// acp::ControlProcess process({ .rpcAddress = rpc, .operatorAddress = operators,
+///                               .clock = &clock, .log = log.get(), .state = &state });
 /// @endcode
 class ControlProcess
 {
--- a/include/acaciapulley/control/control_state.hpp
+++ b/include/acaciapulley/control/control_state.hpp
@@ -47,6 +47,13 @@
 ///
 /// Commands are the Thrift structs of idl/command.thrift. Replicas that apply the same entries have
 /// byte-equal snapshots. Reading calls may come from any thread.
+///
+/// @par Example
+/// @code
+/// acp::ControlState state;
+/// const std::string reply = state.Apply(entry);
+/// const acp::StateChanges news = state.ChangesSince(nodeVersion);
+/// @endcode
 class ControlState final : public StateMachine
 {
 public:
--- a/include/acaciapulley/control/detail/operator_api.hpp
+++ b/include/acaciapulley/control/detail/operator_api.hpp
@@ -4,8 +4,12 @@
 /// The operators' HTTP/JSON interface.
 
 #include <functional>  // function
+#include <mutex>       // mutex
+#include <optional>    // optional
+#include <set>         // set
 #include <string>      // string
 #include <string_view> // string_view
+#include <utility>     // pair
 #include <vector>      // vector
 
 #include "acaciapulley/control/detail/control_context.hpp" // ControlContext
@@ -56,6 +60,7 @@
                            const std::string& account,
                            const std::string& keyId);
   OperatorAnswer ReplaceReplica(const OperatorCall& call);
+  std::optional<OperatorAnswer> ChangeReplicas(const std::string& lostId, const std::string& newId);
   OperatorAnswer AnswerRefusal(const wire::CommandReply& reply) const;
 
   OperatorAnswer ShowDocument(const std::string& service);
@@ -72,6 +77,10 @@
 
   ControlContext& context_;
   std::function<void(Duration)> pause_;
+  std::mutex replacementsMutex_;
+  /// Lost and new ids of replacements that this process made or may have made, so that a resend is
+  /// told apart from a replacement of a replica that never was.
+  std::set<std::pair<std::string, std::string>> replacements_;
 };
 
 /// @brief Builds an error answer.
--- a/include/acaciapulley/control/document_store.hpp
+++ b/include/acaciapulley/control/document_store.hpp
@@ -43,6 +43,10 @@
   /// @param document its version is ignored
   /// @param ifVersion version the operator edited, 0 for a new service
   /// @return the stored version, or VersionConflict or TooManyServices
+  /// @par Example
+  /// @code
+  /// const auto stored = documents.Put({ .service = "orders", .body = text }, 3);
+  /// @endcode
   ControlResult<StoredDocument> Put(StoredDocument document, std::int64_t ifVersion);
 
   /// @brief Returns the current version of @p service's document, or nullptr.
--- a/include/acaciapulley/control/live_nodes.hpp
+++ b/include/acaciapulley/control/live_nodes.hpp
@@ -68,6 +68,13 @@
 };
 
 /// The nodes by id, in the leader's memory. Not thread-safe.
+///
+/// @par Example
+/// @code
+/// nodes.StartTerm(term);
+/// nodes.Report({ .nodeId = "orders-1", .epoch = 7, .stateVersion = 12 }, clock.Now());
+/// const bool everywhere = nodes.ForceOf(12, known, leadingFor).isInForce;
+/// @endcode
 class LiveNodes
 {
 public:
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/control/detail/operator_api.hpp"
 
 #include <algorithm> // all_of
+#include <exception> // exception
 #include <optional>  // optional
 #include <utility>   // move
 
@@ -76,6 +77,17 @@
   return call;
 }
 
+/// Turns an exception into an answer; a change may have been proposed before it was raised.
+OperatorAnswer AnswerSafely(OperatorApi& api, const OperatorCall& call)
+{
+  try {
+    return api.Answer(call);
+  } catch (const std::exception& e) {
+    Log(LogLevel::Error, "operator_request_failed", { { "error", e.what() } });
+    return MakeError({ ControlErrorCode::Unconfirmed, e.what() });
+  }
+}
+
 } // namespace
 
 OperatorApi::OperatorApi(ControlContext& context, std::function<void(Duration)> pause)
@@ -124,7 +136,7 @@
          : MakeError(413, 0, "too_large", "the body is larger than 128 KiB", "shorten it");
   if (body) {
     call.body = *body;
-    answer = Answer(call);
+    answer = AnswerSafely(*this, call);
   }
   context_.metrics.CountOperatorRequest(answer.status);
   if (call.method != "GET") {
--- a/src/control/operator_changes.cpp
+++ b/src/control/operator_changes.cpp
@@ -1,5 +1,6 @@
-#include <charconv> // from_chars
-#include <sstream>  // ostringstream
+#include <algorithm> // any_of, none_of
+#include <charconv>  // from_chars
+#include <sstream>   // ostringstream
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -177,6 +178,36 @@
   return { .json = Text(object) };
 }
 
+std::optional<OperatorAnswer> OperatorApi::ChangeReplicas(const std::string& lostId,
+                                                          const std::string& newId)
+{
+  const std::lock_guard lock(replacementsMutex_);
+  const auto replicas = context_.log.Status().replicas;
+  const bool isLostGone = std::none_of(
+    replicas.begin(), replicas.end(), [&](const auto& replica) { return replica.id == lostId; });
+  const bool isNewVoter = std::any_of(replicas.begin(), replicas.end(), [&](const auto& replica) {
+    return replica.id == newId && replica.isVoter;
+  });
+  const bool isResend = replacements_.contains({ lostId, newId });
+  if (isResend && isLostGone && isNewVoter) {
+    return std::nullopt;
+  }
+  const auto replaced = context_.log.ReplaceReplica(lostId, newId, kChangeTimeout);
+  if (replaced) {
+    replacements_.emplace(lostId, newId);
+    return std::nullopt;
+  }
+  switch (replaced.error().code) {
+    case ReplicationErrorCode::ChangeRefused:
+      return MakeError({ ControlErrorCode::ReplaceRefused, replaced.error().Describe() });
+    case ReplicationErrorCode::NotLeader:
+      return MakeError({ ControlErrorCode::NotLeader, replaced.error().Describe() });
+    default:
+      replacements_.emplace(lostId, newId);
+      return MakeError({ ControlErrorCode::Unconfirmed, replaced.error().Describe() });
+  }
+}
+
 OperatorAnswer OperatorApi::ReplaceReplica(const OperatorCall& call)
 {
   std::string lostId;
@@ -189,24 +220,8 @@
   } catch (const JsonPlaceError& e) {
     return MakeError({ ControlErrorCode::InvalidRequest, e.what() });
   }
-  bool isDone = false;
-  for (const auto& replica : context_.log.Status().replicas) {
-    isDone = isDone || (replica.id == newId && replica.isVoter);
-  }
-  for (const auto& replica : context_.log.Status().replicas) {
-    isDone = isDone && replica.id != lostId;
-  }
-  if (!isDone) {
-    const auto replaced = context_.log.ReplaceReplica(lostId, newId, kChangeTimeout);
-    if (!replaced) {
-      const auto code = replaced.error().code;
-      const bool isRefused = code == ReplicationErrorCode::ChangeRefused;
-      const bool isNotLeader = code == ReplicationErrorCode::NotLeader;
-      const auto converted = isRefused     ? ControlErrorCode::ReplaceRefused
-                             : isNotLeader ? ControlErrorCode::NotLeader
-                                           : ControlErrorCode::Unconfirmed;
-      return MakeError({ converted, replaced.error().Describe() });
-    }
+  if (const auto problem = ChangeReplicas(lostId, newId)) {
+    return *problem;
   }
   wire::ControlCommand command;
   command.__isset.replaceReplica = true;
--- a/src/programs/acpctl/control_client.hpp
+++ b/src/programs/acpctl/control_client.hpp
@@ -55,6 +55,10 @@
   explicit ControlClient(ControlClientOptions options);
 
   /// @brief Sends @p request until a leader answers it or patience ends.
+  /// @par Example
+  /// @code
+  /// const acp::ControlReply reply = client.Call({ .target = "/v1/members" });
+  /// @endcode
   ControlReply Call(const ControlRequest& request);
 
 private:
--- a/tests/control_test/operator_api_test.cpp
+++ b/tests/control_test/operator_api_test.cpp
@@ -254,7 +254,8 @@
   BOOST_TEST(state.DocumentOf("orders")->version == 1);
 }
 
-// Guards against a resent replacement that is refused, and against one that leaves no trace.
+// Guards against a resent replacement that is refused, against one that leaves no trace, and
+// against a mistyped replica that is recorded as replaced.
 BOOST_AUTO_TEST_CASE(a_replacement_is_recorded_once)
 {
   const OperatorCall call{ .operatorName = "budi",
@@ -262,6 +263,10 @@
                            .method = "POST",
                            .segments = { "control", "replace" },
                            .body = R"({"lost":"r1","new":"r2"})" };
+  OperatorCall mistyped = call;
+  mistyped.body = R"({"lost":"nobody","new":"r1"})";
+  BOOST_TEST(api.Answer(mistyped).status == 409);
+  BOOST_TEST(state.RetiredReplicas().empty());
   log.next = NextResult::LoseAnswer;
   BOOST_TEST(api.Answer(call).status == 504);
   BOOST_TEST(Contains(api.Answer(call), R"("resend":true)"));
