Count requests that enter at a gate's own node once

Cause: the gate assumed that every arrival had passed its announced share. A gate that callers reach directly counted each arrival as 1 / share of demand, so the share that it announces to other nodes fell towards nothing. Change: GateRequest::entersHere marks requests from the node's own ingress. Test: at a demand of 8x the announced share stays above half of the fitting one; without the mark it falls below a tenth of it.

--- a/bench/overload/model.cpp
+++ b/bench/overload/model.cpp
@@ -169,10 +169,13 @@
                                .retriesLeft = kRootBudget,
                                .issuer = "ingress",
                                .issuerEpoch = 1 };
-  HandleCall(root, context, std::move(done));
+  HandleCall(root, context, true, std::move(done));
 }
 
-void Endpoint::HandleCall(const Root& root, const acp::RequestContext& context, AnswerCallback done)
+void Endpoint::HandleCall(const Root& root,
+                          const acp::RequestContext& context,
+                          bool entersHere,
+                          AnswerCallback done)
 {
   if (service_ + 1 == mesh_.services.size()) {
     ++mesh_.deep.offered;
@@ -193,7 +196,8 @@
                   .weight = mesh_.weights[static_cast<std::size_t>(root.account)],
                   .priority = context.priority,
                   .requestClass = ClassOf(root),
-                  .deadline = mesh_.policy.ageBound ? root.deadline : acp::TimePoint::max() },
+                  .deadline = mesh_.policy.ageBound ? root.deadline : acp::TimePoint::max(),
+                  .entersHere = entersHere },
                 mesh_.events.Now());
   if (offered.decision == acp::OfferDecision::Refused) {
     waiting.done(Refused(root, context.retriesLeft, offered.reason));
@@ -355,7 +359,7 @@
       OnAttemptEnd(call, answer, kept);
     };
   mesh_.events.After(kHopLatency, [this, callee, call, context, settle] {
-    callee->HandleCall(call->root, context, [this, settle](const Answer& answer) {
+    callee->HandleCall(call->root, context, false, [this, settle](const Answer& answer) {
       mesh_.events.After(kHopLatency, [settle, answer] { settle(answer); });
     });
   });
--- a/bench/overload/model.hpp
+++ b/bench/overload/model.hpp
@@ -147,7 +147,10 @@
   void HandleRoot(const Root& root, AnswerCallback done);
 
   /// @brief Takes a call of a peer.
-  void HandleCall(const Root& root, const acp::RequestContext& context, AnswerCallback done);
+  void HandleCall(const Root& root,
+                  const acp::RequestContext& context,
+                  bool entersHere,
+                  AnswerCallback done);
 
   FakeUpstream& Upstream() { return upstream_; }
   void Kill();
--- a/include/acaciapulley/admission/fair_queue.hpp
+++ b/include/acaciapulley/admission/fair_queue.hpp
@@ -29,6 +29,9 @@
   int priority = kPriorityCount - 1; ///< of the root request's class, 0 to 9
   std::string requestClass;          ///< class at this service; latencies are compared within it
   TimePoint deadline{};              ///< the whole answer is due by then
+  /// True when the request came from a caller straight to this node's ingress, so that no other
+  /// node has applied the share that this gate announces.
+  bool entersHere = false;
 };
 
 /// A request that ends unserved, with the reason for its caller.
--- a/include/acaciapulley/admission/threshold_controller.hpp
+++ b/include/acaciapulley/admission/threshold_controller.hpp
@@ -34,12 +34,11 @@
 /// the capacity: priorities in their order, the marginal one max-min fair among accounts.
 ///
 /// The demand before the callers' refusals is the arrival rate divided by the share that was
-/// announced; the capacity is the rate at which
-/// occupied slots finish requests, for all slots. (A mean latency would jump with each long export
-/// that ends.) The demand of a priority follows within the
-/// memory, its division among accounts over more arrivals, or small accounts would get shares from
-/// a handful of requests. Shares fall at once and rise step by step, so
-/// that admission reopens within about a second without a new overload.
+/// announced. The demand of a priority follows within the memory, its division among accounts over
+/// more arrivals, or small accounts would get shares from a handful of requests. The capacity is
+/// the rate at which occupied slots finish requests, for all slots; a mean latency would jump with
+/// each long export that ends. Shares fall at once and rise step by step, so that admission reopens
+/// within about a second without a new overload.
 ///
 /// Not thread-safe.
 class ThresholdController
@@ -49,7 +48,8 @@
 
   /// @brief Records an offered request.
   /// @param weight purchased rate of the account
-  void OnOffer(int priority, const std::string& account, double weight);
+  /// @param wasShared whether a node applied this controller's share before it sent the request
+  void OnOffer(int priority, const std::string& account, double weight, bool wasShared);
 
   /// @brief Records a request that the gate refused because of load.
   void OnOverloadRefusal();
--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -60,7 +60,7 @@
   if (request.deadline <= now) {
     return { .decision = OfferDecision::Refused, .reason = Reason::DeadlineExceeded };
   }
-  controller_.OnOffer(request.priority, request.account, request.weight);
+  controller_.OnOffer(request.priority, request.account, request.weight, !request.entersHere);
   Tick(now);
   const bool hasSlot = static_cast<int>(running_.size()) < limit_.Current(now);
   if (hasSlot && queue_.Size() == 0) {
--- a/src/admission/threshold_controller.cpp
+++ b/src/admission/threshold_controller.cpp
@@ -52,7 +52,10 @@
 {
 }
 
-void ThresholdController::OnOffer(int priority, const std::string& account, double weight)
+void ThresholdController::OnOffer(int priority,
+                                  const std::string& account,
+                                  double weight,
+                                  bool wasShared)
 {
   const int clamped = std::clamp(priority, 0, kPriorityCount - 1);
   Priority& level = priorities_[static_cast<std::size_t>(clamped)];
@@ -63,7 +66,7 @@
     demand.appliedShare = level.cap;
   }
   demand.weight = options_.byAccount ? std::max(weight, 1e-3) : 1.0;
-  const double sent = 1.0 / std::max(demand.appliedShare, kSmallestShare);
+  const double sent = wasShared ? 1.0 / std::max(demand.appliedShare, kSmallestShare) : 1.0;
   demand.mass += sent;
   level.mass += sent;
   level.sent += sent;
--- a/tests/admission_test/threshold_test.cpp
+++ b/tests/admission_test/threshold_test.cpp
@@ -25,6 +25,14 @@
 public:
   // Runs for @p span and returns the sent requests by priority, for requests per millisecond of
   // priorities 1 and 6.
+  explicit ObedientCallers(bool obeys = true, bool saysSo = true)
+    : obeys_(obeys)
+    , saysSo_(saysSo)
+  {
+  }
+
+  [[nodiscard]] acp::AdmissionThreshold Threshold() const { return controller_.For("a"); }
+
   std::map<int, double> Run(std::chrono::milliseconds span, double important, double other)
   {
     std::map<int, double> sent;
@@ -47,13 +55,15 @@
   double Send(int priority, double demand)
   {
     double& due = due_[priority];
-    const double sent = demand * controller_.For("a").ShareOf(priority);
+    const double sent = obeys_ ? demand * controller_.For("a").ShareOf(priority) : demand;
     for (due += sent; due >= 1.0; due -= 1.0) {
-      controller_.OnOffer(priority, "a", 1.0);
+      controller_.OnOffer(priority, "a", 1.0, saysSo_);
     }
     return sent;
   }
 
+  bool obeys_;
+  bool saysSo_;
   acp::ManualClock clock_;
   acp::ThresholdController controller_{ {}, clock_.Now() };
   std::map<int, double> due_;
@@ -117,4 +127,17 @@
   BOOST_TEST(sent[6] >= 0.99 * 0.4 * 1'000);
 }
 
+// Guards against shares that fall to nothing because requests straight from callers, to which no
+// share was applied, are counted as the rest of a larger demand. Without the mark they do.
+BOOST_AUTO_TEST_CASE(requests_that_enter_at_the_gate_are_counted_once)
+{
+  ObedientCallers marked(false, false);
+  marked.Run(2s, 0.4, 8.0);
+  BOOST_TEST(marked.Threshold().ShareOf(1) == 1.0);
+  BOOST_TEST(marked.Threshold().ShareOf(6) >= 0.5 * 0.6 / 8.0);
+  ObedientCallers unmarked(false, true);
+  unmarked.Run(2s, 0.4, 8.0);
+  BOOST_TEST(unmarked.Threshold().ShareOf(6) < 0.1 * 0.6 / 8.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
