--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// One TCP connection that carries HTTP/1.1: buffered reads and bounded writes with deadlines.
 
+#include <atomic>      // atomic
 #include <cstddef>     // size_t
 #include <cstdint>     // uint64_t
 #include <functional>  // function
@@ -33,7 +34,7 @@
 [[nodiscard]] TimePoint SteadyNow();
 
 /// Buffered, deadline-bounded bytes of one socket. Used by one thread at a time, but for
-/// Shutdown().
+/// Shutdown() and LastReceive().
 class HttpConnection
 {
 public:
@@ -75,8 +76,9 @@
   /// @brief Returns the number of bytes the kernel took for sending.
   [[nodiscard]] std::uint64_t SentBytes() const { return sentBytes_; }
 
-  /// @brief Returns when the last bytes arrived; the time of construction before that.
-  [[nodiscard]] TimePoint LastReceive() const { return lastReceive_; }
+  /// @brief Returns when the last bytes arrived; the time of construction before that. May be
+  /// called from any thread.
+  [[nodiscard]] TimePoint LastReceive() const { return lastReceive_.load(); }
 
   [[nodiscard]] TimePoint CreatedAt() const { return createdAt_; }
   [[nodiscard]] int Descriptor() const { return fd_; }
@@ -92,7 +94,7 @@
   bool isReadable_ = false;  ///< a wait has just found input, so that the next read needs none
   std::uint64_t sentBytes_ = 0;
   TimePoint createdAt_;
-  TimePoint lastReceive_;
+  std::atomic<TimePoint> lastReceive_;
 };
 
 } // namespace acp::detail
