Assert only on the main thread in the transport's tests

Boost.Test is not safe to use from several threads. Found with ThreadSanitizer; after the change transport_test runs under it without a finding.

--- a/tests/transport_test/client_failure_test.cpp
+++ b/tests/transport_test/client_failure_test.cpp
@@ -117,6 +117,7 @@
 BOOST_AUTO_TEST_CASE(late_answers_never_reach_another_request)
 {
   std::promise<void> timedOut;
+  std::promise<std::string> afterCancellation;
   const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
     auto late = socket.acceptConnection();
     Take(late);
@@ -135,7 +136,7 @@
     Take(last);
     Give(last, Answer("last"));
     Take(last);
-    BOOST_TEST(Take(last) == "");
+    afterCancellation.set_value(Take(last));
   });
   acp::HttpPool pool({ .address = server.Where() });
   BOOST_TEST(Get(pool, { .timeout = std::chrono::milliseconds(20) }) == "timeout");
@@ -150,6 +151,7 @@
   }
   BOOST_TEST(Get(pool) == "last");
   BOOST_TEST(Get(pool, { .timeout = kTimeout, .isCancelled = [] { return true; } }) == "cancelled");
+  BOOST_TEST(afterCancellation.get_future().get() == "");
   BOOST_TEST(pool.OpenConnections() == 0);
 }
 
@@ -192,7 +194,7 @@
 // Guards against requests that wait on connections that went silent for good while new ones work.
 BOOST_AUTO_TEST_CASE(silent_connections_are_retired_once_a_fresh_one_answers)
 {
-  std::vector<std::jthread> threads;
+  std::promise<std::string> probe;
   const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
     // The first two connections answer one request each and are silent from then on.
     auto first = socket.acceptConnection();
@@ -202,7 +204,7 @@
     Give(first, Answer("first"));
     Give(second, Answer("second"));
     auto fresh = socket.acceptConnection();
-    BOOST_TEST(Take(fresh).starts_with("GET /.acp/heartbeat "));
+    probe.set_value(Take(fresh));
     Give(fresh, "HTTP/1.1 204 No Content\r\n\r\n");
     // The keeper's close of both is what the test waits for.
     while (!Take(first).empty()) {
@@ -217,6 +219,7 @@
   two.get();
   // One of the two is idle; this request uses it, and ends when the connection is retired.
   BOOST_TEST(Get(pool) == "connection_lost");
+  BOOST_TEST(probe.get_future().get().starts_with("GET /.acp/heartbeat "));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -190,8 +190,9 @@
 {
   std::promise<void> started;
   std::promise<void> seen;
+  std::atomic<bool> wasGoneAtFirst{ true };
   acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
-                            BOOST_TEST(!exchange.IsCallerGone());
+                            wasGoneAtFirst = exchange.IsCallerGone();
                             started.set_value();
                             while (!exchange.IsCallerGone()) {
                               std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -204,6 +205,7 @@
     started.get_future().get();
   }
   seen.get_future().get();
+  BOOST_TEST(!wasGoneAtFirst);
   server.Stop(kTimeout);
 }
 
