Do not take noise of small services for surges; mend comments

Cause: at 10 requests a second one second in twenty is above 1.5 times the mean. Change: a surge must also differ from the mean by 5 standard deviations; comments of limits and record say what the code does.

--- a/include/acaciapulley/limits/rate_authority.hpp
+++ b/include/acaciapulley/limits/rate_authority.hpp
@@ -38,7 +38,7 @@
   /// Part of the burst that nodes may hold in advance, all together.
   double prefetchPart = 0.5;
   /// While tokens are scarce, nodes report within this part of the time that the rate needs to fill
-  /// the burst; while at least half of the burst is left, within longestSettle.
+  /// the burst; the interval grows to longestSettle while the level is between 0.5 and 0.75 of it.
   double settlePart = 0.1;
   Duration shortestSettle = std::chrono::milliseconds(10);
   Duration longestSettle = std::chrono::milliseconds(1000);
@@ -65,9 +65,9 @@
 /// @par Example
 /// @code
 /// acp::RateAuthority authority({});
-/// authority.BeginTerm(term, clock.Now());
-/// authority.SetLimit(key, { .rate = 120, .burst = 120 }, clock.Now());
-/// const auto answer = authority.Acquire(ask, leadershipConfirmedAt, clock.Now());
+/// authority.BeginTerm(term, clock.Now(), acp::PreviousTerm{ .term = term - 1, .knownSince = since
+/// }); authority.SetLimit(key, { .rate = 120, .burst = 120 }, clock.Now()); const auto answer =
+/// authority.Acquire(ask, leadershipConfirmedAt, clock.Now());
 /// @endcode
 class RateAuthority
 {
@@ -78,9 +78,8 @@
   ///
   /// Levels start empty. Full grants begin when every lease of an earlier leader has ended: one
   /// lease length and the drift margin from @p now. The reserve may be granted earlier, as soon as
-  /// the previous leader has certainly stopped granting, if only that leader's leases can still
-  /// run:
-  /// @p previous is the term before @p term and was known for a lease length.
+  /// the previous leader has certainly stopped granting. That needs @p previous to be the term just
+  /// before @p term and known for a lease length, so that only its leases can still run.
   /// @param term term of the leader that holds this authority, above 0 and above all earlier ones
   /// @param now moment at which the leader was elected
   /// @param previous nothing when the replica did not follow a leader before
--- a/include/acaciapulley/record/record_collector.hpp
+++ b/include/acaciapulley/record/record_collector.hpp
@@ -49,8 +49,7 @@
   [[nodiscard]] std::vector<TimedRow> TakeFinished(UnixMillis now,
                                                    std::int64_t delayMillis = 15'000);
 
-  /// @brief Returns the surges that ended, with recovery or the series at kSurgeSettled seconds
-  /// after them, and were not returned before.
+  /// @brief Returns the surges whose trigger ended kSurgeSettled seconds ago, each of them once.
   [[nodiscard]] std::vector<ServiceSurge> TakeFinishedSurges(UnixMillis now);
 
   /// @brief Returns the rows of all minutes that were not taken.
--- a/include/acaciapulley/record/surge_detector.hpp
+++ b/include/acaciapulley/record/surge_detector.hpp
@@ -58,7 +58,9 @@
 /// @brief Finds the surges in @p series.
 ///
 /// A surge starts when demand is above 1.5 times its mean over the 30 s before, or when goodput is
-/// below 0.8 times its mean although demand is not lower. It ends when neither holds for demand.
+/// below 0.8 times its mean although demand is not lower; either must also differ from the mean by
+/// 5 standard deviations, so that chance is not taken for a surge. It ends when demand is below 1.2
+/// times its mean.
 /// Goodput has recovered at the first of three seconds in a row with at least 95% of the goodput
 /// before, or of the demand when that is smaller.
 /// @par Complexity
--- a/src/record/surge_detector.cpp
+++ b/src/record/surge_detector.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/record/surge_detector.hpp"
 
 #include <algorithm> // max, min
+#include <cmath>     // sqrt
 #include <cstddef>   // size_t
 #include <sstream>   // istringstream
 
@@ -15,6 +16,9 @@
 constexpr double kSurgeDemand = 1.5;
 constexpr double kNormalDemand = 1.2;
 constexpr double kPoorGoodput = 0.8;
+// Counts of independent requests differ from their mean by more than this many standard deviations
+// less than once in a million seconds.
+constexpr double kNoise = 5;
 constexpr double kRecovered = 0.95;
 constexpr std::int64_t kMillisPerSecond = 1000;
 
@@ -46,9 +50,12 @@
 {
   const auto offered = static_cast<double>(counts.offered);
   const auto completed = static_cast<double>(counts.completed);
-  const bool isDemandHigh = offered > kSurgeDemand * before.offered;
-  const bool isGoodputLow =
-    completed < kPoorGoodput * before.completed && offered >= before.offered * kPoorGoodput;
+  const double highDemand =
+    std::max(kSurgeDemand * before.offered, before.offered + kNoise * std::sqrt(before.offered));
+  const double lowGoodput = std::min(kPoorGoodput * before.completed,
+                                     before.completed - kNoise * std::sqrt(before.completed));
+  const bool isDemandHigh = offered > highDemand;
+  const bool isGoodputLow = completed < lowGoodput && offered >= kPoorGoodput * before.offered;
   return isDemandHigh || isGoodputLow;
 }
 
--- a/tests/record_test/record_test.cpp
+++ b/tests/record_test/record_test.cpp
@@ -134,7 +134,7 @@
 }
 
 // Guards against a recovery time measured from the wrong moment, a surge that is missed or reported
-// twice, and a drop of demand taken for a surge.
+// twice, and a drop of demand or the noise of a small service taken for a surge.
 BOOST_AUTO_TEST_CASE(surge_and_recovery_are_found)
 {
   acp::GoodputSeries series{ .start = At(0) };
@@ -155,6 +155,12 @@
   BOOST_TEST(surges[0].recoveryMillis.value() == 4000);
   BOOST_TEST(surges[0].goodputBefore == 100.0);
   BOOST_TEST(surges[0].lowestGoodput == 60.0);
+  acp::GoodputSeries quiet{ .start = At(0) };
+  for (std::int64_t i = 0; i < 600; ++i) {
+    const std::int64_t requests = 4 + i * 7919 % 17;
+    quiet.seconds.push_back({ .offered = requests, .completed = requests });
+  }
+  BOOST_TEST(acp::FindSurges(quiet).empty());
   series.seconds.resize(72);
   BOOST_TEST(!acp::FindSurges(series).front().recoveryMillis.has_value());
 }
