--- a/src/record/surge_detector.cpp
+++ b/src/record/surge_detector.cpp
@@ -16,8 +16,7 @@
 constexpr double kSurgeDemand = 1.5;
 constexpr double kNormalDemand = 1.2;
 constexpr double kPoorGoodput = 0.8;
-// Counts of independent requests differ from their mean by more than this many standard deviations
-// less than once in a million seconds.
+// Counts of independent requests seldom differ from their mean by this many standard deviations.
 constexpr double kNoise = 5;
 constexpr double kRecovered = 0.95;
 constexpr std::int64_t kMillisPerSecond = 1000;
