--- a/include/acaciapulley/transport/metrics.hpp
+++ b/include/acaciapulley/transport/metrics.hpp
@@ -72,8 +72,8 @@
 /// @par Example
 /// @code
 /// acp::MetricsRegistry metrics;
-/// auto refused = metrics.Counter("acp_refused_total", "Refused requests.", { { "reason", "rate" }
-/// }); refused.Add();
+/// auto open = metrics.Gauge("acp_open", "Open connections.", { { "listener", "peer" } });
+/// open.Set(7);
 /// @endcode
 class MetricsRegistry
 {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,8 +1,9 @@
 #include "acaciapulley/transport/http_client.hpp"
 
-#include <array>   // array
-#include <string>  // string
-#include <utility> // move
+#include <algorithm> // max
+#include <array>     // array
+#include <string>    // string
+#include <utility>   // move
 
 #include "acaciapulley/transport/detail/http_framing.hpp" // FormatRequestHead, FramedBody
 #include "acaciapulley/transport/detail/pool_core.hpp"    // PoolCore, PoolKeeper
--- a/src/transport/pool_core.cpp
+++ b/src/transport/pool_core.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/transport/detail/pool_core.hpp"
 
-#include <algorithm> // any_of, find_if, max, min
+#include <algorithm> // max, min
 #include <utility>   // move
 
 #include <Poco/Exception.h>
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::size_t kCopyBytes = 16'384;
 constexpr std::size_t kSendBytes = 65'536;
-// What an answered request may still have on its way before closing is cheaper than reading on.
+// Largest rest of a request's body that is read and dropped after the answer, to keep the
+// connection.
 constexpr std::size_t kMaxSkippedBytes = 262'144;
 // Slower readers than this would hold an upstream's slot for minutes.
 constexpr double kSlowestBytesPerSecond = 65'536.0;
