--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -87,6 +87,7 @@
   5: i64 retryAfterMicros
   6: i64 settleWithinMicros
   7: i32 errorCode
+  8: bool mayBeWithinRate
 }
 
 /// One answer for each ask, in the same order.
--- a/include/acaciapulley/control/rate_service.hpp
+++ b/include/acaciapulley/control/rate_service.hpp
@@ -3,10 +3,11 @@
 /// @file
 /// Grants rate tokens to nodes on the leader.
 
-#include <cstdint> // int64_t, uint64_t
-#include <map>     // map
-#include <mutex>   // mutex
-#include <string>  // string
+#include <cstdint>  // int64_t, uint64_t
+#include <map>      // map
+#include <mutex>    // mutex
+#include <optional> // optional
+#include <string>   // string
 
 #include "acaciapulley/control/control_hooks.hpp"      // Leadership
 #include "acaciapulley/control/control_state.hpp"      // ControlState
@@ -28,8 +29,9 @@
                               const wire::TokenRequest& request,
                               const Leadership& leadership);
 
-  /// @brief Follows leadership and documents. Call it about once a second: buckets start empty and
-  /// fill only from the moment at which the authority knows of them.
+  /// @brief Follows leadership and documents, also while another replica leads. Call it several
+  /// times a second: buckets start empty and fill only from the moment at which the authority knows
+  /// of them, and a new leader grants sooner when it has known its predecessor for a lease length.
   void Follow();
 
 private:
@@ -42,6 +44,7 @@
   std::mutex mutex_;
   RateAuthority authority_;
   std::uint64_t term_ = 0;
+  std::optional<PreviousTerm> followed_; ///< the leader that this replica follows or followed last
   std::int64_t stateVersion_ = -1;
   std::map<LimitKey, TokenLimit> inForce_;
 };
--- a/src/control/rate_service.cpp
+++ b/src/control/rate_service.cpp
@@ -44,6 +44,7 @@
   wired.leaseMicros = ToMicros(answer.value().lease);
   wired.retryAfterMicros = ToMicros(answer.value().retryAfter);
   wired.settleWithinMicros = ToMicros(answer.value().settleWithin);
+  wired.mayBeWithinRate = answer.value().mayBeWithinRate;
   return wired;
 }
 
@@ -78,7 +79,7 @@
     return;
   }
   term_ = leadership.term;
-  authority_.BeginTerm(static_cast<std::int64_t>(term_), now - leadership.leadingFor);
+  authority_.BeginTerm(static_cast<std::int64_t>(term_), now - leadership.leadingFor, followed_);
 }
 
 void RateService::FollowDocuments(TimePoint now)
@@ -106,13 +107,21 @@
 void RateService::Follow()
 {
   const std::lock_guard lock(mutex_);
+  const TimePoint now = clock_.Now();
   const auto leadingFor = log_.LeadingFor();
-  const std::uint64_t term = log_.Status().term;
-  if (!leadingFor || term < term_) {
+  const ReplicaStatus status = log_.Status();
+  if (!leadingFor) {
+    const auto term = static_cast<std::int64_t>(status.term);
+    const bool hasLeader = !status.isLeader && !status.leaderId.empty();
+    if (hasLeader && (!followed_ || followed_->term != term)) {
+      followed_ = PreviousTerm{ .term = term, .knownSince = now };
+    }
     return;
   }
-  const TimePoint now = clock_.Now();
-  FollowTerm({ .term = term, .leadingFor = *leadingFor }, now);
+  if (status.term < term_) {
+    return;
+  }
+  FollowTerm({ .term = status.term, .leadingFor = *leadingFor }, now);
   FollowDocuments(now);
 }
 
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -1740,6 +1740,10 @@
 void TokenAnswer::__set_errorCode(const int32_t val) {
   this->errorCode = val;
 }
+
+void TokenAnswer::__set_mayBeWithinRate(const bool val) {
+  this->mayBeWithinRate = val;
+}
 std::ostream& operator<<(std::ostream& out, const TokenAnswer& obj)
 {
   obj.printTo(out);
@@ -1824,6 +1828,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->mayBeWithinRate);
+          this->__isset.mayBeWithinRate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1869,6 +1881,10 @@
   xfer += oprot->writeI32(this->errorCode);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("mayBeWithinRate", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->mayBeWithinRate);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1883,6 +1899,7 @@
   swap(a.retryAfterMicros, b.retryAfterMicros);
   swap(a.settleWithinMicros, b.settleWithinMicros);
   swap(a.errorCode, b.errorCode);
+  swap(a.mayBeWithinRate, b.mayBeWithinRate);
   swap(a.__isset, b.__isset);
 }
 
@@ -1894,6 +1911,7 @@
   retryAfterMicros = other52.retryAfterMicros;
   settleWithinMicros = other52.settleWithinMicros;
   errorCode = other52.errorCode;
+  mayBeWithinRate = other52.mayBeWithinRate;
   __isset = other52.__isset;
 }
 TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other53) noexcept {
@@ -1904,6 +1922,7 @@
   retryAfterMicros = other53.retryAfterMicros;
   settleWithinMicros = other53.settleWithinMicros;
   errorCode = other53.errorCode;
+  mayBeWithinRate = other53.mayBeWithinRate;
   __isset = other53.__isset;
   return *this;
 }
@@ -1917,6 +1936,7 @@
   out << ", " << "retryAfterMicros=" << to_string(retryAfterMicros);
   out << ", " << "settleWithinMicros=" << to_string(settleWithinMicros);
   out << ", " << "errorCode=" << to_string(errorCode);
+  out << ", " << "mayBeWithinRate=" << to_string(mayBeWithinRate);
   out << ")";
 }
 
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -693,7 +693,7 @@
 std::ostream& operator<<(std::ostream& out, const TokenRequest& obj);
 
 typedef struct _TokenAnswer__isset {
-  _TokenAnswer__isset() : term(false), number(false), granted(false), leaseMicros(false), retryAfterMicros(false), settleWithinMicros(false), errorCode(false) {}
+  _TokenAnswer__isset() : term(false), number(false), granted(false), leaseMicros(false), retryAfterMicros(false), settleWithinMicros(false), errorCode(false), mayBeWithinRate(false) {}
   bool term :1;
   bool number :1;
   bool granted :1;
@@ -701,6 +701,7 @@
   bool retryAfterMicros :1;
   bool settleWithinMicros :1;
   bool errorCode :1;
+  bool mayBeWithinRate :1;
 } _TokenAnswer__isset;
 
 class TokenAnswer : public virtual ::apache::thrift::TBase {
@@ -715,7 +716,8 @@
                 leaseMicros(0),
                 retryAfterMicros(0),
                 settleWithinMicros(0),
-                errorCode(0) {
+                errorCode(0),
+                mayBeWithinRate(0) {
   }
 
   virtual ~TokenAnswer() noexcept;
@@ -726,6 +728,7 @@
   int64_t retryAfterMicros;
   int64_t settleWithinMicros;
   int32_t errorCode;
+  bool mayBeWithinRate;
 
   _TokenAnswer__isset __isset;
 
@@ -743,6 +746,8 @@
 
   void __set_errorCode(const int32_t val);
 
+  void __set_mayBeWithinRate(const bool val);
+
   bool operator == (const TokenAnswer & rhs) const
   {
     if (!(term == rhs.term))
@@ -759,6 +764,8 @@
       return false;
     if (!(errorCode == rhs.errorCode))
       return false;
+    if (!(mayBeWithinRate == rhs.mayBeWithinRate))
+      return false;
     return true;
   }
   bool operator != (const TokenAnswer &rhs) const {
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -41,7 +41,8 @@
            .granted = answer.granted,
            .lease = std::chrono::microseconds(answer.leaseMicros),
            .retryAfter = std::chrono::microseconds(answer.retryAfterMicros),
-           .settleWithin = std::chrono::microseconds(answer.settleWithinMicros) };
+           .settleWithin = std::chrono::microseconds(answer.settleWithinMicros),
+           .mayBeWithinRate = answer.mayBeWithinRate };
 }
 
 } // namespace
--- a/src/programs/acp-control/main.cpp
+++ b/src/programs/acp-control/main.cpp
@@ -3,6 +3,7 @@
 
 #include <exception> // exception
 #include <stdexcept> // runtime_error
+#include <thread>    // jthread, sleep_for
 
 #include "acaciapulley/control/control_service.hpp" // ControlProcess
 #include "acaciapulley/control/rate_service.hpp"    // RateService
@@ -14,6 +15,7 @@
 
 namespace {
 
+constexpr acp::Duration kFollowInterval = std::chrono::milliseconds(100);
 // A key withdrawal waits up to 5 s for confirmations and 3 s for the log.
 constexpr acp::Duration kStopPatience = std::chrono::seconds(10);
 
@@ -35,16 +37,19 @@
   acp::ControlState state;
   const auto log = acp::OpenLog(settings, clock, state);
   acp::RateService rates(state, *log, clock);
+  const std::jthread follower([&rates](const std::stop_token& stop) {
+    while (!stop.stop_requested()) {
+      rates.Follow();
+      std::this_thread::sleep_for(kFollowInterval);
+    }
+  });
   acp::ControlHooks hooks;
   hooks.acquireTokens = [&rates](auto& reply, const auto& request, const auto& leadership) {
     return rates.Acquire(reply, request, leadership);
   };
   acp::RecordService record(clock);
   hooks.acceptReport = [&record](const auto& request) { return record.Accept(request); };
-  hooks.collectRecord = [&record, &rates](bool wasStored) {
-    rates.Follow();
-    return record.Collect(wasStored);
-  };
+  hooks.collectRecord = [&record](bool wasStored) { return record.Collect(wasStored); };
   hooks.report = [&record](const auto& reported, const auto& query) {
     return record.Answer(reported, query);
   };
--- a/src/programs/acpctl/control_client.cpp
+++ b/src/programs/acpctl/control_client.cpp
@@ -54,8 +54,8 @@
   StringBody body(request.body);
   const auto length = static_cast<std::int64_t>(request.body.size());
   const std::string where = address.ToString() + ": ";
-  const auto sent = pool.Send(
-    head, body, length, request.requestId.empty() ? kReadTimeout : kAnswerTimeout);
+  const auto sent =
+    pool.Send(head, body, length, request.requestId.empty() ? kReadTimeout : kAnswerTimeout);
   if (!sent) {
     return { .mayHaveArrived = sent.error().code != TransportErrorCode::Unreachable,
              .problem = where + sent.error().Describe() };
