--- a/include/acaciapulley/replication/raft_core.hpp
+++ b/include/acaciapulley/replication/raft_core.hpp
@@ -238,6 +238,7 @@
 
   // Writes and messages out.
   void NoteEntries(std::uint64_t firstIndex);
+  void NoteEntriesAfter(std::uint64_t index);
   void ForgetPersisted(std::uint64_t lastKept);
   void SetHardState(std::uint64_t term, const std::string& vote);
   [[nodiscard]] RaftMessage MakeMessage(MessageKind kind, const std::string& to) const;
--- a/src/replication/file_storage.cpp
+++ b/src/replication/file_storage.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/replication/storage.hpp"
 
-#include <algorithm> // find_if
+#include <algorithm> // find_if, min
 #include <utility>   // move
 
 #include <boost/outcome/try.hpp> // BOOST_OUTCOME_TRY
@@ -157,7 +157,10 @@
   if (batch.snapshot) {
     BOOST_OUTCOME_TRYV(WriteSnapshot(*batch.snapshot));
     if (batch.resetLog) {
-      BOOST_OUTCOME_TRYV(StartSegment(true, snapshotIndex_ + 1));
+      // A merged batch may hold a newer snapshot than the one that replaced the log.
+      const std::uint64_t first =
+        batch.entries.empty() ? snapshotIndex_ + 1 : batch.entries.front().position.index;
+      BOOST_OUTCOME_TRYV(StartSegment(true, std::min(first, snapshotIndex_ + 1)));
       BOOST_OUTCOME_TRYV(RemoveCoveredSegments(true));
     }
   }
--- a/src/replication/raft_core.cpp
+++ b/src/replication/raft_core.cpp
@@ -260,6 +260,14 @@
   firstUnwritten_ = std::min(firstUnwritten_.value_or(firstIndex), firstIndex);
 }
 
+void RaftCore::NoteEntriesAfter(std::uint64_t index)
+{
+  firstUnwritten_.reset();
+  if (log_.Last().index > index) {
+    NoteEntries(index + 1);
+  }
+}
+
 void RaftCore::ForgetPersisted(std::uint64_t lastKept)
 {
   persistedIndex_ = std::min(persistedIndex_, lastKept);
--- a/src/replication/raft_follower.cpp
+++ b/src/replication/raft_follower.cpp
@@ -129,6 +129,11 @@
   restore_ = snapshot_;
   if (log_.TermAt(position.index) == position.term) {
     log_.Compact(position.index);
+    if (firstUnwritten_ && *firstUnwritten_ <= position.index) {
+      // Entries that the snapshot covers were never written, so the stored log has a gap.
+      resetLog_ = true;
+      NoteEntriesAfter(position.index);
+    }
   } else {
     log_.ResetTo(*snapshot_);
     resetLog_ = true;
--- a/tests/replication_test/storage_test.cpp
+++ b/tests/replication_test/storage_test.cpp
@@ -102,6 +102,24 @@
   BOOST_TEST(state.entries.front().position.term == 3U);
 }
 
+// Guards against a folder that cannot be read after a received snapshot, entries and a newer
+// snapshot shared one sync.
+BOOST_AUTO_TEST_CASE(merged_batch_with_two_snapshots_is_read_back)
+{
+  auto contents = std::make_shared<DiskContents>();
+  auto storage = OpenStorage(contents);
+  (void)storage.Load().value();
+  BOOST_TEST(storage.Write(Entries(1, 1, 2)).has_value());
+  acp::WriteBatch batch = SnapshotAt(3, 5, true);
+  batch.Merge(Entries(3, 6, 9));
+  batch.Merge(SnapshotAt(3, 7, false));
+  BOOST_TEST(storage.Write(batch).has_value());
+  const auto state = OpenStorage(contents).Load();
+  BOOST_REQUIRE(state.has_value());
+  BOOST_TEST(state.value().snapshot->position.index == 7U);
+  BOOST_TEST(state.value().entries.size() == 2U);
+}
+
 // Guards against a replica that cannot start after a crash in the middle of a write, and against
 // the loss of records before the torn one.
 BOOST_AUTO_TEST_CASE(torn_tail_is_cut_at_every_length)
