Mark requests of the node's own ingress at its gate

Cause: the gate's announced share must not be applied twice to requests that no other node has filtered.

--- a/include/acaciapulley/node/detail/attempt.hpp
+++ b/include/acaciapulley/node/detail/attempt.hpp
@@ -29,6 +29,7 @@
   const ResolvedRequest& request;
   RequestBody& body;
   Audience audience = Audience::Caller;
+  bool entersHere = false; ///< it came through this node's own ingress
   /// `service/class` that makes the call; thresholds are learnt under it.
   std::string ownClass;
   /// Spends the rate token right before the request leaves; false when its lease has ended. Empty
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -72,7 +72,8 @@
                                        .weight = limit == nullptr ? 1.0 : limit->rate,
                                        .priority = context.priority,
                                        .requestClass = call.request.requestClass->name,
-                                       .deadline = options_.clock->Now() + Remaining(context) },
+                                       .deadline = options_.clock->Now() + Remaining(context),
+                           .entersHere = call.entersHere },
                                      [&call] { return call.exchange.IsCallerGone(); });
   if (!permit) {
     return boost::outcome_v2::failure(permit.error());
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -197,6 +197,7 @@
                     .request = root.request,
                     .body = body,
                     .audience = Audience::Caller,
+                    .entersHere = true,
                     .ownClass = detail::ClassName(root.request) };
   if (root.token) {
     call.commitToken = [&root] { return root.token->Commit(); };
