--- /dev/null
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+/// @file
+/// All public headers of acaciapulley. Programs include the parts they use; this is for a first
+/// look and for code that embeds the whole.
+
+// core
+#include "acaciapulley/core/clock.hpp"
+#include "acaciapulley/core/error.hpp"
+#include "acaciapulley/core/json_reader.hpp"
+#include "acaciapulley/core/log.hpp"
+#include "acaciapulley/core/names.hpp"
+#include "acaciapulley/core/outcome.hpp"
+#include "acaciapulley/core/random.hpp"
+
+// config
+#include "acaciapulley/config/config_error.hpp"
+#include "acaciapulley/config/service_document.hpp"
+
+// accounts
+#include "acaciapulley/accounts/accounts_error.hpp"
+#include "acaciapulley/accounts/key_table.hpp"
+
+// limits
+#include "acaciapulley/limits/limits_error.hpp"
+#include "acaciapulley/limits/rate_authority.hpp"
+#include "acaciapulley/limits/token_bucket.hpp"
+#include "acaciapulley/limits/token_lease_table.hpp"
+#include "acaciapulley/limits/token_messages.hpp"
+
+// admission
+#include "acaciapulley/admission/admission_error.hpp"
+#include "acaciapulley/admission/concurrency_limit.hpp"
+#include "acaciapulley/admission/fair_queue.hpp"
+#include "acaciapulley/admission/gate.hpp"
+#include "acaciapulley/admission/load_report.hpp"
+#include "acaciapulley/admission/threshold_controller.hpp"
+#include "acaciapulley/admission/threshold_table.hpp"
+
+// retries
+#include "acaciapulley/retries/hop_ledger.hpp"
+#include "acaciapulley/retries/request_context.hpp"
+#include "acaciapulley/retries/retries_error.hpp"
+#include "acaciapulley/retries/retry_policy.hpp"
+
+// claims
+#include "acaciapulley/claims/claim_registry.hpp"
+#include "acaciapulley/claims/claims_error.hpp"
+
+// routing
+#include "acaciapulley/routing/balancer.hpp"
+#include "acaciapulley/routing/member_table.hpp"
+#include "acaciapulley/routing/outlier_detector.hpp"
+#include "acaciapulley/routing/slow_start.hpp"
+
+// record
+#include "acaciapulley/record/latency_histogram.hpp"
+#include "acaciapulley/record/record_collector.hpp"
+#include "acaciapulley/record/record_counters.hpp"
+#include "acaciapulley/record/record_error.hpp"
+#include "acaciapulley/record/record_row.hpp"
+#include "acaciapulley/record/report.hpp"
+#include "acaciapulley/record/surge_detector.hpp"
+
+// transport
+#include "acaciapulley/transport/address.hpp"
+#include "acaciapulley/transport/control_channel.hpp"
+#include "acaciapulley/transport/http_client.hpp"
+#include "acaciapulley/transport/http_message.hpp"
+#include "acaciapulley/transport/http_server.hpp"
+#include "acaciapulley/transport/metrics.hpp"
+#include "acaciapulley/transport/process.hpp"
+#include "acaciapulley/transport/settings.hpp"
+#include "acaciapulley/transport/transport_error.hpp"
+
+// replication
+#include "acaciapulley/replication/disk.hpp"
+#include "acaciapulley/replication/raft_core.hpp"
+#include "acaciapulley/replication/raft_types.hpp"
+#include "acaciapulley/replication/replica.hpp"
+#include "acaciapulley/replication/replicated_log.hpp"
+#include "acaciapulley/replication/replication_error.hpp"
+#include "acaciapulley/replication/storage.hpp"
+
+// control
+#include "acaciapulley/control/audit_trail.hpp"
+#include "acaciapulley/control/change_feed.hpp"
+#include "acaciapulley/control/control_error.hpp"
+#include "acaciapulley/control/control_hooks.hpp"
+#include "acaciapulley/control/control_service.hpp"
+#include "acaciapulley/control/control_state.hpp"
+#include "acaciapulley/control/document_store.hpp"
+#include "acaciapulley/control/key_store.hpp"
+#include "acaciapulley/control/live_nodes.hpp"
+#include "acaciapulley/control/operator_directory.hpp"
+#include "acaciapulley/control/rate_service.hpp"
+#include "acaciapulley/control/record_service.hpp"
+#include "acaciapulley/control/request_ledger.hpp"
+
+// node
+#include "acaciapulley/node/blocking_gate.hpp"
+#include "acaciapulley/node/local_upstream.hpp"
+#include "acaciapulley/node/node_error.hpp"
+#include "acaciapulley/node/node_process.hpp"
+#include "acaciapulley/node/node_view.hpp"
+#include "acaciapulley/node/refusal.hpp"
+#include "acaciapulley/node/request_pipeline.hpp"
+#include "acaciapulley/node/sync_loop.hpp"
--- a/src/programs/acp-node/main.cpp
+++ b/src/programs/acp-node/main.cpp
@@ -1,8 +1,10 @@
 /// @file
 /// acp-node: overload control beside one upstream.
 
-#include <exception> // exception
-#include <stdexcept> // runtime_error
+#include <exception>   // exception
+#include <stdexcept>   // runtime_error
+#include <string>      // string
+#include <string_view> // string_view
 
 #include "acaciapulley/core/log.hpp"           // Log
 #include "acaciapulley/node/node_process.hpp"  // NodeProcess
@@ -13,6 +15,7 @@
 
 constexpr acp::Duration kStopPatience = std::chrono::seconds(30);
 constexpr std::size_t kMinFleetSecretBytes = 32;
+constexpr std::size_t kMaxNodeIdBytes = 64;
 
 std::string ReadFleetSecret(const std::string& path)
 {
@@ -23,8 +26,22 @@
   return secret;
 }
 
+/// The node's name stands in request contexts, which allow these characters only.
+void CheckNodeId(const std::string& nodeId)
+{
+  constexpr std::string_view kAllowed =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+  const bool isUsable = !nodeId.empty() && nodeId.size() <= kMaxNodeIdBytes &&
+                        nodeId.find_first_not_of(kAllowed) == std::string::npos;
+  if (!isUsable) {
+    throw std::runtime_error("--node-id is '" + nodeId +
+                             "', allowed are 1 to 64 of A-Z a-z 0-9 - _ .");
+  }
+}
+
 int Run(const acp::Settings& settings)
 {
+  CheckNodeId(settings.GetText("node-id"));
   const acp::SystemClock clock;
   acp::NodeProcess process(
     { .nodeId = settings.GetText("node-id"),
