Test the polling of control

Cause: SyncLoop had no tests.

Change: tests against an in-process Thrift control replica that holds each poll until the test has said how it is answered. They cover resending of a report, older states and member lists, members, freshness, and polling after failures. The replica moves from the tests of ControlChannel to a header that both test programs include; those tests are unchanged.

Ruled out: asserts on elapsed time. The clock is manual, and a poll that arrives proves that the answer before it has been applied.

--- a/tests/transport_test/control_channel_test.cpp
+++ b/tests/transport_test/control_channel_test.cpp
@@ -1,66 +1,15 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
-#include <functional>
 #include <future>
 #include <thread>
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/server/TThreadedServer.h>
-#include <thrift/transport/TBufferTransports.h>
-#include <thrift/transport/TServerSocket.h>
-
 #include "acaciapulley/transport/control_channel.hpp"
-#include "gen/ControlService.h"
+#include "control_replica.hpp"
 
 namespace {
 
-using Handler = std::function<void(acp::wire::SyncReply& reply, const acp::wire::SyncRequest&)>;
-
-/// A control replica that answers Sync by a function.
-class Replica final : public acp::wire::ControlServiceNull
-{
-public:
-  explicit Replica(Handler handler)
-    : handler_(std::move(handler))
-    , socket_(std::make_shared<apache::thrift::transport::TServerSocket>("127.0.0.1", 0))
-    , server_(std::make_shared<acp::wire::ControlServiceProcessor>(
-                std::shared_ptr<ControlServiceIf>(this, [](ControlServiceIf*) {})),
-              socket_,
-              std::make_shared<apache::thrift::transport::TFramedTransportFactory>(),
-              std::make_shared<apache::thrift::protocol::TCompactProtocolFactory>())
-    , thread_([this] { server_.serve(); })
-  {
-    while (socket_->getPort() == 0) {
-      std::this_thread::yield();
-    }
-  }
-
-  ~Replica() override
-  {
-    server_.stop();
-    thread_.join();
-  }
-
-  void Sync(acp::wire::SyncReply& reply, const acp::wire::SyncRequest& request) override
-  {
-    ++calls;
-    handler_(reply, request);
-  }
-
-  [[nodiscard]] acp::Address Where() const
-  {
-    return { .ip = "127.0.0.1", .port = static_cast<std::uint16_t>(socket_->getPort()) };
-  }
-
-  std::atomic<int> calls{ 0 };
-
-private:
-  Handler handler_;
-  std::shared_ptr<apache::thrift::transport::TServerSocket> socket_;
-  apache::thrift::server::TThreadedServer server_;
-  std::thread thread_;
-};
+using acp::test::Replica;
 
 /// Calls Sync with @p number and returns the number that came back, or the error's name.
 std::string Sync(acp::ControlChannel& channel, std::int64_t number)
