--- a/include/acaciapulley/node/detail/hop_book.hpp
+++ b/include/acaciapulley/node/detail/hop_book.hpp
@@ -13,6 +13,14 @@
 
 namespace acp::detail {
 
+/// What is left of a closed hop.
+struct ClosedHop
+{
+  int unusedRetries = 0;
+  /// A nested call was refused, so that a refusal by the upstream may only pass that one on.
+  bool hadRefusedCall = false;
+};
+
 /// A HopLedger under one lock, with the class that each hop runs. Calls may come from any thread.
 class HopBook
 {
@@ -30,18 +38,26 @@
   /// @brief Takes back what a child call did not use.
   void Return(const RetryDraw& draw, int unused);
 
+  /// @brief Notes that a nested call under @p hopId was refused as not-run.
+  void NoteRefusedCall(const std::string& hopId);
+
   /// @brief Closes a hop whose upstream has answered.
-  /// @return its unused retries
-  int Close(const std::string& hopId);
+  ClosedHop Close(const std::string& hopId);
 
   /// @brief Returns the class that makes calls under @p hopId, empty when the hop is not open.
   [[nodiscard]] std::string ClassOf(const std::string& hopId) const;
 
 private:
+  struct OpenHop
+  {
+    std::string requestClass;
+    bool hadRefusedCall = false;
+  };
+
   const Clock& clock_;
   mutable std::mutex mutex_;
   HopLedger ledger_;
-  std::unordered_map<std::string, std::string> classes_;
+  std::unordered_map<std::string, OpenHop> open_;
 };
 
 } // namespace acp::detail
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -149,7 +149,7 @@
                                       const RequestContext& context,
                                       Admitted& admitted)
 {
-  const int unused = options_.hops->Close(context.hopId);
+  const int unused = options_.hops->Close(context.hopId).unusedRetries;
   const bool nothingSent =
     error.code == TransportErrorCode::Unreachable || error.code == TransportErrorCode::BodyTooLarge;
   if (nothingSent) {
@@ -204,12 +204,14 @@
                                    ClientExchange& answer)
 {
   const auto& upstreamHead = answer.Response();
-  const int unused = options_.hops->Close(context.hopId);
+  const ClosedHop hop = options_.hops->Close(context.hopId);
+  const int unused = hop.unusedRetries;
   if (SaysNotRun(upstreamHead)) {
     if (admitted.ticket) {
       options_.claims->Release(*admitted.ticket);
     }
-    admitted.permit.Finish(GateResult::Refused);
+    // A refusal by a callee says nothing about this upstream, so its limit must not fall.
+    admitted.permit.Finish(hop.hadRefusedCall ? GateResult::Neutral : GateResult::Refused);
     return FailedAttempt(
       { .reason = Reason::Overloaded, .message = ReadMessage(answer) }, false, unused);
   }
--- a/src/node/hop_book.cpp
+++ b/src/node/hop_book.cpp
@@ -16,7 +16,7 @@
   ledger_.Expire(clock_.WallNow());
   auto opened = ledger_.Open(context, clock_.WallNow());
   if (opened) {
-    classes_[context.hopId] = requestClass;
+    open_[context.hopId] = { .requestClass = requestClass };
     return std::move(opened).value();
   }
   RequestContext withoutRetries = context;
@@ -37,18 +37,31 @@
   ledger_.Return(draw.ticket, unused);
 }
 
-int HopBook::Close(const std::string& hopId)
+void HopBook::NoteRefusedCall(const std::string& hopId)
 {
   const std::lock_guard lock(mutex_);
-  classes_.erase(hopId);
-  return ledger_.Close(hopId);
+  const auto found = open_.find(hopId);
+  if (found != open_.end()) {
+    found->second.hadRefusedCall = true;
+  }
+}
+
+ClosedHop HopBook::Close(const std::string& hopId)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = open_.find(hopId);
+  const bool hadRefusedCall = found != open_.end() && found->second.hadRefusedCall;
+  if (found != open_.end()) {
+    open_.erase(found);
+  }
+  return { .unusedRetries = ledger_.Close(hopId), .hadRefusedCall = hadRefusedCall };
 }
 
 std::string HopBook::ClassOf(const std::string& hopId) const
 {
   const std::lock_guard lock(mutex_);
-  const auto found = classes_.find(hopId);
-  return found == classes_.end() ? "" : found->second;
+  const auto found = open_.find(hopId);
+  return found == open_.end() ? "" : found->second.requestClass;
 }
 
 } // namespace acp::detail
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -306,6 +306,7 @@
   const std::string ownClass = hops_.ClassOf(parent.value().hopId);
   if (!thresholds_.AdmitsCall(
         ownClass, { request.service, request.requestClass->name }, parent.value())) {
+    hops_.NoteRefusedCall(parent.value().hopId);
     return NotRun(503, Reason::Overloaded, "the called service is overloaded", kOverloadRetryAfter);
   }
   RequestBody body(
@@ -324,6 +325,9 @@
   child.retriesLeft = draw.granted;
   const auto end = dispatcher_.Run(call, child);
   hops_.Return(draw, end.unusedRetries);
+  if (!end.result && end.result.error().outcome == RequestOutcome::NotRun) {
+    hops_.NoteRefusedCall(parent.value().hopId);
+  }
   return end.result;
 }
 
