Count requests that go to a peer as calls of the class

Cause: a root request sent to a peer was not counted in ThresholdTable::OnCall, so that the share learnt from that peer's answers counted with a reach of 0.

--- a/include/acaciapulley/node/detail/threshold_book.hpp
+++ b/include/acaciapulley/node/detail/threshold_book.hpp
@@ -29,6 +29,9 @@
                                 const CalleeClass& callee,
                                 const RequestContext& context);
 
+  /// @brief Records that a caller's request of @p ownClass goes on to a peer, the callee.
+  void NoteForwarded(const std::string& ownClass, const CalleeClass& callee);
+
   /// @brief Takes over the header `Acp-Threshold` of an answer; a malformed one is ignored.
   void Learn(const std::string& ownClass,
              const CalleeClass& callee,
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -81,6 +81,10 @@
       true,
       context.retriesLeft);
   }
+  if (call.entersHere) {
+    options_.thresholds->NoteForwarded(
+      call.ownClass, { call.request.service, call.request.requestClass->name });
+  }
   HttpRequestHead head{ .method = call.exchange.Request().method,
                         .target = "/" + call.request.service + call.request.upstreamTarget };
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers);
--- a/src/node/threshold_book.cpp
+++ b/src/node/threshold_book.cpp
@@ -23,6 +23,12 @@
   return table_.AdmitsCall(ownClass, callee, context.account, context.priority, now);
 }
 
+void ThresholdBook::NoteForwarded(const std::string& ownClass, const CalleeClass& callee)
+{
+  const std::lock_guard lock(mutex_);
+  table_.OnCall(ownClass, callee, clock_.Now());
+}
+
 void ThresholdBook::Learn(const std::string& ownClass,
                           const CalleeClass& callee,
                           const std::string& account,
