--- a/include/acaciapulley/transport/detail/http_framing.hpp
+++ b/include/acaciapulley/transport/detail/http_framing.hpp
@@ -39,8 +39,8 @@
   bool expectsContinue = false;
 };
 
-/// @brief Parses a request's head. POCO's limits hold: 100 fields, names below 256 bytes, values of
-/// at most 8192 bytes.
+/// @brief Parses a request's head. POCO's limits hold: at most 100 fields, names of 256 bytes and
+/// values of 8192 bytes.
 /// @param text the head with the empty line that ends it
 /// @return nothing, or what is wrong with it
 [[nodiscard]] std::optional<std::string> ParseRequestHead(std::string_view text,
