Refuse a delayed Begin of a released claim

Cause: Release forgot the attempt. When the answer to Begin was lost, the node released the attempt, and a Begin that control carried out afterwards made a claim for an attempt that was given up. It ran nothing, but a resend got in_progress and then unknown instead of running.

Ruled out: a second run through this path; the attempt that was given up dispatches nothing.

Change: the registry remembers released attempts, also those that held no claim, for the longest deadline plus the clock skew, at most 50,000 (the oldest is forgotten first). Begin of one fails with attempt_released.

Conclusion: a resend after a lost Begin runs, whenever the Begin arrives.

--- a/idl/command.thrift
+++ b/idl/command.thrift
@@ -126,6 +126,12 @@
   3: optional control.ClaimOutcome outcome
 }
 
+/// An attempt that gave its claim up; a Begin that arrives later is refused until then.
+struct ReleasedAttemptRow {
+  1: string attemptId
+  2: i64 untilMs
+}
+
 struct ControlSnapshot {
   1: i32 formatVersion
   2: i64 stateVersion
@@ -140,4 +146,5 @@
   11: list<NodeNote> roster
   12: list<string> retiredReplicas
   13: list<StoreRecordCommand> record
+  14: list<ReleasedAttemptRow> releasedAttempts
 }
--- a/include/acaciapulley/claims/claim_registry.hpp
+++ b/include/acaciapulley/claims/claim_registry.hpp
@@ -6,6 +6,7 @@
 
 #include <compare>     // strong_ordering
 #include <cstdint>     // int64_t
+#include <deque>       // deque
 #include <map>         // map
 #include <optional>    // optional
 #include <set>         // set
@@ -92,6 +93,18 @@
   std::optional<ClaimOutcome> outcome;
 };
 
+/// How long a released attempt is remembered. A later Begin of it has passed its deadline.
+inline constexpr std::chrono::milliseconds kReleaseMemory = kMaxClaimDeadline + kClockSkew;
+
+/// An attempt that gave its claim up; a delayed Begin of it is refused.
+struct ReleasedAttempt
+{
+  std::string attemptId;
+  UnixMillis until{}; ///< forgotten at this time
+
+  bool operator==(const ReleasedAttempt&) const = default;
+};
+
 /// Bounds of memory for one client account.
 struct ClaimLimits
 {
@@ -99,6 +112,9 @@
   std::size_t maxClaimsPerAccount = 200'000;
   /// Bodies beyond this are kept as digests only.
   std::size_t maxBodyBytesPerAccount = 64 * 1024 * 1024;
+  /// Released attempts of all accounts; beyond this the oldest is forgotten. A delayed Begin of a
+  /// forgotten one makes a claim that becomes unknown; it never makes a request run twice.
+  std::size_t maxReleasedAttempts = 50'000;
 };
 
 /// @brief Returns the time in an idempotency key, or nothing when its form is wrong.
@@ -127,7 +143,8 @@
   /// @brief Claims a key for an attempt. A repeated call of the holder is granted again.
   /// @param now the log's time
   /// @return the decision, or InvalidKey, KeyInFuture, TooManyClaims, DeadlinePassed or
-  /// InvalidAttempt; after an error the attempt must not run the request
+  /// InvalidAttempt, or AttemptReleased for an attempt that was released before; after an error the
+  /// attempt must not run the request
   /// @par Complexity
   /// Logarithmic in the number of claims, plus the claims that expire.
   /// @par Example
@@ -144,7 +161,8 @@
                             const ClaimOutcome& outcome,
                             UnixMillis now);
 
-  /// @brief Frees a claim of which the holder is certain that nothing was sent.
+  /// @brief Frees a claim of which the holder is certain that nothing was sent. The attempt is
+  /// remembered also when it holds no claim, since its Begin may still be on its way.
   /// @return nothing, or NotHolder; a claim with an outcome or marked unknown is not freed
   ClaimsResult<void> Release(const ClaimKey& key, const std::string& attemptId, UnixMillis now);
 
@@ -164,8 +182,13 @@
   /// @brief Returns all claims ordered by key, for a snapshot.
   [[nodiscard]] std::vector<ClaimRecord> Records() const;
 
-  /// @brief Replaces everything by what Records() and LatestTime() returned.
-  void Restore(const std::vector<ClaimRecord>& records, UnixMillis latest);
+  /// @brief Returns the released attempts that are remembered, oldest first, for a snapshot.
+  [[nodiscard]] std::vector<ReleasedAttempt> Released() const;
+
+  /// @brief Replaces everything by what Records(), LatestTime() and Released() returned.
+  void Restore(const std::vector<ClaimRecord>& records,
+               UnixMillis latest,
+               const std::vector<ReleasedAttempt>& released = {});
 
 private:
   struct AccountUse
@@ -180,6 +203,8 @@
                                     const ClaimAttempt& attempt,
                                     UnixMillis now) const;
   ClaimRecord* HeldBy(const ClaimKey& key, const std::string& attemptId);
+  void RememberReleased(const ReleasedAttempt& released);
+  void ForgetOldestReleased();
   void Insert(const ClaimRecord& record);
   void Erase(Claims::iterator claim);
 
@@ -189,6 +214,8 @@
   std::map<std::string, AccountUse> useByAccount_;
   /// Time at which a claim is dropped, and its key inside claims_.
   std::set<std::pair<std::int64_t, const ClaimKey*>> byExpiry_;
+  std::deque<ReleasedAttempt> released_; ///< oldest first
+  std::set<std::string> releasedIds_;
 };
 
 } // namespace acp
--- a/include/acaciapulley/claims/claims_error.hpp
+++ b/include/acaciapulley/claims/claims_error.hpp
@@ -12,24 +12,26 @@
 /// Why a claim was refused; a refused call changes nothing.
 enum class ClaimsErrorCode
 {
-  InvalidKey = 600,     ///< the idempotency key is not `<unix seconds>-<8 to 64 characters>`
-  KeyInFuture = 601,    ///< the time in the idempotency key is too far ahead of the log's time
-  TooManyClaims = 602,  ///< the client account has as many claims as are kept for it
-  DeadlinePassed = 603, ///< the attempt's deadline had passed when its claim was applied
-  NotHolder = 604,      ///< another attempt holds the claim, or none does
-  InvalidAttempt = 605, ///< an identifier or fingerprint is empty or too long
+  InvalidKey = 600,      ///< the idempotency key is not `<unix seconds>-<8 to 64 characters>`
+  KeyInFuture = 601,     ///< the time in the idempotency key is too far ahead of the log's time
+  TooManyClaims = 602,   ///< the client account has as many claims as are kept for it
+  DeadlinePassed = 603,  ///< the attempt's deadline had passed when its claim was applied
+  NotHolder = 604,       ///< another attempt holds the claim, or none does
+  InvalidAttempt = 605,  ///< an identifier or fingerprint is empty or too long
+  AttemptReleased = 606, ///< the attempt was released before its Begin arrived
 };
 
 template<>
 struct NameTable<ClaimsErrorCode>
 {
-  static constexpr std::array<EnumName<ClaimsErrorCode>, 6> kRows = { {
+  static constexpr std::array<EnumName<ClaimsErrorCode>, 7> kRows = { {
     { ClaimsErrorCode::InvalidKey, "invalid_idempotency_key" },
     { ClaimsErrorCode::KeyInFuture, "idempotency_key_in_future" },
     { ClaimsErrorCode::TooManyClaims, "too_many_claims" },
     { ClaimsErrorCode::DeadlinePassed, "deadline_passed" },
     { ClaimsErrorCode::NotHolder, "not_claim_holder" },
     { ClaimsErrorCode::InvalidAttempt, "invalid_attempt" },
+    { ClaimsErrorCode::AttemptReleased, "attempt_released" },
   } };
 };
 
--- a/src/claims/claim_registry.cpp
+++ b/src/claims/claim_registry.cpp
@@ -117,6 +117,9 @@
                 fmt::format("account, service, attempt id and fingerprint must have 1 to {} bytes",
                             kMaxIdentifier));
   }
+  if (releasedIds_.contains(attempt.attemptId)) {
+    return Fail(ClaimsErrorCode::AttemptReleased, "the attempt was released before");
+  }
   if (Plus(*keyTime, kClaimRetention) <= now) {
     return ClaimDecision{ .state = ClaimState::Expired };
   }
@@ -201,6 +204,9 @@
 {
   Expire(now);
   const ClaimRecord* claim = HeldBy(key, attemptId);
+  if (claim == nullptr || (!claim->outcome && !claim->isMarkedUnknown)) {
+    RememberReleased({ attemptId, Plus(latest_, kReleaseMemory) });
+  }
   if (claim == nullptr || claim->outcome || claim->isMarkedUnknown) {
     return NotHolder(key, attemptId);
   }
@@ -227,6 +233,26 @@
   while (!byExpiry_.empty() && byExpiry_.begin()->first <= bound) {
     Erase(claims_.find(*byExpiry_.begin()->second));
   }
+  while (!released_.empty() && CountMillis(released_.front().until) < bound) {
+    ForgetOldestReleased();
+  }
+}
+
+void ClaimRegistry::RememberReleased(const ReleasedAttempt& released)
+{
+  if (!releasedIds_.insert(released.attemptId).second) {
+    return;
+  }
+  released_.push_back(released);
+  if (released_.size() > limits_.maxReleasedAttempts) {
+    ForgetOldestReleased();
+  }
+}
+
+void ClaimRegistry::ForgetOldestReleased()
+{
+  releasedIds_.erase(released_.front().attemptId);
+  released_.pop_front();
 }
 
 void ClaimRegistry::Insert(const ClaimRecord& record)
@@ -263,8 +289,20 @@
   return records;
 }
 
-void ClaimRegistry::Restore(const std::vector<ClaimRecord>& records, UnixMillis latest)
+std::vector<ReleasedAttempt> ClaimRegistry::Released() const
 {
+  return { released_.begin(), released_.end() };
+}
+
+void ClaimRegistry::Restore(const std::vector<ClaimRecord>& records,
+                            UnixMillis latest,
+                            const std::vector<ReleasedAttempt>& released)
+{
+  released_.clear();
+  releasedIds_.clear();
+  for (const auto& attempt : released) {
+    RememberReleased(attempt);
+  }
   byExpiry_.clear();
   useByAccount_.clear();
   claims_.clear();
--- a/src/control/control_snapshot.cpp
+++ b/src/control/control_snapshot.cpp
@@ -100,6 +100,12 @@
   for (const auto& claim : claims.Records()) {
     snapshot.claims.push_back(detail::ToWire(claim));
   }
+  for (const auto& released : claims.Released()) {
+    wire::ReleasedAttemptRow row;
+    row.attemptId = released.attemptId;
+    row.untilMs = CountMillis(released.until);
+    snapshot.releasedAttempts.push_back(row);
+  }
   for (const auto& [nodeId, node] : roster) {
     snapshot.roster.push_back(NoteOf(node));
   }
@@ -137,7 +143,11 @@
   for (const auto& row : snapshot.claims) {
     claimRecords.push_back(detail::FromWire(row));
   }
-  claims.Restore(claimRecords, ToUnixMillis(snapshot.claimsTimeMs));
+  std::vector<ReleasedAttempt> released;
+  for (const auto& row : snapshot.releasedAttempts) {
+    released.push_back({ row.attemptId, ToUnixMillis(row.untilMs) });
+  }
+  claims.Restore(claimRecords, ToUnixMillis(snapshot.claimsTimeMs), released);
   roster.clear();
   for (const auto& note : snapshot.roster) {
     const bool isDraining = note.event == wire::NodeEvent::DRAINING;
--- a/src/gen/command_types.cpp
+++ b/src/gen/command_types.cpp
@@ -2411,6 +2411,118 @@
 }
 
 
+ReleasedAttemptRow::~ReleasedAttemptRow() noexcept {
+}
+
+
+void ReleasedAttemptRow::__set_attemptId(const std::string& val) {
+  this->attemptId = val;
+}
+
+void ReleasedAttemptRow::__set_untilMs(const int64_t val) {
+  this->untilMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReleasedAttemptRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReleasedAttemptRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->attemptId);
+          this->__isset.attemptId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->untilMs);
+          this->__isset.untilMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReleasedAttemptRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReleasedAttemptRow");
+
+  xfer += oprot->writeFieldBegin("attemptId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->attemptId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("untilMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->untilMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReleasedAttemptRow &a, ReleasedAttemptRow &b) {
+  using ::std::swap;
+  swap(a.attemptId, b.attemptId);
+  swap(a.untilMs, b.untilMs);
+  swap(a.__isset, b.__isset);
+}
+
+ReleasedAttemptRow::ReleasedAttemptRow(const ReleasedAttemptRow& other43) {
+  attemptId = other43.attemptId;
+  untilMs = other43.untilMs;
+  __isset = other43.__isset;
+}
+ReleasedAttemptRow& ReleasedAttemptRow::operator=(const ReleasedAttemptRow& other44) {
+  attemptId = other44.attemptId;
+  untilMs = other44.untilMs;
+  __isset = other44.__isset;
+  return *this;
+}
+void ReleasedAttemptRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReleasedAttemptRow(";
+  out << "attemptId=" << to_string(attemptId);
+  out << ", " << "untilMs=" << to_string(untilMs);
+  out << ")";
+}
+
+
 ControlSnapshot::~ControlSnapshot() noexcept {
 }
 
@@ -2466,6 +2578,10 @@
 void ControlSnapshot::__set_record(const std::vector<StoreRecordCommand> & val) {
   this->record = val;
 }
+
+void ControlSnapshot::__set_releasedAttempts(const std::vector<ReleasedAttemptRow> & val) {
+  this->releasedAttempts = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlSnapshot& obj)
 {
   obj.printTo(out);
@@ -2514,14 +2630,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->documents.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->documents.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->documents.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
             {
-              xfer += this->documents[_i47].read(iprot);
+              xfer += this->documents[_i49].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2534,14 +2650,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->keys.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->keys.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += this->keys[_i52].read(iprot);
+              xfer += this->keys[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2554,14 +2670,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->revokedKeyIds.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->revokedKeyIds.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->revokedKeyIds.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
             {
-              xfer += iprot->readString(this->revokedKeyIds[_i57]);
+              xfer += iprot->readString(this->revokedKeyIds[_i59]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2574,14 +2690,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ledger.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->ledger.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->ledger.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->ledger[_i62].read(iprot);
+              xfer += this->ledger[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2602,14 +2718,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _etype66;
-            xfer += iprot->readListBegin(_etype66, _size63);
-            this->audit.resize(_size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->audit.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->audit[_i67].read(iprot);
+              xfer += this->audit[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2630,14 +2746,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->claims.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->claims.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->claims[_i72].read(iprot);
+              xfer += this->claims[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2650,14 +2766,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->roster.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->roster.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->roster.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->roster[_i77].read(iprot);
+              xfer += this->roster[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2670,14 +2786,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retiredReplicas.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->retiredReplicas.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->retiredReplicas.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += iprot->readString(this->retiredReplicas[_i82]);
+              xfer += iprot->readString(this->retiredReplicas[_i84]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2690,14 +2806,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->record.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->record.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->record.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->record[_i87].read(iprot);
+              xfer += this->record[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2706,6 +2822,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->releasedAttempts.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->releasedAttempts.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += this->releasedAttempts[_i94].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.releasedAttempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2734,10 +2870,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
-    std::vector<DocumentHistory> ::const_iterator _iter88;
-    for (_iter88 = this->documents.begin(); _iter88 != this->documents.end(); ++_iter88)
+    std::vector<DocumentHistory> ::const_iterator _iter95;
+    for (_iter95 = this->documents.begin(); _iter95 != this->documents.end(); ++_iter95)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2746,10 +2882,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector< ::acp::wire::IssuedKey> ::const_iterator _iter89;
-    for (_iter89 = this->keys.begin(); _iter89 != this->keys.end(); ++_iter89)
+    std::vector< ::acp::wire::IssuedKey> ::const_iterator _iter96;
+    for (_iter96 = this->keys.begin(); _iter96 != this->keys.end(); ++_iter96)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2758,10 +2894,10 @@
   xfer += oprot->writeFieldBegin("revokedKeyIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->revokedKeyIds.size()));
-    std::vector<std::string> ::const_iterator _iter90;
-    for (_iter90 = this->revokedKeyIds.begin(); _iter90 != this->revokedKeyIds.end(); ++_iter90)
+    std::vector<std::string> ::const_iterator _iter97;
+    for (_iter97 = this->revokedKeyIds.begin(); _iter97 != this->revokedKeyIds.end(); ++_iter97)
     {
-      xfer += oprot->writeString((*_iter90));
+      xfer += oprot->writeString((*_iter97));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2770,10 +2906,10 @@
   xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ledger.size()));
-    std::vector<LedgerRow> ::const_iterator _iter91;
-    for (_iter91 = this->ledger.begin(); _iter91 != this->ledger.end(); ++_iter91)
+    std::vector<LedgerRow> ::const_iterator _iter98;
+    for (_iter98 = this->ledger.begin(); _iter98 != this->ledger.end(); ++_iter98)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter98).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2786,10 +2922,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRow> ::const_iterator _iter92;
-    for (_iter92 = this->audit.begin(); _iter92 != this->audit.end(); ++_iter92)
+    std::vector<AuditRow> ::const_iterator _iter99;
+    for (_iter99 = this->audit.begin(); _iter99 != this->audit.end(); ++_iter99)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2802,10 +2938,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<ClaimRow> ::const_iterator _iter93;
-    for (_iter93 = this->claims.begin(); _iter93 != this->claims.end(); ++_iter93)
+    std::vector<ClaimRow> ::const_iterator _iter100;
+    for (_iter100 = this->claims.begin(); _iter100 != this->claims.end(); ++_iter100)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2814,10 +2950,10 @@
   xfer += oprot->writeFieldBegin("roster", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->roster.size()));
-    std::vector<NodeNote> ::const_iterator _iter94;
-    for (_iter94 = this->roster.begin(); _iter94 != this->roster.end(); ++_iter94)
+    std::vector<NodeNote> ::const_iterator _iter101;
+    for (_iter101 = this->roster.begin(); _iter101 != this->roster.end(); ++_iter101)
     {
-      xfer += (*_iter94).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2826,10 +2962,10 @@
   xfer += oprot->writeFieldBegin("retiredReplicas", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->retiredReplicas.size()));
-    std::vector<std::string> ::const_iterator _iter95;
-    for (_iter95 = this->retiredReplicas.begin(); _iter95 != this->retiredReplicas.end(); ++_iter95)
+    std::vector<std::string> ::const_iterator _iter102;
+    for (_iter102 = this->retiredReplicas.begin(); _iter102 != this->retiredReplicas.end(); ++_iter102)
     {
-      xfer += oprot->writeString((*_iter95));
+      xfer += oprot->writeString((*_iter102));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2838,10 +2974,22 @@
   xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->record.size()));
-    std::vector<StoreRecordCommand> ::const_iterator _iter96;
-    for (_iter96 = this->record.begin(); _iter96 != this->record.end(); ++_iter96)
+    std::vector<StoreRecordCommand> ::const_iterator _iter103;
+    for (_iter103 = this->record.begin(); _iter103 != this->record.end(); ++_iter103)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter103).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("releasedAttempts", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releasedAttempts.size()));
+    std::vector<ReleasedAttemptRow> ::const_iterator _iter104;
+    for (_iter104 = this->releasedAttempts.begin(); _iter104 != this->releasedAttempts.end(); ++_iter104)
+    {
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2867,40 +3015,43 @@
   swap(a.roster, b.roster);
   swap(a.retiredReplicas, b.retiredReplicas);
   swap(a.record, b.record);
+  swap(a.releasedAttempts, b.releasedAttempts);
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other97) {
-  formatVersion = other97.formatVersion;
-  stateVersion = other97.stateVersion;
-  documents = other97.documents;
-  keys = other97.keys;
-  revokedKeyIds = other97.revokedKeyIds;
-  ledger = other97.ledger;
-  nextAuditNumber = other97.nextAuditNumber;
-  audit = other97.audit;
-  claimsTimeMs = other97.claimsTimeMs;
-  claims = other97.claims;
-  roster = other97.roster;
-  retiredReplicas = other97.retiredReplicas;
-  record = other97.record;
-  __isset = other97.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other98) {
-  formatVersion = other98.formatVersion;
-  stateVersion = other98.stateVersion;
-  documents = other98.documents;
-  keys = other98.keys;
-  revokedKeyIds = other98.revokedKeyIds;
-  ledger = other98.ledger;
-  nextAuditNumber = other98.nextAuditNumber;
-  audit = other98.audit;
-  claimsTimeMs = other98.claimsTimeMs;
-  claims = other98.claims;
-  roster = other98.roster;
-  retiredReplicas = other98.retiredReplicas;
-  record = other98.record;
-  __isset = other98.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other105) {
+  formatVersion = other105.formatVersion;
+  stateVersion = other105.stateVersion;
+  documents = other105.documents;
+  keys = other105.keys;
+  revokedKeyIds = other105.revokedKeyIds;
+  ledger = other105.ledger;
+  nextAuditNumber = other105.nextAuditNumber;
+  audit = other105.audit;
+  claimsTimeMs = other105.claimsTimeMs;
+  claims = other105.claims;
+  roster = other105.roster;
+  retiredReplicas = other105.retiredReplicas;
+  record = other105.record;
+  releasedAttempts = other105.releasedAttempts;
+  __isset = other105.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other106) {
+  formatVersion = other106.formatVersion;
+  stateVersion = other106.stateVersion;
+  documents = other106.documents;
+  keys = other106.keys;
+  revokedKeyIds = other106.revokedKeyIds;
+  ledger = other106.ledger;
+  nextAuditNumber = other106.nextAuditNumber;
+  audit = other106.audit;
+  claimsTimeMs = other106.claimsTimeMs;
+  claims = other106.claims;
+  roster = other106.roster;
+  retiredReplicas = other106.retiredReplicas;
+  record = other106.record;
+  releasedAttempts = other106.releasedAttempts;
+  __isset = other106.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
@@ -2919,6 +3070,7 @@
   out << ", " << "roster=" << to_string(roster);
   out << ", " << "retiredReplicas=" << to_string(retiredReplicas);
   out << ", " << "record=" << to_string(record);
+  out << ", " << "releasedAttempts=" << to_string(releasedAttempts);
   out << ")";
 }
 
--- a/src/gen/command_types.h
+++ b/src/gen/command_types.h
@@ -67,6 +67,8 @@
 
 class ClaimRow;
 
+class ReleasedAttemptRow;
+
 class ControlSnapshot;
 
 typedef struct _OperatorRequest__isset {
@@ -1041,8 +1043,58 @@
 
 std::ostream& operator<<(std::ostream& out, const ClaimRow& obj);
 
+typedef struct _ReleasedAttemptRow__isset {
+  _ReleasedAttemptRow__isset() : attemptId(false), untilMs(false) {}
+  bool attemptId :1;
+  bool untilMs :1;
+} _ReleasedAttemptRow__isset;
+
+class ReleasedAttemptRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReleasedAttemptRow(const ReleasedAttemptRow&);
+  ReleasedAttemptRow& operator=(const ReleasedAttemptRow&);
+  ReleasedAttemptRow() noexcept
+                     : attemptId(),
+                       untilMs(0) {
+  }
+
+  virtual ~ReleasedAttemptRow() noexcept;
+  std::string attemptId;
+  int64_t untilMs;
+
+  _ReleasedAttemptRow__isset __isset;
+
+  void __set_attemptId(const std::string& val);
+
+  void __set_untilMs(const int64_t val);
+
+  bool operator == (const ReleasedAttemptRow & rhs) const
+  {
+    if (!(attemptId == rhs.attemptId))
+      return false;
+    if (!(untilMs == rhs.untilMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ReleasedAttemptRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReleasedAttemptRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReleasedAttemptRow &a, ReleasedAttemptRow &b);
+
+std::ostream& operator<<(std::ostream& out, const ReleasedAttemptRow& obj);
+
 typedef struct _ControlSnapshot__isset {
-  _ControlSnapshot__isset() : formatVersion(false), stateVersion(false), documents(false), keys(false), revokedKeyIds(false), ledger(false), nextAuditNumber(false), audit(false), claimsTimeMs(false), claims(false), roster(false), retiredReplicas(false), record(false) {}
+  _ControlSnapshot__isset() : formatVersion(false), stateVersion(false), documents(false), keys(false), revokedKeyIds(false), ledger(false), nextAuditNumber(false), audit(false), claimsTimeMs(false), claims(false), roster(false), retiredReplicas(false), record(false), releasedAttempts(false) {}
   bool formatVersion :1;
   bool stateVersion :1;
   bool documents :1;
@@ -1056,6 +1108,7 @@
   bool roster :1;
   bool retiredReplicas :1;
   bool record :1;
+  bool releasedAttempts :1;
 } _ControlSnapshot__isset;
 
 class ControlSnapshot : public virtual ::apache::thrift::TBase {
@@ -1084,6 +1137,7 @@
   std::vector<NodeNote>  roster;
   std::vector<std::string>  retiredReplicas;
   std::vector<StoreRecordCommand>  record;
+  std::vector<ReleasedAttemptRow>  releasedAttempts;
 
   _ControlSnapshot__isset __isset;
 
@@ -1113,6 +1167,8 @@
 
   void __set_record(const std::vector<StoreRecordCommand> & val);
 
+  void __set_releasedAttempts(const std::vector<ReleasedAttemptRow> & val);
+
   bool operator == (const ControlSnapshot & rhs) const
   {
     if (!(formatVersion == rhs.formatVersion))
@@ -1141,6 +1197,8 @@
       return false;
     if (!(record == rhs.record))
       return false;
+    if (!(releasedAttempts == rhs.releasedAttempts))
+      return false;
     return true;
   }
   bool operator != (const ControlSnapshot &rhs) const {
--- a/tests/claims_test/claim_registry_test.cpp
+++ b/tests/claims_test/claim_registry_test.cpp
@@ -32,6 +32,7 @@
 struct KeyModel
 {
   std::set<std::string> mayHaveRun; ///< attempts that were granted and not released
+  std::set<std::string> released;   ///< attempts that were released, granted or not
   bool hasOutcome = false;
 };
 
@@ -57,6 +58,9 @@
         auto attempt = Attempt("a" + std::to_string(random() % 5), now);
         attempt.key.idempotencyKey += std::to_string(random() % 20);
         KeyModel& known = model[attempt.key.idempotencyKey];
+        // New attempts follow the released ones, whose delayed calls still arrive at times.
+        attempt.attemptId = std::to_string(known.released.size() + random() % 5) + " of " +
+                            attempt.key.idempotencyKey;
         switch (random() % 6) {
           case 0:
             if (registry->Finish(attempt.key, attempt.attemptId, { .status = 200 }, time)) {
@@ -65,19 +69,27 @@
             }
             break;
           case 1:
+            // A node releases an attempt that holds the claim, or one without answer to its Begin.
             if (registry->Release(attempt.key, attempt.attemptId, time)) {
               BOOST_TEST(!known.hasOutcome);
               known.mayHaveRun.erase(attempt.attemptId);
+              known.released.insert(attempt.attemptId);
             }
             break;
           case 2: {
             auto restored = std::make_unique<acp::ClaimRegistry>();
-            restored->Restore(registry->Records(), registry->LatestTime());
+            restored->Restore(registry->Records(), registry->LatestTime(), registry->Released());
             registry = std::move(restored);
             break;
           }
           default: {
-            const auto state = registry->Begin(attempt, time).value().state;
+            const auto begun = registry->Begin(attempt, time);
+            if (!begun) {
+              BOOST_TEST((begun.error().code == acp::ClaimsErrorCode::AttemptReleased));
+              break;
+            }
+            BOOST_TEST(!known.released.contains(attempt.attemptId));
+            const auto state = begun.value().state;
             BOOST_TEST((state == acp::ClaimState::Finished) == known.hasOutcome);
             if (state == acp::ClaimState::Granted) {
               known.mayHaveRun.insert(attempt.attemptId);
@@ -138,6 +150,32 @@
   }
 }
 
+// P9. Guards against a delayed Begin that takes a key for an attempt that was given up, before and
+// after a restart from a snapshot, and against memory of released attempts without bound.
+BOOST_AUTO_TEST_CASE(a_released_attempt_is_never_granted)
+{
+  acp::ClaimRegistry registry({ .maxReleasedAttempts = 2 });
+  const auto now = acp::ToUnixMillis(kStart);
+  const auto first = Attempt("a1", kStart);
+  BOOST_TEST(!registry.Release(first.key, "a1", now).has_value());
+  BOOST_TEST((StateOf(registry, Attempt("a2", kStart), kStart) == acp::ClaimState::Granted));
+  BOOST_TEST(registry.Release(first.key, "a2", now).has_value());
+  acp::ClaimRegistry restored;
+  restored.Restore(registry.Records(), registry.LatestTime(), registry.Released());
+  for (auto* each : { &registry, &restored }) {
+    for (const char* id : { "a1", "a2" }) {
+      const auto late = each->Begin(Attempt(id, kStart), now);
+      BOOST_REQUIRE(!late.has_value());
+      BOOST_TEST((late.error().code == acp::ClaimsErrorCode::AttemptReleased));
+    }
+    BOOST_TEST((StateOf(*each, Attempt("a3", kStart), kStart) == acp::ClaimState::Granted));
+  }
+  BOOST_TEST(!registry.Release(first.key, "a4", now).has_value());
+  BOOST_TEST(registry.Released().size() == 2U);
+  registry.Expire(acp::ToUnixMillis(kStart + acp::kReleaseMemory.count() + 1));
+  BOOST_TEST(registry.Released().empty());
+}
+
 // P9. Guards against memory without bound, and against a claim that is dropped to make room.
 BOOST_AUTO_TEST_CASE(memory_is_bounded_without_forgetting_claims)
 {
