--- /dev/null
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -0,0 +1,391 @@
+#include "pipeline_fixture.hpp"
+
+#include <thread>
+
+#include "acaciapulley/transport/http_client.hpp"
+
+namespace acp::test {
+
+namespace {
+
+constexpr Duration kFetchTimeout = std::chrono::seconds(30);
+const Address kAnyPort{ .ip = "127.0.0.1", .port = 0 };
+
+struct AnswerLost
+{};
+
+std::string DocumentOf(const std::string& service)
+{
+  return R"({"service":")" + service +
+         R"(","accounts":[{"name":"a","rate":5000,"burst":5000},{"name":"b","rate":5000,)"
+         R"("burst":5000},{"name":"poor","rate":1,"burst":1}],"classes":[)"
+         R"({"name":"order","methods":["POST"],"path":"/orders","priority":0,"idempotent":false,)"
+         R"("deadline_ms":20000,"max_body_bytes":1000},)"
+         R"({"name":"read","methods":["GET"],"path":"/items/*","priority":5,"idempotent":true,)"
+         R"("deadline_ms":20000},{"name":"open","methods":["GET"],"path":"/open","priority":5,)"
+         R"("idempotent":true,"open":true,"deadline_ms":20000}]})";
+}
+
+/// A body of which only the first bytes arrive.
+class CutBody final : public BodySource
+{
+public:
+  std::size_t Read(char* buffer, std::size_t size) override
+  {
+    // The server sends the first parts before it meets the cut.
+    if (++reads_ > 4) {
+      throw BodyTruncated{};
+    }
+    std::fill_n(buffer, size, 'x');
+    return size;
+  }
+
+private:
+  int reads_ = 0;
+};
+
+ClaimKey FromWire(const wire::ClaimKey& key)
+{
+  return { key.account, key.serviceName, key.idempotencyKey };
+}
+
+template<typename Error>
+[[noreturn]] void ThrowFailure(const Error& error)
+{
+  wire::ControlFailure failure;
+  failure.code = static_cast<int>(error.code);
+  failure.message = error.Describe();
+  throw failure;
+}
+
+} // namespace
+
+FakeControl::FakeControl()
+{
+  authority_.BeginTerm(1, clock_.Now());
+  for (const std::string service : { "front", "back" }) {
+    for (const std::string account : { "a", "b" }) {
+      authority_.SetLimit({ service, account }, { .rate = 5000, .burst = 5000 }, clock_.Now());
+    }
+    authority_.SetLimit({ service, "poor" }, { .rate = 1, .burst = 1 }, clock_.Now());
+  }
+  clock_.Advance(std::chrono::seconds(10));
+}
+
+TransportResult<void> FakeControl::Call(const std::function<void(wire::ControlServiceIf&)>& call)
+{
+  const std::lock_guard lock(mutex_);
+  try {
+    call(*this);
+    return boost::outcome_v2::success();
+  } catch (const wire::ControlFailure& failure) {
+    return Fail(TransportErrorCode::Refused, failure.message);
+  } catch (const AnswerLost&) {
+    return Fail(TransportErrorCode::ConnectionLost, "no answer");
+  }
+}
+
+void FakeControl::DeliverDelayed()
+{
+  const std::lock_guard lock(mutex_);
+  for (const auto& apply : std::exchange(delayed_, {})) {
+    try {
+      apply();
+    } catch (const wire::ControlFailure&) {
+      // Nobody waits for the answer any more.
+    }
+  }
+}
+
+void FakeControl::Carry(const std::string& call, const std::function<void()>& apply)
+{
+  const auto happens = fault ? fault(call) : ControlFault::None;
+  if (happens == ControlFault::Delayed || happens == ControlFault::NotCommitted) {
+    delayed_.push_back(apply);
+  } else if (happens != ControlFault::Unreachable) {
+    apply();
+  }
+  if (happens == ControlFault::NotCommitted) {
+    ThrowFailure(BasicError<TransportErrorCode>{ TransportErrorCode::Timeout, "not committed" });
+  }
+  if (happens != ControlFault::None) {
+    throw AnswerLost{};
+  }
+}
+
+void FakeControl::Sync(wire::SyncReply& /*reply*/, const wire::SyncRequest& /*request*/) {}
+
+void FakeControl::AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request)
+{
+  if (!grantsTokens) {
+    throw AnswerLost{};
+  }
+  for (const auto& ask : request.asks) {
+    const auto answer =
+      authority_.Acquire({ .nodeId = request.nodeId,
+                           .epoch = request.epoch,
+                           .key = { ask.serviceName, ask.account },
+                           .number = ask.number,
+                           .term = ask.term,
+                           .received = ask.received,
+                           .spent = ask.spent,
+                           .returned = ask.returned,
+                           .spentAge = std::chrono::microseconds(ask.spentAgeMicros),
+                           .needed = ask.needed,
+                           .wanted = ask.wanted },
+                         clock_.Now(),
+                         clock_.Now());
+    wire::TokenAnswer wired;
+    if (answer) {
+      const auto micros = [](Duration span) {
+        return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+      };
+      wired.term = answer.value().term;
+      wired.number = answer.value().number;
+      wired.granted = answer.value().granted;
+      wired.leaseMicros = micros(answer.value().lease);
+      wired.retryAfterMicros = micros(answer.value().retryAfter);
+      wired.settleWithinMicros = micros(answer.value().settleWithin);
+    } else {
+      wired.errorCode = static_cast<int>(answer.error().code);
+    }
+    reply.answers.push_back(wired);
+  }
+}
+
+void FakeControl::BeginClaim(wire::BeginClaimReply& reply, const wire::BeginClaimRequest& request)
+{
+  // A delayed call outlives the caller's reply.
+  auto kept = std::make_shared<wire::BeginClaimReply>();
+  Carry("begin", [this, kept, request] {
+    const auto decision = claims_.Begin({ .key = FromWire(request.key),
+                                          .attemptId = request.attemptId,
+                                          .fingerprint = request.fingerprint,
+                                          .deadline = ToUnixMillis(request.deadlineMs) },
+                                        clock_.WallNow());
+    if (!decision) {
+      ThrowFailure(decision.error());
+    }
+    kept->state = static_cast<wire::ClaimState::type>(decision.value().state);
+    if (const auto& outcome = decision.value().outcome) {
+      kept->outcome.status = outcome->status;
+      kept->outcome.contentType = outcome->contentType;
+      kept->outcome.body = outcome->body;
+      kept->outcome.bodyKept = outcome->bodyKept;
+    }
+  });
+  reply = *kept;
+}
+
+void FakeControl::FinishClaim(const wire::FinishClaimRequest& request)
+{
+  Carry("finish", [this, request] {
+    const auto& outcome = request.outcome;
+    const auto done =
+      request.__isset.outcomeUnknown
+        ? claims_.MarkUnknown(FromWire(request.key), request.attemptId, clock_.WallNow())
+        : claims_.Finish(FromWire(request.key),
+                         request.attemptId,
+                         { .status = outcome.status,
+                           .contentType = outcome.contentType,
+                           .body = outcome.body,
+                           .bodyKept = outcome.bodyKept },
+                         clock_.WallNow());
+    if (!done) {
+      ThrowFailure(done.error());
+    }
+  });
+}
+
+void FakeControl::ReleaseClaim(const wire::ReleaseClaimRequest& request)
+{
+  Carry("release", [this, request] {
+    const auto done = claims_.Release(FromWire(request.key), request.attemptId, clock_.WallNow());
+    if (!done) {
+      ThrowFailure(done.error());
+    }
+  });
+}
+
+Answer Fetch(std::uint16_t port,
+             const HttpRequestHead& head,
+             const std::string& body,
+             std::int64_t declared)
+{
+  HttpPool pool({ .address = { "127.0.0.1", port } });
+  StringBody source(body);
+  const auto length = declared == -2 ? static_cast<std::int64_t>(body.size()) : declared;
+  const auto sent = pool.Send(head, source, length, kFetchTimeout);
+  Answer answer;
+  if (!sent) {
+    return answer;
+  }
+  const auto& answered = sent.value()->Response();
+  answer.status = answered.status;
+  answer.outcome = answered.headers.Find("Acp-Outcome").value_or("");
+  answer.reason = answered.headers.Find("Acp-Reason").value_or("");
+  try {
+    answer.body = ReadAll(sent.value()->Body(), 1'000'000).value_or("");
+    answer.isWhole = true;
+  } catch (const BodyTruncated&) {
+    answer.isWhole = false;
+  }
+  return answer;
+}
+
+FakeUpstream::FakeUpstream()
+  : server_(std::make_unique<HttpServer>(
+      HttpServerOptions{ .address = kAnyPort,
+                         .handler = [this](ServerExchange& e) { Handle(e); } }))
+{
+}
+
+std::vector<SeenRequest> FakeUpstream::Seen() const
+{
+  const std::lock_guard lock(mutex_);
+  return seen_;
+}
+
+int FakeUpstream::Runs(const std::string& text) const
+{
+  int runs = 0;
+  for (const auto& seen : Seen()) {
+    const auto key = seen.head.headers.Find("Idempotency-Key").value_or("");
+    const std::string all = seen.head.target + '\n' + key + '\n' + seen.body;
+    runs += seen.ran && all.find(text) != std::string::npos ? 1 : 0;
+  }
+  return runs;
+}
+
+void FakeUpstream::Handle(ServerExchange& exchange)
+{
+  SeenRequest seen{ .head = exchange.Request(),
+                    .body = ReadAll(exchange.RequestBody(), 1'000'000).value_or("") };
+  UpstreamAct acts = UpstreamAct::Answer;
+  {
+    const std::lock_guard lock(mutex_);
+    acts = act ? act() : UpstreamAct::Answer;
+    seen.ran = acts != UpstreamAct::CutBeforeRead && acts != UpstreamAct::SayNotRun;
+    seen_.push_back(seen);
+  }
+  if (acts == UpstreamAct::CutBeforeRead) {
+    return;
+  }
+  if (acts == UpstreamAct::SayNotRun) {
+    HttpResponseHead refusal{ .status = 503 };
+    refusal.headers.Set("Acp-Outcome", "not-run");
+    exchange.Respond(refusal, "busy\n");
+    return;
+  }
+  if (onRun) {
+    onRun(seen);
+  }
+  if (acts == UpstreamAct::CutAfterRead) {
+    return;
+  }
+  while (acts == UpstreamAct::Stall && !exchange.IsCallerGone()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  if (acts == UpstreamAct::CutAnswer) {
+    CutBody cut;
+    exchange.RespondStreaming({ .status = 200 }, 100'000, cut, nullptr);
+    return;
+  }
+  exchange.Respond({ .status = 200 }, "answer to " + seen.head.target + " " + seen.body);
+}
+
+TestKeys::TestKeys()
+  : a(MakeKey("a", ToUnixMillis(0)))
+  , b(MakeKey("b", ToUnixMillis(0)))
+  , poor(MakeKey("poor", ToUnixMillis(0)))
+  , c(MakeKey("c", ToUnixMillis(0)))
+  , unknown(MakeKey("a", ToUnixMillis(0)))
+{
+}
+
+const TestKeys& Keys()
+{
+  static const TestKeys keys;
+  return keys;
+}
+
+TestNode::TestNode(const TestNodeOptions& options)
+  : options_(options)
+  , pipeline_({ .nodeId = options.id,
+                .epoch = 1,
+                .dataCentre = "d1",
+                .fleetSecret = std::string(32, 's'),
+                .retryBudget = kRetryBudget,
+                .clock = &clock_,
+                .view = &view_,
+                .upstream = &upstream_,
+                .members = &members_,
+                .control = [this](const auto& call) { return options_.control->Call(call); },
+                .onAnnounced = [] {},
+                .guards = options.guards })
+  , peer_(Listener(&RequestPipeline::HandlePeer))
+  , egress_(Listener(&RequestPipeline::HandleEgress))
+  , ingress_(Listener(&RequestPipeline::HandleIngress))
+{
+  const auto& keys = Keys();
+  // Confirmed far ahead, so that a slow machine never makes the state stale.
+  const Duration age = options.isStale ? std::chrono::hours(1) : -std::chrono::hours(1);
+  view_.Apply({ .isSnapshot = true,
+                .toVersion = 1,
+                .documents = { { 1, DocumentOf("front") }, { 1, DocumentOf("back") } },
+                .issuedKeys = { keys.a.record, keys.b.record, keys.poor.record, keys.c.record } },
+              clock_.Now() - age);
+  if (options.upstream != nullptr) {
+    Announce(false);
+  }
+}
+
+HttpServerOptions TestNode::Listener(void (RequestPipeline::*handle)(ServerExchange&))
+{
+  return { .address = kAnyPort,
+           .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); } };
+}
+
+void TestNode::Join(const std::vector<TestNode*>& nodes)
+{
+  std::vector<RoutedMember> members;
+  for (const auto* node : nodes) {
+    members.push_back({ .nodeId = node->options_.id,
+                        .epoch = 1,
+                        .service = node->options_.service,
+                        .dataCentre = "d1",
+                        .peerAddress = "127.0.0.1:" + std::to_string(node->Peer()),
+                        .slots = 100 });
+  }
+  for (auto* node : nodes) {
+    node->members_.Apply(0, 1, members, node->clock_.Now());
+  }
+}
+
+int TestNode::Announce(bool isDraining)
+{
+  const std::string body = R"({"service":")" + options_.service + R"(","address":"127.0.0.1:)" +
+                           std::to_string(options_.upstream->Port()) +
+                           R"(","slots":100,"max_connections":100,"draining":)" +
+                           (isDraining ? "true}" : "false}");
+  return Fetch(Egress(), { .method = "PUT", .target = "/.acp/upstream" }, body).status;
+}
+
+HttpRequestHead Order(const std::string& name, const std::string& key)
+{
+  HttpRequestHead head{ .method = "POST", .target = "/front/orders" };
+  head.headers.Add("Acp-Key", key);
+  head.headers.Add("Idempotency-Key", "1700000000-order-" + name);
+  return head;
+}
+
+HttpRequestHead Read(const std::string& path, const std::string& key)
+{
+  HttpRequestHead head{ .method = "GET", .target = path };
+  if (!key.empty()) {
+    head.headers.Add("Acp-Key", key);
+  }
+  return head;
+}
+
+} // namespace acp::test
--- /dev/null
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "acaciapulley/claims/claim_registry.hpp"
+#include "acaciapulley/limits/rate_authority.hpp"
+#include "acaciapulley/node/request_pipeline.hpp"
+#include "acaciapulley/transport/http_server.hpp"
+#include "gen/ControlService.h"
+
+namespace acp::test {
+
+/// What happens to one call to control.
+enum class ControlFault
+{
+  None,
+  Unreachable, ///< the call does not arrive
+  AnswerLost,  ///< the call is carried out, its answer does not arrive
+  Delayed,     ///< as Unreachable for the node; arrives when DeliverDelayed() is called
+  NotCommitted ///< control answers that it could not commit, and carries the call out later
+};
+
+/// Control with the real claim registry and rate authority on a clock that stands still.
+class FakeControl final : public wire::ControlServiceIf
+{
+public:
+  FakeControl();
+
+  /// Asked before each call of a claim: "begin", "finish" or "release".
+  std::function<ControlFault(const std::string& call)> fault;
+  std::atomic<bool> grantsTokens = true;
+
+  TransportResult<void> Call(const std::function<void(wire::ControlServiceIf&)>& call);
+  void DeliverDelayed();
+
+  void Sync(wire::SyncReply& reply, const wire::SyncRequest& request) override;
+  void AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request) override;
+  void BeginClaim(wire::BeginClaimReply& reply, const wire::BeginClaimRequest& request) override;
+  void FinishClaim(const wire::FinishClaimRequest& request) override;
+  void ReleaseClaim(const wire::ReleaseClaimRequest& request) override;
+
+private:
+  void Carry(const std::string& call, const std::function<void()>& apply);
+
+  std::mutex mutex_;
+  ManualClock clock_;
+  RateAuthority authority_{ {} };
+  ClaimRegistry claims_;
+  std::vector<std::function<void()>> delayed_;
+};
+
+/// What the upstream does with a request.
+enum class UpstreamAct
+{
+  Answer,
+  CutBeforeRead, ///< closes the connection and does not count the request
+  CutAfterRead,  ///< runs the request, then closes the connection
+  Stall,         ///< runs the request, then answers after the caller's deadline
+  SayNotRun,     ///< 503 with `Acp-Outcome: not-run`, does not run it
+  CutAnswer,     ///< runs the request and ends the answer early
+};
+
+struct SeenRequest
+{
+  HttpRequestHead head;
+  std::string body;
+  bool ran = false;
+};
+
+struct Answer
+{
+  int status = 0; ///< 0: no answer
+  std::string outcome;
+  std::string reason;
+  std::string body;
+  bool isWhole = false;
+};
+
+Answer Fetch(std::uint16_t port,
+             const HttpRequestHead& head,
+             const std::string& body = "",
+             std::int64_t declared = -2);
+
+/// An upstream that records every head it receives.
+class FakeUpstream
+{
+public:
+  FakeUpstream();
+
+  std::function<UpstreamAct()> act;              ///< by default Answer; asked under a lock
+  std::function<void(const SeenRequest&)> onRun; ///< for nested calls; called without lock
+  [[nodiscard]] std::uint16_t Port() const { return server_->Port(); }
+  [[nodiscard]] std::vector<SeenRequest> Seen() const;
+  /// Requests that ran and whose head or body has @p text.
+  [[nodiscard]] int Runs(const std::string& text) const;
+
+private:
+  void Handle(ServerExchange& exchange);
+
+  mutable std::mutex mutex_;
+  std::vector<SeenRequest> seen_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+struct TestNodeOptions
+{
+  std::string id = "n1";
+  std::string service = "front";
+  FakeControl* control = nullptr;
+  FakeUpstream* upstream = nullptr; ///< announced at once; null: none
+  bool isStale = false;
+  PipelineGuards guards;
+};
+
+inline constexpr int kRetryBudget = 2;
+
+/// Keys of the accounts a, b (both listed), poor (one token) and c (not listed), and one of nobody.
+struct TestKeys
+{
+  TestKeys();
+  NewKey a;
+  NewKey b;
+  NewKey poor;
+  NewKey c;
+  NewKey unknown;
+};
+
+const TestKeys& Keys();
+
+/// A request pipeline behind its three listeners.
+class TestNode
+{
+public:
+  explicit TestNode(const TestNodeOptions& options);
+
+  /// Makes the nodes known to each other.
+  static void Join(const std::vector<TestNode*>& nodes);
+
+  int Announce(bool isDraining);
+  [[nodiscard]] std::uint16_t Ingress() const { return ingress_.Port(); }
+  [[nodiscard]] std::uint16_t Egress() const { return egress_.Port(); }
+  [[nodiscard]] std::uint16_t Peer() const { return peer_.Port(); }
+
+private:
+  HttpServerOptions Listener(void (RequestPipeline::*handle)(ServerExchange&));
+
+  TestNodeOptions options_;
+  SystemClock clock_;
+  NodeView view_;
+  LocalUpstream upstream_;
+  MemberTable members_;
+  RequestPipeline pipeline_;
+  HttpServer peer_;
+  HttpServer egress_;
+  HttpServer ingress_;
+};
+
+/// A non-idempotent request. @p name makes the idempotency key and the body.
+HttpRequestHead Order(const std::string& name, const std::string& key = Keys().a.text);
+HttpRequestHead Read(const std::string& path, const std::string& key = Keys().a.text);
+
+} // namespace acp::test
--- /dev/null
+++ b/tests/node_test/pipeline_keys_test.cpp
@@ -0,0 +1,174 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "acaciapulley/core/random.hpp"
+#include "acaciapulley/retries/request_context.hpp"
+#include "pipeline_fixture.hpp"
+
+namespace {
+
+using namespace acp::test;
+
+std::string Encoded(const std::string& text)
+{
+  std::string encoded;
+  for (const char c : text) {
+    encoded += "%" + acp::ToHex(std::string(1, c));
+  }
+  return encoded;
+}
+
+/// Lower case, with percent-encoding removed up to three times.
+std::string Plain(std::string text)
+{
+  for (int round = 0; round < 3; ++round) {
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+      const bool isCode = text[i] == '%' && i + 2 < text.size() &&
+                          std::isxdigit(static_cast<unsigned char>(text[i + 1])) != 0 &&
+                          std::isxdigit(static_cast<unsigned char>(text[i + 2])) != 0;
+      decoded +=
+        isCode ? static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16)) : text[i];
+      i += isCode ? 2 : 0;
+    }
+    text = decoded;
+  }
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+int HeadsWithKey(const FakeUpstream& upstream)
+{
+  int count = 0;
+  for (const auto& seen : upstream.Seen()) {
+    std::string all = seen.head.target;
+    for (const auto& [name, value] : seen.head.headers.Fields()) {
+      all += '\n' + name + ':' + value;
+    }
+    all = Plain(all);
+    for (const auto& key : { Keys().a.text, Keys().b.text, Keys().unknown.text }) {
+      count += all.find(key) != std::string::npos ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+/// Requests that carry keys in every place where an upstream might read them.
+std::vector<acp::HttpRequestHead> HeadsWithHiddenKeys()
+{
+  const std::string a = Keys().a.text;
+  std::vector<acp::HttpRequestHead> heads;
+  const auto add =
+    [&](const std::string& target, const std::string& name, const std::string& value) {
+      for (const bool hasKey : { true, false }) {
+        auto head = Read(target, hasKey ? a : "");
+        if (!name.empty()) {
+          head.headers.Add(name, value);
+        }
+        heads.push_back(head);
+      }
+    };
+  for (const std::string base : { "/front/items/1", "/front/open" }) {
+    for (const std::string name : { "acp-key", "ACP-KEY", "Acp-Key", "aCp-kEy" }) {
+      add(base, name, a);
+      add(base, name, Keys().b.text);
+    }
+    for (const auto& key : { a, Keys().b.text, Keys().unknown.text }) {
+      for (const auto& form : { key, Encoded(key), Encoded(Encoded(key)), "%zz" + Encoded(key) }) {
+        add(base + "?k=" + form, "", "");
+        for (const std::string name : { "X-Key", "Cookie", "Referer", "Authorization" }) {
+          add(base, name, "https://x/?k=" + form);
+        }
+      }
+      add(base, key, "1");
+    }
+  }
+  add("/front/items/" + a, "", "");
+  add("/front/items/" + Encoded(a), "", "");
+  return heads;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(pipeline_keys)
+
+// P4. Guards against a key that reaches an upstream, directly or through a peer, by a field's
+// spelling, a second field, the URL or another field, as it is or percent-encoded.
+BOOST_AUTO_TEST_CASE(no_key_reaches_an_upstream)
+{
+  FakeControl control;
+  FakeUpstream upstream;
+  TestNode own({ .control = &control, .upstream = &upstream });
+  TestNode far({ .id = "n2", .service = "back", .control = &control });
+  TestNode::Join({ &own, &far });
+  int ran = 0;
+  for (const auto& head : HeadsWithHiddenKeys()) {
+    for (const auto port : { own.Ingress(), far.Ingress() }) {
+      const auto answer = Fetch(port, head);
+      BOOST_TEST(answer.status != 0, head.target << " got no answer");
+      ran += answer.outcome == "ran" ? 1 : 0;
+    }
+  }
+  BOOST_TEST(ran > 0);
+  BOOST_TEST(HeadsWithKey(upstream) == 0);
+}
+
+// Shows that the test above would notice a key.
+BOOST_AUTO_TEST_CASE(without_its_guard_a_key_reaches_the_upstream)
+{
+  FakeControl control;
+  FakeUpstream upstream;
+  TestNode node({ .control = &control, .upstream = &upstream, .guards = { .stripKey = false } });
+  TestNode::Join({ &node });
+  BOOST_TEST(Fetch(node.Ingress(), Read("/front/items/1")).outcome == "ran");
+  BOOST_TEST(HeadsWithKey(upstream) == 1);
+}
+
+// P3. Guards against a request that runs without a key in force, or for another account.
+BOOST_AUTO_TEST_CASE(a_request_runs_only_for_the_account_of_its_key)
+{
+  FakeControl control;
+  FakeUpstream upstream;
+  TestNode node({ .control = &control, .upstream = &upstream });
+  TestNode::Join({ &node });
+  const auto reasonOf = [&](const std::string& key) {
+    return Fetch(node.Ingress(), Read("/front/items/1", key)).reason;
+  };
+  BOOST_TEST(reasonOf("") == "missing_key");
+  BOOST_TEST(reasonOf(Keys().unknown.text) == "invalid_key");
+  BOOST_TEST(reasonOf(Keys().a.text + "0") == "invalid_key");
+  BOOST_TEST(reasonOf(Keys().c.text) == "account_not_listed");
+  const acp::ContextSigner forger(std::string(32, 'f'));
+  auto forged = Read("/front/items/1");
+  forged.headers.Add("Acp-Context",
+                     forger.Sign({ .rootId = std::string(32, '0'),
+                                   .hopId = std::string(16, '0'),
+                                   .account = "a",
+                                   .deadline = acp::ToUnixMillis(9'000'000'000'000),
+                                   .issuer = "n1",
+                                   .issuerEpoch = 1 }));
+  for (const auto port : { node.Peer(), node.Egress() }) {
+    BOOST_TEST(Fetch(port, forged).reason == "invalid_context");
+    BOOST_TEST(Fetch(port, Read("/front/items/1")).reason == "invalid_context");
+  }
+  BOOST_TEST(upstream.Seen().size() == 0U);
+  // Each account gets its own order under the same idempotency key, and a resend its own outcome.
+  for (const auto& key : { Keys().a.text, Keys().b.text, Keys().a.text }) {
+    BOOST_TEST(Fetch(node.Ingress(), Order("same", key), key == Keys().a.text ? "A" : "B").body ==
+               (key == Keys().a.text ? "answer to /orders A" : "answer to /orders B"));
+  }
+  BOOST_TEST(Fetch(node.Ingress(), Read("/front/open", "")).outcome == "ran");
+  const acp::ContextSigner signer(std::string(32, 's'));
+  std::vector<std::string> accounts;
+  for (const auto& seen : upstream.Seen()) {
+    const auto context = signer.Verify(seen.head.headers.Find("Acp-Context").value_or(""),
+                                       acp::SystemClock().WallNow());
+    accounts.push_back(context ? context.value().account : "invalid");
+  }
+  BOOST_TEST((accounts == std::vector<std::string>{ "a", "b", "" }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/node_test/pipeline_retries_test.cpp
@@ -0,0 +1,100 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "pipeline_fixture.hpp"
+
+namespace {
+
+using namespace acp::test;
+
+/// How the upstream of `front` calls `back`.
+enum class Calls
+{
+  Once,
+  Repeated, ///< three calls with the same context
+  Stripped, ///< three calls without context, on the open route
+};
+
+/// Retries among @p seen, where each call has its own target.
+int RetriesOf(const std::vector<SeenRequest>& first, const std::vector<SeenRequest>& second)
+{
+  std::map<std::string, int> attempts;
+  for (const auto& all : { first, second }) {
+    for (const auto& seen : all) {
+      ++attempts[seen.head.target];
+    }
+  }
+  int retries = 0;
+  for (const auto& [target, count] : attempts) {
+    retries += count - 1;
+  }
+  return retries;
+}
+
+/// Sends one request through front to back, both with two failing upstreams.
+int RetriesOfOneRoot(Calls calls, unsigned int seed)
+{
+  FakeControl control;
+  std::array<FakeUpstream, 4> upstreams;
+  std::vector<std::unique_ptr<TestNode>> nodes;
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    nodes.push_back(std::make_unique<TestNode>(TestNodeOptions{ .id = "n" + std::to_string(i),
+                                                                .service = i < 2 ? "front" : "back",
+                                                                .control = &control,
+                                                                .upstream = &upstreams.at(i) }));
+  }
+  TestNode::Join({ nodes[0].get(), nodes[1].get(), nodes[2].get(), nodes[3].get() });
+  std::mt19937 random(seed);
+  std::mutex mutex;
+  std::atomic<int> nested = 0;
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    upstreams.at(i).act = [&] {
+      const std::lock_guard lock(mutex);
+      constexpr std::array kActs = { UpstreamAct::CutAfterRead,
+                                     UpstreamAct::SayNotRun,
+                                     UpstreamAct::CutBeforeRead };
+      return random() % 5 == 0 ? UpstreamAct::Answer : kActs.at(random() % kActs.size());
+    };
+  }
+  for (std::size_t i = 0; i < 2; ++i) {
+    upstreams.at(i).onRun = [&, egress = nodes[i]->Egress()](const SeenRequest& seen) {
+      for (int call = 0; call < (calls == Calls::Once ? 1 : 3); ++call) {
+        const std::string number = std::to_string(nested++);
+        auto head =
+          Read(calls == Calls::Stripped ? "/back/open?" + number : "/back/items/" + number, "");
+        if (calls != Calls::Stripped) {
+          head.headers.Add("Acp-Context", seen.head.headers.Find("Acp-Context").value_or(""));
+        }
+        Fetch(egress, head);
+      }
+    };
+  }
+  Fetch(nodes[0]->Ingress(), Read("/front/items/root"));
+  return RetriesOf(upstreams[0].Seen(), upstreams[1].Seen()) +
+         RetriesOf(upstreams[2].Seen(), upstreams[3].Seen());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(pipeline_retries)
+
+// P1. Guards against retries that multiply from hop to hop, with an upstream that uses its context
+// several times or leaves it out.
+BOOST_AUTO_TEST_CASE(retries_of_a_chain_stay_within_the_budget_of_the_root)
+{
+  for (const auto calls : { Calls::Once, Calls::Repeated, Calls::Stripped }) {
+    int most = 0;
+    for (unsigned int seed = 1; seed <= 25; ++seed) {
+      const int retries = RetriesOfOneRoot(calls, seed);
+      BOOST_TEST(retries <= kRetryBudget,
+                 "calls " << static_cast<int>(calls) << ", seed " << seed << ": " << retries);
+      most = std::max(most, retries);
+    }
+    BOOST_TEST(most > 0);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
