--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -349,6 +349,7 @@
 void TestNode::Join(const std::vector<TestNode*>& nodes)
 {
   std::vector<RoutedMember> members;
+  members.reserve(nodes.size());
   for (const auto* node : nodes) {
     members.push_back({ .nodeId = node->options_.id,
                         .epoch = 1,
--- a/tests/node_test/pipeline_outcome_test.cpp
+++ b/tests/node_test/pipeline_outcome_test.cpp
@@ -80,7 +80,7 @@
       fleet.control.fault = [=](const std::string& made) {
         return made == call ? fault : ControlFault::None;
       };
-      const auto answer = order(name);
+      auto answer = order(name);
       fleet.control.fault = nullptr;
       fleet.control.DeliverDelayed();
       return answer;
@@ -335,6 +335,7 @@
   std::atomic<int> wrong = 0;
   {
     std::vector<std::jthread> callers;
+    callers.reserve(8);
     for (int caller = 0; caller < 8; ++caller) {
       callers.emplace_back([&, caller] {
         for (int i = 0; i < 25; ++i) {
