Remember a released attempt only when no other attempt holds the claim

Cause: control_test expects an attempt whose Release was refused, because another attempt held the claim, to be granted after the holder's release; the memory of released attempts refused it.

Change: such an attempt is not remembered. A delayed Begin of it can still take the key once the holder has released it; it runs nothing.

--- a/include/acaciapulley/claims/claim_registry.hpp
+++ b/include/acaciapulley/claims/claim_registry.hpp
@@ -162,7 +162,8 @@
                             UnixMillis now);
 
   /// @brief Frees a claim of which the holder is certain that nothing was sent. The attempt is
-  /// remembered also when it holds no claim, since its Begin may still be on its way.
+  /// remembered also when nobody holds the claim, since its Begin may still be on its way; not when
+  /// another attempt holds it.
   /// @return nothing, or NotHolder; a claim with an outcome or marked unknown is not freed
   ClaimsResult<void> Release(const ClaimKey& key, const std::string& attemptId, UnixMillis now);
 
--- a/src/claims/claim_registry.cpp
+++ b/src/claims/claim_registry.cpp
@@ -204,7 +204,8 @@
 {
   Expire(now);
   const ClaimRecord* claim = HeldBy(key, attemptId);
-  if (claim == nullptr || (!claim->outcome && !claim->isMarkedUnknown)) {
+  const bool isHeld = claim != nullptr && !claim->outcome && !claim->isMarkedUnknown;
+  if (isHeld || !claims_.contains(key)) {
     RememberReleased({ attemptId, Plus(latest_, kReleaseMemory) });
   }
   if (claim == nullptr || claim->outcome || claim->isMarkedUnknown) {
