--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -103,6 +103,7 @@
 #include "acaciapulley/node/node_error.hpp"
 #include "acaciapulley/node/node_process.hpp"
 #include "acaciapulley/node/node_view.hpp"
+#include "acaciapulley/node/pipeline_guards.hpp"
 #include "acaciapulley/node/refusal.hpp"
 #include "acaciapulley/node/request_pipeline.hpp"
 #include "acaciapulley/node/sync_loop.hpp"
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -82,8 +82,8 @@
       context.retriesLeft);
   }
   if (call.entersHere) {
-    options_.thresholds->NoteForwarded(
-      call.ownClass, { call.request.service, call.request.requestClass->name });
+    options_.thresholds->NoteForwarded(call.ownClass,
+                                       { call.request.service, call.request.requestClass->name });
   }
   HttpRequestHead head{ .method = call.exchange.Request().method,
                         .target = "/" + call.request.service + call.request.upstreamTarget };
