--- a/bench/distribution/main.cpp
+++ b/bench/distribution/main.cpp
@@ -88,7 +88,9 @@
   const acp::SystemClock clock;
   const auto control = ParseAddresses(argv[1]);
   std::vector<std::unique_ptr<PollingNode>> nodes;
-  for (int i = 0; i < std::atoi(argv[2]); ++i) {
+  const int count = std::atoi(argv[2]);
+  nodes.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
     nodes.push_back(std::make_unique<PollingNode>(control, i, clock));
   }
   const auto end = clock.Now() + std::chrono::seconds(std::atoi(argv[3]));
--- a/src/control/record_service.cpp
+++ b/src/control/record_service.cpp
@@ -7,6 +7,7 @@
 
 #include <Poco/JSON/Object.h>
 #include <Poco/URI.h>
+#include <fmt/format.h> // format
 
 #include "acaciapulley/core/log.hpp"      // Log
 #include "acaciapulley/record/report.hpp" // BuildReport
@@ -50,8 +51,9 @@
     if (isFormat) {
       query.format = value;
     } else if (!isFrom && !isTo) {
-      return Fail(ControlErrorCode::InvalidRequest,
-                  "'" + name + "=" + value + "' is not format=text|json|gnuplot, from=MS or to=MS");
+      return Fail(
+        ControlErrorCode::InvalidRequest,
+        fmt::format("'{}={}' is not format=text|json|gnuplot, from=MS or to=MS", name, value));
     }
   }
   return query;
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -298,7 +298,7 @@
     return boost::outcome_v2::failure(resolved.error());
   }
   const auto& request = resolved.value();
-  const auto fresh = resolver_.CheckFreshness(*request.requestClass);
+  auto fresh = resolver_.CheckFreshness(*request.requestClass);
   if (!fresh) {
     return fresh;
   }
--- a/tests/node_test/pipeline_keys_test.cpp
+++ b/tests/node_test/pipeline_keys_test.cpp
@@ -46,7 +46,10 @@
   for (const auto& seen : upstream.Seen()) {
     std::string all = seen.head.target;
     for (const auto& [name, value] : seen.head.headers.Fields()) {
-      all += '\n' + name + ':' + value;
+      all += '\n';
+      all += name;
+      all += ':';
+      all += value;
     }
     all = Plain(all);
     for (const auto& key : { Keys().a.text, Keys().b.text, Keys().unknown.text }) {
@@ -78,7 +81,7 @@
     }
     for (const auto& key : { a, Keys().b.text, Keys().unknown.text }) {
       for (const auto& form : { key, Encoded(key), Encoded(Encoded(key)), "%zz" + Encoded(key) }) {
-        add(base + "?k=" + form, "", "");
+        add(std::string(base).append("?k=").append(form), "", "");
         for (const std::string name : { "X-Key", "Cookie", "Referer", "Authorization" }) {
           add(base, name, "https://x/?k=" + form);
         }
