Tell operators that only the leader knows replicas without a vote

Cause: acpctl control status asks any replica; a follower does not list learners, so an operator who replaces a lost host may not see the new one.

--- a/src/programs/acpctl/commands.cpp
+++ b/src/programs/acpctl/commands.cpp
@@ -328,6 +328,12 @@
                              { "ASKED", "self" },
                              { "MATCH", "match_index" } },
                            object->getArray("replicas")));
+    const auto leader = object->template optValue<std::string>("leader_operator_address", "");
+    if (!object->template getValue<bool>("leads") && !leader.empty()) {
+      fmt::print("replicas without a vote and MATCH are known to the leader only: "
+                 "acpctl --control {} control status\n",
+                 leader);
+    }
   });
 }
 
