--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -5,7 +5,6 @@
 
 #include <condition_variable> // condition_variable
 #include <cstdint>            // int64_t
-#include <functional>         // function
 #include <mutex>              // mutex
 #include <string>             // string
 #include <thread>             // thread
@@ -32,8 +31,6 @@
   LocalUpstream* upstream = nullptr;
   MemberTable* members = nullptr;
   RecordCounters* record = nullptr; ///< reported until control has accepted it
-  /// Called after each poll that reached control, to settle spent and returned tokens.
-  std::function<void(ControlChannel& channel)> settleTokens;
 };
 
 /// A thread that polls about once a second, sooner after Wake(). After a failure it polls again
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -157,9 +157,6 @@
     membersVersion_ = reply.membersVersion;
     options_.members->Apply(0, membersVersion_, FromWire(reply.members), options_.clock->Now());
   }
-  if (options_.settleTokens) {
-    options_.settleTokens(*options_.channel);
-  }
   return true;
 }
 
