Ask the leader for learners in the lost disk scenario

Cause: the scenario failed in one of four runs of all tests. It asked any replica for the learner, but only the leader lists replicas without a vote, and which replica leads differs from run to run. Change: the scenario asks the leader; what it requires is unchanged.

--- a/tests/processes/scenarios.py
+++ b/tests/processes/scenarios.py
@@ -242,8 +242,9 @@
     run.fleet.start_replica(lost, os.path.join(run.fleet.folder, "new-disk"))
 
     def learner():
-        run.wait_for_leader()
-        now = json.loads(run.fleet.acpctl("--json", "control", "status"))
+        # Only the leader knows replicas without a vote.
+        leader = run.fleet.operators[run.wait_for_leader()]
+        now = json.loads(run.fleet.acpctl("--json", "--control", leader, "control", "status"))
         return [replica["id"] for replica in now["replicas"]
                 if replica["rpc_address"] == run.fleet.rpc[lost] and not replica["voter"]]
 
