--- a/include/acaciapulley/core/outcome.hpp
+++ b/include/acaciapulley/core/outcome.hpp
@@ -49,7 +49,6 @@
   RateExceeded,
   RateUnavailable,
   Overloaded,
-  CalleeRefused,
   QueueTimeout,
   DeadlineExceeded,
   NoUpstream,
@@ -66,7 +65,7 @@
 template<>
 struct NameTable<Reason>
 {
-  static constexpr std::array<EnumName<Reason>, 31> kRows = { {
+  static constexpr std::array<EnumName<Reason>, 30> kRows = { {
     { Reason::None, "none" },
     { Reason::BadRequest, "bad_request" },
     { Reason::TooLarge, "too_large" },
@@ -86,7 +85,6 @@
     { Reason::RateExceeded, "rate_exceeded" },
     { Reason::RateUnavailable, "rate_unavailable" },
     { Reason::Overloaded, "overloaded" },
-    { Reason::CalleeRefused, "callee_refused" },
     { Reason::QueueTimeout, "queue_timeout" },
     { Reason::DeadlineExceeded, "deadline_exceeded" },
     { Reason::NoUpstream, "no_upstream" },
--- a/include/acaciapulley/node/detail/attempt.hpp
+++ b/include/acaciapulley/node/detail/attempt.hpp
@@ -60,10 +60,6 @@
   if (refusal.reason == Reason::Draining) {
     return CallResult::Draining;
   }
-  if (refusal.reason == Reason::CalleeRefused) {
-    // Says nothing about the member that was called.
-    return CallResult::Cancelled;
-  }
   const bool isUnreachable = refusal.reason == Reason::UpstreamUnreachable;
   const bool isRefusal = refusal.outcome == RequestOutcome::NotRun && !isUnreachable;
   return isRefusal ? CallResult::Refused : CallResult::Failed;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -104,13 +104,11 @@
     return {};
   }
   const Refusal& refusal = end.result.error();
-  // Another member of this service would call the same overloaded callee.
-  const bool isFromCallee = refusal.reason == Reason::CalleeRefused;
   const std::lock_guard lock(ratioMutex_);
   return DecideRetry({ .outcome = refusal.outcome,
                        .nothingSent = end.nothingSent,
                        .idempotent = call.request.requestClass->idempotent,
-                       .mayPass = refusal.status >= kFirstServerError && !isFromCallee,
+                       .mayPass = refusal.status >= kFirstServerError,
                        .attempt = attempt,
                        .retriesLeft = retriesLeft,
                        .remaining = RemainingTime(*options_.clock, context) },
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -215,10 +215,7 @@
     // A refusal by a callee says nothing about this upstream, so its limit must not fall.
     admitted.permit.Finish(hop.hadRefusedCall ? GateResult::Neutral : GateResult::Refused);
     return FailedAttempt(
-      { .reason = hop.hadRefusedCall ? Reason::CalleeRefused : Reason::Overloaded,
-        .message = ReadMessage(answer) },
-      false,
-      unused);
+      { .reason = Reason::Overloaded, .message = ReadMessage(answer) }, false, unused);
   }
   RecordedBody recorded(answer.Body());
   bool isRecorded = false;
