--- a/idl/command.thrift
+++ b/idl/command.thrift
@@ -63,6 +63,20 @@
   3: binary rows
 }
 
+/// Replaces the fleet document. `source` is what the operator sent, and is read back unchanged.
+struct PutFleetCommand {
+  1: string operatorName
+  2: i64 version
+  3: i64 baseVersion
+  4: string document
+  5: binary source
+}
+
+/// Sets the secret that signs request contexts. Only the first one counts.
+struct FoundFleetCommand {
+  1: binary secret
+}
+
 /// One entry of the log. Exactly one of the optional fields is set.
 struct ControlCommand {
   1: i32 formatVersion
@@ -75,6 +89,8 @@
   8: optional control.BeginClaimRequest beginClaim
   9: optional control.FinishClaimRequest finishClaim
   10: optional control.ReleaseClaimRequest releaseClaim
+  11: optional PutFleetCommand putFleet
+  12: optional FoundFleetCommand foundFleet
 }
 
 /// Result of an entry, for its proposer and for operators who resend.
@@ -132,6 +148,15 @@
   2: i64 untilMs
 }
 
+/// `acceptedDigests` holds the SHA-256 of every change that was ever accepted.
+struct FleetSnapshot {
+  1: i64 version
+  2: string document
+  3: binary source
+  4: list<binary> acceptedDigests
+  5: binary secret
+}
+
 struct ControlSnapshot {
   1: i32 formatVersion
   2: i64 stateVersion
@@ -147,4 +172,5 @@
   12: list<string> retiredReplicas
   13: list<StoreRecordCommand> record
   14: list<ReleasedAttemptRow> releasedAttempts
+  15: optional FleetSnapshot fleet
 }
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -37,6 +37,12 @@
   6: list<string> revokedKeyIds
 }
 
+/// The fleet document in force, in the project's own format.
+struct FleetRecord {
+  1: i64 version
+  2: string document
+}
+
 struct SyncRequest {
   1: string nodeId
   2: i64 epoch
@@ -46,6 +52,10 @@
   6: i64 reportNumber
   /// Lines that SerialiseRow wrote: counters since the node's last accepted report.
   7: list<string> report
+  /// Version of the fleet document that the node decides by, 0 for none.
+  8: i64 fleetVersion
+  /// Longest time that control may hold the answer while nothing changes.
+  9: i32 holdMs
 }
 
 struct SyncReply {
@@ -55,6 +65,14 @@
   4: i64 membersVersion
   5: list<Member> members
   6: i64 acceptedReportNumber
+  /// Set when the node's fleet document is not the current one.
+  7: optional FleetRecord fleet
+  /// Signs request contexts; empty until the fleet is founded.
+  8: binary fleetSecret
+  /// Where the replicas of control listen for nodes.
+  9: list<string> controlAddresses
+  /// Time for which the answer was held; the state was confirmed after it.
+  10: i64 heldMs
 }
 
 /// A node's report of one service and account's tokens, and its wish for more. Totals count since
--- a/include/acaciapulley/config/service_document.hpp
+++ b/include/acaciapulley/config/service_document.hpp
@@ -35,6 +35,9 @@
   bool openToAll = false;           ///< true: no client account key is needed
   Duration deadline{};              ///< time from arrival to the whole answer
   std::int64_t maxBodyBytes = 0;    ///< larger request bodies are refused before anything runs
+  bool needsClaim = true; ///< non-idempotent requests are claimed; false: each is sent at most once
+  Duration target{};      ///< an answer within this time is in time; 0 when none is set
+  int maxAttempts = 0;    ///< upstreams that one request may be sent to; 0: as the budget allows
 };
 
 /// A service's document: its request classes and what each client account may send.
--- a/include/acaciapulley/control/control_service.hpp
+++ b/include/acaciapulley/control/control_service.hpp
@@ -9,6 +9,7 @@
 
 #include "acaciapulley/control/control_hooks.hpp"      // ControlHooks
 #include "acaciapulley/control/control_state.hpp"      // ControlState
+#include "acaciapulley/control/fleet_store.hpp"        // FleetChange, FleetReceipt
 #include "acaciapulley/control/operator_directory.hpp" // OperatorDirectory
 #include "acaciapulley/core/clock.hpp"                 // Clock, Duration
 #include "acaciapulley/replication/replicated_log.hpp" // ReplicatedLog
@@ -60,6 +61,17 @@
   /// @brief Returns the bound port for operators.
   [[nodiscard]] std::uint16_t OperatorPort() const;
 
+  /// @brief Replaces the fleet document.
+  /// @param operatorName stands in the audit trail
+  /// @return the receipt, also when the same change was accepted before; or InvalidDocument,
+  /// VersionConflict, NotLeader (nothing changed), or Unconfirmed or Unavailable (it may yet come
+  /// into force, so that the same change should be sent again)
+  ControlResult<FleetReceipt> PutFleet(const std::string& operatorName, const FleetChange& change);
+
+  /// @brief Returns the fleet document in force.
+  /// @return the document, or NotLeader when this replica cannot confirm that it is the newest
+  ControlResult<FleetChange> ReadFleet();
+
   /// @brief Lets operators' requests in progress end for up to @p patience, then closes. Nodes'
   /// calls end first; nodes go to another replica.
   void Stop(Duration patience);
--- a/include/acaciapulley/control/control_state.hpp
+++ b/include/acaciapulley/control/control_state.hpp
@@ -3,7 +3,8 @@
 /// @file
 /// The durable state of control: a deterministic state machine driven by the replicated log.
 
-#include <cstdint>  // int64_t
+#include <cstdint>    // int64_t
+#include <functional> // function
 #include <memory>   // unique_ptr
 #include <optional> // optional
 #include <string>   // string
@@ -13,6 +14,7 @@
 #include "acaciapulley/control/audit_trail.hpp"        // AuditEntry
 #include "acaciapulley/control/change_feed.hpp"        // StateChanges
 #include "acaciapulley/control/document_store.hpp"     // StoredDocument
+#include "acaciapulley/control/fleet_store.hpp"        // FleetChange
 #include "acaciapulley/control/key_store.hpp"          // KeyRecord
 #include "acaciapulley/replication/replicated_log.hpp" // StateMachine
 
@@ -69,12 +71,21 @@
   [[nodiscard]] std::string TakeSnapshot() const override;
   bool Restore(const std::string& snapshot) override;
 
+  /// @brief Sets what is called after each applied entry, without a lock; set before the log runs.
+  void OnApplied(std::function<void()> applied);
+
   /// @brief Returns what a node that has @p version lacks; a snapshot when it is too far behind.
   [[nodiscard]] StateChanges ChangesSince(std::int64_t version) const;
 
   /// @brief Returns the state version; each change of documents or keys raises it by one.
   [[nodiscard]] std::int64_t Version() const;
 
+  /// @brief Returns the fleet document in force; its version is 0 before the first.
+  [[nodiscard]] FleetChange Fleet() const;
+
+  /// @brief Returns the secret that signs request contexts, empty until the fleet is founded.
+  [[nodiscard]] std::string FleetSecret() const;
+
   /// @brief Returns the current document of @p service, or nothing.
   [[nodiscard]] std::optional<StoredDocument> DocumentOf(const std::string& service) const;
 
--- a/include/acaciapulley/control/detail/control_state_impl.hpp
+++ b/include/acaciapulley/control/detail/control_state_impl.hpp
@@ -8,6 +8,7 @@
 #include <set>          // set
 #include <shared_mutex> // shared_mutex
 
+#include "acaciapulley/control/fleet_store.hpp"     // FleetStore
 #include "acaciapulley/control/control_state.hpp"  // ControlState
 #include "acaciapulley/control/request_ledger.hpp" // RequestLedger
 #include "gen/command_types.h"
@@ -31,12 +32,14 @@
 
   /// Guards all that follows: the log's thread writes, servers read.
   mutable std::shared_mutex mutex;
+  std::function<void()> onApplied;
   ChangeFeed feed;
   DocumentStore documents;
   KeyStore keys;
   RequestLedger ledger;
   AuditTrail audit;
   ClaimRegistry claims;
+  FleetStore fleet;
   std::map<std::string, KnownNode> roster;
   std::set<std::string> retiredReplicas;
   std::map<std::pair<std::int64_t, std::string>, std::string> record;
@@ -68,6 +71,8 @@
   wire::CommandReply ApplyReplace(const wire::ReplaceReplicaCommand& command, UnixMillis time);
   wire::CommandReply ApplyNotes(const wire::NoteNodesCommand& command, UnixMillis time);
   wire::CommandReply ApplyRecord(const wire::StoreRecordCommand& command, UnixMillis time);
+  wire::CommandReply ApplyFleet(const wire::PutFleetCommand& command, UnixMillis time);
+  wire::CommandReply ApplyFounding(const wire::FoundFleetCommand& command);
   wire::CommandReply ApplyBegin(const wire::BeginClaimRequest& request, UnixMillis time);
   wire::CommandReply ApplyFinish(const wire::FinishClaimRequest& request, UnixMillis time);
   wire::CommandReply ApplyRelease(const wire::ReleaseClaimRequest& request, UnixMillis time);
--- a/include/acaciapulley/core/clock.hpp
+++ b/include/acaciapulley/core/clock.hpp
@@ -48,7 +48,8 @@
   [[nodiscard]] virtual UnixMillis WallNow() const = 0;
 };
 
-/// The machine's clocks.
+/// The machine's clocks. Monotonic time goes on while the machine is suspended, so that no lease
+/// outlives its time.
 class SystemClock final : public Clock
 {
 public:
@@ -56,6 +57,32 @@
   [[nodiscard]] UnixMillis WallNow() const override;
 };
 
+/// Wall time that follows another clock's monotonic time from the start on, so that steps of the
+/// wall clock move no deadline. Drifts from true time by what the monotonic clock drifts.
+class AnchoredClock final : public Clock
+{
+public:
+  /// @param base outlives this object
+  explicit AnchoredClock(const Clock& base)
+    : base_(base)
+    , start_(base.Now())
+    , wallStart_(base.WallNow())
+  {
+  }
+
+  [[nodiscard]] TimePoint Now() const override { return base_.Now(); }
+  [[nodiscard]] UnixMillis WallNow() const override
+  {
+    const auto elapsed = std::chrono::floor<std::chrono::milliseconds>(base_.Now() - start_);
+    return ToUnixMillis(CountMillis(wallStart_) + elapsed.count());
+  }
+
+private:
+  const Clock& base_;
+  TimePoint start_;
+  UnixMillis wallStart_;
+};
+
 /// A clock that stands still until a test advances it.
 ///
 /// @par Example
--- a/include/acaciapulley/limits/token_messages.hpp
+++ b/include/acaciapulley/limits/token_messages.hpp
@@ -27,6 +27,9 @@
   return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
 }
 
+/// Service of a limit that counts over all services together; no service can have this name.
+inline constexpr const char* kWholeFleet = "*";
+
 /// What tokens are for.
 struct LimitKey
 {
--- /dev/null
+++ b/include/acaciapulley/node/detail/fleet_resolver.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+/// @file
+/// Finds route, service and client account of a request by the fleet document.
+
+#include <map>    // map
+#include <mutex>  // mutex
+#include <string> // string
+#include <vector> // vector
+
+#include "acaciapulley/core/clock.hpp"                   // Clock
+#include "acaciapulley/node/detail/request_resolver.hpp" // ResolvedRequest
+#include "acaciapulley/node/node_view.hpp"               // NodeView
+#include "acaciapulley/node/refusal.hpp"                 // OrRefusal
+#include "acaciapulley/retries/request_context.hpp"      // RequestContext
+
+namespace acp::detail {
+
+/// The client account of a caller.
+struct FleetCaller
+{
+  std::string account; ///< empty on routes open to all
+  int priority = 0;    ///< of the account, or of the route
+  bool isLimited = false;
+};
+
+/// Decides from the node's copy of the fleet document; sends nothing.
+///
+/// A node denies a route or a key only while its state is recent: an older copy may lack what the
+/// operator has just added, and a refusal with 503 lets the caller try again.
+class FleetResolver
+{
+public:
+  FleetResolver(const NodeView& view, const Clock& clock);
+
+  /// @brief Finds the route, and picks one of its destinations in proportion to their weights.
+  /// @return the request; or a refusal with 404, 413 or 503
+  [[nodiscard]] OrRefusal<ResolvedRequest> Resolve(const HttpRequestHead& head,
+                                                   std::int64_t bodyLength);
+
+  /// @brief Checks the key of a caller.
+  /// @return the account, or a refusal with 401 or 503
+  [[nodiscard]] OrRefusal<FleetCaller> Authenticate(const HttpRequestHead& head,
+                                                    const ResolvedRequest& request) const;
+
+  /// @brief Takes over what the node at which the request entered has decided.
+  /// @return the request, or a refusal with 400
+  [[nodiscard]] static OrRefusal<ResolvedRequest> ResolveForPeer(const HttpRequestHead& head,
+                                                                 const RequestContext& context);
+
+private:
+  /// Running credits of a route's destinations; the largest is served next.
+  struct Split
+  {
+    std::vector<std::string> services;
+    std::vector<double> credits;
+  };
+
+  [[nodiscard]] bool MayDeny() const;
+  std::string PickDestination(const FleetRoute& route);
+
+  const NodeView& view_;
+  const Clock& clock_;
+  std::mutex mutex_;
+  std::map<std::string, Split> splits_; ///< by route name
+};
+
+} // namespace acp::detail
--- a/include/acaciapulley/node/detail/headers.hpp
+++ b/include/acaciapulley/node/detail/headers.hpp
@@ -16,6 +16,15 @@
 inline constexpr const char* kThresholdHeader = "Acp-Threshold";
 inline constexpr const char* kLoadHeader = "Acp-Load";
 inline constexpr const char* kRetriesLeftHeader = "Acp-Retries-Left";
+/// Exact form of `Retry-After`, in milliseconds.
+inline constexpr const char* kRetryAfterHeader = "Acp-Retry-After-Ms";
+/// Service and class that the node at which a request entered has chosen by the fleet document.
+inline constexpr const char* kServiceHeader = "Acp-Service";
+inline constexpr const char* kClassHeader = "Acp-Class";
+/// Client account, told to upstreams of a fleet document's routes.
+inline constexpr const char* kAccountHeader = "Acp-Account";
+/// Service of the host on which the request began.
+inline constexpr const char* kCallerServiceHeader = "Acp-Caller-Service";
 
 /// @brief Returns the fields of a request that go on to an upstream or peer: neither the client
 /// account's key, nor fields of one connection, nor fields that only nodes may set.
--- a/include/acaciapulley/node/detail/request_resolver.hpp
+++ b/include/acaciapulley/node/detail/request_resolver.hpp
@@ -19,7 +19,9 @@
   std::string service;
   std::string upstreamTarget; ///< path and query after the service's name
   std::shared_ptr<const ServiceDocument> document;
-  const RequestClass* requestClass = nullptr; ///< owned by the document
+  const RequestClass* requestClass = nullptr; ///< owned by the document, or by `owner`
+  bool isFleetRoute = false;                  ///< found by the fleet document; `document` is null
+  std::shared_ptr<const void> owner;          ///< keeps the class of a fleet route
 };
 
 /// Decides from the node's copy of the state; sends nothing.
--- a/include/acaciapulley/node/local_upstream.hpp
+++ b/include/acaciapulley/node/local_upstream.hpp
@@ -4,11 +4,13 @@
 /// The upstream beside this node, as it announced itself.
 
 #include <cstdint>     // int64_t
+#include <functional>  // function
 #include <memory>      // shared_ptr
 #include <mutex>       // mutex
 #include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
+#include <utility>     // move
 
 #include "acaciapulley/node/node_error.hpp"       // NodeResult
 #include "acaciapulley/transport/address.hpp"     // Address
@@ -25,6 +27,7 @@
   int maxConnections = 0; ///< connections the upstream accepts
   std::int64_t coldStartMs = 0;
   bool draining = false;
+  std::string instanceId; ///< changes with each start of the upstream; may be empty
 
   /// @brief Parses an announcement.
   /// @return the announcement, or NodeErrorCode::InvalidAnnouncement
@@ -37,6 +40,15 @@
 class LocalUpstream
 {
 public:
+  /// Makes the translation for the connections to an announced upstream.
+  using TranslationFor = std::function<HttpTranslation(const Announcement& announcement)>;
+
+  /// @param translationFor for upstreams that speak another protocol; may be empty
+  explicit LocalUpstream(TranslationFor translationFor = nullptr)
+    : translationFor_(std::move(translationFor))
+  {
+  }
+
   /// @brief Takes over an announcement; connections are kept when the address stays the same.
   void Announce(const Announcement& announcement);
 
@@ -50,6 +62,7 @@
   [[nodiscard]] std::shared_ptr<HttpPool> Pool() const;
 
 private:
+  TranslationFor translationFor_;
   mutable std::mutex mutex_;
   std::optional<Announcement> current_;
   bool stopping_ = false;
--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -3,12 +3,15 @@
 /// @file
 /// The process beside one upstream.
 
-#include <memory> // unique_ptr
+#include <functional> // function
+#include <memory>     // unique_ptr
 #include <string> // string
 #include <vector> // vector
 
 #include "acaciapulley/core/clock.hpp"        // Clock, Duration
-#include "acaciapulley/transport/address.hpp" // Address
+#include "acaciapulley/node/local_upstream.hpp"   // Announcement, LocalUpstream
+#include "acaciapulley/transport/address.hpp"     // Address
+#include "acaciapulley/transport/http_server.hpp" // ServerExchange
 
 namespace acp {
 
@@ -19,13 +22,22 @@
   std::string dataCentre;
   std::string fleetSecret;
   Address ingress;
-  Address egress;
+  Address egress; ///< not used with routesByFleet
   Address peer;
   Address admin;
   std::vector<Address> control; ///< rpc addresses of the control replicas
   int maxConnections = 1024;    ///< for each listener
   int retryBudget = 2;          ///< retries of one request over its whole call chain, 0 to 8
   const Clock* clock = nullptr;
+  /// See RequestPipelineOptions. Callers and the local upstream then share the ingress, and there is
+  /// no egress listener.
+  bool routesByFleet = false;
+  std::string callerService;
+  LocalUpstream::TranslationFor translationFor; ///< for upstreams that speak another protocol
+  /// Called for each request of the ingress with the handler that serves it, so that another
+  /// protocol's requests can be translated; may be empty.
+  std::function<void(ServerExchange&, const std::function<void(ServerExchange&)>& serve)>
+    aroundIngress;
 };
 
 /// One node: its listeners, its copy of the state and its polling of control.
@@ -38,6 +50,15 @@
   NodeProcess& operator=(const NodeProcess&) = delete;
   ~NodeProcess();
 
+  /// @brief Takes over an announcement of the local upstream.
+  void Announce(const Announcement& announcement);
+
+  /// @brief Returns whether requests are served: the state is recent and no stop has begun.
+  [[nodiscard]] bool IsReady() const;
+
+  /// @brief Tells peers that a stop is near; requests are still served.
+  void BeginStop();
+
   /// @brief Lets requests in progress end, for at most @p patience, then stops.
   void Stop(Duration patience);
 
--- a/include/acaciapulley/node/node_view.hpp
+++ b/include/acaciapulley/node/node_view.hpp
@@ -12,6 +12,7 @@
 #include <vector>       // vector
 
 #include "acaciapulley/accounts/key_table.hpp"      // KeyRecord, KeyTable
+#include "acaciapulley/config/fleet_document.hpp"   // FleetDocumentPtr
 #include "acaciapulley/config/service_document.hpp" // ServiceDocument
 #include "acaciapulley/core/clock.hpp"              // Duration, TimePoint
 
@@ -40,6 +41,8 @@
   std::vector<ReceivedDocument> documents;
   std::vector<KeyRecord> issuedKeys;
   std::vector<std::string> revokedKeyIds;
+  std::optional<ReceivedDocument> fleet; ///< set when the fleet document has changed
+  std::string fleetSecret;               ///< empty until the fleet is founded
 };
 
 /// The state a node decides by. All calls may come from any thread.
@@ -59,15 +62,29 @@
   /// @brief Returns the document of @p service, or nullptr.
   [[nodiscard]] std::shared_ptr<const ServiceDocument> DocumentOf(const std::string& service) const;
 
+  /// @brief Returns the fleet document, or nullptr before the first.
+  [[nodiscard]] FleetDocumentPtr Fleet() const;
+
+  /// @brief Returns the version of the fleet document, 0 before the first.
+  [[nodiscard]] std::int64_t FleetVersion() const;
+
+  /// @brief Returns the secret that signs request contexts, empty until the fleet is founded.
+  [[nodiscard]] std::string FleetSecret() const;
+
   /// @brief Returns the client account of @p keyText, or nothing.
   [[nodiscard]] std::optional<std::string> CheckKey(const std::string& keyText) const;
 
 private:
+  void TakeFleet(const ReceivedDocument& received);
+
   mutable std::shared_mutex mutex_;
   std::int64_t version_ = 0;
   std::optional<TimePoint> confirmedAt_;
   std::map<std::string, std::shared_ptr<const ServiceDocument>> documents_;
   KeyTable keys_;
+  FleetDocumentPtr fleet_;
+  std::int64_t fleetVersion_ = 0;
+  std::string fleetSecret_;
 };
 
 } // namespace acp
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -38,6 +38,10 @@
   std::string dataCentre;
   std::string fleetSecret;
   int retryBudget = 2; ///< retries of one request over its whole call chain, 0 to 8
+  /// Requests are routed by host and path with the fleet document, and the secret comes from
+  /// control; `fleetSecret` is then not used.
+  bool routesByFleet = false;
+  std::string callerService; ///< service of this host, told to upstreams of fleet routes
   const Clock* clock = nullptr;
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
@@ -63,6 +67,9 @@
   /// @brief Runs a peer's request on the local upstream.
   void HandlePeer(ServerExchange& exchange);
 
+  /// @brief Takes over an announcement of the local upstream.
+  void Announce(const Announcement& announcement);
+
   /// @brief Serves the local upstream's nested calls and announcements.
   void HandleEgress(ServerExchange& exchange);
 
--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -31,6 +31,9 @@
   LocalUpstream* upstream = nullptr;
   MemberTable* members = nullptr;
   RecordCounters* record = nullptr; ///< reported until control has accepted it
+  ControlChannel* calls = nullptr;  ///< also told where the replicas of control are; may be null
+  /// Control may hold an answer for so long while nothing changes; 0: it answers at once.
+  Duration hold{};
 };
 
 /// A thread that polls about once a second, sooner after Wake(). After a failure it polls again
@@ -49,6 +52,7 @@
 private:
   void Run();
   bool PollOnce();
+  void LearnControl(const std::vector<std::string>& texts);
 
   SyncLoopOptions options_;
   std::int64_t membersVersion_ = 0;
--- a/include/acaciapulley/replication/replica.hpp
+++ b/include/acaciapulley/replication/replica.hpp
@@ -40,6 +40,10 @@
 
   /// Whether the replica has a listener of its own. If not, the owner serves Processor() at
   /// `rpcAddress` under kReplicationServiceName on a multiplexed processor.
+  /// Replace a voter by a learner at the same address without an operator; see
+  /// RaftCore::ReplaceReturned.
+  bool replacesReturned = false;
+
   bool ownListener = true;
 
   Duration rpcTimeout = std::chrono::seconds(1); ///< a call that takes longer closes its connection
--- a/include/acaciapulley/retries/request_context.hpp
+++ b/include/acaciapulley/retries/request_context.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>     // size_t
 #include <cstdint>     // int64_t
+#include <functional>  // function
 #include <string>      // string
 #include <string_view> // string_view
 
@@ -46,6 +47,9 @@
   /// @param secret at least 32 bytes, the same on all nodes
   explicit ContextSigner(std::string secret);
 
+  /// @param secret asked for at each use, for a secret that control hands out later
+  explicit ContextSigner(std::function<std::string()> secret);
+
   /// @brief Returns the header value for @p context.
   /// @throw std::invalid_argument for a field that Verify() would refuse: an id that is not
   /// hexadecimal of its length, a name with `|` or control characters or longer than
@@ -64,7 +68,7 @@
 private:
   [[nodiscard]] std::string Signature(std::string_view payload) const;
 
-  std::string secret_;
+  std::function<std::string()> secret_;
 };
 
 } // namespace acp
--- a/include/acaciapulley/transport/control_channel.hpp
+++ b/include/acaciapulley/transport/control_channel.hpp
@@ -57,6 +57,10 @@
   /// @endcode
   TransportResult<void> Call(const std::function<void(wire::ControlServiceIf& control)>& call);
 
+  /// @brief Adds replicas that control has named, so that nodes find it after its first hosts have
+  /// gone. Addresses are never removed.
+  void Learn(const std::vector<Address>& replicas);
+
 private:
   class Connection;
   using ConnectionPtr = std::unique_ptr<Connection>;
@@ -65,6 +69,8 @@
   bool TakeSlot(TimePoint deadline);
   void ReturnSlot();
   std::size_t Leader();
+  Address AddressOf(std::size_t replica);
+  std::size_t ReplicaCount();
   ConnectionPtr TakeIdle(std::size_t replica);
   void GiveBack(ConnectionPtr connection);
   void CloseIdle(std::size_t replica);
@@ -76,6 +82,7 @@
   const ControlChannelOptions options_;
   std::mutex mutex_;
   std::condition_variable slotFreed_;
+  std::vector<Address> replicas_;
   std::size_t leader_ = 0;
   int inUse_ = 0;
   std::vector<ConnectionPtr> idle_;
--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -38,8 +38,12 @@
 class HttpConnection
 {
 public:
-  /// Returns whether the caller no longer wants the result; asked every 10 ms while waiting.
-  using CancelCheck = std::function<bool()>;
+  /// How a wait learns that its result is no longer wanted.
+  struct CancelWatch
+  {
+    std::function<bool()> isCancelled; ///< asked every 10 ms when there is no descriptor
+    int descriptor = -1;               ///< a socket whose peer's close ends the wait at once
+  };
 
   /// Sets no-delay, TCP_USER_TIMEOUT and keep-alive on the socket.
   explicit HttpConnection(const Poco::Net::StreamSocket& socket);
@@ -48,7 +52,7 @@
   /// @param limit largest head in bytes
   IoStatus ReadHead(std::size_t limit,
                     TimePoint deadline,
-                    const CancelCheck& isCancelled,
+                    const CancelWatch& cancel,
                     std::string* head);
 
   /// @brief Reads one line without its CRLF; TooLarge when it is longer than @p limit.
@@ -84,8 +88,8 @@
   [[nodiscard]] int Descriptor() const { return fd_; }
 
 private:
-  IoStatus Fill(TimePoint deadline, const CancelCheck& isCancelled);
-  IoStatus WaitFor(short events, TimePoint deadline, const CancelCheck& isCancelled) const;
+  IoStatus Fill(TimePoint deadline, const CancelWatch& cancel);
+  IoStatus WaitFor(short events, TimePoint deadline, const CancelWatch& cancel) const;
 
   std::shared_ptr<Poco::Net::StreamSocket> socket_; ///< owns the descriptor
   int fd_;
--- a/include/acaciapulley/transport/detail/server_exchange.hpp
+++ b/include/acaciapulley/transport/detail/server_exchange.hpp
@@ -31,6 +31,7 @@
                         BodySource& body,
                         const std::function<void()>& beforeLastBytes) override;
   [[nodiscard]] bool IsCallerGone() const override { return connection_.IsPeerGone(); }
+  [[nodiscard]] int CallerDescriptor() const override { return connection_.Descriptor(); }
   [[nodiscard]] bool IsFirstOnConnection() const override { return answerStart_ == 0; }
 
   /// @brief Returns whether the handler has begun an answer.
--- a/include/acaciapulley/transport/http_client.hpp
+++ b/include/acaciapulley/transport/http_client.hpp
@@ -42,6 +42,16 @@
   virtual void Abort() {}
 };
 
+/// Turns the project's header fields into those of another protocol, and back.
+struct HttpTranslation
+{
+  /// Called with each request before it is sent; may be empty.
+  std::function<void(HttpRequestHead& request)> request;
+  /// Called with each answer; false ends the call with ConnectionLost, since the answer does not
+  /// belong to the request. May be empty.
+  std::function<bool(const HttpRequestHead& request, HttpResponseHead& answer)> answer;
+};
+
 /// Construction options of an HttpPool.
 struct HttpPoolOptions
 {
@@ -54,6 +64,7 @@
   /// Sends `GET /.acp/heartbeat` on idle connections, and retires all older connections when one is
   /// silent while a fresh one answers. Only for addresses served by an HttpServer.
   bool sendsHeartbeats = false;
+  HttpTranslation translation; ///< for peers that speak another protocol
 };
 
 /// Bounds of one call.
@@ -63,6 +74,9 @@
   Duration bodySilence{}; ///< longest wait for the next bytes of the body; 0 takes the timeout
   /// Asked every 10 ms while waiting for the answer; true ends the call with Cancelled.
   std::function<bool()> isCancelled;
+  /// Socket of the caller for whom the call is made: its close ends the call at once, and isCancelled
+  /// is then asked only while the call waits for a connection. -1: there is none.
+  int callerDescriptor = -1;
 };
 
 /// Connections to one address; the most recently used one is taken first.
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -51,6 +51,10 @@
   /// be polled to cancel work. A caller that only ended its own sending side counts as gone.
   [[nodiscard]] virtual bool IsCallerGone() const { return false; }
 
+  /// @brief Returns the socket to the caller, whose close can be waited for; -1 when there is none.
+  [[nodiscard]] virtual int CallerDescriptor() const { return -1; }
+
+
   /// @brief Returns whether this is the first request on its connection.
   [[nodiscard]] virtual bool IsFirstOnConnection() const { return false; }
 };
--- a/include/acaciapulley/transport/process.hpp
+++ b/include/acaciapulley/transport/process.hpp
@@ -3,16 +3,18 @@
 /// @file
 /// What every program does at start and at stop.
 
-#include <string> // string
+#include <functional> // function
+#include <string>     // string
 
 namespace acp {
 
-/// @brief Blocks SIGTERM and SIGINT in this thread and all later ones, and ignores SIGPIPE. Call it
+/// @brief Blocks SIGTERM, SIGINT and SIGHUP in this thread and all later ones, and ignores SIGPIPE. Call it
 /// before any thread is started.
 void BlockStopSignals();
 
 /// @brief Waits until SIGTERM or SIGINT arrives.
-void WaitForStopSignal();
+/// @param onReload called on this thread for each SIGHUP; may be empty
+void WaitForStopSignal(const std::function<void()>& onReload = nullptr);
 
 /// @brief Reads a file whole.
 /// @throw std::runtime_error when it cannot be read
--- /dev/null
+++ b/src/config/fleet_document.cpp
@@ -0,0 +1,222 @@
+#include "acaciapulley/config/fleet_document.hpp"
+
+#include <algorithm> // transform
+#include <cctype>    // tolower
+#include <set>       // set
+#include <utility>   // move
+
+#include "acaciapulley/core/json_reader.hpp" // JsonReader, JsonPlaceError
+
+namespace acp {
+
+namespace {
+
+constexpr std::int64_t kMaxTimeMs = 3'600'000;
+constexpr std::int64_t kMaxBytes = 1'073'741'824;
+constexpr std::int64_t kMaxAttempts = 9;
+constexpr std::int64_t kMaxConnections = 1'000'000;
+constexpr double kMaxWeight = 1e9;
+constexpr double kMaxRate = 1e9;
+/// A target this far above the time-out can only be a mistake of units.
+constexpr std::int64_t kMaxTargetAboveTimeoutMs = 60'000;
+constexpr std::size_t kKeyHashDigits = 64;
+
+[[noreturn]] void Throw(const std::string& place, const std::string& problem)
+{
+  throw JsonPlaceError(place, problem);
+}
+
+std::string LowerHost(std::string_view host)
+{
+  std::string lower(host.substr(0, host.find(':')));
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return lower;
+}
+
+std::string PlaceKey(std::string_view host, std::string_view prefix)
+{
+  std::string key(host);
+  key += ' ';
+  key += prefix;
+  return key;
+}
+
+std::string ReadText(JsonReader& reader, const std::string& field)
+{
+  std::string text = reader.String(field);
+  if (text.empty()) {
+    Throw(reader.PlaceOf(field), "is empty");
+  }
+  return text;
+}
+
+std::vector<FleetDestination> ReadDestinations(JsonReader& reader,
+                                               const std::set<std::string>& services)
+{
+  std::vector<FleetDestination> destinations;
+  double sum = 0;
+  for (auto& entry : reader.Objects("destinations")) {
+    FleetDestination destination{ .service = ReadText(entry, "service"),
+                                  .weight = entry.Number("weight", 0, kMaxWeight) };
+    if (!services.contains(destination.service)) {
+      Throw(entry.PlaceOf("service"), "'" + destination.service + "' is not a known service");
+    }
+    sum += destination.weight;
+    entry.RejectUnknownFields();
+    destinations.push_back(std::move(destination));
+  }
+  if (sum <= 0) {
+    Throw(reader.PlaceOf("destinations"), "no destination has a weight above 0");
+  }
+  return destinations;
+}
+
+FleetRoute ReadRoute(JsonReader& reader,
+                     const std::set<std::string>& services,
+                     const FleetLimits& limits)
+{
+  FleetRoute route;
+  RequestClass& requestClass = route.requestClass;
+  requestClass.name = ReadText(reader, "name");
+  route.host = LowerHost(ReadText(reader, "host"));
+  route.pathPrefix = ReadText(reader, "path_prefix");
+  if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/')) {
+    Throw(reader.PlaceOf("path_prefix"), "must begin and end with /");
+  }
+  requestClass.idempotent = reader.Boolean("idempotent");
+  requestClass.needsClaim = false;
+  requestClass.openToAll = reader.Boolean("open");
+  requestClass.priority = static_cast<int>(reader.Integer("priority", 0, kLowestPriority));
+  const auto timeoutMs = reader.Integer("timeout_ms", 1, kMaxTimeMs);
+  const auto targetMs =
+    reader.Integer("target_ms", 0, timeoutMs + kMaxTargetAboveTimeoutMs - 1);
+  requestClass.deadline = std::chrono::milliseconds(timeoutMs);
+  requestClass.target = std::chrono::milliseconds(targetMs);
+  requestClass.maxAttempts = static_cast<int>(reader.Integer("max_attempts", 1, kMaxAttempts));
+  requestClass.maxBodyBytes = limits.maxBodyBytes;
+  route.destinations = ReadDestinations(reader, services);
+  reader.RejectUnknownFields();
+  return route;
+}
+
+FleetService ReadService(JsonReader& reader)
+{
+  FleetService service;
+  service.name = ReadText(reader, "name");
+  service.healthPath = reader.String("health_path");
+  service.maxConnections = static_cast<int>(reader.Integer("max_connections", 1, kMaxConnections));
+  reader.RejectUnknownFields();
+  return service;
+}
+
+FleetAccount ReadAccount(JsonReader& reader)
+{
+  FleetAccount account;
+  account.name = ReadText(reader, "name");
+  account.keyHashes = reader.Strings("key_hashes");
+  for (const auto& hash : account.keyHashes) {
+    if (hash.size() != kKeyHashDigits) {
+      Throw(reader.PlaceOf("key_hashes"), "a hash has 64 hexadecimal digits");
+    }
+  }
+  if (reader.Has("priority")) {
+    account.priority = static_cast<int>(reader.Integer("priority", 0, kLowestPriority));
+  }
+  account.limit = { .rate = reader.Number("rate", 0, kMaxRate),
+                    .burst = reader.Number("burst", 0, kMaxRate) };
+  reader.RejectUnknownFields();
+  return account;
+}
+
+FleetLimits ReadLimits(JsonReader& reader)
+{
+  FleetLimits limits;
+  limits.maxBodyBytes = reader.Integer("max_body_bytes", 0, kMaxBytes);
+  limits.headTimeout = std::chrono::milliseconds(reader.Integer("head_timeout_ms", 1, kMaxTimeMs));
+  limits.idleTimeout = std::chrono::milliseconds(reader.Integer("idle_timeout_ms", 1, kMaxTimeMs));
+  return limits;
+}
+
+} // namespace
+
+ConfigResult<FleetDocument> FleetDocument::Parse(std::string_view text)
+{
+  try {
+    JsonReader reader = JsonReader::FromText(text);
+    FleetDocument fleet;
+    fleet.limits_ = ReadLimits(reader);
+    std::set<std::string> services;
+    for (auto& entry : reader.Objects("services")) {
+      fleet.services_.push_back(ReadService(entry));
+      if (!services.insert(fleet.services_.back().name).second) {
+        Throw(entry.PlaceOf("name"), "stands twice");
+      }
+    }
+    std::set<std::string> names;
+    for (auto& entry : reader.Objects("routes")) {
+      FleetRoute route = ReadRoute(entry, services, fleet.limits_);
+      if (!names.insert(route.requestClass.name).second) {
+        Throw(entry.PlaceOf("name"), "stands twice");
+      }
+      const std::string place = PlaceKey(route.host, route.pathPrefix);
+      if (!fleet.routeByPlace_.emplace(place, fleet.routes_.size()).second) {
+        Throw(entry.PlaceOf("path_prefix"), "another route has the same host and prefix");
+      }
+      fleet.routes_.push_back(std::move(route));
+    }
+    std::set<std::string> accounts;
+    for (auto& entry : reader.Objects("accounts")) {
+      FleetAccount account = ReadAccount(entry);
+      if (!accounts.insert(account.name).second) {
+        Throw(entry.PlaceOf("name"), "stands twice");
+      }
+      for (const auto& hash : account.keyHashes) {
+        const auto [found, isNew] =
+          fleet.accountByKeyHash_.emplace(hash, fleet.accounts_.size());
+        if (!isNew) {
+          Throw(entry.PlaceOf("key_hashes"), "a key stands twice");
+        }
+      }
+      fleet.accounts_.push_back(std::move(account));
+    }
+    reader.RejectUnknownFields();
+    return fleet;
+  } catch (const JsonPlaceError& e) {
+    return Fail(ConfigErrorCode::Malformed, e.what());
+  }
+}
+
+const FleetRoute* FleetDocument::Match(std::string_view host, std::string_view path) const
+{
+  const std::string lower = LowerHost(host);
+  for (auto end = path.rfind('/'); end != std::string_view::npos; end = path.rfind('/', end - 1)) {
+    const auto found = routeByPlace_.find(PlaceKey(lower, path.substr(0, end + 1)));
+    if (found != routeByPlace_.end()) {
+      return &routes_[found->second];
+    }
+    if (end == 0) {
+      break;
+    }
+  }
+  return nullptr;
+}
+
+const FleetAccount* FleetDocument::AccountOfKey(const std::string& keyHash) const
+{
+  const auto found = accountByKeyHash_.find(keyHash);
+  return found == accountByKeyHash_.end() ? nullptr : &accounts_[found->second];
+}
+
+const FleetService* FleetDocument::ServiceOf(const std::string& name) const
+{
+  for (const auto& service : services_) {
+    if (service.name == name) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace acp
--- a/src/control/control_commands.cpp
+++ b/src/control/control_commands.cpp
@@ -76,6 +76,12 @@
   if (command.__isset.releaseClaim) {
     return ApplyRelease(command.releaseClaim, time);
   }
+  if (command.__isset.putFleet) {
+    return ApplyFleet(command.putFleet, time);
+  }
+  if (command.__isset.foundFleet) {
+    return ApplyFounding(command.foundFleet);
+  }
   return Refusal(ControlErrorCode::InvalidCommand, "the entry of the log holds no known command");
 }
 
@@ -240,6 +246,39 @@
   return {};
 }
 
+wire::CommandReply ControlState::Impl::ApplyFleet(const wire::PutFleetCommand& command,
+                                                  UnixMillis time)
+{
+  const auto put = fleet.Put({ .version = command.version,
+                               .baseVersion = command.baseVersion,
+                               .document = command.document,
+                               .source = command.source });
+  if (!put) {
+    return Refusal(put.error());
+  }
+  if (!put.value().isResend) {
+    feed.Append({});
+    audit.Append({ .time = time,
+                   .operatorName = command.operatorName,
+                   .action = "fleet_put",
+                   .subject = "fleet",
+                   .fromVersion = command.baseVersion,
+                   .toVersion = command.version });
+  }
+  wire::CommandReply reply;
+  reply.version = put.value().version;
+  reply.isResend = put.value().isResend;
+  reply.stateVersion = feed.Version();
+  return reply;
+}
+
+wire::CommandReply ControlState::Impl::ApplyFounding(const wire::FoundFleetCommand& command)
+{
+  fleet.Found(command.secret);
+  feed.Append({});
+  return {};
+}
+
 wire::CommandReply ControlState::Impl::ApplyBegin(const wire::BeginClaimRequest& request,
                                                   UnixMillis time)
 {
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -9,6 +9,7 @@
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
+#include "acaciapulley/config/fleet_document.hpp"       // FleetDocument
 #include "acaciapulley/control/detail/node_journal.hpp" // NodeJournal
 #include "acaciapulley/control/detail/operator_api.hpp" // OperatorApi
 #include "acaciapulley/control/detail/rpc_handler.hpp"  // RpcHandler
@@ -22,6 +23,7 @@
 // 540 nodes with a few connections each.
 constexpr int kMaxRpcConnections = 4096;
 constexpr int kSendTimeoutMillis = 5000;
+constexpr Duration kFleetTimeout = std::chrono::seconds(3);
 
 /// A listening socket that is opened before the server's thread starts, so that an address that
 /// cannot be bound is an error at start.
@@ -48,7 +50,8 @@
                 .log = *options.log,
                 .state = *options.state,
                 .hooks = options.hooks,
-                .operators = options.operators }
+                .operators = options.operators,
+                .changes = &changes_ }
     , operatorApi_(context_, [](Duration pause) { std::this_thread::sleep_for(pause); })
     , operatorServer_({ .address = options.operatorAddress,
                         .maxConnections = kMaxOperatorConnections,
@@ -58,9 +61,14 @@
     , rpcThread_([this] { rpcServer_->serve(); })
     , journal_(context_)
   {
+    options.state->OnApplied([this] { changes_.Notify(); });
   }
 
-  ~Impl() { StopRpc(); }
+  ~Impl()
+  {
+    context_.state.OnApplied(nullptr);
+    StopRpc();
+  }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
@@ -70,6 +78,40 @@
   }
   [[nodiscard]] std::uint16_t OperatorPort() const { return operatorServer_.Port(); }
 
+  ControlResult<FleetReceipt> PutFleet(const std::string& operatorName, const FleetChange& change)
+  {
+    const auto document = FleetDocument::Parse(change.document);
+    if (!document) {
+      return Fail(ControlErrorCode::InvalidDocument, document.error().Describe());
+    }
+    wire::PutFleetCommand put;
+    put.operatorName = operatorName;
+    put.version = change.version;
+    put.baseVersion = change.baseVersion;
+    put.document = change.document;
+    put.source = change.source;
+    wire::ControlCommand command;
+    command.__set_putFleet(put);
+    const auto applied = context_.Propose(command, kFleetTimeout);
+    if (!applied) {
+      return boost::outcome_v2::failure(applied.error());
+    }
+    const wire::CommandReply& reply = applied.value();
+    if (reply.errorCode != 0) {
+      return Fail(static_cast<ControlErrorCode>(reply.errorCode), reply.message);
+    }
+    return FleetReceipt{ .version = reply.version, .isResend = reply.isResend };
+  }
+
+  ControlResult<FleetChange> ReadFleet()
+  {
+    const auto age = context_.ConfirmedAge();
+    if (!age) {
+      return boost::outcome_v2::failure(age.error());
+    }
+    return context_.state.Fleet();
+  }
+
   void Stop(Duration patience)
   {
     journal_.Stop();
@@ -126,6 +168,7 @@
     }
   }
 
+  ChangeSignal changes_;
   detail::ControlContext context_;
   detail::OperatorApi operatorApi_;
   HttpServer operatorServer_;
@@ -142,6 +185,17 @@
 
 ControlProcess::~ControlProcess() = default;
 
+ControlResult<FleetReceipt> ControlProcess::PutFleet(const std::string& operatorName,
+                                                     const FleetChange& change)
+{
+  return impl_->PutFleet(operatorName, change);
+}
+
+ControlResult<FleetChange> ControlProcess::ReadFleet()
+{
+  return impl_->ReadFleet();
+}
+
 std::uint16_t ControlProcess::RpcPort() const
 {
   return impl_->RpcPort();
--- a/src/control/control_snapshot.cpp
+++ b/src/control/control_snapshot.cpp
@@ -117,6 +117,13 @@
     row.rows = rows;
     snapshot.record.push_back(row);
   }
+  wire::FleetSnapshot taken;
+  taken.version = fleet.Current().version;
+  taken.document = fleet.Current().document;
+  taken.source = fleet.Current().source;
+  taken.acceptedDigests.assign(fleet.AcceptedDigests().begin(), fleet.AcceptedDigests().end());
+  taken.secret = fleet.Secret();
+  snapshot.__set_fleet(taken);
   return snapshot;
 }
 
@@ -158,6 +165,11 @@
   for (const auto& row : snapshot.record) {
     record[{ row.hourMs, row.source }] = row.rows;
   }
+  const wire::FleetSnapshot& stored = snapshot.fleet;
+  fleet.Restore(
+    { .version = stored.version, .document = stored.document, .source = stored.source },
+    { stored.acceptedDigests.begin(), stored.acceptedDigests.end() },
+    stored.secret);
 }
 
 } // namespace acp
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -24,8 +24,20 @@
     throw std::runtime_error("a newer version of acp-control wrote an entry of the log that this "
                              "one cannot apply; update this replica");
   }
-  const std::unique_lock lock(impl_->mutex);
-  return detail::EncodeWire(impl_->Apply(isRead ? command : wire::ControlCommand{}, entry.time));
+  std::string reply;
+  {
+    const std::unique_lock lock(impl_->mutex);
+    reply = detail::EncodeWire(impl_->Apply(isRead ? command : wire::ControlCommand{}, entry.time));
+  }
+  if (impl_->onApplied) {
+    impl_->onApplied();
+  }
+  return reply;
+}
+
+void ControlState::OnApplied(std::function<void()> applied)
+{
+  impl_->onApplied = std::move(applied);
 }
 
 std::string ControlState::TakeSnapshot() const
@@ -55,6 +67,18 @@
   return impl_->feed.Collect(version, &changes) ? changes : impl_->Snapshot();
 }
 
+FleetChange ControlState::Fleet() const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->fleet.Current();
+}
+
+std::string ControlState::FleetSecret() const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->fleet.Secret();
+}
+
 std::int64_t ControlState::Version() const
 {
   const std::shared_lock lock(impl_->mutex);
--- /dev/null
+++ b/src/control/fleet_store.cpp
@@ -0,0 +1,48 @@
+#include "acaciapulley/control/fleet_store.hpp"
+
+#include <utility> // move
+
+#include <fmt/format.h> // format
+
+#include "acaciapulley/core/random.hpp" // Sha256
+
+namespace acp {
+
+ControlResult<FleetReceipt> FleetStore::Put(const FleetChange& change)
+{
+  const std::string digest = Sha256(change.source);
+  if (accepted_.contains(digest)) {
+    return FleetReceipt{ .version = change.version, .isResend = true };
+  }
+  if (change.baseVersion != current_.version) {
+    return Fail(ControlErrorCode::VersionConflict,
+                fmt::format("the fleet document is at version {}, the change was made from {}; get "
+                            "the current document, repeat the change there and put it again",
+                            current_.version,
+                            change.baseVersion));
+  }
+  if (change.version <= current_.version) {
+    return Fail(
+      ControlErrorCode::InvalidDocument,
+      fmt::format("version {} is not above the current {}", change.version, current_.version));
+  }
+  current_ = change;
+  accepted_.insert(digest);
+  return FleetReceipt{ .version = change.version };
+}
+
+void FleetStore::Found(const std::string& secret)
+{
+  if (secret_.empty()) {
+    secret_ = secret;
+  }
+}
+
+void FleetStore::Restore(FleetChange current, std::set<std::string> accepted, std::string secret)
+{
+  current_ = std::move(current);
+  accepted_ = std::move(accepted);
+  secret_ = std::move(secret);
+}
+
+} // namespace acp
--- a/src/control/rate_service.cpp
+++ b/src/control/rate_service.cpp
@@ -2,6 +2,7 @@
 
 #include <utility> // move
 
+#include "acaciapulley/config/fleet_document.hpp"   // FleetDocument
 #include "acaciapulley/config/service_document.hpp" // ServiceDocument
 #include "gen/ControlService.h"
 
@@ -48,6 +49,21 @@
   return wired;
 }
 
+/// Limits of the fleet document count over all services together.
+void AddFleetLimits(const FleetChange& change, std::map<LimitKey, TokenLimit>& limits)
+{
+  const auto fleet = FleetDocument::Parse(change.document);
+  if (!fleet) {
+    return;
+  }
+  for (const auto& account : fleet.value().Accounts()) {
+    if (account.limit.rate > 0) {
+      limits[{ kWholeFleet, account.name }] = { .rate = account.limit.rate,
+                                                .burst = account.limit.burst };
+    }
+  }
+}
+
 std::map<LimitKey, TokenLimit> LimitsOf(const std::vector<StoredDocument>& documents)
 {
   std::map<LimitKey, TokenLimit> limits;
@@ -89,6 +105,7 @@
     return;
   }
   auto limits = LimitsOf(state_.Documents());
+  AddFleetLimits(state_.Fleet(), limits);
   for (const auto& [key, limit] : inForce_) {
     if (!limits.contains(key)) {
       authority_.RemoveLimit(key, now);
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -4,6 +4,7 @@
 #include <chrono>    // ceil
 
 #include "acaciapulley/control/detail/control_wire.hpp" // FromWire, ToWire
+#include "acaciapulley/core/random.hpp"                 // RandomHex
 
 namespace acp::detail {
 
@@ -13,6 +14,15 @@
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(400);
 constexpr std::size_t kMaxIdentifier = 128;
 constexpr std::size_t kMaxContentType = 256;
+constexpr std::size_t kFleetSecretBytes = 32;
+// Half of the 4 s after which a node stops serving keyed requests.
+constexpr Duration kLongestHold = std::chrono::seconds(2);
+
+bool HasNews(const wire::SyncReply& reply, const wire::SyncRequest& request)
+{
+  return reply.membersIncluded || reply.__isset.fleet ||
+         reply.delta.toVersion != request.stateVersion;
+}
 
 bool IsIdentifier(const std::string& text)
 {
@@ -80,19 +90,63 @@
 
 void RpcHandler::Sync(wire::SyncReply& reply, const wire::SyncRequest& request)
 {
-  // The age is taken before the state is read, so that the state is at least that fresh.
-  const Duration age = RequireLeadership("sync");
   if (!IsAcceptable(request)) {
     ThrowFailure("sync", static_cast<int>(ControlErrorCode::InvalidRequest), "invalid node");
   }
-  reply.ageMs = std::chrono::ceil<std::chrono::milliseconds>(age).count();
-  reply.delta = ToWire(context_.state.ChangesSince(request.stateVersion));
-  FillMembers(reply, request);
+  const TimePoint start = context_.clock.Now();
+  const Duration hold =
+    std::min<Duration>(std::chrono::milliseconds(request.holdMs), kLongestHold);
+  while (true) {
+    const std::uint64_t seen = context_.changes == nullptr ? 0 : context_.changes->Count();
+    const Duration held = context_.clock.Now() - start;
+    FillState(reply, request, held);
+    const Duration left = hold - held;
+    if (context_.changes == nullptr || left <= Duration::zero() || HasNews(reply, request)) {
+      break;
+    }
+    context_.changes->WaitBeyond(seen, left);
+  }
   reply.acceptedReportNumber =
     context_.hooks.acceptReport ? context_.hooks.acceptReport(request) : request.reportNumber;
   context_.metrics.CountCall("sync", "ok");
 }
 
+void RpcHandler::FillState(wire::SyncReply& reply, const wire::SyncRequest& request, Duration held)
+{
+  // The age is taken before the state is read, so that the state is at least that fresh.
+  const Duration age = RequireLeadership("sync");
+  reply = {};
+  reply.ageMs = std::chrono::ceil<std::chrono::milliseconds>(age).count();
+  reply.heldMs = std::chrono::floor<std::chrono::milliseconds>(held).count();
+  reply.delta = ToWire(context_.state.ChangesSince(request.stateVersion));
+  const FleetChange fleet = context_.state.Fleet();
+  if (fleet.version != request.fleetVersion) {
+    wire::FleetRecord record;
+    record.version = fleet.version;
+    record.document = fleet.document;
+    reply.__set_fleet(record);
+  }
+  reply.fleetSecret = FoundedSecret();
+  for (const auto& replica : context_.log.Status().replicas) {
+    reply.controlAddresses.push_back(replica.rpcAddress);
+  }
+  FillMembers(reply, request);
+}
+
+std::string RpcHandler::FoundedSecret()
+{
+  std::string secret = context_.state.FleetSecret();
+  if (secret.empty()) {
+    wire::ControlCommand command;
+    wire::FoundFleetCommand founding;
+    founding.secret = RandomHex(kFleetSecretBytes);
+    command.__set_foundFleet(founding);
+    Propose("sync", command);
+    secret = context_.state.FleetSecret();
+  }
+  return secret;
+}
+
 void RpcHandler::FillMembers(wire::SyncReply& reply, const wire::SyncRequest& request)
 {
   const Leadership leadership = context_.CurrentLeadership();
@@ -107,8 +161,12 @@
   }
   const std::lock_guard lock(context_.nodesMutex);
   context_.nodes.StartTerm(leadership.term);
+  const std::int64_t before = context_.nodes.MembersVersion();
   context_.nodes.Report(report, now);
   context_.nodes.Expire(now);
+  if (context_.changes != nullptr && context_.nodes.MembersVersion() != before) {
+    context_.changes->Notify();
+  }
   // A new leader has heard few nodes; until it has, nodes keep the list that they have.
   const bool hasList = request.membersVersion != 0;
   if (hasList && leadership.leadingFor < kMembersRelearned) {
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,5 +1,7 @@
 #include "acaciapulley/core/clock.hpp"
 
+#include <ctime> // clock_gettime
+
 namespace acp {
 
 namespace {
@@ -12,7 +14,9 @@
 
 TimePoint SystemClock::Now() const
 {
-  return std::chrono::steady_clock::now();
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 UnixMillis SystemClock::WallNow() const
--- a/src/gen/command_types.cpp
+++ b/src/gen/command_types.cpp
@@ -1065,6 +1065,270 @@
 }
 
 
+PutFleetCommand::~PutFleetCommand() noexcept {
+}
+
+
+void PutFleetCommand::__set_operatorName(const std::string& val) {
+  this->operatorName = val;
+}
+
+void PutFleetCommand::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void PutFleetCommand::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+}
+
+void PutFleetCommand::__set_document(const std::string& val) {
+  this->document = val;
+}
+
+void PutFleetCommand::__set_source(const std::string& val) {
+  this->source = val;
+}
+std::ostream& operator<<(std::ostream& out, const PutFleetCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PutFleetCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operatorName);
+          this->__isset.operatorName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->source);
+          this->__isset.source = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PutFleetCommand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PutFleetCommand");
+
+  xfer += oprot->writeFieldBegin("operatorName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->operatorName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("source", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->source);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PutFleetCommand &a, PutFleetCommand &b) {
+  using ::std::swap;
+  swap(a.operatorName, b.operatorName);
+  swap(a.version, b.version);
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.document, b.document);
+  swap(a.source, b.source);
+  swap(a.__isset, b.__isset);
+}
+
+PutFleetCommand::PutFleetCommand(const PutFleetCommand& other23) {
+  operatorName = other23.operatorName;
+  version = other23.version;
+  baseVersion = other23.baseVersion;
+  document = other23.document;
+  source = other23.source;
+  __isset = other23.__isset;
+}
+PutFleetCommand& PutFleetCommand::operator=(const PutFleetCommand& other24) {
+  operatorName = other24.operatorName;
+  version = other24.version;
+  baseVersion = other24.baseVersion;
+  document = other24.document;
+  source = other24.source;
+  __isset = other24.__isset;
+  return *this;
+}
+void PutFleetCommand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PutFleetCommand(";
+  out << "operatorName=" << to_string(operatorName);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "document=" << to_string(document);
+  out << ", " << "source=" << to_string(source);
+  out << ")";
+}
+
+
+FoundFleetCommand::~FoundFleetCommand() noexcept {
+}
+
+
+void FoundFleetCommand::__set_secret(const std::string& val) {
+  this->secret = val;
+}
+std::ostream& operator<<(std::ostream& out, const FoundFleetCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FoundFleetCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->secret);
+          this->__isset.secret = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FoundFleetCommand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FoundFleetCommand");
+
+  xfer += oprot->writeFieldBegin("secret", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->secret);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FoundFleetCommand &a, FoundFleetCommand &b) {
+  using ::std::swap;
+  swap(a.secret, b.secret);
+  swap(a.__isset, b.__isset);
+}
+
+FoundFleetCommand::FoundFleetCommand(const FoundFleetCommand& other25) {
+  secret = other25.secret;
+  __isset = other25.__isset;
+}
+FoundFleetCommand& FoundFleetCommand::operator=(const FoundFleetCommand& other26) {
+  secret = other26.secret;
+  __isset = other26.__isset;
+  return *this;
+}
+void FoundFleetCommand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FoundFleetCommand(";
+  out << "secret=" << to_string(secret);
+  out << ")";
+}
+
+
 ControlCommand::~ControlCommand() noexcept {
 }
 
@@ -1117,6 +1381,16 @@
   this->releaseClaim = val;
 __isset.releaseClaim = true;
 }
+
+void ControlCommand::__set_putFleet(const PutFleetCommand& val) {
+  this->putFleet = val;
+__isset.putFleet = true;
+}
+
+void ControlCommand::__set_foundFleet(const FoundFleetCommand& val) {
+  this->foundFleet = val;
+__isset.foundFleet = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlCommand& obj)
 {
   obj.printTo(out);
@@ -1225,6 +1499,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->putFleet.read(iprot);
+          this->__isset.putFleet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->foundFleet.read(iprot);
+          this->__isset.foundFleet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1291,6 +1581,16 @@
     xfer += this->releaseClaim.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.putFleet) {
+    xfer += oprot->writeFieldBegin("putFleet", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->putFleet.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.foundFleet) {
+    xfer += oprot->writeFieldBegin("foundFleet", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->foundFleet.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1308,34 +1608,40 @@
   swap(a.beginClaim, b.beginClaim);
   swap(a.finishClaim, b.finishClaim);
   swap(a.releaseClaim, b.releaseClaim);
+  swap(a.putFleet, b.putFleet);
+  swap(a.foundFleet, b.foundFleet);
   swap(a.__isset, b.__isset);
 }
 
-ControlCommand::ControlCommand(const ControlCommand& other23) {
-  formatVersion = other23.formatVersion;
-  putDocument = other23.putDocument;
-  issueKey = other23.issueKey;
-  revokeKey = other23.revokeKey;
-  replaceReplica = other23.replaceReplica;
-  noteNodes = other23.noteNodes;
-  storeRecord = other23.storeRecord;
-  beginClaim = other23.beginClaim;
-  finishClaim = other23.finishClaim;
-  releaseClaim = other23.releaseClaim;
-  __isset = other23.__isset;
+ControlCommand::ControlCommand(const ControlCommand& other27) {
+  formatVersion = other27.formatVersion;
+  putDocument = other27.putDocument;
+  issueKey = other27.issueKey;
+  revokeKey = other27.revokeKey;
+  replaceReplica = other27.replaceReplica;
+  noteNodes = other27.noteNodes;
+  storeRecord = other27.storeRecord;
+  beginClaim = other27.beginClaim;
+  finishClaim = other27.finishClaim;
+  releaseClaim = other27.releaseClaim;
+  putFleet = other27.putFleet;
+  foundFleet = other27.foundFleet;
+  __isset = other27.__isset;
 }
-ControlCommand& ControlCommand::operator=(const ControlCommand& other24) {
-  formatVersion = other24.formatVersion;
-  putDocument = other24.putDocument;
-  issueKey = other24.issueKey;
-  revokeKey = other24.revokeKey;
-  replaceReplica = other24.replaceReplica;
-  noteNodes = other24.noteNodes;
-  storeRecord = other24.storeRecord;
-  beginClaim = other24.beginClaim;
-  finishClaim = other24.finishClaim;
-  releaseClaim = other24.releaseClaim;
-  __isset = other24.__isset;
+ControlCommand& ControlCommand::operator=(const ControlCommand& other28) {
+  formatVersion = other28.formatVersion;
+  putDocument = other28.putDocument;
+  issueKey = other28.issueKey;
+  revokeKey = other28.revokeKey;
+  replaceReplica = other28.replaceReplica;
+  noteNodes = other28.noteNodes;
+  storeRecord = other28.storeRecord;
+  beginClaim = other28.beginClaim;
+  finishClaim = other28.finishClaim;
+  releaseClaim = other28.releaseClaim;
+  putFleet = other28.putFleet;
+  foundFleet = other28.foundFleet;
+  __isset = other28.__isset;
   return *this;
 }
 void ControlCommand::printTo(std::ostream& out) const {
@@ -1351,6 +1657,8 @@
   out << ", " << "beginClaim="; (__isset.beginClaim ? (out << to_string(beginClaim)) : (out << "<null>"));
   out << ", " << "finishClaim="; (__isset.finishClaim ? (out << to_string(finishClaim)) : (out << "<null>"));
   out << ", " << "releaseClaim="; (__isset.releaseClaim ? (out << to_string(releaseClaim)) : (out << "<null>"));
+  out << ", " << "putFleet="; (__isset.putFleet ? (out << to_string(putFleet)) : (out << "<null>"));
+  out << ", " << "foundFleet="; (__isset.foundFleet ? (out << to_string(foundFleet)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1551,27 +1859,27 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandReply::CommandReply(const CommandReply& other25) {
-  errorCode = other25.errorCode;
-  errorName = other25.errorName;
-  message = other25.message;
-  version = other25.version;
-  stateVersion = other25.stateVersion;
-  subject = other25.subject;
-  isResend = other25.isResend;
-  claim = other25.claim;
-  __isset = other25.__isset;
-}
-CommandReply& CommandReply::operator=(const CommandReply& other26) {
-  errorCode = other26.errorCode;
-  errorName = other26.errorName;
-  message = other26.message;
-  version = other26.version;
-  stateVersion = other26.stateVersion;
-  subject = other26.subject;
-  isResend = other26.isResend;
-  claim = other26.claim;
-  __isset = other26.__isset;
+CommandReply::CommandReply(const CommandReply& other29) {
+  errorCode = other29.errorCode;
+  errorName = other29.errorName;
+  message = other29.message;
+  version = other29.version;
+  stateVersion = other29.stateVersion;
+  subject = other29.subject;
+  isResend = other29.isResend;
+  claim = other29.claim;
+  __isset = other29.__isset;
+}
+CommandReply& CommandReply::operator=(const CommandReply& other30) {
+  errorCode = other30.errorCode;
+  errorName = other30.errorName;
+  message = other30.message;
+  version = other30.version;
+  stateVersion = other30.stateVersion;
+  subject = other30.subject;
+  isResend = other30.isResend;
+  claim = other30.claim;
+  __isset = other30.__isset;
   return *this;
 }
 void CommandReply::printTo(std::ostream& out) const {
@@ -1732,21 +2040,21 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentVersion::DocumentVersion(const DocumentVersion& other27) {
-  version = other27.version;
-  timeMs = other27.timeMs;
-  operatorName = other27.operatorName;
-  body = other27.body;
-  stateVersion = other27.stateVersion;
-  __isset = other27.__isset;
-}
-DocumentVersion& DocumentVersion::operator=(const DocumentVersion& other28) {
-  version = other28.version;
-  timeMs = other28.timeMs;
-  operatorName = other28.operatorName;
-  body = other28.body;
-  stateVersion = other28.stateVersion;
-  __isset = other28.__isset;
+DocumentVersion::DocumentVersion(const DocumentVersion& other31) {
+  version = other31.version;
+  timeMs = other31.timeMs;
+  operatorName = other31.operatorName;
+  body = other31.body;
+  stateVersion = other31.stateVersion;
+  __isset = other31.__isset;
+}
+DocumentVersion& DocumentVersion::operator=(const DocumentVersion& other32) {
+  version = other32.version;
+  timeMs = other32.timeMs;
+  operatorName = other32.operatorName;
+  body = other32.body;
+  stateVersion = other32.stateVersion;
+  __isset = other32.__isset;
   return *this;
 }
 void DocumentVersion::printTo(std::ostream& out) const {
@@ -1812,14 +2120,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->versions.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->versions.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->versions[_i33].read(iprot);
+              xfer += this->versions[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1852,10 +2160,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<DocumentVersion> ::const_iterator _iter34;
-    for (_iter34 = this->versions.begin(); _iter34 != this->versions.end(); ++_iter34)
+    std::vector<DocumentVersion> ::const_iterator _iter38;
+    for (_iter38 = this->versions.begin(); _iter38 != this->versions.end(); ++_iter38)
     {
-      xfer += (*_iter34).write(oprot);
+      xfer += (*_iter38).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1873,15 +2181,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentHistory::DocumentHistory(const DocumentHistory& other35) {
-  serviceName = other35.serviceName;
-  versions = other35.versions;
-  __isset = other35.__isset;
+DocumentHistory::DocumentHistory(const DocumentHistory& other39) {
+  serviceName = other39.serviceName;
+  versions = other39.versions;
+  __isset = other39.__isset;
 }
-DocumentHistory& DocumentHistory::operator=(const DocumentHistory& other36) {
-  serviceName = other36.serviceName;
-  versions = other36.versions;
-  __isset = other36.__isset;
+DocumentHistory& DocumentHistory::operator=(const DocumentHistory& other40) {
+  serviceName = other40.serviceName;
+  versions = other40.versions;
+  __isset = other40.__isset;
   return *this;
 }
 void DocumentHistory::printTo(std::ostream& out) const {
@@ -2019,19 +2327,19 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRow::LedgerRow(const LedgerRow& other37) {
-  origin = other37.origin;
-  timeMs = other37.timeMs;
-  fingerprint = other37.fingerprint;
-  reply = other37.reply;
-  __isset = other37.__isset;
+LedgerRow::LedgerRow(const LedgerRow& other41) {
+  origin = other41.origin;
+  timeMs = other41.timeMs;
+  fingerprint = other41.fingerprint;
+  reply = other41.reply;
+  __isset = other41.__isset;
 }
-LedgerRow& LedgerRow::operator=(const LedgerRow& other38) {
-  origin = other38.origin;
-  timeMs = other38.timeMs;
-  fingerprint = other38.fingerprint;
-  reply = other38.reply;
-  __isset = other38.__isset;
+LedgerRow& LedgerRow::operator=(const LedgerRow& other42) {
+  origin = other42.origin;
+  timeMs = other42.timeMs;
+  fingerprint = other42.fingerprint;
+  reply = other42.reply;
+  __isset = other42.__isset;
   return *this;
 }
 void LedgerRow::printTo(std::ostream& out) const {
@@ -2239,27 +2547,27 @@
   swap(a.__isset, b.__isset);
 }
 
-AuditRow::AuditRow(const AuditRow& other39) {
-  number = other39.number;
-  timeMs = other39.timeMs;
-  operatorName = other39.operatorName;
-  action = other39.action;
-  subject = other39.subject;
-  fromVersion = other39.fromVersion;
-  toVersion = other39.toVersion;
-  requestId = other39.requestId;
-  __isset = other39.__isset;
+AuditRow::AuditRow(const AuditRow& other43) {
+  number = other43.number;
+  timeMs = other43.timeMs;
+  operatorName = other43.operatorName;
+  action = other43.action;
+  subject = other43.subject;
+  fromVersion = other43.fromVersion;
+  toVersion = other43.toVersion;
+  requestId = other43.requestId;
+  __isset = other43.__isset;
 }
-AuditRow& AuditRow::operator=(const AuditRow& other40) {
-  number = other40.number;
-  timeMs = other40.timeMs;
-  operatorName = other40.operatorName;
-  action = other40.action;
-  subject = other40.subject;
-  fromVersion = other40.fromVersion;
-  toVersion = other40.toVersion;
-  requestId = other40.requestId;
-  __isset = other40.__isset;
+AuditRow& AuditRow::operator=(const AuditRow& other44) {
+  number = other44.number;
+  timeMs = other44.timeMs;
+  operatorName = other44.operatorName;
+  action = other44.action;
+  subject = other44.subject;
+  fromVersion = other44.fromVersion;
+  toVersion = other44.toVersion;
+  requestId = other44.requestId;
+  __isset = other44.__isset;
   return *this;
 }
 void AuditRow::printTo(std::ostream& out) const {
@@ -2388,17 +2696,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRow::ClaimRow(const ClaimRow& other41) {
-  holder = other41.holder;
-  markedUnknown = other41.markedUnknown;
-  outcome = other41.outcome;
-  __isset = other41.__isset;
+ClaimRow::ClaimRow(const ClaimRow& other45) {
+  holder = other45.holder;
+  markedUnknown = other45.markedUnknown;
+  outcome = other45.outcome;
+  __isset = other45.__isset;
 }
-ClaimRow& ClaimRow::operator=(const ClaimRow& other42) {
-  holder = other42.holder;
-  markedUnknown = other42.markedUnknown;
-  outcome = other42.outcome;
-  __isset = other42.__isset;
+ClaimRow& ClaimRow::operator=(const ClaimRow& other46) {
+  holder = other46.holder;
+  markedUnknown = other46.markedUnknown;
+  outcome = other46.outcome;
+  __isset = other46.__isset;
   return *this;
 }
 void ClaimRow::printTo(std::ostream& out) const {
@@ -2503,15 +2811,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleasedAttemptRow::ReleasedAttemptRow(const ReleasedAttemptRow& other43) {
-  attemptId = other43.attemptId;
-  untilMs = other43.untilMs;
-  __isset = other43.__isset;
+ReleasedAttemptRow::ReleasedAttemptRow(const ReleasedAttemptRow& other47) {
+  attemptId = other47.attemptId;
+  untilMs = other47.untilMs;
+  __isset = other47.__isset;
 }
-ReleasedAttemptRow& ReleasedAttemptRow::operator=(const ReleasedAttemptRow& other44) {
-  attemptId = other44.attemptId;
-  untilMs = other44.untilMs;
-  __isset = other44.__isset;
+ReleasedAttemptRow& ReleasedAttemptRow::operator=(const ReleasedAttemptRow& other48) {
+  attemptId = other48.attemptId;
+  untilMs = other48.untilMs;
+  __isset = other48.__isset;
   return *this;
 }
 void ReleasedAttemptRow::printTo(std::ostream& out) const {
@@ -2523,6 +2831,198 @@
 }
 
 
+FleetSnapshot::~FleetSnapshot() noexcept {
+}
+
+
+void FleetSnapshot::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void FleetSnapshot::__set_document(const std::string& val) {
+  this->document = val;
+}
+
+void FleetSnapshot::__set_source(const std::string& val) {
+  this->source = val;
+}
+
+void FleetSnapshot::__set_acceptedDigests(const std::vector<std::string> & val) {
+  this->acceptedDigests = val;
+}
+
+void FleetSnapshot::__set_secret(const std::string& val) {
+  this->secret = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetSnapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->source);
+          this->__isset.source = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->acceptedDigests.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->acceptedDigests.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += iprot->readBinary(this->acceptedDigests[_i53]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.acceptedDigests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->secret);
+          this->__isset.secret = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetSnapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetSnapshot");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("source", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->source);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acceptedDigests", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->acceptedDigests.size()));
+    std::vector<std::string> ::const_iterator _iter54;
+    for (_iter54 = this->acceptedDigests.begin(); _iter54 != this->acceptedDigests.end(); ++_iter54)
+    {
+      xfer += oprot->writeBinary((*_iter54));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("secret", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->secret);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetSnapshot &a, FleetSnapshot &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.document, b.document);
+  swap(a.source, b.source);
+  swap(a.acceptedDigests, b.acceptedDigests);
+  swap(a.secret, b.secret);
+  swap(a.__isset, b.__isset);
+}
+
+FleetSnapshot::FleetSnapshot(const FleetSnapshot& other55) {
+  version = other55.version;
+  document = other55.document;
+  source = other55.source;
+  acceptedDigests = other55.acceptedDigests;
+  secret = other55.secret;
+  __isset = other55.__isset;
+}
+FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other56) {
+  version = other56.version;
+  document = other56.document;
+  source = other56.source;
+  acceptedDigests = other56.acceptedDigests;
+  secret = other56.secret;
+  __isset = other56.__isset;
+  return *this;
+}
+void FleetSnapshot::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetSnapshot(";
+  out << "version=" << to_string(version);
+  out << ", " << "document=" << to_string(document);
+  out << ", " << "source=" << to_string(source);
+  out << ", " << "acceptedDigests=" << to_string(acceptedDigests);
+  out << ", " << "secret=" << to_string(secret);
+  out << ")";
+}
+
+
 ControlSnapshot::~ControlSnapshot() noexcept {
 }
 
@@ -2582,6 +3082,11 @@
 void ControlSnapshot::__set_releasedAttempts(const std::vector<ReleasedAttemptRow> & val) {
   this->releasedAttempts = val;
 }
+
+void ControlSnapshot::__set_fleet(const FleetSnapshot& val) {
+  this->fleet = val;
+__isset.fleet = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlSnapshot& obj)
 {
   obj.printTo(out);
@@ -2630,14 +3135,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->documents.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->documents.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->documents.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += this->documents[_i49].read(iprot);
+              xfer += this->documents[_i61].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2650,14 +3155,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->keys.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->keys.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->keys[_i54].read(iprot);
+              xfer += this->keys[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2670,14 +3175,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->revokedKeyIds.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->revokedKeyIds.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->revokedKeyIds.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += iprot->readString(this->revokedKeyIds[_i59]);
+              xfer += iprot->readString(this->revokedKeyIds[_i71]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2690,14 +3195,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ledger.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->ledger.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->ledger.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->ledger[_i64].read(iprot);
+              xfer += this->ledger[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2718,14 +3223,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->audit.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->audit.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->audit[_i69].read(iprot);
+              xfer += this->audit[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2746,14 +3251,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->claims.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->claims.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->claims[_i74].read(iprot);
+              xfer += this->claims[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2766,14 +3271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->roster.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->roster.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->roster.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->roster[_i79].read(iprot);
+              xfer += this->roster[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2786,14 +3291,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retiredReplicas.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->retiredReplicas.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->retiredReplicas.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += iprot->readString(this->retiredReplicas[_i84]);
+              xfer += iprot->readString(this->retiredReplicas[_i96]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2806,14 +3311,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->record.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->record.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->record.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->record[_i89].read(iprot);
+              xfer += this->record[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2826,14 +3331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->releasedAttempts.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->releasedAttempts.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->releasedAttempts.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->releasedAttempts[_i94].read(iprot);
+              xfer += this->releasedAttempts[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2842,6 +3347,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->fleet.read(iprot);
+          this->__isset.fleet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2870,10 +3383,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
-    std::vector<DocumentHistory> ::const_iterator _iter95;
-    for (_iter95 = this->documents.begin(); _iter95 != this->documents.end(); ++_iter95)
+    std::vector<DocumentHistory> ::const_iterator _iter107;
+    for (_iter107 = this->documents.begin(); _iter107 != this->documents.end(); ++_iter107)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2882,10 +3395,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector< ::acp::wire::IssuedKey> ::const_iterator _iter96;
-    for (_iter96 = this->keys.begin(); _iter96 != this->keys.end(); ++_iter96)
+    std::vector< ::acp::wire::IssuedKey> ::const_iterator _iter108;
+    for (_iter108 = this->keys.begin(); _iter108 != this->keys.end(); ++_iter108)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter108).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2894,10 +3407,10 @@
   xfer += oprot->writeFieldBegin("revokedKeyIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->revokedKeyIds.size()));
-    std::vector<std::string> ::const_iterator _iter97;
-    for (_iter97 = this->revokedKeyIds.begin(); _iter97 != this->revokedKeyIds.end(); ++_iter97)
+    std::vector<std::string> ::const_iterator _iter109;
+    for (_iter109 = this->revokedKeyIds.begin(); _iter109 != this->revokedKeyIds.end(); ++_iter109)
     {
-      xfer += oprot->writeString((*_iter97));
+      xfer += oprot->writeString((*_iter109));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2906,10 +3419,10 @@
   xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ledger.size()));
-    std::vector<LedgerRow> ::const_iterator _iter98;
-    for (_iter98 = this->ledger.begin(); _iter98 != this->ledger.end(); ++_iter98)
+    std::vector<LedgerRow> ::const_iterator _iter110;
+    for (_iter110 = this->ledger.begin(); _iter110 != this->ledger.end(); ++_iter110)
     {
-      xfer += (*_iter98).write(oprot);
+      xfer += (*_iter110).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2922,10 +3435,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRow> ::const_iterator _iter99;
-    for (_iter99 = this->audit.begin(); _iter99 != this->audit.end(); ++_iter99)
+    std::vector<AuditRow> ::const_iterator _iter111;
+    for (_iter111 = this->audit.begin(); _iter111 != this->audit.end(); ++_iter111)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter111).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2938,10 +3451,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<ClaimRow> ::const_iterator _iter100;
-    for (_iter100 = this->claims.begin(); _iter100 != this->claims.end(); ++_iter100)
+    std::vector<ClaimRow> ::const_iterator _iter112;
+    for (_iter112 = this->claims.begin(); _iter112 != this->claims.end(); ++_iter112)
     {
-      xfer += (*_iter100).write(oprot);
+      xfer += (*_iter112).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2950,10 +3463,10 @@
   xfer += oprot->writeFieldBegin("roster", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->roster.size()));
-    std::vector<NodeNote> ::const_iterator _iter101;
-    for (_iter101 = this->roster.begin(); _iter101 != this->roster.end(); ++_iter101)
+    std::vector<NodeNote> ::const_iterator _iter113;
+    for (_iter113 = this->roster.begin(); _iter113 != this->roster.end(); ++_iter113)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2962,10 +3475,10 @@
   xfer += oprot->writeFieldBegin("retiredReplicas", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->retiredReplicas.size()));
-    std::vector<std::string> ::const_iterator _iter102;
-    for (_iter102 = this->retiredReplicas.begin(); _iter102 != this->retiredReplicas.end(); ++_iter102)
+    std::vector<std::string> ::const_iterator _iter114;
+    for (_iter114 = this->retiredReplicas.begin(); _iter114 != this->retiredReplicas.end(); ++_iter114)
     {
-      xfer += oprot->writeString((*_iter102));
+      xfer += oprot->writeString((*_iter114));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2974,10 +3487,10 @@
   xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->record.size()));
-    std::vector<StoreRecordCommand> ::const_iterator _iter103;
-    for (_iter103 = this->record.begin(); _iter103 != this->record.end(); ++_iter103)
+    std::vector<StoreRecordCommand> ::const_iterator _iter115;
+    for (_iter115 = this->record.begin(); _iter115 != this->record.end(); ++_iter115)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2986,15 +3499,20 @@
   xfer += oprot->writeFieldBegin("releasedAttempts", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releasedAttempts.size()));
-    std::vector<ReleasedAttemptRow> ::const_iterator _iter104;
-    for (_iter104 = this->releasedAttempts.begin(); _iter104 != this->releasedAttempts.end(); ++_iter104)
+    std::vector<ReleasedAttemptRow> ::const_iterator _iter116;
+    for (_iter116 = this->releasedAttempts.begin(); _iter116 != this->releasedAttempts.end(); ++_iter116)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter116).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.fleet) {
+    xfer += oprot->writeFieldBegin("fleet", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->fleet.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3016,42 +3534,45 @@
   swap(a.retiredReplicas, b.retiredReplicas);
   swap(a.record, b.record);
   swap(a.releasedAttempts, b.releasedAttempts);
+  swap(a.fleet, b.fleet);
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other105) {
-  formatVersion = other105.formatVersion;
-  stateVersion = other105.stateVersion;
-  documents = other105.documents;
-  keys = other105.keys;
-  revokedKeyIds = other105.revokedKeyIds;
-  ledger = other105.ledger;
-  nextAuditNumber = other105.nextAuditNumber;
-  audit = other105.audit;
-  claimsTimeMs = other105.claimsTimeMs;
-  claims = other105.claims;
-  roster = other105.roster;
-  retiredReplicas = other105.retiredReplicas;
-  record = other105.record;
-  releasedAttempts = other105.releasedAttempts;
-  __isset = other105.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other106) {
-  formatVersion = other106.formatVersion;
-  stateVersion = other106.stateVersion;
-  documents = other106.documents;
-  keys = other106.keys;
-  revokedKeyIds = other106.revokedKeyIds;
-  ledger = other106.ledger;
-  nextAuditNumber = other106.nextAuditNumber;
-  audit = other106.audit;
-  claimsTimeMs = other106.claimsTimeMs;
-  claims = other106.claims;
-  roster = other106.roster;
-  retiredReplicas = other106.retiredReplicas;
-  record = other106.record;
-  releasedAttempts = other106.releasedAttempts;
-  __isset = other106.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other117) {
+  formatVersion = other117.formatVersion;
+  stateVersion = other117.stateVersion;
+  documents = other117.documents;
+  keys = other117.keys;
+  revokedKeyIds = other117.revokedKeyIds;
+  ledger = other117.ledger;
+  nextAuditNumber = other117.nextAuditNumber;
+  audit = other117.audit;
+  claimsTimeMs = other117.claimsTimeMs;
+  claims = other117.claims;
+  roster = other117.roster;
+  retiredReplicas = other117.retiredReplicas;
+  record = other117.record;
+  releasedAttempts = other117.releasedAttempts;
+  fleet = other117.fleet;
+  __isset = other117.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other118) {
+  formatVersion = other118.formatVersion;
+  stateVersion = other118.stateVersion;
+  documents = other118.documents;
+  keys = other118.keys;
+  revokedKeyIds = other118.revokedKeyIds;
+  ledger = other118.ledger;
+  nextAuditNumber = other118.nextAuditNumber;
+  audit = other118.audit;
+  claimsTimeMs = other118.claimsTimeMs;
+  claims = other118.claims;
+  roster = other118.roster;
+  retiredReplicas = other118.retiredReplicas;
+  record = other118.record;
+  releasedAttempts = other118.releasedAttempts;
+  fleet = other118.fleet;
+  __isset = other118.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
@@ -3071,6 +3592,7 @@
   out << ", " << "retiredReplicas=" << to_string(retiredReplicas);
   out << ", " << "record=" << to_string(record);
   out << ", " << "releasedAttempts=" << to_string(releasedAttempts);
+  out << ", " << "fleet="; (__isset.fleet ? (out << to_string(fleet)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/command_types.h
+++ b/src/gen/command_types.h
@@ -53,6 +53,10 @@
 
 class StoreRecordCommand;
 
+class PutFleetCommand;
+
+class FoundFleetCommand;
+
 class ControlCommand;
 
 class CommandReply;
@@ -69,6 +73,8 @@
 
 class ReleasedAttemptRow;
 
+class FleetSnapshot;
+
 class ControlSnapshot;
 
 typedef struct _OperatorRequest__isset {
@@ -504,8 +510,122 @@
 
 std::ostream& operator<<(std::ostream& out, const StoreRecordCommand& obj);
 
+typedef struct _PutFleetCommand__isset {
+  _PutFleetCommand__isset() : operatorName(false), version(false), baseVersion(false), document(false), source(false) {}
+  bool operatorName :1;
+  bool version :1;
+  bool baseVersion :1;
+  bool document :1;
+  bool source :1;
+} _PutFleetCommand__isset;
+
+class PutFleetCommand : public virtual ::apache::thrift::TBase {
+ public:
+
+  PutFleetCommand(const PutFleetCommand&);
+  PutFleetCommand& operator=(const PutFleetCommand&);
+  PutFleetCommand() noexcept
+                  : operatorName(),
+                    version(0),
+                    baseVersion(0),
+                    document(),
+                    source() {
+  }
+
+  virtual ~PutFleetCommand() noexcept;
+  std::string operatorName;
+  int64_t version;
+  int64_t baseVersion;
+  std::string document;
+  std::string source;
+
+  _PutFleetCommand__isset __isset;
+
+  void __set_operatorName(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_baseVersion(const int64_t val);
+
+  void __set_document(const std::string& val);
+
+  void __set_source(const std::string& val);
+
+  bool operator == (const PutFleetCommand & rhs) const
+  {
+    if (!(operatorName == rhs.operatorName))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(baseVersion == rhs.baseVersion))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    if (!(source == rhs.source))
+      return false;
+    return true;
+  }
+  bool operator != (const PutFleetCommand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PutFleetCommand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PutFleetCommand &a, PutFleetCommand &b);
+
+std::ostream& operator<<(std::ostream& out, const PutFleetCommand& obj);
+
+typedef struct _FoundFleetCommand__isset {
+  _FoundFleetCommand__isset() : secret(false) {}
+  bool secret :1;
+} _FoundFleetCommand__isset;
+
+class FoundFleetCommand : public virtual ::apache::thrift::TBase {
+ public:
+
+  FoundFleetCommand(const FoundFleetCommand&);
+  FoundFleetCommand& operator=(const FoundFleetCommand&);
+  FoundFleetCommand() noexcept
+                    : secret() {
+  }
+
+  virtual ~FoundFleetCommand() noexcept;
+  std::string secret;
+
+  _FoundFleetCommand__isset __isset;
+
+  void __set_secret(const std::string& val);
+
+  bool operator == (const FoundFleetCommand & rhs) const
+  {
+    if (!(secret == rhs.secret))
+      return false;
+    return true;
+  }
+  bool operator != (const FoundFleetCommand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FoundFleetCommand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FoundFleetCommand &a, FoundFleetCommand &b);
+
+std::ostream& operator<<(std::ostream& out, const FoundFleetCommand& obj);
+
 typedef struct _ControlCommand__isset {
-  _ControlCommand__isset() : formatVersion(false), putDocument(false), issueKey(false), revokeKey(false), replaceReplica(false), noteNodes(false), storeRecord(false), beginClaim(false), finishClaim(false), releaseClaim(false) {}
+  _ControlCommand__isset() : formatVersion(false), putDocument(false), issueKey(false), revokeKey(false), replaceReplica(false), noteNodes(false), storeRecord(false), beginClaim(false), finishClaim(false), releaseClaim(false), putFleet(false), foundFleet(false) {}
   bool formatVersion :1;
   bool putDocument :1;
   bool issueKey :1;
@@ -516,6 +636,8 @@
   bool beginClaim :1;
   bool finishClaim :1;
   bool releaseClaim :1;
+  bool putFleet :1;
+  bool foundFleet :1;
 } _ControlCommand__isset;
 
 class ControlCommand : public virtual ::apache::thrift::TBase {
@@ -538,6 +660,8 @@
    ::acp::wire::BeginClaimRequest beginClaim;
    ::acp::wire::FinishClaimRequest finishClaim;
    ::acp::wire::ReleaseClaimRequest releaseClaim;
+  PutFleetCommand putFleet;
+  FoundFleetCommand foundFleet;
 
   _ControlCommand__isset __isset;
 
@@ -561,6 +685,10 @@
 
   void __set_releaseClaim(const  ::acp::wire::ReleaseClaimRequest& val);
 
+  void __set_putFleet(const PutFleetCommand& val);
+
+  void __set_foundFleet(const FoundFleetCommand& val);
+
   bool operator == (const ControlCommand & rhs) const
   {
     if (!(formatVersion == rhs.formatVersion))
@@ -601,6 +729,14 @@
       return false;
     else if (__isset.releaseClaim && !(releaseClaim == rhs.releaseClaim))
       return false;
+    if (__isset.putFleet != rhs.__isset.putFleet)
+      return false;
+    else if (__isset.putFleet && !(putFleet == rhs.putFleet))
+      return false;
+    if (__isset.foundFleet != rhs.__isset.foundFleet)
+      return false;
+    else if (__isset.foundFleet && !(foundFleet == rhs.foundFleet))
+      return false;
     return true;
   }
   bool operator != (const ControlCommand &rhs) const {
@@ -1093,8 +1229,78 @@
 
 std::ostream& operator<<(std::ostream& out, const ReleasedAttemptRow& obj);
 
+typedef struct _FleetSnapshot__isset {
+  _FleetSnapshot__isset() : version(false), document(false), source(false), acceptedDigests(false), secret(false) {}
+  bool version :1;
+  bool document :1;
+  bool source :1;
+  bool acceptedDigests :1;
+  bool secret :1;
+} _FleetSnapshot__isset;
+
+class FleetSnapshot : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetSnapshot(const FleetSnapshot&);
+  FleetSnapshot& operator=(const FleetSnapshot&);
+  FleetSnapshot() noexcept
+                : version(0),
+                  document(),
+                  source(),
+                  secret() {
+  }
+
+  virtual ~FleetSnapshot() noexcept;
+  int64_t version;
+  std::string document;
+  std::string source;
+  std::vector<std::string>  acceptedDigests;
+  std::string secret;
+
+  _FleetSnapshot__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_document(const std::string& val);
+
+  void __set_source(const std::string& val);
+
+  void __set_acceptedDigests(const std::vector<std::string> & val);
+
+  void __set_secret(const std::string& val);
+
+  bool operator == (const FleetSnapshot & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    if (!(source == rhs.source))
+      return false;
+    if (!(acceptedDigests == rhs.acceptedDigests))
+      return false;
+    if (!(secret == rhs.secret))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetSnapshot &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetSnapshot & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetSnapshot &a, FleetSnapshot &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj);
+
 typedef struct _ControlSnapshot__isset {
-  _ControlSnapshot__isset() : formatVersion(false), stateVersion(false), documents(false), keys(false), revokedKeyIds(false), ledger(false), nextAuditNumber(false), audit(false), claimsTimeMs(false), claims(false), roster(false), retiredReplicas(false), record(false), releasedAttempts(false) {}
+  _ControlSnapshot__isset() : formatVersion(false), stateVersion(false), documents(false), keys(false), revokedKeyIds(false), ledger(false), nextAuditNumber(false), audit(false), claimsTimeMs(false), claims(false), roster(false), retiredReplicas(false), record(false), releasedAttempts(false), fleet(false) {}
   bool formatVersion :1;
   bool stateVersion :1;
   bool documents :1;
@@ -1109,6 +1315,7 @@
   bool retiredReplicas :1;
   bool record :1;
   bool releasedAttempts :1;
+  bool fleet :1;
 } _ControlSnapshot__isset;
 
 class ControlSnapshot : public virtual ::apache::thrift::TBase {
@@ -1138,6 +1345,7 @@
   std::vector<std::string>  retiredReplicas;
   std::vector<StoreRecordCommand>  record;
   std::vector<ReleasedAttemptRow>  releasedAttempts;
+  FleetSnapshot fleet;
 
   _ControlSnapshot__isset __isset;
 
@@ -1169,6 +1377,8 @@
 
   void __set_releasedAttempts(const std::vector<ReleasedAttemptRow> & val);
 
+  void __set_fleet(const FleetSnapshot& val);
+
   bool operator == (const ControlSnapshot & rhs) const
   {
     if (!(formatVersion == rhs.formatVersion))
@@ -1199,6 +1409,10 @@
       return false;
     if (!(releasedAttempts == rhs.releasedAttempts))
       return false;
+    if (__isset.fleet != rhs.__isset.fleet)
+      return false;
+    else if (__isset.fleet && !(fleet == rhs.fleet))
+      return false;
     return true;
   }
   bool operator != (const ControlSnapshot &rhs) const {
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -839,6 +839,118 @@
 }
 
 
+FleetRecord::~FleetRecord() noexcept {
+}
+
+
+void FleetRecord::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void FleetRecord::__set_document(const std::string& val) {
+  this->document = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetRecord");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetRecord &a, FleetRecord &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.document, b.document);
+  swap(a.__isset, b.__isset);
+}
+
+FleetRecord::FleetRecord(const FleetRecord& other26) {
+  version = other26.version;
+  document = other26.document;
+  __isset = other26.__isset;
+}
+FleetRecord& FleetRecord::operator=(const FleetRecord& other27) {
+  version = other27.version;
+  document = other27.document;
+  __isset = other27.__isset;
+  return *this;
+}
+void FleetRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetRecord(";
+  out << "version=" << to_string(version);
+  out << ", " << "document=" << to_string(document);
+  out << ")";
+}
+
+
 SyncRequest::~SyncRequest() noexcept {
 }
 
@@ -871,6 +983,14 @@
 void SyncRequest::__set_report(const std::vector<std::string> & val) {
   this->report = val;
 }
+
+void SyncRequest::__set_fleetVersion(const int64_t val) {
+  this->fleetVersion = val;
+}
+
+void SyncRequest::__set_holdMs(const int32_t val) {
+  this->holdMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
 {
   obj.printTo(out);
@@ -951,14 +1071,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->report.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->report.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->report.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += iprot->readString(this->report[_i30]);
+              xfer += iprot->readString(this->report[_i32]);
             }
             xfer += iprot->readListEnd();
           }
@@ -967,6 +1087,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fleetVersion);
+          this->__isset.fleetVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->holdMs);
+          this->__isset.holdMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1012,15 +1148,23 @@
   xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->report.size()));
-    std::vector<std::string> ::const_iterator _iter31;
-    for (_iter31 = this->report.begin(); _iter31 != this->report.end(); ++_iter31)
+    std::vector<std::string> ::const_iterator _iter33;
+    for (_iter33 = this->report.begin(); _iter33 != this->report.end(); ++_iter33)
     {
-      xfer += oprot->writeString((*_iter31));
+      xfer += oprot->writeString((*_iter33));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fleetVersion", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->fleetVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holdMs", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->holdMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1035,28 +1179,34 @@
   swap(a.member, b.member);
   swap(a.reportNumber, b.reportNumber);
   swap(a.report, b.report);
+  swap(a.fleetVersion, b.fleetVersion);
+  swap(a.holdMs, b.holdMs);
   swap(a.__isset, b.__isset);
 }
 
-SyncRequest::SyncRequest(const SyncRequest& other32) {
-  nodeId = other32.nodeId;
-  epoch = other32.epoch;
-  stateVersion = other32.stateVersion;
-  membersVersion = other32.membersVersion;
-  member = other32.member;
-  reportNumber = other32.reportNumber;
-  report = other32.report;
-  __isset = other32.__isset;
-}
-SyncRequest& SyncRequest::operator=(const SyncRequest& other33) {
-  nodeId = other33.nodeId;
-  epoch = other33.epoch;
-  stateVersion = other33.stateVersion;
-  membersVersion = other33.membersVersion;
-  member = other33.member;
-  reportNumber = other33.reportNumber;
-  report = other33.report;
-  __isset = other33.__isset;
+SyncRequest::SyncRequest(const SyncRequest& other34) {
+  nodeId = other34.nodeId;
+  epoch = other34.epoch;
+  stateVersion = other34.stateVersion;
+  membersVersion = other34.membersVersion;
+  member = other34.member;
+  reportNumber = other34.reportNumber;
+  report = other34.report;
+  fleetVersion = other34.fleetVersion;
+  holdMs = other34.holdMs;
+  __isset = other34.__isset;
+}
+SyncRequest& SyncRequest::operator=(const SyncRequest& other35) {
+  nodeId = other35.nodeId;
+  epoch = other35.epoch;
+  stateVersion = other35.stateVersion;
+  membersVersion = other35.membersVersion;
+  member = other35.member;
+  reportNumber = other35.reportNumber;
+  report = other35.report;
+  fleetVersion = other35.fleetVersion;
+  holdMs = other35.holdMs;
+  __isset = other35.__isset;
   return *this;
 }
 void SyncRequest::printTo(std::ostream& out) const {
@@ -1069,6 +1219,8 @@
   out << ", " << "member="; (__isset.member ? (out << to_string(member)) : (out << "<null>"));
   out << ", " << "reportNumber=" << to_string(reportNumber);
   out << ", " << "report=" << to_string(report);
+  out << ", " << "fleetVersion=" << to_string(fleetVersion);
+  out << ", " << "holdMs=" << to_string(holdMs);
   out << ")";
 }
 
@@ -1100,6 +1252,23 @@
 void SyncReply::__set_acceptedReportNumber(const int64_t val) {
   this->acceptedReportNumber = val;
 }
+
+void SyncReply::__set_fleet(const FleetRecord& val) {
+  this->fleet = val;
+__isset.fleet = true;
+}
+
+void SyncReply::__set_fleetSecret(const std::string& val) {
+  this->fleetSecret = val;
+}
+
+void SyncReply::__set_controlAddresses(const std::vector<std::string> & val) {
+  this->controlAddresses = val;
+}
+
+void SyncReply::__set_heldMs(const int64_t val) {
+  this->heldMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -1164,14 +1333,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->members.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->members.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->members[_i38].read(iprot);
+              xfer += this->members[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1188,6 +1357,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->fleet.read(iprot);
+          this->__isset.fleet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->fleetSecret);
+          this->__isset.fleetSecret = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->controlAddresses.clear();
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->controlAddresses.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
+            {
+              xfer += iprot->readString(this->controlAddresses[_i45]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.controlAddresses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heldMs);
+          this->__isset.heldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1224,10 +1437,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter39;
-    for (_iter39 = this->members.begin(); _iter39 != this->members.end(); ++_iter39)
+    std::vector<Member> ::const_iterator _iter46;
+    for (_iter46 = this->members.begin(); _iter46 != this->members.end(); ++_iter46)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1237,6 +1450,31 @@
   xfer += oprot->writeI64(this->acceptedReportNumber);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.fleet) {
+    xfer += oprot->writeFieldBegin("fleet", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->fleet.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("fleetSecret", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->fleetSecret);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("controlAddresses", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlAddresses.size()));
+    std::vector<std::string> ::const_iterator _iter47;
+    for (_iter47 = this->controlAddresses.begin(); _iter47 != this->controlAddresses.end(); ++_iter47)
+    {
+      xfer += oprot->writeString((*_iter47));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldMs", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->heldMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1250,26 +1488,38 @@
   swap(a.membersVersion, b.membersVersion);
   swap(a.members, b.members);
   swap(a.acceptedReportNumber, b.acceptedReportNumber);
+  swap(a.fleet, b.fleet);
+  swap(a.fleetSecret, b.fleetSecret);
+  swap(a.controlAddresses, b.controlAddresses);
+  swap(a.heldMs, b.heldMs);
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other40) {
-  ageMs = other40.ageMs;
-  delta = other40.delta;
-  membersIncluded = other40.membersIncluded;
-  membersVersion = other40.membersVersion;
-  members = other40.members;
-  acceptedReportNumber = other40.acceptedReportNumber;
-  __isset = other40.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other41) {
-  ageMs = other41.ageMs;
-  delta = other41.delta;
-  membersIncluded = other41.membersIncluded;
-  membersVersion = other41.membersVersion;
-  members = other41.members;
-  acceptedReportNumber = other41.acceptedReportNumber;
-  __isset = other41.__isset;
+SyncReply::SyncReply(const SyncReply& other48) {
+  ageMs = other48.ageMs;
+  delta = other48.delta;
+  membersIncluded = other48.membersIncluded;
+  membersVersion = other48.membersVersion;
+  members = other48.members;
+  acceptedReportNumber = other48.acceptedReportNumber;
+  fleet = other48.fleet;
+  fleetSecret = other48.fleetSecret;
+  controlAddresses = other48.controlAddresses;
+  heldMs = other48.heldMs;
+  __isset = other48.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other49) {
+  ageMs = other49.ageMs;
+  delta = other49.delta;
+  membersIncluded = other49.membersIncluded;
+  membersVersion = other49.membersVersion;
+  members = other49.members;
+  acceptedReportNumber = other49.acceptedReportNumber;
+  fleet = other49.fleet;
+  fleetSecret = other49.fleetSecret;
+  controlAddresses = other49.controlAddresses;
+  heldMs = other49.heldMs;
+  __isset = other49.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -1281,6 +1531,10 @@
   out << ", " << "membersVersion=" << to_string(membersVersion);
   out << ", " << "members=" << to_string(members);
   out << ", " << "acceptedReportNumber=" << to_string(acceptedReportNumber);
+  out << ", " << "fleet="; (__isset.fleet ? (out << to_string(fleet)) : (out << "<null>"));
+  out << ", " << "fleetSecret=" << to_string(fleetSecret);
+  out << ", " << "controlAddresses=" << to_string(controlAddresses);
+  out << ", " << "heldMs=" << to_string(heldMs);
   out << ")";
 }
 
@@ -1513,31 +1767,31 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenAsk::TokenAsk(const TokenAsk& other42) {
-  serviceName = other42.serviceName;
-  account = other42.account;
-  number = other42.number;
-  term = other42.term;
-  received = other42.received;
-  spent = other42.spent;
-  returned = other42.returned;
-  spentAgeMicros = other42.spentAgeMicros;
-  needed = other42.needed;
-  wanted = other42.wanted;
-  __isset = other42.__isset;
-}
-TokenAsk& TokenAsk::operator=(const TokenAsk& other43) {
-  serviceName = other43.serviceName;
-  account = other43.account;
-  number = other43.number;
-  term = other43.term;
-  received = other43.received;
-  spent = other43.spent;
-  returned = other43.returned;
-  spentAgeMicros = other43.spentAgeMicros;
-  needed = other43.needed;
-  wanted = other43.wanted;
-  __isset = other43.__isset;
+TokenAsk::TokenAsk(const TokenAsk& other50) {
+  serviceName = other50.serviceName;
+  account = other50.account;
+  number = other50.number;
+  term = other50.term;
+  received = other50.received;
+  spent = other50.spent;
+  returned = other50.returned;
+  spentAgeMicros = other50.spentAgeMicros;
+  needed = other50.needed;
+  wanted = other50.wanted;
+  __isset = other50.__isset;
+}
+TokenAsk& TokenAsk::operator=(const TokenAsk& other51) {
+  serviceName = other51.serviceName;
+  account = other51.account;
+  number = other51.number;
+  term = other51.term;
+  received = other51.received;
+  spent = other51.spent;
+  returned = other51.returned;
+  spentAgeMicros = other51.spentAgeMicros;
+  needed = other51.needed;
+  wanted = other51.wanted;
+  __isset = other51.__isset;
   return *this;
 }
 void TokenAsk::printTo(std::ostream& out) const {
@@ -1620,14 +1874,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->asks.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->asks.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->asks[_i48].read(iprot);
+              xfer += this->asks[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1664,10 +1918,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<TokenAsk> ::const_iterator _iter49;
-    for (_iter49 = this->asks.begin(); _iter49 != this->asks.end(); ++_iter49)
+    std::vector<TokenAsk> ::const_iterator _iter57;
+    for (_iter57 = this->asks.begin(); _iter57 != this->asks.end(); ++_iter57)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1686,17 +1940,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenRequest::TokenRequest(const TokenRequest& other50) {
-  nodeId = other50.nodeId;
-  epoch = other50.epoch;
-  asks = other50.asks;
-  __isset = other50.__isset;
+TokenRequest::TokenRequest(const TokenRequest& other58) {
+  nodeId = other58.nodeId;
+  epoch = other58.epoch;
+  asks = other58.asks;
+  __isset = other58.__isset;
 }
-TokenRequest& TokenRequest::operator=(const TokenRequest& other51) {
-  nodeId = other51.nodeId;
-  epoch = other51.epoch;
-  asks = other51.asks;
-  __isset = other51.__isset;
+TokenRequest& TokenRequest::operator=(const TokenRequest& other59) {
+  nodeId = other59.nodeId;
+  epoch = other59.epoch;
+  asks = other59.asks;
+  __isset = other59.__isset;
   return *this;
 }
 void TokenRequest::printTo(std::ostream& out) const {
@@ -1903,27 +2157,27 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenAnswer::TokenAnswer(const TokenAnswer& other52) noexcept {
-  term = other52.term;
-  number = other52.number;
-  granted = other52.granted;
-  leaseMicros = other52.leaseMicros;
-  retryAfterMicros = other52.retryAfterMicros;
-  settleWithinMicros = other52.settleWithinMicros;
-  errorCode = other52.errorCode;
-  mayBeWithinRate = other52.mayBeWithinRate;
-  __isset = other52.__isset;
-}
-TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other53) noexcept {
-  term = other53.term;
-  number = other53.number;
-  granted = other53.granted;
-  leaseMicros = other53.leaseMicros;
-  retryAfterMicros = other53.retryAfterMicros;
-  settleWithinMicros = other53.settleWithinMicros;
-  errorCode = other53.errorCode;
-  mayBeWithinRate = other53.mayBeWithinRate;
-  __isset = other53.__isset;
+TokenAnswer::TokenAnswer(const TokenAnswer& other60) noexcept {
+  term = other60.term;
+  number = other60.number;
+  granted = other60.granted;
+  leaseMicros = other60.leaseMicros;
+  retryAfterMicros = other60.retryAfterMicros;
+  settleWithinMicros = other60.settleWithinMicros;
+  errorCode = other60.errorCode;
+  mayBeWithinRate = other60.mayBeWithinRate;
+  __isset = other60.__isset;
+}
+TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other61) noexcept {
+  term = other61.term;
+  number = other61.number;
+  granted = other61.granted;
+  leaseMicros = other61.leaseMicros;
+  retryAfterMicros = other61.retryAfterMicros;
+  settleWithinMicros = other61.settleWithinMicros;
+  errorCode = other61.errorCode;
+  mayBeWithinRate = other61.mayBeWithinRate;
+  __isset = other61.__isset;
   return *this;
 }
 void TokenAnswer::printTo(std::ostream& out) const {
@@ -1980,14 +2234,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->answers.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->answers.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->answers[_i58].read(iprot);
+              xfer += this->answers[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2016,10 +2270,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<TokenAnswer> ::const_iterator _iter59;
-    for (_iter59 = this->answers.begin(); _iter59 != this->answers.end(); ++_iter59)
+    std::vector<TokenAnswer> ::const_iterator _iter67;
+    for (_iter67 = this->answers.begin(); _iter67 != this->answers.end(); ++_iter67)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2036,13 +2290,13 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenReply::TokenReply(const TokenReply& other60) {
-  answers = other60.answers;
-  __isset = other60.__isset;
+TokenReply::TokenReply(const TokenReply& other68) {
+  answers = other68.answers;
+  __isset = other68.__isset;
 }
-TokenReply& TokenReply::operator=(const TokenReply& other61) {
-  answers = other61.answers;
-  __isset = other61.__isset;
+TokenReply& TokenReply::operator=(const TokenReply& other69) {
+  answers = other69.answers;
+  __isset = other69.__isset;
   return *this;
 }
 void TokenReply::printTo(std::ostream& out) const {
@@ -2162,17 +2416,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimKey::ClaimKey(const ClaimKey& other62) {
-  account = other62.account;
-  serviceName = other62.serviceName;
-  idempotencyKey = other62.idempotencyKey;
-  __isset = other62.__isset;
+ClaimKey::ClaimKey(const ClaimKey& other70) {
+  account = other70.account;
+  serviceName = other70.serviceName;
+  idempotencyKey = other70.idempotencyKey;
+  __isset = other70.__isset;
 }
-ClaimKey& ClaimKey::operator=(const ClaimKey& other63) {
-  account = other63.account;
-  serviceName = other63.serviceName;
-  idempotencyKey = other63.idempotencyKey;
-  __isset = other63.__isset;
+ClaimKey& ClaimKey::operator=(const ClaimKey& other71) {
+  account = other71.account;
+  serviceName = other71.serviceName;
+  idempotencyKey = other71.idempotencyKey;
+  __isset = other71.__isset;
   return *this;
 }
 void ClaimKey::printTo(std::ostream& out) const {
@@ -2328,21 +2582,21 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other64) {
-  key = other64.key;
-  attemptId = other64.attemptId;
-  nodeId = other64.nodeId;
-  fingerprint = other64.fingerprint;
-  deadlineMs = other64.deadlineMs;
-  __isset = other64.__isset;
-}
-BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other65) {
-  key = other65.key;
-  attemptId = other65.attemptId;
-  nodeId = other65.nodeId;
-  fingerprint = other65.fingerprint;
-  deadlineMs = other65.deadlineMs;
-  __isset = other65.__isset;
+BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other72) {
+  key = other72.key;
+  attemptId = other72.attemptId;
+  nodeId = other72.nodeId;
+  fingerprint = other72.fingerprint;
+  deadlineMs = other72.deadlineMs;
+  __isset = other72.__isset;
+}
+BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other73) {
+  key = other73.key;
+  attemptId = other73.attemptId;
+  nodeId = other73.nodeId;
+  fingerprint = other73.fingerprint;
+  deadlineMs = other73.deadlineMs;
+  __isset = other73.__isset;
   return *this;
 }
 void BeginClaimRequest::printTo(std::ostream& out) const {
@@ -2500,21 +2754,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other66) {
-  status = other66.status;
-  contentType = other66.contentType;
-  body = other66.body;
-  bodyKept = other66.bodyKept;
-  bodyDigest = other66.bodyDigest;
-  __isset = other66.__isset;
-}
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other67) {
-  status = other67.status;
-  contentType = other67.contentType;
-  body = other67.body;
-  bodyKept = other67.bodyKept;
-  bodyDigest = other67.bodyDigest;
-  __isset = other67.__isset;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other74) {
+  status = other74.status;
+  contentType = other74.contentType;
+  body = other74.body;
+  bodyKept = other74.bodyKept;
+  bodyDigest = other74.bodyDigest;
+  __isset = other74.__isset;
+}
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other75) {
+  status = other75.status;
+  contentType = other75.contentType;
+  body = other75.body;
+  bodyKept = other75.bodyKept;
+  bodyDigest = other75.bodyDigest;
+  __isset = other75.__isset;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -2571,9 +2825,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast68;
-          xfer += iprot->readI32(ecast68);
-          this->state = static_cast<ClaimState::type>(ecast68);
+          int32_t ecast76;
+          xfer += iprot->readI32(ecast76);
+          this->state = static_cast<ClaimState::type>(ecast76);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2625,15 +2879,15 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimReply::BeginClaimReply(const BeginClaimReply& other69) {
-  state = other69.state;
-  outcome = other69.outcome;
-  __isset = other69.__isset;
+BeginClaimReply::BeginClaimReply(const BeginClaimReply& other77) {
+  state = other77.state;
+  outcome = other77.outcome;
+  __isset = other77.__isset;
 }
-BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other70) {
-  state = other70.state;
-  outcome = other70.outcome;
-  __isset = other70.__isset;
+BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other78) {
+  state = other78.state;
+  outcome = other78.outcome;
+  __isset = other78.__isset;
   return *this;
 }
 void BeginClaimReply::printTo(std::ostream& out) const {
@@ -2773,19 +3027,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other71) {
-  key = other71.key;
-  attemptId = other71.attemptId;
-  outcome = other71.outcome;
-  outcomeUnknown = other71.outcomeUnknown;
-  __isset = other71.__isset;
+FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other79) {
+  key = other79.key;
+  attemptId = other79.attemptId;
+  outcome = other79.outcome;
+  outcomeUnknown = other79.outcomeUnknown;
+  __isset = other79.__isset;
 }
-FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other72) {
-  key = other72.key;
-  attemptId = other72.attemptId;
-  outcome = other72.outcome;
-  outcomeUnknown = other72.outcomeUnknown;
-  __isset = other72.__isset;
+FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other80) {
+  key = other80.key;
+  attemptId = other80.attemptId;
+  outcome = other80.outcome;
+  outcomeUnknown = other80.outcomeUnknown;
+  __isset = other80.__isset;
   return *this;
 }
 void FinishClaimRequest::printTo(std::ostream& out) const {
@@ -2891,15 +3145,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other73) {
-  key = other73.key;
-  attemptId = other73.attemptId;
-  __isset = other73.__isset;
+ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other81) {
+  key = other81.key;
+  attemptId = other81.attemptId;
+  __isset = other81.__isset;
 }
-ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other74) {
-  key = other74.key;
-  attemptId = other74.attemptId;
-  __isset = other74.__isset;
+ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other82) {
+  key = other82.key;
+  attemptId = other82.attemptId;
+  __isset = other82.__isset;
   return *this;
 }
 void ReleaseClaimRequest::printTo(std::ostream& out) const {
@@ -2986,13 +3240,13 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other75) : TException() {
-  leaderRpcAddress = other75.leaderRpcAddress;
-  __isset = other75.__isset;
+NotLeader::NotLeader(const NotLeader& other83) : TException() {
+  leaderRpcAddress = other83.leaderRpcAddress;
+  __isset = other83.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other76) {
-  leaderRpcAddress = other76.leaderRpcAddress;
-  __isset = other76.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other84) {
+  leaderRpcAddress = other84.leaderRpcAddress;
+  __isset = other84.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -3106,15 +3360,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlFailure::ControlFailure(const ControlFailure& other77) : TException() {
-  code = other77.code;
-  message = other77.message;
-  __isset = other77.__isset;
+ControlFailure::ControlFailure(const ControlFailure& other85) : TException() {
+  code = other85.code;
+  message = other85.message;
+  __isset = other85.__isset;
 }
-ControlFailure& ControlFailure::operator=(const ControlFailure& other78) {
-  code = other78.code;
-  message = other78.message;
-  __isset = other78.__isset;
+ControlFailure& ControlFailure::operator=(const ControlFailure& other86) {
+  code = other86.code;
+  message = other86.message;
+  __isset = other86.__isset;
   return *this;
 }
 void ControlFailure::printTo(std::ostream& out) const {
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -46,6 +46,8 @@
 
 class StateDelta;
 
+class FleetRecord;
+
 class SyncRequest;
 
 class SyncReply;
@@ -369,8 +371,58 @@
 
 std::ostream& operator<<(std::ostream& out, const StateDelta& obj);
 
+typedef struct _FleetRecord__isset {
+  _FleetRecord__isset() : version(false), document(false) {}
+  bool version :1;
+  bool document :1;
+} _FleetRecord__isset;
+
+class FleetRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetRecord(const FleetRecord&);
+  FleetRecord& operator=(const FleetRecord&);
+  FleetRecord() noexcept
+              : version(0),
+                document() {
+  }
+
+  virtual ~FleetRecord() noexcept;
+  int64_t version;
+  std::string document;
+
+  _FleetRecord__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_document(const std::string& val);
+
+  bool operator == (const FleetRecord & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetRecord &a, FleetRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetRecord& obj);
+
 typedef struct _SyncRequest__isset {
-  _SyncRequest__isset() : nodeId(false), epoch(false), stateVersion(false), membersVersion(false), member(false), reportNumber(false), report(false) {}
+  _SyncRequest__isset() : nodeId(false), epoch(false), stateVersion(false), membersVersion(false), member(false), reportNumber(false), report(false), fleetVersion(false), holdMs(false) {}
   bool nodeId :1;
   bool epoch :1;
   bool stateVersion :1;
@@ -378,6 +430,8 @@
   bool member :1;
   bool reportNumber :1;
   bool report :1;
+  bool fleetVersion :1;
+  bool holdMs :1;
 } _SyncRequest__isset;
 
 class SyncRequest : public virtual ::apache::thrift::TBase {
@@ -390,7 +444,9 @@
                 epoch(0),
                 stateVersion(0),
                 membersVersion(0),
-                reportNumber(0) {
+                reportNumber(0),
+                fleetVersion(0),
+                holdMs(0) {
   }
 
   virtual ~SyncRequest() noexcept;
@@ -401,6 +457,8 @@
   Member member;
   int64_t reportNumber;
   std::vector<std::string>  report;
+  int64_t fleetVersion;
+  int32_t holdMs;
 
   _SyncRequest__isset __isset;
 
@@ -418,6 +476,10 @@
 
   void __set_report(const std::vector<std::string> & val);
 
+  void __set_fleetVersion(const int64_t val);
+
+  void __set_holdMs(const int32_t val);
+
   bool operator == (const SyncRequest & rhs) const
   {
     if (!(nodeId == rhs.nodeId))
@@ -436,6 +498,10 @@
       return false;
     if (!(report == rhs.report))
       return false;
+    if (!(fleetVersion == rhs.fleetVersion))
+      return false;
+    if (!(holdMs == rhs.holdMs))
+      return false;
     return true;
   }
   bool operator != (const SyncRequest &rhs) const {
@@ -455,13 +521,17 @@
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false) {}
+  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false), fleet(false), fleetSecret(false), controlAddresses(false), heldMs(false) {}
   bool ageMs :1;
   bool delta :1;
   bool membersIncluded :1;
   bool membersVersion :1;
   bool members :1;
   bool acceptedReportNumber :1;
+  bool fleet :1;
+  bool fleetSecret :1;
+  bool controlAddresses :1;
+  bool heldMs :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -473,7 +543,9 @@
             : ageMs(0),
               membersIncluded(0),
               membersVersion(0),
-              acceptedReportNumber(0) {
+              acceptedReportNumber(0),
+              fleetSecret(),
+              heldMs(0) {
   }
 
   virtual ~SyncReply() noexcept;
@@ -483,6 +555,10 @@
   int64_t membersVersion;
   std::vector<Member>  members;
   int64_t acceptedReportNumber;
+  FleetRecord fleet;
+  std::string fleetSecret;
+  std::vector<std::string>  controlAddresses;
+  int64_t heldMs;
 
   _SyncReply__isset __isset;
 
@@ -498,6 +574,14 @@
 
   void __set_acceptedReportNumber(const int64_t val);
 
+  void __set_fleet(const FleetRecord& val);
+
+  void __set_fleetSecret(const std::string& val);
+
+  void __set_controlAddresses(const std::vector<std::string> & val);
+
+  void __set_heldMs(const int64_t val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(ageMs == rhs.ageMs))
@@ -512,6 +596,16 @@
       return false;
     if (!(acceptedReportNumber == rhs.acceptedReportNumber))
       return false;
+    if (__isset.fleet != rhs.__isset.fleet)
+      return false;
+    else if (__isset.fleet && !(fleet == rhs.fleet))
+      return false;
+    if (!(fleetSecret == rhs.fleetSecret))
+      return false;
+    if (!(controlAddresses == rhs.controlAddresses))
+      return false;
+    if (!(heldMs == rhs.heldMs))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/src/node/blocking_gate.cpp
+++ b/src/node/blocking_gate.cpp
@@ -68,7 +68,7 @@
   while (waiter.state == WaitState::Waiting) {
     const TimePoint now = clock_.Now();
     const TimePoint check = now + kCallerCheckInterval;
-    waiter.changed.wait_until(lock, std::min(gate_.NextPoll(now).value_or(check), check));
+    waiter.changed.wait_for(lock, std::min(gate_.NextPoll(now).value_or(check), check) - now);
     const bool gone = waiter.state == WaitState::Waiting && isCallerGone && isCallerGone();
     if (gone && gate_.Cancel(id, clock_.Now()) == CancelOutcome::Removed) {
       waiter.state = WaitState::Refused;
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -47,7 +47,8 @@
   if (!admitted) {
     return FailedAttempt(admitted.error(), true, context.retriesLeft);
   }
-  if (!call.request.requestClass->idempotent && options_.guards.claimBeforeDispatch) {
+  const RequestClass& requestClass = *call.request.requestClass;
+  if (!requestClass.idempotent && requestClass.needsClaim && options_.guards.claimBeforeDispatch) {
     const auto claimed = Claim(call, context, admitted.value());
     if (!claimed) {
       return FailedAttempt(claimed.error(), true, context.retriesLeft);
@@ -67,7 +68,8 @@
   if (!local || !pool || local->service != call.request.service) {
     return NotRun(503, Reason::NoUpstream, "no upstream of the service is beside this node");
   }
-  const auto* limit = call.request.document->LimitOf(context.account);
+  const auto* limit =
+    call.request.document ? call.request.document->LimitOf(context.account) : nullptr;
   auto permit = options_.gate->Enter({ .account = context.account,
                                        .weight = limit == nullptr ? 1.0 : limit->rate,
                                        .priority = context.priority,
@@ -134,10 +136,18 @@
   head.headers.Set(kContextHeader, options_.signer->Sign(forUpstream));
   const auto remaining = std::chrono::floor<std::chrono::milliseconds>(Remaining(context));
   head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
+  if (call.request.isFleetRoute) {
+    head.headers.Set("Host", call.exchange.Request().headers.Find("Host").value_or(""));
+    head.headers.Set(kCallerServiceHeader, call.callerService);
+    if (!context.account.empty()) {
+      head.headers.Set(kAccountHeader, context.account);
+    }
+  }
   // A non-idempotent request is followed to its end, since its outcome must be recorded.
   SendOptions sending{ .timeout = remaining, .bodySilence = kBodySilence };
   if (call.request.requestClass->idempotent) {
     sending.isCancelled = [&call] { return call.exchange.IsCallerGone(); };
+    sending.callerDescriptor = call.exchange.CallerDescriptor();
   }
   auto sent = admitted.pool->Send(head, call.body, call.body.Length(), sending);
   if (!sent) {
--- /dev/null
+++ b/src/node/fleet_resolver.cpp
@@ -0,0 +1,140 @@
+#include "acaciapulley/node/detail/fleet_resolver.hpp"
+
+#include <algorithm> // max_element
+#include <memory>    // make_shared
+#include <numeric>   // accumulate
+#include <utility>   // move
+
+#include "acaciapulley/accounts/key_table.hpp"  // HashKey
+#include "acaciapulley/core/random.hpp"         // ToHex
+#include "acaciapulley/node/detail/headers.hpp" // kKeyHeader, kServiceHeader
+
+namespace acp::detail {
+
+namespace {
+
+constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(300);
+// A node in touch with control confirms its state at least every second.
+constexpr Duration kDenialFreshness = std::chrono::milliseconds(1500);
+constexpr std::int64_t kMaxPeerBodyBytes = 1'073'741'824;
+
+auto RefuseAsStale()
+{
+  return NotRun(503,
+                Reason::StaleState,
+                "this node has not been able to confirm its state with control",
+                kStaleRetryAfter);
+}
+
+} // namespace
+
+FleetResolver::FleetResolver(const NodeView& view, const Clock& clock)
+  : view_(view)
+  , clock_(clock)
+{
+}
+
+bool FleetResolver::MayDeny() const
+{
+  return view_.IsFresh(clock_.Now(), kDenialFreshness);
+}
+
+std::string FleetResolver::PickDestination(const FleetRoute& route)
+{
+  if (route.destinations.size() == 1) {
+    return route.destinations.front().service;
+  }
+  std::vector<std::string> services;
+  double total = 0;
+  for (const auto& destination : route.destinations) {
+    services.push_back(destination.service);
+    total += destination.weight;
+  }
+  const std::lock_guard lock(mutex_);
+  Split& split = splits_[route.requestClass.name];
+  if (split.services != services) {
+    split = { .services = services, .credits = std::vector<double>(services.size(), 0.0) };
+  }
+  for (std::size_t i = 0; i < services.size(); ++i) {
+    split.credits[i] += route.destinations[i].weight / total;
+  }
+  const auto best = std::max_element(split.credits.begin(), split.credits.end());
+  *best -= 1.0;
+  return services[static_cast<std::size_t>(best - split.credits.begin())];
+}
+
+OrRefusal<ResolvedRequest> FleetResolver::Resolve(const HttpRequestHead& head,
+                                                  std::int64_t bodyLength)
+{
+  const FleetDocumentPtr fleet = view_.Fleet();
+  if (!fleet) {
+    return RefuseAsStale();
+  }
+  const std::string path = head.target.substr(0, head.target.find('?'));
+  const FleetRoute* route = fleet->Match(head.headers.Find("Host").value_or(""), path);
+  if (route == nullptr && !MayDeny()) {
+    return RefuseAsStale();
+  }
+  if (route == nullptr) {
+    return NotRun(404, Reason::UnknownRoute, "no route matches host and path");
+  }
+  if (bodyLength > route->requestClass.maxBodyBytes) {
+    return NotRun(413, Reason::TooLarge, "the body is larger than the fleet allows");
+  }
+  ResolvedRequest request;
+  request.service = PickDestination(*route);
+  request.upstreamTarget = head.target;
+  request.requestClass = &route->requestClass;
+  request.isFleetRoute = true;
+  request.owner = fleet;
+  return request;
+}
+
+OrRefusal<FleetCaller> FleetResolver::Authenticate(const HttpRequestHead& head,
+                                                   const ResolvedRequest& request) const
+{
+  const FleetDocumentPtr fleet = view_.Fleet();
+  const RequestClass& requestClass = *request.requestClass;
+  if (requestClass.openToAll || !fleet->HasAccounts()) {
+    return FleetCaller{ .priority = requestClass.priority };
+  }
+  const auto key = head.headers.Find(kKeyHeader);
+  const FleetAccount* account = key ? fleet->AccountOfKey(ToHex(HashKey(*key))) : nullptr;
+  if (account == nullptr && !MayDeny()) {
+    return RefuseAsStale();
+  }
+  if (account == nullptr) {
+    const Reason reason = key ? Reason::InvalidKey : Reason::MissingKey;
+    return NotRun(401, reason, "the client account's key is missing or not in force");
+  }
+  return FleetCaller{ .account = account->name,
+                      .priority = account->priority.value_or(requestClass.priority),
+                      .isLimited = account->limit.rate > 0 };
+}
+
+OrRefusal<ResolvedRequest> FleetResolver::ResolveForPeer(const HttpRequestHead& head,
+                                                         const RequestContext& context)
+{
+  const auto service = head.headers.Find(kServiceHeader);
+  const auto className = head.headers.Find(kClassHeader);
+  if (!service || !className) {
+    return NotRun(400, Reason::BadRequest, "a peer's request names no service or class");
+  }
+  auto requestClass = std::make_shared<RequestClass>();
+  requestClass->name = *className;
+  requestClass->priority = context.priority;
+  requestClass->idempotent = context.idempotent;
+  requestClass->needsClaim = false;
+  requestClass->openToAll = context.account.empty();
+  // The node at which the request entered has applied the fleet's limit.
+  requestClass->maxBodyBytes = kMaxPeerBodyBytes;
+  ResolvedRequest request;
+  request.service = *service;
+  request.upstreamTarget = head.target;
+  request.requestClass = requestClass.get();
+  request.isFleetRoute = true;
+  request.owner = std::move(requestClass);
+  return request;
+}
+
+} // namespace acp::detail
--- a/src/node/local_upstream.cpp
+++ b/src/node/local_upstream.cpp
@@ -38,10 +38,13 @@
 {
   const std::lock_guard lock(mutex_);
   const bool keepsPool = current_ && current_->address == announcement.address &&
+                         current_->instanceId == announcement.instanceId &&
                          current_->maxConnections == announcement.maxConnections;
   if (!keepsPool) {
     pool_ = std::make_shared<HttpPool>(HttpPoolOptions{
-      .address = announcement.address, .maxConnections = announcement.maxConnections });
+      .address = announcement.address,
+      .maxConnections = announcement.maxConnections,
+      .translation = translationFor_ ? translationFor_(announcement) : HttpTranslation{} });
   }
   current_ = announcement;
   current_->draining = current_->draining || stopping_;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/node/node_process.hpp"
 
 #include <algorithm> // max
+#include <atomic>    // atomic
 #include <map>       // map
 #include <mutex>     // mutex
 #include <optional>  // optional
@@ -18,6 +19,9 @@
 namespace {
 
 constexpr int kAdminConnections = 16;
+// Well below the time after which a node may not deny keys and routes any more.
+constexpr Duration kSyncHold = std::chrono::milliseconds(500);
+constexpr Duration kSyncTimeout = std::chrono::milliseconds(1000);
 
 /// Counts the requests of one listener. Series are looked up once, since a look-up takes locks.
 class ListenerMetrics
@@ -87,13 +91,17 @@
   explicit Impl(const NodeProcessOptions& options)
     : epoch_(CountMillis(options.clock->WallNow()))
     , clock_(*options.clock)
+    , upstream_(options.translationFor)
     , record_(options.clock->WallNow())
     , control_({ .replicas = options.control })
+    , syncChannel_({ .replicas = options.control, .timeout = kSyncTimeout })
     , pipeline_({ .nodeId = options.nodeId,
                   .epoch = epoch_,
                   .dataCentre = options.dataCentre,
                   .fleetSecret = options.fleetSecret,
                   .retryBudget = options.retryBudget,
+                  .routesByFleet = options.routesByFleet,
+                  .callerService = options.callerService,
                   .clock = options.clock,
                   .view = &view_,
                   .upstream = &upstream_,
@@ -105,36 +113,52 @@
               .epoch = epoch_,
               .dataCentre = options.dataCentre,
               .peerAddress = options.peer,
-              .channel = &control_,
+              .channel = &syncChannel_,
               .clock = options.clock,
               .view = &view_,
               .upstream = &upstream_,
               .members = &members_,
-              .record = &record_ })
+              .record = &record_,
+              .calls = &control_,
+              .hold = kSyncHold })
     , peer_(Listener("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer))
-    , egress_(
-        Listener("egress", options.egress, options.maxConnections, &RequestPipeline::HandleEgress))
     , admin_({ .address = options.admin,
                .maxConnections = kAdminConnections,
                .handler = [this](ServerExchange& e) { HandleAdmin(e); } })
-    , ingress_(Listener("ingress",
-                        options.ingress,
-                        options.maxConnections,
-                        &RequestPipeline::HandleIngress))
+    , ingress_(Ingress(options))
   {
+    if (!options.routesByFleet) {
+      egress_.emplace(
+        Listener("egress", options.egress, options.maxConnections, &RequestPipeline::HandleEgress));
+    }
   }
 
-  void Stop(Duration patience)
+  void Announce(const Announcement& announcement) { pipeline_.Announce(announcement); }
+
+  [[nodiscard]] bool IsReady() const
   {
+    return !stopping_ && view_.IsFresh(clock_.Now(), kKeyedFreshness);
+  }
+
+  void BeginStop()
+  {
+    stopping_ = true;
     // Peers choose other nodes as soon as control has passed this on.
     upstream_.BeginStop();
     sync_.Wake();
+  }
+
+  void Stop(Duration patience)
+  {
+    BeginStop();
     const TimePoint deadline = clock_.Now() + patience;
     const auto left = [&] { return std::max(deadline - clock_.Now(), Duration::zero()); };
     ingress_.Stop(left());
     peer_.Stop(left());
     // Requests that ended above may have made nested calls through the egress until now.
-    egress_.Stop(left());
+    if (egress_) {
+      egress_->Stop(left());
+    }
     admin_.Stop(left());
   }
 
@@ -151,6 +175,19 @@
                            const ServedRequest& served) { counts->Count(served); } };
   }
 
+  HttpServerOptions Ingress(const NodeProcessOptions& options)
+  {
+    HttpServerOptions ingress = Listener(
+      "ingress", options.ingress, options.maxConnections, &RequestPipeline::HandleIngress);
+    if (options.aroundIngress) {
+      ingress.handler = [around = options.aroundIngress,
+                         serve = std::function(ingress.handler)](ServerExchange& exchange) {
+        around(exchange, serve);
+      };
+    }
+    return ingress;
+  }
+
   void Record(const EndedRequest& ended)
   {
     if (ended.requestClass.empty()) {
@@ -191,7 +228,9 @@
     };
     connections("ingress", ingress_);
     connections("peer", peer_);
-    connections("egress", egress_);
+    if (egress_) {
+      connections("egress", *egress_);
+    }
     const auto pool = upstream_.Pool();
     metrics_.Gauge("acp_upstream_connections", "Open connections to the upstream.")
       .Set(pool ? pool->OpenConnections() : 0);
@@ -208,11 +247,13 @@
   LocalUpstream upstream_;
   MemberTable members_;
   RecordCounters record_;
+  std::atomic<bool> stopping_{ false };
   ControlChannel control_;
+  ControlChannel syncChannel_; ///< its calls may be held by control
   RequestPipeline pipeline_;
   SyncLoop sync_;
   HttpServer peer_;
-  HttpServer egress_;
+  std::optional<HttpServer> egress_;
   HttpServer admin_;
   HttpServer ingress_;
 };
@@ -224,6 +265,21 @@
 
 NodeProcess::~NodeProcess() = default;
 
+void NodeProcess::Announce(const Announcement& announcement)
+{
+  impl_->Announce(announcement);
+}
+
+bool NodeProcess::IsReady() const
+{
+  return impl_->IsReady();
+}
+
+void NodeProcess::BeginStop()
+{
+  impl_->BeginStop();
+}
+
 void NodeProcess::Stop(Duration patience)
 {
   impl_->Stop(patience);
--- a/src/node/node_view.cpp
+++ b/src/node/node_view.cpp
@@ -34,12 +34,48 @@
   for (const auto& id : changes.revokedKeyIds) {
     (void)keys_.Revoke(id);
   }
+  if (changes.fleet) {
+    TakeFleet(*changes.fleet);
+  }
+  if (!changes.fleetSecret.empty()) {
+    fleetSecret_ = changes.fleetSecret;
+  }
   version_ = changes.toVersion;
   if (!confirmedAt_ || *confirmedAt_ < confirmedAt) {
     confirmedAt_ = confirmedAt;
   }
 }
 
+void NodeView::TakeFleet(const ReceivedDocument& received)
+{
+  auto parsed = FleetDocument::Parse(received.body);
+  if (!parsed) {
+    Log(LogLevel::Error, "fleet_document_rejected", { { "error", parsed.error().Describe() } });
+    return;
+  }
+  fleet_ = std::make_shared<const FleetDocument>(std::move(parsed).value());
+  fleetVersion_ = received.version;
+  Log(LogLevel::Info, "fleet_document_in_force", { { "version", std::to_string(fleetVersion_) } });
+}
+
+FleetDocumentPtr NodeView::Fleet() const
+{
+  const std::shared_lock lock(mutex_);
+  return fleet_;
+}
+
+std::int64_t NodeView::FleetVersion() const
+{
+  const std::shared_lock lock(mutex_);
+  return fleetVersion_;
+}
+
+std::string NodeView::FleetSecret() const
+{
+  const std::shared_lock lock(mutex_);
+  return fleetSecret_;
+}
+
 std::int64_t NodeView::Version() const
 {
   const std::shared_lock lock(mutex_);
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -23,6 +23,14 @@
   return std::clamp(unused, 0, sent);
 }
 
+Duration RetryAfterOf(const HttpResponseHead& head)
+{
+  const std::string text = head.headers.Find(kRetryAfterHeader).value_or("");
+  std::int64_t millis = 0;
+  std::from_chars(text.data(), text.data() + text.size(), millis);
+  return std::chrono::milliseconds(std::max<std::int64_t>(millis, 0));
+}
+
 AttemptEnd WithoutAnswer(const TransportError& error, int sentRetries)
 {
   const bool nothingSent =
@@ -89,9 +97,19 @@
                         .target = "/" + call.request.service + call.request.upstreamTarget };
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers, options_.guards.stripKey);
   head.headers.Set(kContextHeader, options_.signer->Sign(context));
+  if (call.request.isFleetRoute) {
+    head.target = call.request.upstreamTarget;
+    head.headers.Set("Host", call.exchange.Request().headers.Find("Host").value_or(""));
+    head.headers.Set(kServiceHeader, call.request.service);
+    head.headers.Set(kClassHeader, call.request.requestClass->name);
+    head.headers.Set(kCallerServiceHeader, call.callerService);
+    // Hosts' wall clocks differ, so that peers are told the time that is left.
+    head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
+  }
   SendOptions sending{ .timeout = remaining + kAnswerGrace, .bodySilence = kBodySilence };
   if (call.request.requestClass->idempotent) {
     sending.isCancelled = [&call] { return call.exchange.IsCallerGone(); };
+    sending.callerDescriptor = call.exchange.CallerDescriptor();
   }
   const auto sent = PoolOf(choice.peerAddress)->Send(head, call.body, call.body.Length(), sending);
   if (!sent) {
@@ -135,9 +153,7 @@
                      .outcome = outcome.value_or(RequestOutcome::Unknown),
                      .reason = reason.value_or(Reason::UpstreamConnectionLost),
                      .message = ReadMessage(answer) };
-    if (head.headers.Find("Retry-After")) {
-      refusal.retryAfter = std::chrono::seconds(1);
-    }
+    refusal.retryAfter = RetryAfterOf(head);
     return FailedAttempt(refusal, false, unusedRetries);
   }
   HttpResponseHead forCaller{ .status = head.status };
--- a/src/node/refusal.cpp
+++ b/src/node/refusal.cpp
@@ -13,6 +13,8 @@
   if (refusal.retryAfter > Duration::zero()) {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retryAfter);
     head.headers.Set("Retry-After", std::to_string(seconds.count()));
+    const auto millis = std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter);
+    head.headers.Set(detail::kRetryAfterHeader, std::to_string(millis.count()));
   }
   if (refusal.threshold) {
     head.headers.Set(detail::kThresholdHeader, FormatThreshold(*refusal.threshold));
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -6,6 +6,7 @@
 
 #include "acaciapulley/core/random.hpp"              // RandomHex
 #include "acaciapulley/node/detail/dispatcher.hpp"   // Dispatcher
+#include "acaciapulley/node/detail/fleet_resolver.hpp" // FleetResolver
 #include "acaciapulley/node/detail/headers.hpp"      // kContextHeader, kDeadlineHeader
 #include "acaciapulley/node/detail/token_client.hpp" // TokenClient
 
@@ -23,6 +24,7 @@
 constexpr std::size_t kMaxAnnouncementBytes = 4096;
 constexpr std::string_view kAnnounceTarget = "/.acp/upstream";
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
+constexpr Duration kLongestPeerCall = std::chrono::hours(1);
 
 /// @brief Returns the time the caller gives, at most the deadline of the class.
 OrRefusal<std::chrono::milliseconds> TimeAllowed(const HttpRequestHead& head,
@@ -53,6 +55,7 @@
   void HandleIngress(ServerExchange& exchange);
   void HandlePeer(ServerExchange& exchange);
   void HandleEgress(ServerExchange& exchange);
+  void Announce(const Announcement& announcement);
 
 private:
   /// A caller's request that may run.
@@ -64,12 +67,15 @@
   };
 
   OrRefusal<Root> AdmitRoot(ServerExchange& exchange, EndedRequest& ended);
+  OrRefusal<Root> AdmitFleetRoot(ServerExchange& exchange, EndedRequest& ended);
+  OrRefusal<void> TakeToken(const LimitKey& key, Root& root);
   OrRefusal<void> RunRoot(ServerExchange& exchange, Root& root);
   OrRefusal<void> RunPeerCall(ServerExchange& exchange);
   OrRefusal<void> RunNestedCall(ServerExchange& exchange);
   OrRefusal<void> RunOpenCall(ServerExchange& exchange, const ResolvedRequest& request);
   OrRefusal<void> Announce(ServerExchange& exchange);
   OrRefusal<RequestContext> VerifyContext(const ServerExchange& exchange) const;
+  OrRefusal<RequestContext> VerifyFleetContext(const ServerExchange& exchange) const;
   OrRefusal<RequestContext> NewContext(const HttpRequestHead& head,
                                        const ResolvedRequest& request,
                                        const std::string& account) const;
@@ -77,6 +83,7 @@
   RequestPipelineOptions options_;
   ContextSigner signer_;
   detail::RequestResolver resolver_;
+  detail::FleetResolver fleetResolver_;
   BlockingGate gate_;
   detail::HopBook hops_;
   detail::ThresholdBook thresholds_;
@@ -90,8 +97,11 @@
 
 RequestPipeline::Impl::Impl(RequestPipelineOptions options)
   : options_(std::move(options))
-  , signer_(options_.fleetSecret)
+  , signer_([this] {
+    return options_.routesByFleet ? options_.view->FleetSecret() : options_.fleetSecret;
+  })
   , resolver_(*options_.view, *options_.clock)
+  , fleetResolver_(*options_.view, *options_.clock)
   , gate_({}, *options_.clock)
   , hops_({ .nodeId = options_.nodeId, .epoch = options_.epoch }, *options_.clock)
   , thresholds_(*options_.clock)
@@ -178,11 +188,64 @@
                   kOverloadRetryAfter);
   }
   if (!root.request.requestClass->openToAll) {
-    auto token = tokens_.Take({ root.request.service, account.value() });
-    if (!token) {
-      return boost::outcome_v2::failure(token.error());
+    const auto taken = TakeToken({ root.request.service, account.value() }, root);
+    if (!taken) {
+      return boost::outcome_v2::failure(taken.error());
+    }
+  }
+  return root;
+}
+
+OrRefusal<void> RequestPipeline::Impl::TakeToken(const LimitKey& key, Root& root)
+{
+  auto token = tokens_.Take(key);
+  if (!token) {
+    return boost::outcome_v2::failure(token.error());
+  }
+  root.token = std::move(token).value();
+  return boost::outcome_v2::success();
+}
+
+OrRefusal<RequestPipeline::Impl::Root> RequestPipeline::Impl::AdmitFleetRoot(
+  ServerExchange& exchange,
+  EndedRequest& ended)
+{
+  const auto& head = exchange.Request();
+  auto resolved = fleetResolver_.Resolve(head, exchange.RequestBodyLength());
+  if (!resolved) {
+    return boost::outcome_v2::failure(resolved.error());
+  }
+  Root root{ .request = std::move(resolved).value() };
+  const RequestClass& requestClass = *root.request.requestClass;
+  ended.service = root.request.service;
+  ended.requestClass = requestClass.name;
+  const auto fresh = resolver_.CheckFreshness(requestClass);
+  if (!fresh) {
+    return boost::outcome_v2::failure(fresh.error());
+  }
+  const auto caller = fleetResolver_.Authenticate(head, root.request);
+  if (!caller) {
+    return boost::outcome_v2::failure(caller.error());
+  }
+  ended.account = caller.value().account;
+  auto context = NewContext(head, root.request, caller.value().account);
+  if (!context) {
+    return boost::outcome_v2::failure(context.error());
+  }
+  root.context = std::move(context).value();
+  root.context.priority = caller.value().priority;
+  root.context.retriesLeft = std::min(options_.retryBudget, requestClass.maxAttempts - 1);
+  if (!thresholds_.AdmitsRequest(detail::ClassName(root.request), root.context)) {
+    return NotRun(503,
+                  Reason::Overloaded,
+                  "a service that the request needs is overloaded",
+                  kOverloadRetryAfter);
+  }
+  if (caller.value().isLimited) {
+    const auto taken = TakeToken({ kWholeFleet, caller.value().account }, root);
+    if (!taken) {
+      return boost::outcome_v2::failure(taken.error());
     }
-    root.token = std::move(token).value();
   }
   return root;
 }
@@ -200,7 +263,8 @@
                     .body = body,
                     .audience = Audience::Caller,
                     .entersHere = true,
-                    .ownClass = detail::ClassName(root.request) };
+                    .ownClass = detail::ClassName(root.request),
+                    .callerService = options_.callerService };
   if (root.token) {
     call.commitToken = [&root] { return root.token->Commit(); };
   }
@@ -212,7 +276,8 @@
   const TimePoint start = options_.clock->Now();
   EndedRequest ended;
   OrRefusal<void> result = boost::outcome_v2::success();
-  auto root = AdmitRoot(exchange, ended);
+  auto root =
+    options_.routesByFleet ? AdmitFleetRoot(exchange, ended) : AdmitRoot(exchange, ended);
   if (root) {
     result = RunRoot(exchange, root.value());
   } else {
@@ -239,13 +304,35 @@
   return std::move(context).value();
 }
 
+OrRefusal<RequestContext> RequestPipeline::Impl::VerifyFleetContext(
+  const ServerExchange& exchange) const
+{
+  const auto header = exchange.Request().headers.Find(detail::kContextHeader);
+  // Hosts' wall clocks may differ: the deadline follows from the time that the peer says is left.
+  auto context = signer_.Verify(header.value_or(""), UnixMillis{});
+  if (!context) {
+    return NotRun(503, Reason::InvalidContext, context.error().Describe());
+  }
+  const auto left = TimeAllowed(exchange.Request(), { .deadline = kLongestPeerCall });
+  if (!left) {
+    return boost::outcome_v2::failure(left.error());
+  }
+  context.value().deadline =
+    ToUnixMillis(CountMillis(options_.clock->WallNow()) + left.value().count());
+  return std::move(context).value();
+}
+
 OrRefusal<void> RequestPipeline::Impl::RunPeerCall(ServerExchange& exchange)
 {
-  const auto context = VerifyContext(exchange);
+  const auto context =
+    options_.routesByFleet ? VerifyFleetContext(exchange) : VerifyContext(exchange);
   if (!context) {
     return boost::outcome_v2::failure(context.error());
   }
-  const auto resolved = resolver_.Resolve(exchange.Request(), exchange.RequestBodyLength());
+  const auto resolved =
+    options_.routesByFleet
+      ? detail::FleetResolver::ResolveForPeer(exchange.Request(), context.value())
+      : resolver_.Resolve(exchange.Request(), exchange.RequestBodyLength());
   if (!resolved) {
     return boost::outcome_v2::failure(resolved.error());
   }
@@ -260,7 +347,10 @@
                     .request = resolved.value(),
                     .body = body,
                     .audience = Audience::Peer,
-                    .ownClass = detail::ClassName(resolved.value()) };
+                    .ownClass = detail::ClassName(resolved.value()),
+                    .callerService = exchange.Request()
+                                       .headers.Find(detail::kCallerServiceHeader)
+                                       .value_or("") };
   AttemptEnd end = executor_.Run(call, context.value());
   if (!end.result) {
     // Refusals carry the same figures as answers, so that callers learn most when it matters most.
@@ -347,19 +437,23 @@
   if (!announced) {
     return NotRun(400, Reason::BadRequest, announced.error().Describe());
   }
-  const auto& announcement = announced.value();
-  const bool isNew = options_.upstream->Current() != announcement;
-  if (isNew) {
-    options_.upstream->Announce(announcement);
-    gate_.Announce(announcement.slots,
-                   std::chrono::milliseconds(announcement.coldStartMs),
-                   announcement.draining);
-    options_.onAnnounced();
-  }
+  Announce(announced.value());
   exchange.Respond({ .status = 204 }, "");
   return boost::outcome_v2::success();
 }
 
+void RequestPipeline::Impl::Announce(const Announcement& announcement)
+{
+  if (options_.upstream->Current() == announcement) {
+    return;
+  }
+  options_.upstream->Announce(announcement);
+  gate_.Announce(announcement.slots,
+                 std::chrono::milliseconds(announcement.coldStartMs),
+                 announcement.draining);
+  options_.onAnnounced();
+}
+
 void RequestPipeline::Impl::HandlePeer(ServerExchange& exchange)
 {
   const auto result = RunPeerCall(exchange);
@@ -389,6 +483,11 @@
   impl_->HandleIngress(exchange);
 }
 
+void RequestPipeline::Announce(const Announcement& announcement)
+{
+  impl_->Announce(announcement);
+}
+
 void RequestPipeline::HandlePeer(ServerExchange& exchange)
 {
   impl_->HandlePeer(exchange);
--- a/src/node/request_resolver.cpp
+++ b/src/node/request_resolver.cpp
@@ -117,7 +117,7 @@
   request.service = head.target.substr(1, serviceEnd - 1);
   request.upstreamTarget = head.target.substr(serviceEnd);
   if (!request.upstreamTarget.starts_with('/')) {
-    request.upstreamTarget.insert(0, "/");
+    request.upstreamTarget = '/' + request.upstreamTarget;
   }
   if (view_.Version() == 0) {
     return NotRun(503, Reason::StaleState, "this node has no state yet", kStaleRetryAfter);
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration kPollInterval = std::chrono::seconds(1);
+// Control holds the answer while nothing changes, so that the next poll may follow soon.
+constexpr Duration kHeldPollPause = std::chrono::milliseconds(20);
 constexpr Duration kFirstRetryPause = std::chrono::milliseconds(50);
 // Keeps the polls of many nodes from falling together.
 constexpr double kPollJitter = 0.2;
@@ -118,7 +120,8 @@
     woken_ = false;
     lock.unlock();
     const bool reached = PollOnce();
-    const Duration pause = reached ? kPollInterval : retryPause;
+    const Duration interval = options_.hold > Duration::zero() ? kHeldPollPause : kPollInterval;
+    const Duration pause = reached ? interval : retryPause;
     retryPause = reached ? kFirstRetryPause : std::min(retryPause * 2, kPollInterval);
     lock.lock();
     // Announcements come every second; while control fails they must not shorten the pause.
@@ -128,6 +131,20 @@
   }
 }
 
+void SyncLoop::LearnControl(const std::vector<std::string>& texts)
+{
+  std::vector<Address> addresses;
+  for (const auto& text : texts) {
+    if (const auto address = Address::Parse(text)) {
+      addresses.push_back(address.value());
+    }
+  }
+  options_.channel->Learn(addresses);
+  if (options_.calls != nullptr) {
+    options_.calls->Learn(addresses);
+  }
+}
+
 bool SyncLoop::PollOnce()
 {
   wire::SyncRequest request;
@@ -135,6 +152,9 @@
   request.epoch = options_.epoch;
   request.stateVersion = options_.view->Version();
   request.membersVersion = membersVersion_;
+  request.fleetVersion = options_.view->FleetVersion();
+  request.holdMs = static_cast<std::int32_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(options_.hold).count());
   const NodeReport report = options_.record->CurrentReport(options_.clock->WallNow());
   request.reportNumber = report.number;
   request.report = ToWire(report);
@@ -152,7 +172,15 @@
     return false;
   }
   options_.record->Accepted(reply.acceptedReportNumber);
-  options_.view->Apply(FromWire(reply.delta), askedAt - std::chrono::milliseconds(reply.ageMs));
+  ReceivedChanges changes = FromWire(reply.delta);
+  if (reply.__isset.fleet) {
+    changes.fleet = { .version = reply.fleet.version, .body = reply.fleet.document };
+  }
+  changes.fleetSecret = reply.fleetSecret;
+  // A held answer was confirmed after the hold, and the hold began after the node had asked.
+  options_.view->Apply(changes,
+                       askedAt + std::chrono::milliseconds(reply.heldMs - reply.ageMs));
+  LearnControl(reply.controlAddresses);
   if (reply.membersIncluded) {
     membersVersion_ = reply.membersVersion;
     options_.members->Apply(0, membersVersion_, FromWire(reply.members), options_.clock->Now());
--- a/src/record/record_row.cpp
+++ b/src/record/record_row.cpp
@@ -103,7 +103,10 @@
 std::string SerialiseRow(const TimedRow& row)
 {
   std::string line(kRowTag);
-  const auto add = [&line](const std::string& field) { line += '\t' + field; };
+  const auto add = [&line](std::string_view field) {
+    line += '\t';
+    line += field;
+  };
   add(std::to_string(CountMillis(row.start)));
   add(std::to_string(row.spanMillis));
   add(row.key.service);
@@ -117,7 +120,10 @@
   std::string pairs;
   const auto addPair = [&pairs](std::string_view name, std::int64_t count) {
     if (count != 0) {
-      pairs += (pairs.empty() ? "" : ",") + std::string(name) + '=' + std::to_string(count);
+      pairs += pairs.empty() ? "" : ",";
+      pairs += name;
+      pairs += '=';
+      pairs += std::to_string(count);
     }
   };
   for (const auto& [reason, count] : counts.refused) {
--- a/src/replication/raft_leader.cpp
+++ b/src/replication/raft_leader.cpp
@@ -110,6 +110,22 @@
   return AppendOwn(EntryKind::Membership, detail::EncodeMembership(next), wall);
 }
 
+std::optional<LogPosition> RaftCore::ReplaceReturned(UnixMillis wall)
+{
+  if (role_ != RaftRole::Leader || !MembershipIsSettled()) {
+    return std::nullopt;
+  }
+  for (const auto& learner : Learners()) {
+    for (const auto& voter : log_.Newest().voters) {
+      if (voter.rpcAddress == learner.rpcAddress && voter.id != learner.id) {
+        const auto replaced = Replace(voter.id, learner.id, wall);
+        return replaced ? std::optional(replaced.value()) : std::nullopt;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 void RaftCore::AdvanceCommit(UnixMillis wall)
 {
   const std::uint64_t own = options_.guards.syncBeforeAnswer ? persistedIndex_ : log_.Last().index;
--- a/src/replication/replica_impl.cpp
+++ b/src/replication/replica_impl.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Longest sleep of the driving thread; the core wants ten ticks per heartbeat interval.
-constexpr Duration kTick = std::chrono::milliseconds(5);
+/// The core wants ten ticks per heartbeat interval.
+constexpr int kTicksPerHeartbeat = 10;
 
 /// Messages that may wait for the driving thread; the protocol repeats what is dropped.
 constexpr std::size_t kMaxInboxMessages = 20'000;
@@ -133,7 +133,8 @@
 {
   std::unique_lock lock(inboxMutex_);
   while (!stopping_) {
-    inboxChanged_.wait_for(lock, kTick, [this] { return stopping_ || !inbox_.IsEmpty(); });
+    const Duration tick = options_.heartbeatInterval / kTicksPerHeartbeat;
+    inboxChanged_.wait_for(lock, tick, [this] { return stopping_ || !inbox_.IsEmpty(); });
     Inbox inbox = std::exchange(inbox_, {});
     lock.unlock();
     if (!failed_) {
@@ -172,6 +173,7 @@
     core_.Step(message, Time());
   }
   core_.Tick(Time());
+  ReplaceReturned();
   StartProposals(std::move(inbox.proposals));
   StartReplacements(std::move(inbox.replacements));
   Dispatch(core_.TakeReady(options_.clock->Now()));
@@ -179,6 +181,19 @@
   Publish();
 }
 
+void Replica::Impl::ReplaceReturned()
+{
+  if (!options_.replacesReturned) {
+    return;
+  }
+  if (const auto position = core_.ReplaceReturned(options_.clock->WallNow())) {
+    Log(LogLevel::Info,
+        "replacement_started",
+        { { "index", std::to_string(position->index) },
+          { "reason", "a voter's host came back with an empty disk" } });
+  }
+}
+
 void Replica::Impl::LearnAddresses(const std::vector<RaftMessage>& messages)
 {
   for (const auto& message : messages) {
--- a/src/retries/request_context.cpp
+++ b/src/retries/request_context.cpp
@@ -134,6 +134,11 @@
 } // namespace
 
 ContextSigner::ContextSigner(std::string secret)
+  : secret_([secret = std::move(secret)] { return secret; })
+{
+}
+
+ContextSigner::ContextSigner(std::function<std::string()> secret)
   : secret_(std::move(secret))
 {
 }
@@ -142,9 +147,10 @@
 {
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   unsigned int length = 0;
+  const std::string secret = secret_();
   HMAC(EVP_sha256(),
-       secret_.data(),
-       static_cast<int>(secret_.size()),
+       secret.data(),
+       static_cast<int>(secret.size()),
        reinterpret_cast<const unsigned char*>(payload.data()),
        payload.size(),
        digest.data(),
--- a/src/transport/control_channel.cpp
+++ b/src/transport/control_channel.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// More than the 7 hosts that a fleet sets aside for control, so that replaced ones fit too.
+constexpr std::size_t kMaxReplicas = 64;
+
 using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TFramedTransport;
 using apache::thrift::transport::TSocket;
@@ -63,6 +66,7 @@
 
 ControlChannel::ControlChannel(ControlChannelOptions options)
   : options_(std::move(options))
+  , replicas_(options_.replicas)
 {
   RedirectThriftOutput();
 }
@@ -128,31 +132,58 @@
   const std::lock_guard lock(mutex_);
   // Another thread may already have found the leader.
   if (leader_ == replica) {
-    leader_ = (replica + 1) % options_.replicas.size();
+    leader_ = (replica + 1) % replicas_.size();
   }
 }
 
 void ControlChannel::MoveTo(const Address& leader, std::size_t from)
 {
-  const auto found = std::find(options_.replicas.begin(), options_.replicas.end(), leader);
-  const auto index = static_cast<std::size_t>(found - options_.replicas.begin());
-  if (found == options_.replicas.end() || index == from) {
-    MoveFrom(from);
-    return;
+  Learn({ leader });
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = std::find(replicas_.begin(), replicas_.end(), leader);
+    const auto index = static_cast<std::size_t>(found - replicas_.begin());
+    if (found != replicas_.end() && index != from) {
+      leader_ = index;
+      return;
+    }
   }
+  MoveFrom(from);
+}
+
+void ControlChannel::Learn(const std::vector<Address>& replicas)
+{
+  const std::lock_guard lock(mutex_);
+  for (const auto& address : replicas) {
+    const bool isKnown = std::find(replicas_.begin(), replicas_.end(), address) != replicas_.end();
+    if (!isKnown && replicas_.size() < kMaxReplicas) {
+      replicas_.push_back(address);
+    }
+  }
+}
+
+Address ControlChannel::AddressOf(std::size_t replica)
+{
+  const std::lock_guard lock(mutex_);
+  return replicas_[replica];
+}
+
+std::size_t ControlChannel::ReplicaCount()
+{
   const std::lock_guard lock(mutex_);
-  leader_ = index;
+  return replicas_.size();
 }
 
 TransportResult<void> ControlChannel::CallOnce(const ControlCall& call, std::size_t replica)
 {
-  const std::string where = options_.replicas[replica].ToString();
+  const Address address = AddressOf(replica);
+  const std::string where = address.ToString();
   bool isConnected = false;
   try {
     ConnectionPtr connection = TakeIdle(replica);
     if (!connection) {
       connection =
-        std::make_unique<Connection>(replica, options_.replicas[replica], options_.timeout);
+        std::make_unique<Connection>(replica, address, options_.timeout);
     }
     isConnected = true;
     try {
@@ -194,7 +225,7 @@
 {
   TransportResult<void> result = Fail(TransportErrorCode::NotLeader, "no control replica is set");
   // One extra round reaches the leader that the last follower named.
-  for (std::size_t i = 0; i < options_.replicas.size() + 1; ++i) {
+  for (std::size_t i = 0; i < ReplicaCount() + 1; ++i) {
     result = CallOnce(call, Leader());
     const bool isFinal = result || result.error().code == TransportErrorCode::Refused;
     if (isFinal || std::chrono::steady_clock::now() >= deadline) {
@@ -206,7 +237,7 @@
 
 TransportResult<void> ControlChannel::Call(const ControlCall& call)
 {
-  if (options_.replicas.empty()) {
+  if (ReplicaCount() == 0) {
     return Fail(TransportErrorCode::NotLeader, "no control replica is set");
   }
   const TimePoint start = std::chrono::steady_clock::now();
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -100,6 +100,9 @@
     , options_(options)
     , deadline_(SteadyNow() + options.timeout)
   {
+    if (const auto& translate = pool_->Options().translation.request) {
+      translate(head_);
+    }
   }
 
   TransportResult<ExchangePtr> Run()
@@ -205,7 +208,7 @@
     for (int i = 0; i < kMaxInterimAnswers; ++i) {
       std::string text;
       const IoStatus status =
-        connection->io.ReadHead(detail::kMaxHeadBytes, deadline, options_.isCancelled, &text);
+        connection->io.ReadHead(detail::kMaxHeadBytes, deadline, { options_.isCancelled, options_.callerDescriptor }, &text);
       if (status != IoStatus::Ok) {
         return Lose(std::move(connection), sentWhole ? status : IoStatus::Failed, "no answer");
       }
@@ -215,6 +218,10 @@
         return Lose(std::move(connection), IoStatus::Failed, *wrong);
       }
       if (head.status >= 200) {
+        const auto& translate = pool_->Options().translation.answer;
+        if (translate && !translate(head_, head)) {
+          return Lose(std::move(connection), IoStatus::Failed, "an answer to another request");
+        }
         framing.keepAlive = framing.keepAlive && sentWhole;
         pool_->NoteAnswer(*connection);
         const Duration silence =
@@ -244,7 +251,7 @@
   }
 
   std::shared_ptr<PoolCore> pool_;
-  const HttpRequestHead& head_;
+  HttpRequestHead head_;
   BodySource& body_;
   std::int64_t bodyLength_;
   const SendOptions& options_;
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -66,14 +66,19 @@
 
 IoStatus HttpConnection::WaitFor(short events,
                                  TimePoint deadline,
-                                 const CancelCheck& isCancelled) const
+                                 const CancelWatch& cancel) const
 {
+  const bool asks = cancel.isCancelled && cancel.descriptor < 0;
   while (true) {
-    const TimePoint slice = isCancelled ? SteadyNow() + kCancelInterval : deadline;
-    pollfd entry{ .fd = fd_, .events = events, .revents = 0 };
-    const int ready = ::poll(&entry, 1, MillisUntil(std::min(slice, deadline)));
+    const TimePoint slice = asks ? SteadyNow() + kCancelInterval : deadline;
+    std::array<pollfd, 2> entries = {
+      pollfd{ .fd = fd_, .events = events, .revents = 0 },
+      pollfd{ .fd = cancel.descriptor, .events = POLLRDHUP, .revents = 0 }
+    };
+    const int ready =
+      ::poll(entries.data(), entries.size(), MillisUntil(std::min(slice, deadline)));
     if (ready > 0) {
-      return IoStatus::Ok;
+      return entries[0].revents != 0 ? IoStatus::Ok : IoStatus::Cancelled;
     }
     if (ready < 0 && errno != EINTR) {
       return IoStatus::Failed;
@@ -81,19 +86,19 @@
     if (SteadyNow() >= deadline) {
       return IoStatus::TimedOut;
     }
-    if (isCancelled && isCancelled()) {
+    if (asks && cancel.isCancelled()) {
       return IoStatus::Cancelled;
     }
   }
 }
 
-IoStatus HttpConnection::Fill(TimePoint deadline, const CancelCheck& isCancelled)
+IoStatus HttpConnection::Fill(TimePoint deadline, const CancelWatch& cancel)
 {
   buffer_.erase(0, position_);
   position_ = 0;
   while (true) {
     if (!std::exchange(isReadable_, false)) {
-      const IoStatus waited = WaitFor(POLLIN, deadline, isCancelled);
+      const IoStatus waited = WaitFor(POLLIN, deadline, cancel);
       if (waited != IoStatus::Ok) {
         return waited;
       }
@@ -116,7 +121,7 @@
 
 IoStatus HttpConnection::ReadHead(std::size_t limit,
                                   TimePoint deadline,
-                                  const CancelCheck& isCancelled,
+                                  const CancelWatch& cancel,
                                   std::string* head)
 {
   std::size_t scanned = 0;
@@ -132,7 +137,7 @@
       return IoStatus::TooLarge;
     }
     scanned = unread.size();
-    const IoStatus filled = Fill(deadline, isCancelled);
+    const IoStatus filled = Fill(deadline, cancel);
     if (filled != IoStatus::Ok) {
       return filled;
     }
@@ -152,7 +157,7 @@
     if (unread.size() > limit + 1) {
       return IoStatus::TooLarge;
     }
-    const IoStatus filled = Fill(deadline, nullptr);
+    const IoStatus filled = Fill(deadline, {});
     if (filled != IoStatus::Ok) {
       return filled;
     }
@@ -165,7 +170,7 @@
                               std::size_t* count)
 {
   if (position_ == buffer_.size()) {
-    const IoStatus filled = Fill(deadline, nullptr);
+    const IoStatus filled = Fill(deadline, {});
     if (filled != IoStatus::Ok) {
       return filled;
     }
@@ -189,7 +194,7 @@
       return IoStatus::Failed;
     }
     if (count < 0) {
-      const IoStatus waited = WaitFor(POLLOUT, deadline, nullptr);
+      const IoStatus waited = WaitFor(POLLOUT, deadline, {});
       if (waited != IoStatus::Ok) {
         return waited;
       }
--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -328,7 +328,7 @@
                               std::int64_t bodyLength)
 {
   HTTPRequest request(head.method, head.target, HTTPMessage::HTTP_1_1);
-  request.setHost(host);
+  request.setHost(head.headers.Find(HTTPRequest::HOST).value_or(host));
   CopyFields(head.headers, &request);
   const bool usuallyHasBody =
     head.method == HTTPRequest::HTTP_POST || head.method == HTTPRequest::HTTP_PUT;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -191,7 +191,7 @@
       }
       std::string text;
       const auto deadline = SteadyNow() + server_.options_.headTimeout;
-      const auto status = connection_.ReadHead(detail::kMaxHeadBytes, deadline, nullptr, &text);
+      const auto status = connection_.ReadHead(detail::kMaxHeadBytes, deadline, {}, &text);
       if (status == IoStatus::TooLarge) {
         return Refuse(NotRun(413, Reason::TooLarge), "the head is larger than 16 KiB\n");
       }
--- a/src/transport/process.cpp
+++ b/src/transport/process.cpp
@@ -4,6 +4,7 @@
 #include <fstream>   // ifstream
 #include <sstream>   // ostringstream
 #include <stdexcept> // runtime_error
+#include "acaciapulley/core/log.hpp" // Log
 
 namespace acp {
 
@@ -15,6 +16,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -27,11 +29,16 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void WaitForStopSignal()
+void WaitForStopSignal(const std::function<void()>& onReload)
 {
   const sigset_t signals = StopSignals();
   int received = 0;
-  sigwait(&signals, &received);
+  while (sigwait(&signals, &received) == 0 && received == SIGHUP) {
+    Log(LogLevel::Info, "reload_requested", { { "signal", "SIGHUP" } });
+    if (onReload) {
+      onReload();
+    }
+  }
 }
 
 std::string ReadFile(const std::string& path)
