Limit upstreams by their announced slots and put nested calls first on fleet routes

Nested calls were refused after 20 ms in the queue, which wasted the work of their requests.

Ruled out: stale state (the log line of each refusal shows its age), rate tokens.

Change: the announced slots are the limit on fleet routes; keyless calls go before callers' requests and may wait for half of their remaining time, callers' requests for a fifth of the aimed latency. A line for each answer that a node gives itself, bounded per second.

--- a/include/acaciapulley/admission/fair_queue.hpp
+++ b/include/acaciapulley/admission/fair_queue.hpp
@@ -32,6 +32,7 @@
   /// True when the request came from a caller straight to this node's ingress, so that no other
   /// node has applied the share that this gate announces.
   bool entersHere = false;
+  Duration patience{}; ///< longest wait, instead of the queue's age bounds; 0: those apply
 };
 
 /// A request that ends unserved, with the reason for its caller.
--- a/include/acaciapulley/node/detail/attempt.hpp
+++ b/include/acaciapulley/node/detail/attempt.hpp
@@ -32,6 +32,7 @@
   bool entersHere = false; ///< it came through this node's own ingress
   /// `service/class` that makes the call; thresholds are learnt under it.
   std::string ownClass;
+  Duration patience{};       ///< longest wait at the gate; 0: the gate's own bounds apply
   std::string callerService; ///< service of the host on which a fleet route's request began
   /// Spends the rate token right before the request leaves; false when its lease has ended. Empty
   /// when none is needed.
--- a/include/acaciapulley/node/detail/headers.hpp
+++ b/include/acaciapulley/node/detail/headers.hpp
@@ -16,6 +16,8 @@
 inline constexpr const char* kThresholdHeader = "Acp-Threshold";
 inline constexpr const char* kLoadHeader = "Acp-Load";
 inline constexpr const char* kRetriesLeftHeader = "Acp-Retries-Left";
+/// Longest wait of a fleet route's request at the gate, in milliseconds.
+inline constexpr const char* kPatienceHeader = "Acp-Patience-Ms";
 /// Exact form of `Retry-After`, in milliseconds.
 inline constexpr const char* kRetryAfterHeader = "Acp-Retry-After-Ms";
 /// Service and class that the node at which a request entered has chosen by the fleet document.
--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -33,6 +33,7 @@
   /// no egress listener.
   bool routesByFleet = false;
   std::string callerService;
+  std::string requestIdField; ///< header field with the caller's id of a request, for the logs
   LocalUpstream::TranslationFor translationFor; ///< for upstreams that speak another protocol
   /// Called for each request of the ingress with the handler that serves it, so that another
   /// protocol's requests can be translated; may be empty.
--- a/include/acaciapulley/node/node_view.hpp
+++ b/include/acaciapulley/node/node_view.hpp
@@ -59,6 +59,9 @@
   /// @brief Returns whether the state was current within the last @p bound.
   [[nodiscard]] bool IsFresh(TimePoint now, Duration bound) const;
 
+  /// @brief Returns how long ago the state was surely current; the largest span when never.
+  [[nodiscard]] Duration Age(TimePoint now) const;
+
   /// @brief Returns the document of @p service, or nullptr.
   [[nodiscard]] std::shared_ptr<const ServiceDocument> DocumentOf(const std::string& service) const;
 
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -28,6 +28,9 @@
   Reason reason = Reason::None;
   RequestOutcome outcome = RequestOutcome::Ran;
   Duration latency{};
+  std::string requestId; ///< from the field RequestPipelineOptions::requestIdField, or empty
+  int status = 0;        ///< of an answer of the node itself; 0 when the upstream's was passed on
+  std::string message;   ///< of an answer of the node itself
 };
 
 /// Construction options of a RequestPipeline. What is pointed to outlives it.
@@ -42,6 +45,7 @@
   /// control; `fleetSecret` is then not used.
   bool routesByFleet = false;
   std::string callerService; ///< service of this host, told to upstreams of fleet routes
+  std::string requestIdField; ///< header field with the caller's id of a request, for the logs
   const Clock* clock = nullptr;
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -159,7 +159,9 @@
   if (entry.request.deadline <= now) {
     return Reason::DeadlineExceeded;
   }
-  return now - entry.queuedAt > AgeBound(now) ? Reason::QueueTimeout : Reason::None;
+  const Duration patience = entry.request.patience;
+  const Duration bound = patience > Duration::zero() ? patience : AgeBound(now);
+  return now - entry.queuedAt > bound ? Reason::QueueTimeout : Reason::None;
 }
 
 std::vector<GateRefusal> FairQueue::Expire(TimePoint now)
@@ -236,7 +238,9 @@
         std::max(std::min(head.queuedAt + options_.burstAge,
                           std::max(standing, head.queuedAt + options_.targetAge)),
                  now);
-      const TimePoint expiry = std::min(aged, head.request.deadline);
+      const bool isPatient = head.request.patience > Duration::zero();
+      const TimePoint waited = isPatient ? head.queuedAt + head.request.patience : aged;
+      const TimePoint expiry = std::min(std::max(waited, now), head.request.deadline);
       next = next ? std::min(*next, expiry) : expiry;
     }
   }
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -75,7 +75,8 @@
                                        .priority = context.priority,
                                        .requestClass = call.request.requestClass->name,
                                        .deadline = options_.clock->Now() + Remaining(context),
-                                       .entersHere = call.entersHere },
+                                       .entersHere = call.entersHere,
+                                       .patience = call.patience },
                                      [&call] { return call.exchange.IsCallerGone(); });
   if (!permit) {
     return boost::outcome_v2::failure(permit.error());
--- a/src/node/fleet_resolver.cpp
+++ b/src/node/fleet_resolver.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/node/detail/fleet_resolver.hpp"
 
-#include <algorithm> // max_element
+#include <algorithm> // max_element, min
 #include <memory>    // make_shared
 #include <numeric>   // accumulate
 #include <utility>   // move
@@ -18,6 +18,14 @@
 constexpr Duration kDenialFreshness = std::chrono::milliseconds(1500);
 constexpr std::int64_t kMaxPeerBodyBytes = 1'073'741'824;
 
+constexpr int kNestedPriority = 0;
+
+/// Requests of callers come after all nested calls.
+int PriorityOf(int rank)
+{
+  return std::min(rank + 1, kLowestPriority);
+}
+
 auto RefuseAsStale()
 {
   return NotRun(503,
@@ -96,7 +104,8 @@
   const FleetDocumentPtr fleet = view_.Fleet();
   const RequestClass& requestClass = *request.requestClass;
   if (requestClass.openToAll || !fleet->HasAccounts()) {
-    return FleetCaller{ .priority = requestClass.priority };
+    // Nested calls carry no key; they belong to requests on which work has been done.
+    return FleetCaller{ .priority = kNestedPriority };
   }
   const auto key = head.headers.Find(kKeyHeader);
   const FleetAccount* account = key ? fleet->AccountOfKey(ToHex(HashKey(*key))) : nullptr;
@@ -108,7 +117,7 @@
     return NotRun(401, reason, "the client account's key is missing or not in force");
   }
   return FleetCaller{ .account = account->name,
-                      .priority = account->priority.value_or(requestClass.priority),
+                      .priority = PriorityOf(account->priority.value_or(requestClass.priority)),
                       .isLimited = account->limit.rate > 0 };
 }
 
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -6,8 +6,9 @@
 #include <mutex>     // mutex
 #include <optional>  // optional
 #include <tuple>     // tie
-#include <utility>   // move
+#include <utility>   // exchange, move
 
+#include "acaciapulley/core/log.hpp"                  // Log
 #include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
 #include "acaciapulley/node/sync_loop.hpp"            // SyncLoop
 #include "acaciapulley/record/record_counters.hpp"    // RecordCounters
@@ -85,6 +86,42 @@
 
 } // namespace
 
+/// Bounds the lines about single requests under load. Calls may come from any thread.
+class LineBudget
+{
+public:
+  /// @return whether a line may be written now; otherwise it counts as left out
+  bool TryTake(TimePoint now)
+  {
+    const std::lock_guard lock(mutex_);
+    const double seconds = std::chrono::duration<double>(now - refilledAt_).count();
+    lines_ = std::min(kLinesAtOnce, lines_ + std::max(seconds, 0.0) * kLinesPerSecond);
+    refilledAt_ = now;
+    if (lines_ < 1) {
+      ++leftOut_;
+      return false;
+    }
+    lines_ -= 1;
+    return true;
+  }
+
+  /// @return the lines left out since the last call
+  std::uint64_t TakeLeftOut()
+  {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(leftOut_, 0);
+  }
+
+private:
+  static constexpr double kLinesPerSecond = 20;
+  static constexpr double kLinesAtOnce = 40;
+
+  std::mutex mutex_;
+  double lines_ = kLinesAtOnce;
+  TimePoint refilledAt_{};
+  std::uint64_t leftOut_ = 0;
+};
+
 class NodeProcess::Impl
 {
 public:
@@ -102,6 +139,7 @@
                   .retryBudget = options.retryBudget,
                   .routesByFleet = options.routesByFleet,
                   .callerService = options.callerService,
+                  .requestIdField = options.requestIdField,
                   .clock = options.clock,
                   .view = &view_,
                   .upstream = &upstream_,
@@ -188,8 +226,33 @@
     return ingress;
   }
 
+  /// Answers of the node itself are logged; those of upstreams are counted only.
+  void LogOwnAnswer(const EndedRequest& ended)
+  {
+    if (ended.status == 0 || !lineBudget_.TryTake(clock_.Now())) {
+      return;
+    }
+    const auto latency = std::chrono::floor<std::chrono::milliseconds>(ended.latency);
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(view_.Age(clock_.Now()));
+    Log(LogLevel::Info,
+        "request_answered",
+        { { "request", ended.requestId },
+          { "status", std::to_string(ended.status) },
+          { "outcome", std::string(NameOf(ended.outcome)) },
+          { "reason", std::string(NameOf(ended.reason)) },
+          { "service", ended.service },
+          { "class", ended.requestClass },
+          { "account", ended.account },
+          { "ms", std::to_string(latency.count()) },
+          { "state_age_ms", std::to_string(age.count()) },
+          { "fleet_version", std::to_string(view_.FleetVersion()) },
+          { "detail", ended.message },
+          { "left_out", std::to_string(lineBudget_.TakeLeftOut()) } });
+  }
+
   void Record(const EndedRequest& ended)
   {
+    LogOwnAnswer(ended);
     if (ended.requestClass.empty()) {
       return;
     }
@@ -242,6 +305,7 @@
 
   std::int64_t epoch_;
   const Clock& clock_;
+  LineBudget lineBudget_;
   MetricsRegistry metrics_;
   NodeView view_;
   LocalUpstream upstream_;
--- a/src/node/node_view.cpp
+++ b/src/node/node_view.cpp
@@ -88,6 +88,12 @@
   return confirmedAt_ && now - *confirmedAt_ <= bound;
 }
 
+Duration NodeView::Age(TimePoint now) const
+{
+  const std::shared_lock lock(mutex_);
+  return confirmedAt_ ? now - *confirmedAt_ : Duration::max();
+}
+
 std::shared_ptr<const ServiceDocument> NodeView::DocumentOf(const std::string& service) const
 {
   const std::shared_lock lock(mutex_);
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -103,6 +103,9 @@
     head.headers.Set(kServiceHeader, call.request.service);
     head.headers.Set(kClassHeader, call.request.requestClass->name);
     head.headers.Set(kCallerServiceHeader, call.callerService);
+    head.headers.Set(
+      kPatienceHeader,
+      std::to_string(std::chrono::floor<std::chrono::milliseconds>(call.patience).count()));
     // Hosts' wall clocks differ, so that peers are told the time that is left.
     head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
   }
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -25,6 +25,26 @@
 constexpr std::string_view kAnnounceTarget = "/.acp/upstream";
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
 constexpr Duration kLongestPeerCall = std::chrono::hours(1);
+// Parts of the remaining time, or of the aimed latency, that a request may wait for an upstream.
+constexpr int kNestedPatienceParts = 2;
+constexpr int kRootPatienceParts = 5;
+
+/// @brief Returns the milliseconds in a field of another node, 0 when there are none.
+std::chrono::milliseconds MillisIn(const HttpRequestHead& head, const char* field)
+{
+  const std::string text = head.headers.Find(field).value_or("");
+  std::int64_t millis = 0;
+  std::from_chars(text.data(), text.data() + text.size(), millis);
+  return std::chrono::milliseconds(std::max<std::int64_t>(millis, 0));
+}
+
+/// @brief Returns how long a request may wait for an upstream. A refused nested call wastes all the
+/// work of its request, so that it waits longer than a request on which no work has been done.
+Duration PatienceOf(const RequestClass& requestClass, Duration remaining, bool isNested)
+{
+  const Duration aim = requestClass.target > Duration::zero() ? requestClass.target : remaining;
+  return isNested ? remaining / kNestedPatienceParts : std::min(aim, remaining) / kRootPatienceParts;
+}
 
 /// @brief Returns the time the caller gives, at most the deadline of the class.
 OrRefusal<std::chrono::milliseconds> TimeAllowed(const HttpRequestHead& head,
@@ -64,6 +84,7 @@
     ResolvedRequest request;
     RequestContext context;
     std::shared_ptr<detail::TokenClient::Token> token; ///< null on routes open to all
+    Duration patience{};                               ///< see PendingCall::patience
   };
 
   OrRefusal<Root> AdmitRoot(ServerExchange& exchange, EndedRequest& ended);
@@ -102,7 +123,7 @@
   })
   , resolver_(*options_.view, *options_.clock)
   , fleetResolver_(*options_.view, *options_.clock)
-  , gate_({}, *options_.clock)
+  , gate_({ .limit = { .adaptive = !options_.routesByFleet } }, *options_.clock)
   , hops_({ .nodeId = options_.nodeId, .epoch = options_.epoch }, *options_.clock)
   , thresholds_(*options_.clock)
   , claims_(options_.control, options_.nodeId)
@@ -234,6 +255,9 @@
   }
   root.context = std::move(context).value();
   root.context.priority = caller.value().priority;
+  const Duration remaining = std::chrono::milliseconds(
+    CountMillis(root.context.deadline) - CountMillis(options_.clock->WallNow()));
+  root.patience = PatienceOf(requestClass, remaining, caller.value().account.empty());
   root.context.retriesLeft = std::min(options_.retryBudget, requestClass.maxAttempts - 1);
   if (!thresholds_.AdmitsRequest(detail::ClassName(root.request), root.context)) {
     return NotRun(503,
@@ -264,6 +288,7 @@
                     .audience = Audience::Caller,
                     .entersHere = true,
                     .ownClass = detail::ClassName(root.request),
+                    .patience = root.patience,
                     .callerService = options_.callerService };
   if (root.token) {
     call.commitToken = [&root] { return root.token->Commit(); };
@@ -286,6 +311,9 @@
   if (!result) {
     ended.outcome = result.error().outcome;
     ended.reason = result.error().reason;
+    ended.status = result.error().status;
+    ended.message = result.error().message;
+    ended.requestId = exchange.Request().headers.Find(options_.requestIdField).value_or("");
     SendRefusal(exchange, result.error());
   }
   ended.latency = options_.clock->Now() - start;
@@ -348,6 +376,7 @@
                     .body = body,
                     .audience = Audience::Peer,
                     .ownClass = detail::ClassName(resolved.value()),
+                    .patience = MillisIn(exchange.Request(), detail::kPatienceHeader),
                     .callerService = exchange.Request()
                                        .headers.Find(detail::kCallerServiceHeader)
                                        .value_or("") };
--- /dev/null
+++ b/tests/config_test/fleet_document_test.cpp
@@ -0,0 +1,88 @@
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+#include "acaciapulley/config/fleet_document.hpp"
+
+namespace {
+
+std::string Route(const std::string& name, const std::string& prefix, const std::string& more = "")
+{
+  return R"({"name":")" + name + R"(","host":"Toko.example","path_prefix":")" + prefix +
+         R"(","idempotent":true,"open":false,"priority":2,"timeout_ms":1000,"target_ms":500,)"
+         R"("max_attempts":2,"destinations":[{"service":"orders","weight":1}])" +
+         more + "}";
+}
+
+std::string Account(const std::string& name, char keyDigit)
+{
+  return R"({"name":")" + name + R"(","key_hashes":[")" + std::string(64, keyDigit) +
+         R"("],"rate":5,"burst":9})";
+}
+
+std::string Fleet(const std::string& routes, const std::string& accounts = "")
+{
+  return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,)"
+         R"("services":[{"name":"orders","health_path":"/h","max_connections":9}],"routes":[)" +
+         routes + R"(],"accounts":[)" + accounts + "]}";
+}
+
+std::string ErrorOf(const std::string& text)
+{
+  const auto parsed = acp::FleetDocument::Parse(text);
+  return parsed ? "" : parsed.error().Describe();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet_document)
+
+// Guards against a request that goes to the service of a shorter prefix.
+BOOST_AUTO_TEST_CASE(longest_prefix_of_the_host_wins)
+{
+  const auto fleet =
+    acp::FleetDocument::Parse(Fleet(Route("short", "/a/") + "," + Route("long", "/a/b/"))).value();
+  BOOST_TEST(fleet.Match("toko.EXAMPLE:80", "/a/b/c")->requestClass.name == "long");
+  BOOST_TEST(fleet.Match("toko.example", "/a/b")->requestClass.name == "short");
+  BOOST_TEST(fleet.Match("toko.example", "/a/bc/d")->requestClass.name == "short");
+  BOOST_TEST(fleet.Match("toko.example", "/ab/") == nullptr);
+  BOOST_TEST(fleet.Match("other.example", "/a/b/c") == nullptr);
+  BOOST_TEST(fleet.Match("toko.example", "no slash") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(keys_belong_to_one_account)
+{
+  const auto fleet =
+    acp::FleetDocument::Parse(Fleet("", Account("a", '1') + "," + Account("b", '2'))).value();
+  BOOST_TEST(fleet.AccountOfKey(std::string(64, '2'))->name == "b");
+  BOOST_TEST(fleet.AccountOfKey(std::string(64, '3')) == nullptr);
+  BOOST_TEST(ErrorOf(Fleet("", Account("a", '1') + "," + Account("b", '1'))) ==
+             "[100 malformed_document] accounts[1].key_hashes: a key stands twice");
+}
+
+// Guards against a document that is taken over with a meaning its author did not intend.
+BOOST_AUTO_TEST_CASE(each_fault_is_refused_with_its_place)
+{
+  const std::string good = Route("r", "/a/");
+  const auto with = [&](const std::string& from, const std::string& to) {
+    std::string text = good;
+    return ErrorOf(Fleet(text.replace(text.find(from), from.size(), to)));
+  };
+  BOOST_TEST(ErrorOf(Fleet(good)).empty());
+  BOOST_TEST(!ErrorOf(Fleet(good).substr(0, 90)).empty());
+  BOOST_TEST(with(R"("service":"orders")", R"("service":"x")") ==
+             "[100 malformed_document] routes[0].destinations[0].service: 'x' is not a known "
+             "service");
+  BOOST_TEST(with(R"("weight":1)", R"("weight":-1)").find("routes[0].destinations[0].weight") !=
+             std::string::npos);
+  BOOST_TEST(!with(R"("weight":1)", R"("weight":0)").empty());
+  BOOST_TEST(!with(R"("timeout_ms":1000)", R"("timeout_ms":0)").empty());
+  BOOST_TEST(with(R"("target_ms":500)", R"("target_ms":60999)").empty());
+  BOOST_TEST(!with(R"("target_ms":500)", R"("target_ms":61000)").empty());
+  BOOST_TEST(!with(R"("/a/")", R"("/a")").empty());
+  BOOST_TEST(ErrorOf(Fleet(good + "," + Route("s", "/a/"))) ==
+             "[100 malformed_document] routes[1].path_prefix: another route has the same host and "
+             "prefix");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/control_test/fleet_store_test.cpp
@@ -0,0 +1,80 @@
+#include <boost/test/unit_test.hpp>
+
+#include "acaciapulley/control/control_state.hpp"
+#include "acaciapulley/control/detail/control_wire.hpp"
+#include "acaciapulley/control/fleet_store.hpp"
+#include "control_fixture.hpp"
+
+namespace {
+
+acp::FleetChange Change(std::int64_t version, std::int64_t base, const std::string& text)
+{
+  return { .version = version, .baseVersion = base, .document = text, .source = text };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet_store)
+
+// Guards against two operators' changes that both come into force.
+BOOST_AUTO_TEST_CASE(of_two_changes_from_one_version_the_first_wins)
+{
+  acp::FleetStore store;
+  BOOST_TEST(store.Put(Change(3, 0, "first")).value().version == 3);
+  BOOST_TEST(store.Put(Change(7, 3, "a")).has_value());
+  BOOST_TEST((store.Put(Change(7, 3, "b")).error().code ==
+              acp::ControlErrorCode::VersionConflict));
+  BOOST_TEST((store.Put(Change(7, 7, "c")).error().code ==
+              acp::ControlErrorCode::InvalidDocument));
+  BOOST_TEST(store.Current().source == "a");
+}
+
+// Guards against an operator who lost an answer and is refused for sending the change again.
+BOOST_AUTO_TEST_CASE(an_accepted_change_is_acknowledged_again_however_many_came_after_it)
+{
+  acp::FleetStore store;
+  const auto first = Change(1, 0, "1");
+  BOOST_TEST(store.Put(first).has_value());
+  for (int version = 2; version <= 500; ++version) {
+    BOOST_TEST(store.Put(Change(version, version - 1, std::to_string(version))).has_value());
+  }
+  const auto again = store.Put(first);
+  BOOST_TEST(again.value().isResend);
+  BOOST_TEST(again.value().version == 1);
+  BOOST_TEST(store.Current().version == 500);
+}
+
+// Guards against a replica that forgets accepted changes or the secret with a snapshot.
+BOOST_AUTO_TEST_CASE(a_snapshot_keeps_document_accepted_changes_and_secret)
+{
+  acp::test::ControlFixture fixture;
+  acp::wire::ControlCommand put;
+  put.formatVersion = acp::kControlFormat;
+  acp::wire::PutFleetCommand fleet;
+  fleet.version = 5;
+  fleet.document = "d";
+  fleet.source = "s";
+  put.__set_putFleet(fleet);
+  acp::wire::ControlCommand found;
+  found.formatVersion = acp::kControlFormat;
+  acp::wire::FoundFleetCommand secret;
+  secret.secret = "secret";
+  found.__set_foundFleet(secret);
+  fixture.state.Apply({ .command = acp::detail::EncodeWire(put) });
+  fixture.state.Apply({ .command = acp::detail::EncodeWire(found) });
+  secret.secret = "another";
+  found.__set_foundFleet(secret);
+  fixture.state.Apply({ .command = acp::detail::EncodeWire(found) });
+
+  acp::ControlState restored;
+  BOOST_TEST(restored.Restore(fixture.state.TakeSnapshot()));
+  BOOST_TEST(restored.Fleet().version == 5);
+  BOOST_TEST(restored.Fleet().source == "s");
+  BOOST_TEST(restored.FleetSecret() == "secret");
+  acp::wire::CommandReply reply;
+  const std::string answer = restored.Apply({ .command = acp::detail::EncodeWire(put) });
+  BOOST_TEST(acp::detail::DecodeWire(answer, &reply));
+  BOOST_TEST(reply.isResend);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/node_test/fleet_resolver_test.cpp
@@ -0,0 +1,106 @@
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <string>
+
+#include "acaciapulley/accounts/key_table.hpp"
+#include "acaciapulley/core/random.hpp"
+#include "acaciapulley/node/detail/fleet_resolver.hpp"
+#include "acaciapulley/node/detail/headers.hpp"
+
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string Fleet()
+{
+  return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)"
+         R"({"name":"old","health_path":"","max_connections":9},)"
+         R"({"name":"new","health_path":"","max_connections":9}],"routes":[{"name":"r",)"
+         R"("host":"h","path_prefix":"/a/","idempotent":true,"open":false,"priority":4,)"
+         R"("timeout_ms":1000,"target_ms":500,"max_attempts":2,"destinations":[)"
+         R"({"service":"old","weight":90},{"service":"new","weight":10}]}],"accounts":[)"
+         R"({"name":"toko","key_hashes":[")" +
+         acp::ToHex(acp::HashKey("k1")) + R"("],"priority":1,"rate":0,"burst":0}]})";
+}
+
+struct Fixture
+{
+  acp::ManualClock clock;
+  acp::NodeView view;
+  acp::detail::FleetResolver resolver{ view, clock };
+  acp::HttpRequestHead head{ .method = "GET", .target = "/a/x?q=1" };
+
+  Fixture() { head.headers.Set("Host", "h"); }
+
+  void Sync()
+  {
+    view.Apply({ .toVersion = 1, .fleet = acp::ReceivedDocument{ 1, Fleet() } }, clock.Now());
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(fleet_resolver, Fixture)
+
+// Guards against a node that knows no document and says that there is no such route.
+BOOST_AUTO_TEST_CASE(a_node_without_the_document_is_unavailable)
+{
+  BOOST_TEST(resolver.Resolve(head, 0).error().status == 503);
+}
+
+// Guards against a denial of what the operator has just added.
+BOOST_AUTO_TEST_CASE(only_a_recent_document_denies_routes_and_keys)
+{
+  Sync();
+  head.headers.Set(acp::detail::kKeyHeader, "wrong");
+  const auto request = resolver.Resolve(head, 0).value();
+  BOOST_TEST(resolver.Authenticate(head, request).error().status == 401);
+  head.target = "/b/";
+  BOOST_TEST(resolver.Resolve(head, 0).error().status == 404);
+  clock.Advance(1501ms);
+  BOOST_TEST(resolver.Resolve(head, 0).error().status == 503);
+  BOOST_TEST(resolver.Authenticate(head, request).error().status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(a_key_gives_account_and_priority)
+{
+  Sync();
+  head.headers.Set(acp::detail::kKeyHeader, "k1");
+  const auto caller = resolver.Authenticate(head, resolver.Resolve(head, 0).value()).value();
+  BOOST_TEST(caller.account == "toko");
+  BOOST_TEST(caller.priority == 2);
+  BOOST_TEST(!caller.isLimited);
+}
+
+// Guards against shares that come right only over very many requests.
+BOOST_AUTO_TEST_CASE(destinations_get_their_weights_in_every_ten_requests)
+{
+  Sync();
+  for (int round = 0; round < 5; ++round) {
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 10; ++i) {
+      ++counts[resolver.Resolve(head, 0).value().service];
+    }
+    BOOST_TEST(counts["old"] == 9);
+    BOOST_TEST(counts["new"] == 1);
+  }
+}
+
+// Guards against a peer with an older document that decides anew.
+BOOST_AUTO_TEST_CASE(a_peer_takes_over_what_the_first_node_has_decided)
+{
+  BOOST_TEST(acp::detail::FleetResolver::ResolveForPeer(head, {}).error().status == 400);
+  head.headers.Set(acp::detail::kServiceHeader, "new");
+  head.headers.Set(acp::detail::kClassHeader, "r");
+  const auto request =
+    acp::detail::FleetResolver::ResolveForPeer(head, { .account = "toko", .idempotent = false })
+      .value();
+  BOOST_TEST(request.service == "new");
+  BOOST_TEST(request.upstreamTarget == "/a/x?q=1");
+  BOOST_TEST(!request.requestClass->idempotent);
+  BOOST_TEST(!request.requestClass->needsClaim);
+  BOOST_TEST(!request.requestClass->openToAll);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform_test/translation_test.cpp
@@ -0,0 +1,140 @@
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+#include "acaciapulley/accounts/key_table.hpp"
+#include "acaciapulley/config/fleet_document.hpp"
+#include "acaciapulley/core/random.hpp"
+#include "acaciapulley/node/detail/headers.hpp"
+#include "fleet_translation.hpp"
+#include "platform_settings.hpp"
+#include "request_translation.hpp"
+#include "wire_names.hpp"
+
+namespace {
+
+using namespace acp::platform;
+
+const std::string kConfiguration =
+  R"({"version":"0000000c","base_version":"00000005","later":{"x":1},"routes":[)"
+  R"({"name":"r1","host":"h.example","path_prefix":"/a/","type":"idempotent","timeout_ms":6000,)"
+  R"("target_latency_ms":1500,"priority":2,"traffic_split":[{"service":"s1","weight":90},)"
+  R"({"service":"s2","weight":10}],"max_attempts":2,"public":false},)"
+  R"({"name":"r2","host":"g.example","path_prefix":"/b/","type":"non_idempotent",)"
+  R"("timeout_ms":800,"priority":0,"service":"s2","max_attempts":1,"public":true}],"services":[)"
+  R"({"name":"s1","health_check_path":"/health","max_connections":89},)"
+  R"({"name":"s2","max_connections":28}],"limits":{"max_header_bytes":16384,)"
+  R"("max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[)"
+  R"({"name":"t1","api_keys":["key1","key2"],"priority":1,"rate_per_s":150,"burst":75}]})";
+
+std::string Changed(const std::string& from, const std::string& to)
+{
+  std::string text = kConfiguration;
+  return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(translation)
+
+BOOST_AUTO_TEST_CASE(a_configuration_becomes_a_fleet_document)
+{
+  const auto change = TranslateConfiguration(kConfiguration).value();
+  BOOST_TEST(change.version == 12);
+  BOOST_TEST(change.baseVersion == 5);
+  BOOST_TEST(change.source == kConfiguration);
+  const auto fleet = acp::FleetDocument::Parse(change.document).value();
+  const auto* route = fleet.Match("h.example", "/a/x");
+  BOOST_TEST(route->destinations.size() == 2U);
+  BOOST_TEST(route->destinations[0].weight == 90);
+  BOOST_TEST(route->requestClass.idempotent);
+  BOOST_TEST(!route->requestClass.openToAll);
+  BOOST_TEST(!fleet.Match("g.example", "/b/")->requestClass.idempotent);
+  BOOST_TEST(fleet.Match("g.example", "/b/")->requestClass.openToAll);
+  const auto* account = fleet.AccountOfKey(acp::ToHex(acp::HashKey("key2")));
+  BOOST_TEST(account->name == "t1");
+  BOOST_TEST(account->limit.burst == 75);
+}
+
+// Guards against a configuration that is taken over with a meaning its author did not intend.
+BOOST_AUTO_TEST_CASE(a_configuration_that_cannot_be_read_is_refused)
+{
+  BOOST_TEST(!TranslateConfiguration(kConfiguration.substr(0, 200)).has_value());
+  BOOST_TEST(!TranslateConfiguration("").has_value());
+  BOOST_TEST(!TranslateConfiguration("[1]").has_value());
+  BOOST_TEST(TranslateConfiguration(Changed(R"("type":"idempotent")", R"("type":"maybe")"))
+               .error()
+               .message == "routes[0].type: 'maybe' is not a known type");
+  BOOST_TEST(TranslateConfiguration(Changed(R"("0000000c")", R"("zz")")).error().message ==
+             "version: is not a hexadecimal number");
+  BOOST_TEST(TranslateConfiguration(Changed(R"("timeout_ms":6000,)", "")).error().message ==
+             "routes[0].timeout_ms: is missing");
+  BOOST_TEST(!TranslateConfiguration(Changed(R"("burst":75)", R"("burst":"75")")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(settings_are_read_and_unknown_ones_ignored)
+{
+  const auto settings = ParsePlatformSettings(
+    R"({"node":"n1","zone":"z","ip":"10.1.0.2","bootstrap":true,"data_dir":null,"service":"s1",)"
+    R"("listen_addrs":{"outbound":"10.1.0.2:8","ready":"10.1.0.2:9","control":"10.1.0.2:10"},)"
+    R"("internal_ports":[7000,7015],"seed_nodes":["10.1.0.30:8540"],"bounds":{"grace_s":6},)"
+    R"("later":[1]})");
+  BOOST_TEST(settings.mayFoundCluster);
+  BOOST_TEST(settings.dataFolder.empty());
+  BOOST_TEST(settings.Internal(1).ToString() == "10.1.0.2:7001");
+  BOOST_TEST(settings.SeedRpcAddresses().front().ToString() == "10.1.0.30:7000");
+  BOOST_TEST((settings.stopTime == std::chrono::seconds(6)));
+  BOOST_CHECK_THROW(ParsePlatformSettings(R"({"node":"n1"})"), std::runtime_error);
+  BOOST_CHECK_THROW(ParsePlatformSettings("{"), std::runtime_error);
+}
+
+// Guards against a key that reaches an upstream, and a deadline that it is not told.
+BOOST_AUTO_TEST_CASE(a_request_to_an_upstream_carries_only_the_platforms_fields)
+{
+  const auto translation = TranslationFor({ .instanceId = "i-7" });
+  acp::HttpRequestHead request;
+  request.headers.Set(kRequestIdField, "r");
+  request.headers.Set(acp::detail::kContextHeader, "secret");
+  request.headers.Set(acp::detail::kDeadlineHeader, "250");
+  request.headers.Set(acp::detail::kAccountHeader, "toko");
+  request.headers.Set(acp::detail::kCallerServiceHeader, "orders");
+  translation.request(request);
+  BOOST_TEST(request.headers.Find(kTimeLeftField).value() == "250");
+  BOOST_TEST(request.headers.Find(kAccountField).value() == "toko");
+  BOOST_TEST(request.headers.Find(kCallerServiceField).value() == "orders");
+  BOOST_TEST(request.headers.Find(kExpectedInstanceField).value() == "i-7");
+  BOOST_TEST(request.headers.Fields().size() == 5U);
+}
+
+// Guards against a late answer to another request that is taken for this one's.
+BOOST_AUTO_TEST_CASE(an_answer_must_prove_which_request_it_is_for)
+{
+  const auto translation = TranslationFor({});
+  acp::HttpRequestHead request;
+  request.headers.Set(kRequestIdField, "r1");
+  acp::HttpResponseHead answer{ .status = 200 };
+  BOOST_TEST(!translation.answer(request, answer));
+  answer.headers.Set(kRequestIdField, "r2");
+  BOOST_TEST(!translation.answer(request, answer));
+  answer.headers.Set(kRequestIdField, "r1");
+  BOOST_TEST(translation.answer(request, answer));
+  BOOST_TEST(!answer.headers.Find(acp::detail::kOutcomeHeader).has_value());
+}
+
+// Guards against a retry that is not made although the upstream has not run the request.
+BOOST_AUTO_TEST_CASE(only_the_upstreams_own_word_counts_as_not_run)
+{
+  const auto translation = TranslationFor({});
+  const acp::HttpRequestHead request;
+  acp::HttpResponseHead plain{ .status = 503 };
+  BOOST_TEST(!translation.answer(request, plain));
+  acp::HttpResponseHead refused{ .status = 429 };
+  refused.headers.Set(kNotExecutedField, "1");
+  BOOST_TEST(translation.answer(request, refused));
+  BOOST_TEST(refused.headers.Find(acp::detail::kOutcomeHeader).value() == "not-run");
+  acp::HttpResponseHead misdirected{ .status = 421 };
+  BOOST_TEST(translation.answer(request, misdirected));
+  BOOST_TEST(misdirected.status == 503);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform_test/upstream_registry_test.cpp
@@ -0,0 +1,74 @@
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+#include "upstream_registry.hpp"
+
+namespace {
+
+using acp::platform::Heartbeat;
+
+std::string Body(int sequence, const std::string& state = "ready", const std::string& more = "")
+{
+  return R"({"service":"orders","address":"127.0.0.1:9000","zone":"z","version":"v1",)"
+         R"("concurrency":5,"state":")" +
+         state + R"(","warmup_left_ms":700,"sequence":)" + std::to_string(sequence) + more + "}";
+}
+
+Heartbeat Beat(const std::string& id, std::int64_t startedAtMs, int sequence, bool drains = false)
+{
+  auto beat = Heartbeat::Parse(id, Body(sequence, drains ? "draining" : "ready")).value();
+  beat.startedAtMs = startedAtMs;
+  return beat;
+}
+
+struct Fixture
+{
+  std::vector<acp::Announcement> announced;
+  acp::platform::UpstreamRegistry registry{ [this](const auto& a) { announced.push_back(a); } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(upstream_registry, Fixture)
+
+// Guards against requests to an upstream that another writer has made up.
+BOOST_AUTO_TEST_CASE(unreadable_heartbeats_name_no_upstream)
+{
+  BOOST_TEST(Heartbeat::Parse("i", Body(1, "ready", R"(,"born":12,"unknown":[1])")).has_value());
+  BOOST_TEST(!Heartbeat::Parse("", Body(1)).has_value());
+  BOOST_TEST(!Heartbeat::Parse("i", Body(1, "resting")).has_value());
+  BOOST_TEST(!Heartbeat::Parse("i", "").has_value());
+  BOOST_TEST(!Heartbeat::Parse("i", "[]").has_value());
+  BOOST_TEST(!Heartbeat::Parse("i", "\xff\xfe{").has_value());
+  BOOST_TEST(!Heartbeat::Parse("i", R"({"service":"orders"})").has_value());
+  std::string text = Body(1);
+  BOOST_TEST(!Heartbeat::Parse("i", text.replace(text.find("5"), 1, "\"5\"")).has_value());
+}
+
+// Guards against a delayed heartbeat that brings an ended upstream back.
+BOOST_AUTO_TEST_CASE(heartbeats_are_ordered_by_start_and_sequence)
+{
+  BOOST_TEST(registry.TakeHeartbeat(Beat("a", 100, 9)));
+  BOOST_TEST(!registry.TakeHeartbeat(Beat("a", 100, 8)));
+  BOOST_TEST(registry.TakeHeartbeat(Beat("b", 200, 1)));
+  BOOST_TEST(!registry.TakeHeartbeat(Beat("a", 100, 10)));
+  BOOST_TEST(announced.back().instanceId == "b");
+  BOOST_TEST(registry.TakeHeartbeat(Beat("b", 300, 0)));
+}
+
+// Guards against new work for an upstream that has said that it leaves.
+BOOST_AUTO_TEST_CASE(a_departure_is_final_until_the_next_start)
+{
+  registry.TakeHeartbeat(Beat("a", 100, 1));
+  registry.TakeDeparture("other");
+  BOOST_TEST(!announced.back().draining);
+  registry.TakeDeparture("a");
+  BOOST_TEST(announced.back().draining);
+  registry.TakeHeartbeat(Beat("a", 100, 2));
+  BOOST_TEST(announced.back().draining);
+  registry.TakeHeartbeat(Beat("a", 300, 1));
+  BOOST_TEST(!announced.back().draining);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/replication_test/membership_test.cpp
+++ b/tests/replication_test/membership_test.cpp
@@ -19,10 +19,12 @@
   acp::ManualClock clock;
   int repliesToStrangers = 0; ///< messages to identities that are no core
 
-  void Add(const std::string& id, const std::string& clusterId = {})
+  void Add(const std::string& id,
+           const std::string& clusterId = {},
+           const std::string& address = {})
   {
     acp::RaftOptions options;
-    options.self = { {}, "address of " + id, {} };
+    options.self = { {}, address.empty() ? "address of " + id : address, {} };
     options.random = [this] { return random_(); };
     acp::StoredState state;
     state.hardState.identity = id;
@@ -150,6 +152,27 @@
   BOOST_TEST(wire.Leader().CommitIndex() >= position.value().index);
 }
 
+// Guards against a host with an empty disk that waits for an operator, or takes another's vote.
+BOOST_AUTO_TEST_CASE(voter_whose_host_came_back_empty_is_replaced_without_an_operator)
+{
+  Wire wire;
+  Form(wire);
+  BOOST_TEST(!wire.Leader().ReplaceReturned(wire.clock.WallNow()).has_value());
+  const std::string lost = wire.Follower();
+  wire.cores.erase(lost);
+  wire.Add("returned", {}, "address of " + lost);
+  BOOST_TEST(!wire.Leader().ReplaceReturned(wire.clock.WallNow()).has_value());
+  wire.Run(1s);
+  BOOST_REQUIRE(wire.Leader().ReplaceReturned(wire.clock.WallNow()).has_value());
+  wire.Run(1s);
+  const acp::Membership& membership = wire.Leader().CurrentMembership();
+  BOOST_TEST(membership.IsVoter("returned"));
+  BOOST_TEST(membership.IsRetired(lost));
+  BOOST_TEST(membership.voters.size() == 3U);
+  BOOST_TEST(!membership.IsVoter("d"));
+  BOOST_TEST(!wire.Leader().ReplaceReturned(wire.clock.WallNow()).has_value());
+}
+
 // Guards against a set without a leader when a second host is lost right after a repair, before the
 // new voter has the entry that made it one.
 BOOST_AUTO_TEST_CASE(new_voter_votes_before_it_knows_that_it_is_one)
