--- a/tests/control_test/fleet_store_test.cpp
+++ b/tests/control_test/fleet_store_test.cpp
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "acaciapulley/control/control_state.hpp"
-#include "acaciapulley/control/detail/control_wire.hpp"
+#include "acaciapulley/control/detail/wire_codec.hpp"
 #include "acaciapulley/control/fleet_store.hpp"
 #include "control_fixture.hpp"
 
