--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -5,6 +5,7 @@
 /// look and for code that embeds the whole.
 
 // core
+#include "acaciapulley/core/change_signal.hpp"
 #include "acaciapulley/core/clock.hpp"
 #include "acaciapulley/core/error.hpp"
 #include "acaciapulley/core/json_reader.hpp"
@@ -15,6 +16,7 @@
 
 // config
 #include "acaciapulley/config/config_error.hpp"
+#include "acaciapulley/config/fleet_document.hpp"
 #include "acaciapulley/config/service_document.hpp"
 
 // accounts
@@ -90,6 +92,7 @@
 #include "acaciapulley/control/control_service.hpp"
 #include "acaciapulley/control/control_state.hpp"
 #include "acaciapulley/control/document_store.hpp"
+#include "acaciapulley/control/fleet_store.hpp"
 #include "acaciapulley/control/key_store.hpp"
 #include "acaciapulley/control/live_nodes.hpp"
 #include "acaciapulley/control/operator_directory.hpp"
--- a/include/acaciapulley/control/control_state.hpp
+++ b/include/acaciapulley/control/control_state.hpp
@@ -5,10 +5,10 @@
 
 #include <cstdint>    // int64_t
 #include <functional> // function
-#include <memory>   // unique_ptr
-#include <optional> // optional
-#include <string>   // string
-#include <vector>   // vector
+#include <memory>     // unique_ptr
+#include <optional>   // optional
+#include <string>     // string
+#include <vector>     // vector
 
 #include "acaciapulley/claims/claim_registry.hpp"      // ClaimLimits
 #include "acaciapulley/control/audit_trail.hpp"        // AuditEntry
--- a/include/acaciapulley/control/detail/control_context.hpp
+++ b/include/acaciapulley/control/detail/control_context.hpp
@@ -11,7 +11,7 @@
 #include "acaciapulley/control/detail/control_metrics.hpp" // ControlMetrics
 #include "acaciapulley/control/live_nodes.hpp"             // LiveNodes
 #include "acaciapulley/control/operator_directory.hpp"     // OperatorDirectory
-#include "acaciapulley/core/change_signal.hpp" // ChangeSignal
+#include "acaciapulley/core/change_signal.hpp"             // ChangeSignal
 #include "acaciapulley/core/clock.hpp"                     // Clock
 #include "acaciapulley/replication/replicated_log.hpp"     // ReplicatedLog
 #include "gen/command_types.h"
--- a/include/acaciapulley/control/detail/control_state_impl.hpp
+++ b/include/acaciapulley/control/detail/control_state_impl.hpp
@@ -8,8 +8,8 @@
 #include <set>          // set
 #include <shared_mutex> // shared_mutex
 
-#include "acaciapulley/control/fleet_store.hpp"     // FleetStore
 #include "acaciapulley/control/control_state.hpp"  // ControlState
+#include "acaciapulley/control/fleet_store.hpp"    // FleetStore
 #include "acaciapulley/control/request_ledger.hpp" // RequestLedger
 #include "gen/command_types.h"
 
--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -5,10 +5,10 @@
 
 #include <functional> // function
 #include <memory>     // unique_ptr
-#include <string> // string
-#include <vector> // vector
+#include <string>     // string
+#include <vector>     // vector
 
-#include "acaciapulley/core/clock.hpp"        // Clock, Duration
+#include "acaciapulley/core/clock.hpp"            // Clock, Duration
 #include "acaciapulley/node/local_upstream.hpp"   // Announcement, LocalUpstream
 #include "acaciapulley/transport/address.hpp"     // Address
 #include "acaciapulley/transport/http_server.hpp" // ServerExchange
@@ -29,8 +29,8 @@
   int maxConnections = 1024;    ///< for each listener
   int retryBudget = 2;          ///< retries of one request over its whole call chain, 0 to 8
   const Clock* clock = nullptr;
-  /// See RequestPipelineOptions. Callers and the local upstream then share the ingress, and there is
-  /// no egress listener.
+  /// See RequestPipelineOptions. Callers and the local upstream then share the ingress, and there
+  /// is no egress listener.
   bool routesByFleet = false;
   std::string callerService;
   std::string requestIdField; ///< header field with the caller's id of a request, for the logs
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -44,7 +44,7 @@
   /// Requests are routed by host and path with the fleet document, and the secret comes from
   /// control; `fleetSecret` is then not used.
   bool routesByFleet = false;
-  std::string callerService; ///< service of this host, told to upstreams of fleet routes
+  std::string callerService;  ///< service of this host, told to upstreams of fleet routes
   std::string requestIdField; ///< header field with the caller's id of a request, for the logs
   const Clock* clock = nullptr;
   NodeView* view = nullptr;
--- a/include/acaciapulley/replication/raft_core.hpp
+++ b/include/acaciapulley/replication/raft_core.hpp
@@ -121,8 +121,9 @@
                                          const std::string& newId,
                                          UnixMillis wall);
 
-  /// @brief Starts the replacement of a voter whose host has come back with an empty disk: a learner
-  /// that has caught up and reports the voter's address proves that the old identity is lost.
+  /// @brief Starts the replacement of a voter whose host has come back with an empty disk: a
+  /// learner that has caught up and reports the voter's address proves that the old identity is
+  /// lost.
   /// @return the position as of Replace(), or nothing when there is none to replace
   std::optional<LogPosition> ReplaceReturned(UnixMillis wall);
 
--- a/include/acaciapulley/transport/http_client.hpp
+++ b/include/acaciapulley/transport/http_client.hpp
@@ -74,8 +74,8 @@
   Duration bodySilence{}; ///< longest wait for the next bytes of the body; 0 takes the timeout
   /// Asked every 10 ms while waiting for the answer; true ends the call with Cancelled.
   std::function<bool()> isCancelled;
-  /// Socket of the caller for whom the call is made: its close ends the call at once, and isCancelled
-  /// is then asked only while the call waits for a connection. -1: there is none.
+  /// Socket of the caller for whom the call is made: its close ends the call at once, and
+  /// isCancelled is then asked only while the call waits for a connection. -1: there is none.
   int callerDescriptor = -1;
 };
 
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -54,7 +54,6 @@
   /// @brief Returns the socket to the caller, whose close can be waited for; -1 when there is none.
   [[nodiscard]] virtual int CallerDescriptor() const { return -1; }
 
-
   /// @brief Returns whether this is the first request on its connection.
   [[nodiscard]] virtual bool IsFirstOnConnection() const { return false; }
 };
--- a/include/acaciapulley/transport/process.hpp
+++ b/include/acaciapulley/transport/process.hpp
@@ -8,8 +8,8 @@
 
 namespace acp {
 
-/// @brief Blocks SIGTERM, SIGINT and SIGHUP in this thread and all later ones, and ignores SIGPIPE. Call it
-/// before any thread is started.
+/// @brief Blocks SIGTERM, SIGINT and SIGHUP in this thread and all later ones, and ignores SIGPIPE.
+/// Call it before any thread is started.
 void BlockStopSignals();
 
 /// @brief Waits until SIGTERM or SIGINT arrives.
--- a/src/config/fleet_document.cpp
+++ b/src/config/fleet_document.cpp
@@ -90,8 +90,7 @@
   requestClass.openToAll = reader.Boolean("open");
   requestClass.priority = static_cast<int>(reader.Integer("priority", 0, kLowestPriority));
   const auto timeoutMs = reader.Integer("timeout_ms", 1, kMaxTimeMs);
-  const auto targetMs =
-    reader.Integer("target_ms", 0, timeoutMs + kMaxTargetAboveTimeoutMs - 1);
+  const auto targetMs = reader.Integer("target_ms", 0, timeoutMs + kMaxTargetAboveTimeoutMs - 1);
   requestClass.deadline = std::chrono::milliseconds(timeoutMs);
   requestClass.target = std::chrono::milliseconds(targetMs);
   requestClass.maxAttempts = static_cast<int>(reader.Integer("max_attempts", 1, kMaxAttempts));
@@ -173,8 +172,7 @@
         Throw(entry.PlaceOf("name"), "stands twice");
       }
       for (const auto& hash : account.keyHashes) {
-        const auto [found, isNew] =
-          fleet.accountByKeyHash_.emplace(hash, fleet.accounts_.size());
+        const auto [found, isNew] = fleet.accountByKeyHash_.emplace(hash, fleet.accounts_.size());
         if (!isNew) {
           Throw(entry.PlaceOf("key_hashes"), "a key stands twice");
         }
--- a/src/control/control_snapshot.cpp
+++ b/src/control/control_snapshot.cpp
@@ -166,10 +166,9 @@
     record[{ row.hourMs, row.source }] = row.rows;
   }
   const wire::FleetSnapshot& stored = snapshot.fleet;
-  fleet.Restore(
-    { .version = stored.version, .document = stored.document, .source = stored.source },
-    { stored.acceptedDigests.begin(), stored.acceptedDigests.end() },
-    stored.secret);
+  fleet.Restore({ .version = stored.version, .document = stored.document, .source = stored.source },
+                { stored.acceptedDigests.begin(), stored.acceptedDigests.end() },
+                stored.secret);
 }
 
 } // namespace acp
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -94,8 +94,7 @@
     ThrowFailure("sync", static_cast<int>(ControlErrorCode::InvalidRequest), "invalid node");
   }
   const TimePoint start = context_.clock.Now();
-  const Duration hold =
-    std::min<Duration>(std::chrono::milliseconds(request.holdMs), kLongestHold);
+  const Duration hold = std::min<Duration>(std::chrono::milliseconds(request.holdMs), kLongestHold);
   while (true) {
     const std::uint64_t seen = context_.changes == nullptr ? 0 : context_.changes->Count();
     const Duration held = context_.clock.Now() - start;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -56,9 +56,11 @@
       return { .result = last, .unusedRetries = retriesLeft };
     }
     tried.push_back(choice->nodeId);
-    // Upstreams of fleet routes get no context, so that their nested calls have budgets of their own.
-    const CallBudget split =
-      call.request.isFleetRoute ? CallBudget{ .own = retriesLeft, .callee = 0 } : SplitDraw(retriesLeft);
+    // Upstreams of fleet routes get no context, so that their nested calls have budgets of their
+    // own.
+    const CallBudget split = call.request.isFleetRoute
+                               ? CallBudget{ .own = retriesLeft, .callee = 0 }
+                               : SplitDraw(retriesLeft);
     const AttemptEnd end = Attempt(call, context, *choice, split.callee);
     retriesLeft = split.own + end.unusedRetries;
     if (end.result) {
--- a/src/node/headers.cpp
+++ b/src/node/headers.cpp
@@ -16,9 +16,9 @@
 
 // Fields between caller and node, or between nodes.
 constexpr std::array<std::string_view, 14> kNodeFields = {
-  kKeyHeader,    kDeadlineHeader,  kContextHeader, kOutcomeHeader,
-  kReasonHeader, kThresholdHeader, kLoadHeader,    kRetriesLeftHeader,
-  kRetryAfterHeader, kPatienceHeader, kServiceHeader, kClassHeader, kAccountHeader, kCallerServiceHeader,
+  kKeyHeader,       kDeadlineHeader, kContextHeader,     kOutcomeHeader,       kReasonHeader,
+  kThresholdHeader, kLoadHeader,     kRetriesLeftHeader, kRetryAfterHeader,    kPatienceHeader,
+  kServiceHeader,   kClassHeader,    kAccountHeader,     kCallerServiceHeader,
 };
 
 template<std::size_t Size>
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -215,13 +215,11 @@
 
   HttpServerOptions Ingress(const NodeProcessOptions& options)
   {
-    HttpServerOptions ingress = Listener(
-      "ingress", options.ingress, options.maxConnections, &RequestPipeline::HandleIngress);
+    HttpServerOptions ingress =
+      Listener("ingress", options.ingress, options.maxConnections, &RequestPipeline::HandleIngress);
     if (options.aroundIngress) {
-      ingress.handler = [around = options.aroundIngress,
-                         serve = std::function(ingress.handler)](ServerExchange& exchange) {
-        around(exchange, serve);
-      };
+      ingress.handler = [around = options.aroundIngress, serve = std::function(ingress.handler)](
+                          ServerExchange& exchange) { around(exchange, serve); };
     }
     return ingress;
   }
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -1,14 +1,14 @@
 #include "acaciapulley/node/request_pipeline.hpp"
 
 #include <algorithm> // min
-#include <charconv>  // from_chars
 #include <utility>   // move
 
-#include "acaciapulley/core/random.hpp"              // RandomHex
-#include "acaciapulley/node/detail/dispatcher.hpp"   // Dispatcher
+#include "acaciapulley/core/random.hpp"                // RandomHex
+#include "acaciapulley/node/detail/dispatcher.hpp"     // Dispatcher
 #include "acaciapulley/node/detail/fleet_resolver.hpp" // FleetResolver
-#include "acaciapulley/node/detail/headers.hpp"      // kContextHeader, kDeadlineHeader
-#include "acaciapulley/node/detail/token_client.hpp" // TokenClient
+#include "acaciapulley/node/detail/headers.hpp"        // kContextHeader, kDeadlineHeader
+#include "acaciapulley/node/detail/request_times.hpp"  // MillisIn, PatienceOf, TimeAllowed
+#include "acaciapulley/node/detail/token_client.hpp"   // TokenClient
 
 namespace acp {
 
@@ -25,45 +25,6 @@
 constexpr std::string_view kAnnounceTarget = "/.acp/upstream";
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
 constexpr Duration kLongestPeerCall = std::chrono::hours(1);
-// Parts of the remaining time, or of the aimed latency, that a request may wait for an upstream.
-constexpr int kNestedPatienceParts = 2;
-constexpr int kRootPatienceParts = 5;
-
-/// @brief Returns the milliseconds in a field of another node, 0 when there are none.
-std::chrono::milliseconds MillisIn(const HttpRequestHead& head, const char* field)
-{
-  const std::string text = head.headers.Find(field).value_or("");
-  std::int64_t millis = 0;
-  std::from_chars(text.data(), text.data() + text.size(), millis);
-  return std::chrono::milliseconds(std::max<std::int64_t>(millis, 0));
-}
-
-/// @brief Returns how long a request may wait for an upstream. A refused nested call wastes all the
-/// work of its request, so that it waits longer than a request on which no work has been done.
-Duration PatienceOf(const RequestClass& requestClass, Duration remaining, bool isNested)
-{
-  const Duration aim = requestClass.target > Duration::zero() ? requestClass.target : remaining;
-  return isNested ? remaining / kNestedPatienceParts : std::min(aim, remaining) / kRootPatienceParts;
-}
-
-/// @brief Returns the time the caller gives, at most the deadline of the class.
-OrRefusal<std::chrono::milliseconds> TimeAllowed(const HttpRequestHead& head,
-                                                 const RequestClass& requestClass)
-{
-  const auto classDeadline =
-    std::chrono::duration_cast<std::chrono::milliseconds>(requestClass.deadline);
-  const auto text = head.headers.Find(detail::kDeadlineHeader);
-  if (!text) {
-    return classDeadline;
-  }
-  std::int64_t millis = 0;
-  const char* end = text->data() + text->size();
-  const auto [rest, error] = std::from_chars(text->data(), end, millis);
-  if (error != std::errc() || rest != end || millis <= 0) {
-    return NotRun(400, Reason::BadRequest, "Acp-Deadline-Ms must be a whole number above 0");
-  }
-  return std::min(classDeadline, std::chrono::milliseconds(millis));
-}
 
 } // namespace
 
@@ -162,7 +123,7 @@
                                                             const ResolvedRequest& request,
                                                             const std::string& account) const
 {
-  const auto allowed = TimeAllowed(head, *request.requestClass);
+  const auto allowed = detail::TimeAllowed(head, *request.requestClass);
   if (!allowed) {
     return boost::outcome_v2::failure(allowed.error());
   }
@@ -255,11 +216,14 @@
   }
   root.context = std::move(context).value();
   root.context.priority = caller.value().priority;
-  const Duration remaining = std::chrono::milliseconds(
-    CountMillis(root.context.deadline) - CountMillis(options_.clock->WallNow()));
-  root.patience = PatienceOf(requestClass, remaining, caller.value().account.empty());
+  // A nested call belongs to a request on which work has been done, so that only its gate refuses
+  // it.
+  const bool isNested = caller.value().account.empty();
+  const Duration remaining = std::chrono::milliseconds(CountMillis(root.context.deadline) -
+                                                       CountMillis(options_.clock->WallNow()));
+  root.patience = detail::PatienceOf(requestClass, remaining, isNested);
   root.context.retriesLeft = std::min(options_.retryBudget, requestClass.maxAttempts - 1);
-  if (!thresholds_.AdmitsRequest(detail::ClassName(root.request), root.context)) {
+  if (!isNested && !thresholds_.AdmitsRequest(detail::ClassName(root.request), root.context)) {
     return NotRun(503,
                   Reason::Overloaded,
                   "a service that the request needs is overloaded",
@@ -301,8 +265,7 @@
   const TimePoint start = options_.clock->Now();
   EndedRequest ended;
   OrRefusal<void> result = boost::outcome_v2::success();
-  auto root =
-    options_.routesByFleet ? AdmitFleetRoot(exchange, ended) : AdmitRoot(exchange, ended);
+  auto root = options_.routesByFleet ? AdmitFleetRoot(exchange, ended) : AdmitRoot(exchange, ended);
   if (root) {
     result = RunRoot(exchange, root.value());
   } else {
@@ -341,7 +304,7 @@
   if (!context) {
     return NotRun(503, Reason::InvalidContext, context.error().Describe());
   }
-  const auto left = TimeAllowed(exchange.Request(), { .deadline = kLongestPeerCall });
+  const auto left = detail::TimeAllowed(exchange.Request(), { .deadline = kLongestPeerCall });
   if (!left) {
     return boost::outcome_v2::failure(left.error());
   }
@@ -376,10 +339,9 @@
                     .body = body,
                     .audience = Audience::Peer,
                     .ownClass = detail::ClassName(resolved.value()),
-                    .patience = MillisIn(exchange.Request(), detail::kPatienceHeader),
-                    .callerService = exchange.Request()
-                                       .headers.Find(detail::kCallerServiceHeader)
-                                       .value_or("") };
+                    .patience = detail::MillisIn(exchange.Request(), detail::kPatienceHeader),
+                    .callerService =
+                      exchange.Request().headers.Find(detail::kCallerServiceHeader).value_or("") };
   AttemptEnd end = executor_.Run(call, context.value());
   if (!end.result) {
     // Refusals carry the same figures as answers, so that callers learn most when it matters most.
@@ -477,9 +439,8 @@
     return;
   }
   options_.upstream->Announce(announcement);
-  gate_.Announce(announcement.slots,
-                 std::chrono::milliseconds(announcement.coldStartMs),
-                 announcement.draining);
+  gate_.Announce(
+    announcement.slots, std::chrono::milliseconds(announcement.coldStartMs), announcement.draining);
   options_.onAnnounced();
 }
 
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -178,8 +178,7 @@
   }
   changes.fleetSecret = reply.fleetSecret;
   // A held answer was confirmed after the hold, and the hold began after the node had asked.
-  options_.view->Apply(changes,
-                       askedAt + std::chrono::milliseconds(reply.heldMs - reply.ageMs));
+  options_.view->Apply(changes, askedAt + std::chrono::milliseconds(reply.heldMs - reply.ageMs));
   LearnControl(reply.controlAddresses);
   if (reply.membersIncluded) {
     membersVersion_ = reply.membersVersion;
--- a/src/replication/raft_leader.cpp
+++ b/src/replication/raft_leader.cpp
@@ -316,7 +316,8 @@
     return;
   }
   if (!message.accepted) {
-    // Several messages may have been under way; the answer to a later one must not undo a step back.
+    // Several messages may have been under way; the answer to a later one must not undo a step
+    // back.
     const std::uint64_t next =
       std::clamp(message.matchIndex, progress->matchIndex + 1, log_.Last().index + 1);
     progress->nextIndex = std::min(progress->nextIndex, next);
--- a/src/transport/control_channel.cpp
+++ b/src/transport/control_channel.cpp
@@ -182,8 +182,7 @@
   try {
     ConnectionPtr connection = TakeIdle(replica);
     if (!connection) {
-      connection =
-        std::make_unique<Connection>(replica, address, options_.timeout);
+      connection = std::make_unique<Connection>(replica, address, options_.timeout);
     }
     isConnected = true;
     try {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -208,7 +208,10 @@
     for (int i = 0; i < kMaxInterimAnswers; ++i) {
       std::string text;
       const IoStatus status =
-        connection->io.ReadHead(detail::kMaxHeadBytes, deadline, { options_.isCancelled, options_.callerDescriptor }, &text);
+        connection->io.ReadHead(detail::kMaxHeadBytes,
+                                deadline,
+                                { options_.isCancelled, options_.callerDescriptor },
+                                &text);
       if (status != IoStatus::Ok) {
         return Lose(std::move(connection), sentWhole ? status : IoStatus::Failed, "no answer");
       }
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -64,9 +64,7 @@
   SetOption(fd_, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
-IoStatus HttpConnection::WaitFor(short events,
-                                 TimePoint deadline,
-                                 const CancelWatch& cancel) const
+IoStatus HttpConnection::WaitFor(short events, TimePoint deadline, const CancelWatch& cancel) const
 {
   const bool asks = cancel.isCancelled && cancel.descriptor < 0;
   while (true) {
--- a/src/transport/process.cpp
+++ b/src/transport/process.cpp
@@ -1,10 +1,10 @@
 #include "acaciapulley/transport/process.hpp"
 
-#include <csignal>   // sigset_t, sigwait
-#include <fstream>   // ifstream
-#include <sstream>   // ostringstream
-#include <stdexcept> // runtime_error
 #include "acaciapulley/core/log.hpp" // Log
+#include <csignal>                   // sigset_t, sigwait
+#include <fstream>                   // ifstream
+#include <sstream>                   // ostringstream
+#include <stdexcept>                 // runtime_error
 
 namespace acp {
 
--- a/tests/control_test/fleet_store_test.cpp
+++ b/tests/control_test/fleet_store_test.cpp
@@ -22,10 +22,8 @@
   acp::FleetStore store;
   BOOST_TEST(store.Put(Change(3, 0, "first")).value().version == 3);
   BOOST_TEST(store.Put(Change(7, 3, "a")).has_value());
-  BOOST_TEST((store.Put(Change(7, 3, "b")).error().code ==
-              acp::ControlErrorCode::VersionConflict));
-  BOOST_TEST((store.Put(Change(7, 7, "c")).error().code ==
-              acp::ControlErrorCode::InvalidDocument));
+  BOOST_TEST((store.Put(Change(7, 3, "b")).error().code == acp::ControlErrorCode::VersionConflict));
+  BOOST_TEST((store.Put(Change(7, 7, "c")).error().code == acp::ControlErrorCode::InvalidDocument));
   BOOST_TEST(store.Current().source == "a");
 }
 
--- a/tests/platform_test/upstream_registry_test.cpp
+++ b/tests/platform_test/upstream_registry_test.cpp
@@ -43,7 +43,7 @@
   BOOST_TEST(!Heartbeat::Parse("i", "\xff\xfe{").has_value());
   BOOST_TEST(!Heartbeat::Parse("i", R"({"service":"orders"})").has_value());
   std::string text = Body(1);
-  BOOST_TEST(!Heartbeat::Parse("i", text.replace(text.find("5"), 1, "\"5\"")).has_value());
+  BOOST_TEST(!Heartbeat::Parse("i", text.replace(text.find('5'), 1, "\"5\"")).has_value());
 }
 
 // Guards against a delayed heartbeat that brings an ended upstream back.
