Leave slow and failing members out; repeat server errors; budget retries by service

The only member of a data centre and the own upstream were chosen whatever their latency, and latencies of different classes were averaged together. 500s of idempotent requests went to callers although another upstream could serve them. The budget of retries was one for a node: answers of one service paid for retries to another, and its burst and floor (10, 0.5/s) exceed the users' slack with 16 nodes. Change: slowness is measured by class against the lowest average; members beyond 2.5 times the typical slowness, or 0.25 above the typical part of server errors, are left out until the others are near their limit. A server error to an idempotent request on a fleet route is repeated once at another member when budget and time allow. Retries are budgeted for each service from the fleet's ratio and slack, split over the nodes.

--- a/include/acaciapulley/node/detail/answer_relay.hpp
+++ b/include/acaciapulley/node/detail/answer_relay.hpp
@@ -3,9 +3,11 @@
 /// @file
 /// Passes an upstream's answer on to the caller.
 
-#include <memory> // unique_ptr
-#include <string> // string
+#include <memory>   // unique_ptr
+#include <optional> // optional
+#include <string>   // string
 
+#include "acaciapulley/node/detail/attempt.hpp"      // AttemptEnd, PendingCall
 #include "acaciapulley/node/detail/claim_client.hpp" // ClaimRecord, kMaxOutcomeBodyBytes
 #include "acaciapulley/transport/http_client.hpp"    // ClientExchange
 
@@ -35,6 +37,12 @@
 /// @brief Returns whether the upstream or peer says itself that it did not run the request.
 [[nodiscard]] bool SaysNotRun(const HttpResponseHead& head);
 
+/// @brief Drops a server error if another attempt follows it.
+/// @return the end of the attempt, or nothing when the answer is to be delivered
+[[nodiscard]] std::optional<AttemptEnd> ReplaceServerError(const PendingCall& call,
+                                                           ClientExchange& answer,
+                                                           int unusedRetries);
+
 /// @brief Returns the first 4 KiB of an answer's body, for the message of a refusal.
 [[nodiscard]] std::string ReadMessage(ClientExchange& answer);
 
--- a/include/acaciapulley/node/detail/attempt.hpp
+++ b/include/acaciapulley/node/detail/attempt.hpp
@@ -37,6 +37,9 @@
   /// Spends the rate token right before the request leaves; false when its lease has ended. Empty
   /// when none is needed.
   std::function<bool()> commitToken;
+  /// Asked when the upstream has answered with a server error; true when the answer is to be
+  /// dropped, since another attempt follows. Empty when each answer is delivered.
+  std::function<bool()> mayReplaceAnswer;
 };
 
 /// How an attempt ended.
@@ -48,8 +51,11 @@
   int unusedRetries = 0;
   bool nothingSent = false; ///< no byte of the request has left this node
   CallResult routing = CallResult::Answered;
+  bool isReplaced = false; ///< the upstream's answer was dropped; see PendingCall::mayReplaceAnswer
 };
 
+inline constexpr int kFirstServerError = 500;
+
 /// @brief Returns `service/class`, the name under which thresholds are kept.
 [[nodiscard]] inline std::string ClassName(const ResolvedRequest& request)
 {
--- a/include/acaciapulley/node/detail/dispatcher.hpp
+++ b/include/acaciapulley/node/detail/dispatcher.hpp
@@ -3,10 +3,13 @@
 /// @file
 /// Chooses a member for each attempt of a request, and retries within its budgets.
 
-#include <mutex>  // mutex
-#include <string> // string
+#include <map>      // map
+#include <mutex>    // mutex
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
-#include "acaciapulley/core/clock.hpp"              // Clock
+#include "acaciapulley/core/clock.hpp"              // Clock, TimePoint
 #include "acaciapulley/node/detail/attempt.hpp"     // PendingCall
 #include "acaciapulley/node/detail/executor.hpp"    // Executor
 #include "acaciapulley/node/detail/peer_client.hpp" // PeerClient
@@ -25,6 +28,7 @@
   PeerClient* peers = nullptr;
   Balancer* balancer = nullptr;
   MemberTable* members = nullptr;
+  SharedRetryBudget sharedRetries; ///< of each service that fleet routes lead to
 };
 
 /// What remains of a request after its attempts.
@@ -44,6 +48,8 @@
   DispatchEnd Run(PendingCall& call, const RequestContext& context);
 
 private:
+  [[nodiscard]] std::optional<Choice> Choose(const PendingCall& call,
+                                             const std::vector<std::string>& tried);
   AttemptEnd Attempt(PendingCall& call,
                      RequestContext context,
                      const Choice& choice,
@@ -54,9 +60,19 @@
                                      int attempt,
                                      int retriesLeft);
 
+  void NoteAnswer(const PendingCall& call, const AttemptEnd& end);
+  [[nodiscard]] bool HasOther(const PendingCall& call, const std::vector<std::string>& tried) const;
+  /// Takes the retry when it may be made.
+  [[nodiscard]] bool MayReplaceAnswer(const PendingCall& call,
+                                      const RequestContext& context,
+                                      const std::vector<std::string>& tried,
+                                      TimePoint attemptStart);
+  /// Called with ratioMutex_ held.
+  [[nodiscard]] RatioBudget& BudgetOf(const PendingCall& call);
+
   DispatcherOptions options_;
   std::mutex ratioMutex_;
-  RatioBudget ratio_;
+  std::map<std::string, RatioBudget> ratios_; ///< by service
 };
 
 } // namespace acp::detail
--- a/include/acaciapulley/retries/retry_policy.hpp
+++ b/include/acaciapulley/retries/retry_policy.hpp
@@ -4,6 +4,7 @@
 /// Whether and when a failed call is made again.
 
 #include <array>    // array
+#include <cstddef>  // size_t
 #include <optional> // optional
 
 #include "acaciapulley/core/clock.hpp"   // Duration, TimePoint
@@ -21,6 +22,19 @@
   bool enabled = true;         ///< false: always grants (for comparison)
 };
 
+/// Retries that all nodes of a fleet together may make to one service.
+struct SharedRetryBudget
+{
+  double ratio = 0.2;                          ///< of the requests for the service in a window
+  double slack = 16;                           ///< beside that part, in a window
+  Duration window = std::chrono::seconds(10); ///< any span of this length counts
+};
+
+/// @brief Returns the budget of one of @p nodes that keeps them all within @p shared.
+///
+/// Three quarters of the ratio stay free for the calls that repeated requests make again.
+[[nodiscard]] RatioBudgetOptions ShareOf(const SharedRetryBudget& shared, std::size_t nodes);
+
 /// Bounds the retries of one node to a share of its successful calls, so that retries cannot keep
 /// an overload alive: when calls fail, no budget comes in.
 ///
@@ -40,6 +54,9 @@
   /// @return false when none is left
   [[nodiscard]] bool TryTake(TimePoint now);
 
+  /// @brief Puts other settings in force; what is above the new burst is lost.
+  void Configure(const RatioBudgetOptions& options);
+
 private:
   void EarnFloor(TimePoint now);
 
--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -47,8 +47,10 @@
 /// this order:
 ///
 /// 1. an ejected member whose ejection has ended gets one trial request;
-/// 2. this node's own upstream, unless it is near its limit and a peer is better off;
-/// 3. two members drawn by capacity, of which the less utilised one is taken; from this data centre
+/// 2. members that are much slower than the service's typical one, or fail much more often, are
+///    left out until the others are near their limit;
+/// 3. this node's own upstream, unless it is near its limit and a peer is better off;
+/// 4. two members drawn by capacity, of which the less utilised one is taken; from this data centre
 ///    as long as its members are not near their limit, else from all.
 ///
 /// Calls may come from any thread.
@@ -71,6 +73,7 @@
   [[nodiscard]] MemberState* Choose(ServiceMembers& members,
                                     const PickRequest& request,
                                     TimePoint now);
+  [[nodiscard]] MemberState* ChooseAmong(const std::vector<MemberState*>& members, TimePoint now);
   [[nodiscard]] MemberState* BetterOfTwo(const std::vector<MemberState*>& members, TimePoint now);
   [[nodiscard]] MemberState* Draw(const std::vector<MemberState*>& members,
                                   const MemberState* except,
--- a/include/acaciapulley/routing/member_table.hpp
+++ b/include/acaciapulley/routing/member_table.hpp
@@ -3,6 +3,8 @@
 /// @file
 /// What a node knows of the members of each service: control's list, and what requests show.
 
+#include <atomic>     // atomic
+#include <cstddef>    // size_t
 #include <cstdint>    // int64_t
 #include <functional> // function
 #include <map>        // map
@@ -11,6 +13,7 @@
 #include <string>     // string
 #include <vector>     // vector
 
+#include "acaciapulley/core/change_signal.hpp"       // ChangeSignal
 #include "acaciapulley/core/clock.hpp"               // Duration, TimePoint
 #include "acaciapulley/routing/outlier_detector.hpp" // OutlierDetector
 #include "acaciapulley/routing/slow_start.hpp"       // SlowStart
@@ -45,11 +48,34 @@
 /// How a call to a member ended, as far as routing is concerned.
 enum class CallResult
 {
-  Answered,  ///< the upstream answered
-  Refused,   ///< not-run: overloaded, queue timeout and the like
-  Draining,  ///< not-run because the member is draining
-  Failed,    ///< no connection, connection lost, or no response in time
-  Cancelled, ///< ended by the caller; says nothing about the member
+  Answered,    ///< the upstream answered
+  ServerError, ///< the upstream answered that it failed
+  Refused,     ///< not-run: overloaded, queue timeout and the like
+  Draining,    ///< not-run because the member is draining
+  Failed,      ///< no connection, connection lost, or no response in time
+  Cancelled,   ///< ended by the caller; says only how long the member took at least
+};
+
+/// What a call that has ended says about its member.
+struct CallEnd
+{
+  CallResult result = CallResult::Answered;
+  Duration latency{};
+  std::string requestClass; ///< latencies are compared within a class
+};
+
+/// Latency of one class of requests at one member.
+struct ClassLatency
+{
+  double seconds = 0; ///< moving average
+  int count = 0;      ///< answers in it
+};
+
+/// The lowest average latency of a class at any member; rises slowly, so that an old one is forgotten.
+struct BaseLatency
+{
+  double seconds = 0;
+  TimePoint at;
 };
 
 /// A member and its statistics at this node.
@@ -61,7 +87,12 @@
   bool isDraining = false; ///< by control's list or by the member's own refusal
   TimePoint drainingUntil; ///< until then its refusal counts, even if the list does not say so yet
   int inFlight = 0;        ///< calls of this node
-  double latencySeconds = 0; ///< moving average of answered calls; 0 before the first
+  /// Moving averages of answered calls by class.
+  std::map<std::string, ClassLatency> latencies;
+  double slowness = 1; ///< moving average of latencies by the base of their class, at lastLatency
+  TimePoint lastLatency;
+  double failedPart = 0;     ///< moving average of server errors at lastAnswer
+  TimePoint lastAnswer;
   double refusedPart = 0;    ///< moving average of refusals at lastRefusal
   TimePoint lastRefusal;
   LoadSample load;
@@ -75,6 +106,12 @@
   /// @brief Returns the requests in flight at the member by its capacity.
   /// @param more requests added to those in flight
   [[nodiscard]] double UtilisationAt(TimePoint now, int more = 0) const;
+
+  /// @brief Returns the member's latency by the lowest of its service; nears 1 while no call ends.
+  [[nodiscard]] double SlownessAt(TimePoint now) const;
+
+  /// @brief Returns the part of calls that end in server errors; nears 0 while no call ends.
+  [[nodiscard]] double FailedPartAt(TimePoint now) const;
 };
 
 /// The members of one service. Not thread-safe; MemberTable guards it.
@@ -91,11 +128,7 @@
   static void Begin(MemberState& member, TimePoint now);
 
   /// @brief Notes the end of a call; ignored when the member has a new epoch since.
-  void Finish(const std::string& nodeId,
-              std::int64_t epoch,
-              CallResult result,
-              Duration latency,
-              TimePoint now);
+  void Finish(const std::string& nodeId, std::int64_t epoch, const CallEnd& end, TimePoint now);
 
   /// @brief Takes over what a response or the local gate says of a member's load.
   void NoteLoad(const std::string& nodeId, const LoadSample& load, TimePoint now);
@@ -109,8 +142,11 @@
 private:
   void KeepHalf();
   void TryEject(MemberState& member, TimePoint now);
+  void NoteLatency(MemberState& member, const CallEnd& end, TimePoint now);
+  void LowerBase(MemberState& member, const CallEnd& end, TimePoint now);
 
   std::vector<MemberState> members_;
+  std::map<std::string, BaseLatency> bases_; ///< by class
   bool hasList_ = false;
 };
 
@@ -119,7 +155,8 @@
 /// @par Example
 /// @code
 /// table.Apply(version, members, clock.Now());
-/// table.Finish("orders", nodeId, epoch, acp::CallResult::Answered, latency, clock.Now());
+/// table.Finish("orders", nodeId, epoch, { .latency = latency, .requestClass = "write" },
+///              clock.Now());
 /// @endcode
 class MemberTable
 {
@@ -135,8 +172,7 @@
   void Finish(const std::string& service,
               const std::string& nodeId,
               std::int64_t epoch,
-              CallResult result,
-              Duration latency,
+              const CallEnd& end,
               TimePoint now);
 
   /// @brief Takes over `Acp-Load` of a response, or the state of this node's own gate.
@@ -145,6 +181,12 @@
                 const LoadSample& load,
                 TimePoint now);
 
+  /// @brief Returns the number of members of all services in control's list.
+  [[nodiscard]] std::size_t Size() const { return size_.load(); }
+
+  /// @brief Returns the signal that counts control's lists.
+  [[nodiscard]] ChangeSignal& Changes() { return changes_; }
+
   /// @brief Runs @p use on the members of @p service under their lock; not when it is unknown.
   void With(const std::string& service, const std::function<void(ServiceMembers&)>& use);
 
@@ -162,6 +204,8 @@
   std::mutex applyMutex_; ///< one list at a time
   std::int64_t term_ = 0;
   std::int64_t version_ = 0;
+  std::atomic<std::size_t> size_{ 0 };
+  ChangeSignal changes_;
 };
 
 } // namespace acp
--- a/src/node/answer_relay.cpp
+++ b/src/node/answer_relay.cpp
@@ -81,6 +81,26 @@
          head.headers.Find(kOutcomeHeader).value_or("") == NameOf(RequestOutcome::NotRun);
 }
 
+std::optional<AttemptEnd> ReplaceServerError(const PendingCall& call,
+                                             ClientExchange& answer,
+                                             int unusedRetries)
+{
+  const int status = answer.Response().status;
+  if (status < kFirstServerError || !call.mayReplaceAnswer || !call.mayReplaceAnswer()) {
+    return std::nullopt;
+  }
+  // Read to its end, so that the connection can be used again.
+  auto end = FailedAttempt({ .status = 502,
+                             .outcome = RequestOutcome::Unknown,
+                             .reason = Reason::RetriesExhausted,
+                             .message = ReadMessage(answer) },
+                           false,
+                           unusedRetries);
+  end.routing = CallResult::ServerError;
+  end.isReplaced = true;
+  return end;
+}
+
 std::string ReadMessage(ClientExchange& answer)
 {
   try {
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -1,9 +1,10 @@
 #include "acaciapulley/node/detail/dispatcher.hpp"
 
-#include <random>  // mt19937, uniform_real_distribution
-#include <thread>  // sleep_for
-#include <utility> // move
-#include <vector>  // vector
+#include <algorithm> // find, min
+#include <random>    // mt19937, uniform_real_distribution
+#include <thread>    // sleep_for
+#include <utility>   // move
+#include <vector>    // vector
 
 #include "acaciapulley/core/random.hpp" // RandomHex
 
@@ -12,7 +13,10 @@
 namespace {
 
 constexpr std::size_t kHopIdBytes = 8;
-constexpr int kFirstServerError = 500;
+// Longest time between two checks whether the caller has gone.
+constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(100);
+// Retries of documents' services share one budget.
+constexpr const char* kAllServices = "";
 
 double RandomCoin()
 {
@@ -29,10 +33,69 @@
 
 Dispatcher::Dispatcher(const DispatcherOptions& options)
   : options_(options)
-  , ratio_({}, options.clock->Now())
 {
 }
 
+RatioBudget& Dispatcher::BudgetOf(const PendingCall& call)
+{
+  if (!call.request.isFleetRoute) {
+    return ratios_.try_emplace(kAllServices, RatioBudgetOptions{}, options_.clock->Now())
+      .first->second;
+  }
+  const auto share = ShareOf(options_.sharedRetries, options_.members->Size());
+  auto& budget =
+    ratios_.try_emplace(call.request.service, share, options_.clock->Now()).first->second;
+  budget.Configure(share);
+  return budget;
+}
+
+std::optional<Choice> Dispatcher::Choose(const PendingCall& call,
+                                         const std::vector<std::string>& tried)
+{
+  const PickRequest request{ .service = call.request.service,
+                             .tried = tried,
+                             .isIdempotent = call.request.requestClass->idempotent };
+  const TimePoint giveUpAt = options_.clock->Now() + call.patience;
+  while (true) {
+    const auto seen = options_.members->Changes().Count();
+    const TimePoint now = options_.clock->Now();
+    const auto choice = options_.balancer->Pick(request, now);
+    // While the service has no member at all, as after a restart, the next list may bring one.
+    if (choice || !tried.empty() || now >= giveUpAt || call.exchange.IsCallerGone()) {
+      return choice;
+    }
+    options_.members->Changes().WaitBeyond(seen, std::min(giveUpAt - now, kCallerCheckInterval));
+  }
+}
+
+bool Dispatcher::HasOther(const PendingCall& call, const std::vector<std::string>& tried) const
+{
+  bool hasOther = false;
+  options_.members->With(call.request.service, [&](ServiceMembers& members) {
+    for (const MemberState& member : members.Members()) {
+      const bool isTried =
+        std::find(tried.begin(), tried.end(), member.info.nodeId) != tried.end();
+      hasOther = hasOther || (!isTried && !member.isDraining);
+    }
+  });
+  return hasOther;
+}
+
+bool Dispatcher::MayReplaceAnswer(const PendingCall& call,
+                                  const RequestContext& context,
+                                  const std::vector<std::string>& tried,
+                                  TimePoint attemptStart)
+{
+  const bool canReplay = call.body.CanReplay() || !call.body.IsConsumed();
+  const Duration taken = options_.clock->Now() - attemptStart;
+  const bool hasTime = RemainingTime(*options_.clock, context) > 2 * taken;
+  if (!canReplay || !hasTime || call.exchange.IsCallerGone() || !HasOther(call, tried)) {
+    return false;
+  }
+  const std::lock_guard lock(ratioMutex_);
+  return BudgetOf(call).TryTake(options_.clock->Now());
+}
+
 DispatchEnd Dispatcher::Run(PendingCall& call, const RequestContext& context)
 {
   int retriesLeft = context.retriesLeft;
@@ -47,11 +110,7 @@
     }
   };
   for (int attempt = 0;; ++attempt) {
-    const auto choice =
-      options_.balancer->Pick({ .service = call.request.service,
-                                .tried = tried,
-                                .isIdempotent = call.request.requestClass->idempotent },
-                              options_.clock->Now());
+    const auto choice = Choose(call, tried);
     if (!choice) {
       return { .result = last, .unusedRetries = retriesLeft };
     }
@@ -61,14 +120,26 @@
     const CallBudget split = call.request.isFleetRoute
                                ? CallBudget{ .own = retriesLeft, .callee = 0 }
                                : SplitDraw(retriesLeft);
+    const bool mayRepeat =
+      call.request.isFleetRoute && call.request.requestClass->idempotent && retriesLeft > 0;
+    call.mayReplaceAnswer = nullptr;
+    if (mayRepeat) {
+      call.mayReplaceAnswer = [this, &call, &context, &tried, start = options_.clock->Now()] {
+        return MayReplaceAnswer(call, context, tried, start);
+      };
+    }
     const AttemptEnd end = Attempt(call, context, *choice, split.callee);
     retriesLeft = split.own + end.unusedRetries;
     if (end.result) {
-      const std::lock_guard lock(ratioMutex_);
-      ratio_.OnSuccess();
+      NoteAnswer(call, end);
       return { .unusedRetries = retriesLeft };
     }
     keep(end.result);
+    if (end.isReplaced) {
+      --retriesLeft;
+      call.body.Rewind();
+      continue;
+    }
     const auto decision = Decide(call, context, end, attempt, retriesLeft);
     if (decision.verdict != RetryVerdict::Retry) {
       return { .result = last, .unusedRetries = retriesLeft };
@@ -79,6 +150,15 @@
   }
 }
 
+void Dispatcher::NoteAnswer(const PendingCall& call, const AttemptEnd& end)
+{
+  if (call.request.isFleetRoute && end.routing == CallResult::ServerError) {
+    return;
+  }
+  const std::lock_guard lock(ratioMutex_);
+  BudgetOf(call).OnSuccess();
+}
+
 AttemptEnd Dispatcher::Attempt(PendingCall& call,
                                RequestContext context,
                                const Choice& choice,
@@ -92,8 +172,13 @@
   AttemptEnd end = choice.isOwn ? options_.executor->Run(call, context)
                                 : options_.peers->Run(call, context, choice);
   const TimePoint now = options_.clock->Now();
-  options_.members->Finish(
-    call.request.service, choice.nodeId, choice.epoch, end.routing, now - start, now);
+  options_.members->Finish(call.request.service,
+                           choice.nodeId,
+                           choice.epoch,
+                           { .result = end.routing,
+                             .latency = now - start,
+                             .requestClass = call.request.requestClass->name },
+                           now);
   return end;
 }
 
@@ -117,7 +202,7 @@
                        .retriesLeft = retriesLeft,
                        .remaining = RemainingTime(*options_.clock, context) },
                      {},
-                     ratio_,
+                     BudgetOf(call),
                      options_.clock->Now(),
                      RandomCoin());
 }
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::size_t kAttemptIdBytes = 16;
 constexpr Duration kBodySilence = std::chrono::seconds(10);
-constexpr int kFirstServerError = 500;
 
 std::string Fingerprint(const PendingCall& call)
 {
@@ -228,6 +227,10 @@
     return FailedAttempt(
       { .reason = Reason::Overloaded, .message = ReadMessage(answer) }, false, unused);
   }
+  if (auto replaced = ReplaceServerError(call, answer, unused)) {
+    admitted.permit.Finish(GateResult::Failed);
+    return *std::move(replaced);
+  }
   RecordedBody recorded(answer.Body());
   bool isRecorded = false;
   const auto record = [&] {
@@ -244,7 +247,8 @@
   }
   const bool isServerError = upstreamHead.status >= kFirstServerError;
   admitted.permit.Finish(isServerError ? GateResult::Failed : GateResult::Succeeded);
-  return { .unusedRetries = unused };
+  return { .unusedRetries = unused,
+           .routing = isServerError ? CallResult::ServerError : CallResult::Answered };
 }
 
 void Executor::RespondFromRecord(PendingCall& call, const ClaimRecord& record)
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -159,6 +159,10 @@
     refusal.retryAfter = RetryAfterOf(head);
     return FailedAttempt(refusal, false, unusedRetries);
   }
+  if (auto replaced = ReplaceServerError(call, answer, unusedRetries)) {
+    return *std::move(replaced);
+  }
+  const bool isServerError = head.status >= kFirstServerError;
   HttpResponseHead forCaller{ .status = head.status };
   forCaller.headers = ForwardedResponseHeaders(head.headers);
   forCaller.headers.Set(kOutcomeHeader, std::string(NameOf(RequestOutcome::Ran)));
@@ -166,7 +170,8 @@
     forCaller.headers.Set(kReasonHeader, *reason);
   }
   call.exchange.RespondStreaming(forCaller, answer.BodyLength(), answer.Body(), nullptr);
-  return { .unusedRetries = unusedRetries };
+  return { .unusedRetries = unusedRetries,
+           .routing = isServerError ? CallResult::ServerError : CallResult::Answered };
 }
 
 } // namespace acp::detail
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -115,7 +115,8 @@
                   .executor = &executor_,
                   .peers = &peers_,
                   .balancer = &balancer_,
-                  .members = options_.members })
+                  .members = options_.members,
+                  .sharedRetries = options_.sharedRetries })
 {
 }
 
--- a/src/retries/retry_policy.cpp
+++ b/src/retries/retry_policy.cpp
@@ -9,8 +9,21 @@
 // Ten tenths add up to slightly less than 1.
 constexpr double kWholeRetry = 1.0 - 1e-9;
 
+// Each hop of a call chain may repeat this part; a chain of four hops then stays within the whole.
+constexpr double kOwnPart = 0.25;
+
 } // namespace
 
+RatioBudgetOptions ShareOf(const SharedRetryBudget& shared, std::size_t nodes)
+{
+  const double slack = shared.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+  const double burst = std::max(slack / 2, 1.0);
+  const double seconds = std::chrono::duration<double>(shared.window).count();
+  return { .ratio = kOwnPart * shared.ratio,
+           .burst = burst,
+           .floorPerSecond = std::max(slack - burst, 0.0) / seconds };
+}
+
 RatioBudget::RatioBudget(RatioBudgetOptions options, TimePoint now)
   : options_(options)
   , retries_(options.burst)
@@ -45,6 +58,12 @@
   return true;
 }
 
+void RatioBudget::Configure(const RatioBudgetOptions& options)
+{
+  options_ = options;
+  retries_ = std::min(retries_, options_.burst);
+}
+
 std::optional<Duration> BackoffDelay(const BackoffOptions& options,
                                      int attempt,
                                      Duration remaining,
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/routing/balancer.hpp"
 
-#include <algorithm> // find, max, min
+#include <algorithm> // find, min, nth_element
+#include <cstddef>   // ptrdiff_t
 #include <memory>    // make_shared
 #include <random>    // mt19937_64, random_device, uniform_real_distribution
 #include <utility>   // move
@@ -9,10 +10,13 @@
 
 namespace {
 
-// Latency counts against a member only beyond this multiple of its service's average, so that noise
-// does not move load away from the share by capacity, and at most this much.
-constexpr double kSlowFactor = 2;
-constexpr double kLargestLatencyCost = 4;
+// Latency counts against a member only beyond this multiple of its service's typical one, so that
+// noise does not move load away from the share by capacity.
+constexpr double kSlowFactor = 2.5;
+
+// Server errors count against a member only beyond the service's typical part by this much: all
+// members fail when a service that they call fails.
+constexpr double kFailedExcess = 0.25;
 
 std::function<double()> SeededRandom()
 {
@@ -26,26 +30,32 @@
          request.tried.end();
 }
 
-double AverageLatency(const std::vector<MemberState*>& members)
+/// The value that at least half of the members do not exceed.
+double Typical(std::vector<double> values)
 {
-  double sum = 0;
-  double count = 0;
-  for (const MemberState* member : members) {
-    if (member->latencySeconds > 0) {
-      sum += member->latencySeconds;
-      count += 1;
-    }
-  }
-  return count > 0 ? sum / count : 0;
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
 }
 
-double CostOf(const MemberState& member, double averageLatency, TimePoint now)
+/// Members that are neither much slower than the service's typical one nor fail much more often.
+std::vector<MemberState*> SoundOf(const std::vector<MemberState*>& members, TimePoint now)
 {
-  double cost = member.UtilisationAt(now);
-  if (averageLatency > 0 && member.latencySeconds > kSlowFactor * averageLatency) {
-    cost *= std::min(member.latencySeconds / averageLatency, kLargestLatencyCost);
+  std::vector<double> slowness;
+  std::vector<double> failed;
+  for (const MemberState* member : members) {
+    slowness.push_back(member->SlownessAt(now));
+    failed.push_back(member->FailedPartAt(now));
   }
-  return cost;
+  const double mostSlowness = kSlowFactor * Typical(slowness);
+  const double mostFailed = kFailedExcess + Typical(failed);
+  std::vector<MemberState*> sound;
+  for (MemberState* member : members) {
+    if (member->SlownessAt(now) <= mostSlowness && member->FailedPartAt(now) <= mostFailed) {
+      sound.push_back(member);
+    }
+  }
+  return sound;
 }
 
 bool AreNearLimit(const std::vector<MemberState*>& members, TimePoint now)
@@ -90,9 +100,7 @@
 
 MemberState* Balancer::Choose(ServiceMembers& members, const PickRequest& request, TimePoint now)
 {
-  MemberState* own = nullptr;
   std::vector<MemberState*> usable;
-  std::vector<MemberState*> nearby;
   for (MemberState& member : members.Members()) {
     if (member.isDraining || IsTried(request, member)) {
       continue;
@@ -104,21 +112,31 @@
       continue;
     }
     usable.push_back(&member);
-    if (member.info.dataCentre == options_.ownDataCentre) {
-      nearby.push_back(&member);
-    }
-    if (member.info.nodeId == options_.ownNodeId) {
-      own = &member;
-    }
   }
   if (usable.empty()) {
     return nullptr;
   }
+  const std::vector<MemberState*> sound = SoundOf(usable, now);
+  return ChooseAmong(AreNearLimit(sound, now) ? usable : sound, now);
+}
+
+MemberState* Balancer::ChooseAmong(const std::vector<MemberState*>& members, TimePoint now)
+{
+  MemberState* own = nullptr;
+  std::vector<MemberState*> nearby;
+  for (MemberState* member : members) {
+    if (member->info.dataCentre == options_.ownDataCentre) {
+      nearby.push_back(member);
+    }
+    if (member->info.nodeId == options_.ownNodeId) {
+      own = member;
+    }
+  }
   if (own != nullptr && own->UtilisationAt(now, 1) < kNearLimit) {
     return own;
   }
   const bool useNearby = !nearby.empty() && !AreNearLimit(nearby, now);
-  MemberState* peer = BetterOfTwo(useNearby ? nearby : usable, now);
+  MemberState* peer = BetterOfTwo(useNearby ? nearby : members, now);
   // A peer costs a hop more, so it must be better off than the own upstream.
   if (own != nullptr && own->UtilisationAt(now, 1) <= peer->UtilisationAt(now, 1)) {
     return own;
@@ -133,10 +151,9 @@
     return first;
   }
   MemberState* second = Draw(members, first, now);
-  const double average = AverageLatency(members);
   // The first was drawn by capacity, so it wins a tie; that keeps idle members' shares
   // proportional.
-  return CostOf(*first, average, now) <= CostOf(*second, average, now) ? first : second;
+  return first->UtilisationAt(now) <= second->UtilisationAt(now) ? first : second;
 }
 
 MemberState* Balancer::Draw(const std::vector<MemberState*>& members,
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -14,9 +14,22 @@
 // Refusals are forgotten over about this long, as admission reopens.
 constexpr double kRefusalSeconds = 1;
 
-// Weight of the newest call in moving averages.
+// Latencies and server errors of a member that gets no calls are forgotten over about this long, so
+// that it is tried again.
+constexpr double kForgetSeconds = 3;
+
+// Weight of the newest call in moving averages of a member.
 constexpr double kNewest = 0.1;
 
+// Fewer answers are too few to lower the base of a class.
+constexpr int kFewestAnswers = 5;
+constexpr double kBaseDriftPerSecond = 0.02;
+
+constexpr double kShortestLatency = 1e-6;
+
+// One call counts at most this much, so that a single slow answer does not mark a member.
+constexpr double kLargestRatio = 16;
+
 // Part of the capacity taken away from a member that refuses every call; the rest still probes it.
 constexpr double kRefusalCost = 0.9;
 
@@ -31,8 +44,23 @@
   return member.refusedPart * std::exp(-elapsed / kRefusalSeconds);
 }
 
+double Remaining(TimePoint since, TimePoint now)
+{
+  return std::exp(-std::max(Seconds(now - since), 0.0) / kForgetSeconds);
+}
+
 } // namespace
 
+double MemberState::SlownessAt(TimePoint now) const
+{
+  return 1 + (slowness - 1) * Remaining(lastLatency, now);
+}
+
+double MemberState::FailedPartAt(TimePoint now) const
+{
+  return failedPart * Remaining(lastAnswer, now);
+}
+
 double MemberState::CapacityAt(TimePoint now) const
 {
   const bool isLoadValid = hasLoad && now - loadAt <= kLoadValid && load.limit > 0;
@@ -90,15 +118,16 @@
 
 void ServiceMembers::Finish(const std::string& nodeId,
                             std::int64_t epoch,
-                            CallResult result,
-                            Duration latency,
+                            const CallEnd& end,
                             TimePoint now)
 {
   MemberState* member = Find(nodeId);
   if (member == nullptr || member->info.epoch != epoch) {
     return;
   }
+  const CallResult result = end.result;
   member->inFlight = std::max(member->inFlight - 1, 0);
+  NoteLatency(*member, end, now);
   if (result == CallResult::Cancelled) {
     member->outlier.CancelTrial();
     return;
@@ -116,11 +145,45 @@
   const double refused = result == CallResult::Refused ? 1 : 0;
   member->refusedPart = (1 - kNewest) * RefusedPartAt(*member, now) + kNewest * refused;
   member->lastRefusal = now;
-  if (result == CallResult::Answered) {
-    const double seconds = Seconds(latency);
-    const double old = member->latencySeconds;
-    member->latencySeconds = old > 0 ? (1 - kNewest) * old + kNewest * seconds : seconds;
+  if (result == CallResult::Answered || result == CallResult::ServerError) {
+    const double failed = result == CallResult::ServerError ? 1 : 0;
+    member->failedPart = (1 - kNewest) * member->FailedPartAt(now) + kNewest * failed;
+    member->lastAnswer = now;
+  }
+}
+
+void ServiceMembers::NoteLatency(MemberState& member, const CallEnd& end, TimePoint now)
+{
+  if (end.result == CallResult::Answered) {
+    LowerBase(member, end, now);
+  }
+  const auto base = bases_.find(end.requestClass);
+  if (base == bases_.end()) {
+    return;
+  }
+  const double ratio = std::min(Seconds(end.latency) / base->second.seconds, kLargestRatio);
+  const bool isUnfinished = end.result == CallResult::Cancelled || end.result == CallResult::Failed;
+  // A call that was broken off would have taken longer still.
+  if (end.result == CallResult::Answered || (isUnfinished && ratio > member.SlownessAt(now))) {
+    member.slowness = (1 - kNewest) * member.SlownessAt(now) + kNewest * ratio;
+    member.lastLatency = now;
+  }
+}
+
+void ServiceMembers::LowerBase(MemberState& member, const CallEnd& end, TimePoint now)
+{
+  const double seconds = std::max(Seconds(end.latency), kShortestLatency);
+  ClassLatency& latency = member.latencies[end.requestClass];
+  latency.seconds += (latency.count == 0 ? 1 : kNewest) * (seconds - latency.seconds);
+  latency.count = std::min(latency.count + 1, kFewestAnswers);
+  if (latency.count < kFewestAnswers) {
+    return;
   }
+  const auto [found, isNew] =
+    bases_.try_emplace(end.requestClass, BaseLatency{ .seconds = latency.seconds, .at = now });
+  BaseLatency& base = found->second;
+  const double drifted = base.seconds * (1 + kBaseDriftPerSecond * Seconds(now - base.at));
+  base = { .seconds = std::min(drifted, latency.seconds), .at = now };
 }
 
 void ServiceMembers::NoteLoad(const std::string& nodeId, const LoadSample& load, TimePoint now)
@@ -200,6 +263,7 @@
     }
     term_ = leaderTerm;
     version_ = version;
+    size_ = members.size();
     for (const auto& [service, list] : byService) {
       auto& shard = shards_[service];
       if (!shard) {
@@ -213,17 +277,16 @@
     const std::lock_guard lock(shard->mutex);
     shard->members.Apply(byService[service], now);
   }
+  changes_.Notify();
 }
 
 void MemberTable::Finish(const std::string& service,
                          const std::string& nodeId,
                          std::int64_t epoch,
-                         CallResult result,
-                         Duration latency,
+                         const CallEnd& end,
                          TimePoint now)
 {
-  With(service,
-       [&](ServiceMembers& members) { members.Finish(nodeId, epoch, result, latency, now); });
+  With(service, [&](ServiceMembers& members) { members.Finish(nodeId, epoch, end, now); });
 }
 
 void MemberTable::NoteLoad(const std::string& service,
--- a/tests/routing_test/balancer_test.cpp
+++ b/tests/routing_test/balancer_test.cpp
@@ -43,7 +43,12 @@
 
   void Finish(const std::string& node, acp::CallResult result)
   {
-    table.Finish("s", node, 1, result, std::chrono::milliseconds(5), clock.Now());
+    Finish(node, { .result = result, .latency = std::chrono::milliseconds(5) });
+  }
+
+  void Finish(const std::string& node, const acp::CallEnd& end)
+  {
+    table.Finish("s", node, 1, end, clock.Now());
   }
 
   double Capacity(const std::string& node)
@@ -192,6 +197,55 @@
   BOOST_TEST(Capacity("n1") == 1.0);
 }
 
+// Guards against slow upstreams that keep their share, also as the own one or the only one of this
+// data centre, against latencies that are compared across classes, and against slow members that
+// are not used when the others are full, or never tried again.
+BOOST_FIXTURE_TEST_CASE(slow_members_are_left_out_while_others_have_room, Fixture)
+{
+  Apply({ Member("n0"), Member("n1"), Member("n2", "b"), Member("n3", "b") });
+  constexpr std::chrono::milliseconds kFast(40);
+  constexpr std::chrono::milliseconds kSlow(480);
+  for (int i = 0; i < 40; ++i) {
+    for (const std::string node : { "n0", "n1", "n2", "n3" }) {
+      const bool isSlow = node == "n0" || node == "n1";
+      Finish(node, { .latency = isSlow ? kSlow : kFast, .requestClass = "read" });
+    }
+    Finish("n2", { .latency = std::chrono::seconds(2), .requestClass = "export" });
+  }
+  auto counts = PickMany(100);
+  BOOST_TEST(counts["n0"] + counts["n1"] == 0);
+  BOOST_TEST(counts["n2"] > 20);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(!Pick().empty());
+  }
+  const std::string atLimit = Pick();
+  BOOST_TEST((atLimit == "n0" || atLimit == "n1"));
+  clock.Advance(seconds(15));
+  BOOST_TEST(PickMany(100)["n0"] > 0);
+}
+
+// Guards against a member that keeps its share while it alone fails requests, and against members
+// that are left out because all of them fail.
+BOOST_FIXTURE_TEST_CASE(members_that_fail_more_often_than_the_others_are_left_out, Fixture)
+{
+  Apply({ Member("n1"), Member("n2"), Member("n3") });
+  const auto fail = [&](const std::string& node, bool fails) {
+    Finish(node, fails ? acp::CallResult::ServerError : acp::CallResult::Answered);
+  };
+  for (int i = 0; i < 20; ++i) {
+    fail("n1", i % 2 == 0);
+    fail("n2", false);
+    fail("n3", false);
+  }
+  BOOST_TEST(PickMany(100)["n1"] == 0);
+  for (int i = 0; i < 20; ++i) {
+    for (const std::string node : { "n1", "n2", "n3" }) {
+      fail(node, true);
+    }
+  }
+  BOOST_TEST(PickMany(100)["n1"] > 10);
+}
+
 // Guards against a member that keeps its share while it refuses or reports a load above its limit,
 // and against one that does not regain its share afterwards.
 BOOST_FIXTURE_TEST_CASE(responses_shift_the_share, Fixture)
--- a/tests/routing_test/load_simulation_test.cpp
+++ b/tests/routing_test/load_simulation_test.cpp
@@ -128,7 +128,7 @@
     const auto slots = static_cast<double>(members_[call.member].slots);
     const auto latency =
       std::chrono::duration_cast<acp::Duration>(std::chrono::duration<double>(kServiceSeconds));
-    table.Finish("s", node, 1, acp::CallResult::Answered, latency, At(call.endsAt));
+    table.Finish("s", node, 1, { .latency = latency }, At(call.endsAt));
     table.NoteLoad(
       "s", node, { .inFlight = inFlight_[call.member], .limit = slots }, At(call.endsAt));
   }
