--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -5,11 +5,13 @@
 
 #include <functional> // function
 #include <memory>     // unique_ptr
+#include <optional>   // optional
 #include <string>     // string
 #include <vector>     // vector
 
 #include "acaciapulley/core/clock.hpp"            // Clock, Duration
 #include "acaciapulley/node/local_upstream.hpp"   // Announcement, LocalUpstream
+#include "acaciapulley/retries/retry_policy.hpp"  // SharedRetryBudget
 #include "acaciapulley/transport/address.hpp"     // Address
 #include "acaciapulley/transport/http_server.hpp" // ServerExchange
 
@@ -32,6 +34,7 @@
   /// See RequestPipelineOptions. Callers and the local upstream then share the ingress, and there
   /// is no egress listener.
   bool routesByFleet = false;
+  SharedRetryBudget sharedRetries;
   std::string callerService;
   std::string requestIdField; ///< header field with the caller's id of a request, for the logs
   LocalUpstream::TranslationFor translationFor; ///< for upstreams that speak another protocol
@@ -57,6 +60,10 @@
   /// @brief Returns whether requests are served: the state is recent and no stop has begun.
   [[nodiscard]] bool IsReady() const;
 
+  /// @brief Returns the path of health checks of @p service, or nothing while no fleet document
+  /// that names it is known.
+  [[nodiscard]] std::optional<std::string> HealthPathOf(const std::string& service) const;
+
   /// @brief Tells peers that a stop is near; requests are still served.
   void BeginStop();
 
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -151,7 +151,10 @@
 
 double ConcurrencyLimit::ColdStartCap(TimePoint now) const
 {
-  if (options_.coldStart <= Duration::zero() || now - coldSince_ >= options_.coldStart) {
+  // An upstream whose announced slots are the limit has them all from its start on.
+  const bool isWarm =
+    options_.coldStart <= Duration::zero() || now - coldSince_ >= options_.coldStart;
+  if (!options_.adaptive || isWarm) {
     return options_.slots;
   }
   const double part = Seconds(now - coldSince_) / Seconds(options_.coldStart);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -138,6 +138,7 @@
                   .fleetSecret = options.fleetSecret,
                   .retryBudget = options.retryBudget,
                   .routesByFleet = options.routesByFleet,
+                  .sharedRetries = options.sharedRetries,
                   .callerService = options.callerService,
                   .requestIdField = options.requestIdField,
                   .clock = options.clock,
@@ -178,6 +179,13 @@
     return !stopping_ && view_.IsFresh(clock_.Now(), kKeyedFreshness);
   }
 
+  [[nodiscard]] std::optional<std::string> HealthPathOf(const std::string& service) const
+  {
+    const FleetDocumentPtr fleet = view_.Fleet();
+    const FleetService* found = fleet ? fleet->ServiceOf(service) : nullptr;
+    return found != nullptr ? std::optional(found->healthPath) : std::nullopt;
+  }
+
   void BeginStop()
   {
     stopping_ = true;
@@ -337,6 +345,11 @@
   return impl_->IsReady();
 }
 
+std::optional<std::string> NodeProcess::HealthPathOf(const std::string& service) const
+{
+  return impl_->HealthPathOf(service);
+}
+
 void NodeProcess::BeginStop()
 {
   impl_->BeginStop();
