--- a/include/acaciapulley/node/detail/dispatcher.hpp
+++ b/include/acaciapulley/node/detail/dispatcher.hpp
@@ -65,7 +65,6 @@
   /// Takes the retry when it may be made.
   [[nodiscard]] bool MayReplaceAnswer(const PendingCall& call,
                                       const RequestContext& context,
-                                      const std::vector<std::string>& tried,
                                       TimePoint attemptStart);
   /// Called with ratioMutex_ held.
   [[nodiscard]] RatioBudget& BudgetOf(const PendingCall& call);
--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -64,9 +64,12 @@
   /// that names it is known.
   [[nodiscard]] std::optional<std::string> HealthPathOf(const std::string& service) const;
 
-  /// @brief Tells peers that a stop is near; requests are still served.
+  /// @brief Makes the node not ready, so that callers move to others; requests are still served.
   void BeginStop();
 
+  /// @brief Tells peers to choose other upstreams; requests are still served. Implies BeginStop.
+  void BeginDrain();
+
   /// @brief Lets requests in progress end, for at most @p patience, then stops.
   void Stop(Duration patience);
 
--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -30,6 +30,7 @@
 {
   std::string service;
   std::vector<std::string> tried; ///< nodes that an earlier attempt of this request used
+  std::string requestClass;       ///< latencies are compared within it
   bool isIdempotent = true;       ///< trials of ejected members use idempotent requests only
 };
 
@@ -41,6 +42,7 @@
   std::string peerAddress;
   bool isOwn = false;   ///< the upstream beside this node
   bool isTrial = false; ///< trial of an ejected member
+  TimePoint startedAt;
 };
 
 /// Chooses members. Draining and ejected members and those tried before are never chosen. Rules, in
--- a/include/acaciapulley/routing/member_table.hpp
+++ b/include/acaciapulley/routing/member_table.hpp
@@ -60,7 +60,7 @@
 struct CallEnd
 {
   CallResult result = CallResult::Answered;
-  Duration latency{};
+  TimePoint startedAt;      ///< of the choice; see Choice
   std::string requestClass; ///< latencies are compared within a class
 };
 
@@ -78,6 +78,13 @@
   TimePoint at;
 };
 
+/// A call of this node that has not ended.
+struct RunningCall
+{
+  TimePoint startedAt;
+  std::string requestClass;
+};
+
 /// A member and its statistics at this node.
 struct MemberState
 {
@@ -86,9 +93,10 @@
   OutlierDetector outlier;
   bool isDraining = false; ///< by control's list or by the member's own refusal
   TimePoint drainingUntil; ///< until then its refusal counts, even if the list does not say so yet
-  int inFlight = 0;        ///< calls of this node
+  std::vector<RunningCall> running; ///< calls of this node
   /// Moving averages of answered calls by class.
   std::map<std::string, ClassLatency> latencies;
+  double handicap = 1; ///< its slowness by the service's typical one when far above it, else 1
   double slowness = 1; ///< moving average of latencies by the base of their class, at lastLatency
   TimePoint lastLatency;
   double failedPart = 0;     ///< moving average of server errors at lastAnswer
@@ -110,6 +118,9 @@
   /// @brief Returns the member's latency by the lowest of its service; nears 1 while no call ends.
   [[nodiscard]] double SlownessAt(TimePoint now) const;
 
+  /// @brief Returns the number of calls of this node.
+  [[nodiscard]] int InFlight() const { return static_cast<int>(running.size()); }
+
   /// @brief Returns the part of calls that end in server errors; nears 0 while no call ends.
   [[nodiscard]] double FailedPartAt(TimePoint now) const;
 };
@@ -125,11 +136,15 @@
   void Apply(const std::vector<RoutedMember>& members, TimePoint now);
 
   /// @brief Notes the start of a call to @p member.
-  static void Begin(MemberState& member, TimePoint now);
+  static void Begin(MemberState& member, const std::string& requestClass, TimePoint now);
 
   /// @brief Notes the end of a call; ignored when the member has a new epoch since.
   void Finish(const std::string& nodeId, std::int64_t epoch, const CallEnd& end, TimePoint now);
 
+  /// @brief Returns the member's slowness, in which each call that has run for long counts as if it
+  /// had just ended.
+  [[nodiscard]] double SlownessAt(const MemberState& member, TimePoint now) const;
+
   /// @brief Takes over what a response or the local gate says of a member's load.
   void NoteLoad(const std::string& nodeId, const LoadSample& load, TimePoint now);
 
@@ -155,7 +170,7 @@
 /// @par Example
 /// @code
 /// table.Apply(version, members, clock.Now());
-/// table.Finish("orders", nodeId, epoch, { .latency = latency, .requestClass = "write" },
+/// table.Finish("orders", nodeId, epoch, { .startedAt = start, .requestClass = "write" },
 ///              clock.Now());
 /// @endcode
 class MemberTable
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -54,6 +54,7 @@
 {
   const PickRequest request{ .service = call.request.service,
                              .tried = tried,
+                             .requestClass = call.request.requestClass->name,
                              .isIdempotent = call.request.requestClass->idempotent };
   const TimePoint giveUpAt = options_.clock->Now() + call.patience;
   while (true) {
@@ -83,13 +84,12 @@
 
 bool Dispatcher::MayReplaceAnswer(const PendingCall& call,
                                   const RequestContext& context,
-                                  const std::vector<std::string>& tried,
                                   TimePoint attemptStart)
 {
   const bool canReplay = call.body.CanReplay() || !call.body.IsConsumed();
   const Duration taken = options_.clock->Now() - attemptStart;
   const bool hasTime = RemainingTime(*options_.clock, context) > 2 * taken;
-  if (!canReplay || !hasTime || call.exchange.IsCallerGone() || !HasOther(call, tried)) {
+  if (!canReplay || !hasTime || call.exchange.IsCallerGone()) {
     return false;
   }
   const std::lock_guard lock(ratioMutex_);
@@ -120,12 +120,12 @@
     const CallBudget split = call.request.isFleetRoute
                                ? CallBudget{ .own = retriesLeft, .callee = 0 }
                                : SplitDraw(retriesLeft);
-    const bool mayRepeat =
-      call.request.isFleetRoute && call.request.requestClass->idempotent && retriesLeft > 0;
+    const bool mayRepeat = call.request.isFleetRoute && retriesLeft > 0 &&
+                           call.request.requestClass->idempotent && HasOther(call, tried);
     call.mayReplaceAnswer = nullptr;
     if (mayRepeat) {
-      call.mayReplaceAnswer = [this, &call, &context, &tried, start = options_.clock->Now()] {
-        return MayReplaceAnswer(call, context, tried, start);
+      call.mayReplaceAnswer = [this, &call, &context, start = choice->startedAt] {
+        return MayReplaceAnswer(call, context, start);
       };
     }
     const AttemptEnd end = Attempt(call, context, *choice, split.callee);
@@ -168,7 +168,6 @@
   context.retriesLeft = calleeRetries;
   context.issuer = options_.nodeId;
   context.issuerEpoch = options_.epoch;
-  const TimePoint start = options_.clock->Now();
   AttemptEnd end = choice.isOwn ? options_.executor->Run(call, context)
                                 : options_.peers->Run(call, context, choice);
   const TimePoint now = options_.clock->Now();
@@ -176,7 +175,7 @@
                            choice.nodeId,
                            choice.epoch,
                            { .result = end.routing,
-                             .latency = now - start,
+                             .startedAt = choice.startedAt,
                              .requestClass = call.request.requestClass->name },
                            now);
   return end;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -186,9 +186,11 @@
     return found != nullptr ? std::optional(found->healthPath) : std::nullopt;
   }
 
-  void BeginStop()
+  void BeginStop() { stopping_ = true; }
+
+  void BeginDrain()
   {
-    stopping_ = true;
+    BeginStop();
     // Peers choose other nodes as soon as control has passed this on.
     upstream_.BeginStop();
     sync_.Wake();
@@ -196,7 +198,7 @@
 
   void Stop(Duration patience)
   {
-    BeginStop();
+    BeginDrain();
     const TimePoint deadline = clock_.Now() + patience;
     const auto left = [&] { return std::max(deadline - clock_.Now(), Duration::zero()); };
     ingress_.Stop(left());
@@ -355,6 +357,11 @@
   impl_->BeginStop();
 }
 
+void NodeProcess::BeginDrain()
+{
+  impl_->BeginDrain();
+}
+
 void NodeProcess::Stop(Duration patience)
 {
   impl_->Stop(patience);
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -1,7 +1,7 @@
 #include "acaciapulley/routing/balancer.hpp"
 
 #include <algorithm> // find, min, nth_element
-#include <cstddef>   // ptrdiff_t
+#include <cstddef>   // ptrdiff_t, size_t
 #include <memory>    // make_shared
 #include <random>    // mt19937_64, random_device, uniform_real_distribution
 #include <utility>   // move
@@ -12,7 +12,7 @@
 
 // Latency counts against a member only beyond this multiple of its service's typical one, so that
 // noise does not move load away from the share by capacity.
-constexpr double kSlowFactor = 2.5;
+constexpr double kSlowFactor = 3;
 
 // Server errors count against a member only beyond the service's typical part by this much: all
 // members fail when a service that they call fails.
@@ -31,7 +31,7 @@
 }
 
 /// The value that at least half of the members do not exceed.
-double Typical(std::vector<double> values)
+double TypicalOf(std::vector<double> values)
 {
   const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
   std::nth_element(values.begin(), middle, values.end());
@@ -39,19 +39,26 @@
 }
 
 /// Members that are neither much slower than the service's typical one nor fail much more often.
-std::vector<MemberState*> SoundOf(const std::vector<MemberState*>& members, TimePoint now)
+/// Sets the handicap of all members.
+std::vector<MemberState*> SoundOf(const ServiceMembers& service,
+                                  const std::vector<MemberState*>& members,
+                                  TimePoint now)
 {
   std::vector<double> slowness;
   std::vector<double> failed;
   for (const MemberState* member : members) {
-    slowness.push_back(member->SlownessAt(now));
+    slowness.push_back(service.SlownessAt(*member, now));
     failed.push_back(member->FailedPartAt(now));
   }
-  const double mostSlowness = kSlowFactor * Typical(slowness);
-  const double mostFailed = kFailedExcess + Typical(failed);
+  const double typicalSlowness = TypicalOf(slowness);
+  const double mostFailed = kFailedExcess + TypicalOf(failed);
   std::vector<MemberState*> sound;
-  for (MemberState* member : members) {
-    if (member->SlownessAt(now) <= mostSlowness && member->FailedPartAt(now) <= mostFailed) {
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    MemberState* member = members[i];
+    const double factor = slowness[i] / typicalSlowness;
+    const bool isSlow = factor > kSlowFactor;
+    member->handicap = isSlow ? factor : 1;
+    if (!isSlow && member->FailedPartAt(now) <= mostFailed) {
       sound.push_back(member);
     }
   }
@@ -92,8 +99,9 @@
                      .epoch = member->info.epoch,
                      .peerAddress = member->info.peerAddress,
                      .isOwn = member->info.nodeId == options_.ownNodeId,
-                     .isTrial = member->outlier.IsEjected() };
-    ServiceMembers::Begin(*member, now);
+                     .isTrial = member->outlier.IsEjected(),
+                     .startedAt = now };
+    ServiceMembers::Begin(*member, request.requestClass, now);
   });
   return choice;
 }
@@ -116,7 +124,7 @@
   if (usable.empty()) {
     return nullptr;
   }
-  const std::vector<MemberState*> sound = SoundOf(usable, now);
+  const std::vector<MemberState*> sound = SoundOf(members, usable, now);
   return ChooseAmong(AreNearLimit(sound, now) ? usable : sound, now);
 }
 
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/routing/member_table.hpp"
 
-#include <algorithm> // count_if, find_if, max, min, sort
+#include <algorithm> // clamp, count_if, find_if, max, min, sort
 #include <cmath>     // exp
 #include <utility>   // move
 
@@ -27,6 +27,9 @@
 
 constexpr double kShortestLatency = 1e-6;
 
+// A running call counts once it has taken this many times the base latency of its class.
+constexpr double kOverdueRatio = 6;
+
 // One call counts at most this much, so that a single slow answer does not mark a member.
 constexpr double kLargestRatio = 16;
 
@@ -67,14 +70,14 @@
   const double slots = std::max(info.slots, 1);
   const double limit = isLoadValid ? std::min(load.limit, slots) : slots;
   const double usable = 1 - kRefusalCost * RefusedPartAt(*this, now);
-  return limit * slowStart.ShareAt(now) * usable;
+  return limit * slowStart.ShareAt(now) * usable / handicap;
 }
 
 double MemberState::UtilisationAt(TimePoint now, int more) const
 {
   const bool isLoadValid = hasLoad && now - loadAt <= kLoadValid;
   const double others = isLoadValid ? othersInFlight : 0;
-  return (inFlight + others + more) / CapacityAt(now);
+  return (InFlight() + others + more) / CapacityAt(now);
 }
 
 void ServiceMembers::Apply(const std::vector<RoutedMember>& members, TimePoint now)
@@ -108,9 +111,9 @@
   KeepHalf();
 }
 
-void ServiceMembers::Begin(MemberState& member, TimePoint now)
+void ServiceMembers::Begin(MemberState& member, const std::string& requestClass, TimePoint now)
 {
-  ++member.inFlight;
+  member.running.push_back({ .startedAt = now, .requestClass = requestClass });
   if (member.outlier.IsTrialDue(now)) {
     member.outlier.BeginTrial();
   }
@@ -126,7 +129,13 @@
     return;
   }
   const CallResult result = end.result;
-  member->inFlight = std::max(member->inFlight - 1, 0);
+  const auto ended = std::find_if(
+    member->running.begin(), member->running.end(), [&end](const RunningCall& call) {
+      return call.startedAt == end.startedAt && call.requestClass == end.requestClass;
+    });
+  if (ended != member->running.end()) {
+    member->running.erase(ended);
+  }
   NoteLatency(*member, end, now);
   if (result == CallResult::Cancelled) {
     member->outlier.CancelTrial();
@@ -152,6 +161,22 @@
   }
 }
 
+double ServiceMembers::SlownessAt(const MemberState& member, TimePoint now) const
+{
+  double slowness = member.SlownessAt(now);
+  for (const RunningCall& call : member.running) {
+    const auto base = bases_.find(call.requestClass);
+    if (base == bases_.end()) {
+      continue;
+    }
+    const double ratio = Seconds(now - call.startedAt) / base->second.seconds;
+    if (ratio > std::max(kOverdueRatio, slowness)) {
+      slowness = (1 - kNewest) * slowness + kNewest * std::min(ratio, kLargestRatio);
+    }
+  }
+  return slowness;
+}
+
 void ServiceMembers::NoteLatency(MemberState& member, const CallEnd& end, TimePoint now)
 {
   if (end.result == CallResult::Answered) {
@@ -161,7 +186,8 @@
   if (base == bases_.end()) {
     return;
   }
-  const double ratio = std::min(Seconds(end.latency) / base->second.seconds, kLargestRatio);
+  const double ratio =
+    std::clamp(Seconds(now - end.startedAt) / base->second.seconds, 1.0, kLargestRatio);
   const bool isUnfinished = end.result == CallResult::Cancelled || end.result == CallResult::Failed;
   // A call that was broken off would have taken longer still.
   if (end.result == CallResult::Answered || (isUnfinished && ratio > member.SlownessAt(now))) {
@@ -172,7 +198,7 @@
 
 void ServiceMembers::LowerBase(MemberState& member, const CallEnd& end, TimePoint now)
 {
-  const double seconds = std::max(Seconds(end.latency), kShortestLatency);
+  const double seconds = std::max(Seconds(now - end.startedAt), kShortestLatency);
   ClassLatency& latency = member.latencies[end.requestClass];
   latency.seconds += (latency.count == 0 ? 1 : kNewest) * (seconds - latency.seconds);
   latency.count = std::min(latency.count + 1, kFewestAnswers);
@@ -193,7 +219,7 @@
     return;
   }
   member->load = load;
-  member->othersInFlight = std::max(load.inFlight - member->inFlight, 0.0);
+  member->othersInFlight = std::max(load.inFlight - member->InFlight(), 0.0);
   member->loadAt = now;
   member->hasLoad = true;
 }
