Write the platform programs' logs to standard output without blocking

Cause: the users read standard output; lines went to standard error, and a reader that stands still would have blocked the process. Change: SetLogOutput chooses the output; on standard output a line is written only when the pipe has room for all of it, otherwise it is counted, and the next line tells the count.

--- a/include/acaciapulley/core/log.hpp
+++ b/include/acaciapulley/core/log.hpp
@@ -36,6 +36,18 @@
 /// One key=value pair of a log line. A value with blanks, quotes or control characters is quoted.
 using LogField = std::pair<std::string_view, std::string>;
 
+/// Where log lines go.
+enum class LogOutput
+{
+  StandardError,
+  /// A line for which the reader has no room is left out and counted, so that logging never blocks;
+  /// the next line written tells the count.
+  StandardOutput,
+};
+
+/// @brief Sets where log lines go; the default is StandardError.
+void SetLogOutput(LogOutput output);
+
 /// @brief Sets the lowest level that is written; the default is Info.
 void SetLogLevel(LogLevel level);
 
@@ -44,7 +56,7 @@
                                         std::string_view event,
                                         std::initializer_list<LogField> fields);
 
-/// @brief Writes one line to standard error. Never pass a client account's key.
+/// @brief Writes one line to the output that SetLogOutput chose. Never pass a client account's key.
 /// @par Example
 /// @code
 /// acp::Log(acp::LogLevel::Info, "listening", { { "address", address } });
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,18 +1,30 @@
 #include "acaciapulley/core/log.hpp"
 
-#include <atomic> // atomic
-#include <cctype> // isprint
-#include <chrono> // system_clock
-#include <cstdio> // stderr
+#include <algorithm> // min
+#include <atomic>    // atomic
+#include <cctype>    // isprint
+#include <chrono>    // system_clock
+#include <climits>   // PIPE_BUF
+#include <cstddef>   // size_t
+#include <cstdint>   // uint64_t
+#include <cstdio>    // stderr
+#include <utility>   // move
 
 #include <fmt/chrono.h> // gmtime
 #include <fmt/format.h> // format
+#include <poll.h>       // poll
+#include <unistd.h>     // write
 
 namespace acp {
 
 namespace {
 
 std::atomic<LogLevel> gLowestLevel{ LogLevel::Info };
+std::atomic<LogOutput> gOutput{ LogOutput::StandardError };
+std::atomic<std::uint64_t> gLinesLeftOut{ 0 };
+
+// Writes of up to this size to a pipe are whole, and a pipe that polls as writable has room for it.
+constexpr std::size_t kLongestLine = PIPE_BUF;
 
 bool NeedsQuotes(std::string_view value)
 {
@@ -44,8 +56,39 @@
   return quoted;
 }
 
+bool WriteToStandardOutput(std::string_view line)
+{
+  pollfd entry{ .fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0 };
+  if (::poll(&entry, 1, 0) != 1 || (entry.revents & POLLOUT) == 0) {
+    return false;
+  }
+  return ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+}
+
+void Write(std::string line)
+{
+  if (gOutput.load() == LogOutput::StandardError) {
+    fmt::print(stderr, "{}\n", line);
+    return;
+  }
+  const std::uint64_t leftOut = gLinesLeftOut.exchange(0);
+  if (leftOut > 0) {
+    line += fmt::format(" lines_left_out={}", leftOut);
+  }
+  line.resize(std::min(line.size(), kLongestLine - 1));
+  line += '\n';
+  if (!WriteToStandardOutput(line)) {
+    gLinesLeftOut += leftOut + 1;
+  }
+}
+
 } // namespace
 
+void SetLogOutput(LogOutput output)
+{
+  gOutput = output;
+}
+
 void SetLogLevel(LogLevel level)
 {
   gLowestLevel = level;
@@ -70,11 +113,10 @@
   const auto now =
     std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
   const auto seconds = std::chrono::time_point_cast<std::chrono::seconds>(now);
-  const std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n",
-                                       fmt::gmtime(std::chrono::system_clock::to_time_t(seconds)),
-                                       (now - seconds).count(),
-                                       FormatLogLine(level, event, fields));
-  fmt::print(stderr, "{}", line);
+  Write(fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}",
+                    fmt::gmtime(std::chrono::system_clock::to_time_t(seconds)),
+                    (now - seconds).count(),
+                    FormatLogLine(level, event, fields)));
 }
 
 } // namespace acp
