Wake requests that wait for tokens or for the gate only when something changed

Each request that waited for a token woke every 1 ms, each one at the gate every 10 ms and whenever any other expired, so that waiting used the processor that serving needed. Change: answers wake as many waiting requests as they bring tokens, or all of them where tokens are scarce; at most 16 requests of an account wait, the others are refused at once; at the gate each request sees to its own expiry and to its caller every 100 ms.

--- a/include/acaciapulley/node/blocking_gate.hpp
+++ b/include/acaciapulley/node/blocking_gate.hpp
@@ -47,7 +47,7 @@
 
   /// @brief Waits until the request may start.
   /// @param request the gate sets the id
-  /// @param isCallerGone asked about every 10 ms while waiting; may be empty
+  /// @param isCallerGone asked about every 100 ms while waiting; may be empty
   /// @return the permit, or a refusal with 503 that is truly "not run"
   /// @par Example
   /// @code
@@ -83,7 +83,7 @@
   void Finish(std::uint64_t id, GateResult result);
   void PollLocked();
   OrRefusal<Permit> WaitForTurn(std::unique_lock<std::mutex>& lock,
-                                std::uint64_t id,
+                                const GateRequest& request,
                                 const std::function<bool()>& isCallerGone);
 
   const Clock& clock_;
--- a/include/acaciapulley/node/detail/token_client.hpp
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -5,8 +5,12 @@
 
 #include <atomic>             // atomic
 #include <condition_variable> // condition_variable
+#include <cstddef>            // size_t
+#include <deque>              // deque
+#include <map>                // map
 #include <memory>             // shared_ptr
 #include <mutex>              // mutex
+#include <optional>           // optional
 #include <string>             // string
 #include <thread>             // thread
 #include <vector>             // vector
@@ -68,7 +72,21 @@
   OrRefusal<std::shared_ptr<Token>> Take(const LimitKey& key);
 
 private:
-  OrRefusal<std::shared_ptr<Token>> WaitForToken(const LimitKey& key);
+  /// A request that waits for a token; owned by its thread.
+  struct Waiter
+  {
+    std::condition_variable woken;
+    bool isWoken = false;
+  };
+
+  OrRefusal<std::shared_ptr<Token>> WaitForToken(const LimitKey& key, Waiter& waiter);
+  /// @return false when so many wait that the request would wait in vain
+  bool AddWaiter(const LimitKey& key, Waiter& waiter);
+  void RemoveWaiter(const LimitKey& key, const Waiter& waiter);
+  void Sleep(Waiter& waiter, Duration longest);
+  void Wake(const LimitKey& key, std::size_t count);
+  /// The end of the request's wait, if it has ended.
+  std::optional<OrRefusal<std::shared_ptr<Token>>> TryEnd(const LimitKey& key, TimePoint giveUpAt);
   void Send(const std::vector<TokenAsk>& asks);
   void Run();
 
@@ -76,8 +94,9 @@
   TokenLeaseTable table_;
   std::atomic<TimePoint> lastAnswer_{ TimePoint() };
   std::mutex mutex_;
-  std::condition_variable answered_; ///< an answer arrived, or the client stops
+  std::condition_variable stopped_;
   bool stopping_ = false;
+  std::map<LimitKey, std::deque<Waiter*>> waiters_; ///< in the order of their arrival
   std::thread thread_;
 };
 
--- a/src/node/blocking_gate.cpp
+++ b/src/node/blocking_gate.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/node/blocking_gate.hpp"
 
-#include <algorithm> // min
+#include <algorithm> // max, min
 #include <utility>   // exchange, move
 
 namespace acp {
@@ -8,7 +8,9 @@
 namespace {
 
 // Longest time between two checks whether the caller has gone.
-constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(10);
+constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(100);
+// A request expires only after its patience, not at it.
+constexpr Duration kShortestWait = std::chrono::milliseconds(1);
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
 
 auto RefuseBecause(Reason reason)
@@ -49,7 +51,7 @@
   request.id = nextId_++;
   const auto offered = gate_.Offer(request, clock_.Now());
   if (offered.decision == OfferDecision::Queued) {
-    return WaitForTurn(lock, request.id, isCallerGone);
+    return WaitForTurn(lock, request, isCallerGone);
   }
   PollLocked();
   if (offered.decision == OfferDecision::Refused) {
@@ -59,16 +61,21 @@
 }
 
 OrRefusal<BlockingGate::Permit> BlockingGate::WaitForTurn(std::unique_lock<std::mutex>& lock,
-                                                          std::uint64_t id,
+                                                          const GateRequest& request,
                                                           const std::function<bool()>& isCallerGone)
 {
+  const std::uint64_t id = request.id;
+  const bool isPatient = request.patience > Duration::zero();
+  const TimePoint ownExpiry = std::min(clock_.Now() + request.patience, request.deadline);
   Waiter waiter;
   waiters_.emplace(id, &waiter);
   PollLocked();
   while (waiter.state == WaitState::Waiting) {
     const TimePoint now = clock_.Now();
     const TimePoint check = now + kCallerCheckInterval;
-    waiter.changed.wait_for(lock, std::min(gate_.NextPoll(now).value_or(check), check) - now);
+    // Each patient waiter sees to its own expiry, so that not all wake for each.
+    const TimePoint expiry = isPatient ? ownExpiry : gate_.NextPoll(now).value_or(check);
+    waiter.changed.wait_for(lock, std::max(std::min(expiry, check) - now, kShortestWait));
     const bool gone = waiter.state == WaitState::Waiting && isCallerGone && isCallerGone();
     if (gone && gate_.Cancel(id, clock_.Now()) == CancelOutcome::Removed) {
       waiter.state = WaitState::Refused;
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/node/detail/token_client.hpp"
 
-#include <utility> // move
+#include <algorithm> // min
+#include <utility>   // move
 
 #include "acaciapulley/core/log.hpp" // Log
 #include "gen/ControlService.h"
@@ -12,6 +13,11 @@
 constexpr Duration kAskInterval = std::chrono::milliseconds(10);
 // A request waits at most this long for a token; longer waits go to the caller as Retry-After.
 constexpr Duration kLongestWait = std::chrono::milliseconds(200);
+// An answer wakes the waiting requests; this is for leases that end in between.
+constexpr Duration kLongestSleep = std::chrono::milliseconds(50);
+// Requests of one account that wait at once: more than an account's tokens of kLongestWait at most
+// nodes. Those beyond are refused at once.
+constexpr std::size_t kMostWaiting = 16;
 
 std::int64_t ToMicros(Duration span)
 {
@@ -45,6 +51,11 @@
            .mayBeWithinRate = answer.mayBeWithinRate };
 }
 
+auto RefuseRate(Duration retryAfter)
+{
+  return NotRun(429, Reason::RateExceeded, "the client account's rate is used up", retryAfter);
+}
+
 } // namespace
 
 TokenClient::Token::Token(TokenClient& client, LimitKey key, TokenHold hold)
@@ -58,6 +69,7 @@
 {
   if (state_ == State::Held) {
     client_.table_.PutBack(key_, hold_, client_.options_.clock->Now());
+    client_.Wake(key_, 1);
   }
 }
 
@@ -83,7 +95,7 @@
     const std::lock_guard lock(mutex_);
     stopping_ = true;
   }
-  answered_.notify_all();
+  stopped_.notify_all();
   thread_.join();
 }
 
@@ -94,43 +106,101 @@
     return std::make_shared<Token>(*this, key, taken.hold);
   }
   if (taken.status == TakeStatus::Refused) {
-    return NotRun(
-      429, Reason::RateExceeded, "the client account's rate is used up", taken.retryAfter);
+    return RefuseRate(taken.retryAfter);
+  }
+  Waiter waiter;
+  if (!AddWaiter(key, waiter)) {
+    return RefuseRate(taken.retryAfter);
   }
   table_.EnterWait(key);
-  auto waited = WaitForToken(key);
+  auto waited = WaitForToken(key, waiter);
   table_.LeaveWait(key);
+  RemoveWaiter(key, waiter);
   return waited;
 }
 
-OrRefusal<std::shared_ptr<TokenClient::Token>> TokenClient::WaitForToken(const LimitKey& key)
+bool TokenClient::AddWaiter(const LimitKey& key, Waiter& waiter)
+{
+  const std::lock_guard lock(mutex_);
+  auto& waiting = waiters_[key];
+  if (waiting.size() >= kMostWaiting) {
+    return false;
+  }
+  waiting.push_back(&waiter);
+  return true;
+}
+
+void TokenClient::RemoveWaiter(const LimitKey& key, const Waiter& waiter)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = waiters_.find(key);
+  std::erase(found->second, &waiter);
+  if (found->second.empty()) {
+    waiters_.erase(found);
+  }
+}
+
+void TokenClient::Wake(const LimitKey& key, std::size_t count)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = waiters_.find(key);
+  if (found == waiters_.end()) {
+    return;
+  }
+  for (Waiter* waiter : found->second) {
+    if (count == 0) {
+      return;
+    }
+    if (!waiter->isWoken) {
+      waiter->isWoken = true;
+      waiter->woken.notify_one();
+      --count;
+    }
+  }
+}
+
+void TokenClient::Sleep(Waiter& waiter, Duration longest)
+{
+  std::unique_lock lock(mutex_);
+  waiter.woken.wait_for(
+    lock, std::min(longest, kLongestSleep), [&waiter] { return waiter.isWoken; });
+  waiter.isWoken = false;
+}
+
+std::optional<OrRefusal<std::shared_ptr<TokenClient::Token>>> TokenClient::TryEnd(
+  const LimitKey& key,
+  TimePoint giveUpAt)
+{
+  const TimePoint now = options_.clock->Now();
+  const auto taken = table_.TryTake(key, now);
+  if (taken.status == TakeStatus::Taken) {
+    return std::make_shared<Token>(*this, key, taken.hold);
+  }
+  const bool isAnswered = lastAnswer_.load() >= now - kLongestWait;
+  if (taken.status == TakeStatus::Refused || (now >= giveUpAt && isAnswered)) {
+    return RefuseRate(taken.retryAfter);
+  }
+  if (now >= giveUpAt) {
+    return NotRun(503,
+                  Reason::RateUnavailable,
+                  "control grants no rate tokens at the moment",
+                  std::chrono::seconds(1));
+  }
+  return std::nullopt;
+}
+
+OrRefusal<std::shared_ptr<TokenClient::Token>> TokenClient::WaitForToken(const LimitKey& key,
+                                                                         Waiter& waiter)
 {
   const TimePoint giveUpAt = options_.clock->Now() + kLongestWait;
   while (true) {
-    const TimePoint now = options_.clock->Now();
-    if (const auto ask = table_.DueAsk(key, now)) {
+    if (const auto ask = table_.DueAsk(key, options_.clock->Now())) {
       Send({ *ask });
     }
-    const auto taken = table_.TryTake(key, options_.clock->Now());
-    if (taken.status == TakeStatus::Taken) {
-      return std::make_shared<Token>(*this, key, taken.hold);
-    }
-    if (taken.status == TakeStatus::Refused) {
-      return NotRun(
-        429, Reason::RateExceeded, "the client account's rate is used up", taken.retryAfter);
-    }
-    if (now >= giveUpAt && lastAnswer_.load() >= now - kLongestWait) {
-      return NotRun(
-        429, Reason::RateExceeded, "the client account's rate is used up", taken.retryAfter);
-    }
-    if (now >= giveUpAt) {
-      return NotRun(503,
-                    Reason::RateUnavailable,
-                    "control grants no rate tokens at the moment",
-                    std::chrono::seconds(1));
+    if (auto end = TryEnd(key, giveUpAt)) {
+      return *std::move(end);
     }
-    std::unique_lock lock(mutex_);
-    answered_.wait_for(lock, std::chrono::milliseconds(1));
+    Sleep(waiter, giveUpAt - options_.clock->Now());
   }
 }
 
@@ -160,20 +230,23 @@
   }
   lastAnswer_ = now;
   for (std::size_t i = 0; i < asks.size(); ++i) {
-    if (reply.answers[i].errorCode == 0) {
-      table_.OnAnswer(asks[i].key, FromWire(reply.answers[i]), now);
-    } else {
+    if (reply.answers[i].errorCode != 0) {
       table_.OnNoAnswer(asks[i].key, asks[i].number, now);
+      continue;
     }
+    const TokenAnswer answer = FromWire(reply.answers[i]);
+    table_.OnAnswer(asks[i].key, answer, now);
+    const bool sufficed = answer.granted >= asks[i].needed;
+    // Where tokens are scarce, all that wait learn from it how long they would have to.
+    Wake(asks[i].key, sufficed ? static_cast<std::size_t>(answer.granted) : kMostWaiting);
   }
-  answered_.notify_all();
 }
 
 void TokenClient::Run()
 {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    answered_.wait_for(lock, kAskInterval, [this] { return stopping_; });
+    stopped_.wait_for(lock, kAskInterval, [this] { return stopping_; });
     lock.unlock();
     Send(table_.DueAsks(options_.clock->Now()));
     lock.lock();
