--- a/include/acaciapulley/limits/rate_authority.hpp
+++ b/include/acaciapulley/limits/rate_authority.hpp
@@ -30,8 +30,8 @@
 /// allows it. With the defaults it never does.
 struct RateTolerance
 {
-  double part = 0;                          ///< of rate x window + burst
-  double tokens = 0;                        ///< beside that part
+  double part = 0;                           ///< of rate x window + burst
+  double tokens = 0;                         ///< beside that part
   Duration window = std::chrono::seconds(5); ///< the span in which an excess counts
 };
 
@@ -174,8 +174,8 @@
   RateAuthorityOptions options_;
   std::int64_t term_ = 0;
   bool isReserveFree_ = false; ///< no earlier leader can have granted its reserve
-  TimePoint earlyFrom_;  ///< EarlyBurstOf is granted from here on
-  TimePoint grantsFrom_; ///< all leases of earlier leaders have ended
+  TimePoint earlyFrom_;        ///< EarlyBurstOf is granted from here on
+  TimePoint grantsFrom_;       ///< all leases of earlier leaders have ended
   std::map<LimitKey, Account> accounts_;
 };
 
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -46,8 +46,8 @@
   /// control; `fleetSecret` is then not used.
   bool routesByFleet = false;
   SharedRetryBudget sharedRetries; ///< with routesByFleet, of each service
-  std::string callerService;  ///< service of this host, told to upstreams of fleet routes
-  std::string requestIdField; ///< header field with the caller's id of a request, for the logs
+  std::string callerService;       ///< service of this host, told to upstreams of fleet routes
+  std::string requestIdField;      ///< header field with the caller's id of a request, for the logs
   const Clock* clock = nullptr;
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
--- a/include/acaciapulley/replication/replica.hpp
+++ b/include/acaciapulley/replication/replica.hpp
@@ -47,8 +47,8 @@
   bool ownListener = true;
 
   Duration rpcTimeout = std::chrono::seconds(1); ///< a call that takes longer closes its connection
-  Duration electionTimeout = std::chrono::milliseconds(300);  ///< see RaftOptions
-  Duration heartbeatInterval = std::chrono::milliseconds(50); ///< see RaftOptions
+  Duration electionTimeout = std::chrono::milliseconds(300);      ///< see RaftOptions
+  Duration heartbeatInterval = std::chrono::milliseconds(50);     ///< see RaftOptions
   Duration firstElectionTimeout = std::chrono::milliseconds(100); ///< see RaftOptions
   std::uint64_t snapshotEveryEntries = 50'000;   ///< entries applied between two snapshots
   std::uint64_t snapshotEveryBytes = 64U << 20U; ///< bytes of commands between two snapshots
--- a/include/acaciapulley/retries/retry_policy.hpp
+++ b/include/acaciapulley/retries/retry_policy.hpp
@@ -25,8 +25,8 @@
 /// Retries that all nodes of a fleet together may make to one service.
 struct SharedRetryBudget
 {
-  double ratio = 0.2;                          ///< of the requests for the service in a window
-  double slack = 16;                           ///< beside that part, in a window
+  double ratio = 0.2;                         ///< of the requests for the service in a window
+  double slack = 16;                          ///< beside that part, in a window
   Duration window = std::chrono::seconds(10); ///< any span of this length counts
 };
 
--- a/include/acaciapulley/routing/member_table.hpp
+++ b/include/acaciapulley/routing/member_table.hpp
@@ -71,7 +71,8 @@
   int count = 0;      ///< answers in it
 };
 
-/// The lowest average latency of a class at any member; rises slowly, so that an old one is forgotten.
+/// The lowest average latency of a class at any member; rises slowly, so that an old one is
+/// forgotten.
 struct BaseLatency
 {
   double seconds = 0;
@@ -99,9 +100,9 @@
   double handicap = 1; ///< its slowness by the service's typical one when far above it, else 1
   double slowness = 1; ///< moving average of latencies by the base of their class, at lastLatency
   TimePoint lastLatency;
-  double failedPart = 0;     ///< moving average of server errors at lastAnswer
+  double failedPart = 0; ///< moving average of server errors at lastAnswer
   TimePoint lastAnswer;
-  double refusedPart = 0;    ///< moving average of refusals at lastRefusal
+  double refusedPart = 0; ///< moving average of refusals at lastRefusal
   TimePoint lastRefusal;
   LoadSample load;
   double othersInFlight = 0; ///< part of load.inFlight that other nodes caused
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -60,7 +60,7 @@
   while (true) {
     const auto seen = options_.members->Changes().Count();
     const TimePoint now = options_.clock->Now();
-    const auto choice = options_.balancer->Pick(request, now);
+    auto choice = options_.balancer->Pick(request, now);
     // While the service has no member at all, as after a restart, the next list may bring one.
     if (choice || !tried.empty() || now >= giveUpAt || call.exchange.IsCallerGone()) {
       return choice;
@@ -74,8 +74,7 @@
   bool hasOther = false;
   options_.members->With(call.request.service, [&](ServiceMembers& members) {
     for (const MemberState& member : members.Members()) {
-      const bool isTried =
-        std::find(tried.begin(), tried.end(), member.info.nodeId) != tried.end();
+      const bool isTried = std::find(tried.begin(), tried.end(), member.info.nodeId) != tried.end();
       hasOther = hasOther || (!isTried && !member.isDraining);
     }
   });
--- a/src/replication/raft_election.cpp
+++ b/src/replication/raft_election.cpp
@@ -4,7 +4,8 @@
 
 void RaftCore::ResetElectionTimer(TimePoint now)
 {
-  const Duration timeout = leaderHeardAt_ ? options_.electionTimeout : options_.firstElectionTimeout;
+  const Duration timeout =
+    leaderHeardAt_ ? options_.electionTimeout : options_.firstElectionTimeout;
   const auto spread = static_cast<std::uint64_t>(timeout.count());
   electionDeadline_ =
     now + timeout + Duration(static_cast<Duration::rep>(options_.random() % spread));
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -129,8 +129,8 @@
     return;
   }
   const CallResult result = end.result;
-  const auto ended = std::find_if(
-    member->running.begin(), member->running.end(), [&end](const RunningCall& call) {
+  const auto ended =
+    std::find_if(member->running.begin(), member->running.end(), [&end](const RunningCall& call) {
       return call.startedAt == end.startedAt && call.requestClass == end.requestClass;
     });
   if (ended != member->running.end()) {
--- a/tests/core_test/names_test.cpp
+++ b/tests/core_test/names_test.cpp
@@ -1,5 +1,11 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <array>
+#include <string>
+
+#include <unistd.h>
+
 #include "acaciapulley/core/clock.hpp"
 #include "acaciapulley/core/json_reader.hpp"
 #include "acaciapulley/core/log.hpp"
@@ -60,4 +66,34 @@
   }
 }
 
+// Guards against a process that stands still because nobody reads its log, and against lines that
+// are missing without a trace.
+BOOST_AUTO_TEST_CASE(log_on_standard_output_never_blocks)
+{
+  std::array<int, 2> ends{};
+  BOOST_REQUIRE(::pipe(ends.data()) == 0);
+  const int saved = ::dup(STDOUT_FILENO);
+  ::dup2(ends[1], STDOUT_FILENO);
+  acp::SetLogOutput(acp::LogOutput::StandardOutput);
+  constexpr int kLines = 3000;
+  for (int i = 0; i < kLines; ++i) {
+    acp::Log(acp::LogLevel::Info, "filled", { { "text", std::string(100, 'x') } });
+  }
+  std::string text(1U << 20U, '\0');
+  text.resize(static_cast<std::size_t>(::read(ends[0], text.data(), text.size())));
+  acp::Log(acp::LogLevel::Info, "drained", {});
+  std::string last(4096, '\0');
+  last.resize(static_cast<std::size_t>(::read(ends[0], last.data(), last.size())));
+  acp::SetLogOutput(acp::LogOutput::StandardError);
+  ::dup2(saved, STDOUT_FILENO);
+  for (const int fd : { saved, ends[0], ends[1] }) {
+    ::close(fd);
+  }
+  const auto written = std::count(text.begin(), text.end(), '\n');
+  BOOST_TEST(written > 100);
+  BOOST_TEST(written < kLines);
+  const std::string count = " lines_left_out=" + std::to_string(kLines - written) + "\n";
+  BOOST_TEST(last.ends_with(count));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_test/translation_test.cpp
+++ b/tests/platform_test/translation_test.cpp
@@ -77,13 +77,22 @@
   const auto settings = ParsePlatformSettings(
     R"({"node":"n1","zone":"z","ip":"10.1.0.2","bootstrap":true,"data_dir":null,"service":"s1",)"
     R"("listen_addrs":{"outbound":"10.1.0.2:8","ready":"10.1.0.2:9","control":"10.1.0.2:10"},)"
-    R"("internal_ports":[7000,7015],"seed_nodes":["10.1.0.30:8540"],"bounds":{"grace_s":6},)"
+    R"("internal_ports":[7000,7015],"seed_nodes":["10.1.0.30:8540"],"bounds":{"grace_s":6,)"
+    R"("quota_overage":0.1,"quota_slack":20,"quota_window_s":5,"retry_budget_ratio":0.3,)"
+    R"("retry_budget_slack":47,"budget_window_s":8},"app_addr":"10.1.0.2:11",)"
     R"("later":[1]})");
   BOOST_TEST(settings.mayFoundCluster);
   BOOST_TEST(settings.dataFolder.empty());
   BOOST_TEST(settings.Internal(1).ToString() == "10.1.0.2:7001");
   BOOST_TEST(settings.SeedRpcAddresses().front().ToString() == "10.1.0.30:7000");
   BOOST_TEST((settings.stopTime == std::chrono::seconds(6)));
+  BOOST_TEST(settings.upstream.ToString() == "10.1.0.2:11");
+  BOOST_TEST(settings.rateTolerance.part == 0.1);
+  BOOST_TEST(settings.rateTolerance.tokens == 20);
+  BOOST_TEST((settings.rateTolerance.window == std::chrono::seconds(5)));
+  BOOST_TEST(settings.sharedRetries.ratio == 0.3);
+  BOOST_TEST(settings.sharedRetries.slack == 47);
+  BOOST_TEST((settings.sharedRetries.window == std::chrono::seconds(8)));
   BOOST_CHECK_THROW(ParsePlatformSettings(R"({"node":"n1"})"), std::runtime_error);
   BOOST_CHECK_THROW(ParsePlatformSettings("{"), std::runtime_error);
 }
--- a/tests/platform_test/upstream_registry_test.cpp
+++ b/tests/platform_test/upstream_registry_test.cpp
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "upstream_probe.hpp"
 #include "upstream_registry.hpp"
 
 namespace {
@@ -71,4 +72,42 @@
   BOOST_TEST(!announced.back().draining);
 }
 
+// Guards against an upstream that is leaving, or does not say who it is, and is given requests.
+BOOST_AUTO_TEST_CASE(only_a_healthy_answer_with_identity_and_slots_names_an_upstream)
+{
+  const auto address = acp::Address::Parse("127.0.0.1:9000").value();
+  const auto read = [&](int status, const std::string& instance, const std::string& load) {
+    acp::HttpResponseHead answer{ .status = status };
+    answer.headers.Set("Acaciapulley-Instance-Id", instance);
+    answer.headers.Set("Acaciapulley-Server-Load", load);
+    return acp::platform::ReadHealthAnswer("orders", address, answer);
+  };
+  const auto found = read(200, "i", "3,0,8");
+  BOOST_TEST(found->announcement.slots == 8);
+  BOOST_TEST(found->announcement.instanceId == "i");
+  BOOST_TEST(found->announcement.service == "orders");
+  BOOST_TEST(!read(503, "i", "3,0,8").has_value());
+  BOOST_TEST(!read(200, "", "3,0,8").has_value());
+  for (const std::string load : { "", "8", "3,0,", "3,0,0", "3,0,x", "3,0,8x" }) {
+    BOOST_TEST(!read(200, "i", load).has_value());
+  }
+}
+
+// Guards against a probe that overrules a heartbeat, and against a departure of a probed upstream
+// that its late heartbeat undoes.
+BOOST_AUTO_TEST_CASE(a_probe_counts_until_the_first_heartbeat)
+{
+  Heartbeat found = Beat("i", 0, 0);
+  registry.TakeProbe(found);
+  BOOST_TEST(announced.size() == 1U);
+  BOOST_TEST(registry.KnowsUpstream());
+  registry.TakeDeparture("i");
+  BOOST_TEST(registry.TakeHeartbeat(Beat("i", 1000, 7)));
+  BOOST_TEST(announced.back().draining);
+  BOOST_TEST(registry.TakeHeartbeat(Beat("j", 2000, 1)));
+  BOOST_TEST(!announced.back().draining);
+  registry.TakeProbe(found);
+  BOOST_TEST(announced.back().instanceId == "j");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/replication_test/membership_test.cpp
+++ b/tests/replication_test/membership_test.cpp
@@ -104,8 +104,8 @@
   std::mt19937_64 random_{ 1 };
 };
 
-/// A cluster of three with a leader, and a learner "d".
-void Form(Wire& wire)
+/// A cluster of three that has just started.
+void Found(Wire& wire)
 {
   acp::Membership initial{ .clusterId = "cluster" };
   for (const char* id : { "a", "b", "c" }) {
@@ -115,6 +115,12 @@
   for (auto& [id, core] : wire.cores) {
     BOOST_REQUIRE(core->Bootstrap(initial, wire.clock.WallNow()).has_value());
   }
+}
+
+/// A cluster of three with a leader, and a learner "d".
+void Form(Wire& wire)
+{
+  Found(wire);
   wire.Add("d");
   wire.Run(3s);
 }
@@ -128,6 +134,18 @@
 
 BOOST_AUTO_TEST_SUITE(membership)
 
+// Guards against a cluster that waits for a whole election timeout after all of it has restarted,
+// although no replica has heard a leader.
+BOOST_AUTO_TEST_CASE(replicas_that_have_heard_no_leader_elect_soon)
+{
+  const acp::RaftOptions defaults;
+  Wire wire;
+  Found(wire);
+  wire.Run(2 * defaults.firstElectionTimeout + 10ms);
+  BOOST_TEST(2 * defaults.firstElectionTimeout < defaults.electionTimeout);
+  BOOST_TEST(wire.Leader().Term() > 1U);
+}
+
 // Guards against a replaced identity that still votes or disturbs, and against its return.
 BOOST_AUTO_TEST_CASE(replaced_identity_is_refused_for_good)
 {
--- a/tests/retries_test/retry_policy_test.cpp
+++ b/tests/retries_test/retry_policy_test.cpp
@@ -68,6 +68,36 @@
   BOOST_TEST(taken == 5);
 }
 
+// Guards against nodes that together make more retries to a service than the fleet allows, also
+// when nothing succeeds, and against a budget that keeps retries after its share fell.
+BOOST_AUTO_TEST_CASE(shares_of_all_nodes_stay_within_the_fleets_budget)
+{
+  constexpr std::size_t kNodes = 16;
+  const acp::SharedRetryBudget shared{ .ratio = 0.2, .slack = 47, .window = 10s };
+  for (const int answersPerSecond : { 0, 20 }) {
+    acp::ManualClock clock;
+    acp::RatioBudget ratio(acp::ShareOf(shared, kNodes), clock.Now());
+    int retries = 0;
+    for (int second = 0; second <= 10; ++second) {
+      for (int i = 0; i < answersPerSecond; ++i) {
+        ratio.OnSuccess();
+        retries += ratio.TryTake(clock.Now()) ? 1 : 0;
+      }
+      retries += ratio.TryTake(clock.Now()) ? 1 : 0;
+      clock.Advance(1s);
+    }
+    const double all = static_cast<double>(kNodes) * retries;
+    // Each of four hops of a chain may use a quarter of the ratio.
+    BOOST_TEST(all <= shared.slack + shared.ratio / 4 * 11 * answersPerSecond * kNodes);
+    BOOST_TEST(all >= 1);
+  }
+  acp::ManualClock clock;
+  acp::RatioBudget ratio({ .burst = 5 }, clock.Now());
+  ratio.Configure(acp::ShareOf(shared, kNodes));
+  BOOST_TEST(ratio.TryTake(clock.Now()));
+  BOOST_TEST(!ratio.TryTake(clock.Now()));
+}
+
 // Guards against retries in step with each other and delays beyond the deadline.
 BOOST_AUTO_TEST_CASE(backoff_is_jittered_and_bounded)
 {
