--- a/include/acaciapulley/control/control_state.hpp
+++ b/include/acaciapulley/control/control_state.hpp
@@ -83,6 +83,9 @@
   /// @brief Returns the fleet document in force; its version is 0 before the first.
   [[nodiscard]] FleetChange Fleet() const;
 
+  /// @brief Returns the version of the fleet document, 0 before the first; cheaper than Fleet().
+  [[nodiscard]] std::int64_t FleetVersion() const;
+
   /// @brief Returns the secret that signs request contexts, empty until the fleet is founded.
   [[nodiscard]] std::string FleetSecret() const;
 
--- a/include/acaciapulley/control/rate_service.hpp
+++ b/include/acaciapulley/control/rate_service.hpp
@@ -8,6 +8,7 @@
 #include <mutex>    // mutex
 #include <optional> // optional
 #include <string>   // string
+#include <thread>   // jthread
 
 #include "acaciapulley/control/control_hooks.hpp"      // Leadership
 #include "acaciapulley/control/control_state.hpp"      // ControlState
@@ -52,4 +53,8 @@
   std::map<LimitKey, TokenLimit> inForce_;
 };
 
+/// @brief Starts a thread that calls Follow() once in each @p interval until it is stopped.
+/// @param rates outlives the thread
+[[nodiscard]] std::jthread FollowRates(RateService& rates, Duration interval);
+
 } // namespace acp
--- a/include/acaciapulley/node/detail/dispatcher.hpp
+++ b/include/acaciapulley/node/detail/dispatcher.hpp
@@ -61,10 +61,10 @@
                                      int retriesLeft);
 
   void NoteAnswer(const PendingCall& call, const AttemptEnd& end);
-  [[nodiscard]] bool HasOther(const PendingCall& call, const std::vector<std::string>& tried) const;
   /// Takes the retry when it may be made.
   [[nodiscard]] bool MayReplaceAnswer(const PendingCall& call,
                                       const RequestContext& context,
+                                      const std::vector<std::string>& tried,
                                       TimePoint attemptStart);
   /// Called with ratioMutex_ held.
   [[nodiscard]] RatioBudget& BudgetOf(const PendingCall& call);
--- a/include/acaciapulley/node/detail/request_times.hpp
+++ b/include/acaciapulley/node/detail/request_times.hpp
@@ -8,12 +8,12 @@
 #include "acaciapulley/config/service_document.hpp" // RequestClass
 #include "acaciapulley/core/clock.hpp"              // Duration
 #include "acaciapulley/node/refusal.hpp"            // OrRefusal
-#include "acaciapulley/transport/http_message.hpp"  // HttpRequestHead
+#include "acaciapulley/transport/http_message.hpp"  // HttpHeaders, HttpRequestHead
 
 namespace acp::detail {
 
-/// @brief Returns the milliseconds in a field of another node, 0 when there are none.
-[[nodiscard]] std::chrono::milliseconds MillisIn(const HttpRequestHead& head, const char* field);
+/// @brief Returns the milliseconds in a field of a node, 0 when there are none.
+[[nodiscard]] std::chrono::milliseconds MillisIn(const HttpHeaders& headers, const char* field);
 
 /// @brief Returns how long a request may wait for an upstream. A refused nested call wastes all the
 /// work of its request, so that it waits longer than a request on which no work has been done.
--- a/include/acaciapulley/replication/replica.hpp
+++ b/include/acaciapulley/replication/replica.hpp
@@ -38,12 +38,12 @@
   /// in being empty, so it bootstraps nothing and joins as a learner.
   bool bootstrap = false;
 
-  /// Whether the replica has a listener of its own. If not, the owner serves Processor() at
-  /// `rpcAddress` under kReplicationServiceName on a multiplexed processor.
-  /// Replace a voter by a learner at the same address without an operator; see
+  /// Replaces a voter by a learner at the same address without an operator; see
   /// RaftCore::ReplaceReturned.
   bool replacesReturned = false;
 
+  /// Whether the replica has a listener of its own. If not, the owner serves Processor() at
+  /// `rpcAddress` under kReplicationServiceName on a multiplexed processor.
   bool ownListener = true;
 
   Duration rpcTimeout = std::chrono::seconds(1); ///< a call that takes longer closes its connection
--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -70,6 +70,9 @@
   /// Linear in the number of members of the service.
   [[nodiscard]] std::optional<Choice> Pick(const PickRequest& request, TimePoint now);
 
+  /// @brief Returns whether the service has a member that is neither draining nor tried before.
+  [[nodiscard]] bool HasOther(const PickRequest& request) const;
+
 private:
   [[nodiscard]] double Random();
   [[nodiscard]] MemberState* Choose(ServiceMembers& members,
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -73,6 +73,12 @@
   return impl_->fleet.Current();
 }
 
+std::int64_t ControlState::FleetVersion() const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->fleet.Current().version;
+}
+
 std::string ControlState::FleetSecret() const
 {
   const std::shared_lock lock(impl_->mutex);
--- a/src/control/rate_service.cpp
+++ b/src/control/rate_service.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/control/rate_service.hpp"
 
-#include <utility> // move
+#include <stop_token> // stop_token
+#include <utility>    // move
 
 #include "acaciapulley/config/fleet_document.hpp"   // FleetDocument
 #include "acaciapulley/config/service_document.hpp" // ServiceDocument
@@ -145,6 +146,16 @@
   FollowDocuments(now);
 }
 
+std::jthread FollowRates(RateService& rates, Duration interval)
+{
+  return std::jthread([&rates, interval](const std::stop_token& stop) {
+    while (!stop.stop_requested()) {
+      rates.Follow();
+      std::this_thread::sleep_for(interval);
+    }
+  });
+}
+
 ControlResult<void> RateService::Acquire(wire::TokenReply& reply,
                                          const wire::TokenRequest& request,
                                          const Leadership& leadership)
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -118,8 +118,9 @@
   reply.ageMs = std::chrono::ceil<std::chrono::milliseconds>(age).count();
   reply.heldMs = std::chrono::floor<std::chrono::milliseconds>(held).count();
   reply.delta = ToWire(context_.state.ChangesSince(request.stateVersion));
-  const FleetChange fleet = context_.state.Fleet();
-  if (fleet.version != request.fleetVersion) {
+  // A document may be large, and nearly all polls come from nodes that have it.
+  if (context_.state.FleetVersion() != request.fleetVersion) {
+    const FleetChange fleet = context_.state.Fleet();
     wire::FleetRecord record;
     record.version = fleet.version;
     record.document = fleet.document;
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -8,7 +8,7 @@
 #include <cstddef>   // size_t
 #include <cstdint>   // uint64_t
 #include <cstdio>    // stderr
-#include <utility>   // move
+#include <mutex>     // mutex
 
 #include <fmt/chrono.h> // gmtime
 #include <fmt/format.h> // format
@@ -22,6 +22,7 @@
 std::atomic<LogLevel> gLowestLevel{ LogLevel::Info };
 std::atomic<LogOutput> gOutput{ LogOutput::StandardError };
 std::atomic<std::uint64_t> gLinesLeftOut{ 0 };
+std::mutex gStandardOutput;
 
 // Writes of up to this size to a pipe are whole, and a pipe that polls as writable has room for it.
 constexpr std::size_t kLongestLine = PIPE_BUF;
@@ -58,6 +59,8 @@
 
 bool WriteToStandardOutput(std::string_view line)
 {
+  // Between the poll and the write no other thread may use up the room.
+  const std::lock_guard lock(gStandardOutput);
   pollfd entry{ .fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0 };
   if (::poll(&entry, 1, 0) != 1 || (entry.revents & POLLOUT) == 0) {
     return false;
@@ -72,11 +75,9 @@
     return;
   }
   const std::uint64_t leftOut = gLinesLeftOut.exchange(0);
-  if (leftOut > 0) {
-    line += fmt::format(" lines_left_out={}", leftOut);
-  }
-  line.resize(std::min(line.size(), kLongestLine - 1));
-  line += '\n';
+  const std::string end = leftOut > 0 ? fmt::format(" lines_left_out={}\n", leftOut) : "\n";
+  line.resize(std::min(line.size(), kLongestLine - end.size()));
+  line += end;
   if (!WriteToStandardOutput(line)) {
     gLinesLeftOut += leftOut + 1;
   }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/node/detail/dispatcher.hpp"
 
-#include <algorithm> // find, min
+#include <algorithm> // min
 #include <random>    // mt19937, uniform_real_distribution
 #include <thread>    // sleep_for
 #include <utility>   // move
@@ -29,6 +29,21 @@
   return std::chrono::milliseconds(CountMillis(context.deadline) - CountMillis(clock.WallNow()));
 }
 
+/// Whether the request can be sent again and somebody waits for its answer.
+bool CanRepeat(const PendingCall& call)
+{
+  const bool canReplay = call.body.CanReplay() || !call.body.IsConsumed();
+  return canReplay && !call.exchange.IsCallerGone();
+}
+
+PickRequest PickRequestOf(const PendingCall& call, const std::vector<std::string>& tried)
+{
+  return { .service = call.request.service,
+           .tried = tried,
+           .requestClass = call.request.requestClass->name,
+           .isIdempotent = call.request.requestClass->idempotent };
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(const DispatcherOptions& options)
@@ -52,10 +67,7 @@
 std::optional<Choice> Dispatcher::Choose(const PendingCall& call,
                                          const std::vector<std::string>& tried)
 {
-  const PickRequest request{ .service = call.request.service,
-                             .tried = tried,
-                             .requestClass = call.request.requestClass->name,
-                             .isIdempotent = call.request.requestClass->idempotent };
+  const PickRequest request = PickRequestOf(call, tried);
   const TimePoint giveUpAt = options_.clock->Now() + call.patience;
   while (true) {
     const auto seen = options_.members->Changes().Count();
@@ -69,26 +81,14 @@
   }
 }
 
-bool Dispatcher::HasOther(const PendingCall& call, const std::vector<std::string>& tried) const
-{
-  bool hasOther = false;
-  options_.members->With(call.request.service, [&](ServiceMembers& members) {
-    for (const MemberState& member : members.Members()) {
-      const bool isTried = std::find(tried.begin(), tried.end(), member.info.nodeId) != tried.end();
-      hasOther = hasOther || (!isTried && !member.isDraining);
-    }
-  });
-  return hasOther;
-}
-
 bool Dispatcher::MayReplaceAnswer(const PendingCall& call,
                                   const RequestContext& context,
+                                  const std::vector<std::string>& tried,
                                   TimePoint attemptStart)
 {
-  const bool canReplay = call.body.CanReplay() || !call.body.IsConsumed();
   const Duration taken = options_.clock->Now() - attemptStart;
   const bool hasTime = RemainingTime(*options_.clock, context) > 2 * taken;
-  if (!canReplay || !hasTime || call.exchange.IsCallerGone()) {
+  if (!hasTime || !CanRepeat(call) || !options_.balancer->HasOther(PickRequestOf(call, tried))) {
     return false;
   }
   const std::lock_guard lock(ratioMutex_);
@@ -119,12 +119,12 @@
     const CallBudget split = call.request.isFleetRoute
                                ? CallBudget{ .own = retriesLeft, .callee = 0 }
                                : SplitDraw(retriesLeft);
-    const bool mayRepeat = call.request.isFleetRoute && retriesLeft > 0 &&
-                           call.request.requestClass->idempotent && HasOther(call, tried);
+    const bool mayRepeat =
+      call.request.isFleetRoute && retriesLeft > 0 && call.request.requestClass->idempotent;
     call.mayReplaceAnswer = nullptr;
     if (mayRepeat) {
-      call.mayReplaceAnswer = [this, &call, &context, start = choice->startedAt] {
-        return MayReplaceAnswer(call, context, start);
+      call.mayReplaceAnswer = [this, &call, &context, &tried, start = choice->startedAt] {
+        return MayReplaceAnswer(call, context, tried, start);
       };
     }
     const AttemptEnd end = Attempt(call, context, *choice, split.callee);
@@ -134,17 +134,15 @@
       return { .unusedRetries = retriesLeft };
     }
     keep(end.result);
-    if (end.isReplaced) {
-      --retriesLeft;
-      call.body.Rewind();
-      continue;
-    }
-    const auto decision = Decide(call, context, end, attempt, retriesLeft);
-    if (decision.verdict != RetryVerdict::Retry) {
-      return { .result = last, .unusedRetries = retriesLeft };
+    // The retry after a dropped answer has been decided and taken from the budget already.
+    if (!end.isReplaced) {
+      const auto decision = Decide(call, context, end, attempt, retriesLeft);
+      if (decision.verdict != RetryVerdict::Retry) {
+        return { .result = last, .unusedRetries = retriesLeft };
+      }
+      std::this_thread::sleep_for(decision.delay);
     }
     --retriesLeft;
-    std::this_thread::sleep_for(decision.delay);
     call.body.Rewind();
   }
 }
@@ -186,8 +184,7 @@
                                  int attempt,
                                  int retriesLeft)
 {
-  const bool canReplay = call.body.CanReplay() || !call.body.IsConsumed();
-  if (!canReplay || call.exchange.IsCallerGone()) {
+  if (!CanRepeat(call)) {
     return {};
   }
   const Refusal& refusal = end.result.error();
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -3,8 +3,9 @@
 #include <algorithm> // clamp
 #include <charconv>  // from_chars
 
-#include "acaciapulley/node/detail/answer_relay.hpp" // ReadMessage, SaysNotRun
-#include "acaciapulley/node/detail/headers.hpp"      // kContextHeader
+#include "acaciapulley/node/detail/answer_relay.hpp"  // ReadMessage, SaysNotRun
+#include "acaciapulley/node/detail/headers.hpp"       // kContextHeader
+#include "acaciapulley/node/detail/request_times.hpp" // MillisIn
 
 namespace acp::detail {
 
@@ -23,14 +24,6 @@
   return std::clamp(unused, 0, sent);
 }
 
-Duration RetryAfterOf(const HttpResponseHead& head)
-{
-  const std::string text = head.headers.Find(kRetryAfterHeader).value_or("");
-  std::int64_t millis = 0;
-  std::from_chars(text.data(), text.data() + text.size(), millis);
-  return std::chrono::milliseconds(std::max<std::int64_t>(millis, 0));
-}
-
 AttemptEnd WithoutAnswer(const TransportError& error, int sentRetries)
 {
   const bool nothingSent =
@@ -156,7 +149,7 @@
                      .outcome = outcome.value_or(RequestOutcome::Unknown),
                      .reason = reason.value_or(Reason::UpstreamConnectionLost),
                      .message = ReadMessage(answer) };
-    refusal.retryAfter = RetryAfterOf(head);
+    refusal.retryAfter = MillisIn(head.headers, kRetryAfterHeader);
     return FailedAttempt(refusal, false, unusedRetries);
   }
   if (auto replaced = ReplaceServerError(call, answer, unusedRetries)) {
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -340,7 +340,8 @@
                     .body = body,
                     .audience = Audience::Peer,
                     .ownClass = detail::ClassName(resolved.value()),
-                    .patience = detail::MillisIn(exchange.Request(), detail::kPatienceHeader),
+                    .patience =
+                      detail::MillisIn(exchange.Request().headers, detail::kPatienceHeader),
                     .callerService =
                       exchange.Request().headers.Find(detail::kCallerServiceHeader).value_or("") };
   AttemptEnd end = executor_.Run(call, context.value());
--- a/src/node/request_times.cpp
+++ b/src/node/request_times.cpp
@@ -16,9 +16,9 @@
 
 } // namespace
 
-std::chrono::milliseconds MillisIn(const HttpRequestHead& head, const char* field)
+std::chrono::milliseconds MillisIn(const HttpHeaders& headers, const char* field)
 {
-  const std::string text = head.headers.Find(field).value_or("");
+  const std::string text = headers.Find(field).value_or("");
   std::int64_t millis = 0;
   std::from_chars(text.data(), text.data() + text.size(), millis);
   return std::chrono::milliseconds(std::max<std::int64_t>(millis, 0));
--- a/src/programs/acp-control/main.cpp
+++ b/src/programs/acp-control/main.cpp
@@ -3,10 +3,10 @@
 
 #include <exception> // exception
 #include <stdexcept> // runtime_error
-#include <thread>    // jthread, sleep_for
+#include <thread>    // jthread
 
 #include "acaciapulley/control/control_service.hpp" // ControlProcess
-#include "acaciapulley/control/rate_service.hpp"    // RateService
+#include "acaciapulley/control/rate_service.hpp"    // FollowRates, RateService
 #include "acaciapulley/control/record_service.hpp"  // RecordService
 #include "acaciapulley/core/log.hpp"                // Log
 #include "acaciapulley/transport/process.hpp"       // BlockStopSignals, WaitForStopSignal
@@ -37,12 +37,7 @@
   acp::ControlState state;
   const auto log = acp::OpenLog(settings, clock, state);
   acp::RateService rates(state, *log, clock);
-  const std::jthread follower([&rates](const std::stop_token& stop) {
-    while (!stop.stop_requested()) {
-      rates.Follow();
-      std::this_thread::sleep_for(kFollowInterval);
-    }
-  });
+  const std::jthread follower = acp::FollowRates(rates, kFollowInterval);
   acp::ControlHooks hooks;
   hooks.acquireTokens = [&rates](auto& reply, const auto& request, const auto& leadership) {
     return rates.Acquire(reply, request, leadership);
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/routing/balancer.hpp"
 
-#include <algorithm> // find, min, nth_element
+#include <algorithm> // any_of, find, min, nth_element
 #include <cstddef>   // ptrdiff_t, size_t
 #include <memory>    // make_shared
 #include <random>    // mt19937_64, random_device, uniform_real_distribution
@@ -24,10 +24,10 @@
   return [generator] { return std::uniform_real_distribution<double>(0, 1)(*generator); };
 }
 
-bool IsTried(const PickRequest& request, const MemberState& member)
+bool IsOpen(const PickRequest& request, const MemberState& member)
 {
-  return std::find(request.tried.begin(), request.tried.end(), member.info.nodeId) !=
-         request.tried.end();
+  const auto tried = std::find(request.tried.begin(), request.tried.end(), member.info.nodeId);
+  return !member.isDraining && tried == request.tried.end();
 }
 
 /// The value that at least half of the members do not exceed.
@@ -106,11 +106,23 @@
   return choice;
 }
 
+bool Balancer::HasOther(const PickRequest& request) const
+{
+  bool hasOther = false;
+  options_.members->With(request.service, [&](ServiceMembers& members) {
+    hasOther =
+      std::any_of(members.Members().begin(),
+                  members.Members().end(),
+                  [&request](const MemberState& member) { return IsOpen(request, member); });
+  });
+  return hasOther;
+}
+
 MemberState* Balancer::Choose(ServiceMembers& members, const PickRequest& request, TimePoint now)
 {
   std::vector<MemberState*> usable;
   for (MemberState& member : members.Members()) {
-    if (member.isDraining || IsTried(request, member)) {
+    if (!IsOpen(request, member)) {
       continue;
     }
     if (member.outlier.IsEjected()) {
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -41,27 +41,27 @@
   return std::chrono::duration<double>(span).count();
 }
 
-double RefusedPartAt(const MemberState& member, TimePoint now)
+/// The part of a statistic of @p since that still counts.
+double RememberedPart(TimePoint since, TimePoint now, double forgetSeconds)
 {
-  const double elapsed = std::max(Seconds(now - member.lastRefusal), 0.0);
-  return member.refusedPart * std::exp(-elapsed / kRefusalSeconds);
+  return std::exp(-std::max(Seconds(now - since), 0.0) / forgetSeconds);
 }
 
-double Remaining(TimePoint since, TimePoint now)
+double RefusedPartAt(const MemberState& member, TimePoint now)
 {
-  return std::exp(-std::max(Seconds(now - since), 0.0) / kForgetSeconds);
+  return member.refusedPart * RememberedPart(member.lastRefusal, now, kRefusalSeconds);
 }
 
 } // namespace
 
 double MemberState::SlownessAt(TimePoint now) const
 {
-  return 1 + (slowness - 1) * Remaining(lastLatency, now);
+  return 1 + (slowness - 1) * RememberedPart(lastLatency, now, kForgetSeconds);
 }
 
 double MemberState::FailedPartAt(TimePoint now) const
 {
-  return failedPart * Remaining(lastAnswer, now);
+  return failedPart * RememberedPart(lastAnswer, now, kForgetSeconds);
 }
 
 double MemberState::CapacityAt(TimePoint now) const
