Let the leader keep the set of voters: grow it to the losses asked for, replace silent voters

Cause: the set of voters was fixed by the founding. The class of fault: redundancy that is provided once and never restored, so that each loss for good lowers it until the next one stops the service.

Ruled out: a log that loses acknowledged entries. The survivor had them; there was no majority to confirm them.

A voter that was replaced while silent is not refused later: any replica that hears no leader asks to join, followers pass that on to the leader, and it comes back as a learner.

Evidence: six new tests in membership_test and random schedules with changing voters.

--- a/include/acaciapulley/replication/detail/replica_impl.hpp
+++ b/include/acaciapulley/replication/detail/replica_impl.hpp
@@ -99,7 +99,7 @@
   void FinishReplacements();
   void Bootstrap(const InitialSet& initialSet);
   void Publish();
-  void ReplaceReturned();
+  void MaintainVoters();
   void LearnAddresses(const std::vector<RaftMessage>& messages);
   void Stop(const ReplicationError& error);
   void Fail(const ReplicationError& error);
--- a/include/acaciapulley/replication/raft_core.hpp
+++ b/include/acaciapulley/replication/raft_core.hpp
@@ -38,6 +38,11 @@
   /// that hears no quorum for this span steps down.
   Duration electionTimeout = std::chrono::milliseconds(300);
   Duration heartbeatInterval = std::chrono::milliseconds(50);
+  /// A voter that was not heard for this span is replaced by a learner that has caught up; zero:
+  /// never. The voter may come back as a learner.
+  Duration voterSilence = Duration::zero();
+  /// Learners become voters until the set has this many; 0: it keeps the size that it has.
+  std::size_t voterTarget = 0;
   /// Takes the place of electionTimeout for the elections of a replica that has heard no leader
   /// since its start, so that a cluster of which all replicas restarted is led again soon. The
   /// pre-vote keeps such a replica from disturbing a leader.
@@ -125,11 +130,12 @@
                                          const std::string& newId,
                                          UnixMillis wall);
 
-  /// @brief Starts the replacement of a voter whose host has come back with an empty disk: a
-  /// learner that has caught up and reports the voter's address proves that the old identity is
-  /// lost.
-  /// @return the position as of Replace(), or nothing when there is none to replace
-  std::optional<LogPosition> ReplaceReturned(UnixMillis wall);
+  /// @brief Starts the next change of the voters that this leader makes without an operator, one at
+  /// a time: a learner that has caught up takes the place of a voter whose address it reports,
+  /// which proves that the old identity is lost; or that of a voter that is silent; or is added to
+  /// a set that is smaller than RaftOptions::voterTarget.
+  /// @return the change, or nothing when there is none to make
+  std::optional<VoterChange> MaintainVoters(const RaftTime& time);
 
   /// @brief Returns what has to be done since the last call.
   RaftReady TakeReady(TimePoint now);
@@ -241,6 +247,16 @@
   void SendSnapshotChunk(const std::string& id, Progress& progress, TimePoint now);
   void AdvanceCommit(UnixMillis wall);
   void AddProgress(TimePoint now);
+
+  // Changes of the set of voters.
+  [[nodiscard]] ReplicationResult<void> CheckVoterChange(const std::string& learnerId) const;
+  LogPosition BeginVoterChange(Membership next, const std::string& learnerId, UnixMillis wall);
+  std::optional<VoterChange> ReplaceReturned(const RaftTime& time);
+  std::optional<VoterChange> ReplaceSilent(const ReplicaRecord& learner, const RaftTime& time);
+  std::optional<VoterChange> AddVoter(const ReplicaRecord& learner, const RaftTime& time);
+  [[nodiscard]] const ReplicaRecord* ReachableLearner(TimePoint now) const;
+  [[nodiscard]] Duration SilenceOf(const std::string& id, TimePoint now) const;
+
   LogPosition AppendOwn(EntryKind kind, std::string data, UnixMillis wall);
   [[nodiscard]] std::uint64_t ConfirmedRound() const;
   std::shared_ptr<const std::string> EncodedSnapshot();
--- a/include/acaciapulley/replication/raft_types.hpp
+++ b/include/acaciapulley/replication/raft_types.hpp
@@ -3,13 +3,16 @@
 /// @file
 /// Entries, membership, snapshots and messages of the replicated log.
 
+#include <array>   // array
+#include <cstddef> // size_t
 #include <cstdint> // uint64_t
 #include <memory>  // shared_ptr
 #include <set>     // set
 #include <string>  // string
 #include <vector>  // vector
 
-#include "acaciapulley/core/clock.hpp"                    // UnixMillis
+#include "acaciapulley/core/clock.hpp"                    // Duration, UnixMillis
+#include "acaciapulley/core/names.hpp"                    // EnumName, NameTable
 #include "acaciapulley/replication/replicated_log.hpp"    // LogPosition
 #include "acaciapulley/replication/replication_error.hpp" // ReplicationResult
 
@@ -33,6 +36,9 @@
   std::vector<ReplicaRecord> voters;
   std::vector<ReplicaRecord> oldVoters;
   std::vector<std::string> retiredIds; ///< replaced identities; their messages are refused
+  /// Old voters that the change under way takes out of the set although their disks may be sound;
+  /// they may come back as learners.
+  std::vector<std::string> demotedIds;
 
   /// @brief Returns whether @p id votes in this set.
   [[nodiscard]] bool IsVoter(const std::string& id) const;
@@ -44,6 +50,9 @@
   /// @brief Returns whether @p id was replaced.
   [[nodiscard]] bool IsRetired(const std::string& id) const;
 
+  /// @brief Returns the set that follows once this one, with old voters, is committed.
+  [[nodiscard]] Membership Settled() const;
+
   bool operator==(const Membership&) const = default;
 };
 
@@ -77,6 +86,35 @@
   bool operator==(const Snapshot&) const = default;
 };
 
+/// Why the leader changes the set of voters by itself.
+enum class VoterChangeReason
+{
+  HostReturnedEmpty, ///< a learner reports the address of a voter, whose disk is lost
+  VoterSilent,       ///< a voter was not heard for RaftOptions::voterSilence
+  SetTooSmall,       ///< there are fewer voters than RaftOptions::voterTarget
+};
+
+template<>
+struct NameTable<VoterChangeReason>
+{
+  static constexpr std::array<EnumName<VoterChangeReason>, 3> kRows = { {
+    { VoterChangeReason::HostReturnedEmpty, "host_returned_empty" },
+    { VoterChangeReason::VoterSilent, "voter_silent" },
+    { VoterChangeReason::SetTooSmall, "set_too_small" },
+  } };
+};
+
+/// A change of the voters that the leader has put into its log.
+struct VoterChange
+{
+  VoterChangeReason reason = VoterChangeReason::SetTooSmall;
+  LogPosition position;   ///< of the first of two entries
+  std::string leavingId;  ///< empty when a voter is added
+  std::string learnerId;  ///< becomes a voter
+  Duration silence{};     ///< time since the leaving voter was heard
+  std::size_t voters = 0; ///< in the set before the change
+};
+
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
 
 /// What a replica must never forget.
--- a/include/acaciapulley/replication/replica.hpp
+++ b/include/acaciapulley/replication/replica.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// A replica of the log: threads, disk and connections around RaftCore.
 
+#include <cstddef>    // size_t
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // shared_ptr, unique_ptr
@@ -38,9 +39,10 @@
   /// in being empty, so it bootstraps nothing and joins as a learner.
   bool bootstrap = false;
 
-  /// Replaces a voter by a learner at the same address without an operator; see
-  /// RaftCore::ReplaceReturned.
-  bool replacesReturned = false;
+  /// Changes the set of voters without an operator; see RaftCore::MaintainVoters.
+  bool maintainsVoters = false;
+  Duration voterSilence = Duration::zero(); ///< see RaftOptions
+  std::size_t voterTarget = 0;              ///< see RaftOptions
 
   /// Whether the replica has a listener of its own. If not, the owner serves Processor() at
   /// `rpcAddress` under kReplicationServiceName on a multiplexed processor.
--- a/src/programs/acp-control/open_log.cpp
+++ b/src/programs/acp-control/open_log.cpp
@@ -14,6 +14,13 @@
   settings.AddText(
     "data-folder", "folder of this replica's log; needs a disk", Settings::kRequired);
   settings.AddAddresses("replicas", "rpc addresses of all replicas, this one included", "");
+  settings.AddInteger(
+    "voters", "learners become voters until the set has this many; 0: as founded", 0, 0, 15);
+  settings.AddInteger("replace-silent-after-ms",
+                      "a voter silent for this long is replaced by a learner; 0: never",
+                      0,
+                      0,
+                      3'600'000);
   settings.AddSwitch("bootstrap", "let empty replicas form a new cluster when all are empty");
 }
 
@@ -27,6 +34,9 @@
   if (std::find(replicas.begin(), replicas.end(), self) == replicas.end()) {
     throw std::runtime_error("--replicas does not contain --rpc " + self.ToString());
   }
+  const Duration voterSilence =
+    std::chrono::milliseconds(settings.GetInteger("replace-silent-after-ms"));
+  const auto voterTarget = static_cast<std::size_t>(settings.GetInteger("voters"));
   auto started =
     Replica::Start({ .clock = &clock,
                      .dataFolder = settings.GetText("data-folder"),
@@ -34,6 +44,9 @@
                      .operatorAddress = settings.GetText("operator"),
                      .replicaAddresses = replicas,
                      .bootstrap = settings.GetSwitch("bootstrap"),
+                     .maintainsVoters = voterTarget > 0 || voterSilence > Duration::zero(),
+                     .voterSilence = voterSilence,
+                     .voterTarget = voterTarget,
                      .ownListener = false,
                      .onFailure =
                        [](const ReplicationError& error) {
--- a/src/replication/codec.cpp
+++ b/src/replication/codec.cpp
@@ -58,6 +58,24 @@
   return replicas;
 }
 
+void PutIds(ByteWriter& out, const std::vector<std::string>& ids)
+{
+  out.Put32(static_cast<std::uint32_t>(ids.size()));
+  for (const auto& id : ids) {
+    out.PutString(id);
+  }
+}
+
+std::vector<std::string> GetIds(ByteReader& in)
+{
+  std::vector<std::string> ids;
+  const std::uint32_t count = in.Get32();
+  for (std::uint32_t i = 0; i < count && in.Ok(); ++i) {
+    ids.push_back(in.GetString());
+  }
+  return ids;
+}
+
 } // namespace
 
 void ByteWriter::Put8(std::uint8_t value)
@@ -156,9 +174,10 @@
   out.PutString(membership.clusterId);
   PutReplicas(out, membership.voters);
   PutReplicas(out, membership.oldVoters);
-  out.Put32(static_cast<std::uint32_t>(membership.retiredIds.size()));
-  for (const auto& id : membership.retiredIds) {
-    out.PutString(id);
+  PutIds(out, membership.retiredIds);
+  // Left out while empty, as in entries of earlier versions.
+  if (!membership.demotedIds.empty()) {
+    PutIds(out, membership.demotedIds);
   }
   return out.Take();
 }
@@ -170,9 +189,9 @@
   membership.clusterId = in.GetString();
   membership.voters = GetReplicas(in);
   membership.oldVoters = GetReplicas(in);
-  const std::uint32_t count = in.Get32();
-  for (std::uint32_t i = 0; i < count && in.Ok(); ++i) {
-    membership.retiredIds.push_back(in.GetString());
+  membership.retiredIds = GetIds(in);
+  if (!in.Finished()) {
+    membership.demotedIds = GetIds(in);
   }
   if (!in.Finished()) {
     return Fail(ReplicationErrorCode::InvalidMessage, "membership cannot be read");
--- a/src/replication/membership.cpp
+++ b/src/replication/membership.cpp
@@ -13,6 +13,11 @@
   });
 }
 
+bool Contains(const std::vector<std::string>& ids, const std::string& id)
+{
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
 bool HasMajority(const std::vector<ReplicaRecord>& replicas, const std::set<std::string>& ids)
 {
   const auto count =
@@ -36,7 +41,20 @@
 
 bool Membership::IsRetired(const std::string& id) const
 {
-  return std::find(retiredIds.begin(), retiredIds.end(), id) != retiredIds.end();
+  return Contains(retiredIds, id);
+}
+
+Membership Membership::Settled() const
+{
+  Membership settled = *this;
+  settled.oldVoters.clear();
+  settled.demotedIds.clear();
+  for (const auto& old : oldVoters) {
+    if (!settled.IsVoter(old.id) && !Contains(demotedIds, old.id)) {
+      settled.retiredIds.push_back(old.id);
+    }
+  }
+  return settled;
 }
 
 } // namespace acp
--- a/src/replication/peer_channel.cpp
+++ b/src/replication/peer_channel.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/replication/detail/peer_channel.hpp"
 
-#include <utility> // exchange, move
+#include <algorithm> // find
+#include <utility>   // exchange, move
 
 #include <thrift/TOutput.h>
 #include <thrift/protocol/TCompactProtocol.h>
@@ -207,7 +208,13 @@
 {
   const std::lock_guard lock(mutex_);
   if (message.to.empty()) {
-    for (const auto& address : known_) {
+    std::vector<Address> everyone = known_;
+    for (const auto& [id, address] : addresses_) {
+      if (std::find(everyone.begin(), everyone.end(), address) == everyone.end()) {
+        everyone.push_back(address);
+      }
+    }
+    for (const auto& address : everyone) {
       SendTo(address, message);
     }
     return;
--- a/src/replication/raft_core.cpp
+++ b/src/replication/raft_core.cpp
@@ -70,16 +70,13 @@
   }
   ResetElectionTimer(time.now);
   leaderId_.clear();
-  const bool isVoter = log_.Newest().IsVoter(hard_.identity);
-  // A set that is not committed may have been dropped by a later leader, which then does not know
-  // this replica. A leader that does know it ignores the message.
-  if (!isVoter || !MembershipIsSettled()) {
-    // Without an addressee the message goes to every known address.
-    RaftMessage join = MakeMessage(MessageKind::Join, {});
-    join.sender = options_.self;
-    Send(std::move(join));
-  }
-  if (isVoter) {
+  // The set in this log may not be the one of the leader: it was never committed, or it was changed
+  // while this replica was out of reach. A leader that has this replica in its set ignores the
+  // message. Without an addressee it goes to every known address.
+  RaftMessage join = MakeMessage(MessageKind::Join, {});
+  join.sender = options_.self;
+  Send(std::move(join));
+  if (log_.Newest().IsVoter(hard_.identity)) {
     StartPreVote(time);
   }
 }
--- a/src/replication/raft_leader.cpp
+++ b/src/replication/raft_leader.cpp
@@ -14,9 +14,6 @@
 /// A learner that has not been heard for this long is forgotten; it asks again when it is back.
 constexpr Duration kLearnerTimeout = std::chrono::seconds(10);
 
-/// A learner that lacks at most so many committed entries has caught up.
-constexpr std::uint64_t kCaughtUpEntries = 100;
-
 /// A replica that is sent a snapshot and can be reached must find the entries after it when it is
 /// done, however fast snapshots follow each other. The bound limits the memory this takes.
 constexpr std::uint64_t kMaxKeptFactor = 20;
@@ -71,61 +68,6 @@
   return AppendOwn(EntryKind::Command, std::move(command), wall);
 }
 
-ReplicationResult<LogPosition> RaftCore::Replace(const std::string& lostId,
-                                                 const std::string& newId,
-                                                 UnixMillis wall)
-{
-  if (role_ != RaftRole::Leader) {
-    return Fail(ReplicationErrorCode::NotLeader, "replica " + hard_.identity + " does not lead");
-  }
-  const auto refuse = [](const std::string& why) {
-    return Fail(ReplicationErrorCode::ChangeRefused, why);
-  };
-  if (!MembershipIsSettled() || commitIndex_ < termStartIndex_) {
-    return refuse("another change of the replica set is not yet committed");
-  }
-  if (lostId == hard_.identity) {
-    return refuse("replica " + lostId + " leads, so it is not lost");
-  }
-  if (!log_.Newest().IsVoter(lostId)) {
-    return refuse("replica " + lostId + " is not in the set");
-  }
-  const auto learner = progress_.find(newId);
-  if (learner == progress_.end() || learner->second.learner.id.empty()) {
-    return refuse("replica " + newId + " is not a learner of this leader");
-  }
-  if (learner->second.matchIndex + kCaughtUpEntries < commitIndex_) {
-    return refuse("replica " + newId + " has not caught up: it has entry " +
-                  std::to_string(learner->second.matchIndex) + " of " +
-                  std::to_string(commitIndex_));
-  }
-  Membership next = log_.Newest();
-  next.oldVoters = next.voters;
-  for (auto& voter : next.voters) {
-    if (voter.id == lostId) {
-      voter = learner->second.learner;
-    }
-  }
-  learner->second.learner = {};
-  return AppendOwn(EntryKind::Membership, detail::EncodeMembership(next), wall);
-}
-
-std::optional<LogPosition> RaftCore::ReplaceReturned(UnixMillis wall)
-{
-  if (role_ != RaftRole::Leader || !MembershipIsSettled()) {
-    return std::nullopt;
-  }
-  for (const auto& learner : Learners()) {
-    for (const auto& voter : log_.Newest().voters) {
-      if (voter.rpcAddress == learner.rpcAddress && voter.id != learner.id) {
-        const auto replaced = Replace(voter.id, learner.id, wall);
-        return replaced ? std::optional(replaced.value()) : std::nullopt;
-      }
-    }
-  }
-  return std::nullopt;
-}
-
 void RaftCore::AdvanceCommit(UnixMillis wall)
 {
   const std::uint64_t own = options_.guards.syncBeforeAnswer ? persistedIndex_ : log_.Last().index;
@@ -150,11 +92,9 @@
   }
   const Membership& newest = log_.Newest();
   if (!newest.oldVoters.empty() && log_.NewestIndex() <= commitIndex_) {
-    Membership settled = newest;
-    settled.oldVoters.clear();
+    const Membership settled = newest.Settled();
     for (const auto& old : newest.oldVoters) {
       if (!settled.IsVoter(old.id)) {
-        settled.retiredIds.push_back(old.id);
         progress_.erase(old.id);
       }
     }
@@ -348,8 +288,16 @@
 
 void RaftCore::StepJoin(const RaftMessage& message, TimePoint now)
 {
-  if (role_ != RaftRole::Leader || message.sender.id != message.from ||
-      log_.Newest().IsVoter(message.from)) {
+  if (role_ != RaftRole::Leader) {
+    // The sender may know only hosts that do not lead.
+    if (message.to.empty() && !leaderId_.empty() && leaderId_ != message.from) {
+      RaftMessage forwarded = message;
+      forwarded.to = leaderId_;
+      Send(std::move(forwarded));
+    }
+    return;
+  }
+  if (message.sender.id != message.from || log_.Newest().IsVoter(message.from)) {
     return;
   }
   const auto [found, isNew] = progress_.try_emplace(message.from);
--- /dev/null
+++ b/src/replication/raft_voters.cpp
@@ -0,0 +1,172 @@
+#include <algorithm> // find_if
+#include <utility>   // move
+
+#include "acaciapulley/replication/detail/codec.hpp" // EncodeMembership
+#include "acaciapulley/replication/raft_core.hpp"
+
+namespace acp {
+
+namespace {
+
+/// A learner that lacks at most so many committed entries has caught up.
+constexpr std::uint64_t kCaughtUpEntries = 100;
+
+auto Refuse(const std::string& why)
+{
+  return Fail(ReplicationErrorCode::ChangeRefused, why);
+}
+
+} // namespace
+
+ReplicationResult<void> RaftCore::CheckVoterChange(const std::string& learnerId) const
+{
+  if (role_ != RaftRole::Leader) {
+    return Fail(ReplicationErrorCode::NotLeader, "replica " + hard_.identity + " does not lead");
+  }
+  if (!MembershipIsSettled() || commitIndex_ < termStartIndex_) {
+    return Refuse("another change of the replica set is not yet committed");
+  }
+  const auto learner = progress_.find(learnerId);
+  if (learner == progress_.end() || learner->second.learner.id.empty()) {
+    return Refuse("replica " + learnerId + " is not a learner of this leader");
+  }
+  if (learner->second.matchIndex + kCaughtUpEntries < commitIndex_) {
+    return Refuse("replica " + learnerId + " has not caught up: it has entry " +
+                  std::to_string(learner->second.matchIndex) + " of " +
+                  std::to_string(commitIndex_));
+  }
+  return boost::outcome_v2::success();
+}
+
+LogPosition RaftCore::BeginVoterChange(Membership next,
+                                       const std::string& learnerId,
+                                       UnixMillis wall)
+{
+  next.oldVoters = log_.Newest().voters;
+  progress_.at(learnerId).learner = {};
+  return AppendOwn(EntryKind::Membership, detail::EncodeMembership(next), wall);
+}
+
+ReplicationResult<LogPosition> RaftCore::Replace(const std::string& lostId,
+                                                 const std::string& newId,
+                                                 UnixMillis wall)
+{
+  if (const auto checked = CheckVoterChange(newId); !checked) {
+    return checked.as_failure();
+  }
+  if (lostId == hard_.identity) {
+    return Refuse("replica " + lostId + " leads, so it is not lost");
+  }
+  Membership next = log_.Newest();
+  const auto lost = std::find_if(
+    next.voters.begin(), next.voters.end(), [&](const auto& voter) { return voter.id == lostId; });
+  if (lost == next.voters.end()) {
+    return Refuse("replica " + lostId + " is not in the set");
+  }
+  *lost = progress_.at(newId).learner;
+  return BeginVoterChange(std::move(next), newId, wall);
+}
+
+std::optional<VoterChange> RaftCore::MaintainVoters(const RaftTime& time)
+{
+  if (role_ != RaftRole::Leader || !MembershipIsSettled() || commitIndex_ < termStartIndex_) {
+    return std::nullopt;
+  }
+  if (auto change = ReplaceReturned(time)) {
+    return change;
+  }
+  const ReplicaRecord* learner = ReachableLearner(time.now);
+  if (learner == nullptr) {
+    return std::nullopt;
+  }
+  if (auto change = ReplaceSilent(*learner, time)) {
+    return change;
+  }
+  return AddVoter(*learner, time);
+}
+
+std::optional<VoterChange> RaftCore::ReplaceReturned(const RaftTime& time)
+{
+  for (const auto& [id, progress] : progress_) {
+    const ReplicaRecord& learner = progress.learner;
+    if (learner.id.empty()) {
+      continue;
+    }
+    for (const auto& voter : log_.Newest().voters) {
+      if (voter.rpcAddress != learner.rpcAddress) {
+        continue;
+      }
+      VoterChange change{ .reason = VoterChangeReason::HostReturnedEmpty,
+                          .leavingId = voter.id,
+                          .learnerId = learner.id,
+                          .silence = SilenceOf(voter.id, time.now),
+                          .voters = log_.Newest().voters.size() };
+      const auto replaced = Replace(voter.id, learner.id, time.wall);
+      if (!replaced) {
+        return std::nullopt;
+      }
+      change.position = replaced.value();
+      return change;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<VoterChange> RaftCore::ReplaceSilent(const ReplicaRecord& learner,
+                                                   const RaftTime& time)
+{
+  if (options_.voterSilence == Duration::zero()) {
+    return std::nullopt;
+  }
+  Membership next = log_.Newest();
+  const auto silent =
+    std::find_if(next.voters.begin(), next.voters.end(), [&](const ReplicaRecord& voter) {
+      return SilenceOf(voter.id, time.now) >= options_.voterSilence;
+    });
+  if (silent == next.voters.end()) {
+    return std::nullopt;
+  }
+  VoterChange change{ .reason = VoterChangeReason::VoterSilent,
+                      .leavingId = silent->id,
+                      .learnerId = learner.id,
+                      .silence = SilenceOf(silent->id, time.now),
+                      .voters = next.voters.size() };
+  // It may be cut off or frozen with its disk, so its identity is not refused later.
+  next.demotedIds.push_back(silent->id);
+  *silent = learner;
+  change.position = BeginVoterChange(std::move(next), change.learnerId, time.wall);
+  return change;
+}
+
+std::optional<VoterChange> RaftCore::AddVoter(const ReplicaRecord& learner, const RaftTime& time)
+{
+  Membership next = log_.Newest();
+  if (next.voters.size() >= options_.voterTarget) {
+    return std::nullopt;
+  }
+  VoterChange change{ .reason = VoterChangeReason::SetTooSmall,
+                      .learnerId = learner.id,
+                      .voters = next.voters.size() };
+  next.voters.push_back(learner);
+  change.position = BeginVoterChange(std::move(next), change.learnerId, time.wall);
+  return change;
+}
+
+const ReplicaRecord* RaftCore::ReachableLearner(TimePoint now) const
+{
+  for (const auto& [id, progress] : progress_) {
+    const bool isReachable = SilenceOf(id, now) < options_.electionTimeout;
+    if (isReachable && CheckVoterChange(id)) {
+      return &progress.learner;
+    }
+  }
+  return nullptr;
+}
+
+Duration RaftCore::SilenceOf(const std::string& id, TimePoint now) const
+{
+  const auto found = progress_.find(id);
+  return found == progress_.end() ? Duration::zero() : now - found->second.lastHeard;
+}
+
+} // namespace acp
--- a/src/replication/replica_impl.cpp
+++ b/src/replication/replica_impl.cpp
@@ -1,5 +1,6 @@
 #include "acaciapulley/replication/detail/replica_impl.hpp"
 
+#include <chrono>    // floor, milliseconds
 #include <random>    // mt19937_64, random_device
 #include <stdexcept> // logic_error
 #include <utility>   // exchange, move
@@ -23,6 +24,8 @@
   core.electionTimeout = options.electionTimeout;
   core.heartbeatInterval = options.heartbeatInterval;
   core.firstElectionTimeout = options.firstElectionTimeout;
+  core.voterSilence = options.voterSilence;
+  core.voterTarget = options.voterTarget;
   core.random = [generator = std::make_shared<std::mt19937_64>(std::random_device{}())] {
     return (*generator)();
   };
@@ -174,7 +177,7 @@
     core_.Step(message, Time());
   }
   core_.Tick(Time());
-  ReplaceReturned();
+  MaintainVoters();
   StartProposals(std::move(inbox.proposals));
   StartReplacements(std::move(inbox.replacements));
   Dispatch(core_.TakeReady(options_.clock->Now()));
@@ -182,16 +185,21 @@
   Publish();
 }
 
-void Replica::Impl::ReplaceReturned()
+void Replica::Impl::MaintainVoters()
 {
-  if (!options_.replacesReturned) {
+  if (!options_.maintainsVoters) {
     return;
   }
-  if (const auto position = core_.ReplaceReturned(options_.clock->WallNow())) {
+  if (const auto change = core_.MaintainVoters(Time())) {
+    const auto silence = std::chrono::floor<std::chrono::milliseconds>(change->silence);
     Log(LogLevel::Info,
-        "replacement_started",
-        { { "index", std::to_string(position->index) },
-          { "reason", "a voter's host came back with an empty disk" } });
+        "voter_change_started",
+        { { "reason", std::string(NameOf(change->reason)) },
+          { "index", std::to_string(change->position.index) },
+          { "leaving", change->leavingId },
+          { "silent_ms", std::to_string(silence.count()) },
+          { "joining", change->learnerId },
+          { "voters_before", std::to_string(change->voters) } });
   }
 }
 
@@ -209,7 +217,10 @@
 {
   const auto sign = [this](std::vector<RaftMessage>& messages) {
     for (auto& message : messages) {
-      message.sender = self_;
+      // A forwarded message keeps the addresses of the replica that sent it.
+      if (message.from == self_.id) {
+        message.sender = self_;
+      }
     }
   };
   sign(ready.messages);
--- a/tests/replication_test/core_test.cpp
+++ b/tests/replication_test/core_test.cpp
@@ -67,6 +67,26 @@
   BOOST_TEST(replacements > 20U);
 }
 
+// Guards against the same where the leader replaces and adds voters by itself.
+BOOST_AUTO_TEST_CASE(random_schedules_keep_all_properties_while_voters_change)
+{
+  std::size_t acknowledged = 0;
+  std::size_t changes = 0;
+  for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + 60; ++seed) {
+    SimulationOptions options = MakeOptions(seed);
+    options.replicas = 5;
+    options.maintainsVoters = true;
+    Simulation simulation(options);
+    BOOST_REQUIRE_EQUAL(simulation.Run(kScheduleMillis), "");
+    BOOST_REQUIRE_EQUAL(simulation.Heal(), "");
+    acknowledged += simulation.Acknowledged();
+    changes += simulation.VoterChanges();
+  }
+  BOOST_TEST_MESSAGE(acknowledged << " entries acknowledged, " << changes << " changes");
+  BOOST_TEST(acknowledged > 10'000U);
+  BOOST_TEST(changes > 120U); // each set grows by two
+}
+
 // Guards against schedules that are too weak to notice the lack of a rule.
 BOOST_AUTO_TEST_CASE(each_guard_is_needed)
 {
--- a/tests/replication_test/membership_test.cpp
+++ b/tests/replication_test/membership_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "acaciapulley/replication/detail/codec.hpp" // DecodeMembership, EncodeMembership
 #include "acaciapulley/replication/raft_core.hpp"
 #include "memory_disk.hpp"
 
@@ -20,6 +21,9 @@
   std::set<std::string> cutOff;
   acp::ManualClock clock;
   std::size_t maxAppendBytes = 256U << 10U;
+  acp::Duration voterSilence = acp::Duration::zero();
+  std::size_t voterTarget = 0;
+  bool maintainsVoters = false;
   int repliesToStrangers = 0; ///< messages to identities that are no core
 
   void Add(const std::string& id,
@@ -30,6 +34,8 @@
     options.self = { {}, address.empty() ? "address of " + id : address, {} };
     options.random = [this] { return random_(); };
     options.maxAppendBytes = maxAppendBytes;
+    options.voterSilence = voterSilence;
+    options.voterTarget = voterTarget;
     acp::StoredState state;
     state.hardState.identity = id;
     state.hardState.clusterId = clusterId;
@@ -41,6 +47,9 @@
     for (const auto end = clock.Now() + span; clock.Now() < end; clock.Advance(5ms)) {
       for (auto& [id, core] : cores) {
         core->Tick(Time());
+        if (maintainsVoters) {
+          (void)core->MaintainVoters(Time());
+        }
       }
       int rounds = 0;
       while (PumpAll()) {
@@ -204,20 +213,20 @@
 {
   Wire wire;
   Form(wire);
-  BOOST_TEST(!wire.Leader().ReplaceReturned(wire.clock.WallNow()).has_value());
+  BOOST_TEST(!wire.Leader().MaintainVoters(wire.Time()).has_value());
   const std::string lost = wire.Follower();
   wire.cores.erase(lost);
   wire.Add("returned", {}, "address of " + lost);
-  BOOST_TEST(!wire.Leader().ReplaceReturned(wire.clock.WallNow()).has_value());
+  BOOST_TEST(!wire.Leader().MaintainVoters(wire.Time()).has_value());
   wire.Run(1s);
-  BOOST_REQUIRE(wire.Leader().ReplaceReturned(wire.clock.WallNow()).has_value());
+  BOOST_REQUIRE(wire.Leader().MaintainVoters(wire.Time()).has_value());
   wire.Run(1s);
   const acp::Membership& membership = wire.Leader().CurrentMembership();
   BOOST_TEST(membership.IsVoter("returned"));
   BOOST_TEST(membership.IsRetired(lost));
   BOOST_TEST(membership.voters.size() == 3U);
   BOOST_TEST(!membership.IsVoter("d"));
-  BOOST_TEST(!wire.Leader().ReplaceReturned(wire.clock.WallNow()).has_value());
+  BOOST_TEST(!wire.Leader().MaintainVoters(wire.Time()).has_value());
 }
 
 // Guards against a set without a leader when a second host is lost right after a repair, before the
@@ -256,6 +265,124 @@
   BOOST_TEST(wire.cores["d"]->CommitIndex() == wire.Leader().CommitIndex());
 }
 
+// Guards against a set that shrinks with each host that is replaced at another address, until the
+// next loss stops it.
+BOOST_AUTO_TEST_CASE(voter_gone_for_good_is_replaced_by_a_learner_at_another_address)
+{
+  Wire wire;
+  wire.maintainsVoters = true;
+  wire.voterSilence = 1s;
+  Form(wire);
+  const std::string gone = wire.Follower();
+  wire.cores.erase(gone);
+  wire.Run(3s);
+  const acp::Membership& membership = wire.Leader().CurrentMembership();
+  BOOST_TEST(wire.Leader().MembershipIsSettled());
+  BOOST_TEST(!membership.IsVoter(gone));
+  BOOST_TEST(membership.IsVoter("d"));
+  BOOST_TEST(membership.voters.size() == 3U);
+
+  // The new voter counts: one more of the founders may go.
+  wire.cores.erase(wire.Follower() == "d" ? wire.Leader().Hard().identity : wire.Follower());
+  wire.Run(3s);
+  const auto position = wire.Leader().Propose("x", wire.clock.WallNow());
+  wire.Run(1s);
+  BOOST_TEST(wire.Leader().CommitIndex() >= position.value().index);
+}
+
+// Guards against a set that stays at the founders although more losses must be borne at once.
+BOOST_AUTO_TEST_CASE(set_grows_until_it_bears_the_losses_asked_for)
+{
+  Wire wire;
+  wire.maintainsVoters = true;
+  wire.voterTarget = 5;
+  Found(wire);
+  for (const char* id : { "d", "e", "f" }) {
+    wire.Add(id);
+  }
+  wire.Run(4s);
+  BOOST_TEST(wire.Leader().CurrentMembership().voters.size() == 5U);
+  BOOST_TEST(wire.Leader().Learners().size() == 1U);
+
+  wire.cores.erase(wire.Leader().Hard().identity);
+  wire.cores.erase(wire.Follower());
+  wire.Run(4s);
+  const auto position = wire.Leader().Propose("x", wire.clock.WallNow());
+  wire.Run(1s);
+  BOOST_TEST(wire.Leader().CommitIndex() >= position.value().index);
+}
+
+// Guards against a host that stays out for good because it was frozen while it was replaced.
+BOOST_AUTO_TEST_CASE(voter_replaced_while_cut_off_comes_back_as_a_learner)
+{
+  Wire wire;
+  wire.maintainsVoters = true;
+  wire.voterSilence = 1s;
+  Form(wire);
+  const std::string silent = wire.Follower();
+  wire.cutOff = { silent };
+  wire.Run(3s);
+  BOOST_REQUIRE(!wire.Leader().CurrentMembership().IsVoter(silent));
+  const std::uint64_t term = wire.Leader().Term();
+  wire.cutOff.clear();
+  wire.Run(3s);
+  BOOST_TEST(wire.Leader().Term() == term);
+  BOOST_REQUIRE(wire.Leader().Learners().size() == 1U);
+  BOOST_TEST(wire.Leader().Learners().front().id == silent);
+  BOOST_TEST(wire.cores[silent]->CommitIndex() == wire.Leader().CommitIndex());
+
+  // It may become a voter again.
+  wire.cores.erase(wire.Follower());
+  wire.Run(3s);
+  BOOST_TEST(wire.Leader().CurrentMembership().IsVoter(silent));
+}
+
+// Guards against changes of the set while every voter is heard, or without a learner.
+BOOST_AUTO_TEST_CASE(sound_set_is_left_alone)
+{
+  Wire wire;
+  wire.maintainsVoters = true;
+  wire.voterSilence = 1s;
+  wire.voterTarget = 3;
+  Form(wire);
+  const acp::Membership before = wire.Leader().CurrentMembership();
+  wire.Run(10s);
+  BOOST_TEST((wire.Leader().CurrentMembership() == before));
+  wire.cutOff = { "d", wire.Follower() };
+  wire.Run(10s);
+  BOOST_TEST((wire.Leader().CurrentMembership() == before));
+}
+
+// Guards against a new host that knows only followers and never reaches the leader.
+BOOST_AUTO_TEST_CASE(followers_pass_a_joining_replica_on_to_the_leader)
+{
+  Wire wire;
+  Found(wire);
+  wire.Run(3s);
+  acp::RaftMessage join;
+  join.kind = acp::MessageKind::Join;
+  join.from = "new";
+  join.sender = { "new", "address of new", {} };
+  wire.cores[wire.Follower()]->Step(join, wire.Time());
+  wire.Run(100ms);
+  BOOST_REQUIRE(wire.Leader().Learners().size() == 1U);
+  BOOST_TEST((wire.Leader().Learners().front() == join.sender));
+}
+
+// Guards against entries of earlier versions that can no longer be read, and a lost mark.
+BOOST_AUTO_TEST_CASE(memberships_are_read_back_with_and_without_demoted_voters)
+{
+  acp::Membership membership{ .clusterId = "cluster", .retiredIds = { "lost" } };
+  membership.voters.push_back({ "a", "address of a", "operator of a" });
+  const std::string plain = acp::detail::EncodeMembership(membership);
+  BOOST_TEST((acp::detail::DecodeMembership(plain).value() == membership));
+  membership.demotedIds = { "b" };
+  const std::string marked = acp::detail::EncodeMembership(membership);
+  BOOST_TEST(marked.size() > plain.size());
+  BOOST_TEST((acp::detail::DecodeMembership(marked).value() == membership));
+  BOOST_TEST(!acp::detail::DecodeMembership(marked.substr(0, marked.size() - 1)).has_value());
+}
+
 // Guards against changes that could leave two quorums or a set that cannot work.
 BOOST_AUTO_TEST_CASE(unsafe_replacements_are_refused)
 {
--- a/tests/replication_test/simulation.cpp
+++ b/tests/replication_test/simulation.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::uint64_t kSnapshotEvery = 40;
+constexpr std::size_t kFounders = 3;
+constexpr acp::Duration kVoterSilence = std::chrono::milliseconds(800);
 
 std::string Join(const std::vector<std::string>& lines)
 {
@@ -27,7 +29,9 @@
   for (std::size_t i = 0; i < hosts_.size(); ++i) {
     hosts_[i].address = "host" + std::to_string(i);
     Start(hosts_[i]);
-    initial_.voters.push_back({ hosts_[i].identity, hosts_[i].address, {} });
+    if (!options_.maintainsVoters || i < kFounders) {
+      initial_.voters.push_back({ hosts_[i].identity, hosts_[i].address, {} });
+    }
   }
   for (auto& host : hosts_) {
     Bootstrap(host);
@@ -68,6 +72,10 @@
   options.entriesKept = 10;
   options.random = [this] { return random_(); };
   options.guards = options_.guards;
+  if (options_.maintainsVoters) {
+    options.voterSilence = kVoterSilence;
+    options.voterTarget = options_.replicas;
+  }
   host.core = std::make_unique<acp::RaftCore>(options, std::move(state.value()), clock_.Now());
 }
 
@@ -125,7 +133,7 @@
     return;
   }
   for (const auto& host : hosts_) {
-    if (host.core && !membership.IsVoter(host.identity)) {
+    if (!options_.maintainsVoters && host.core && !membership.IsVoter(host.identity)) {
       (void)leader->core->Replace(lost, host.identity, clock_.WallNow());
     }
   }
@@ -302,6 +310,9 @@
       continue;
     }
     host.core->Tick(Time());
+    if (options_.maintainsVoters && host.core->MaintainVoters(Time())) {
+      ++voterChanges_;
+    }
     if (host.core->Role() == acp::RaftRole::Leader && Draw(8) == 0) {
       const auto position =
         host.core->Propose("command " + std::to_string(++commands_), clock_.WallNow());
--- a/tests/replication_test/simulation.hpp
+++ b/tests/replication_test/simulation.hpp
@@ -29,6 +29,8 @@
 {
   std::uint64_t seed = 1;
   std::size_t replicas = 3;
+  /// The leader changes the set of voters by itself; it starts with three and grows to all.
+  bool maintainsVoters = false;
   acp::RaftGuards guards;
   std::size_t maxAppendBytes = 64;
   std::uint64_t maxEntriesInFlight = 64;
@@ -52,6 +54,7 @@
 
   [[nodiscard]] std::size_t Acknowledged() const { return acknowledged_.size(); }
   [[nodiscard]] std::size_t Replacements() const { return replacements_; }
+  [[nodiscard]] std::size_t VoterChanges() const { return voterChanges_; }
 
 private:
   struct Write
@@ -129,6 +132,7 @@
   std::map<std::uint64_t, std::string> leaders_;         ///< term to identity
   std::set<std::string> lostIdentities_;
   std::size_t replacements_ = 0;
+  std::size_t voterChanges_ = 0;
   std::uint64_t commands_ = 0;
   std::string violation_;
 };
