--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -113,6 +113,16 @@
   1: list<TokenAnswer> answers
 }
 
+/// Requests of several nodes, passed on by a replica that does not lead.
+struct RelayedTokenRequest {
+  1: list<TokenRequest> requests
+}
+
+/// One reply for each request, in the same order.
+struct RelayedTokenReply {
+  1: list<TokenReply> replies
+}
+
 struct ClaimKey {
   1: string account
   2: string serviceName
@@ -180,6 +190,7 @@
 service ControlService {
   SyncReply Sync(1: SyncRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
   TokenReply AcquireTokens(1: TokenRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
+  RelayedTokenReply RelayTokens(1: RelayedTokenRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
   BeginClaimReply BeginClaim(1: BeginClaimRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
   void FinishClaim(1: FinishClaimRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
   void ReleaseClaim(1: ReleaseClaimRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
--- a/include/acaciapulley/control/detail/control_context.hpp
+++ b/include/acaciapulley/control/detail/control_context.hpp
@@ -11,6 +11,7 @@
 #include "acaciapulley/control/detail/control_metrics.hpp" // ControlMetrics
 #include "acaciapulley/control/live_nodes.hpp"             // LiveNodes
 #include "acaciapulley/control/operator_directory.hpp"     // OperatorDirectory
+#include "acaciapulley/control/token_relay.hpp"            // TokenRelay
 #include "acaciapulley/core/change_signal.hpp"             // ChangeSignal
 #include "acaciapulley/core/clock.hpp"                     // Clock
 #include "acaciapulley/replication/replicated_log.hpp"     // ReplicatedLog
@@ -32,6 +33,7 @@
   ControlMetrics metrics;
   std::mutex nodesMutex;
   LiveNodes nodes;
+  TokenRelay* relay = nullptr;     ///< null: only the leader answers token requests
   ChangeSignal* changes = nullptr; ///< of state and members; null: syncs are never held
 
   /// @brief Returns how long ago leadership was confirmed.
--- a/include/acaciapulley/control/detail/rpc_handler.hpp
+++ b/include/acaciapulley/control/detail/rpc_handler.hpp
@@ -18,6 +18,8 @@
   /// @throw wire::NotLeader when leadership was not confirmed within the last second
   void Sync(wire::SyncReply& reply, const wire::SyncRequest& request) override;
   void AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request) override;
+  void RelayTokens(wire::RelayedTokenReply& reply,
+                   const wire::RelayedTokenRequest& request) override;
 
   /// @throw wire::ControlFailure with a number of ClaimsErrorCode or ControlErrorCode: the claim is
   /// not granted. After `unconfirmed` a resend of the same attempt may still be granted.
@@ -26,6 +28,9 @@
   void ReleaseClaim(const wire::ReleaseClaimRequest& request) override;
 
 private:
+  void GrantTokens(std::string_view call,
+                   wire::TokenReply& reply,
+                   const wire::TokenRequest& request);
   Duration RequireLeadership(std::string_view call);
   wire::CommandReply Propose(std::string_view call, const wire::ControlCommand& command);
   void FillState(wire::SyncReply& reply, const wire::SyncRequest& request, Duration held);
--- a/include/acaciapulley/node/detail/token_client.hpp
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -6,6 +6,7 @@
 #include <atomic>             // atomic
 #include <condition_variable> // condition_variable
 #include <cstddef>            // size_t
+#include <cstdint>            // int64_t, uint64_t
 #include <deque>              // deque
 #include <map>                // map
 #include <memory>             // shared_ptr
@@ -20,6 +21,10 @@
 #include "acaciapulley/node/detail/claim_client.hpp" // ControlCall
 #include "acaciapulley/node/refusal.hpp"             // OrRefusal
 
+namespace acp::wire {
+class TokenAnswer;
+} // namespace acp::wire
+
 namespace acp::detail {
 
 /// Construction options of a TokenClient.
@@ -31,7 +36,18 @@
   ControlCall call;
 };
 
+/// Calls to control since the start of the node.
+struct TokenCallCounts
+{
+  std::uint64_t calls = 0;
+  std::uint64_t failed = 0; ///< without an answer
+};
+
 /// The node's rate tokens. Calls may come from any thread.
+///
+/// One thread calls control, one call at a time, with all asks that are due: however many requests
+/// wait and however slowly control answers, a node costs control one call in progress. While calls
+/// fail, the pause between them grows.
 class TokenClient
 {
 public:
@@ -71,6 +87,8 @@
   /// @return the token, or a refusal with 429 (rate exceeded) or 503 (authority out of reach)
   OrRefusal<std::shared_ptr<Token>> Take(const LimitKey& key);
 
+  [[nodiscard]] TokenCallCounts CallCounts() const;
+
 private:
   /// A request that waits for a token; owned by its thread.
   struct Waiter
@@ -87,16 +105,26 @@
   void Wake(const LimitKey& key, std::size_t count);
   /// The end of the request's wait, if it has ended.
   std::optional<OrRefusal<std::shared_ptr<Token>>> TryEnd(const LimitKey& key, TimePoint giveUpAt);
-  void Send(const std::vector<TokenAsk>& asks);
+  void AskSoon();
+  /// @return whether control answered
+  bool Send(const std::vector<TokenAsk>& asks);
+  void TakeAnswer(const TokenAsk& ask, const wire::TokenAnswer& wired, TimePoint now);
+  void NoteCall(bool isAnswered, const std::string& error, TimePoint now);
   void Run();
 
   TokenClientOptions options_;
   TokenLeaseTable table_;
   std::atomic<TimePoint> lastAnswer_{ TimePoint() };
   std::mutex mutex_;
-  std::condition_variable stopped_;
+  std::condition_variable sender_; ///< of the thread that calls control
+  bool isAskWanted_ = false;
   bool stopping_ = false;
   std::map<LimitKey, std::deque<Waiter*>> waiters_; ///< in the order of their arrival
+  // Used by the calling thread only.
+  TimePoint failingSince_;
+  std::uint64_t failedInRow_ = 0;
+  std::atomic<std::uint64_t> calls_{ 0 };
+  std::atomic<std::uint64_t> failedCalls_{ 0 };
   std::thread thread_;
 };
 
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -10,6 +10,7 @@
 
 #include "acaciapulley/core/clock.hpp"               // Clock
 #include "acaciapulley/node/detail/claim_client.hpp" // ControlCall
+#include "acaciapulley/node/detail/token_client.hpp" // TokenCallCounts
 #include "acaciapulley/node/local_upstream.hpp"      // LocalUpstream
 #include "acaciapulley/node/node_view.hpp"           // NodeView
 #include "acaciapulley/node/pipeline_guards.hpp"     // PipelineGuards
@@ -52,7 +53,8 @@
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
   MemberTable* members = nullptr;
-  detail::ControlCall control;                      ///< claims and rate tokens
+  detail::ControlCall control;                      ///< claims
+  detail::ControlCall tokens;                       ///< rate tokens
   std::function<void()> onAnnounced;                ///< called after each changed announcement
   std::function<void(const EndedRequest&)> onEnded; ///< called for each request of the ingress
   PipelineGuards guards;
@@ -79,6 +81,9 @@
   /// @brief Serves the local upstream's nested calls and announcements.
   void HandleEgress(ServerExchange& exchange);
 
+  /// @brief Returns the calls for rate tokens, for metrics.
+  [[nodiscard]] detail::TokenCallCounts TokenCalls() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -8,6 +8,7 @@
 #include <mutex>              // mutex
 #include <string>             // string
 #include <thread>             // thread
+#include <vector>             // vector
 
 #include "acaciapulley/core/clock.hpp"                // Clock
 #include "acaciapulley/node/local_upstream.hpp"       // LocalUpstream
@@ -32,6 +33,8 @@
   MemberTable* members = nullptr;
   RecordCounters* record = nullptr; ///< reported until control has accepted it
   ControlChannel* calls = nullptr;  ///< also told where the replicas of control are; may be null
+  /// Its calls go through a replica that does not lead, another one for each node; may be null.
+  ControlChannel* tokens = nullptr;
   /// Control may hold an answer for so long while nothing changes; 0: it answers at once.
   Duration hold{};
 };
@@ -53,9 +56,11 @@
   void Run();
   bool PollOnce();
   void LearnControl(const std::vector<std::string>& texts);
+  void SpreadTokenCalls(const std::vector<Address>& replicas);
 
   SyncLoopOptions options_;
   std::int64_t membersVersion_ = 0;
+  std::vector<Address> spreadOver_; ///< replicas among which the one for tokens was chosen
   std::mutex mutex_;
   std::condition_variable wakeUp_;
   bool woken_ = false;
--- a/include/acaciapulley/transport/control_channel.hpp
+++ b/include/acaciapulley/transport/control_channel.hpp
@@ -61,6 +61,12 @@
   /// gone. Addresses are never removed.
   void Learn(const std::vector<Address>& replicas);
 
+  /// @brief Lets the next call begin at @p replica; further ones move on after failures.
+  void Prefer(const Address& replica);
+
+  /// @brief Returns where the next call begins.
+  [[nodiscard]] Address Preferred();
+
 private:
   class Connection;
   using ConnectionPtr = std::unique_ptr<Connection>;
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -13,6 +13,8 @@
 #include "acaciapulley/control/detail/node_journal.hpp" // NodeJournal
 #include "acaciapulley/control/detail/operator_api.hpp" // OperatorApi
 #include "acaciapulley/control/detail/rpc_handler.hpp"  // RpcHandler
+#include "acaciapulley/control/token_relay.hpp"         // TokenRelay
+#include "acaciapulley/transport/control_channel.hpp"   // ControlChannel
 #include "acaciapulley/transport/http_server.hpp"       // HttpServer
 
 namespace acp {
@@ -23,6 +25,8 @@
 // 540 nodes with a few connections each.
 constexpr int kMaxRpcConnections = 4096;
 constexpr int kSendTimeoutMillis = 5000;
+// Below the time for which a relayed request waits.
+constexpr Duration kRelayTimeout = std::chrono::milliseconds(300);
 constexpr Duration kFleetTimeout = std::chrono::seconds(3);
 
 /// A listening socket that is opened before the server's thread starts, so that an address that
@@ -51,7 +55,9 @@
                 .state = *options.state,
                 .hooks = options.hooks,
                 .operators = options.operators,
+                .relay = &relay_,
                 .changes = &changes_ }
+    , relay_({ .callLeader = [this](const auto& call) { return CallLeader(call); } })
     , operatorApi_(context_, [](Duration pause) { std::this_thread::sleep_for(pause); })
     , operatorServer_({ .address = options.operatorAddress,
                         .maxConnections = kMaxOperatorConnections,
@@ -168,8 +174,22 @@
     }
   }
 
+  TransportResult<void> CallLeader(const std::function<void(wire::ControlServiceIf&)>& call)
+  {
+    const auto leader = Address::Parse(context_.log.Status().leaderRpcAddress);
+    if (!leader) {
+      return Fail(TransportErrorCode::NotLeader, "no leader is known");
+    }
+    leaderChannel_.Prefer(leader.value());
+    return leaderChannel_.Call(call);
+  }
+
   ChangeSignal changes_;
   detail::ControlContext context_;
+  ControlChannel leaderChannel_{
+    { .timeout = kRelayTimeout, .callBudget = kRelayTimeout, .maxConnections = 1 }
+  };
+  TokenRelay relay_;
   detail::OperatorApi operatorApi_;
   HttpServer operatorServer_;
   std::shared_ptr<ListeningSocket> rpcSocket_;
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -185,21 +185,45 @@
 
 void RpcHandler::AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request)
 {
-  RequireLeadership("acquire_tokens");
+  constexpr std::string_view kCall = "acquire_tokens";
+  const ReplicaStatus status = context_.log.Status();
+  if (context_.relay == nullptr || status.isLeader || status.leaderId.empty()) {
+    GrantTokens(kCall, reply, request);
+  } else if (!context_.relay->Acquire(reply, request)) {
+    context_.metrics.CountCall(kCall, "not_relayed");
+    // No leader is named: one that this replica cannot reach may be reached through another.
+    throw wire::NotLeader();
+  }
+  context_.metrics.CountCall(kCall, "ok");
+}
+
+void RpcHandler::RelayTokens(wire::RelayedTokenReply& reply,
+                             const wire::RelayedTokenRequest& request)
+{
+  constexpr std::string_view kCall = "relay_tokens";
+  for (const auto& relayed : request.requests) {
+    GrantTokens(kCall, reply.replies.emplace_back(), relayed);
+  }
+  context_.metrics.CountCall(kCall, "ok");
+}
+
+void RpcHandler::GrantTokens(std::string_view call,
+                             wire::TokenReply& reply,
+                             const wire::TokenRequest& request)
+{
+  RequireLeadership(call);
   if (!context_.hooks.acquireTokens) {
-    ThrowFailure("acquire_tokens",
+    ThrowFailure(call,
                  static_cast<int>(ControlErrorCode::UnsupportedCall),
                  "this control process grants no tokens");
   }
   const auto granted = context_.hooks.acquireTokens(reply, request, context_.CurrentLeadership());
   if (!granted) {
     if (granted.error().code == ControlErrorCode::NotLeader) {
-      ThrowNotLeader("acquire_tokens");
+      ThrowNotLeader(call);
     }
-    ThrowFailure(
-      "acquire_tokens", static_cast<int>(granted.error().code), granted.error().Describe());
+    ThrowFailure(call, static_cast<int>(granted.error().code), granted.error().Describe());
   }
-  context_.metrics.CountCall("acquire_tokens", "ok");
 }
 
 wire::CommandReply RpcHandler::Propose(std::string_view call, const wire::ControlCommand& command)
--- a/src/gen/ControlService.h
+++ b/src/gen/ControlService.h
@@ -24,6 +24,7 @@
   virtual ~ControlServiceIf() {}
   virtual void Sync(SyncReply& _return, const SyncRequest& request) = 0;
   virtual void AcquireTokens(TokenReply& _return, const TokenRequest& request) = 0;
+  virtual void RelayTokens(RelayedTokenReply& _return, const RelayedTokenRequest& request) = 0;
   virtual void BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request) = 0;
   virtual void FinishClaim(const FinishClaimRequest& request) = 0;
   virtual void ReleaseClaim(const ReleaseClaimRequest& request) = 0;
@@ -62,6 +63,9 @@
   void AcquireTokens(TokenReply& /* _return */, const TokenRequest& /* request */) override {
     return;
   }
+  void RelayTokens(RelayedTokenReply& /* _return */, const RelayedTokenRequest& /* request */) override {
+    return;
+  }
   void BeginClaim(BeginClaimReply& /* _return */, const BeginClaimRequest& /* request */) override {
     return;
   }
@@ -313,6 +317,126 @@
 
 };
 
+typedef struct _ControlService_RelayTokens_args__isset {
+  _ControlService_RelayTokens_args__isset() : request(false) {}
+  bool request :1;
+} _ControlService_RelayTokens_args__isset;
+
+class ControlService_RelayTokens_args {
+ public:
+
+  ControlService_RelayTokens_args(const ControlService_RelayTokens_args&);
+  ControlService_RelayTokens_args& operator=(const ControlService_RelayTokens_args&);
+  ControlService_RelayTokens_args() noexcept {
+  }
+
+  virtual ~ControlService_RelayTokens_args() noexcept;
+  RelayedTokenRequest request;
+
+  _ControlService_RelayTokens_args__isset __isset;
+
+  void __set_request(const RelayedTokenRequest& val);
+
+  bool operator == (const ControlService_RelayTokens_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlService_RelayTokens_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlService_RelayTokens_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ControlService_RelayTokens_pargs {
+ public:
+
+
+  virtual ~ControlService_RelayTokens_pargs() noexcept;
+  const RelayedTokenRequest* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlService_RelayTokens_result__isset {
+  _ControlService_RelayTokens_result__isset() : success(false), notLeader(false), failure(false) {}
+  bool success :1;
+  bool notLeader :1;
+  bool failure :1;
+} _ControlService_RelayTokens_result__isset;
+
+class ControlService_RelayTokens_result {
+ public:
+
+  ControlService_RelayTokens_result(const ControlService_RelayTokens_result&);
+  ControlService_RelayTokens_result& operator=(const ControlService_RelayTokens_result&);
+  ControlService_RelayTokens_result() noexcept {
+  }
+
+  virtual ~ControlService_RelayTokens_result() noexcept;
+  RelayedTokenReply success;
+  NotLeader notLeader;
+  ControlFailure failure;
+
+  _ControlService_RelayTokens_result__isset __isset;
+
+  void __set_success(const RelayedTokenReply& val);
+
+  void __set_notLeader(const NotLeader& val);
+
+  void __set_failure(const ControlFailure& val);
+
+  bool operator == (const ControlService_RelayTokens_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(notLeader == rhs.notLeader))
+      return false;
+    if (!(failure == rhs.failure))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlService_RelayTokens_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlService_RelayTokens_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlService_RelayTokens_presult__isset {
+  _ControlService_RelayTokens_presult__isset() : success(false), notLeader(false), failure(false) {}
+  bool success :1;
+  bool notLeader :1;
+  bool failure :1;
+} _ControlService_RelayTokens_presult__isset;
+
+class ControlService_RelayTokens_presult {
+ public:
+
+
+  virtual ~ControlService_RelayTokens_presult() noexcept;
+  RelayedTokenReply* success;
+  NotLeader notLeader;
+  ControlFailure failure;
+
+  _ControlService_RelayTokens_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _ControlService_BeginClaim_args__isset {
   _ControlService_BeginClaim_args__isset() : request(false) {}
   bool request :1;
@@ -688,6 +812,9 @@
   void AcquireTokens(TokenReply& _return, const TokenRequest& request) override;
   void send_AcquireTokens(const TokenRequest& request);
   void recv_AcquireTokens(TokenReply& _return);
+  void RelayTokens(RelayedTokenReply& _return, const RelayedTokenRequest& request) override;
+  void send_RelayTokens(const RelayedTokenRequest& request);
+  void recv_RelayTokens(RelayedTokenReply& _return);
   void BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request) override;
   void send_BeginClaim(const BeginClaimRequest& request);
   void recv_BeginClaim(BeginClaimReply& _return);
@@ -714,6 +841,7 @@
   ProcessMap processMap_;
   void process_Sync(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_AcquireTokens(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_RelayTokens(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_BeginClaim(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_FinishClaim(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_ReleaseClaim(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
@@ -722,6 +850,7 @@
     iface_(iface) {
     processMap_["Sync"] = &ControlServiceProcessor::process_Sync;
     processMap_["AcquireTokens"] = &ControlServiceProcessor::process_AcquireTokens;
+    processMap_["RelayTokens"] = &ControlServiceProcessor::process_RelayTokens;
     processMap_["BeginClaim"] = &ControlServiceProcessor::process_BeginClaim;
     processMap_["FinishClaim"] = &ControlServiceProcessor::process_FinishClaim;
     processMap_["ReleaseClaim"] = &ControlServiceProcessor::process_ReleaseClaim;
@@ -773,6 +902,16 @@
     return;
   }
 
+  void RelayTokens(RelayedTokenReply& _return, const RelayedTokenRequest& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->RelayTokens(_return, request);
+    }
+    ifaces_[i]->RelayTokens(_return, request);
+    return;
+  }
+
   void BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -839,6 +978,9 @@
   void AcquireTokens(TokenReply& _return, const TokenRequest& request) override;
   int32_t send_AcquireTokens(const TokenRequest& request);
   void recv_AcquireTokens(TokenReply& _return, const int32_t seqid);
+  void RelayTokens(RelayedTokenReply& _return, const RelayedTokenRequest& request) override;
+  int32_t send_RelayTokens(const RelayedTokenRequest& request);
+  void recv_RelayTokens(RelayedTokenReply& _return, const int32_t seqid);
   void BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request) override;
   int32_t send_BeginClaim(const BeginClaimRequest& request);
   void recv_BeginClaim(BeginClaimReply& _return, const int32_t seqid);
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -2307,6 +2307,230 @@
 }
 
 
+RelayedTokenRequest::~RelayedTokenRequest() noexcept {
+}
+
+
+void RelayedTokenRequest::__set_requests(const std::vector<TokenRequest> & val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedTokenRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedTokenRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->requests.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += this->requests[_i74].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedTokenRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedTokenRequest");
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
+    std::vector<TokenRequest> ::const_iterator _iter75;
+    for (_iter75 = this->requests.begin(); _iter75 != this->requests.end(); ++_iter75)
+    {
+      xfer += (*_iter75).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedTokenRequest &a, RelayedTokenRequest &b) {
+  using ::std::swap;
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedTokenRequest::RelayedTokenRequest(const RelayedTokenRequest& other76) {
+  requests = other76.requests;
+  __isset = other76.__isset;
+}
+RelayedTokenRequest& RelayedTokenRequest::operator=(const RelayedTokenRequest& other77) {
+  requests = other77.requests;
+  __isset = other77.__isset;
+  return *this;
+}
+void RelayedTokenRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedTokenRequest(";
+  out << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+RelayedTokenReply::~RelayedTokenReply() noexcept {
+}
+
+
+void RelayedTokenReply::__set_replies(const std::vector<TokenReply> & val) {
+  this->replies = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedTokenReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedTokenReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replies.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->replies.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += this->replies[_i82].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedTokenReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedTokenReply");
+
+  xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
+    std::vector<TokenReply> ::const_iterator _iter83;
+    for (_iter83 = this->replies.begin(); _iter83 != this->replies.end(); ++_iter83)
+    {
+      xfer += (*_iter83).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedTokenReply &a, RelayedTokenReply &b) {
+  using ::std::swap;
+  swap(a.replies, b.replies);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedTokenReply::RelayedTokenReply(const RelayedTokenReply& other84) {
+  replies = other84.replies;
+  __isset = other84.__isset;
+}
+RelayedTokenReply& RelayedTokenReply::operator=(const RelayedTokenReply& other85) {
+  replies = other85.replies;
+  __isset = other85.__isset;
+  return *this;
+}
+void RelayedTokenReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedTokenReply(";
+  out << "replies=" << to_string(replies);
+  out << ")";
+}
+
+
 ClaimKey::~ClaimKey() noexcept {
 }
 
@@ -2416,17 +2640,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimKey::ClaimKey(const ClaimKey& other70) {
-  account = other70.account;
-  serviceName = other70.serviceName;
-  idempotencyKey = other70.idempotencyKey;
-  __isset = other70.__isset;
+ClaimKey::ClaimKey(const ClaimKey& other86) {
+  account = other86.account;
+  serviceName = other86.serviceName;
+  idempotencyKey = other86.idempotencyKey;
+  __isset = other86.__isset;
 }
-ClaimKey& ClaimKey::operator=(const ClaimKey& other71) {
-  account = other71.account;
-  serviceName = other71.serviceName;
-  idempotencyKey = other71.idempotencyKey;
-  __isset = other71.__isset;
+ClaimKey& ClaimKey::operator=(const ClaimKey& other87) {
+  account = other87.account;
+  serviceName = other87.serviceName;
+  idempotencyKey = other87.idempotencyKey;
+  __isset = other87.__isset;
   return *this;
 }
 void ClaimKey::printTo(std::ostream& out) const {
@@ -2582,21 +2806,21 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other72) {
-  key = other72.key;
-  attemptId = other72.attemptId;
-  nodeId = other72.nodeId;
-  fingerprint = other72.fingerprint;
-  deadlineMs = other72.deadlineMs;
-  __isset = other72.__isset;
-}
-BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other73) {
-  key = other73.key;
-  attemptId = other73.attemptId;
-  nodeId = other73.nodeId;
-  fingerprint = other73.fingerprint;
-  deadlineMs = other73.deadlineMs;
-  __isset = other73.__isset;
+BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other88) {
+  key = other88.key;
+  attemptId = other88.attemptId;
+  nodeId = other88.nodeId;
+  fingerprint = other88.fingerprint;
+  deadlineMs = other88.deadlineMs;
+  __isset = other88.__isset;
+}
+BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other89) {
+  key = other89.key;
+  attemptId = other89.attemptId;
+  nodeId = other89.nodeId;
+  fingerprint = other89.fingerprint;
+  deadlineMs = other89.deadlineMs;
+  __isset = other89.__isset;
   return *this;
 }
 void BeginClaimRequest::printTo(std::ostream& out) const {
@@ -2754,21 +2978,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other74) {
-  status = other74.status;
-  contentType = other74.contentType;
-  body = other74.body;
-  bodyKept = other74.bodyKept;
-  bodyDigest = other74.bodyDigest;
-  __isset = other74.__isset;
-}
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other75) {
-  status = other75.status;
-  contentType = other75.contentType;
-  body = other75.body;
-  bodyKept = other75.bodyKept;
-  bodyDigest = other75.bodyDigest;
-  __isset = other75.__isset;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other90) {
+  status = other90.status;
+  contentType = other90.contentType;
+  body = other90.body;
+  bodyKept = other90.bodyKept;
+  bodyDigest = other90.bodyDigest;
+  __isset = other90.__isset;
+}
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other91) {
+  status = other91.status;
+  contentType = other91.contentType;
+  body = other91.body;
+  bodyKept = other91.bodyKept;
+  bodyDigest = other91.bodyDigest;
+  __isset = other91.__isset;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -2825,9 +3049,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast76;
-          xfer += iprot->readI32(ecast76);
-          this->state = static_cast<ClaimState::type>(ecast76);
+          int32_t ecast92;
+          xfer += iprot->readI32(ecast92);
+          this->state = static_cast<ClaimState::type>(ecast92);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2879,15 +3103,15 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimReply::BeginClaimReply(const BeginClaimReply& other77) {
-  state = other77.state;
-  outcome = other77.outcome;
-  __isset = other77.__isset;
+BeginClaimReply::BeginClaimReply(const BeginClaimReply& other93) {
+  state = other93.state;
+  outcome = other93.outcome;
+  __isset = other93.__isset;
 }
-BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other78) {
-  state = other78.state;
-  outcome = other78.outcome;
-  __isset = other78.__isset;
+BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other94) {
+  state = other94.state;
+  outcome = other94.outcome;
+  __isset = other94.__isset;
   return *this;
 }
 void BeginClaimReply::printTo(std::ostream& out) const {
@@ -3027,19 +3251,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other79) {
-  key = other79.key;
-  attemptId = other79.attemptId;
-  outcome = other79.outcome;
-  outcomeUnknown = other79.outcomeUnknown;
-  __isset = other79.__isset;
+FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other95) {
+  key = other95.key;
+  attemptId = other95.attemptId;
+  outcome = other95.outcome;
+  outcomeUnknown = other95.outcomeUnknown;
+  __isset = other95.__isset;
 }
-FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other80) {
-  key = other80.key;
-  attemptId = other80.attemptId;
-  outcome = other80.outcome;
-  outcomeUnknown = other80.outcomeUnknown;
-  __isset = other80.__isset;
+FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other96) {
+  key = other96.key;
+  attemptId = other96.attemptId;
+  outcome = other96.outcome;
+  outcomeUnknown = other96.outcomeUnknown;
+  __isset = other96.__isset;
   return *this;
 }
 void FinishClaimRequest::printTo(std::ostream& out) const {
@@ -3145,15 +3369,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other81) {
-  key = other81.key;
-  attemptId = other81.attemptId;
-  __isset = other81.__isset;
+ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other97) {
+  key = other97.key;
+  attemptId = other97.attemptId;
+  __isset = other97.__isset;
 }
-ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other82) {
-  key = other82.key;
-  attemptId = other82.attemptId;
-  __isset = other82.__isset;
+ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other98) {
+  key = other98.key;
+  attemptId = other98.attemptId;
+  __isset = other98.__isset;
   return *this;
 }
 void ReleaseClaimRequest::printTo(std::ostream& out) const {
@@ -3240,13 +3464,13 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other83) : TException() {
-  leaderRpcAddress = other83.leaderRpcAddress;
-  __isset = other83.__isset;
+NotLeader::NotLeader(const NotLeader& other99) : TException() {
+  leaderRpcAddress = other99.leaderRpcAddress;
+  __isset = other99.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other84) {
-  leaderRpcAddress = other84.leaderRpcAddress;
-  __isset = other84.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other100) {
+  leaderRpcAddress = other100.leaderRpcAddress;
+  __isset = other100.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -3360,15 +3584,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlFailure::ControlFailure(const ControlFailure& other85) : TException() {
-  code = other85.code;
-  message = other85.message;
-  __isset = other85.__isset;
+ControlFailure::ControlFailure(const ControlFailure& other101) : TException() {
+  code = other101.code;
+  message = other101.message;
+  __isset = other101.__isset;
 }
-ControlFailure& ControlFailure::operator=(const ControlFailure& other86) {
-  code = other86.code;
-  message = other86.message;
-  __isset = other86.__isset;
+ControlFailure& ControlFailure::operator=(const ControlFailure& other102) {
+  code = other102.code;
+  message = other102.message;
+  __isset = other102.__isset;
   return *this;
 }
 void ControlFailure::printTo(std::ostream& out) const {
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -60,6 +60,10 @@
 
 class TokenReply;
 
+class RelayedTokenRequest;
+
+class RelayedTokenReply;
+
 class ClaimKey;
 
 class BeginClaimRequest;
@@ -920,6 +924,90 @@
 
 std::ostream& operator<<(std::ostream& out, const TokenReply& obj);
 
+typedef struct _RelayedTokenRequest__isset {
+  _RelayedTokenRequest__isset() : requests(false) {}
+  bool requests :1;
+} _RelayedTokenRequest__isset;
+
+class RelayedTokenRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedTokenRequest(const RelayedTokenRequest&);
+  RelayedTokenRequest& operator=(const RelayedTokenRequest&);
+  RelayedTokenRequest() noexcept {
+  }
+
+  virtual ~RelayedTokenRequest() noexcept;
+  std::vector<TokenRequest>  requests;
+
+  _RelayedTokenRequest__isset __isset;
+
+  void __set_requests(const std::vector<TokenRequest> & val);
+
+  bool operator == (const RelayedTokenRequest & rhs) const
+  {
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedTokenRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedTokenRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedTokenRequest &a, RelayedTokenRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedTokenRequest& obj);
+
+typedef struct _RelayedTokenReply__isset {
+  _RelayedTokenReply__isset() : replies(false) {}
+  bool replies :1;
+} _RelayedTokenReply__isset;
+
+class RelayedTokenReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedTokenReply(const RelayedTokenReply&);
+  RelayedTokenReply& operator=(const RelayedTokenReply&);
+  RelayedTokenReply() noexcept {
+  }
+
+  virtual ~RelayedTokenReply() noexcept;
+  std::vector<TokenReply>  replies;
+
+  _RelayedTokenReply__isset __isset;
+
+  void __set_replies(const std::vector<TokenReply> & val);
+
+  bool operator == (const RelayedTokenReply & rhs) const
+  {
+    if (!(replies == rhs.replies))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedTokenReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedTokenReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedTokenReply &a, RelayedTokenReply &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedTokenReply& obj);
+
 typedef struct _ClaimKey__isset {
   _ClaimKey__isset() : account(false), serviceName(false), idempotencyKey(false) {}
   bool account :1;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -131,6 +131,7 @@
     , upstream_(options.translationFor)
     , record_(options.clock->WallNow())
     , control_({ .replicas = options.control })
+    , tokenChannel_({ .replicas = options.control, .maxConnections = 1 })
     , syncChannel_({ .replicas = options.control, .timeout = kSyncTimeout })
     , pipeline_({ .nodeId = options.nodeId,
                   .epoch = epoch_,
@@ -146,6 +147,7 @@
                   .upstream = &upstream_,
                   .members = &members_,
                   .control = [this](const auto& call) { return control_.Call(call); },
+                  .tokens = [this](const auto& call) { return tokenChannel_.Call(call); },
                   .onAnnounced = [this] { sync_.Wake(); },
                   .onEnded = [this](const EndedRequest& ended) { Record(ended); } })
     , sync_({ .nodeId = options.nodeId,
@@ -159,6 +161,7 @@
               .members = &members_,
               .record = &record_,
               .calls = &control_,
+              .tokens = &tokenChannel_,
               .hold = kSyncHold })
     , peer_(Listener("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer))
     , admin_({ .address = options.admin,
@@ -305,6 +308,15 @@
     const auto pool = upstream_.Pool();
     metrics_.Gauge("acp_upstream_connections", "Open connections to the upstream.")
       .Set(pool ? pool->OpenConnections() : 0);
+    const auto tokenCalls = pipeline_.TokenCalls();
+    const auto calls = [this](const std::string& result, std::uint64_t count) {
+      metrics_
+        .Gauge(
+          "acp_token_calls", "Calls for rate tokens since the start.", { { "result", result } })
+        .Set(static_cast<double>(count));
+    };
+    calls("answered", tokenCalls.calls - tokenCalls.failed);
+    calls("failed", tokenCalls.failed);
     metrics_.Gauge("acp_state_version", "Version of the state this node decides by.")
       .Set(static_cast<double>(view_.Version()));
     metrics_.Gauge("acp_state_fresh", "1 when keyed requests are served.").Set(isFresh ? 1 : 0);
@@ -321,6 +333,7 @@
   RecordCounters record_;
   std::atomic<bool> stopping_{ false };
   ControlChannel control_;
+  ControlChannel tokenChannel_;
   ControlChannel syncChannel_; ///< its calls may be held by control
   RequestPipeline pipeline_;
   SyncLoop sync_;
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -38,6 +38,8 @@
   void HandleEgress(ServerExchange& exchange);
   void Announce(const Announcement& announcement);
 
+  [[nodiscard]] detail::TokenCallCounts TokenCalls() const { return tokens_.CallCounts(); }
+
 private:
   /// A caller's request that may run.
   struct Root
@@ -91,7 +93,7 @@
   , tokens_({ .nodeId = options_.nodeId,
               .epoch = options_.epoch,
               .clock = options_.clock,
-              .call = options_.control })
+              .call = options_.tokens })
   , balancer_({ .ownNodeId = options_.nodeId,
                 .ownDataCentre = options_.dataCentre,
                 .members = options_.members })
@@ -490,4 +492,9 @@
   impl_->HandleEgress(exchange);
 }
 
+detail::TokenCallCounts RequestPipeline::TokenCalls() const
+{
+  return impl_->TokenCalls();
+}
+
 } // namespace acp
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -1,7 +1,8 @@
 #include "acaciapulley/node/sync_loop.hpp"
 
-#include <algorithm> // min
-#include <utility>   // move
+#include <algorithm>  // min
+#include <functional> // hash
+#include <utility>    // move
 
 #include "acaciapulley/core/log.hpp"    // Log
 #include "acaciapulley/core/random.hpp" // Jittered
@@ -143,6 +144,21 @@
   if (options_.calls != nullptr) {
     options_.calls->Learn(addresses);
   }
+  SpreadTokenCalls(addresses);
+}
+
+void SyncLoop::SpreadTokenCalls(const std::vector<Address>& replicas)
+{
+  if (options_.tokens == nullptr || replicas == spreadOver_) {
+    return;
+  }
+  spreadOver_ = replicas;
+  options_.tokens->Learn(replicas);
+  std::vector<Address> relays = replicas;
+  std::erase(relays, options_.channel->Preferred());
+  if (!relays.empty()) {
+    options_.tokens->Prefer(relays[std::hash<std::string>()(options_.nodeId) % relays.size()]);
+  }
 }
 
 bool SyncLoop::PollOnce()
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -3,14 +3,22 @@
 #include <algorithm> // min
 #include <utility>   // move
 
-#include "acaciapulley/core/log.hpp" // Log
+#include "acaciapulley/core/log.hpp"    // Log
+#include "acaciapulley/core/random.hpp" // Jittered
 #include "gen/ControlService.h"
 
 namespace acp::detail {
 
 namespace {
 
-constexpr Duration kAskInterval = std::chrono::milliseconds(10);
+// Asks that become due within this time of a call go out together with the next one.
+constexpr Duration kCallInterval = std::chrono::milliseconds(5);
+// Without a waiting request, reports and asks in advance are looked for this often.
+constexpr Duration kIdleInterval = std::chrono::milliseconds(25);
+// The pause doubles up to this while calls fail: a control that is short of time must not be asked
+// more for being slow.
+constexpr Duration kLongestPause = std::chrono::milliseconds(400);
+constexpr double kPauseJitter = 0.2;
 // A request waits at most this long for a token; longer waits go to the caller as Retry-After.
 constexpr Duration kLongestWait = std::chrono::milliseconds(200);
 // An answer wakes the waiting requests; this is for leases that end in between.
@@ -95,7 +103,7 @@
     const std::lock_guard lock(mutex_);
     stopping_ = true;
   }
-  stopped_.notify_all();
+  sender_.notify_all();
   thread_.join();
 }
 
@@ -113,6 +121,7 @@
     return RefuseRate(taken.retryAfter);
   }
   table_.EnterWait(key);
+  AskSoon();
   auto waited = WaitForToken(key, waiter);
   table_.LeaveWait(key);
   RemoveWaiter(key, waiter);
@@ -130,6 +139,15 @@
   return true;
 }
 
+void TokenClient::AskSoon()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    isAskWanted_ = true;
+  }
+  sender_.notify_one();
+}
+
 void TokenClient::RemoveWaiter(const LimitKey& key, const Waiter& waiter)
 {
   const std::lock_guard lock(mutex_);
@@ -194,9 +212,6 @@
 {
   const TimePoint giveUpAt = options_.clock->Now() + kLongestWait;
   while (true) {
-    if (const auto ask = table_.DueAsk(key, options_.clock->Now())) {
-      Send({ *ask });
-    }
     if (auto end = TryEnd(key, giveUpAt)) {
       return *std::move(end);
     }
@@ -204,11 +219,8 @@
   }
 }
 
-void TokenClient::Send(const std::vector<TokenAsk>& asks)
+bool TokenClient::Send(const std::vector<TokenAsk>& asks)
 {
-  if (asks.empty()) {
-    return;
-  }
   wire::TokenRequest request;
   request.nodeId = options_.nodeId;
   request.epoch = options_.epoch;
@@ -219,37 +231,75 @@
   const auto done =
     options_.call([&](wire::ControlServiceIf& control) { control.AcquireTokens(reply, request); });
   const TimePoint now = options_.clock->Now();
-  if (!done || reply.answers.size() != asks.size()) {
+  const bool isAnswered = done && reply.answers.size() == asks.size();
+  NoteCall(isAnswered, done ? "an answer for each ask is missing" : done.error().Describe(), now);
+  if (!isAnswered) {
     for (const auto& ask : asks) {
       table_.OnNoAnswer(ask.key, ask.number, now);
     }
-    if (!done) {
-      Log(LogLevel::Warning, "token_request_failed", { { "error", done.error().Describe() } });
+    return false;
+  }
+  for (std::size_t i = 0; i < asks.size(); ++i) {
+    TakeAnswer(asks[i], reply.answers[i], now);
+  }
+  return true;
+}
+
+void TokenClient::TakeAnswer(const TokenAsk& ask, const wire::TokenAnswer& wired, TimePoint now)
+{
+  if (wired.errorCode != 0) {
+    table_.OnNoAnswer(ask.key, ask.number, now);
+    return;
+  }
+  const TokenAnswer answer = FromWire(wired);
+  table_.OnAnswer(ask.key, answer, now);
+  const bool sufficed = answer.granted >= ask.needed;
+  // Where tokens are scarce, all that wait learn from it how long they would have to.
+  Wake(ask.key, sufficed ? static_cast<std::size_t>(answer.granted) : kMostWaiting);
+}
+
+void TokenClient::NoteCall(bool isAnswered, const std::string& error, TimePoint now)
+{
+  ++calls_;
+  if (!isAnswered) {
+    if (failedInRow_++ == 0) {
+      failingSince_ = now;
+      Log(LogLevel::Warning, "tokens_unavailable", { { "error", error } });
     }
+    ++failedCalls_;
     return;
   }
   lastAnswer_ = now;
-  for (std::size_t i = 0; i < asks.size(); ++i) {
-    if (reply.answers[i].errorCode != 0) {
-      table_.OnNoAnswer(asks[i].key, asks[i].number, now);
-      continue;
-    }
-    const TokenAnswer answer = FromWire(reply.answers[i]);
-    table_.OnAnswer(asks[i].key, answer, now);
-    const bool sufficed = answer.granted >= asks[i].needed;
-    // Where tokens are scarce, all that wait learn from it how long they would have to.
-    Wake(asks[i].key, sufficed ? static_cast<std::size_t>(answer.granted) : kMostWaiting);
+  if (failedInRow_ > 0) {
+    const auto span = std::chrono::floor<std::chrono::milliseconds>(now - failingSince_);
+    Log(LogLevel::Info,
+        "tokens_available",
+        { { "failed_calls", std::to_string(failedInRow_) },
+          { "after_ms", std::to_string(span.count()) } });
+    failedInRow_ = 0;
   }
 }
 
+TokenCallCounts TokenClient::CallCounts() const
+{
+  return { .calls = calls_.load(), .failed = failedCalls_.load() };
+}
+
 void TokenClient::Run()
 {
+  Duration pause = kCallInterval;
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    stopped_.wait_for(lock, kAskInterval, [this] { return stopping_; });
+    sender_.wait_for(lock, kIdleInterval, [this] { return stopping_ || isAskWanted_; });
+    isAskWanted_ = false;
     lock.unlock();
-    Send(table_.DueAsks(options_.clock->Now()));
+    const auto asks = table_.DueAsks(options_.clock->Now());
+    const bool isAnswered = asks.empty() || Send(asks);
+    pause = isAnswered ? kCallInterval : std::min(2 * pause, kLongestPause);
     lock.lock();
+    if (!asks.empty()) {
+      sender_.wait_for(lock, Jittered(pause, kPauseJitter), [this] { return stopping_; });
+    }
   }
 }
 
--- a/src/transport/control_channel.cpp
+++ b/src/transport/control_channel.cpp
@@ -164,6 +164,22 @@
   }
 }
 
+void ControlChannel::Prefer(const Address& replica)
+{
+  Learn({ replica });
+  const std::lock_guard lock(mutex_);
+  const auto found = std::find(replicas_.begin(), replicas_.end(), replica);
+  if (found != replicas_.end()) {
+    leader_ = static_cast<std::size_t>(found - replicas_.begin());
+  }
+}
+
+Address ControlChannel::Preferred()
+{
+  const std::lock_guard lock(mutex_);
+  return replicas_.empty() ? Address{} : replicas_[leader_];
+}
+
 Address ControlChannel::AddressOf(std::size_t replica)
 {
   const std::lock_guard lock(mutex_);
--- a/tests/control_test/memory_log.hpp
+++ b/tests/control_test/memory_log.hpp
@@ -72,6 +72,7 @@
   [[nodiscard]] ReplicaStatus Status() const override
   {
     ReplicaStatus status{ .isLeader = isLeader, .term = term, .commitIndex = index_ };
+    status.leaderId = leaderId;
     status.leaderRpcAddress = "127.0.0.1:7300";
     status.leaderOperatorAddress = "127.0.0.1:7310";
     status.replicas = { { .id = voter, .isVoter = true } };
@@ -84,6 +85,7 @@
   TimePoint leadsSince;
   NextResult next = NextResult::Normal;
   std::string voter = "r1";
+  std::string leaderId; ///< empty: unknown
 
 private:
   StateMachine& state_;
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -115,6 +115,12 @@
 
 void FakeControl::Sync(wire::SyncReply& /*reply*/, const wire::SyncRequest& /*request*/) {}
 
+void FakeControl::RelayTokens(wire::RelayedTokenReply& /*reply*/,
+                              const wire::RelayedTokenRequest& /*request*/)
+{
+  throw AnswerLost{};
+}
+
 void FakeControl::AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request)
 {
   if (!grantsTokens) {
@@ -321,6 +327,7 @@
                 .upstream = &upstream_,
                 .members = &members_,
                 .control = [this](const auto& call) { return options_.control->Call(call); },
+                .tokens = [this](const auto& call) { return options_.control->Call(call); },
                 .onAnnounced = [] {},
                 .guards = options.guards })
   , peer_(Listener(&RequestPipeline::HandlePeer))
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -41,6 +41,9 @@
 
   void Sync(wire::SyncReply& reply, const wire::SyncRequest& request) override;
   void AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request) override;
+  /// Nodes never call this.
+  void RelayTokens(wire::RelayedTokenReply& reply,
+                   const wire::RelayedTokenRequest& request) override;
   void BeginClaim(wire::BeginClaimReply& reply, const wire::BeginClaimRequest& request) override;
   void FinishClaim(const wire::FinishClaimRequest& request) override;
   void ReleaseClaim(const wire::ReleaseClaimRequest& request) override;
--- a/tests/node_test/sync_loop_test.cpp
+++ b/tests/node_test/sync_loop_test.cpp
@@ -97,6 +97,7 @@
   acp::ControlChannel channel{ { .replicas = { replica.Where() },
                                  .timeout = std::chrono::seconds(60),
                                  .callBudget = std::chrono::seconds(60) } };
+  acp::ControlChannel tokens{ { .replicas = { replica.Where() } } };
   acp::NodeView view;
   acp::LocalUpstream upstream;
   acp::MemberTable members;
@@ -108,7 +109,8 @@
                         .view = &view,
                         .upstream = &upstream,
                         .members = &members,
-                        .record = &record } };
+                        .record = &record,
+                        .tokens = &tokens } };
 };
 
 Answer Accept(std::int64_t reportNumber)
@@ -235,4 +237,21 @@
   BOOST_TEST(polling.view.IsFresh(polling.clock.Now(), acp::kKeyedFreshness));
 }
 
+// Guards against token calls that all go to the leader, or to a replica that has left.
+BOOST_AUTO_TEST_CASE(token_calls_go_through_a_replica_that_does_not_lead)
+{
+  Polling polling;
+  polling.script.Next();
+  const std::string leader = polling.replica.Where().ToString();
+  polling.AnswerAndNext([&](acp::wire::SyncReply& reply) {
+    reply.controlAddresses = { leader, "127.0.0.1:1", "127.0.0.1:2" };
+  });
+  BOOST_TEST(polling.tokens.Preferred().ToString() != leader);
+
+  polling.AnswerAndNext([&](acp::wire::SyncReply& reply) {
+    reply.controlAddresses = { leader, "127.0.0.1:3" };
+  });
+  BOOST_TEST(polling.tokens.Preferred().ToString() == "127.0.0.1:3");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/node_test/token_client_test.cpp
@@ -0,0 +1,146 @@
+#include <algorithm>          // count, max
+#include <condition_variable> // condition_variable
+#include <mutex>              // mutex
+#include <string>             // string, to_string
+#include <thread>             // jthread
+#include <vector>             // vector
+
+#include <boost/test/unit_test.hpp>
+
+#include "acaciapulley/node/detail/token_client.hpp"
+#include "gen/ControlService.h"
+
+namespace {
+
+constexpr int kAccounts = 20;
+
+/// A control that answers when the test says so, and grants all that is needed.
+class HeldControl final : public acp::wire::ControlServiceNull
+{
+public:
+  void AcquireTokens(acp::wire::TokenReply& reply, const acp::wire::TokenRequest& request) override
+  {
+    std::unique_lock lock(mutex_);
+    ++inProgress_;
+    ++calls_;
+    mostInProgress_ = std::max(mostInProgress_, inProgress_);
+    mostAsks_ = std::max(mostAsks_, request.asks.size());
+    changed_.notify_all();
+    changed_.wait(lock, [this] { return isReleased_; });
+    --inProgress_;
+    for (const auto& ask : request.asks) {
+      acp::wire::TokenAnswer answer;
+      answer.term = 1;
+      answer.number = ask.number;
+      answer.granted = ask.needed;
+      answer.leaseMicros = 2'000'000;
+      answer.settleWithinMicros = 1'000'000;
+      reply.answers.push_back(answer);
+    }
+  }
+
+  void WaitForCall()
+  {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return calls_ > 0; });
+  }
+
+  void Release()
+  {
+    const std::lock_guard lock(mutex_);
+    isReleased_ = true;
+    changed_.notify_all();
+  }
+
+  [[nodiscard]] int MostInProgress()
+  {
+    const std::lock_guard lock(mutex_);
+    return mostInProgress_;
+  }
+
+  [[nodiscard]] std::size_t MostAsks()
+  {
+    const std::lock_guard lock(mutex_);
+    return mostAsks_;
+  }
+
+private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool isReleased_ = false;
+  int calls_ = 0;
+  int inProgress_ = 0;
+  int mostInProgress_ = 0;
+  std::size_t mostAsks_ = 0;
+};
+
+struct Node
+{
+  acp::SystemClock clock;
+  HeldControl control;
+  acp::detail::TokenClient
+    tokens{ { .nodeId = "n", .epoch = 1, .clock = &clock, .call = [this](const auto& call) {
+               call(control);
+               return acp::TransportResult<void>(boost::outcome_v2::success());
+             } } };
+};
+
+/// Takes one token of each account, all at once.
+/// @return the statuses of the refusals, 0 where a token was granted
+std::vector<int> TakeAll(Node& node)
+{
+  std::vector<int> statuses(kAccounts);
+  std::vector<std::jthread> requests;
+  for (int i = 0; i < kAccounts; ++i) {
+    requests.emplace_back([&node, &status = statuses[static_cast<std::size_t>(i)], i] {
+      const auto taken = node.tokens.Take({ "service", "account-" + std::to_string(i) });
+      status = taken ? 0 : taken.error().status;
+    });
+  }
+  requests.clear();
+  return statuses;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(token_client)
+
+// Guards against a node that makes more calls the slower control answers.
+BOOST_AUTO_TEST_CASE(a_slow_control_gets_one_call_at_a_time)
+{
+  Node node;
+  const std::vector<int> statuses = TakeAll(node);
+  BOOST_TEST(std::count(statuses.begin(), statuses.end(), 503) == kAccounts);
+  BOOST_TEST(node.control.MostInProgress() == 1);
+  node.control.Release();
+}
+
+BOOST_AUTO_TEST_CASE(asks_that_wait_for_a_call_go_out_together)
+{
+  Node node;
+  std::jthread first([&] { (void)node.tokens.Take({ "service", "first" }); });
+  node.control.WaitForCall();
+  std::jthread others([&] { (void)TakeAll(node); });
+  others.join();
+  node.control.Release();
+  first.join();
+  const std::vector<int> statuses = TakeAll(node);
+  BOOST_TEST(std::count(statuses.begin(), statuses.end(), 0) == kAccounts);
+  BOOST_TEST(node.control.MostInProgress() == 1);
+  BOOST_TEST(node.control.MostAsks() > 1U);
+}
+
+BOOST_AUTO_TEST_CASE(calls_and_failures_are_counted)
+{
+  acp::SystemClock clock;
+  acp::detail::TokenClient tokens(
+    { .nodeId = "n", .epoch = 1, .clock = &clock, .call = [](const auto& /*call*/) {
+       return acp::TransportResult<void>(
+         acp::Fail(acp::TransportErrorCode::Unreachable, "no control"));
+     } });
+  BOOST_TEST(tokens.Take({ "service", "a" }).error().status == 503);
+  BOOST_TEST(tokens.CallCounts().calls > 0U);
+  BOOST_TEST(tokens.CallCounts().failed == tokens.CallCounts().calls);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
