--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -99,6 +99,7 @@
 #include "acaciapulley/control/rate_service.hpp"
 #include "acaciapulley/control/record_service.hpp"
 #include "acaciapulley/control/request_ledger.hpp"
+#include "acaciapulley/control/token_relay.hpp"
 
 // node
 #include "acaciapulley/node/blocking_gate.hpp"
