Cut an answer's body that a broken server sends without end; test heads without end

Servers in trouble may send bytes without end, in a head or a body. Heads, interim answers, chunk lines and trailers were bounded; a body that keeps sending was read for as long as the caller stayed, and a non-idempotent request or the body of an answer that is replaced also without a caller. An answer's body now ends as truncated after 60 s, that of a replaced answer after 250 ms. With the deadline ignored, a_body_without_end_is_cut_at_its_time reads all 20,000 parts and fails; heads_without_end_are_cut passed before and guards the bounds that stand.

--- a/include/acaciapulley/node/detail/answer_relay.hpp
+++ b/include/acaciapulley/node/detail/answer_relay.hpp
@@ -13,6 +13,12 @@
 
 namespace acp::detail {
 
+/// Longest wait for the next bytes of an answer's body.
+inline constexpr Duration kBodySilence = std::chrono::seconds(10);
+
+/// Longest time for an answer's body. A server in trouble may send bytes without end.
+inline constexpr Duration kLongestBody = std::chrono::seconds(60);
+
 /// A body that is kept for the claim's record while it is passed on.
 class RecordedBody final : public BodySource
 {
--- a/include/acaciapulley/transport/detail/http_framing.hpp
+++ b/include/acaciapulley/transport/detail/http_framing.hpp
@@ -80,6 +80,10 @@
   /// @brief Sets what happens before the first bytes are read, such as sending `100 Continue`.
   void OnFirstRead(std::function<void()> hook) { onFirstRead_ = std::move(hook); }
 
+  /// @brief Ends the body as truncated when it is not whole at @p deadline, however steadily it
+  /// arrives.
+  void EndBy(TimePoint deadline) { endBy_ = deadline; }
+
   std::size_t Read(char* buffer, std::size_t size) override;
 
   /// @brief Returns whether the whole body was read, so that the connection can be used again.
@@ -90,6 +94,7 @@
   void StartChunk();
   void SkipTrailers();
   std::string Line(std::size_t limit);
+  [[nodiscard]] TimePoint ReadDeadline() const;
 
   HttpConnection& connection_;
   std::int64_t remaining_; ///< bytes left of the body, or of the chunk
@@ -98,6 +103,7 @@
   bool inChunk_ = false;
   bool ended_;
   Duration silence_;
+  TimePoint endBy_ = TimePoint::max();
   std::function<void()> onFirstRead_;
 };
 
--- a/include/acaciapulley/transport/http_client.hpp
+++ b/include/acaciapulley/transport/http_client.hpp
@@ -40,6 +40,9 @@
 
   /// @brief Closes the connection at once; a read of the body then raises BodyTruncated.
   virtual void Abort() {}
+
+  /// @brief Ends the body as truncated when it is not whole after @p span from now.
+  virtual void EndBodyWithin(Duration /*span*/) {}
 };
 
 /// Turns the project's header fields into those of another protocol, and back.
@@ -72,6 +75,9 @@
 {
   Duration timeout;       ///< from the call until the head of the answer has arrived
   Duration bodySilence{}; ///< longest wait for the next bytes of the body; 0 takes the timeout
+  /// Longest time from the head to the end of the body, which a broken server may send without end;
+  /// 0: no bound.
+  Duration bodyTime{};
   /// Asked every 10 ms while waiting for the answer; true ends the call with Cancelled.
   std::function<bool()> isCancelled;
   /// Socket of the caller for whom the call is made: its close ends the call at once, and
--- a/src/node/answer_relay.cpp
+++ b/src/node/answer_relay.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kMaxMessageBytes = 4096;
+// Longest time for the body of an answer that is replaced.
+constexpr Duration kMessageTime = std::chrono::milliseconds(250);
 constexpr int kRefusedByUpstream = 503;
 
 } // namespace
@@ -103,6 +105,7 @@
 
 std::string ReadMessage(ClientExchange& answer)
 {
+  answer.EndBodyWithin(kMessageTime);
   try {
     std::string message = ReadAll(answer.Body(), kMaxMessageBytes).value_or("refused");
     while (message.ends_with('\n')) {
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::size_t kAttemptIdBytes = 16;
-constexpr Duration kBodySilence = std::chrono::seconds(10);
 
 std::string Fingerprint(const PendingCall& call)
 {
@@ -144,7 +143,9 @@
     }
   }
   // A non-idempotent request is followed to its end, since its outcome must be recorded.
-  SendOptions sending{ .timeout = remaining, .bodySilence = kBodySilence };
+  SendOptions sending{ .timeout = remaining,
+                       .bodySilence = kBodySilence,
+                       .bodyTime = kLongestBody };
   if (call.request.requestClass->idempotent) {
     sending.isCancelled = [&call] { return call.exchange.IsCallerGone(); };
     sending.callerDescriptor = call.exchange.CallerDescriptor();
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr int kMaxPeerConnections = 256;
-constexpr Duration kBodySilence = std::chrono::seconds(10);
 // A peer answers by the deadline itself; this is for its answer's way back.
 constexpr Duration kAnswerGrace = std::chrono::milliseconds(50);
 
@@ -102,7 +101,9 @@
     // Hosts' wall clocks differ, so that peers are told the time that is left.
     head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
   }
-  SendOptions sending{ .timeout = remaining + kAnswerGrace, .bodySilence = kBodySilence };
+  SendOptions sending{ .timeout = remaining + kAnswerGrace,
+                       .bodySilence = kBodySilence,
+                       .bodyTime = kLongestBody };
   if (call.request.requestClass->idempotent) {
     sending.isCancelled = [&call] { return call.exchange.IsCallerGone(); };
     sending.callerDescriptor = call.exchange.CallerDescriptor();
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -34,13 +34,17 @@
                  PoolCore::ConnectionPtr connection,
                  HttpResponseHead head,
                  const detail::MessageFraming& framing,
-                 Duration silence)
+                 Duration silence,
+                 Duration bodyTime)
     : pool_(std::move(pool))
     , connection_(std::move(connection))
     , head_(std::move(head))
     , framing_(framing)
     , body_(connection_->io, framing.bodyLength, silence)
   {
+    if (bodyTime > Duration::zero()) {
+      EndBodyWithin(bodyTime);
+    }
   }
   PooledExchange(const PooledExchange&) = delete;
   PooledExchange& operator=(const PooledExchange&) = delete;
@@ -69,6 +73,8 @@
     return body_.Read(buffer, size);
   }
 
+  void EndBodyWithin(Duration span) final { body_.EndBy(SteadyNow() + span); }
+
   void Abort() override
   {
     aborted_ = true;
@@ -230,7 +236,7 @@
         const Duration silence =
           options_.bodySilence.count() > 0 ? options_.bodySilence : options_.timeout;
         return ExchangePtr(std::make_unique<PooledExchange>(
-          pool_, std::move(connection), std::move(head), framing, silence));
+          pool_, std::move(connection), std::move(head), framing, silence, options_.bodyTime));
       }
     }
     return Lose(std::move(connection), IoStatus::Failed, "too many interim answers");
--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -379,10 +379,15 @@
 {
 }
 
+TimePoint FramedBody::ReadDeadline() const
+{
+  return std::min(SteadyNow() + silence_, endBy_);
+}
+
 std::string FramedBody::Line(std::size_t limit)
 {
   std::string line;
-  if (connection_.ReadLine(limit, SteadyNow() + silence_, &line) != IoStatus::Ok) {
+  if (connection_.ReadLine(limit, ReadDeadline(), &line) != IoStatus::Ok) {
     throw BodyTruncated{};
   }
   return line;
@@ -423,7 +428,7 @@
 {
   std::size_t count = 0;
   const std::size_t wanted = std::min(size, static_cast<std::size_t>(remaining_));
-  if (connection_.Read(buffer, wanted, SteadyNow() + silence_, &count) != IoStatus::Ok) {
+  if (connection_.Read(buffer, wanted, ReadDeadline(), &count) != IoStatus::Ok) {
     throw BodyTruncated{};
   }
   remaining_ -= static_cast<std::int64_t>(count);
@@ -438,7 +443,8 @@
   if (onFirstRead_) {
     std::exchange(onFirstRead_, nullptr)();
   }
-  if (isUnframed_) {
+  // Input that has arrived is read without a look at the deadline.
+  if (isUnframed_ || SteadyNow() >= endBy_) {
     throw BodyTruncated{};
   }
   if (isChunked_ && !inChunk_) {
--- a/tests/transport_test/client_failure_test.cpp
+++ b/tests/transport_test/client_failure_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <future>
+#include <optional>
 #include <thread>
 
 #include "acaciapulley/transport/http_client.hpp"
@@ -222,4 +223,76 @@
   BOOST_TEST(probe.get_future().get().starts_with("GET /.acp/heartbeat "));
 }
 
+// Guards against memory that grows with what a broken server sends before the end of a head.
+BOOST_AUTO_TEST_CASE(heads_without_end_are_cut)
+{
+  constexpr std::size_t kMostTaken = 8U
+                                     << 20U; // of both sides' socket buffers and the head's bound
+  const std::vector<std::pair<std::string, std::string>> cases = {
+    { "HTTP/1.1 200 OK\r\nX-Long: ", std::string(4096, 'x') },
+    { "HTTP/1.1 200 OK\r\n", "X-Field: 1\r\n" },
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "", std::string(4096, 'x') },
+  };
+  for (const auto& [start, repeated] : cases) {
+    std::atomic<std::size_t> taken{ 0 };
+    std::optional<ScriptedServer> server(std::in_place, [&](Poco::Net::ServerSocket& socket) {
+      auto connection = socket.acceptConnection();
+      Take(connection);
+      try {
+        Give(connection, start);
+        while (taken < kMostTaken) {
+          Give(connection, repeated);
+          taken += repeated.size();
+        }
+      } catch (const Poco::Exception&) {
+        return; // the client has closed
+      }
+    });
+    acp::HttpPool pool({ .address = server->Where() });
+    BOOST_TEST(Get(pool) == "connection_lost");
+    BOOST_TEST(pool.OpenConnections() == 0);
+    server.reset(); // waits for the script's end
+    BOOST_TEST(taken < kMostTaken);
+  }
+}
+
+// Guards against a request that lasts as long as a broken server sends.
+BOOST_AUTO_TEST_CASE(a_body_without_end_is_cut_at_its_time)
+{
+  const ScriptedServer server([](Poco::Net::ServerSocket& socket) {
+    auto connection = socket.acceptConnection();
+    Take(connection);
+    try {
+      Give(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      while (true) {
+        Give(connection, "1\r\nx\r\n");
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+    } catch (const Poco::Exception&) {
+      return; // the client has closed
+    }
+  });
+  constexpr int kMostReads = 20'000;
+  acp::HttpPool pool({ .address = server.Where() });
+  acp::StringBody empty("");
+  auto sent = pool.Send({ .method = "GET", .target = "/" },
+                        empty,
+                        0,
+                        { .timeout = kTimeout, .bodyTime = std::chrono::milliseconds(50) });
+  BOOST_REQUIRE(sent.has_value());
+  int reads = 0;
+  const auto readOn = [&] {
+    char byte = 0;
+    while (reads < kMostReads) {
+      sent.value()->Body().Read(&byte, 1);
+      ++reads;
+    }
+  };
+  BOOST_CHECK_THROW(readOn(), acp::BodyTruncated);
+  BOOST_TEST(reads > 0);
+  sent.value().reset();
+  BOOST_TEST(pool.OpenConnections() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
