--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -57,6 +57,9 @@
   /// @brief Takes over an announcement of the local upstream.
   void Announce(const Announcement& announcement);
 
+  /// @brief Adds control replicas that new settings name to those that are asked.
+  void LearnControl(const std::vector<Address>& replicas);
+
   /// @brief Returns whether requests are served: the state is recent and no stop has begun.
   [[nodiscard]] bool IsReady() const;
 
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -177,6 +177,13 @@
 
   void Announce(const Announcement& announcement) { pipeline_.Announce(announcement); }
 
+  void LearnControl(const std::vector<Address>& replicas)
+  {
+    for (ControlChannel* channel : { &control_, &tokenChannel_, &syncChannel_ }) {
+      channel->Learn(replicas);
+    }
+  }
+
   [[nodiscard]] bool IsReady() const
   {
     return !stopping_ && view_.IsFresh(clock_.Now(), kKeyedFreshness);
@@ -355,6 +362,11 @@
   impl_->Announce(announcement);
 }
 
+void NodeProcess::LearnControl(const std::vector<Address>& replicas)
+{
+  impl_->LearnControl(replicas);
+}
+
 bool NodeProcess::IsReady() const
 {
   return impl_->IsReady();
--- a/tests/transport_test/control_channel_test.cpp
+++ b/tests/transport_test/control_channel_test.cpp
@@ -97,4 +97,32 @@
   }
 }
 
+// Guards against a node that never finds control again once its first replicas have gone.
+BOOST_AUTO_TEST_CASE(replicas_learned_later_are_called_when_the_first_are_gone)
+{
+  acp::Address gone;
+  {
+    Replica first(EchoNumber);
+    gone = first.Where();
+  }
+  Replica later(EchoNumber);
+  acp::ControlChannel channel({ .replicas = { gone } });
+  BOOST_TEST(Sync(channel, 1) == "unreachable");
+  channel.Learn({ gone, later.Where() });
+  BOOST_TEST(Sync(channel, 2) == "2");
+  BOOST_TEST((channel.Preferred() == later.Where()));
+}
+
+BOOST_AUTO_TEST_CASE(calls_begin_at_the_preferred_replica)
+{
+  Replica first(EchoNumber);
+  Replica second(EchoNumber);
+  acp::ControlChannel channel({ .replicas = { first.Where() } });
+  channel.Prefer(second.Where());
+  BOOST_TEST((channel.Preferred() == second.Where()));
+  BOOST_TEST(Sync(channel, 1) == "1");
+  BOOST_TEST(first.calls == 0);
+  BOOST_TEST(second.calls == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
