--- a/bench/tokens/main.cpp
+++ b/bench/tokens/main.cpp
@@ -153,7 +153,9 @@
                    .end = clock.Now() + std::chrono::seconds(seconds) };
   Counts counts;
   std::vector<std::unique_ptr<TakingNode>> nodes;
-  for (int i = 0; i < std::atoi(argv[2]); ++i) {
+  const int count = std::atoi(argv[2]);
+  nodes.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
     nodes.push_back(std::make_unique<TakingNode>(load, i, clock, counts));
   }
   for (int second = 0; second < seconds; ++second) {
--- a/src/control/token_relay.cpp
+++ b/src/control/token_relay.cpp
@@ -45,7 +45,7 @@
     std::erase(queue_, passed);
     return Fail(ControlErrorCode::Unavailable, "the leader did not answer in time");
   }
-  reply = std::move(passed->reply);
+  reply = passed->reply;
   return boost::outcome_v2::success();
 }
 
@@ -80,7 +80,7 @@
     batch[i]->isEnded = true;
     batch[i]->isAnswered = isAnswered;
     if (isAnswered) {
-      batch[i]->reply = std::move(replies.replies[i]);
+      batch[i]->reply = replies.replies[i];
     }
   }
   answered_.notify_all();
--- a/tests/control_test/token_relay_test.cpp
+++ b/tests/control_test/token_relay_test.cpp
@@ -87,6 +87,7 @@
   leader.WaitForCall();
   std::vector<std::int64_t> numbers(kNodes);
   std::vector<std::jthread> nodes;
+  nodes.reserve(kNodes);
   for (int i = 0; i < kNodes; ++i) {
     nodes.emplace_back([&relay, &number = numbers[static_cast<std::size_t>(i)], i] {
       acp::wire::TokenReply reply;
--- a/tests/node_test/token_client_test.cpp
+++ b/tests/node_test/token_client_test.cpp
@@ -91,6 +91,7 @@
 {
   std::vector<int> statuses(kAccounts);
   std::vector<std::jthread> requests;
+  requests.reserve(kAccounts);
   for (int i = 0; i < kAccounts; ++i) {
     requests.emplace_back([&node, &status = statuses[static_cast<std::size_t>(i)], i] {
       const auto taken = node.tokens.Take({ "service", "account-" + std::to_string(i) });
--- a/tests/transport_test/client_failure_test.cpp
+++ b/tests/transport_test/client_failure_test.cpp
@@ -228,22 +228,27 @@
 {
   constexpr std::size_t kMostTaken = 8U
                                      << 20U; // of both sides' socket buffers and the head's bound
-  const std::vector<std::pair<std::string, std::string>> cases = {
+  struct Endless
+  {
+    std::string start;
+    std::string repeated;
+  };
+  const std::vector<Endless> cases = {
     { "HTTP/1.1 200 OK\r\nX-Long: ", std::string(4096, 'x') },
     { "HTTP/1.1 200 OK\r\n", "X-Field: 1\r\n" },
     { "", "HTTP/1.1 100 Continue\r\n\r\n" },
     { "", std::string(4096, 'x') },
   };
-  for (const auto& [start, repeated] : cases) {
+  for (const Endless& bytes : cases) {
     std::atomic<std::size_t> taken{ 0 };
     std::optional<ScriptedServer> server(std::in_place, [&](Poco::Net::ServerSocket& socket) {
       auto connection = socket.acceptConnection();
       Take(connection);
       try {
-        Give(connection, start);
+        Give(connection, bytes.start);
         while (taken < kMostTaken) {
-          Give(connection, repeated);
-          taken += repeated.size();
+          Give(connection, bytes.repeated);
+          taken += bytes.repeated.size();
         }
       } catch (const Poco::Exception&) {
         return; // the client has closed
