--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -26,7 +26,7 @@
   std::int64_t epoch = 0;
   std::string dataCentre;
   Address peerAddress;               ///< where peers reach this node
-  ControlChannel* channel = nullptr; ///< shared with claim and token calls
+  ControlChannel* channel = nullptr; ///< of the polls, which control may hold
   const Clock* clock = nullptr;
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
