Let a burst of one account wait for its first answer; bound the wait only while tokens are scarce

Cause: traced in the node's log. At most 16 requests of an account wait at a node; the bound is meant for accounts that are short of tokens, but it held before the first answer as well. With the bounded token path all of a burst waits for one answer, so that the bound is met sooner than when each request had a call of its own.

Change: 16 while the last answer was short, otherwise 1,024. a_burst_of_one_account_waits_whole_for_the_first_answer fails without the change (429 for those beyond 16) and passes with it.

--- a/include/acaciapulley/node/detail/token_client.hpp
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -99,7 +99,7 @@
 
   OrRefusal<std::shared_ptr<Token>> WaitForToken(const LimitKey& key, Waiter& waiter);
   /// @return false when so many wait that the request would wait in vain
-  bool AddWaiter(const LimitKey& key, Waiter& waiter);
+  bool AddWaiter(const LimitKey& key, Waiter& waiter, std::size_t most);
   void RemoveWaiter(const LimitKey& key, const Waiter& waiter);
   void Sleep(Waiter& waiter, Duration longest);
   void Wake(const LimitKey& key, std::size_t count);
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -23,9 +23,11 @@
 constexpr Duration kLongestWait = std::chrono::milliseconds(200);
 // An answer wakes the waiting requests; this is for leases that end in between.
 constexpr Duration kLongestSleep = std::chrono::milliseconds(50);
-// Requests of one account that wait at once: more than an account's tokens of kLongestWait at most
-// nodes. Those beyond are refused at once.
-constexpr std::size_t kMostWaiting = 16;
+// Requests of one account that wait at once while tokens are scarce: more than an account's tokens
+// of kLongestWait at most nodes. Those beyond are refused at once.
+constexpr std::size_t kMostWaitingScarce = 16;
+// While nothing is known of a shortage, a burst at one node waits whole for its first answer.
+constexpr std::size_t kMostWaiting = 1024;
 
 std::int64_t ToMicros(Duration span)
 {
@@ -117,7 +119,8 @@
     return RefuseRate(taken.retryAfter);
   }
   Waiter waiter;
-  if (!AddWaiter(key, waiter)) {
+  const bool isScarce = taken.retryAfter > Duration::zero();
+  if (!AddWaiter(key, waiter, isScarce ? kMostWaitingScarce : kMostWaiting)) {
     return RefuseRate(taken.retryAfter);
   }
   table_.EnterWait(key);
@@ -128,11 +131,11 @@
   return waited;
 }
 
-bool TokenClient::AddWaiter(const LimitKey& key, Waiter& waiter)
+bool TokenClient::AddWaiter(const LimitKey& key, Waiter& waiter, std::size_t most)
 {
   const std::lock_guard lock(mutex_);
   auto& waiting = waiters_[key];
-  if (waiting.size() >= kMostWaiting) {
+  if (waiting.size() >= most) {
     return false;
   }
   waiting.push_back(&waiter);
--- a/tests/node_test/token_client_test.cpp
+++ b/tests/node_test/token_client_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>          // count, max
+#include <atomic>             // atomic
 #include <condition_variable> // condition_variable
 #include <mutex>              // mutex
 #include <string>             // string, to_string
@@ -116,6 +117,25 @@
   node.control.Release();
 }
 
+// Guards against 429 for a burst within the rate, because many requests arrive before an answer.
+BOOST_AUTO_TEST_CASE(a_burst_of_one_account_waits_whole_for_the_first_answer)
+{
+  constexpr int kBurst = 60;
+  Node node;
+  std::atomic<int> exceeded{ 0 };
+  std::vector<std::jthread> requests;
+  requests.reserve(kBurst);
+  for (int i = 0; i < kBurst; ++i) {
+    requests.emplace_back([&] {
+      const auto taken = node.tokens.Take({ "service", "account" });
+      exceeded += !taken && taken.error().status == 429 ? 1 : 0;
+    });
+  }
+  requests.clear();
+  BOOST_TEST(exceeded == 0);
+  node.control.Release();
+}
+
 BOOST_AUTO_TEST_CASE(asks_that_wait_for_a_call_go_out_together)
 {
   Node node;
