Share the benches' address list and their look at the leader's process

The token bench had copies of three pieces of the distribution bench: ParseAddresses, cpu_seconds and leader_pid. They are now in bench/address_list.hpp and tools/fleet.py. No product code changes.

--- a/bench/distribution/main.cpp
+++ b/bench/distribution/main.cpp
@@ -12,6 +12,7 @@
 
 #include <fmt/format.h> // format, print
 
+#include "../address_list.hpp"             // ParseAddresses
 #include "acaciapulley/node/sync_loop.hpp" // SyncLoop
 
 namespace {
@@ -20,18 +21,6 @@
 constexpr int kServices = 43;
 constexpr int kDataCentres = 6;
 
-std::vector<acp::Address> ParseAddresses(const std::string& text)
-{
-  std::vector<acp::Address> addresses;
-  std::size_t start = 0;
-  while (start < text.size()) {
-    const std::size_t end = std::min(text.find(',', start), text.size());
-    addresses.push_back(acp::Address::Parse(text.substr(start, end - start)).value());
-    start = end + 1;
-  }
-  return addresses;
-}
-
 /// What polls control beside one upstream.
 class PollingNode
 {
--- a/bench/tokens/main.cpp
+++ b/bench/tokens/main.cpp
@@ -15,6 +15,7 @@
 
 #include <fmt/format.h> // format, print
 
+#include "../address_list.hpp"                        // ParseAddresses
 #include "acaciapulley/node/detail/token_client.hpp"  // TokenClient
 #include "acaciapulley/transport/control_channel.hpp" // ControlChannel
 
@@ -34,18 +35,6 @@
   std::atomic<std::int64_t> waitedMicros{ 0 }; ///< of all requests that ended, together
 };
 
-std::vector<acp::Address> ParseAddresses(const std::string& text)
-{
-  std::vector<acp::Address> addresses;
-  std::size_t start = 0;
-  while (start < text.size()) {
-    const std::size_t end = std::min(text.find(',', start), text.size());
-    addresses.push_back(acp::Address::Parse(text.substr(start, end - start)).value());
-    start = end + 1;
-  }
-  return addresses;
-}
-
 struct Load
 {
   std::vector<acp::Address> control;
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -143,6 +143,13 @@
             raise FleetError(f"acpctl {' '.join(words)}: {done.stderr.strip()}")
         return done.stdout
 
+    def leader_pid(self):
+        """Returns the process of the control replica that leads."""
+        for index, address in enumerate(self.operators):
+            if json.loads(self.acpctl("--json", "--control", address, "control", "status"))["leads"]:
+                return next(p.pid for name, p in self.processes if name == f"control-{index + 1}")
+        raise FleetError("no replica leads")
+
     def put_document(self, path):
         self.acpctl("config", "put", path, "--if-version", "0")
 
@@ -223,6 +230,13 @@
         return unclean
 
 
+def cpu_seconds(pid):
+    """Returns the processor time that a process has used."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 def count_results(result, prefix):
     """Returns how many results of a load, over all accounts, start with @p prefix."""
     return sum(count for account in result["accounts"].values()
