--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -13,6 +13,7 @@
 #include "acaciapulley/core/names.hpp"
 #include "acaciapulley/core/outcome.hpp"
 #include "acaciapulley/core/random.hpp"
+#include "acaciapulley/core/wait_point.hpp"
 
 // config
 #include "acaciapulley/config/config_error.hpp"
--- a/include/acaciapulley/core/outcome.hpp
+++ b/include/acaciapulley/core/outcome.hpp
@@ -60,12 +60,13 @@
   UpstreamTimeout,
   RetriesExhausted,
   Stopping,
+  CallerGone, ///< the caller closed its connection before the request was sent
 };
 
 template<>
 struct NameTable<Reason>
 {
-  static constexpr std::array<EnumName<Reason>, 30> kRows = { {
+  static constexpr std::array<EnumName<Reason>, 31> kRows = { {
     { Reason::None, "none" },
     { Reason::BadRequest, "bad_request" },
     { Reason::TooLarge, "too_large" },
@@ -96,6 +97,7 @@
     { Reason::UpstreamTimeout, "upstream_timeout" },
     { Reason::RetriesExhausted, "retries_exhausted" },
     { Reason::Stopping, "stopping" },
+    { Reason::CallerGone, "caller_gone" },
   } };
 };
 
--- a/include/acaciapulley/node/blocking_gate.hpp
+++ b/include/acaciapulley/node/blocking_gate.hpp
@@ -3,16 +3,16 @@
 /// @file
 /// The admission gate of the local upstream for threads that wait until they may start.
 
-#include <condition_variable> // condition_variable
-#include <cstdint>            // uint64_t
-#include <functional>         // function
-#include <map>                // map
-#include <mutex>              // mutex
-#include <string>             // string
+#include <cstdint>    // uint64_t
+#include <map>        // map
+#include <mutex>      // mutex
+#include <stop_token> // stop_token
+#include <string>     // string
 
-#include "acaciapulley/admission/gate.hpp" // Gate, GateRequest, GateResult
-#include "acaciapulley/core/clock.hpp"     // Clock
-#include "acaciapulley/node/refusal.hpp"   // OrRefusal
+#include "acaciapulley/admission/gate.hpp"  // Gate, GateRequest, GateResult
+#include "acaciapulley/core/clock.hpp"      // Clock
+#include "acaciapulley/core/wait_point.hpp" // WaitPoint
+#include "acaciapulley/node/refusal.hpp"    // OrRefusal
 
 namespace acp {
 
@@ -47,14 +47,14 @@
 
   /// @brief Waits until the request may start.
   /// @param request the gate sets the id
-  /// @param isCallerGone asked about every 100 ms while waiting; may be empty
+  /// @param callerGone ends the wait when it is stopped
   /// @return the permit, or a refusal with 503 that is truly "not run"
   /// @par Example
   /// @code
-  /// auto permit = gate.Enter({ .account = account, .priority = 6 }, nullptr);
+  /// auto permit = gate.Enter({ .account = account, .priority = 6 }, exchange.CallerGone());
   /// if (permit) { Send(); permit.value().Finish(acp::GateResult::Succeeded); }
   /// @endcode
-  OrRefusal<Permit> Enter(GateRequest request, const std::function<bool()>& isCallerGone);
+  OrRefusal<Permit> Enter(GateRequest request, const std::stop_token& callerGone);
 
   /// @brief Follows a new announcement of the upstream.
   void Announce(int slots, Duration coldStart, bool isDraining);
@@ -77,14 +77,14 @@
   {
     WaitState state = WaitState::Waiting;
     Reason reason = Reason::None;
-    std::condition_variable changed;
+    WaitPoint changed;
   };
 
   void Finish(std::uint64_t id, GateResult result);
   void PollLocked();
   OrRefusal<Permit> WaitForTurn(std::unique_lock<std::mutex>& lock,
                                 const GateRequest& request,
-                                const std::function<bool()>& isCallerGone);
+                                const std::stop_token& callerGone);
 
   const Clock& clock_;
   mutable std::mutex mutex_;
--- a/include/acaciapulley/node/detail/answer_relay.hpp
+++ b/include/acaciapulley/node/detail/answer_relay.hpp
@@ -40,6 +40,11 @@
   std::unique_ptr<Digest> digest_;
 };
 
+/// @brief Reads and drops what is left of a body, for a record of an answer that no longer has a
+/// receiver.
+/// @return whether the body is whole
+[[nodiscard]] bool ReadToEnd(BodySource& body);
+
 /// @brief Returns whether the upstream or peer says itself that it did not run the request.
 [[nodiscard]] bool SaysNotRun(const HttpResponseHead& head);
 
--- a/include/acaciapulley/node/detail/attempt.hpp
+++ b/include/acaciapulley/node/detail/attempt.hpp
@@ -68,11 +68,20 @@
   if (refusal.reason == Reason::Draining) {
     return CallResult::Draining;
   }
+  if (refusal.reason == Reason::CallerGone) {
+    return CallResult::Cancelled;
+  }
   const bool isUnreachable = refusal.reason == Reason::UpstreamUnreachable;
   const bool isRefusal = refusal.outcome == RequestOutcome::NotRun && !isUnreachable;
   return isRefusal ? CallResult::Refused : CallResult::Failed;
 }
 
+/// @brief Builds the refusal of a request whose caller left before it was sent.
+[[nodiscard]] inline Refusal CallerLeft(const std::string& where)
+{
+  return { .reason = Reason::CallerGone, .message = "the caller left; not sent to " + where };
+}
+
 /// @brief Builds the end of an attempt that failed.
 [[nodiscard]] inline AttemptEnd FailedAttempt(const Refusal& refusal, bool nothingSent, int unused)
 {
--- a/include/acaciapulley/node/detail/token_client.hpp
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -12,11 +12,13 @@
 #include <memory>             // shared_ptr
 #include <mutex>              // mutex
 #include <optional>           // optional
+#include <stop_token>         // stop_token
 #include <string>             // string
 #include <thread>             // thread
 #include <vector>             // vector
 
 #include "acaciapulley/core/clock.hpp"               // Clock
+#include "acaciapulley/core/wait_point.hpp"          // WaitPoint
 #include "acaciapulley/limits/token_lease_table.hpp" // TokenLeaseTable
 #include "acaciapulley/node/detail/claim_client.hpp" // ControlCall
 #include "acaciapulley/node/refusal.hpp"             // OrRefusal
@@ -84,8 +86,10 @@
   ~TokenClient();
 
   /// @brief Takes a token, waiting for the authority if none is at hand.
-  /// @return the token, or a refusal with 429 (rate exceeded) or 503 (authority out of reach)
-  OrRefusal<std::shared_ptr<Token>> Take(const LimitKey& key);
+  /// @param callerGone ends the wait when it is stopped
+  /// @return the token, or a refusal with 429 (rate exceeded) or 503 (authority out of reach, or
+  /// the caller has gone)
+  OrRefusal<std::shared_ptr<Token>> Take(const LimitKey& key, const std::stop_token& callerGone);
 
   [[nodiscard]] TokenCallCounts CallCounts() const;
 
@@ -93,11 +97,13 @@
   /// A request that waits for a token; owned by its thread.
   struct Waiter
   {
-    std::condition_variable woken;
-    bool isWoken = false;
+    WaitPoint point;
+    bool isWoken = false; ///< and has not looked for its token since
   };
 
-  OrRefusal<std::shared_ptr<Token>> WaitForToken(const LimitKey& key, Waiter& waiter);
+  OrRefusal<std::shared_ptr<Token>> WaitForToken(const LimitKey& key,
+                                                 Waiter& waiter,
+                                                 const std::stop_token& callerGone);
   /// @return false when so many wait that the request would wait in vain
   bool AddWaiter(const LimitKey& key, Waiter& waiter, std::size_t most);
   void RemoveWaiter(const LimitKey& key, const Waiter& waiter);
--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -6,7 +6,6 @@
 #include <atomic>      // atomic
 #include <cstddef>     // size_t
 #include <cstdint>     // uint64_t
-#include <functional>  // function
 #include <memory>      // shared_ptr
 #include <string>      // string
 #include <string_view> // string_view
@@ -26,7 +25,7 @@
   Ended,     ///< the peer closed its side
   TimedOut,  ///< the deadline passed
   Failed,    ///< the connection broke
-  Cancelled, ///< the caller no longer wants the result
+  Cancelled, ///< the wait was ended from outside
   TooLarge,  ///< the head is larger than allowed
 };
 
@@ -38,22 +37,12 @@
 class HttpConnection
 {
 public:
-  /// How a wait learns that its result is no longer wanted.
-  struct CancelWatch
-  {
-    std::function<bool()> isCancelled; ///< asked every 10 ms when there is no descriptor
-    int descriptor = -1;               ///< a socket whose peer's close ends the wait at once
-  };
-
   /// Sets no-delay, TCP_USER_TIMEOUT and keep-alive on the socket.
   explicit HttpConnection(const Poco::Net::StreamSocket& socket);
 
   /// @brief Reads up to and including the empty line that ends a head.
   /// @param limit largest head in bytes
-  IoStatus ReadHead(std::size_t limit,
-                    TimePoint deadline,
-                    const CancelWatch& cancel,
-                    std::string* head);
+  IoStatus ReadHead(std::size_t limit, TimePoint deadline, std::string* head);
 
   /// @brief Reads one line without its CRLF; TooLarge when it is longer than @p limit.
   IoStatus ReadLine(std::size_t limit, TimePoint deadline, std::string* line);
@@ -88,8 +77,8 @@
   [[nodiscard]] int Descriptor() const { return fd_; }
 
 private:
-  IoStatus Fill(TimePoint deadline, const CancelWatch& cancel);
-  IoStatus WaitFor(short events, TimePoint deadline, const CancelWatch& cancel) const;
+  IoStatus Fill(TimePoint deadline);
+  IoStatus WaitFor(short events, TimePoint deadline) const;
 
   std::shared_ptr<Poco::Net::StreamSocket> socket_; ///< owns the descriptor
   int fd_;
--- a/include/acaciapulley/transport/detail/server_exchange.hpp
+++ b/include/acaciapulley/transport/detail/server_exchange.hpp
@@ -4,6 +4,7 @@
 /// One request on a server's connection and its answer.
 
 #include <functional> // function
+#include <stop_token> // stop_token
 #include <string>     // string
 
 #include "acaciapulley/transport/detail/http_framing.hpp" // FramedBody, MessageFraming
@@ -15,11 +16,13 @@
 class ConnectionExchange final : public ServerExchange
 {
 public:
+  /// @param callerGone stopped when the connection's peer closes it
   /// @param isStopping asked when the answer's head is written; true ends the connection after it
   ConnectionExchange(HttpConnection& connection,
                      const HttpServerOptions& options,
                      HttpRequestHead head,
                      const MessageFraming& framing,
+                     std::stop_token callerGone,
                      std::function<bool()> isStopping);
 
   [[nodiscard]] const HttpRequestHead& Request() const override { return head_; }
@@ -31,7 +34,7 @@
                         BodySource& body,
                         const std::function<void()>& beforeLastBytes) override;
   [[nodiscard]] bool IsCallerGone() const override { return connection_.IsPeerGone(); }
-  [[nodiscard]] int CallerDescriptor() const override { return connection_.Descriptor(); }
+  [[nodiscard]] std::stop_token CallerGone() const override { return callerGone_; }
   [[nodiscard]] bool IsFirstOnConnection() const override { return answerStart_ == 0; }
 
   /// @brief Returns whether the handler has begun an answer.
@@ -54,6 +57,7 @@
   HttpRequestHead head_;
   MessageFraming framing_;
   FramedBody body_;
+  std::stop_token callerGone_;
   std::function<bool()> isStopping_;
   bool answered_ = false;
   int status_ = 0;
--- a/include/acaciapulley/transport/http_client.hpp
+++ b/include/acaciapulley/transport/http_client.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>    // int64_t
 #include <functional> // function
 #include <memory>     // shared_ptr, unique_ptr
+#include <stop_token> // stop_token
 
 #include "acaciapulley/core/clock.hpp"                // Duration
 #include "acaciapulley/transport/address.hpp"         // Address
@@ -78,11 +79,14 @@
   /// Longest time from the head to the end of the body, which a broken server may send without end;
   /// 0: no bound.
   Duration bodyTime{};
-  /// Asked every 10 ms while waiting for the answer; true ends the call with Cancelled.
-  std::function<bool()> isCancelled;
-  /// Socket of the caller for whom the call is made: its close ends the call at once, and
-  /// isCancelled is then asked only while the call waits for a connection. -1: there is none.
-  int callerDescriptor = -1;
+  /// Stopped when the caller for whom the call is made has gone. From then on nothing is sent
+  /// (Abandoned); a call that waits for its answer ends with Cancelled, and a body with
+  /// BodyTruncated.
+  std::stop_token callerGone;
+  /// Asked right before the request is sent, since the token may be stopped late; may be empty.
+  std::function<bool()> isCallerGone;
+  /// What has been sent is awaited although the caller has gone.
+  bool isFollowedToEnd = false;
 };
 
 /// Connections to one address; the most recently used one is taken first.
@@ -103,8 +107,8 @@
   /// small body holds none.
   /// @param body body of the request
   /// @param bodyLength its length, or -1 when it is unknown
-  /// @return the answer; Unreachable and BodyTooLarge mean that no byte was sent, every other error
-  /// that the request may have arrived
+  /// @return the answer; Unreachable, BodyTooLarge and Abandoned mean that no byte was sent, every
+  /// other error that the request may have arrived
   /// @par Example
   /// @code
   /// acp::StringBody empty("");
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>     // int64_t, uint16_t
 #include <functional>  // function
 #include <memory>      // unique_ptr
+#include <stop_token>  // stop_token
 #include <string>      // string
 #include <string_view> // string_view
 
@@ -51,8 +52,8 @@
   /// be polled to cancel work. A caller that only ended its own sending side counts as gone.
   [[nodiscard]] virtual bool IsCallerGone() const { return false; }
 
-  /// @brief Returns the socket to the caller, whose close can be waited for; -1 when there is none.
-  [[nodiscard]] virtual int CallerDescriptor() const { return -1; }
+  /// @brief Returns a token that is stopped soon after IsCallerGone() would become true.
+  [[nodiscard]] virtual std::stop_token CallerGone() const { return {}; }
 
   /// @brief Returns whether this is the first request on its connection.
   [[nodiscard]] virtual bool IsFirstOnConnection() const { return false; }
--- a/include/acaciapulley/transport/transport_error.hpp
+++ b/include/acaciapulley/transport/transport_error.hpp
@@ -23,12 +23,13 @@
   ListenFailed = 1108,   ///< a listener cannot be opened
   Cancelled = 1109,      ///< the caller gave up after bytes were sent
   BodyTooLarge = 1110,   ///< the request's body is larger than allowed; nothing was sent
+  Abandoned = 1111,      ///< the caller gave up; nothing was sent
 };
 
 template<>
 struct NameTable<TransportErrorCode>
 {
-  static constexpr std::array<EnumName<TransportErrorCode>, 11> kRows = { {
+  static constexpr std::array<EnumName<TransportErrorCode>, 12> kRows = { {
     { TransportErrorCode::InvalidAddress, "invalid_address" },
     { TransportErrorCode::InvalidSetting, "invalid_setting" },
     { TransportErrorCode::Unreachable, "unreachable" },
@@ -40,6 +41,7 @@
     { TransportErrorCode::ListenFailed, "listen_failed" },
     { TransportErrorCode::Cancelled, "cancelled" },
     { TransportErrorCode::BodyTooLarge, "body_too_large" },
+    { TransportErrorCode::Abandoned, "abandoned" },
   } };
 };
 
--- a/src/node/answer_relay.cpp
+++ b/src/node/answer_relay.cpp
@@ -1,5 +1,7 @@
 #include "acaciapulley/node/detail/answer_relay.hpp"
 
+#include <array> // array
+
 #include <openssl/evp.h> // EVP_DigestUpdate, EVP_MD_CTX_new
 
 #include "acaciapulley/core/outcome.hpp"        // NameOf, RequestOutcome
@@ -10,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kMaxMessageBytes = 4096;
+constexpr std::size_t kDroppedBytes = 4096;
 // Longest time for the body of an answer that is replaced.
 constexpr Duration kMessageTime = std::chrono::milliseconds(250);
 constexpr int kRefusedByUpstream = 503;
@@ -76,6 +79,18 @@
            .bodyDigest = digest_->Value() };
 }
 
+bool ReadToEnd(BodySource& body)
+{
+  std::array<char, kDroppedBytes> dropped; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  try {
+    while (body.Read(dropped.data(), dropped.size()) > 0) {
+    }
+    return true;
+  } catch (const BodyTruncated&) {
+    return false;
+  }
+}
+
 bool SaysNotRun(const HttpResponseHead& head)
 {
   // Another status may be a nested refusal that the upstream passes on after it ran itself.
--- a/src/node/blocking_gate.cpp
+++ b/src/node/blocking_gate.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Longest time between two checks whether the caller has gone.
-constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(100);
+// Longest sleep of a waiter while the gate has nothing to do at a known time.
+constexpr Duration kLongestSleep = std::chrono::milliseconds(100);
 // A request expires only after its patience, not at it.
 constexpr Duration kShortestWait = std::chrono::milliseconds(1);
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
@@ -45,13 +45,13 @@
 }
 
 OrRefusal<BlockingGate::Permit> BlockingGate::Enter(GateRequest request,
-                                                    const std::function<bool()>& isCallerGone)
+                                                    const std::stop_token& callerGone)
 {
   std::unique_lock lock(mutex_);
   request.id = nextId_++;
   const auto offered = gate_.Offer(request, clock_.Now());
   if (offered.decision == OfferDecision::Queued) {
-    return WaitForTurn(lock, request, isCallerGone);
+    return WaitForTurn(lock, request, callerGone);
   }
   PollLocked();
   if (offered.decision == OfferDecision::Refused) {
@@ -62,24 +62,27 @@
 
 OrRefusal<BlockingGate::Permit> BlockingGate::WaitForTurn(std::unique_lock<std::mutex>& lock,
                                                           const GateRequest& request,
-                                                          const std::function<bool()>& isCallerGone)
+                                                          const std::stop_token& callerGone)
 {
   const std::uint64_t id = request.id;
   const bool isPatient = request.patience > Duration::zero();
   const TimePoint ownExpiry = std::min(clock_.Now() + request.patience, request.deadline);
   Waiter waiter;
+  const std::stop_callback onGone(callerGone, [&waiter] { waiter.changed.Wake(); });
   waiters_.emplace(id, &waiter);
   PollLocked();
   while (waiter.state == WaitState::Waiting) {
     const TimePoint now = clock_.Now();
-    const TimePoint check = now + kCallerCheckInterval;
     // Each patient waiter sees to its own expiry, so that not all wake for each.
-    const TimePoint expiry = isPatient ? ownExpiry : gate_.NextPoll(now).value_or(check);
-    waiter.changed.wait_for(lock, std::max(std::min(expiry, check) - now, kShortestWait));
-    const bool gone = waiter.state == WaitState::Waiting && isCallerGone && isCallerGone();
+    const TimePoint expiry =
+      isPatient ? ownExpiry : gate_.NextPoll(now).value_or(now + kLongestSleep);
+    lock.unlock();
+    waiter.changed.WaitFor(std::max(expiry - now, kShortestWait));
+    lock.lock();
+    const bool gone = waiter.state == WaitState::Waiting && callerGone.stop_requested();
     if (gone && gate_.Cancel(id, clock_.Now()) == CancelOutcome::Removed) {
       waiter.state = WaitState::Refused;
-      waiter.reason = Reason::DeadlineExceeded;
+      waiter.reason = Reason::CallerGone;
     }
     PollLocked();
   }
@@ -96,7 +99,7 @@
   for (const auto id : outcome.start) {
     Waiter& waiter = *waiters_.at(id);
     waiter.state = WaitState::Started;
-    waiter.changed.notify_one();
+    waiter.changed.Wake();
   }
   for (const auto& refusal : outcome.refuse) {
     const auto found = waiters_.find(refusal.id);
@@ -105,7 +108,7 @@
     }
     found->second->state = WaitState::Refused;
     found->second->reason = refusal.reason;
-    found->second->changed.notify_one();
+    found->second->changed.Wake();
   }
 }
 
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -75,7 +75,7 @@
                                        .deadline = options_.clock->Now() + Remaining(context),
                                        .entersHere = call.entersHere,
                                        .patience = call.patience },
-                                     [&call] { return call.exchange.IsCallerGone(); });
+                                     call.exchange.CallerGone());
   if (!permit) {
     return boost::outcome_v2::failure(permit.error());
   }
@@ -121,6 +121,10 @@
     return FailedAttempt(
       { .reason = Reason::DeadlineExceeded, .message = "the deadline passed" }, true, 0);
   }
+  if (call.exchange.IsCallerGone()) {
+    release();
+    return FailedAttempt(CallerLeft("the upstream"), true, 0);
+  }
   if (call.commitToken && !call.commitToken()) {
     release();
     return FailedAttempt(
@@ -142,14 +146,13 @@
       head.headers.Set(kAccountHeader, context.account);
     }
   }
-  // A non-idempotent request is followed to its end, since its outcome must be recorded.
-  SendOptions sending{ .timeout = remaining,
-                       .bodySilence = kBodySilence,
-                       .bodyTime = kLongestBody };
-  if (call.request.requestClass->idempotent) {
-    sending.isCancelled = [&call] { return call.exchange.IsCallerGone(); };
-    sending.callerDescriptor = call.exchange.CallerDescriptor();
-  }
+  const SendOptions sending{ .timeout = remaining,
+                             .bodySilence = kBodySilence,
+                             .bodyTime = kLongestBody,
+                             .callerGone = call.exchange.CallerGone(),
+                             .isCallerGone = [&call] { return call.exchange.IsCallerGone(); },
+                             // The outcome of a non-idempotent request must be recorded.
+                             .isFollowedToEnd = !call.request.requestClass->idempotent };
   auto sent = admitted.pool->Send(head, call.body, call.body.Length(), sending);
   if (!sent) {
     return EndWithoutAnswer(sent.error(), context, admitted);
@@ -162,6 +165,13 @@
                                       Admitted& admitted)
 {
   const int unused = options_.hops->Close(context.hopId).unusedRetries;
+  if (error.code == TransportErrorCode::Abandoned) {
+    if (admitted.ticket) {
+      options_.claims->Release(*admitted.ticket);
+    }
+    admitted.permit.Finish(GateResult::Neutral);
+    return FailedAttempt(CallerLeft("the upstream"), true, unused);
+  }
   const bool nothingSent = error.code == TransportErrorCode::Unreachable ||
                            error.code == TransportErrorCode::BodyTooLarge ||
                            !options_.guards.unknownAfterSend;
@@ -243,6 +253,9 @@
   BodySource& body = admitted.ticket ? static_cast<BodySource&>(recorded) : answer.Body();
   call.exchange.RespondStreaming(
     AnswerHead(call, context, upstreamHead, unused), answer.BodyLength(), body, record);
+  if (!isRecorded && admitted.ticket && ReadToEnd(recorded)) {
+    record();
+  }
   if (!isRecorded && admitted.ticket) {
     options_.claims->MarkUnknown(*admitted.ticket);
   }
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -25,6 +25,9 @@
 
 AttemptEnd WithoutAnswer(const TransportError& error, int sentRetries)
 {
+  if (error.code == TransportErrorCode::Abandoned) {
+    return FailedAttempt(CallerLeft("a peer"), true, sentRetries);
+  }
   const bool nothingSent =
     error.code == TransportErrorCode::Unreachable || error.code == TransportErrorCode::BodyTooLarge;
   if (nothingSent) {
@@ -75,6 +78,9 @@
     return FailedAttempt(
       { .reason = Reason::DeadlineExceeded, .message = "the deadline passed" }, true, 0);
   }
+  if (call.exchange.IsCallerGone()) {
+    return FailedAttempt(CallerLeft("a peer"), true, context.retriesLeft);
+  }
   if (call.commitToken && !call.commitToken()) {
     return FailedAttempt(
       { .reason = Reason::RateUnavailable, .message = "the lease of the rate token has ended" },
@@ -101,13 +107,13 @@
     // Hosts' wall clocks differ, so that peers are told the time that is left.
     head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
   }
-  SendOptions sending{ .timeout = remaining + kAnswerGrace,
-                       .bodySilence = kBodySilence,
-                       .bodyTime = kLongestBody };
-  if (call.request.requestClass->idempotent) {
-    sending.isCancelled = [&call] { return call.exchange.IsCallerGone(); };
-    sending.callerDescriptor = call.exchange.CallerDescriptor();
-  }
+  // The peer sees the close and decides: a request that has gone to its upstream and must not be
+  // repeated is followed to its end there.
+  const SendOptions sending{ .timeout = remaining + kAnswerGrace,
+                             .bodySilence = kBodySilence,
+                             .bodyTime = kLongestBody,
+                             .callerGone = call.exchange.CallerGone(),
+                             .isCallerGone = [&call] { return call.exchange.IsCallerGone(); } };
   const auto sent = PoolOf(choice.peerAddress)->Send(head, call.body, call.body.Length(), sending);
   if (!sent) {
     return WithoutAnswer(sent.error(), context.retriesLeft);
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/node/request_pipeline.hpp"
 
 #include <algorithm> // min
+#include <optional>  // optional
 #include <utility>   // move
 
 #include "acaciapulley/core/random.hpp"                // RandomHex
@@ -46,13 +47,14 @@
   {
     ResolvedRequest request;
     RequestContext context;
-    std::shared_ptr<detail::TokenClient::Token> token; ///< null on routes open to all
-    Duration patience{};                               ///< see PendingCall::patience
+    std::optional<LimitKey> limit; ///< whose token the request needs
+    std::shared_ptr<detail::TokenClient::Token> token;
+    Duration patience{}; ///< see PendingCall::patience
   };
 
   OrRefusal<Root> AdmitRoot(ServerExchange& exchange, EndedRequest& ended);
   OrRefusal<Root> AdmitFleetRoot(ServerExchange& exchange, EndedRequest& ended);
-  OrRefusal<void> TakeToken(const LimitKey& key, Root& root);
+  OrRefusal<void> TakeToken(const ServerExchange& exchange, Root& root);
   OrRefusal<void> RunRoot(ServerExchange& exchange, Root& root);
   OrRefusal<void> RunPeerCall(ServerExchange& exchange);
   OrRefusal<void> RunNestedCall(ServerExchange& exchange);
@@ -173,17 +175,17 @@
                   kOverloadRetryAfter);
   }
   if (!root.request.requestClass->openToAll) {
-    const auto taken = TakeToken({ root.request.service, account.value() }, root);
-    if (!taken) {
-      return boost::outcome_v2::failure(taken.error());
-    }
+    root.limit = { root.request.service, account.value() };
   }
   return root;
 }
 
-OrRefusal<void> RequestPipeline::Impl::TakeToken(const LimitKey& key, Root& root)
+OrRefusal<void> RequestPipeline::Impl::TakeToken(const ServerExchange& exchange, Root& root)
 {
-  auto token = tokens_.Take(key);
+  if (!root.limit) {
+    return boost::outcome_v2::success();
+  }
+  auto token = tokens_.Take(*root.limit, exchange.CallerGone());
   if (!token) {
     return boost::outcome_v2::failure(token.error());
   }
@@ -233,10 +235,7 @@
                   kOverloadRetryAfter);
   }
   if (caller.value().isLimited) {
-    const auto taken = TakeToken({ kWholeFleet, caller.value().account }, root);
-    if (!taken) {
-      return boost::outcome_v2::failure(taken.error());
-    }
+    root.limit = { kWholeFleet, caller.value().account };
   }
   return root;
 }
@@ -249,6 +248,11 @@
   if (!prefetched) {
     return prefetched;
   }
+  // Not before the body is there, so that a slow caller holds no token.
+  auto taken = TakeToken(exchange, root);
+  if (!taken) {
+    return taken;
+  }
   PendingCall call{ .exchange = exchange,
                     .request = root.request,
                     .body = body,
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -109,7 +109,8 @@
   thread_.join();
 }
 
-OrRefusal<std::shared_ptr<TokenClient::Token>> TokenClient::Take(const LimitKey& key)
+OrRefusal<std::shared_ptr<TokenClient::Token>> TokenClient::Take(const LimitKey& key,
+                                                                 const std::stop_token& callerGone)
 {
   const auto taken = table_.TryTake(key, options_.clock->Now());
   if (taken.status == TakeStatus::Taken) {
@@ -125,7 +126,7 @@
   }
   table_.EnterWait(key);
   AskSoon();
-  auto waited = WaitForToken(key, waiter);
+  auto waited = WaitForToken(key, waiter, callerGone);
   table_.LeaveWait(key);
   RemoveWaiter(key, waiter);
   return waited;
@@ -174,7 +175,7 @@
     }
     if (!waiter->isWoken) {
       waiter->isWoken = true;
-      waiter->woken.notify_one();
+      waiter->point.Wake();
       --count;
     }
   }
@@ -182,9 +183,8 @@
 
 void TokenClient::Sleep(Waiter& waiter, Duration longest)
 {
-  std::unique_lock lock(mutex_);
-  waiter.woken.wait_for(
-    lock, std::min(longest, kLongestSleep), [&waiter] { return waiter.isWoken; });
+  waiter.point.WaitFor(std::min(longest, kLongestSleep));
+  const std::lock_guard lock(mutex_);
   waiter.isWoken = false;
 }
 
@@ -210,11 +210,15 @@
   return std::nullopt;
 }
 
-OrRefusal<std::shared_ptr<TokenClient::Token>> TokenClient::WaitForToken(const LimitKey& key,
-                                                                         Waiter& waiter)
+OrRefusal<std::shared_ptr<TokenClient::Token>>
+TokenClient::WaitForToken(const LimitKey& key, Waiter& waiter, const std::stop_token& callerGone)
 {
   const TimePoint giveUpAt = options_.clock->Now() + kLongestWait;
+  const std::stop_callback onGone(callerGone, [&waiter] { waiter.point.Wake(); });
   while (true) {
+    if (callerGone.stop_requested()) {
+      return NotRun(503, Reason::CallerGone, "the caller left while it waited for a rate token");
+    }
     if (auto end = TryEnd(key, giveUpAt)) {
       return *std::move(end);
     }
--- /dev/null
+++ b/src/transport/close_watcher.cpp
@@ -0,0 +1,126 @@
+#include "acaciapulley/transport/detail/close_watcher.hpp"
+
+#include <array>     // array
+#include <cerrno>    // errno
+#include <stdexcept> // runtime_error
+#include <string>    // to_string
+
+#include <sys/epoll.h>   // epoll_ctl, epoll_wait
+#include <sys/eventfd.h> // eventfd
+#include <unistd.h>      // close, write
+
+#include "acaciapulley/core/log.hpp" // Log
+
+namespace acp::detail {
+
+namespace {
+
+constexpr std::uint64_t kStopId = 0;
+constexpr int kEventsAtOnce = 64;
+
+epoll_event CloseOf(std::uint64_t id)
+{
+  epoll_event event{};
+  event.events = EPOLLRDHUP;
+  event.data.u64 = id;
+  return event;
+}
+
+} // namespace
+
+CloseWatcher::Watch::Watch(CloseWatcher& watcher, int descriptor)
+  : watcher_(watcher)
+  , id_(watcher.Add(descriptor, source_))
+{
+}
+
+CloseWatcher::Watch::~Watch()
+{
+  watcher_.Remove(id_);
+}
+
+CloseWatcher& CloseWatcher::Instance()
+{
+  static CloseWatcher watcher;
+  return watcher;
+}
+
+CloseWatcher::CloseWatcher()
+  : epoll_(::epoll_create1(EPOLL_CLOEXEC))
+  , stopEvent_(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+  epoll_event stop{};
+  stop.events = EPOLLIN;
+  stop.data.u64 = kStopId;
+  if (epoll_ < 0 || stopEvent_ < 0 || ::epoll_ctl(epoll_, EPOLL_CTL_ADD, stopEvent_, &stop) != 0) {
+    throw std::runtime_error("no descriptor to watch connections with");
+  }
+  thread_ = std::thread([this] { Run(); });
+}
+
+CloseWatcher::~CloseWatcher()
+{
+  const std::uint64_t one = 1;
+  // Fails only when the counter is full, and then the descriptor is readable anyway.
+  [[maybe_unused]] const auto written = ::write(stopEvent_, &one, sizeof one);
+  thread_.join();
+  ::close(stopEvent_);
+  ::close(epoll_);
+}
+
+std::uint64_t CloseWatcher::Add(int descriptor, const std::stop_source& source)
+{
+  const std::lock_guard lock(mutex_);
+  const std::uint64_t id = nextId_++;
+  epoll_event event = CloseOf(id);
+  if (::epoll_ctl(epoll_, EPOLL_CTL_ADD, descriptor, &event) != 0) {
+    // The look right before a send still notices the close.
+    Log(LogLevel::Warning, "connection_not_watched", { { "error", std::to_string(errno) } });
+    return id;
+  }
+  watched_.emplace(id, Watched{ .descriptor = descriptor, .source = source });
+  return id;
+}
+
+void CloseWatcher::Remove(std::uint64_t id)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = watched_.find(id);
+  if (found != watched_.end()) {
+    ::epoll_ctl(epoll_, EPOLL_CTL_DEL, found->second.descriptor, nullptr);
+    watched_.erase(found);
+  }
+}
+
+void CloseWatcher::OnClosed(std::uint64_t id)
+{
+  std::stop_source source(std::nostopstate);
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = watched_.find(id);
+    if (found == watched_.end()) {
+      return; // the socket was closed on this side meanwhile
+    }
+    ::epoll_ctl(epoll_, EPOLL_CTL_DEL, found->second.descriptor, nullptr);
+    source = found->second.source;
+    watched_.erase(found);
+  }
+  source.request_stop();
+}
+
+void CloseWatcher::Run()
+{
+  while (true) {
+    std::array<epoll_event, kEventsAtOnce> events; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    const int count = ::epoll_wait(epoll_, events.data(), kEventsAtOnce, -1);
+    for (int i = 0; i < count; ++i) {
+      const std::uint64_t id = events[static_cast<std::size_t>(i)].data.u64;
+      if (id == kStopId) {
+        return;
+      }
+      OnClosed(id);
+    }
+  }
+}
+
+} // namespace acp::detail
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm> // max
 #include <array>     // array
+#include <atomic>    // atomic
+#include <optional>  // optional
 #include <string>    // string
 #include <utility>   // move
 
@@ -34,16 +36,20 @@
                  PoolCore::ConnectionPtr connection,
                  HttpResponseHead head,
                  const detail::MessageFraming& framing,
-                 Duration silence,
-                 Duration bodyTime)
+                 const SendOptions& options)
     : pool_(std::move(pool))
     , connection_(std::move(connection))
     , head_(std::move(head))
     , framing_(framing)
-    , body_(connection_->io, framing.bodyLength, silence)
+    , body_(connection_->io,
+            framing.bodyLength,
+            options.bodySilence.count() > 0 ? options.bodySilence : options.timeout)
   {
-    if (bodyTime > Duration::zero()) {
-      EndBodyWithin(bodyTime);
+    if (options.bodyTime > Duration::zero()) {
+      EndBodyWithin(options.bodyTime);
+    }
+    if (!options.isFollowedToEnd) {
+      onGone_.emplace(options.callerGone, [this] { EndUnread(); });
     }
   }
   PooledExchange(const PooledExchange&) = delete;
@@ -51,6 +57,7 @@
 
   ~PooledExchange() override
   {
+    onGone_.reset();
     if (body_.IsEnded() && framing_.keepAlive && !aborted_) {
       pool_->GiveBack(std::move(connection_));
     } else {
@@ -70,7 +77,9 @@
     if (aborted_) {
       throw BodyTruncated{};
     }
-    return body_.Read(buffer, size);
+    const std::size_t count = body_.Read(buffer, size);
+    isRead_ = body_.IsEnded();
+    return count;
   }
 
   void EndBodyWithin(Duration span) final { body_.EndBy(SteadyNow() + span); }
@@ -82,12 +91,22 @@
   }
 
 private:
+  /// A connection whose answer has been read whole stays in the pool.
+  void EndUnread()
+  {
+    if (!isRead_) {
+      Abort();
+    }
+  }
+
   std::shared_ptr<PoolCore> pool_;
   PoolCore::ConnectionPtr connection_;
   HttpResponseHead head_;
   detail::MessageFraming framing_;
   detail::FramedBody body_;
-  bool aborted_ = false;
+  std::atomic<bool> isRead_{ false };
+  std::atomic<bool> aborted_{ false };
+  std::optional<std::stop_callback<std::function<void()>>> onGone_;
 };
 
 /// One call of Send.
@@ -129,6 +148,10 @@
         return boost::outcome_v2::failure(acquired.error());
       }
       auto connection = std::move(acquired).value();
+      if (IsCallerGone()) {
+        pool_->GiveBack(std::move(connection));
+        return Fail(TransportErrorCode::Abandoned, Where() + ": the caller left; not sent");
+      }
       const std::uint64_t sentBefore = connection->io.SentBytes();
       const IoStatus status = connection->io.Write(start, first_, deadline_);
       if (status == IoStatus::Ok || connection->io.SentBytes() != sentBefore) {
@@ -143,6 +166,18 @@
   }
 
 private:
+  [[nodiscard]] bool IsCallerGone() const
+  {
+    return options_.callerGone.stop_requested() ||
+           (options_.isCallerGone && options_.isCallerGone());
+  }
+
+  /// Ends waits on the connection once the caller has gone.
+  [[nodiscard]] std::stop_token EndsWait() const
+  {
+    return options_.isFollowedToEnd ? std::stop_token() : options_.callerGone;
+  }
+
   [[nodiscard]] std::string Where() const { return pool_->Options().address.ToString(); }
 
   /// Reads a small body whole, so that it goes out in one packet with its head.
@@ -208,53 +243,68 @@
     return Receive(std::move(connection), sentWhole);
   }
 
-  TransportResult<ExchangePtr> Receive(PoolCore::ConnectionPtr connection, bool sentWhole)
+  /// The head of an answer, or why there is none.
+  struct Answer
+  {
+    IoStatus status = IoStatus::Failed;
+    std::string wrong = "too many interim answers";
+    HttpResponseHead head;
+    detail::MessageFraming framing;
+  };
+
+  Answer ReadAnswer(PooledConnection& connection, bool sentWhole)
   {
+    const std::stop_callback onGone(EndsWait(), [&connection] { connection.io.Shutdown(); });
     const TimePoint deadline = sentWhole ? deadline_ : SteadyNow() + kEarlyAnswerTime;
     for (int i = 0; i < kMaxInterimAnswers; ++i) {
+      Answer answer;
       std::string text;
-      const IoStatus status =
-        connection->io.ReadHead(detail::kMaxHeadBytes,
-                                deadline,
-                                { options_.isCancelled, options_.callerDescriptor },
-                                &text);
+      const IoStatus status = connection.io.ReadHead(detail::kMaxHeadBytes, deadline, &text);
       if (status != IoStatus::Ok) {
-        return Lose(std::move(connection), sentWhole ? status : IoStatus::Failed, "no answer");
+        return { .status = sentWhole ? status : IoStatus::Failed, .wrong = "no answer" };
       }
-      HttpResponseHead head;
-      detail::MessageFraming framing;
-      if (auto wrong = detail::ParseResponseHead(text, head_.method, &head, &framing)) {
-        return Lose(std::move(connection), IoStatus::Failed, *wrong);
+      if (auto wrong =
+            detail::ParseResponseHead(text, head_.method, &answer.head, &answer.framing)) {
+        return { .wrong = *wrong };
       }
-      if (head.status >= 200) {
-        const auto& translate = pool_->Options().translation.answer;
-        if (translate && !translate(head_, head)) {
-          return Lose(std::move(connection), IoStatus::Failed, "an answer to another request");
-        }
-        framing.keepAlive = framing.keepAlive && sentWhole;
-        pool_->NoteAnswer(*connection);
-        const Duration silence =
-          options_.bodySilence.count() > 0 ? options_.bodySilence : options_.timeout;
-        return ExchangePtr(std::make_unique<PooledExchange>(
-          pool_, std::move(connection), std::move(head), framing, silence, options_.bodyTime));
+      if (answer.head.status >= 200) {
+        answer.status = IoStatus::Ok;
+        return answer;
       }
     }
-    return Lose(std::move(connection), IoStatus::Failed, "too many interim answers");
+    return {};
+  }
+
+  TransportResult<ExchangePtr> Receive(PoolCore::ConnectionPtr connection, bool sentWhole)
+  {
+    Answer answer = ReadAnswer(*connection, sentWhole);
+    if (answer.status != IoStatus::Ok) {
+      return Lose(std::move(connection), answer.status, answer.wrong);
+    }
+    const auto& translate = pool_->Options().translation.answer;
+    if (translate && !translate(head_, answer.head)) {
+      return Lose(std::move(connection), IoStatus::Failed, "an answer to another request");
+    }
+    answer.framing.keepAlive = answer.framing.keepAlive && sentWhole;
+    pool_->NoteAnswer(*connection);
+    return ExchangePtr(std::make_unique<PooledExchange>(
+      pool_, std::move(connection), std::move(answer.head), answer.framing, options_));
   }
 
   TransportResult<ExchangePtr> Lose(PoolCore::ConnectionPtr connection,
                                     IoStatus status,
                                     const std::string& what)
   {
-    if (status == IoStatus::TimedOut) {
+    const bool isCancelled = EndsWait().stop_requested();
+    if (status == IoStatus::TimedOut && !isCancelled) {
       pool_->NoteSilence(*connection);
     }
     pool_->Drop(std::move(connection));
     TransportErrorCode code = TransportErrorCode::ConnectionLost;
-    if (status == IoStatus::TimedOut) {
-      code = TransportErrorCode::Timeout;
-    } else if (status == IoStatus::Cancelled) {
+    if (isCancelled) {
       code = TransportErrorCode::Cancelled;
+    } else if (status == IoStatus::TimedOut) {
+      code = TransportErrorCode::Timeout;
     }
     return Fail(code, Where() + ": " + what);
   }
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -17,8 +17,6 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16'384;
-// How often a waiting call asks whether its caller is still there.
-constexpr Duration kCancelInterval = std::chrono::milliseconds(10);
 // Bound on unacknowledged data. It also ends a connection whose peer has not read for this long, so
 // that it must not be below the time a slow reader is given; the heartbeat detects silence sooner.
 constexpr int kUserTimeoutMs = 5'000;
@@ -64,19 +62,13 @@
   SetOption(fd_, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
-IoStatus HttpConnection::WaitFor(short events, TimePoint deadline, const CancelWatch& cancel) const
+IoStatus HttpConnection::WaitFor(short events, TimePoint deadline) const
 {
-  const bool asks = cancel.isCancelled && cancel.descriptor < 0;
   while (true) {
-    const TimePoint slice = asks ? SteadyNow() + kCancelInterval : deadline;
-    std::array<pollfd, 2> entries = {
-      pollfd{ .fd = fd_, .events = events, .revents = 0 },
-      pollfd{ .fd = cancel.descriptor, .events = POLLRDHUP, .revents = 0 }
-    };
-    const int ready =
-      ::poll(entries.data(), entries.size(), MillisUntil(std::min(slice, deadline)));
+    pollfd entry{ .fd = fd_, .events = events, .revents = 0 };
+    const int ready = ::poll(&entry, 1, MillisUntil(deadline));
     if (ready > 0) {
-      return entries[0].revents != 0 ? IoStatus::Ok : IoStatus::Cancelled;
+      return IoStatus::Ok;
     }
     if (ready < 0 && errno != EINTR) {
       return IoStatus::Failed;
@@ -84,19 +76,16 @@
     if (SteadyNow() >= deadline) {
       return IoStatus::TimedOut;
     }
-    if (asks && cancel.isCancelled()) {
-      return IoStatus::Cancelled;
-    }
   }
 }
 
-IoStatus HttpConnection::Fill(TimePoint deadline, const CancelWatch& cancel)
+IoStatus HttpConnection::Fill(TimePoint deadline)
 {
   buffer_.erase(0, position_);
   position_ = 0;
   while (true) {
     if (!std::exchange(isReadable_, false)) {
-      const IoStatus waited = WaitFor(POLLIN, deadline, cancel);
+      const IoStatus waited = WaitFor(POLLIN, deadline);
       if (waited != IoStatus::Ok) {
         return waited;
       }
@@ -117,10 +106,7 @@
   }
 }
 
-IoStatus HttpConnection::ReadHead(std::size_t limit,
-                                  TimePoint deadline,
-                                  const CancelWatch& cancel,
-                                  std::string* head)
+IoStatus HttpConnection::ReadHead(std::size_t limit, TimePoint deadline, std::string* head)
 {
   std::size_t scanned = 0;
   while (true) {
@@ -135,7 +121,7 @@
       return IoStatus::TooLarge;
     }
     scanned = unread.size();
-    const IoStatus filled = Fill(deadline, cancel);
+    const IoStatus filled = Fill(deadline);
     if (filled != IoStatus::Ok) {
       return filled;
     }
@@ -155,7 +141,7 @@
     if (unread.size() > limit + 1) {
       return IoStatus::TooLarge;
     }
-    const IoStatus filled = Fill(deadline, {});
+    const IoStatus filled = Fill(deadline);
     if (filled != IoStatus::Ok) {
       return filled;
     }
@@ -168,7 +154,7 @@
                               std::size_t* count)
 {
   if (position_ == buffer_.size()) {
-    const IoStatus filled = Fill(deadline, {});
+    const IoStatus filled = Fill(deadline);
     if (filled != IoStatus::Ok) {
       return filled;
     }
@@ -192,7 +178,7 @@
       return IoStatus::Failed;
     }
     if (count < 0) {
-      const IoStatus waited = WaitFor(POLLOUT, deadline, {});
+      const IoStatus waited = WaitFor(POLLOUT, deadline);
       if (waited != IoStatus::Ok) {
         return waited;
       }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -24,6 +24,7 @@
 
 #include "acaciapulley/core/log.hpp"                         // Log
 #include "acaciapulley/core/outcome.hpp"                     // Reason, RequestOutcome
+#include "acaciapulley/transport/detail/close_watcher.hpp"   // CloseWatcher
 #include "acaciapulley/transport/detail/http_connection.hpp" // HttpConnection
 #include "acaciapulley/transport/detail/http_framing.hpp"    // ParseRequestHead
 #include "acaciapulley/transport/detail/server_exchange.hpp" // ConnectionExchange
@@ -191,7 +192,7 @@
       }
       std::string text;
       const auto deadline = SteadyNow() + server_.options_.headTimeout;
-      const auto status = connection_.ReadHead(detail::kMaxHeadBytes, deadline, {}, &text);
+      const auto status = connection_.ReadHead(detail::kMaxHeadBytes, deadline, &text);
       if (status == IoStatus::TooLarge) {
         return Refuse(NotRun(413, Reason::TooLarge), "the head is larger than 16 KiB\n");
       }
@@ -204,7 +205,7 @@
         return Refuse(NotRun(400, Reason::BadRequest), *wrong + "\n");
       }
       detail::ConnectionExchange exchange(
-        connection_, server_.options_, std::move(head), framing, [this] {
+        connection_, server_.options_, std::move(head), framing, watch_.Closed(), [this] {
           return server_.stop_.IsSet();
         });
       Handle(exchange);
@@ -241,6 +242,8 @@
 
     Impl& server_;
     HttpConnection connection_;
+    detail::CloseWatcher::Watch watch_{ detail::CloseWatcher::Instance(),
+                                        connection_.Descriptor() };
   };
 
   /// A refused connection. Closing it with unread input would reset it and lose the refusal.
--- a/src/transport/pool_core.cpp
+++ b/src/transport/pool_core.cpp
@@ -73,8 +73,11 @@
       lock.unlock();
       return Connect(deadline);
     }
-    const bool cancelled = call.isCancelled && call.isCancelled();
-    if (cancelled || SteadyNow() >= giveUp) {
+    if (call.callerGone.stop_requested()) {
+      return Fail(TransportErrorCode::Abandoned,
+                  "the caller left while it waited for a connection");
+    }
+    if (SteadyNow() >= giveUp) {
       return Fail(TransportErrorCode::Unreachable,
                   "all connections to " + options_.address.ToString() + " are in use");
     }
--- a/src/transport/pool_keeper.cpp
+++ b/src/transport/pool_keeper.cpp
@@ -41,7 +41,7 @@
 IoStatus AwaitHeartbeat(PooledConnection& connection, TimePoint deadline)
 {
   std::string text;
-  const IoStatus status = connection.io.ReadHead(kMaxHeadBytes, deadline, {}, &text);
+  const IoStatus status = connection.io.ReadHead(kMaxHeadBytes, deadline, &text);
   if (status != IoStatus::Ok) {
     return status;
   }
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -22,12 +22,14 @@
                                        const HttpServerOptions& options,
                                        HttpRequestHead head,
                                        const MessageFraming& framing,
+                                       std::stop_token callerGone,
                                        std::function<bool()> isStopping)
   : connection_(connection)
   , options_(options)
   , head_(std::move(head))
   , framing_(framing)
   , body_(connection, framing.bodyLength, options.bodySilence)
+  , callerGone_(std::move(callerGone))
   , isStopping_(std::move(isStopping))
   , usable_(framing.keepAlive)
   , answerStart_(connection.SentBytes())
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -2,6 +2,8 @@
 
 #include <thread>
 
+#include "acaciapulley/accounts/key_table.hpp"
+#include "acaciapulley/core/random.hpp"
 #include "acaciapulley/transport/http_client.hpp"
 
 namespace acp::test {
@@ -9,6 +11,7 @@
 namespace {
 
 constexpr Duration kFetchTimeout = std::chrono::seconds(30);
+constexpr int kLimitedRate = 5000;
 const Address kAnyPort{ .ip = "127.0.0.1", .port = 0 };
 
 struct AnswerLost
@@ -26,6 +29,30 @@
          R"("idempotent":true,"open":true,"deadline_ms":20000}]})";
 }
 
+std::string FleetRouteOf(const std::string& name, const std::string& prefix, bool isIdempotent)
+{
+  return R"({"name":")" + name + R"(","host":"h","path_prefix":")" + prefix + R"(","idempotent":)" +
+         (isIdempotent ? "true" : "false") +
+         R"(,"open":false,"priority":4,"timeout_ms":100000,"target_ms":100000,"max_attempts":2,)"
+         R"("destinations":[{"service":"front","weight":1}]})";
+}
+
+std::string FleetAccountOf(const std::string& name, const char* key, int rate)
+{
+  return R"({"name":")" + name + R"(","key_hashes":[")" + ToHex(HashKey(key)) +
+         R"("],"priority":1,"rate":)" + std::to_string(rate) + R"(,"burst":)" +
+         std::to_string(rate) + "}";
+}
+
+std::string FleetDocumentText()
+{
+  return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)"
+         R"({"name":"front","health_path":"","max_connections":100}],"routes":[)" +
+         FleetRouteOf("order", "/orders/", false) + "," + FleetRouteOf("read", "/items/", true) +
+         R"(],"accounts":[)" + FleetAccountOf("unlimited", kUnlimitedKey, 0) + "," +
+         FleetAccountOf("limited", kLimitedKey, kLimitedRate) + "]}";
+}
+
 /// A body of which only the first bytes arrive.
 class CutBody final : public BodySource
 {
@@ -69,6 +96,8 @@
     }
     authority_.SetLimit({ service, "poor" }, { .rate = 1, .burst = 1 }, clock_.Now());
   }
+  authority_.SetLimit(
+    { kWholeFleet, "limited" }, { .rate = kLimitedRate, .burst = kLimitedRate }, clock_.Now());
   clock_.Advance(std::chrono::seconds(10));
 }
 
@@ -322,6 +351,8 @@
                 .dataCentre = "d1",
                 .fleetSecret = std::string(32, 's'),
                 .retryBudget = kRetryBudget,
+                .routesByFleet = options.routesByFleet,
+                .callerService = options.service,
                 .clock = &clock_,
                 .view = &view_,
                 .upstream = &upstream_,
@@ -329,6 +360,7 @@
                 .control = [this](const auto& call) { return options_.control->Call(call); },
                 .tokens = [this](const auto& call) { return options_.control->Call(call); },
                 .onAnnounced = [] {},
+                .onEnded = [this](const EndedRequest& /*ended*/) { ended_.Notify(); },
                 .guards = options.guards })
   , peer_(Listener(&RequestPipeline::HandlePeer))
   , egress_(Listener(&RequestPipeline::HandleEgress))
@@ -340,7 +372,9 @@
   view_.Apply({ .isSnapshot = true,
                 .toVersion = 1,
                 .documents = { { 1, DocumentOf("front") }, { 1, DocumentOf("back") } },
-                .issuedKeys = { keys.a.record, keys.b.record, keys.poor.record, keys.c.record } },
+                .issuedKeys = { keys.a.record, keys.b.record, keys.poor.record, keys.c.record },
+                .fleet = ReceivedDocument{ 1, FleetDocumentText() },
+                .fleetSecret = std::string(32, 'f') },
               clock_.Now() - age);
   if (options.upstream != nullptr) {
     Announce(false);
@@ -354,6 +388,13 @@
 }
 
 void TestNode::Join(const std::vector<TestNode*>& nodes)
+{
+  for (auto* node : nodes) {
+    node->Learn(nodes);
+  }
+}
+
+void TestNode::Learn(const std::vector<TestNode*>& nodes)
 {
   std::vector<RoutedMember> members;
   members.reserve(nodes.size());
@@ -365,17 +406,26 @@
                         .peerAddress = "127.0.0.1:" + std::to_string(node->Peer()),
                         .slots = 100 });
   }
-  for (auto* node : nodes) {
-    node->members_.Apply(0, 1, members, node->clock_.Now());
+  members_.Apply(0, 1, members, clock_.Now());
+}
+
+bool TestNode::WaitForEnded(int count, Duration longest)
+{
+  const TimePoint giveUpAt = clock_.Now() + longest;
+  while (ended_.Count() < static_cast<std::uint64_t>(count)) {
+    if (!ended_.WaitBeyond(static_cast<std::uint64_t>(count) - 1, giveUpAt - clock_.Now())) {
+      return false;
+    }
   }
+  return true;
 }
 
 int TestNode::Announce(bool isDraining)
 {
-  const std::string body = R"({"service":")" + options_.service + R"(","address":"127.0.0.1:)" +
-                           std::to_string(options_.upstream->Port()) +
-                           R"(","slots":100,"max_connections":100,"draining":)" +
-                           (isDraining ? "true}" : "false}");
+  const std::string body =
+    R"({"service":")" + options_.service + R"(","address":"127.0.0.1:)" +
+    std::to_string(options_.upstream->Port()) + R"(","slots":)" + std::to_string(options_.slots) +
+    R"(,"max_connections":100,"draining":)" + (isDraining ? "true}" : "false}");
   return Fetch(Egress(), { .method = "PUT", .target = "/.acp/upstream" }, body).status;
 }
 
@@ -396,4 +446,20 @@
   return head;
 }
 
+HttpRequestHead FleetOrder(const std::string& name, const std::string& key)
+{
+  HttpRequestHead head{ .method = "POST", .target = "/orders/" + name };
+  head.headers.Set("Host", "h");
+  head.headers.Set("Acp-Key", key);
+  return head;
+}
+
+HttpRequestHead FleetRead(const std::string& name, const std::string& key)
+{
+  HttpRequestHead head{ .method = "GET", .target = "/items/" + name };
+  head.headers.Set("Host", "h");
+  head.headers.Set("Acp-Key", key);
+  return head;
+}
+
 } // namespace acp::test
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "acaciapulley/claims/claim_registry.hpp"
+#include "acaciapulley/core/change_signal.hpp"
 #include "acaciapulley/limits/rate_authority.hpp"
 #include "acaciapulley/node/request_pipeline.hpp"
 #include "acaciapulley/transport/http_server.hpp"
@@ -119,6 +120,8 @@
   FakeUpstream* upstream = nullptr; ///< announced at once; null: none
   bool isStale = false;
   PipelineGuards guards;
+  int slots = 100;            ///< announced for the upstream
+  bool routesByFleet = false; ///< see FleetOrder() and FleetRead()
 };
 
 inline constexpr int kRetryBudget = 2;
@@ -145,6 +148,12 @@
   /// Makes the nodes known to each other.
   static void Join(const std::vector<TestNode*>& nodes);
 
+  /// Makes @p nodes the members to which this node sends requests.
+  void Learn(const std::vector<TestNode*>& nodes);
+
+  /// Waits until @p count requests of callers have ended, for at most @p longest.
+  bool WaitForEnded(int count, Duration longest);
+
   int Announce(bool isDraining);
   [[nodiscard]] std::uint16_t Ingress() const { return ingress_.Port(); }
   [[nodiscard]] std::uint16_t Egress() const { return egress_.Port(); }
@@ -155,6 +164,7 @@
 
   TestNodeOptions options_;
   SystemClock clock_;
+  ChangeSignal ended_;
   NodeView view_;
   LocalUpstream upstream_;
   MemberTable members_;
@@ -168,4 +178,12 @@
 HttpRequestHead Order(const std::string& name, const std::string& key = Keys().a.text);
 HttpRequestHead Read(const std::string& path, const std::string& key = Keys().a.text);
 
+/// Keys in the fleet document of nodes that route by it; the second one's account has a rate.
+inline constexpr const char* kUnlimitedKey = "key-unlimited";
+inline constexpr const char* kLimitedKey = "key-limited";
+
+/// Requests on routes of the fleet document to the service `front`.
+HttpRequestHead FleetOrder(const std::string& name, const std::string& key = kUnlimitedKey);
+HttpRequestHead FleetRead(const std::string& name, const std::string& key = kUnlimitedKey);
+
 } // namespace acp::test
--- a/tests/node_test/token_client_test.cpp
+++ b/tests/node_test/token_client_test.cpp
@@ -95,7 +95,7 @@
   requests.reserve(kAccounts);
   for (int i = 0; i < kAccounts; ++i) {
     requests.emplace_back([&node, &status = statuses[static_cast<std::size_t>(i)], i] {
-      const auto taken = node.tokens.Take({ "service", "account-" + std::to_string(i) });
+      const auto taken = node.tokens.Take({ "service", "account-" + std::to_string(i) }, {});
       status = taken ? 0 : taken.error().status;
     });
   }
@@ -127,7 +127,7 @@
   requests.reserve(kBurst);
   for (int i = 0; i < kBurst; ++i) {
     requests.emplace_back([&] {
-      const auto taken = node.tokens.Take({ "service", "account" });
+      const auto taken = node.tokens.Take({ "service", "account" }, {});
       exceeded += !taken && taken.error().status == 429 ? 1 : 0;
     });
   }
@@ -139,7 +139,7 @@
 BOOST_AUTO_TEST_CASE(asks_that_wait_for_a_call_go_out_together)
 {
   Node node;
-  std::jthread first([&] { (void)node.tokens.Take({ "service", "first" }); });
+  std::jthread first([&] { (void)node.tokens.Take({ "service", "first" }, {}); });
   node.control.WaitForCall();
   std::jthread others([&] { (void)TakeAll(node); });
   others.join();
@@ -159,7 +159,7 @@
        return acp::TransportResult<void>(
          acp::Fail(acp::TransportErrorCode::Unreachable, "no control"));
      } });
-  BOOST_TEST(tokens.Take({ "service", "a" }).error().status == 503);
+  BOOST_TEST(tokens.Take({ "service", "a" }, {}).error().status == 503);
   BOOST_TEST(tokens.CallCounts().calls > 0U);
   BOOST_TEST(tokens.CallCounts().failed == tokens.CallCounts().calls);
 }
--- a/tests/transport_test/client_failure_test.cpp
+++ b/tests/transport_test/client_failure_test.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <future>
 #include <optional>
+#include <stop_token>
 #include <thread>
 
 #include "acaciapulley/transport/http_client.hpp"
@@ -119,6 +120,7 @@
 {
   std::promise<void> timedOut;
   std::promise<std::string> afterCancellation;
+  std::stop_source caller;
   const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
     auto late = socket.acceptConnection();
     Take(late);
@@ -137,6 +139,7 @@
     Take(last);
     Give(last, Answer("last"));
     Take(last);
+    caller.request_stop();
     afterCancellation.set_value(Take(last));
   });
   acp::HttpPool pool({ .address = server.Where() });
@@ -151,11 +154,55 @@
     BOOST_CHECK_THROW(cut.value()->Body().Read(&byte, 1), acp::BodyTruncated);
   }
   BOOST_TEST(Get(pool) == "last");
-  BOOST_TEST(Get(pool, { .timeout = kTimeout, .isCancelled = [] { return true; } }) == "cancelled");
+  BOOST_TEST(Get(pool, { .timeout = kTimeout, .callerGone = caller.get_token() }) == "cancelled");
   BOOST_TEST(afterCancellation.get_future().get() == "");
   BOOST_TEST(pool.OpenConnections() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(nothing_is_sent_for_a_caller_that_left_while_it_waited_for_a_connection)
+{
+  std::promise<std::string> received;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    auto connection = socket.acceptConnection();
+    received.set_value(Take(connection));
+  });
+  {
+    acp::HttpPool pool({ .address = server.Where() });
+    BOOST_TEST(Get(pool, { .timeout = kTimeout, .isCallerGone = [] { return true; } }) ==
+               "abandoned");
+  }
+  {
+    std::stop_source caller;
+    caller.request_stop();
+    acp::HttpPool pool({ .address = server.Where() });
+    BOOST_TEST(Get(pool, { .timeout = kTimeout, .callerGone = caller.get_token() }) == "abandoned");
+  }
+  // The pool has closed the connection that it opened.
+  BOOST_TEST(received.get_future().get() == "");
+}
+
+// Guards against an upstream that works on while the node waits for the rest of the answer.
+BOOST_AUTO_TEST_CASE(body_is_cut_for_a_caller_that_leaves_while_it_arrives)
+{
+  std::stop_source caller;
+  std::promise<std::string> afterLeaving;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    auto connection = socket.acceptConnection();
+    Take(connection);
+    Give(connection, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\npart");
+    afterLeaving.set_value(Take(connection));
+  });
+  acp::HttpPool pool({ .address = server.Where() });
+  acp::StringBody empty("");
+  auto sent = pool.Send({ .method = "GET", .target = "/" },
+                        empty,
+                        0,
+                        { .timeout = kTimeout, .callerGone = caller.get_token() });
+  caller.request_stop();
+  BOOST_CHECK_THROW(acp::ReadAll(sent.value()->Body(), 1000), acp::BodyTruncated);
+  BOOST_TEST(afterLeaving.get_future().get() == "");
+}
+
 // Guards against waiting without bound for a free connection.
 BOOST_AUTO_TEST_CASE(a_full_pool_refuses_without_sending)
 {
