Run requests as tasks on event loops instead of a thread for each connection

Cause: each connection held a thread in each process (up to 1,165 in one node of 0.4 cores), and each request several wake-ups of threads, so that a burst made more threads ready at once than the host runs within a caller's deadline; requests then reached their upstreams late, upstreams worked for callers that had given up, and these came back. Class: a cost that follows connections and not work, with a queue (the threads that are ready) that no limit sees.

Weighed: POCO's SocketReactor with state machines (the pipeline would no longer read as one function); C++20 coroutines (each function from the pipeline to the socket changes its type); Boost.Context (the pipeline stays as it is, and only what waits changes). Boost.Context is taken. Boost.Fiber was not, as its scheduler would still need a loop over descriptors. Control calls of claims, which block, go to a small pool of threads.

Change: core/event_loop has loops of one thread each, at most 4, that run tasks with stacks of their own and wait for descriptors by epoll. WaitPoint, ChangeSignal, the gate, rate tokens, the pools, connects and all reads and writes wait by it; on other threads they block as before. HttpServer holds an idle connection without thread or stack. Listeners of the node handle requests in tasks; those whose handlers block take a thread for each request in progress, not for each connection. The decision modules did not change.

--- a/include/acaciapulley/core/change_signal.hpp
+++ b/include/acaciapulley/core/change_signal.hpp
@@ -1,14 +1,16 @@
 #pragma once
 
 /// @file
-/// Wakes threads that wait for a change.
+/// Wakes those who wait for a change.
 
-#include <chrono>             // nanoseconds
-#include <condition_variable> // condition_variable
-#include <cstdint>            // uint64_t
-#include <mutex>              // mutex
+#include <algorithm> // min
+#include <chrono>    // hours, steady_clock
+#include <cstdint>   // uint64_t
+#include <mutex>     // mutex
+#include <vector>    // vector
 
-#include "acaciapulley/core/clock.hpp" // Duration
+#include "acaciapulley/core/clock.hpp"      // Duration
+#include "acaciapulley/core/wait_point.hpp" // WaitPoint
 
 namespace acp {
 
@@ -22,14 +24,14 @@
 class ChangeSignal
 {
 public:
-  /// @brief Counts one change and wakes all waiting threads.
+  /// @brief Counts one change and wakes all who wait.
   void Notify()
   {
-    {
-      const std::lock_guard lock(mutex_);
-      ++count_;
+    const std::lock_guard lock(mutex_);
+    ++count_;
+    for (WaitPoint* waiter : waiters_) {
+      waiter->Wake();
     }
-    changed_.notify_all();
   }
 
   /// @brief Returns the number of changes so far.
@@ -43,13 +45,26 @@
   /// @return whether there was a change
   bool WaitBeyond(std::uint64_t seen, Duration longest)
   {
+    const auto giveUpAt = std::chrono::steady_clock::now() + std::min(longest, kLongest);
+    WaitPoint changed;
     std::unique_lock lock(mutex_);
-    return changed_.wait_for(lock, longest, [&] { return count_ > seen; });
+    waiters_.push_back(&changed);
+    for (Duration left = longest; count_ <= seen && left > Duration::zero();
+         left = giveUpAt - std::chrono::steady_clock::now()) {
+      lock.unlock();
+      changed.WaitFor(left);
+      lock.lock();
+    }
+    std::erase(waiters_, &changed);
+    return count_ > seen;
   }
 
 private:
+  // Keeps deadlines within the range of the clock.
+  static constexpr Duration kLongest = std::chrono::hours(24);
+
   mutable std::mutex mutex_;
-  std::condition_variable changed_;
+  std::vector<WaitPoint*> waiters_;
   std::uint64_t count_ = 0;
 };
 
--- a/include/acaciapulley/core/wait_point.hpp
+++ b/include/acaciapulley/core/wait_point.hpp
@@ -5,13 +5,14 @@
 
 #include <condition_variable> // condition_variable
 #include <mutex>              // mutex
-#include <utility>            // exchange
 
-#include "acaciapulley/core/clock.hpp" // Duration
+#include "acaciapulley/core/clock.hpp"      // Duration
+#include "acaciapulley/core/event_loop.hpp" // EventLoop
 
 namespace acp {
 
-/// Where one waiter sleeps until it is woken. A wake-up that comes before the wait is kept.
+/// Where one waiter, a thread or a task of an EventLoop, sleeps until it is woken. A wake-up that
+/// comes before the wait is kept.
 ///
 /// Wake() takes no lock of the waiter's owner, so that a std::stop_callback may call it while its
 /// own destruction waits for it.
@@ -30,27 +31,23 @@
   WaitPoint& operator=(const WaitPoint&) = delete;
 
   /// @brief Ends the wait, or the next one when nobody waits. May be called from any thread.
-  void Wake()
-  {
-    // Under the lock, since the waiter may destroy this object as soon as it has returned.
-    const std::lock_guard lock(mutex_);
-    isWoken_ = true;
-    woken_.notify_one();
-  }
+  void Wake();
 
   /// @brief Sleeps until woken, for at most @p longest.
   /// @return whether it was woken
-  bool WaitFor(Duration longest)
-  {
-    std::unique_lock lock(mutex_);
-    woken_.wait_for(lock, longest, [this] { return isWoken_; });
-    return std::exchange(isWoken_, false);
-  }
+  bool WaitFor(Duration longest);
 
 private:
+  bool WaitInTask(EventLoop& loop, Duration longest);
+
   std::mutex mutex_;
   std::condition_variable woken_;
   bool isWoken_ = false;
+  EventLoop* loop_ = nullptr; ///< set while a task waits
+  EventLoop::WaitId wait_ = 0;
 };
 
+/// @brief Waits for @p span; in a task, without holding the thread.
+void SleepFor(Duration span);
+
 } // namespace acp
--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -22,11 +22,10 @@
 enum class IoStatus
 {
   Ok,
-  Ended,     ///< the peer closed its side
-  TimedOut,  ///< the deadline passed
-  Failed,    ///< the connection broke
-  Cancelled, ///< the wait was ended from outside
-  TooLarge,  ///< the head is larger than allowed
+  Ended,    ///< the peer closed its side
+  TimedOut, ///< the deadline passed
+  Failed,   ///< the connection broke
+  TooLarge, ///< the head is larger than allowed
 };
 
 /// @brief Returns the current monotonic time.
@@ -53,9 +52,14 @@
   /// @brief Writes both parts, in one packet where they fit.
   IoStatus Write(std::string_view first, std::string_view second, TimePoint deadline);
 
-  /// @brief Waits until a read would not block or @p wakeFd (-1 for none) is readable.
-  /// @return Ok when there are bytes, Cancelled when only @p wakeFd is ready
-  IoStatus WaitReadable(TimePoint deadline, int wakeFd);
+  /// @brief Notes that a wait elsewhere has found input, so that the next read needs none.
+  void NoteReadable() { isReadable_ = true; }
+
+  /// @brief Returns whether input has been read that nobody has asked for yet.
+  [[nodiscard]] bool HasBuffered() const { return position_ < buffer_.size(); }
+
+  /// @brief Frees the memory of input that has been consumed.
+  void ReleaseBuffer();
 
   /// @brief Returns whether the peer closed or broke the connection; never blocks.
   [[nodiscard]] bool IsPeerGone() const;
@@ -84,7 +88,7 @@
   int fd_;
   std::string buffer_;
   std::size_t position_ = 0; ///< first byte of buffer_ not yet consumed
-  bool isReadable_ = false;  ///< a wait has just found input, so that the next read needs none
+  bool isReadable_ = false;  ///< see NoteReadable()
   std::uint64_t sentBytes_ = 0;
   TimePoint createdAt_;
   std::atomic<TimePoint> lastReceive_;
--- a/include/acaciapulley/transport/detail/pool_core.hpp
+++ b/include/acaciapulley/transport/detail/pool_core.hpp
@@ -4,16 +4,22 @@
 /// The connections of one HttpPool: which are idle, in use, or to be retired.
 
 #include <condition_variable> // condition_variable
+#include <deque>              // deque
 #include <memory>             // enable_shared_from_this, unique_ptr
 #include <mutex>              // mutex
 #include <optional>           // optional
 #include <set>                // set
+#include <stop_token>         // stop_token
 #include <thread>             // thread
 #include <vector>             // vector
 
 #include "acaciapulley/transport/detail/http_connection.hpp" // HttpConnection
 #include "acaciapulley/transport/http_client.hpp"            // HttpPoolOptions, SendOptions
 
+namespace acp {
+class WaitPoint;
+} // namespace acp
+
 namespace acp::detail {
 
 /// A connection of a pool and when it last carried a request.
@@ -79,11 +85,15 @@
   ConnectionPtr PopIdle();
   [[nodiscard]] bool IsUsable(const PooledConnection& connection) const;
   TransportResult<ConnectionPtr> Connect(TimePoint deadline);
+  void WaitForFreed(std::unique_lock<std::mutex>& lock,
+                    TimePoint giveUp,
+                    const std::stop_token& callerGone);
+  void WakeOne();
   void Forget(const PooledConnection* connection);
 
   const HttpPoolOptions options_;
   mutable std::mutex mutex_;
-  std::condition_variable freed_;
+  std::deque<WaitPoint*> waiting_;  ///< for a connection, in the order of their arrival
   std::vector<ConnectionPtr> idle_; ///< the most recently used one is last
   /// Kept for heartbeats only, so that a silence is noticed while all others are in use.
   ConnectionPtr sentinel_;
--- /dev/null
+++ b/include/acaciapulley/transport/detail/server_connection.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+/// @file
+/// One connection of an HttpServer, from its acceptance to its close.
+
+#include <atomic>     // atomic
+#include <functional> // function
+#include <memory>     // enable_shared_from_this, shared_ptr
+
+#include "acaciapulley/core/event_loop.hpp"                  // EventLoop
+#include "acaciapulley/core/outcome.hpp"                     // Reason
+#include "acaciapulley/transport/detail/close_watcher.hpp"   // CloseWatcher
+#include "acaciapulley/transport/detail/http_connection.hpp" // HttpConnection
+#include "acaciapulley/transport/http_server.hpp"            // HttpServerOptions
+
+namespace Poco {
+class ThreadPool;
+} // namespace Poco
+
+namespace acp::detail {
+
+class ServerConnection;
+
+/// What a connection shares with its server, which outlives the connection's place in it.
+struct ServerShared
+{
+  const HttpServerOptions* options = nullptr;
+  const std::atomic<bool>* isStopping = nullptr;
+  Poco::ThreadPool* workers = nullptr; ///< run handlers that block; null: handlers run in tasks
+  /// Called once, as the last use of the server.
+  std::function<void(ServerConnection& connection)> onClosed;
+};
+
+/// Waits for requests on an event loop and serves one at a time. An idle connection holds neither a
+/// thread nor a stack.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+  ServerConnection(const Poco::Net::StreamSocket& socket,
+                   EventLoop& loop,
+                   const ServerShared& server);
+
+  /// @brief Begins to wait for the first request.
+  void Begin();
+
+  /// @brief Ends the connection soon if it is idle; a request that is on its way is still served.
+  void OnStop();
+
+  /// @brief Breaks the connection at once.
+  void Cut() { connection_.Shutdown(); }
+
+private:
+  void WaitForRequest();
+  void OnWaitEnded(WaitEnd end);
+  void Dispatch();
+  void Serve();
+  bool ServeNext();
+  void Handle(ServerExchange& exchange);
+  bool Refuse(const HttpResponseHead& head, const std::string& body);
+  void Close();
+
+  EventLoop& loop_;
+  const ServerShared& server_;
+  HttpConnection connection_;
+  CloseWatcher::Watch watch_;
+  EventLoop::WaitId wait_ = 0; ///< of an idle connection, else 0; used on the loop's thread
+};
+
+/// @brief Builds the answer to a request that was not handled.
+[[nodiscard]] HttpResponseHead RefusalHead(int status, Reason reason);
+
+/// @brief Sends an answer without a handler and drops further input until the peer closes, for at
+/// most a second: a close with unread input would reset the connection and lose the answer.
+void RefuseAndLinger(HttpConnection& connection,
+                     const HttpResponseHead& head,
+                     const std::string& body);
+
+} // namespace acp::detail
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// HTTP listener: a thread for each connection, keep-alive, graceful stop.
+/// HTTP listener: connections on event loops, keep-alive, graceful stop.
 
 #include <chrono>      // seconds
 #include <cstdint>     // int64_t, uint16_t
@@ -72,11 +72,14 @@
 struct HttpServerOptions
 {
   Address address;          ///< port 0 picks a free port
-  int maxConnections = 256; ///< threads; a connection over it gets 503 not-run and is closed
-  std::function<void(ServerExchange& exchange)> handler; ///< called on the connection's thread
-  Duration idleTimeout = std::chrono::seconds(15);       ///< longer than HttpPoolOptions::maxIdle
-  Duration headTimeout = std::chrono::seconds(10);       ///< from a head's first byte to its last
-  Duration bodySilence = std::chrono::seconds(30);       ///< longest wait for a body's next bytes
+  int maxConnections = 256; ///< a connection over it gets 503 not-run and is closed
+  std::function<void(ServerExchange& exchange)> handler; ///< called for each request
+  /// The handler waits only as a task of an EventLoop may (HttpPool, WaitPoint, RunOnThread) and is
+  /// called in one. False: each request in progress has a thread.
+  bool runsInTasks = false;
+  Duration idleTimeout = std::chrono::seconds(15); ///< longer than HttpPoolOptions::maxIdle
+  Duration headTimeout = std::chrono::seconds(10); ///< from a head's first byte to its last
+  Duration bodySilence = std::chrono::seconds(30); ///< longest wait for a body's next bytes
   /// A caller that has kept the server waiting for this long, and for longer than its answer takes
   /// at 64 KiB/s, is disconnected, so that a slow reader does not hold an upstream's slot.
   Duration slowReaderGrace = std::chrono::seconds(5);
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm> // min
 #include <random>    // mt19937, uniform_real_distribution
-#include <thread>    // sleep_for
 #include <utility>   // move
 #include <vector>    // vector
 
-#include "acaciapulley/core/random.hpp" // RandomHex
+#include "acaciapulley/core/random.hpp"     // RandomHex
+#include "acaciapulley/core/wait_point.hpp" // SleepFor
 
 namespace acp::detail {
 
@@ -140,7 +140,7 @@
       if (decision.verdict != RetryVerdict::Retry) {
         return { .result = last, .unusedRetries = retriesLeft };
       }
-      std::this_thread::sleep_for(decision.delay);
+      SleepFor(decision.delay);
     }
     --retriesLeft;
     call.body.Rewind();
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -229,6 +229,7 @@
     return { .address = address,
              .maxConnections = maxConnections,
              .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
+             .runsInTasks = true,
              .onServed = [counts = std::make_shared<ListenerMetrics>(metrics_, name)](
                            const ServedRequest& served) { counts->Count(served); } };
   }
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/transport/detail/http_connection.hpp"
 
-#include <algorithm> // clamp, min
+#include <algorithm> // min
 #include <array>     // array
 #include <cerrno>    // errno
 #include <cstring>   // memcpy
@@ -12,6 +12,8 @@
 #include <poll.h>        // poll
 #include <sys/socket.h>  // recv, sendmsg, setsockopt
 
+#include "acaciapulley/core/event_loop.hpp" // WaitUntilReady
+
 namespace acp::detail {
 
 namespace {
@@ -30,12 +32,6 @@
   ::setsockopt(fd, level, name, &value, sizeof value);
 }
 
-int MillisUntil(TimePoint deadline)
-{
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - SteadyNow()).count();
-  return static_cast<int>(std::clamp<std::int64_t>(left, 0, 3'600'000));
-}
-
 bool IsRetryable(int error)
 {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -64,19 +60,8 @@
 
 IoStatus HttpConnection::WaitFor(short events, TimePoint deadline) const
 {
-  while (true) {
-    pollfd entry{ .fd = fd_, .events = events, .revents = 0 };
-    const int ready = ::poll(&entry, 1, MillisUntil(deadline));
-    if (ready > 0) {
-      return IoStatus::Ok;
-    }
-    if (ready < 0 && errno != EINTR) {
-      return IoStatus::Failed;
-    }
-    if (SteadyNow() >= deadline) {
-      return IoStatus::TimedOut;
-    }
-  }
+  const WaitEnd end = WaitUntilReady(fd_, events, deadline);
+  return end == WaitEnd::Ready ? IoStatus::Ok : IoStatus::TimedOut;
 }
 
 IoStatus HttpConnection::Fill(TimePoint deadline)
@@ -193,25 +178,11 @@
   return IoStatus::Ok;
 }
 
-IoStatus HttpConnection::WaitReadable(TimePoint deadline, int wakeFd)
+void HttpConnection::ReleaseBuffer()
 {
-  if (position_ < buffer_.size()) {
-    return IoStatus::Ok;
-  }
-  while (true) {
-    std::array<pollfd, 2> entries = { pollfd{ .fd = fd_, .events = POLLIN, .revents = 0 },
-                                      pollfd{ .fd = wakeFd, .events = POLLIN, .revents = 0 } };
-    const int ready = ::poll(entries.data(), entries.size(), MillisUntil(deadline));
-    if (ready < 0 && errno != EINTR) {
-      return IoStatus::Failed;
-    }
-    if (ready > 0) {
-      isReadable_ = entries[0].revents != 0;
-      return isReadable_ ? IoStatus::Ok : IoStatus::Cancelled;
-    }
-    if (SteadyNow() >= deadline) {
-      return IoStatus::TimedOut;
-    }
+  if (!HasBuffered()) {
+    buffer_ = {};
+    position_ = 0;
   }
 }
 
@@ -223,7 +194,7 @@
 
 bool HttpConnection::HasInput() const
 {
-  if (position_ < buffer_.size()) {
+  if (HasBuffered()) {
     return true;
   }
   pollfd entry{ .fd = fd_, .events = POLLIN | POLLRDHUP, .revents = 0 };
--- a/src/transport/pool_core.cpp
+++ b/src/transport/pool_core.cpp
@@ -1,10 +1,17 @@
 #include "acaciapulley/transport/detail/pool_core.hpp"
 
-#include <algorithm> // max, min
-#include <utility>   // move
+#include <algorithm>    // max, min
+#include <system_error> // generic_category
+#include <utility>      // move
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <poll.h> // POLLOUT
+
+#include "acaciapulley/core/event_loop.hpp" // WaitUntilReady
+#include "acaciapulley/core/wait_point.hpp" // WaitPoint
 
 namespace acp::detail {
 
@@ -14,12 +21,6 @@
 constexpr Duration kHeartbeatAfter = std::chrono::milliseconds(300);
 // The sentinel of a pool that is no longer used is closed after this.
 constexpr Duration kSentinelIdle = std::chrono::seconds(60);
-constexpr Duration kWaitSlice = std::chrono::milliseconds(10);
-
-Poco::Timespan ToTimespan(Duration span)
-{
-  return Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
-}
 
 } // namespace
 
@@ -74,14 +75,40 @@
       return Connect(deadline);
     }
     if (call.callerGone.stop_requested()) {
+      WakeOne();
       return Fail(TransportErrorCode::Abandoned,
                   "the caller left while it waited for a connection");
     }
     if (SteadyNow() >= giveUp) {
+      WakeOne();
       return Fail(TransportErrorCode::Unreachable,
                   "all connections to " + options_.address.ToString() + " are in use");
     }
-    freed_.wait_until(lock, std::min(giveUp, SteadyNow() + kWaitSlice));
+    WaitForFreed(lock, giveUp, call.callerGone);
+  }
+}
+
+void PoolCore::WaitForFreed(std::unique_lock<std::mutex>& lock,
+                            TimePoint giveUp,
+                            const std::stop_token& callerGone)
+{
+  WaitPoint freed;
+  waiting_.push_back(&freed);
+  lock.unlock();
+  {
+    const std::stop_callback onGone(callerGone, [&freed] { freed.Wake(); });
+    freed.WaitFor(giveUp - SteadyNow());
+  }
+  lock.lock();
+  std::erase(waiting_, &freed);
+}
+
+// One that gives up passes a wake-up on, which may have been meant for it.
+void PoolCore::WakeOne()
+{
+  if (!waiting_.empty()) {
+    waiting_.front()->Wake();
+    waiting_.pop_front();
   }
 }
 
@@ -98,9 +125,14 @@
 {
   try {
     Poco::Net::StreamSocket socket;
-    const Duration left = std::max(deadline - SteadyNow(), Duration(1'000'000));
-    socket.connect(Poco::Net::SocketAddress(options_.address.ip, options_.address.port),
-                   ToTimespan(std::min(options_.connectTimeout, left)));
+    socket.connectNB(Poco::Net::SocketAddress(options_.address.ip, options_.address.port));
+    const TimePoint until = std::min(deadline, SteadyNow() + options_.connectTimeout);
+    if (WaitUntilReady(socket.impl()->sockfd(), POLLOUT, until) != WaitEnd::Ready) {
+      throw Poco::TimeoutException("no connection in time");
+    }
+    if (const int error = socket.impl()->socketError(); error != 0) {
+      throw Poco::Net::NetException(std::generic_category().message(error));
+    }
     auto connection = std::make_unique<PooledConnection>(socket);
     const std::lock_guard lock(mutex_);
     inUse_.insert(connection.get());
@@ -123,8 +155,8 @@
     } else {
       idle_.push_back(std::move(connection));
     }
+    WakeOne();
   }
-  freed_.notify_one();
 }
 
 void PoolCore::Drop(ConnectionPtr connection)
@@ -138,8 +170,8 @@
     const std::lock_guard lock(mutex_);
     inUse_.erase(const_cast<PooledConnection*>(connection));
     --open_;
+    WakeOne();
   }
-  freed_.notify_one();
 }
 
 void PoolCore::NoteSilence(const PooledConnection& connection)
@@ -208,8 +240,8 @@
       // Less recently used than any that carried a request meanwhile.
       idle_.insert(idle_.begin(), std::move(connection));
     }
+    WakeOne();
   }
-  freed_.notify_one();
 }
 
 void PoolCore::Retire(TimePoint opened, TimePoint heard)
--- /dev/null
+++ b/src/transport/server_connection.cpp
@@ -0,0 +1,203 @@
+#include "acaciapulley/transport/detail/server_connection.hpp"
+
+#include <algorithm> // min
+#include <array>     // array
+#include <utility>   // move
+
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Runnable.h>
+#include <Poco/ThreadPool.h>
+#include <sys/socket.h> // shutdown
+
+#include "acaciapulley/core/log.hpp"                         // Log
+#include "acaciapulley/core/outcome.hpp"                     // Reason, RequestOutcome
+#include "acaciapulley/transport/detail/http_framing.hpp"    // ParseRequestHead
+#include "acaciapulley/transport/detail/server_exchange.hpp" // ConnectionExchange
+
+namespace acp::detail {
+
+namespace {
+
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+// After a stop, a request that was on its way on an idle connection is still answered.
+constexpr Duration kStopGrace = std::chrono::milliseconds(100);
+constexpr Duration kRefusalTimeout = std::chrono::seconds(1);
+constexpr std::string_view kHeartbeatTarget = "/.acp/heartbeat";
+
+/// A step on a thread of the pool; deletes itself.
+class Job final : public Poco::Runnable
+{
+public:
+  explicit Job(std::function<void()> step)
+    : step_(std::move(step))
+  {
+  }
+
+  void run() override
+  {
+    step_();
+    delete this;
+  }
+
+private:
+  std::function<void()> step_;
+};
+
+} // namespace
+
+HttpResponseHead RefusalHead(int status, Reason reason)
+{
+  HttpResponseHead head{ .status = status };
+  head.headers.Set("Content-Type", "text/plain");
+  head.headers.Set("Acp-Outcome", std::string(NameOf(RequestOutcome::NotRun)));
+  head.headers.Set("Acp-Reason", std::string(NameOf(reason)));
+  return head;
+}
+
+void RefuseAndLinger(HttpConnection& connection,
+                     const HttpResponseHead& head,
+                     const std::string& body)
+{
+  const auto length = static_cast<std::int64_t>(body.size());
+  connection.Write(FormatResponseHead(head, length, false), body, SteadyNow() + kRefusalTimeout);
+  ::shutdown(connection.Descriptor(), SHUT_WR);
+  const TimePoint deadline = SteadyNow() + kLingerTime;
+  std::array<char, 4096> dropped; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  std::size_t count = 0;
+  while (connection.Read(dropped.data(), dropped.size(), deadline, &count) == IoStatus::Ok &&
+         SteadyNow() < deadline) {
+  }
+}
+
+ServerConnection::ServerConnection(const Poco::Net::StreamSocket& socket,
+                                   EventLoop& loop,
+                                   const ServerShared& server)
+  : loop_(loop)
+  , server_(server)
+  , connection_(socket)
+  , watch_(CloseWatcher::Instance(), connection_.Descriptor())
+{
+}
+
+void ServerConnection::Begin()
+{
+  loop_.Post([self = shared_from_this()] { self->WaitForRequest(); });
+}
+
+void ServerConnection::OnStop()
+{
+  loop_.Post([self = shared_from_this()] {
+    if (self->wait_ != 0 && self->loop_.Forget(self->wait_)) {
+      self->WaitForRequest();
+    }
+  });
+}
+
+void ServerConnection::WaitForRequest()
+{
+  const Duration idle = server_.options->idleTimeout;
+  const Duration longest = *server_.isStopping ? std::min(idle, kStopGrace) : idle;
+  wait_ = loop_.Watch(connection_.Descriptor(),
+                      SteadyNow() + longest,
+                      [self = shared_from_this()](WaitEnd end) { self->OnWaitEnded(end); });
+}
+
+void ServerConnection::OnWaitEnded(WaitEnd end)
+{
+  wait_ = 0;
+  if (end != WaitEnd::Ready) {
+    Close();
+    return;
+  }
+  connection_.NoteReadable();
+  Dispatch();
+}
+
+void ServerConnection::Dispatch()
+{
+  const auto serve = [self = shared_from_this()] { self->Serve(); };
+  if (server_.workers == nullptr) {
+    loop_.Start(serve);
+    return;
+  }
+  auto job = std::make_unique<Job>(serve);
+  try {
+    server_.workers->start(*job);
+    // The job deletes itself at the end of run().
+    [[maybe_unused]] const auto* started = job.release();
+  } catch (const Poco::Exception& e) {
+    Log(LogLevel::Error, "no_worker", { { "error", e.displayText() } });
+    Close();
+  }
+}
+
+void ServerConnection::Serve()
+{
+  bool isKept = ServeNext();
+  while (isKept && connection_.HasBuffered()) {
+    isKept = ServeNext();
+  }
+  if (!isKept) {
+    Close();
+    return;
+  }
+  connection_.ReleaseBuffer();
+  Begin();
+}
+
+bool ServerConnection::ServeNext()
+{
+  std::string text;
+  const auto deadline = SteadyNow() + server_.options->headTimeout;
+  const auto status = connection_.ReadHead(kMaxHeadBytes, deadline, &text);
+  if (status == IoStatus::TooLarge) {
+    return Refuse(RefusalHead(413, Reason::TooLarge), "the head is larger than 16 KiB\n");
+  }
+  if (status != IoStatus::Ok) {
+    return false;
+  }
+  HttpRequestHead head;
+  MessageFraming framing;
+  if (const auto wrong = ParseRequestHead(text, &head, &framing)) {
+    return Refuse(RefusalHead(400, Reason::BadRequest), *wrong + "\n");
+  }
+  ConnectionExchange exchange(
+    connection_, *server_.options, std::move(head), framing, watch_.Closed(), [this] {
+      return server_.isStopping->load();
+    });
+  Handle(exchange);
+  if (server_.options->onServed) {
+    server_.options->onServed(exchange.Served());
+  }
+  return exchange.IsAnswered() && exchange.FinishRequest();
+}
+
+void ServerConnection::Handle(ServerExchange& exchange)
+{
+  if (exchange.Request().target == kHeartbeatTarget) {
+    exchange.Respond({ .status = 204 }, "");
+    return;
+  }
+  try {
+    server_.options->handler(exchange);
+  } catch (const BodyTruncated&) {
+    Log(LogLevel::Debug, "request_body_ended_early", {});
+  } catch (const std::exception& e) {
+    Log(LogLevel::Error, "handler_failed", { { "error", e.what() } });
+  }
+}
+
+/// Answers without a handler and closes, since the rest of the input cannot be framed.
+bool ServerConnection::Refuse(const HttpResponseHead& head, const std::string& body)
+{
+  RefuseAndLinger(connection_, head, body);
+  return false;
+}
+
+void ServerConnection::Close()
+{
+  server_.onClosed(*this);
+}
+
+} // namespace acp::detail
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -384,7 +384,8 @@
 HttpServerOptions TestNode::Listener(void (RequestPipeline::*handle)(ServerExchange&))
 {
   return { .address = kAnyPort,
-           .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); } };
+           .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
+           .runsInTasks = true };
 }
 
 void TestNode::Join(const std::vector<TestNode*>& nodes)
