Let a node that started with its leader follow the leader's member list

Cause: a new leader withholds its list for 2 s from nodes that have one, so that lists of the leader before are not emptied. A node that started meanwhile got the list of that moment, with the few members heard by then, and was then taken for a node with a list of the leader before. Class: a state that is partial by design, given out once and then frozen by a guard meant for another case.

Ruled out: ejections (at most half of a service's members) and the nodes' held polls, which came back every 0.5 s with fresh state.

Change: the guard holds for lists of earlier terms only. The new test fails without it (membersIncluded is false, 0 members instead of 2).

--- a/include/acaciapulley/control/live_nodes.hpp
+++ b/include/acaciapulley/control/live_nodes.hpp
@@ -93,6 +93,9 @@
   /// @brief Returns the version of the member list; differs between terms, never 0.
   [[nodiscard]] std::int64_t MembersVersion() const;
 
+  /// @brief Returns whether @p membersVersion was given out in this term.
+  [[nodiscard]] bool IsOfThisTerm(std::int64_t membersVersion) const;
+
   /// @brief Returns all nodes heard in the last kNodeSilent, ordered by id.
   [[nodiscard]] std::vector<NodeStatus> Nodes(TimePoint now) const;
 
--- a/src/control/live_nodes.cpp
+++ b/src/control/live_nodes.cpp
@@ -63,6 +63,11 @@
   return static_cast<std::int64_t>(term_) * kVersionsPerTerm + changes_;
 }
 
+bool LiveNodes::IsOfThisTerm(std::int64_t membersVersion) const
+{
+  return membersVersion / kVersionsPerTerm == static_cast<std::int64_t>(term_);
+}
+
 std::vector<NodeStatus> LiveNodes::Nodes(TimePoint now) const
 {
   std::vector<NodeStatus> nodes;
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -167,9 +167,10 @@
   if (context_.changes != nullptr && context_.nodes.MembersVersion() != before) {
     context_.changes->Notify();
   }
-  // A new leader has heard few nodes; until it has, nodes keep the list that they have.
-  const bool hasList = request.membersVersion != 0;
-  if (hasList && leadership.leadingFor < kMembersRelearned) {
+  // A new leader has heard few nodes; until it has, nodes keep the list of the leader before.
+  const bool hasOlderList =
+    request.membersVersion != 0 && !context_.nodes.IsOfThisTerm(request.membersVersion);
+  if (hasOlderList && leadership.leadingFor < kMembersRelearned) {
     reply.membersVersion = request.membersVersion;
     reply.membersIncluded = false;
     return;
--- a/tests/control_test/rpc_handler_test.cpp
+++ b/tests/control_test/rpc_handler_test.cpp
@@ -122,6 +122,19 @@
   BOOST_TEST(Sync("n2").members.size() == 1U);
 }
 
+// Guards against a node that started with its leader and is left with the few members known then.
+BOOST_AUTO_TEST_CASE(a_list_of_the_new_leader_grows_with_the_nodes_it_hears)
+{
+  Sync("n1");
+  TakeOver();
+  const auto first = Sync("n2");
+  BOOST_TEST(first.members.size() == 1U);
+  Sync("n1");
+  const auto grown = Sync("n2", first.membersVersion);
+  BOOST_TEST(grown.membersIncluded);
+  BOOST_TEST(grown.members.size() == 2U);
+}
+
 // P10. Guards against joins, drains and losses that leave no trace, and against a new leader that
 // reports nodes as lost which it has not heard yet.
 BOOST_AUTO_TEST_CASE(notes_are_the_difference_between_log_and_leader)
