Wait for a node's first state instead of refusing at once

Cause: a node that has just started has no state until its first sync, and refused without a wait.

Change: a request that finds no state waits for it for at most 0.45 s, the median until a new leader serves, and is then told to come back after 1 s, the longest time measured. The wait ends when the caller leaves. Without the wait the new test gets 503 where 200 is due.

--- a/include/acaciapulley/node/node_view.hpp
+++ b/include/acaciapulley/node/node_view.hpp
@@ -14,6 +14,7 @@
 #include "acaciapulley/accounts/key_table.hpp"      // KeyRecord, KeyTable
 #include "acaciapulley/config/fleet_document.hpp"   // FleetDocumentPtr
 #include "acaciapulley/config/service_document.hpp" // ServiceDocument
+#include "acaciapulley/core/change_signal.hpp"      // ChangeSignal
 #include "acaciapulley/core/clock.hpp"              // Duration, TimePoint
 
 namespace acp {
@@ -77,9 +78,13 @@
   /// @brief Returns the client account of @p keyText, or nothing.
   [[nodiscard]] std::optional<std::string> CheckKey(const std::string& keyText) const;
 
+  /// @brief Returns the signal that counts the calls of Apply that took something over.
+  [[nodiscard]] ChangeSignal& Changes() { return changes_; }
+
 private:
   void TakeFleet(const ReceivedDocument& received);
 
+  ChangeSignal changes_;
   mutable std::shared_mutex mutex_;
   std::int64_t version_ = 0;
   std::optional<TimePoint> confirmedAt_;
--- a/src/node/fleet_resolver.cpp
+++ b/src/node/fleet_resolver.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(300);
+// The longest time measured until a new control leader serves a node
+// (docs/measurements-replication.md).
+constexpr Duration kNoStateRetryAfter = std::chrono::seconds(1);
 // A node in touch with control confirms its state at least every second.
 constexpr Duration kDenialFreshness = std::chrono::milliseconds(1500);
 constexpr std::int64_t kMaxPeerBodyBytes = 1'073'741'824;
@@ -76,7 +79,8 @@
 {
   const FleetDocumentPtr fleet = view_.Fleet();
   if (!fleet) {
-    return RefuseAsStale();
+    return NotRun(
+      503, Reason::StaleState, "this node has no fleet document yet", kNoStateRetryAfter);
   }
   const std::string path = head.target.substr(0, head.target.find('?'));
   const FleetRoute* route = fleet->Match(head.headers.Find("Host").value_or(""), path);
--- a/src/node/node_view.cpp
+++ b/src/node/node_view.cpp
@@ -44,6 +44,7 @@
   if (!confirmedAt_ || *confirmedAt_ < confirmedAt) {
     confirmedAt_ = confirmedAt;
   }
+  changes_.Notify();
 }
 
 void NodeView::TakeFleet(const ReceivedDocument& received)
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -27,6 +27,11 @@
 constexpr std::string_view kAnnounceTarget = "/.acp/upstream";
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
 constexpr Duration kLongestPeerCall = std::chrono::hours(1);
+// Longest wait for the first state of a node that has just started; the median time until a new
+// control leader serves it (docs/measurements-replication.md).
+constexpr Duration kFirstStateWait = std::chrono::milliseconds(450);
+// Longest time between two checks whether the caller has gone.
+constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -53,6 +58,7 @@
     Duration patience{}; ///< see PendingCall::patience
   };
 
+  void AwaitFirstState(const ServerExchange& exchange);
   OrRefusal<Root> AdmitRoot(ServerExchange& exchange, EndedRequest& ended);
   OrRefusal<Root> AdmitFleetRoot(ServerExchange& exchange, EndedRequest& ended);
   OrRefusal<void> TakeToken(const ServerExchange& exchange, Root& root);
@@ -150,6 +156,20 @@
                          .issuerEpoch = options_.epoch };
 }
 
+void RequestPipeline::Impl::AwaitFirstState(const ServerExchange& exchange)
+{
+  ChangeSignal& changes = options_.view->Changes();
+  const TimePoint giveUpAt = options_.clock->Now() + kFirstStateWait;
+  while (true) {
+    const auto seen = changes.Count();
+    const TimePoint now = options_.clock->Now();
+    if (options_.view->Version() != 0 || now >= giveUpAt || exchange.IsCallerGone()) {
+      return;
+    }
+    changes.WaitBeyond(seen, std::min(giveUpAt - now, kCallerCheckInterval));
+  }
+}
+
 OrRefusal<RequestPipeline::Impl::Root> RequestPipeline::Impl::AdmitRoot(ServerExchange& exchange,
                                                                         EndedRequest& ended)
 {
@@ -279,6 +299,9 @@
   const TimePoint start = options_.clock->Now();
   EndedRequest ended;
   OrRefusal<void> result = boost::outcome_v2::success();
+  if (options_.view->Version() == 0) {
+    AwaitFirstState(exchange);
+  }
   auto root = options_.routesByFleet ? AdmitFleetRoot(exchange, ended) : AdmitRoot(exchange, ended);
   if (root) {
     result = RunRoot(exchange, root.value());
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -365,10 +365,20 @@
   , peer_(Listener(&RequestPipeline::HandlePeer))
   , egress_(Listener(&RequestPipeline::HandleEgress))
   , ingress_(Listener(&RequestPipeline::HandleIngress))
+{
+  if (!options.startsWithoutState) {
+    TakeState();
+  }
+  if (options.upstream != nullptr) {
+    Announce(false);
+  }
+}
+
+void TestNode::TakeState()
 {
   const auto& keys = Keys();
   // Confirmed far ahead, so that a slow machine never makes the state stale.
-  const Duration age = options.isStale ? std::chrono::hours(1) : -std::chrono::hours(1);
+  const Duration age = options_.isStale ? std::chrono::hours(1) : -std::chrono::hours(1);
   view_.Apply({ .isSnapshot = true,
                 .toVersion = 1,
                 .documents = { { 1, DocumentOf("front") }, { 1, DocumentOf("back") } },
@@ -376,9 +386,6 @@
                 .fleet = ReceivedDocument{ 1, FleetDocumentText() },
                 .fleetSecret = std::string(32, 'f') },
               clock_.Now() - age);
-  if (options.upstream != nullptr) {
-    Announce(false);
-  }
 }
 
 HttpServerOptions TestNode::Listener(void (RequestPipeline::*handle)(ServerExchange&))
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -119,6 +119,7 @@
   FakeControl* control = nullptr;
   FakeUpstream* upstream = nullptr; ///< announced at once; null: none
   bool isStale = false;
+  bool startsWithoutState = false; ///< until TakeState()
   PipelineGuards guards;
   int slots = 100;            ///< announced for the upstream
   bool routesByFleet = false; ///< see FleetOrder() and FleetRead()
@@ -154,6 +155,7 @@
   /// Waits until @p count requests of callers have ended, for at most @p longest.
   bool WaitForEnded(int count, Duration longest);
 
+  void TakeState();
   int Announce(bool isDraining);
   [[nodiscard]] std::uint16_t Ingress() const { return ingress_.Port(); }
   [[nodiscard]] std::uint16_t Egress() const { return egress_.Port(); }
--- a/tests/node_test/pipeline_outcome_test.cpp
+++ b/tests/node_test/pipeline_outcome_test.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <Poco/Net/StreamSocket.h>
+#include <future>
 #include <random>
 #include <thread>
 
@@ -354,4 +355,31 @@
   BOOST_TEST(whole > 50);
 }
 
+// Guards against refusals by a node that has just started and gets its state a moment later.
+BOOST_AUTO_TEST_CASE(a_request_that_comes_before_the_nodes_first_state_waits_for_it)
+{
+  FakeControl control;
+  FakeUpstream upstream;
+  TestNode node({ .control = &control,
+                  .upstream = &upstream,
+                  .startsWithoutState = true,
+                  .routesByFleet = true });
+  node.Learn({ &node });
+  auto early =
+    std::async(std::launch::async, [&node] { return Fetch(node.Ingress(), FleetRead("early")); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  node.TakeState();
+  BOOST_TEST(early.get().status == 200);
+}
+
+// Guards against a caller that is kept waiting while control cannot be reached.
+BOOST_AUTO_TEST_CASE(a_node_without_state_refuses_and_tells_when_to_come_back)
+{
+  FakeControl control;
+  TestNode node({ .control = &control, .startsWithoutState = true, .routesByFleet = true });
+  const Answer answer = Fetch(node.Ingress(), FleetRead("early"));
+  BOOST_TEST(answer.status == 503);
+  BOOST_TEST(answer.reason == "stale_state");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
