--- a/include/acaciapulley/core/change_signal.hpp
+++ b/include/acaciapulley/core/change_signal.hpp
@@ -3,11 +3,12 @@
 /// @file
 /// Wakes those who wait for a change.
 
-#include <algorithm> // min
-#include <chrono>    // hours, steady_clock
-#include <cstdint>   // uint64_t
-#include <mutex>     // mutex
-#include <vector>    // vector
+#include <algorithm>  // min
+#include <chrono>     // hours, steady_clock
+#include <cstdint>    // uint64_t
+#include <mutex>      // mutex
+#include <stop_token> // stop_callback, stop_token
+#include <vector>     // vector
 
 #include "acaciapulley/core/clock.hpp"      // Duration
 #include "acaciapulley/core/wait_point.hpp" // WaitPoint
@@ -42,14 +43,17 @@
   }
 
   /// @brief Waits until more than @p seen changes were counted, for at most @p longest.
+  /// @param ended ends the wait when it is stopped
   /// @return whether there was a change
-  bool WaitBeyond(std::uint64_t seen, Duration longest)
+  bool WaitBeyond(std::uint64_t seen, Duration longest, const std::stop_token& ended = {})
   {
     const auto giveUpAt = std::chrono::steady_clock::now() + std::min(longest, kLongest);
     WaitPoint changed;
+    const std::stop_callback onEnded(ended, [&changed] { changed.Wake(); });
     std::unique_lock lock(mutex_);
     waiters_.push_back(&changed);
-    for (Duration left = longest; count_ <= seen && left > Duration::zero();
+    for (Duration left = longest;
+         count_ <= seen && left > Duration::zero() && !ended.stop_requested();
          left = giveUpAt - std::chrono::steady_clock::now()) {
       lock.unlock();
       changed.WaitFor(left);
--- a/include/acaciapulley/transport/detail/server_connection.hpp
+++ b/include/acaciapulley/transport/detail/server_connection.hpp
@@ -40,8 +40,8 @@
                    EventLoop& loop,
                    const ServerShared& server);
 
-  /// @brief Begins to wait for the first request.
-  void Begin();
+  /// @brief Waits for the next request. May be called from any thread.
+  void Await();
 
   /// @brief Ends the connection soon if it is idle; a request that is on its way is still served.
   void OnStop();
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -1,6 +1,5 @@
 #include "acaciapulley/node/detail/dispatcher.hpp"
 
-#include <algorithm> // min
 #include <random>    // mt19937, uniform_real_distribution
 #include <utility>   // move
 #include <vector>    // vector
@@ -13,8 +12,6 @@
 namespace {
 
 constexpr std::size_t kHopIdBytes = 8;
-// Longest time between two checks whether the caller has gone.
-constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(100);
 // Retries of documents' services share one budget.
 constexpr const char* kAllServices = "";
 
@@ -77,7 +74,7 @@
     if (choice || !tried.empty() || now >= giveUpAt || call.exchange.IsCallerGone()) {
       return choice;
     }
-    options_.members->Changes().WaitBeyond(seen, std::min(giveUpAt - now, kCallerCheckInterval));
+    options_.members->Changes().WaitBeyond(seen, giveUpAt - now, call.exchange.CallerGone());
   }
 }
 
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -30,8 +30,6 @@
 // Longest wait for the first state of a node that has just started; the median time until a new
 // control leader serves it (docs/measurements-replication.md).
 constexpr Duration kFirstStateWait = std::chrono::milliseconds(450);
-// Longest time between two checks whether the caller has gone.
-constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -166,7 +164,7 @@
     if (options_.view->Version() != 0 || now >= giveUpAt || exchange.IsCallerGone()) {
       return;
     }
-    changes.WaitBeyond(seen, std::min(giveUpAt - now, kCallerCheckInterval));
+    changes.WaitBeyond(seen, giveUpAt - now, exchange.CallerGone());
   }
 }
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -174,7 +174,7 @@
       std::make_shared<ServerConnection>(socket, EventLoops::Instance().Next(), shared_);
     const std::lock_guard lock(mutex_);
     open_.insert(connection);
-    connection->Begin();
+    connection->Await();
   }
 
   void RefuseConnection(const Poco::Net::StreamSocket& socket)
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -80,7 +80,7 @@
 {
 }
 
-void ServerConnection::Begin()
+void ServerConnection::Await()
 {
   loop_.Post([self = shared_from_this()] { self->WaitForRequest(); });
 }
@@ -143,7 +143,7 @@
     return;
   }
   connection_.ReleaseBuffer();
-  Begin();
+  Await();
 }
 
 bool ServerConnection::ServeNext()
--- a/tests/core_test/event_loop_test.cpp
+++ b/tests/core_test/event_loop_test.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <future>
 #include <stdexcept>
+#include <stop_token>
 #include <vector>
 
 #include <poll.h>
@@ -224,6 +225,12 @@
   BOOST_TEST(task.get());
   BOOST_TEST(thread.get());
   BOOST_TEST(!signal.WaitBeyond(1, 1ms));
+  std::stop_source ended;
+  auto ending = std::async(std::launch::async, [&] {
+    return RunOn(loop, [&] { return signal.WaitBeyond(1, kLong, ended.get_token()); });
+  });
+  ended.request_stop();
+  BOOST_TEST(!ending.get());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
