Log the member list in force; split the checks of a peer's context from the pipeline

members_in_force tells version and number of members that a node knows: the frozen list of the incident had to be inferred from refusals. peer_context holds what the pipeline checked before, unchanged.

--- a/bench/connections/main.cpp
+++ b/bench/connections/main.cpp
@@ -82,8 +82,9 @@
     ::_exit(1);
   }
   std::vector<double> micros;
-  for (int sent = 0; busy > 0 && sent < kRequestsWhenBusy; ++sent) {
-    auto& socket = sockets[static_cast<std::size_t>(idle + sent % busy)];
+  const std::size_t firstBusy = static_cast<std::size_t>(idle);
+  for (std::size_t sent = 0; busy > 0 && sent < kRequestsWhenBusy; ++sent) {
+    auto& socket = sockets[firstBusy + sent % static_cast<std::size_t>(busy)];
     const auto start = std::chrono::steady_clock::now();
     Exchange(socket);
     const std::chrono::duration<double, std::micro> taken =
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -1,8 +1,8 @@
 #include "acaciapulley/node/detail/dispatcher.hpp"
 
-#include <random>    // mt19937, uniform_real_distribution
-#include <utility>   // move
-#include <vector>    // vector
+#include <random>  // mt19937, uniform_real_distribution
+#include <utility> // move
+#include <vector>  // vector
 
 #include "acaciapulley/core/random.hpp"     // RandomHex
 #include "acaciapulley/core/wait_point.hpp" // SleepFor
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -8,7 +8,8 @@
 #include "acaciapulley/core/random.hpp"                // RandomHex
 #include "acaciapulley/node/detail/dispatcher.hpp"     // Dispatcher
 #include "acaciapulley/node/detail/fleet_resolver.hpp" // FleetResolver
-#include "acaciapulley/node/detail/headers.hpp"        // kContextHeader, kDeadlineHeader
+#include "acaciapulley/node/detail/headers.hpp"        // kContextHeader
+#include "acaciapulley/node/detail/peer_context.hpp"   // VerifyContext, VerifyFleetContext
 #include "acaciapulley/node/detail/request_times.hpp"  // MillisIn, PatienceOf, TimeAllowed
 #include "acaciapulley/node/detail/token_client.hpp"   // TokenClient
 
@@ -26,7 +27,6 @@
 constexpr std::size_t kMaxAnnouncementBytes = 4096;
 constexpr std::string_view kAnnounceTarget = "/.acp/upstream";
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
-constexpr Duration kLongestPeerCall = std::chrono::hours(1);
 // Longest wait for the first state of a node that has just started; the median time until a new
 // control leader serves it (docs/measurements-replication.md).
 constexpr Duration kFirstStateWait = std::chrono::milliseconds(450);
@@ -65,8 +65,6 @@
   OrRefusal<void> RunNestedCall(ServerExchange& exchange);
   OrRefusal<void> RunOpenCall(ServerExchange& exchange, const ResolvedRequest& request);
   OrRefusal<void> Announce(ServerExchange& exchange);
-  OrRefusal<RequestContext> VerifyContext(const ServerExchange& exchange) const;
-  OrRefusal<RequestContext> VerifyFleetContext(const ServerExchange& exchange) const;
   OrRefusal<RequestContext> NewContext(const HttpRequestHead& head,
                                        const ResolvedRequest& request,
                                        const std::string& account) const;
@@ -158,13 +156,14 @@
 {
   ChangeSignal& changes = options_.view->Changes();
   const TimePoint giveUpAt = options_.clock->Now() + kFirstStateWait;
-  while (true) {
-    const auto seen = changes.Count();
+  std::uint64_t seen = changes.Count();
+  while (options_.view->Version() == 0) {
     const TimePoint now = options_.clock->Now();
-    if (options_.view->Version() != 0 || now >= giveUpAt || exchange.IsCallerGone()) {
+    if (now >= giveUpAt || exchange.IsCallerGone()) {
       return;
     }
     changes.WaitBeyond(seen, giveUpAt - now, exchange.CallerGone());
+    seen = changes.Count();
   }
 }
 
@@ -297,9 +296,7 @@
   const TimePoint start = options_.clock->Now();
   EndedRequest ended;
   OrRefusal<void> result = boost::outcome_v2::success();
-  if (options_.view->Version() == 0) {
-    AwaitFirstState(exchange);
-  }
+  AwaitFirstState(exchange);
   auto root = options_.routesByFleet ? AdmitFleetRoot(exchange, ended) : AdmitRoot(exchange, ended);
   if (root) {
     result = RunRoot(exchange, root.value());
@@ -320,38 +317,11 @@
   }
 }
 
-OrRefusal<RequestContext> RequestPipeline::Impl::VerifyContext(const ServerExchange& exchange) const
-{
-  const auto header = exchange.Request().headers.Find(detail::kContextHeader);
-  auto context = signer_.Verify(header.value_or(""), options_.clock->WallNow());
-  if (!context) {
-    return NotRun(403, Reason::InvalidContext, context.error().Describe());
-  }
-  return std::move(context).value();
-}
-
-OrRefusal<RequestContext> RequestPipeline::Impl::VerifyFleetContext(
-  const ServerExchange& exchange) const
-{
-  const auto header = exchange.Request().headers.Find(detail::kContextHeader);
-  // Hosts' wall clocks may differ: the deadline follows from the time that the peer says is left.
-  auto context = signer_.Verify(header.value_or(""), UnixMillis{});
-  if (!context) {
-    return NotRun(503, Reason::InvalidContext, context.error().Describe());
-  }
-  const auto left = detail::TimeAllowed(exchange.Request(), { .deadline = kLongestPeerCall });
-  if (!left) {
-    return boost::outcome_v2::failure(left.error());
-  }
-  context.value().deadline =
-    ToUnixMillis(CountMillis(options_.clock->WallNow()) + left.value().count());
-  return std::move(context).value();
-}
-
 OrRefusal<void> RequestPipeline::Impl::RunPeerCall(ServerExchange& exchange)
 {
-  const auto context =
-    options_.routesByFleet ? VerifyFleetContext(exchange) : VerifyContext(exchange);
+  const auto context = options_.routesByFleet
+                         ? detail::VerifyFleetContext(signer_, *options_.clock, exchange)
+                         : detail::VerifyContext(signer_, *options_.clock, exchange);
   if (!context) {
     return boost::outcome_v2::failure(context.error());
   }
@@ -422,7 +392,7 @@
   if (!head.headers.Find(detail::kContextHeader)) {
     return RunOpenCall(exchange, request);
   }
-  const auto parent = VerifyContext(exchange);
+  const auto parent = detail::VerifyContext(signer_, *options_.clock, exchange);
   if (!parent) {
     return boost::outcome_v2::failure(parent.error());
   }
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -199,6 +199,10 @@
   if (reply.membersIncluded) {
     membersVersion_ = reply.membersVersion;
     options_.members->Apply(0, membersVersion_, FromWire(reply.members), options_.clock->Now());
+    Log(LogLevel::Info,
+        "members_in_force",
+        { { "version", std::to_string(membersVersion_) },
+          { "members", std::to_string(reply.members.size()) } });
   }
   return true;
 }
