--- a/src/node/claim_client.cpp
+++ b/src/node/claim_client.cpp
@@ -3,6 +3,7 @@
 #include <utility> // move
 
 #include "acaciapulley/claims/claims_error.hpp" // ClaimsErrorCode
+#include "acaciapulley/core/event_loop.hpp"     // RunOnThread
 #include "acaciapulley/core/log.hpp"            // Log
 #include "gen/ControlService.h"
 
@@ -64,8 +65,13 @@
 
 } // namespace
 
+// Calls to control block, and claims are made by tasks.
 ClaimClient::ClaimClient(ControlCall call, std::string nodeId)
-  : call_(std::move(call))
+  : call_([call = std::move(call)](const auto& step) {
+    TransportResult<void> result = boost::outcome_v2::success();
+    RunOnThread([&] { result = call(step); });
+    return result;
+  })
   , nodeId_(std::move(nodeId))
 {
 }
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -4,7 +4,6 @@
 #include <optional>  // optional
 #include <utility>   // move
 
-#include "acaciapulley/core/event_loop.hpp"            // RunOnThread
 #include "acaciapulley/core/random.hpp"                // RandomHex
 #include "acaciapulley/node/detail/dispatcher.hpp"     // Dispatcher
 #include "acaciapulley/node/detail/fleet_resolver.hpp" // FleetResolver
@@ -94,13 +93,7 @@
   , gate_({ .limit = { .adaptive = !options_.routesByFleet } }, *options_.clock)
   , hops_({ .nodeId = options_.nodeId, .epoch = options_.epoch }, *options_.clock)
   , thresholds_(*options_.clock)
-  , claims_(
-      [this](const auto& call) {
-        TransportResult<void> result = boost::outcome_v2::success();
-        RunOnThread([&] { result = options_.control(call); });
-        return result;
-      },
-      options_.nodeId)
+  , claims_(options_.control, options_.nodeId)
   , tokens_({ .nodeId = options_.nodeId,
               .epoch = options_.epoch,
               .clock = options_.clock,
