--- a/include/acaciapulley/transport/detail/close_watcher.hpp
+++ b/include/acaciapulley/transport/detail/close_watcher.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>    // uint64_t
 #include <map>        // map
 #include <mutex>      // mutex
+#include <optional>   // optional
 #include <stop_token> // stop_source, stop_token
 #include <thread>     // thread
 
@@ -54,7 +55,8 @@
   std::uint64_t Add(int descriptor, const std::stop_source& source);
   void Remove(std::uint64_t id);
   void Run();
-  void OnClosed(std::uint64_t id);
+  /// Ends the watch of a closed socket.
+  std::optional<std::stop_source> Take(std::uint64_t id);
 
   int epoll_;
   int stopEvent_;
--- a/src/transport/close_watcher.cpp
+++ b/src/transport/close_watcher.cpp
@@ -92,20 +92,17 @@
   }
 }
 
-void CloseWatcher::OnClosed(std::uint64_t id)
+std::optional<std::stop_source> CloseWatcher::Take(std::uint64_t id)
 {
-  std::stop_source source(std::nostopstate);
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = watched_.find(id);
-    if (found == watched_.end()) {
-      return; // the socket was closed on this side meanwhile
-    }
-    ::epoll_ctl(epoll_, EPOLL_CTL_DEL, found->second.descriptor, nullptr);
-    source = found->second.source;
-    watched_.erase(found);
+  const std::lock_guard lock(mutex_);
+  const auto found = watched_.find(id);
+  if (found == watched_.end()) {
+    return std::nullopt; // the socket was closed on this side meanwhile
   }
-  source.request_stop();
+  ::epoll_ctl(epoll_, EPOLL_CTL_DEL, found->second.descriptor, nullptr);
+  std::optional<std::stop_source> source(found->second.source);
+  watched_.erase(found);
+  return source;
 }
 
 void CloseWatcher::Run()
@@ -118,7 +115,9 @@
       if (id == kStopId) {
         return;
       }
-      OnClosed(id);
+      if (auto closed = Take(id)) {
+        closed->request_stop();
+      }
     }
   }
 }
