Admit a root by what the services that its nested calls need have room for

Cause: on the platform a nested call carries no context. It was treated as a root of priority 0 without account, so that the threshold of the callee's gate was learnt under nobody's class and never reached the node at which the root had entered; and at the deepest gate calls of all roots had one priority.

Change: HopBook finds the parent of a nested call by its deadline, and the call has the root's priority and account at every gate. What is learnt by callers' requests that enter and by runs of the own upstream is kept apart, so that nodes of one service do not pass on to each other what they have learnt from each other. On fleet routes one share holds for all accounts of a priority. Server errors are not replaced by another attempt while a callee is overloaded. The decision about roots moved from request_pipeline.cpp into root_admission.cpp.

--- a/include/acaciapulley/admission/threshold_table.hpp
+++ b/include/acaciapulley/admission/threshold_table.hpp
@@ -22,6 +22,9 @@
   std::size_t maxAccounts = 1000; ///< accounts per class and callee; further ones share an entry
   std::string seed;    ///< for example the node's id; spreads which requests the nodes admit first
   bool enabled = true; ///< false: admits everything (for comparison)
+  /// False: one threshold for all accounts of a class. Where many nodes share the requests of many
+  /// accounts, a node sees too few of one account to learn a threshold of its own.
+  bool byAccount = true;
 };
 
 /// A callee: one request class of one service.
@@ -92,6 +95,13 @@
   [[nodiscard]] double CallsPerRequest(const std::string& ownClass,
                                        const CalleeClass& callee) const;
 
+  /// @brief Returns whether some callee of @p ownClass refuses a part of the requests of a
+  /// priority.
+  [[nodiscard]] bool IsOverloaded(const std::string& ownClass,
+                                  const std::string& account,
+                                  int priority,
+                                  TimePoint now) const;
+
 private:
   struct Counter
   {
--- a/include/acaciapulley/core/random.hpp
+++ b/include/acaciapulley/core/random.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Random bytes for keys and identifiers, and jitter for timers.
+/// Random bytes for keys and identifiers, random choices, and jitter for timers.
 
 #include <cstddef> // size_t
 #include <string>  // string
@@ -14,6 +14,9 @@
 /// @throw std::runtime_error when the operating system gives no random bytes
 [[nodiscard]] std::string RandomHex(std::size_t bytes);
 
+/// @brief Returns a uniformly random number in [0, 1), not for secrets.
+[[nodiscard]] double UniformRandom();
+
 /// @brief Returns @p base changed by a uniformly random factor within 1 - @p part to 1 + @p part.
 [[nodiscard]] Duration Jittered(Duration base, double part);
 
--- a/include/acaciapulley/node/detail/attempt.hpp
+++ b/include/acaciapulley/node/detail/attempt.hpp
@@ -8,6 +8,7 @@
 
 #include "acaciapulley/node/detail/request_body.hpp"     // RequestBody
 #include "acaciapulley/node/detail/request_resolver.hpp" // ResolvedRequest
+#include "acaciapulley/node/detail/threshold_book.hpp"   // CalleeClass, ThresholdBook
 #include "acaciapulley/node/refusal.hpp"                 // OrRefusal
 #include "acaciapulley/retries/request_context.hpp"      // RequestContext
 #include "acaciapulley/routing/member_table.hpp"         // CallResult
@@ -29,10 +30,11 @@
   const ResolvedRequest& request;
   RequestBody& body;
   Audience audience = Audience::Caller;
-  bool entersHere = false; ///< it came through this node's own ingress
+  bool entersHere = false; ///< a caller's request that came through this node's own ingress
   /// `service/class` that makes the call; thresholds are learnt under it.
   std::string ownClass;
-  Duration patience{};       ///< longest wait at the gate; 0: the gate's own bounds apply
+  ThresholdBook* thresholds = nullptr; ///< of callers' requests, or of the own upstream's runs
+  Duration patience{};                 ///< longest wait at the gate; 0: the gate's own bounds apply
   std::string callerService; ///< service of the host on which a fleet route's request began
   /// Spends the rate token right before the request leaves; false when its lease has ended. Empty
   /// when none is needed.
@@ -62,6 +64,12 @@
   return request.service + "/" + request.requestClass->name;
 }
 
+/// @brief Returns the callee of a call, under which its threshold is kept.
+[[nodiscard]] inline CalleeClass CalleeOf(const ResolvedRequest& request)
+{
+  return { .service = request.service, .requestClass = request.requestClass->name };
+}
+
 /// @brief Returns the result that routing learns from a refusal.
 [[nodiscard]] inline CallResult RoutingResult(const Refusal& refusal)
 {
--- a/include/acaciapulley/node/detail/dispatcher.hpp
+++ b/include/acaciapulley/node/detail/dispatcher.hpp
@@ -54,6 +54,8 @@
                      RequestContext context,
                      const Choice& choice,
                      int calleeRetries);
+  /// Runs the attempt on the own upstream, which is a callee like any peer.
+  AttemptEnd RunHere(PendingCall& call, const RequestContext& context);
   [[nodiscard]] RetryDecision Decide(const PendingCall& call,
                                      const RequestContext& context,
                                      const AttemptEnd& end,
--- a/include/acaciapulley/node/detail/executor.hpp
+++ b/include/acaciapulley/node/detail/executor.hpp
@@ -28,7 +28,7 @@
   BlockingGate* gate = nullptr;
   HopBook* hops = nullptr;
   ClaimClient* claims = nullptr;
-  ThresholdBook* thresholds = nullptr;
+  ThresholdBook* thresholds = nullptr; ///< of the requests that the upstream runs
   PipelineGuards guards;
 };
 
@@ -42,6 +42,11 @@
   /// @param context hop that the upstream executes; its retriesLeft go to nested calls
   AttemptEnd Run(PendingCall& call, const RequestContext& context);
 
+  /// @brief Returns which requests of a class the upstream and the callees of its nested calls
+  /// admit.
+  [[nodiscard]] AdmissionThreshold Threshold(const ResolvedRequest& request,
+                                             const std::string& account) const;
+
 private:
   /// An attempt that has passed the gate.
   struct Admitted
--- a/include/acaciapulley/node/detail/headers.hpp
+++ b/include/acaciapulley/node/detail/headers.hpp
@@ -23,6 +23,9 @@
 /// Service and class that the node at which a request entered has chosen by the fleet document.
 inline constexpr const char* kServiceHeader = "Acp-Service";
 inline constexpr const char* kClassHeader = "Acp-Class";
+/// Set between nodes for a route that is open to all; nested calls count for their parent's
+/// account.
+inline constexpr const char* kOpenHeader = "Acp-Open";
 /// Client account, told to upstreams of a fleet document's routes.
 inline constexpr const char* kAccountHeader = "Acp-Account";
 /// Service of the host on which the request began.
--- a/include/acaciapulley/node/detail/hop_book.hpp
+++ b/include/acaciapulley/node/detail/hop_book.hpp
@@ -4,7 +4,10 @@
 /// The hops that the local upstream is executing: their retry budgets and request classes.
 
 #include <cstdint>       // int64_t
+#include <functional>    // function
+#include <map>           // multimap
 #include <mutex>         // mutex
+#include <optional>      // optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
 
@@ -21,11 +24,19 @@
   bool hadRefusedCall = false;
 };
 
+/// The request at the local upstream to which a nested call belongs.
+struct ParentHop
+{
+  std::string requestClass; ///< `service/class` of the request
+  RequestContext context;   ///< as it came to this node
+};
+
 /// A HopLedger under one lock, with the class that each hop runs. Calls may come from any thread.
 class HopBook
 {
 public:
-  HopBook(HopLedgerOptions options, const Clock& clock);
+  /// @param random returns a number in [0, 1); by default from the system's randomness
+  HopBook(HopLedgerOptions options, const Clock& clock, std::function<double()> random = {});
 
   /// @brief Opens a hop.
   /// @param requestClass class of the request that the upstream executes, as `service/class`
@@ -47,17 +58,36 @@
   /// @brief Returns the class that makes calls under @p hopId, empty when the hop is not open.
   [[nodiscard]] std::string ClassOf(const std::string& hopId) const;
 
+  /// @brief Finds the parent of a nested call that carries no context.
+  ///
+  /// A call expires with its parent at the latest, so that equal deadlines tell the parent. A call
+  /// that expires earlier may belong to any request that runs longer: one of these is drawn, so
+  /// that the calls of each class are counted in their true proportions.
+  /// @param deadline of the nested call
+  /// @return the parent, or nothing when no open hop lasts as long as the call
+  /// @par Complexity
+  /// Logarithmic in the open hops.
+  [[nodiscard]] std::optional<ParentHop> ParentOf(UnixMillis deadline) const;
+
 private:
+  using Deadlines = std::multimap<std::int64_t, std::string>; // Unix milliseconds to hop id
+
   struct OpenHop
   {
     std::string requestClass;
+    RequestContext context;
+    Deadlines::iterator deadline;
     bool hadRefusedCall = false;
   };
 
+  [[nodiscard]] Deadlines::const_iterator FindParent(std::int64_t deadline) const;
+
   const Clock& clock_;
   mutable std::mutex mutex_;
   HopLedger ledger_;
   std::unordered_map<std::string, OpenHop> open_;
+  Deadlines deadlines_; ///< of the open hops
+  std::function<double()> random_;
 };
 
 } // namespace acp::detail
--- a/include/acaciapulley/node/detail/peer_client.hpp
+++ b/include/acaciapulley/node/detail/peer_client.hpp
@@ -9,13 +9,12 @@
 #include <mutex>   // mutex
 #include <string>  // string
 
-#include "acaciapulley/core/clock.hpp"                 // Clock
-#include "acaciapulley/node/detail/attempt.hpp"        // AttemptEnd, PendingCall
-#include "acaciapulley/node/detail/threshold_book.hpp" // ThresholdBook
-#include "acaciapulley/node/pipeline_guards.hpp"       // PipelineGuards
-#include "acaciapulley/routing/balancer.hpp"           // Choice
-#include "acaciapulley/routing/member_table.hpp"       // MemberTable
-#include "acaciapulley/transport/http_client.hpp"      // HttpPool
+#include "acaciapulley/core/clock.hpp"            // Clock
+#include "acaciapulley/node/detail/attempt.hpp"   // AttemptEnd, PendingCall
+#include "acaciapulley/node/pipeline_guards.hpp"  // PipelineGuards
+#include "acaciapulley/routing/balancer.hpp"      // Choice
+#include "acaciapulley/routing/member_table.hpp"  // MemberTable
+#include "acaciapulley/transport/http_client.hpp" // HttpPool
 
 namespace acp::detail {
 
@@ -24,7 +23,6 @@
 {
   const Clock* clock = nullptr;
   const ContextSigner* signer = nullptr;
-  ThresholdBook* thresholds = nullptr;
   MemberTable* members = nullptr;
   PipelineGuards guards;
 };
--- a/src/admission/threshold_table.cpp
+++ b/src/admission/threshold_table.cpp
@@ -56,7 +56,9 @@
 {
   Callee& entry = classes_[ownClass].callees[callee];
   entry.latest = { .threshold = threshold, .at = now };
-  if (entry.accounts.size() < options_.maxAccounts || entry.accounts.contains(account)) {
+  const bool isKept =
+    entry.accounts.size() < options_.maxAccounts || entry.accounts.contains(account);
+  if (options_.byAccount && isKept) {
     entry.accounts[account] = entry.latest;
   }
 }
@@ -141,6 +143,16 @@
   return Current(own->second.callees.at(callee), account, now).ShareOf(priority) > 0.0;
 }
 
+bool ThresholdTable::IsOverloaded(const std::string& ownClass,
+                                  const std::string& account,
+                                  int priority,
+                                  TimePoint now) const
+{
+  const auto own = classes_.find(ownClass);
+  return options_.enabled && own != classes_.end() &&
+         AdmittedShare(own->second, account, priority, now) < 1.0;
+}
+
 AdmissionThreshold ThresholdTable::Combined(const std::string& ownClass,
                                             const std::string& account,
                                             TimePoint now) const
--- a/src/core/random.cpp
+++ b/src/core/random.cpp
@@ -31,12 +31,16 @@
   return ToHex(std::string(buffer.begin(), buffer.end()));
 }
 
-Duration Jittered(Duration base, double part)
+double UniformRandom()
 {
   thread_local std::mt19937_64 generator{ std::random_device{}() };
-  std::uniform_real_distribution<double> factor(1.0 - part, 1.0 + part);
-  return Duration(
-    static_cast<Duration::rep>(static_cast<double>(base.count()) * factor(generator)));
+  return std::uniform_real_distribution<double>(0.0, 1.0)(generator);
+}
+
+Duration Jittered(Duration base, double part)
+{
+  const double factor = 1.0 - part + 2.0 * part * UniformRandom();
+  return Duration(static_cast<Duration::rep>(static_cast<double>(base.count()) * factor));
 }
 
 std::string Sha256(const std::string& text)
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -1,10 +1,9 @@
 #include "acaciapulley/node/detail/dispatcher.hpp"
 
-#include <random>  // mt19937, uniform_real_distribution
 #include <utility> // move
 #include <vector>  // vector
 
-#include "acaciapulley/core/random.hpp"     // RandomHex
+#include "acaciapulley/core/random.hpp"     // RandomHex, UniformRandom
 #include "acaciapulley/core/wait_point.hpp" // SleepFor
 
 namespace acp::detail {
@@ -15,12 +14,6 @@
 // Retries of documents' services share one budget.
 constexpr const char* kAllServices = "";
 
-double RandomCoin()
-{
-  thread_local std::mt19937 generator{ std::random_device{}() };
-  return std::uniform_real_distribution<double>(0.0, 1.0)(generator);
-}
-
 Duration RemainingTime(const Clock& clock, const RequestContext& context)
 {
   return std::chrono::milliseconds(CountMillis(context.deadline) - CountMillis(clock.WallNow()));
@@ -85,7 +78,10 @@
 {
   const Duration taken = options_.clock->Now() - attemptStart;
   const bool hasTime = RemainingTime(*options_.clock, context) > 2 * taken;
-  if (!hasTime || !CanRepeat(call) || !options_.balancer->HasOther(PickRequestOf(call, tried))) {
+  // An overloaded callee refuses another attempt's nested calls as well.
+  const bool isOverloaded = call.thresholds->IsOverloaded(call.ownClass, context);
+  if (!hasTime || isOverloaded || !CanRepeat(call) ||
+      !options_.balancer->HasOther(PickRequestOf(call, tried))) {
     return false;
   }
   const std::lock_guard lock(ratioMutex_);
@@ -162,8 +158,8 @@
   context.retriesLeft = calleeRetries;
   context.issuer = options_.nodeId;
   context.issuerEpoch = options_.epoch;
-  AttemptEnd end = choice.isOwn ? options_.executor->Run(call, context)
-                                : options_.peers->Run(call, context, choice);
+  AttemptEnd end =
+    choice.isOwn ? RunHere(call, context) : options_.peers->Run(call, context, choice);
   const TimePoint now = options_.clock->Now();
   options_.members->Finish(call.request.service,
                            choice.nodeId,
@@ -175,6 +171,16 @@
   return end;
 }
 
+AttemptEnd Dispatcher::RunHere(PendingCall& call, const RequestContext& context)
+{
+  AttemptEnd end = options_.executor->Run(call, context);
+  call.thresholds->Learn(call.ownClass,
+                         CalleeOf(call.request),
+                         context.account,
+                         options_.executor->Threshold(call.request, context.account));
+  return end;
+}
+
 RetryDecision Dispatcher::Decide(const PendingCall& call,
                                  const RequestContext& context,
                                  const AttemptEnd& end,
@@ -196,7 +202,7 @@
                      {},
                      BudgetOf(call),
                      options_.clock->Now(),
-                     RandomCoin());
+                     UniformRandom());
 }
 
 } // namespace acp::detail
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -68,14 +68,16 @@
   }
   const auto* limit =
     call.request.document ? call.request.document->LimitOf(context.account) : nullptr;
-  auto permit = options_.gate->Enter({ .account = context.account,
-                                       .weight = limit == nullptr ? 1.0 : limit->rate,
-                                       .priority = context.priority,
-                                       .requestClass = call.request.requestClass->name,
-                                       .deadline = options_.clock->Now() + Remaining(context),
-                                       .entersHere = call.entersHere,
-                                       .patience = call.patience },
-                                     call.exchange.CallerGone());
+  auto permit = options_.gate->Enter(
+    { .account = context.account,
+      .weight = limit == nullptr ? 1.0 : limit->rate,
+      .priority = context.priority,
+      .requestClass = call.request.requestClass->name,
+      .deadline = options_.clock->Now() + Remaining(context),
+      .entersHere = call.entersHere,
+      .patience = call.patience,
+      .continuesWork = call.request.isFleetRoute && call.request.requestClass->openToAll },
+    call.exchange.CallerGone());
   if (!permit) {
     return boost::outcome_v2::failure(permit.error());
   }
@@ -135,6 +137,7 @@
   HttpRequestHead head{ .method = call.exchange.Request().method,
                         .target = call.request.upstreamTarget };
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers, options_.guards.stripKey);
+  options_.thresholds->NoteRequest(ClassName(call.request));
   const auto forUpstream = options_.hops->Open(context, ClassName(call.request));
   head.headers.Set(kContextHeader, options_.signer->Sign(forUpstream));
   const auto remaining = std::chrono::floor<std::chrono::milliseconds>(Remaining(context));
@@ -142,7 +145,8 @@
   if (call.request.isFleetRoute) {
     head.headers.Set("Host", call.exchange.Request().headers.Find("Host").value_or(""));
     head.headers.Set(kCallerServiceHeader, call.callerService);
-    if (!context.account.empty()) {
+    // A nested call counts for its parent's account but is nobody's own request.
+    if (!context.account.empty() && !call.request.requestClass->openToAll) {
       head.headers.Set(kAccountHeader, context.account);
     }
   }
@@ -202,6 +206,13 @@
   return end;
 }
 
+AdmissionThreshold Executor::Threshold(const ResolvedRequest& request,
+                                       const std::string& account) const
+{
+  return Stricter(options_.gate->Threshold(account),
+                  options_.thresholds->Combined(ClassName(request), account));
+}
+
 HttpResponseHead Executor::AnswerHead(const PendingCall& call,
                                       const RequestContext& context,
                                       const HttpResponseHead& upstreamHead,
@@ -211,10 +222,7 @@
   head.headers = ForwardedResponseHeaders(upstreamHead.headers);
   head.headers.Set(kOutcomeHeader, std::string(NameOf(RequestOutcome::Ran)));
   if (call.audience == Audience::Peer) {
-    const auto threshold =
-      Stricter(options_.gate->Threshold(context.account),
-               options_.thresholds->Combined(ClassName(call.request), context.account));
-    head.headers.Set(kThresholdHeader, FormatThreshold(threshold));
+    head.headers.Set(kThresholdHeader, FormatThreshold(Threshold(call.request, context.account)));
     head.headers.Set(kLoadHeader, FormatLoad(options_.gate->Load()));
     head.headers.Set(kRetriesLeftHeader, std::to_string(unusedRetries));
   }
--- a/src/node/fleet_resolver.cpp
+++ b/src/node/fleet_resolver.cpp
@@ -21,6 +21,7 @@
 constexpr Duration kDenialFreshness = std::chrono::milliseconds(1500);
 constexpr std::int64_t kMaxPeerBodyBytes = 1'073'741'824;
 
+// Of calls whose parent is not known, so that no work that has been done is wasted.
 constexpr int kNestedPriority = 0;
 
 /// Requests of callers come after all nested calls.
@@ -138,7 +139,7 @@
   requestClass->priority = context.priority;
   requestClass->idempotent = context.idempotent;
   requestClass->needsClaim = false;
-  requestClass->openToAll = context.account.empty();
+  requestClass->openToAll = head.headers.Find(kOpenHeader).has_value();
   // The node at which the request entered has applied the fleet's limit.
   requestClass->maxBodyBytes = kMaxPeerBodyBytes;
   ResolvedRequest request;
--- a/src/node/hop_book.cpp
+++ b/src/node/hop_book.cpp
@@ -1,12 +1,25 @@
 #include "acaciapulley/node/detail/hop_book.hpp"
 
-#include <utility> // move
+#include <iterator> // prev
+#include <utility>  // move
+
+#include "acaciapulley/core/random.hpp" // UniformRandom
 
 namespace acp::detail {
 
-HopBook::HopBook(HopLedgerOptions options, const Clock& clock)
+namespace {
+
+// A deadline travels as whole milliseconds, rounded down.
+constexpr std::int64_t kDeadlineRoundingMs = 2;
+// A request counts its time from its arrival at the upstream, after a connection was opened.
+constexpr std::int64_t kDeadlineDriftMs = 20;
+
+} // namespace
+
+HopBook::HopBook(HopLedgerOptions options, const Clock& clock, std::function<double()> random)
   : clock_(clock)
   , ledger_(std::move(options))
+  , random_(random ? std::move(random) : UniformRandom)
 {
 }
 
@@ -16,7 +29,10 @@
   ledger_.Expire(clock_.WallNow());
   auto opened = ledger_.Open(context, clock_.WallNow());
   if (opened) {
-    open_[context.hopId] = { .requestClass = requestClass };
+    const auto deadline = deadlines_.emplace(CountMillis(context.deadline), context.hopId);
+    open_[context.hopId] = { .requestClass = requestClass,
+                             .context = context,
+                             .deadline = deadline };
     return std::move(opened).value();
   }
   RequestContext withoutRetries = context;
@@ -52,6 +68,7 @@
   const auto found = open_.find(hopId);
   const bool hadRefusedCall = found != open_.end() && found->second.hadRefusedCall;
   if (found != open_.end()) {
+    deadlines_.erase(found->second.deadline);
     open_.erase(found);
   }
   return { .unusedRetries = ledger_.Close(hopId), .hadRefusedCall = hadRefusedCall };
@@ -64,4 +81,28 @@
   return found == open_.end() ? "" : found->second.requestClass;
 }
 
+std::optional<ParentHop> HopBook::ParentOf(UnixMillis deadline) const
+{
+  const std::lock_guard lock(mutex_);
+  const auto parent = FindParent(CountMillis(deadline));
+  if (parent == deadlines_.end()) {
+    return std::nullopt;
+  }
+  const OpenHop& hop = open_.at(parent->second);
+  return ParentHop{ .requestClass = hop.requestClass, .context = hop.context };
+}
+
+HopBook::Deadlines::const_iterator HopBook::FindParent(std::int64_t deadline) const
+{
+  const auto later = deadlines_.upper_bound(deadline + kDeadlineRoundingMs);
+  if (later != deadlines_.begin() && std::prev(later)->first + kDeadlineDriftMs >= deadline) {
+    return std::prev(later);
+  }
+  if (later == deadlines_.end()) {
+    return later;
+  }
+  const auto span = static_cast<double>(std::prev(deadlines_.end())->first - later->first);
+  return deadlines_.lower_bound(later->first + static_cast<std::int64_t>(random_() * span));
+}
+
 } // namespace acp::detail
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -87,10 +87,6 @@
       true,
       context.retriesLeft);
   }
-  if (call.entersHere) {
-    options_.thresholds->NoteForwarded(call.ownClass,
-                                       { call.request.service, call.request.requestClass->name });
-  }
   HttpRequestHead head{ .method = call.exchange.Request().method,
                         .target = "/" + call.request.service + call.request.upstreamTarget };
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers, options_.guards.stripKey);
@@ -104,6 +100,9 @@
     head.headers.Set(
       kPatienceHeader,
       std::to_string(std::chrono::floor<std::chrono::milliseconds>(call.patience).count()));
+    if (call.request.requestClass->openToAll) {
+      head.headers.Set(kOpenHeader, "1");
+    }
     // Hosts' wall clocks differ, so that peers are told the time that is left.
     head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
   }
@@ -129,8 +128,7 @@
                        const HttpResponseHead& answer)
 {
   if (const auto header = answer.headers.Find(kThresholdHeader)) {
-    const CalleeClass callee{ call.request.service, call.request.requestClass->name };
-    options_.thresholds->Learn(call.ownClass, callee, context.account, *header);
+    call.thresholds->Learn(call.ownClass, CalleeOf(call.request), context.account, *header);
   }
   if (const auto header = answer.headers.Find(kLoadHeader)) {
     const auto load = ParseLoad(*header);
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -9,7 +9,8 @@
 #include "acaciapulley/node/detail/fleet_resolver.hpp" // FleetResolver
 #include "acaciapulley/node/detail/headers.hpp"        // kContextHeader
 #include "acaciapulley/node/detail/peer_context.hpp"   // VerifyContext, VerifyFleetContext
-#include "acaciapulley/node/detail/request_times.hpp"  // MillisIn, PatienceOf, TimeAllowed
+#include "acaciapulley/node/detail/request_times.hpp"  // MillisIn
+#include "acaciapulley/node/detail/root_admission.hpp" // Root, RootAdmission
 #include "acaciapulley/node/detail/token_client.hpp"   // TokenClient
 
 namespace acp {
@@ -21,14 +22,11 @@
 using detail::PendingCall;
 using detail::RequestBody;
 using detail::ResolvedRequest;
+using detail::Root;
 
-constexpr std::size_t kRootIdBytes = 16;
 constexpr std::size_t kMaxAnnouncementBytes = 4096;
 constexpr std::string_view kAnnounceTarget = "/.acp/upstream";
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
-// Longest wait for the first state of a node that has just started; the median time until a new
-// control leader serves it (docs/measurements-replication.md).
-constexpr Duration kFirstStateWait = std::chrono::milliseconds(450);
 
 } // namespace
 
@@ -45,36 +43,24 @@
   [[nodiscard]] detail::TokenCallCounts TokenCalls() const { return tokens_.CallCounts(); }
 
 private:
-  /// A caller's request that may run.
-  struct Root
-  {
-    ResolvedRequest request;
-    RequestContext context;
-    std::optional<LimitKey> limit; ///< whose token the request needs
-    std::shared_ptr<detail::TokenClient::Token> token;
-    Duration patience{}; ///< see PendingCall::patience
-  };
-
-  void AwaitFirstState(const ServerExchange& exchange);
-  OrRefusal<Root> AdmitRoot(ServerExchange& exchange, EndedRequest& ended);
-  OrRefusal<Root> AdmitFleetRoot(ServerExchange& exchange, EndedRequest& ended);
-  OrRefusal<void> TakeToken(const ServerExchange& exchange, Root& root);
-  OrRefusal<void> RunRoot(ServerExchange& exchange, Root& root);
+  using TokenPtr = std::shared_ptr<detail::TokenClient::Token>;
+
+  [[nodiscard]] ThresholdTableOptions ThresholdOptions() const;
+  OrRefusal<TokenPtr> TakeToken(const ServerExchange& exchange, const Root& root);
+  OrRefusal<void> RunRoot(ServerExchange& exchange, const Root& root);
   OrRefusal<void> RunPeerCall(ServerExchange& exchange);
   OrRefusal<void> RunNestedCall(ServerExchange& exchange);
   OrRefusal<void> RunOpenCall(ServerExchange& exchange, const ResolvedRequest& request);
   OrRefusal<void> Announce(ServerExchange& exchange);
-  OrRefusal<RequestContext> NewContext(const HttpRequestHead& head,
-                                       const ResolvedRequest& request,
-                                       const std::string& account) const;
 
   RequestPipelineOptions options_;
   ContextSigner signer_;
   detail::RequestResolver resolver_;
-  detail::FleetResolver fleetResolver_;
   BlockingGate gate_;
   detail::HopBook hops_;
-  detail::ThresholdBook thresholds_;
+  detail::ThresholdBook entryThresholds_; ///< met by callers' requests that enter here
+  detail::ThresholdBook runThresholds_;   ///< met by nested calls of the local upstream
+  detail::RootAdmission admission_;
   detail::ClaimClient claims_;
   detail::TokenClient tokens_;
   Balancer balancer_;
@@ -89,10 +75,21 @@
     return options_.routesByFleet ? options_.view->FleetSecret() : options_.fleetSecret;
   })
   , resolver_(*options_.view, *options_.clock)
-  , fleetResolver_(*options_.view, *options_.clock)
-  , gate_({ .limit = { .adaptive = !options_.routesByFleet } }, *options_.clock)
+  , gate_({ .limit = { .adaptive = !options_.routesByFleet },
+            .threshold = { .byAccount = !options_.routesByFleet } },
+          *options_.clock)
   , hops_({ .nodeId = options_.nodeId, .epoch = options_.epoch }, *options_.clock)
-  , thresholds_(*options_.clock)
+  , entryThresholds_(*options_.clock, ThresholdOptions())
+  , runThresholds_(*options_.clock, ThresholdOptions())
+  , admission_({ .nodeId = options_.nodeId,
+                 .epoch = options_.epoch,
+                 .retryBudget = options_.retryBudget,
+                 .routesByFleet = options_.routesByFleet,
+                 .clock = options_.clock,
+                 .view = options_.view,
+                 .resolver = &resolver_,
+                 .hops = &hops_,
+                 .thresholds = &entryThresholds_ })
   , claims_(options_.control, options_.nodeId)
   , tokens_({ .nodeId = options_.nodeId,
               .epoch = options_.epoch,
@@ -108,11 +105,10 @@
                 .gate = &gate_,
                 .hops = &hops_,
                 .claims = &claims_,
-                .thresholds = &thresholds_,
+                .thresholds = &runThresholds_,
                 .guards = options_.guards })
   , peers_({ .clock = options_.clock,
              .signer = &signer_,
-             .thresholds = &thresholds_,
              .members = options_.members,
              .guards = options_.guards })
   , dispatcher_({ .nodeId = options_.nodeId,
@@ -126,139 +122,27 @@
 {
 }
 
-OrRefusal<RequestContext> RequestPipeline::Impl::NewContext(const HttpRequestHead& head,
-                                                            const ResolvedRequest& request,
-                                                            const std::string& account) const
-{
-  const auto allowed = detail::TimeAllowed(head, *request.requestClass);
-  if (!allowed) {
-    return boost::outcome_v2::failure(allowed.error());
-  }
-  const auto now = CountMillis(options_.clock->WallNow());
-  return RequestContext{ .rootId = RandomHex(kRootIdBytes),
-                         .account = account,
-                         .priority = request.requestClass->priority,
-                         .idempotent = request.requestClass->idempotent,
-                         .deadline = ToUnixMillis(now + allowed.value().count()),
-                         .retriesLeft = options_.retryBudget,
-                         .issuer = options_.nodeId,
-                         .issuerEpoch = options_.epoch };
-}
-
-void RequestPipeline::Impl::AwaitFirstState(const ServerExchange& exchange)
+ThresholdTableOptions RequestPipeline::Impl::ThresholdOptions() const
 {
-  ChangeSignal& changes = options_.view->Changes();
-  const TimePoint giveUpAt = options_.clock->Now() + kFirstStateWait;
-  std::uint64_t seen = changes.Count();
-  while (options_.view->Version() == 0) {
-    const TimePoint now = options_.clock->Now();
-    if (now >= giveUpAt || exchange.IsCallerGone()) {
-      return;
-    }
-    changes.WaitBeyond(seen, giveUpAt - now, exchange.CallerGone());
-    seen = changes.Count();
-  }
-}
-
-OrRefusal<RequestPipeline::Impl::Root> RequestPipeline::Impl::AdmitRoot(ServerExchange& exchange,
-                                                                        EndedRequest& ended)
-{
-  const auto& head = exchange.Request();
-  auto resolved = resolver_.Resolve(head, exchange.RequestBodyLength());
-  if (!resolved) {
-    return boost::outcome_v2::failure(resolved.error());
-  }
-  Root root{ .request = std::move(resolved).value() };
-  ended.service = root.request.service;
-  ended.requestClass = root.request.requestClass->name;
-  const auto fresh = resolver_.CheckFreshness(*root.request.requestClass);
-  if (!fresh) {
-    return boost::outcome_v2::failure(fresh.error());
-  }
-  const auto account = resolver_.Authenticate(head, root.request);
-  if (!account) {
-    return boost::outcome_v2::failure(account.error());
-  }
-  ended.account = account.value();
-  auto context = NewContext(head, root.request, account.value());
-  if (!context) {
-    return boost::outcome_v2::failure(context.error());
-  }
-  root.context = std::move(context).value();
-  if (!thresholds_.AdmitsRequest(detail::ClassName(root.request), root.context)) {
-    return NotRun(503,
-                  Reason::Overloaded,
-                  "a service that the request needs is overloaded",
-                  kOverloadRetryAfter);
-  }
-  if (!root.request.requestClass->openToAll) {
-    root.limit = { root.request.service, account.value() };
-  }
-  return root;
+  return { .seed = options_.nodeId, .byAccount = !options_.routesByFleet };
 }
 
-OrRefusal<void> RequestPipeline::Impl::TakeToken(const ServerExchange& exchange, Root& root)
+OrRefusal<RequestPipeline::Impl::TokenPtr> RequestPipeline::Impl::TakeToken(
+  const ServerExchange& exchange,
+  const Root& root)
 {
   if (!root.limit) {
-    return boost::outcome_v2::success();
+    return TokenPtr();
   }
-  auto token = tokens_.Take(*root.limit, exchange.CallerGone());
-  if (!token) {
-    return boost::outcome_v2::failure(token.error());
-  }
-  root.token = std::move(token).value();
-  return boost::outcome_v2::success();
+  return tokens_.Take(*root.limit, exchange.CallerGone());
 }
 
-OrRefusal<RequestPipeline::Impl::Root> RequestPipeline::Impl::AdmitFleetRoot(
-  ServerExchange& exchange,
-  EndedRequest& ended)
-{
-  const auto& head = exchange.Request();
-  auto resolved = fleetResolver_.Resolve(head, exchange.RequestBodyLength());
-  if (!resolved) {
-    return boost::outcome_v2::failure(resolved.error());
-  }
-  Root root{ .request = std::move(resolved).value() };
-  const RequestClass& requestClass = *root.request.requestClass;
-  ended.service = root.request.service;
-  ended.requestClass = requestClass.name;
-  const auto fresh = resolver_.CheckFreshness(requestClass);
-  if (!fresh) {
-    return boost::outcome_v2::failure(fresh.error());
-  }
-  const auto caller = fleetResolver_.Authenticate(head, root.request);
-  if (!caller) {
-    return boost::outcome_v2::failure(caller.error());
-  }
-  ended.account = caller.value().account;
-  auto context = NewContext(head, root.request, caller.value().account);
-  if (!context) {
-    return boost::outcome_v2::failure(context.error());
-  }
-  root.context = std::move(context).value();
-  root.context.priority = caller.value().priority;
-  // A nested call belongs to a request on which work has been done, so that only its gate refuses
-  // it.
-  const bool isNested = caller.value().account.empty();
-  const Duration remaining = std::chrono::milliseconds(CountMillis(root.context.deadline) -
-                                                       CountMillis(options_.clock->WallNow()));
-  root.patience = detail::PatienceOf(requestClass, remaining, isNested);
-  root.context.retriesLeft = std::min(options_.retryBudget, requestClass.maxAttempts - 1);
-  if (!isNested && !thresholds_.AdmitsRequest(detail::ClassName(root.request), root.context)) {
-    return NotRun(503,
-                  Reason::Overloaded,
-                  "a service that the request needs is overloaded",
-                  kOverloadRetryAfter);
-  }
-  if (caller.value().isLimited) {
-    root.limit = { kWholeFleet, caller.value().account };
-  }
-  return root;
-}
-
-OrRefusal<void> RequestPipeline::Impl::RunRoot(ServerExchange& exchange, Root& root)
+OrRefusal<void> RequestPipeline::Impl::RunRoot(ServerExchange& exchange, const Root& root)
 {
+  const bool hasParent = !root.parentClass.empty();
+  auto& thresholds = hasParent ? runThresholds_ : entryThresholds_;
+  const std::string ownClass = hasParent ? root.parentClass : detail::ClassName(root.request);
+  thresholds.NoteCall(ownClass, detail::CalleeOf(root.request));
   RequestBody body(
     exchange.RequestBody(), exchange.RequestBodyLength(), root.request.requestClass->maxBodyBytes);
   auto prefetched = body.Prefetch();
@@ -266,20 +150,21 @@
     return prefetched;
   }
   // Not before the body is there, so that a slow caller holds no token.
-  auto taken = TakeToken(exchange, root);
-  if (!taken) {
-    return taken;
+  const auto token = TakeToken(exchange, root);
+  if (!token) {
+    return boost::outcome_v2::failure(token.error());
   }
   PendingCall call{ .exchange = exchange,
                     .request = root.request,
                     .body = body,
                     .audience = Audience::Caller,
-                    .entersHere = true,
-                    .ownClass = detail::ClassName(root.request),
+                    .entersHere = !root.isNested,
+                    .ownClass = ownClass,
+                    .thresholds = &thresholds,
                     .patience = root.patience,
                     .callerService = options_.callerService };
-  if (root.token) {
-    call.commitToken = [&root] { return root.token->Commit(); };
+  if (token.value()) {
+    call.commitToken = [&token] { return token.value()->Commit(); };
   }
   return dispatcher_.Run(call, root.context).result;
 }
@@ -289,8 +174,7 @@
   const TimePoint start = options_.clock->Now();
   EndedRequest ended;
   OrRefusal<void> result = boost::outcome_v2::success();
-  AwaitFirstState(exchange);
-  auto root = options_.routesByFleet ? AdmitFleetRoot(exchange, ended) : AdmitRoot(exchange, ended);
+  const auto root = admission_.Admit(exchange, ended);
   if (root) {
     result = RunRoot(exchange, root.value());
   } else {
@@ -337,6 +221,7 @@
                     .body = body,
                     .audience = Audience::Peer,
                     .ownClass = detail::ClassName(resolved.value()),
+                    .thresholds = &runThresholds_,
                     .patience =
                       detail::MillisIn(exchange.Request().headers, detail::kPatienceHeader),
                     .callerService =
@@ -345,9 +230,7 @@
   if (!end.result) {
     // Refusals carry the same figures as answers, so that callers learn most when it matters most.
     end.result.error().unusedRetries = end.unusedRetries;
-    end.result.error().threshold =
-      Stricter(gate_.Threshold(context.value().account),
-               thresholds_.Combined(call.ownClass, context.value().account));
+    end.result.error().threshold = executor_.Threshold(resolved.value(), context.value().account);
     end.result.error().load = gate_.Load();
   }
   return end.result;
@@ -359,7 +242,7 @@
   if (!request.requestClass->openToAll) {
     return NotRun(403, Reason::InvalidContext, "a nested call to this route needs Acp-Context");
   }
-  auto context = NewContext(exchange.Request(), request, "");
+  auto context = admission_.NewContext(exchange.Request(), request, "");
   if (!context) {
     return boost::outcome_v2::failure(context.error());
   }
@@ -390,7 +273,7 @@
     return boost::outcome_v2::failure(parent.error());
   }
   const std::string ownClass = hops_.ClassOf(parent.value().hopId);
-  if (!thresholds_.AdmitsCall(
+  if (!runThresholds_.AdmitsCall(
         ownClass, { request.service, request.requestClass->name }, parent.value())) {
     hops_.NoteRefusedCall(parent.value().hopId);
     return NotRun(503, Reason::Overloaded, "the called service is overloaded", kOverloadRetryAfter);
@@ -405,7 +288,8 @@
                     .request = request,
                     .body = body,
                     .audience = Audience::Caller,
-                    .ownClass = ownClass };
+                    .ownClass = ownClass,
+                    .thresholds = &runThresholds_ };
   const RetryDraw draw = hops_.Draw(parent.value());
   RequestContext child = parent.value();
   child.retriesLeft = draw.granted;
--- a/src/node/threshold_book.cpp
+++ b/src/node/threshold_book.cpp
@@ -23,7 +23,13 @@
   return table_.AdmitsCall(ownClass, callee, context.account, context.priority, now);
 }
 
-void ThresholdBook::NoteForwarded(const std::string& ownClass, const CalleeClass& callee)
+void ThresholdBook::NoteRequest(const std::string& ownClass)
+{
+  const std::lock_guard lock(mutex_);
+  table_.OnRequest(ownClass, clock_.Now());
+}
+
+void ThresholdBook::NoteCall(const std::string& ownClass, const CalleeClass& callee)
 {
   const std::lock_guard lock(mutex_);
   table_.OnCall(ownClass, callee, clock_.Now());
@@ -35,11 +41,24 @@
                           const std::string& header)
 {
   const auto threshold = ParseThreshold(header);
-  if (!threshold) {
-    return;
+  if (threshold) {
+    Learn(ownClass, callee, account, threshold.value());
   }
+}
+
+void ThresholdBook::Learn(const std::string& ownClass,
+                          const CalleeClass& callee,
+                          const std::string& account,
+                          const AdmissionThreshold& threshold)
+{
+  const std::lock_guard lock(mutex_);
+  table_.Learn(ownClass, callee, account, threshold, clock_.Now());
+}
+
+bool ThresholdBook::IsOverloaded(const std::string& ownClass, const RequestContext& context) const
+{
   const std::lock_guard lock(mutex_);
-  table_.Learn(ownClass, callee, account, threshold.value(), clock_.Now());
+  return table_.IsOverloaded(ownClass, context.account, context.priority, clock_.Now());
 }
 
 AdmissionThreshold ThresholdBook::Combined(const std::string& ownClass,
--- a/tests/admission_test/threshold_test.cpp
+++ b/tests/admission_test/threshold_test.cpp
@@ -98,6 +98,31 @@
   BOOST_TEST(table.Combined("history", "a", now).Level() == 10.0);
 }
 
+BOOST_AUTO_TEST_CASE(threshold_learnt_from_one_account_counts_for_all_where_each_is_seldom_seen)
+{
+  acp::ThresholdTable table({ .byAccount = false });
+  const acp::TimePoint now(0ms);
+  table.OnRequest("history", now);
+  table.OnCall("history", kCallee, now);
+  table.Learn("history", kCallee, "a", { .priority = 6, .share = 1.0 }, now);
+  table.Learn("history", kCallee, "b", { .priority = 6, .share = 0.25 }, now);
+  BOOST_TEST(std::abs(Admitted(table, "a", 6, 1'000) - 250) <= 1);
+  BOOST_TEST(std::abs(Admitted(table, "seen for the first time", 6, 1'000) - 250) <= 1);
+}
+
+BOOST_AUTO_TEST_CASE(class_counts_as_overloaded_while_a_callee_refuses_its_priority)
+{
+  acp::ThresholdTable table;
+  const acp::TimePoint now(0ms);
+  BOOST_TEST(!table.IsOverloaded("history", "a", 6, now));
+  table.OnRequest("history", now);
+  table.OnCall("history", kCallee, now);
+  table.Learn("history", kCallee, "a", { .priority = 6, .share = 0.5 }, now);
+  BOOST_TEST(table.IsOverloaded("history", "a", 6, now));
+  BOOST_TEST(!table.IsOverloaded("history", "a", 5, now));
+  BOOST_TEST(!table.IsOverloaded("history", "a", 6, now + 2s));
+}
+
 // Guards against a callee that blocks its callers for ever after it has stopped answering.
 BOOST_AUTO_TEST_CASE(threshold_of_a_silent_callee_reopens)
 {
--- a/tests/core_test/names_test.cpp
+++ b/tests/core_test/names_test.cpp
@@ -96,4 +96,18 @@
   BOOST_TEST(last.ends_with(count));
 }
 
+BOOST_AUTO_TEST_CASE(uniform_random_numbers_stay_in_their_range_and_differ)
+{
+  double least = 1.0;
+  double most = 0.0;
+  for (int i = 0; i < 1'000; ++i) {
+    const double drawn = acp::UniformRandom();
+    least = std::min(least, drawn);
+    most = std::max(most, drawn);
+  }
+  BOOST_TEST(least >= 0.0);
+  BOOST_TEST(most < 1.0);
+  BOOST_TEST(least < most);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/node_test/nested_calls_test.cpp
@@ -0,0 +1,136 @@
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include "acaciapulley/core/outcome.hpp"
+#include "acaciapulley/node/detail/hop_book.hpp"
+#include "pipeline_fixture.hpp"
+
+namespace {
+
+using namespace acp::test;
+
+constexpr auto kNow = acp::ToUnixMillis(1'000);
+
+acp::RequestContext RunOf(const std::string& hopId, const std::string& account, std::int64_t ms)
+{
+  return { .rootId = std::string(32, '0'),
+           .hopId = hopId,
+           .account = account,
+           .priority = 3,
+           .deadline = acp::ToUnixMillis(ms),
+           .issuer = "n0",
+           .issuerEpoch = 1 };
+}
+
+/// A node where callers enter, one beside an upstream of `front` whose requests make a nested call,
+/// and one beside an upstream of `back`, which they all need.
+struct Chain
+{
+  Chain()
+    : back({ .id = "n3",
+             .service = "back",
+             .control = &control,
+             .upstream = &deepest,
+             .slots = 1,
+             .routesByFleet = true })
+    , front({ .id = "n2", .control = &control, .upstream = &middle, .routesByFleet = true })
+    , entry({ .control = &control, .routesByFleet = true })
+  {
+    front.Learn({ &front, &back });
+    back.Learn({ &front, &back });
+    entry.Learn({ &front, &back });
+    middle.onRun = [this](const SeenRequest& seen) {
+      Fetch(front.Ingress(), FleetNested("nested", seen));
+    };
+  }
+
+  FakeControl control;
+  FakeUpstream deepest;
+  FakeUpstream middle;
+  TestNode back;
+  TestNode front;
+  TestNode entry;
+};
+
+acp::HttpRequestHead RootWithin(const std::string& millis)
+{
+  auto head = FleetRead("root");
+  head.headers.Set("Acp-Deadline-Ms", millis);
+  return head;
+}
+
+/// Sends roots from several callers until one is refused as overloaded.
+/// @return whether one was refused within @p most requests
+bool IsAnyRefused(Chain& chain, int most)
+{
+  constexpr int kCallers = 12;
+  std::atomic<int> sent = 0;
+  std::atomic<bool> isRefused = false;
+  std::vector<std::jthread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&] {
+      while (!isRefused && sent++ < most) {
+        const auto answer = Fetch(chain.entry.Ingress(), RootWithin("1000"));
+        isRefused = isRefused || answer.reason == acp::NameOf(acp::Reason::Overloaded);
+      }
+    });
+  }
+  callers.clear();
+  return isRefused;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(nested_calls)
+
+BOOST_AUTO_TEST_CASE(roots_are_refused_where_they_enter_when_a_nested_callee_is_overloaded)
+{
+  Chain chain;
+  chain.deepest.onRun = [](const SeenRequest& /*seen*/) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  };
+  BOOST_TEST(IsAnyRefused(chain, 400));
+}
+
+BOOST_AUTO_TEST_CASE(upstream_of_a_nested_call_is_not_told_its_parents_account)
+{
+  Chain chain;
+  BOOST_TEST(Fetch(chain.entry.Ingress(), RootWithin("5000")).status == 200);
+  BOOST_REQUIRE(chain.deepest.Seen().size() == 1U);
+  BOOST_TEST(!chain.deepest.Seen()[0].head.headers.Find("Acp-Account"));
+  BOOST_REQUIRE(chain.middle.Seen().size() == 1U);
+  BOOST_TEST(chain.middle.Seen()[0].head.headers.Find("Acp-Account").value_or("") == "unlimited");
+}
+
+BOOST_AUTO_TEST_CASE(nested_call_without_context_is_given_to_the_run_with_its_deadline)
+{
+  acp::ManualClock clock(kNow);
+  acp::detail::HopBook hops({ .nodeId = "n1", .epoch = 1 }, clock);
+  (void)hops.Open(RunOf("000000000000000a", "early", 2'000), "front/read");
+  (void)hops.Open(RunOf("000000000000000b", "late", 2'500), "front/order");
+  const auto parent = hops.ParentOf(acp::ToUnixMillis(2'506));
+  BOOST_REQUIRE(parent.has_value());
+  BOOST_TEST(parent->requestClass == "front/order");
+  BOOST_TEST(parent->context.account == "late");
+  hops.Close("000000000000000b");
+  BOOST_TEST(!hops.ParentOf(acp::ToUnixMillis(2'506)));
+}
+
+BOOST_AUTO_TEST_CASE(nested_call_that_expires_early_is_given_to_some_run_that_lasts_longer)
+{
+  acp::ManualClock clock(kNow);
+  double drawn = 0.0;
+  acp::detail::HopBook hops({ .nodeId = "n1", .epoch = 1 }, clock, [&drawn] { return drawn; });
+  (void)hops.Open(RunOf("000000000000000a", "ended", 1'200), "front/read");
+  (void)hops.Open(RunOf("000000000000000b", "first", 2'000), "front/read");
+  (void)hops.Open(RunOf("000000000000000c", "last", 2'500), "front/read");
+  BOOST_TEST(hops.ParentOf(acp::ToUnixMillis(1'700))->context.account == "first");
+  drawn = 0.9;
+  BOOST_TEST(hops.ParentOf(acp::ToUnixMillis(1'700))->context.account == "last");
+  BOOST_TEST(!hops.ParentOf(acp::ToUnixMillis(3'000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -29,12 +29,23 @@
          R"("idempotent":true,"open":true,"deadline_ms":20000}]})";
 }
 
-std::string FleetRouteOf(const std::string& name, const std::string& prefix, bool isIdempotent)
+struct FleetRouteText
 {
-  return R"({"name":")" + name + R"(","host":"h","path_prefix":")" + prefix + R"(","idempotent":)" +
-         (isIdempotent ? "true" : "false") +
-         R"(,"open":false,"priority":4,"timeout_ms":100000,"target_ms":100000,"max_attempts":2,)"
-         R"("destinations":[{"service":"front","weight":1}]})";
+  std::string name;
+  std::string prefix;
+  bool isIdempotent = true;
+  bool isOpen = false;
+  std::string service = "front";
+};
+
+std::string FleetRouteOf(const FleetRouteText& route)
+{
+  return R"({"name":")" + route.name + R"(","host":"h","path_prefix":")" + route.prefix +
+         R"(","idempotent":)" + (route.isIdempotent ? "true" : "false") + R"(,"open":)" +
+         (route.isOpen ? "true" : "false") +
+         R"(,"priority":4,"timeout_ms":100000,"target_ms":100000,"max_attempts":2,)"
+         R"("destinations":[{"service":")" +
+         route.service + R"(","weight":1}]})";
 }
 
 std::string FleetAccountOf(const std::string& name, const char* key, int rate)
@@ -47,8 +58,11 @@
 std::string FleetDocumentText()
 {
   return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)"
-         R"({"name":"front","health_path":"","max_connections":100}],"routes":[)" +
-         FleetRouteOf("order", "/orders/", false) + "," + FleetRouteOf("read", "/items/", true) +
+         R"({"name":"front","health_path":"","max_connections":100},)"
+         R"({"name":"back","health_path":"","max_connections":100}],"routes":[)" +
+         FleetRouteOf({ .name = "order", .prefix = "/orders/", .isIdempotent = false }) + "," +
+         FleetRouteOf({ .name = "read", .prefix = "/items/" }) + "," +
+         FleetRouteOf({ .name = "stock", .prefix = "/stock/", .isOpen = true, .service = "back" }) +
          R"(],"accounts":[)" + FleetAccountOf("unlimited", kUnlimitedKey, 0) + "," +
          FleetAccountOf("limited", kLimitedKey, kLimitedRate) + "]}";
 }
@@ -462,6 +476,14 @@
   return head;
 }
 
+HttpRequestHead FleetNested(const std::string& name, const SeenRequest& parent)
+{
+  HttpRequestHead head{ .method = "GET", .target = "/stock/" + name };
+  head.headers.Set("Host", "h");
+  head.headers.Set("Acp-Deadline-Ms", parent.head.headers.Find("Acp-Deadline-Ms").value_or(""));
+  return head;
+}
+
 HttpRequestHead FleetRead(const std::string& name, const std::string& key)
 {
   HttpRequestHead head{ .method = "GET", .target = "/items/" + name };
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -188,4 +188,8 @@
 HttpRequestHead FleetOrder(const std::string& name, const std::string& key = kUnlimitedKey);
 HttpRequestHead FleetRead(const std::string& name, const std::string& key = kUnlimitedKey);
 
+/// A call to the service `back` that the upstream of @p parent makes: without a key and without a
+/// context, with the time that its parent has left.
+HttpRequestHead FleetNested(const std::string& name, const SeenRequest& parent);
+
 } // namespace acp::test
