--- a/include/acaciapulley/admission/concurrency_limit.hpp
+++ b/include/acaciapulley/admission/concurrency_limit.hpp
@@ -27,6 +27,9 @@
   Duration coldStart{}; ///< length of the ramp from a tenth of the slots
   Duration period = std::chrono::milliseconds(100); ///< time between two adjustments
   bool adaptive = true; ///< false: the limit is always the announced slots
+  /// Part of the slots that is used at most, above 0 to 1. Some upstreams slow down when they are
+  /// nearly full, which costs more than the slots that stay free.
+  double usableShare = 1.0;
 };
 
 /// Follows the real capacity of one upstream between 1 and its announced slots.
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -163,7 +163,8 @@
 
 int ConcurrencyLimit::Current(TimePoint now) const
 {
-  const double bound = std::min({ limit_, ColdStartCap(now), static_cast<double>(options_.slots) });
+  const double usable = options_.usableShare * options_.slots;
+  const double bound = std::min({ limit_, ColdStartCap(now), usable });
   return std::max(1, static_cast<int>(std::floor(bound)));
 }
 
--- a/tests/admission_test/concurrency_limit_test.cpp
+++ b/tests/admission_test/concurrency_limit_test.cpp
@@ -88,4 +88,13 @@
   BOOST_TEST(upstream.Current() == 50);
 }
 
+BOOST_AUTO_TEST_CASE(upstream_that_slows_down_when_nearly_full_keeps_slots_free)
+{
+  const acp::TimePoint now(0ms);
+  const acp::ConcurrencyLimit limit({ .slots = 45, .adaptive = false, .usableShare = 0.95 }, now);
+  BOOST_TEST(limit.Current(now) == 42);
+  const acp::ConcurrencyLimit single({ .slots = 1, .adaptive = false, .usableShare = 0.95 }, now);
+  BOOST_TEST(single.Current(now) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
