Count a node's own processor as a bound of its gate

Cause: all calls of the deepest service start at the nodes beside five upstreams, whose processors (0.4 of a core) are used up. Messages wait in sockets and the loop's ready list, a queue that no gate sees: gates count their upstream's slots only, announce open thresholds and let in what will end after its deadline.

On fleet routes only; acp-node's own documents keep their adaptive limit.

--- a/include/acaciapulley/core/event_loop.hpp
+++ b/include/acaciapulley/core/event_loop.hpp
@@ -81,6 +81,11 @@
   /// @brief Suspends the calling task until @p descriptor is ready for @p events (as of poll()).
   WaitEnd WaitFor(int descriptor, short events, TimePoint deadline);
 
+  /// @brief Returns how long what is ready waits for its turn: the length of the latest round over
+  /// the ready descriptors, timers and steps, or of the present one if that is longer. To be called
+  /// on the loop's thread.
+  [[nodiscard]] Duration Delay() const;
+
 private:
   struct Task;
   class Stacks;
@@ -106,6 +111,9 @@
   std::unordered_map<WaitId, Callback> waits_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   WaitId nextWait_ = 1;
+  TimePoint roundStart_;   ///< when the present round's descriptors became ready
+  Duration latestRound_{}; ///< length of the round before
+  bool isBatchFull_ = false;
 
   std::mutex mutex_;
   std::vector<std::function<void()>> posted_;
--- a/include/acaciapulley/node/blocking_gate.hpp
+++ b/include/acaciapulley/node/blocking_gate.hpp
@@ -65,6 +65,9 @@
   /// @brief Returns the figures for `Acp-Load`.
   [[nodiscard]] LoadReport Load() const;
 
+  /// @brief Records how long a message that was ready waited until this node handled it.
+  void NoteDelay(Duration delay);
+
 private:
   enum class WaitState
   {
--- a/src/core/event_loop.cpp
+++ b/src/core/event_loop.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/core/event_loop.hpp"
 
-#include <algorithm> // clamp, min
+#include <algorithm> // clamp, max, min
 #include <array>     // array
 #include <cerrno>    // errno
 #include <exception> // current_exception, exception_ptr
@@ -330,7 +330,17 @@
 void EventLoop::PollDescriptors()
 {
   std::array<epoll_event, kEventsAtOnce> events; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  const int count = ::epoll_wait(epoll_, events.data(), kEventsAtOnce, MillisToNextTimer());
+  const int sleep = MillisToNextTimer();
+  const TimePoint now = SteadyNow();
+  // While the batches are full, what is left of the round's descriptors is still waiting.
+  if (!isBatchFull_) {
+    latestRound_ = now - roundStart_;
+  }
+  const int count = ::epoll_wait(epoll_, events.data(), kEventsAtOnce, sleep);
+  if (!isBatchFull_) {
+    roundStart_ = SteadyNow();
+  }
+  isBatchFull_ = count == kEventsAtOnce;
   for (int i = 0; i < count; ++i) {
     const WaitId id = events[static_cast<std::size_t>(i)].data.u64;
     if (id == kWakeEvent) {
@@ -346,6 +356,7 @@
 void EventLoop::Run()
 {
   loopOfThread = this;
+  roundStart_ = SteadyNow();
   while (true) {
     {
       const std::lock_guard lock(mutex_);
@@ -359,6 +370,11 @@
   }
 }
 
+Duration EventLoop::Delay() const
+{
+  return std::max(latestRound_, SteadyNow() - roundStart_);
+}
+
 EventLoops& EventLoops::Instance()
 {
   static EventLoops loops;
--- a/src/node/blocking_gate.cpp
+++ b/src/node/blocking_gate.cpp
@@ -131,6 +131,12 @@
   PollLocked();
 }
 
+void BlockingGate::NoteDelay(Duration delay)
+{
+  const std::lock_guard lock(mutex_);
+  gate_.NoteDelay(delay, clock_.Now());
+}
+
 AdmissionThreshold BlockingGate::Threshold(const std::string& account) const
 {
   const std::lock_guard lock(mutex_);
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -4,7 +4,7 @@
 #include <optional>  // optional
 #include <utility>   // move
 
-#include "acaciapulley/core/random.hpp"                // RandomHex
+#include "acaciapulley/core/event_loop.hpp"            // EventLoop
 #include "acaciapulley/node/detail/dispatcher.hpp"     // Dispatcher
 #include "acaciapulley/node/detail/fleet_resolver.hpp" // FleetResolver
 #include "acaciapulley/node/detail/headers.hpp"        // kContextHeader
@@ -26,6 +26,8 @@
 
 constexpr std::size_t kMaxAnnouncementBytes = 4096;
 constexpr std::string_view kAnnounceTarget = "/.acp/upstream";
+// Of an upstream's announced slots, where no adaptive limit finds out how many are of use.
+constexpr double kUsableShare = 0.95;
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
 
 } // namespace
@@ -46,6 +48,8 @@
   using TokenPtr = std::shared_ptr<detail::TokenClient::Token>;
 
   [[nodiscard]] ThresholdTableOptions ThresholdOptions() const;
+  /// Tells the gate how long the present message has waited for this node's processor.
+  void NoteDelay();
   OrRefusal<TokenPtr> TakeToken(const ServerExchange& exchange, const Root& root);
   OrRefusal<void> RunRoot(ServerExchange& exchange, const Root& root);
   OrRefusal<void> RunPeerCall(ServerExchange& exchange);
@@ -75,7 +79,8 @@
     return options_.routesByFleet ? options_.view->FleetSecret() : options_.fleetSecret;
   })
   , resolver_(*options_.view, *options_.clock)
-  , gate_({ .limit = { .adaptive = !options_.routesByFleet },
+  , gate_({ .limit = { .adaptive = !options_.routesByFleet,
+                       .usableShare = options_.routesByFleet ? kUsableShare : 1.0 },
             .threshold = { .byAccount = !options_.routesByFleet } },
           *options_.clock)
   , hops_({ .nodeId = options_.nodeId, .epoch = options_.epoch }, *options_.clock)
@@ -169,11 +174,20 @@
   return dispatcher_.Run(call, root.context).result;
 }
 
+void RequestPipeline::Impl::NoteDelay()
+{
+  const EventLoop* loop = EventLoop::Current();
+  if (options_.routesByFleet && loop != nullptr) {
+    gate_.NoteDelay(loop->Delay());
+  }
+}
+
 void RequestPipeline::Impl::HandleIngress(ServerExchange& exchange)
 {
   const TimePoint start = options_.clock->Now();
   EndedRequest ended;
   OrRefusal<void> result = boost::outcome_v2::success();
+  NoteDelay();
   const auto root = admission_.Admit(exchange, ended);
   if (root) {
     result = RunRoot(exchange, root.value());
@@ -329,6 +343,7 @@
 
 void RequestPipeline::Impl::HandlePeer(ServerExchange& exchange)
 {
+  NoteDelay();
   const auto result = RunPeerCall(exchange);
   if (!result) {
     SendRefusal(exchange, result.error());
--- a/tests/core_test/event_loop_test.cpp
+++ b/tests/core_test/event_loop_test.cpp
@@ -5,6 +5,7 @@
 #include <future>
 #include <stdexcept>
 #include <stop_token>
+#include <thread>
 #include <vector>
 
 #include <poll.h>
@@ -61,6 +62,15 @@
 
 BOOST_AUTO_TEST_SUITE(event_loop)
 
+BOOST_AUTO_TEST_CASE(task_that_holds_the_loop_up_shows_as_delay_of_what_waits_behind_it)
+{
+  static constexpr acp::Duration kHeldUp = 30ms;
+  acp::EventLoop loop;
+  loop.Spawn([] { std::this_thread::sleep_for(kHeldUp); });
+  const acp::Duration delay = RunOn(loop, [&loop] { return loop.Delay(); });
+  BOOST_TEST((delay >= kHeldUp));
+}
+
 BOOST_AUTO_TEST_CASE(tasks_that_wait_do_not_hold_up_others)
 {
   constexpr int kTasks = 2000;
