--- /dev/null
+++ b/tests/transport_test/cutting_server.hpp
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "acaciapulley/transport/address.hpp"
+
+namespace acp::test {
+
+/// How a connection is ended.
+enum class EndBy
+{
+  Close, ///< FIN
+  Reset, ///< RST
+};
+
+/// An answer as sent on a connection.
+struct RawAnswer
+{
+  std::string name;
+  std::string bytes;
+  std::string body;        ///< what its bytes mean
+  bool hasKnownEnd = true; ///< false: it ends with the connection
+};
+
+inline std::vector<RawAnswer> WellFormedAnswers()
+{
+  const std::string type = "Content-Type: text/plain\r\n";
+  const std::string fixed = "HTTP/1.1 200 OK\r\n" + type + "Content-Length: 12\r\n\r\nhello, world";
+  return {
+    { .name = "fixed length", .bytes = fixed, .body = "hello, world" },
+    { .name = "chunked",
+      .bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + type +
+               "\r\n10\r\nhello, world, 16\r\n2;a=b\r\n!\n\r\n0\r\nX-Sum: 18\r\n\r\n",
+      .body = "hello, world, 16!\n" },
+    { .name = "after an interim answer",
+      .bytes = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n" + fixed,
+      .body = "hello, world" },
+    { .name = "empty", .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", .body = "" },
+    { .name = "without length",
+      .bytes = "HTTP/1.1 200 OK\r\n" + type + "\r\nhello, world",
+      .body = "hello, world",
+      .hasKnownEnd = false },
+    { .name = "HTTP/1.0",
+      .bytes = "HTTP/1.0 200 OK\r\n" + type + "\r\nhello, world",
+      .body = "hello, world",
+      .hasKnownEnd = false },
+  };
+}
+
+/// Answers each request without a body with the bytes it was given, and ends the connection.
+class CuttingServer
+{
+public:
+  CuttingServer()
+    : socket_(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , thread_([this](const std::stop_token& stop) { Serve(stop); })
+  {
+  }
+
+  [[nodiscard]] Address Where() const
+  {
+    return { .ip = "127.0.0.1", .port = socket_.address().port() };
+  }
+
+  void Give(std::string bytes, EndBy end)
+  {
+    const std::lock_guard lock(mutex_);
+    bytes_ = std::move(bytes);
+    end_ = end;
+  }
+
+  /// Requests whose head has @p text.
+  [[nodiscard]] int Received(const std::string& text) const
+  {
+    const std::lock_guard lock(mutex_);
+    int received = 0;
+    for (const auto& head : heads_) {
+      received += head.find(text) != std::string::npos ? 1 : 0;
+    }
+    return received;
+  }
+
+  /// Waits until the connections that are open have been served.
+  void Finish()
+  {
+    thread_.request_stop();
+    thread_.join();
+  }
+
+  /// Whether a client closed before it had been sent all bytes.
+  [[nodiscard]] bool HasBeenLeft() const { return hasBeenLeft_; }
+
+private:
+  void Serve(const std::stop_token& stop)
+  {
+    const Poco::Timespan tick(0, 10'000);
+    while (!stop.stop_requested()) {
+      if (socket_.poll(tick, Poco::Net::Socket::SELECT_READ)) {
+        Answer(socket_.acceptConnection());
+      }
+    }
+  }
+
+  void Answer(Poco::Net::StreamSocket connection)
+  {
+    try {
+      std::string head;
+      std::array<char, 4096> buffer{};
+      while (!head.ends_with("\r\n\r\n")) {
+        const int count = connection.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        if (count <= 0) {
+          return;
+        }
+        head.append(buffer.data(), static_cast<std::size_t>(count));
+      }
+      const std::lock_guard lock(mutex_);
+      heads_.push_back(head);
+      if (!bytes_.empty()) {
+        connection.sendBytes(bytes_.data(), static_cast<int>(bytes_.size()));
+      }
+      if (end_ == EndBy::Reset) {
+        connection.setLinger(true, 0);
+      }
+      connection.close();
+    } catch (const Poco::Exception&) {
+      hasBeenLeft_ = true;
+    }
+  }
+
+  mutable std::mutex mutex_;
+  std::string bytes_;
+  EndBy end_ = EndBy::Close;
+  std::vector<std::string> heads_;
+  std::atomic<bool> hasBeenLeft_ = false;
+  Poco::Net::ServerSocket socket_;
+  std::jthread thread_;
+};
+
+} // namespace acp::test
--- /dev/null
+++ b/tests/transport_test/truncated_answers_test.cpp
@@ -0,0 +1,109 @@
+#include <boost/test/unit_test.hpp>
+
+#include "acaciapulley/transport/http_client.hpp"
+#include "cutting_server.hpp"
+
+namespace {
+
+using namespace acp::test;
+
+constexpr acp::Duration kTimeout = std::chrono::seconds(10);
+constexpr const char* kCut = "failure";
+
+/// Returns the body of a whole answer, or kCut.
+std::string Fetch(acp::HttpPool& pool, const std::string& method = "GET")
+{
+  acp::StringBody empty("");
+  const auto sent = pool.Send({ .method = method, .target = "/" }, empty, 0, kTimeout);
+  if (!sent) {
+    BOOST_TEST(acp::NameOf(sent.error().code) == "connection_lost");
+    return kCut;
+  }
+  try {
+    return acp::ReadAll(sent.value()->Body(), 1000).value_or("too large");
+  } catch (const acp::BodyTruncated&) {
+    return kCut;
+  }
+}
+
+/// What a client makes of @p bytes before the end of the connection.
+std::string Read(const std::string& bytes, const std::string& method = "GET")
+{
+  CuttingServer server;
+  server.Give(bytes, EndBy::Close);
+  acp::HttpPool pool({ .address = server.Where() });
+  return Fetch(pool, method);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(truncated_answers)
+
+// P7, MIXED. Guards against an answer that ends at any byte and looks whole.
+BOOST_AUTO_TEST_CASE(an_answer_cut_at_any_byte_is_a_visible_failure)
+{
+  for (const RawAnswer& answer : WellFormedAnswers()) {
+    for (const EndBy end : { EndBy::Close, EndBy::Reset }) {
+      CuttingServer server;
+      acp::HttpPool pool({ .address = server.Where() });
+      for (std::size_t size = 0; size < answer.bytes.size(); ++size) {
+        server.Give(answer.bytes.substr(0, size), end);
+        const std::string seen = Fetch(pool);
+        BOOST_TEST(seen == kCut, answer.name << " cut at byte " << size << " gave " << seen);
+        BOOST_TEST(pool.OpenConnections() == 0);
+      }
+      server.Give(answer.bytes, end);
+      const std::string whole = Fetch(pool);
+      if (!answer.hasKnownEnd) {
+        BOOST_TEST(whole == kCut, answer.name << " gave " << whole);
+      } else if (end == EndBy::Close) {
+        BOOST_TEST(whole == answer.body, answer.name << " gave " << whole);
+      } else {
+        BOOST_TEST((whole == answer.body || whole == kCut), answer.name << " gave " << whole);
+      }
+    }
+  }
+}
+
+// Guards against a client that refuses what endpoints may well send.
+BOOST_AUTO_TEST_CASE(unusual_but_clear_framing_is_read_whole)
+{
+  BOOST_TEST(Read("HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello") == "hello");
+  BOOST_TEST(Read("HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello") == "hello");
+  BOOST_TEST(Read("HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello") == "hello");
+  BOOST_TEST(Read("HTTP/1.1 204 No Content\r\n\r\n") == "");
+  BOOST_TEST(Read("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n") == "");
+  BOOST_TEST(Read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HEAD") == "");
+}
+
+// Guards against memory and time that grow with framing that never ends.
+BOOST_AUTO_TEST_CASE(framing_without_end_is_cut)
+{
+  // Above both sides' socket buffers, so that a client that reads on is told from one that stops.
+  constexpr std::size_t kMostBytes = 16U << 20U;
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string filled(4096, 'x');
+  struct Endless
+  {
+    std::string start;
+    std::string repeated;
+  };
+  for (const Endless& endless : { Endless{ chunked + "0\r\n", "X-Field: 1\r\n" },
+                                  Endless{ chunked + "0\r\nX-Long: ", filled },
+                                  Endless{ chunked + "5;", filled },
+                                  Endless{ chunked, std::string(4096, '0') } }) {
+    std::string bytes = endless.start;
+    while (bytes.size() < kMostBytes) {
+      bytes += endless.repeated;
+    }
+    CuttingServer server;
+    server.Give(bytes, EndBy::Close);
+    acp::HttpPool pool({ .address = server.Where() });
+    BOOST_TEST(Fetch(pool) == kCut);
+    BOOST_TEST(pool.OpenConnections() == 0);
+    server.Finish();
+    BOOST_TEST(server.HasBeenLeft(), "all was read of " << endless.repeated.substr(0, 20));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
