Refuse an answer whose status line contains control characters

What callers saw: an upstream that ends its status line with a bare line feed got its answer framed by whatever followed.

Cause: ReadHead looks for CRLF CRLF, CheckFieldLines checks all lines but the first, and POCO, which reads the head, ends the status line at a bare line feed and reads fields from the rest of it. The request line is compared with what POCO read of it, the status line only in its start.

The status line is checked for control characters before POCO reads it, so that both see the same line. It is the one place that reads the heads of all answers: pool, heartbeats and health checks.

--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -293,6 +293,10 @@
 {
   std::string_view fields = text;
   const std::string_view line = TakeLine(&fields);
+  // POCO ends the status line at a bare line feed and reads fields from what follows.
+  if (!std::all_of(line.begin(), line.end(), IsValueChar)) {
+    return "the status line contains control characters";
+  }
   if (auto wrong = CheckFieldLines(fields)) {
     return wrong;
   }
--- a/tests/transport_test/truncated_answers_test.cpp
+++ b/tests/transport_test/truncated_answers_test.cpp
@@ -65,6 +65,55 @@
   }
 }
 
+// P7, MIXED. Guards against an answer whose end two readers could see at different places.
+BOOST_AUTO_TEST_CASE(an_answer_with_unclear_framing_is_a_visible_failure)
+{
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const auto& bytes : {
+         std::string("HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 200 OK\nContent-Length: 3\n\nab\r\n\r\nabc"),
+         std::string("HTTP/1.1 200 OK\rContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 200 \x01\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 200\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 200 OK\n\n"),
+         std::string("HTTP/1.1 200 OK\r\r"),
+         std::string("HTTP/1.1 20\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/2 200\r\nContent-Length: 0\r\n\r\n"),
+         std::string("\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+         start + "Content-Length: 0\nX: y\r\n\r\n",
+         start + "Content-Length: 0\r\nX\r\n\r\n",
+         start + "Content-Length: 1\r\n 0\r\n\r\n",
+         start + "Content-Length : 0\r\n\r\n",
+         start + "Content-Length: 0\r\nContent-Length: 5\r\n\r\nhello",
+         start + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+         start + "Content-Length: 5, 5\r\n\r\nhello",
+         start + "Content-Length: \r\n\r\n",
+         start + "Content-Length: -1\r\n\r\n",
+         start + "Content-Length: +0\r\n\r\n",
+         start + "Content-Length: 0x0\r\n\r\n",
+         start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         start + "Content-Length: 18446744073709551616\r\n\r\n",
+         start + "Content-Length: 18446744073709551621\r\n\r\nhello",
+         start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+         start + "Transfer-Encoding: \r\n\r\n0\r\n\r\n",
+         start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         chunked + "-0\r\n\r\n",
+         chunked + "\r\n\r\n",
+         chunked + "0\n\n",
+         chunked + "5\nhello\n0\n\n",
+         chunked + "5\r\nhello0\r\n\r\n",
+         chunked + "5\r\nhello\r\n10000000000000000\r\n\r\n",
+         chunked + "5\r\nhello\r\n0x0\r\n\r\n",
+       }) {
+    const std::string seen = Read(bytes);
+    BOOST_TEST(seen == kCut, bytes << " gave " << seen);
+  }
+}
+
 // Guards against a client that refuses what endpoints may well send.
 BOOST_AUTO_TEST_CASE(unusual_but_clear_framing_is_read_whole)
 {
