Keep a body cut once a read of it has failed

Cause: a read that fails leaves the connection at a place that nobody knows. A chunk's line that is no size has been consumed by then, and bytes that a failed read had already copied are lost. Two places read on: Executor reads the rest of an order's answer for its record when the caller could not be sent all of it, and the server reads the rest of a request's body to keep the connection. They went on behind the gap, and took a later "0" line for the end of the body; the pool kept the upstream's connection, too.

FramedBody, the one reader of bodies, remembers that a read has failed and fails from then on. A body that its caller could not take is not affected, so that orders of callers that leave are still recorded. An order whose upstream was silent for 10 s in its body now ends as unknown at once; until now its body was waited for once more.

The claim's record is on routes of service documents only; fleet routes make no claims. The server's part is on all.

--- a/include/acaciapulley/transport/detail/http_framing.hpp
+++ b/include/acaciapulley/transport/detail/http_framing.hpp
@@ -84,12 +84,14 @@
   /// arrives.
   void EndBy(TimePoint deadline) { endBy_ = deadline; }
 
+  /// @brief Reads the next bytes. Once it has failed, every later read raises BodyTruncated too.
   std::size_t Read(char* buffer, std::size_t size) override;
 
   /// @brief Returns whether the whole body was read, so that the connection can be used again.
   [[nodiscard]] bool IsEnded() const { return ended_; }
 
 private:
+  std::size_t ReadNext(char* buffer, std::size_t size);
   std::size_t ReadPart(char* buffer, std::size_t size);
   void StartChunk();
   void SkipTrailers();
@@ -102,6 +104,7 @@
   bool isUnframed_;
   bool inChunk_ = false;
   bool ended_;
+  bool isCut_ = false; ///< a read has failed
   Duration silence_;
   TimePoint endBy_ = TimePoint::max();
   std::function<void()> onFirstRead_;
--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -440,6 +440,18 @@
 }
 
 std::size_t FramedBody::Read(char* buffer, std::size_t size)
+{
+  if (isCut_) {
+    throw BodyTruncated{};
+  }
+  // Where a failed read has stopped is unknown, so that no later one may go on from there.
+  isCut_ = true;
+  const std::size_t count = ReadNext(buffer, size);
+  isCut_ = false;
+  return count;
+}
+
+std::size_t FramedBody::ReadNext(char* buffer, std::size_t size)
 {
   if (ended_) {
     return 0;
--- a/tests/node_test/truncated_answers_test.cpp
+++ b/tests/node_test/truncated_answers_test.cpp
@@ -102,9 +102,9 @@
 /// upstream of the service.
 struct Fleet
 {
-  Fleet()
-    : far({ .id = "far", .control = &control, .routesByFleet = true })
-    , near({ .id = "near", .service = "back", .control = &control, .routesByFleet = true })
+  explicit Fleet(bool routesByFleet = true)
+    : far({ .id = "far", .control = &control, .routesByFleet = routesByFleet })
+    , near({ .id = "near", .service = "back", .control = &control, .routesByFleet = routesByFleet })
   {
     Announce(far, upstream.Where());
     far.Learn({ &far });
@@ -189,4 +189,20 @@
   BOOST_TEST(retried > 0);
 }
 
+// P7, P9, MIXED. Guards against a cut answer that is recorded and given to a
+// resend as whole.
+BOOST_AUTO_TEST_CASE(a_cut_answer_is_not_recorded_as_the_outcome_of_its_order)
+{
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+  for (const std::string rest : { "", "zz\r\n0\r\n\r\n", "5\r\n, worldxx\r\n0\r\n\r\n" }) {
+    Fleet fleet(false);
+    fleet.upstream.Give(chunked + rest, EndBy::Close);
+    for (TestNode Fleet::*entry : { &Fleet::far, &Fleet::near, &Fleet::far }) {
+      const Answer answer = FetchRaw((fleet.*entry).Ingress(), Order("cut"));
+      BOOST_TEST(!IsWholeSuccess(answer), rest << ": " << answer.body);
+    }
+    BOOST_TEST(fleet.upstream.Received("order-cut") == 1);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/transport_test/truncated_answers_test.cpp
+++ b/tests/transport_test/truncated_answers_test.cpp
@@ -1,6 +1,12 @@
 #include <boost/test/unit_test.hpp>
 
+#include <Poco/Net/StreamSocket.h>
+#include <algorithm>
+#include <array>
+#include <atomic>
+
 #include "acaciapulley/transport/http_client.hpp"
+#include "acaciapulley/transport/http_server.hpp"
 #include "cutting_server.hpp"
 
 namespace {
@@ -8,6 +14,7 @@
 using namespace acp::test;
 
 constexpr acp::Duration kTimeout = std::chrono::seconds(10);
+const acp::Address kAnyPort{ .ip = "127.0.0.1", .port = 0 };
 constexpr const char* kCut = "failure";
 
 /// Returns the body of a whole answer, or kCut.
@@ -35,6 +42,22 @@
   return Fetch(pool, method);
 }
 
+/// Sends @p bytes and returns all that comes back.
+std::string Exchange(const acp::HttpServer& server, const std::string& bytes)
+{
+  Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", server.Port()));
+  socket.setReceiveTimeout(Poco::Timespan(10, 0));
+  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  socket.shutdownSend();
+  std::string received;
+  std::array<char, 4096> buffer{};
+  for (int count = 1; count > 0;) {
+    count = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    received.append(buffer.data(), static_cast<std::size_t>(std::max(count, 0)));
+  }
+  return received;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(truncated_answers)
@@ -125,6 +148,45 @@
   BOOST_TEST(Read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HEAD") == "");
 }
 
+// P7, MIXED. Guards against a body that goes on after bytes that could not be framed.
+BOOST_AUTO_TEST_CASE(a_body_that_was_cut_stays_cut)
+{
+  for (const std::string rest : { "zz\r\n0\r\n\r\n", "5\r\nhelloxx\r\n0\r\n\r\n" }) {
+    CuttingServer server;
+    server.Give("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n" + rest,
+                EndBy::Close);
+    acp::HttpPool pool({ .address = server.Where() });
+    acp::StringBody empty("");
+    auto sent = pool.Send({ .method = "GET", .target = "/" }, empty, 0, kTimeout);
+    BOOST_REQUIRE(sent.has_value());
+    for (int i = 0; i < 3; ++i) {
+      BOOST_CHECK_THROW(acp::ReadAll(sent.value()->Body(), 1000), acp::BodyTruncated);
+    }
+    sent.value().reset();
+    BOOST_TEST(pool.OpenConnections() == 0);
+  }
+}
+
+// Guards against a request that is found in the rest of a body that could not be framed.
+BOOST_AUTO_TEST_CASE(nothing_after_a_malformed_request_body_is_served)
+{
+  std::atomic<int> served{ 0 };
+  acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                            ++served;
+                            try {
+                              acp::ReadAll(exchange.RequestBody(), 1000);
+                              exchange.Respond({ .status = 200 }, "");
+                            } catch (const acp::BodyTruncated&) {
+                              exchange.Respond({ .status = 400 }, "");
+                            }
+                          } });
+  Exchange(server,
+           "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n0\r\n\r\n"
+           "GET /hidden HTTP/1.1\r\n\r\n");
+  BOOST_TEST(served == 1);
+  server.Stop(kTimeout);
+}
+
 // Guards against memory and time that grow with framing that never ends.
 BOOST_AUTO_TEST_CASE(framing_without_end_is_cut)
 {
