End the connection after an answer whose handler failed

What callers saw: an answer broken off by an exception of its body or of the step before its last bytes left the connection in use.

Cause: RespondStreaming ends the connection for BodyTruncated alone. Any other exception passes it with the answer marked as begun and the connection as usable; the server logs it, finds the request answered and serves the next one. The node's step before the last bytes records the outcome of an order by a call to control, which may throw.

Not seen on a node.

The connection counts as usable again only when the last byte of the answer was sent, so that it does not matter what ends an answer early.

--- a/include/acaciapulley/transport/detail/server_exchange.hpp
+++ b/include/acaciapulley/transport/detail/server_exchange.hpp
@@ -50,6 +50,7 @@
 private:
   std::string StartAnswer(const HttpResponseHead& head, std::int64_t length);
   bool Send(std::string_view first, std::string_view second);
+  bool SendHead(const std::string& start, const std::function<void()>& beforeLastBytes);
   bool CopyBody(std::string start, bool isChunked, BodySource& body, const std::function<void()>&);
 
   HttpConnection& connection_;
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm> // min
 #include <array>     // array
-#include <utility>   // move, swap
+#include <utility>   // exchange, move, swap
 
 namespace acp::detail {
 
@@ -85,25 +85,32 @@
   const bool hasNoBody = head_.method == "HEAD" || head.status == 204 || head.status == 304;
   const bool isChunked = length < 0;
   std::string start = StartAnswer(head, isChunked ? kChunked : length);
-  if (hasNoBody) {
-    if (beforeLastBytes) {
-      beforeLastBytes();
-    }
-    return Send(start, {});
-  }
+  // Until the answer is whole, whatever ends it early must end the connection as well.
+  const bool staysUsable = std::exchange(usable_, false);
   bool isWhole = false;
   try {
-    isWhole = CopyBody(std::move(start), isChunked, body, beforeLastBytes);
+    isWhole = hasNoBody ? SendHead(start, beforeLastBytes)
+                        : CopyBody(std::move(start), isChunked, body, beforeLastBytes);
   } catch (const BodyTruncated&) {
     isWhole = false;
   }
   if (!isWhole) {
     connection_.Shutdown();
-    usable_ = false;
   }
+  usable_ = staysUsable && isWhole;
   return isWhole;
 }
 
+/// Sends @p start as the whole answer once @p beforeLastBytes has returned.
+bool ConnectionExchange::SendHead(const std::string& start,
+                                  const std::function<void()>& beforeLastBytes)
+{
+  if (beforeLastBytes) {
+    beforeLastBytes();
+  }
+  return Send(start, {});
+}
+
 /// Sends @p start and the body; holds back the last bytes until @p beforeLastBytes has returned.
 bool ConnectionExchange::CopyBody(std::string start,
                                   bool isChunked,
--- a/tests/transport_test/truncated_answers_test.cpp
+++ b/tests/transport_test/truncated_answers_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <stdexcept>
 
 #include "acaciapulley/transport/http_client.hpp"
 #include "acaciapulley/transport/http_server.hpp"
@@ -58,6 +59,23 @@
   return received;
 }
 
+/// A body that fails other than by being cut.
+class BrokenBody final : public acp::BodySource
+{
+public:
+  std::size_t Read(char* buffer, std::size_t size) override
+  {
+    if (++reads_ > 3) {
+      throw std::runtime_error("no memory");
+    }
+    std::fill_n(buffer, size, 'x');
+    return size;
+  }
+
+private:
+  int reads_ = 0;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(truncated_answers)
@@ -187,6 +205,30 @@
   server.Stop(kTimeout);
 }
 
+// P7, MIXED. Guards against a next answer that fills up a body whose handler failed.
+BOOST_AUTO_TEST_CASE(an_answer_whose_handler_fails_ends_the_connection)
+{
+  const auto failing = [] { throw std::runtime_error("not recorded"); };
+  for (const bool failsInBody : { true, false }) {
+    std::atomic<int> served{ 0 };
+    acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                              ++served;
+                              BrokenBody broken;
+                              acp::StringBody whole("hello");
+                              if (failsInBody) {
+                                exchange.RespondStreaming({}, 100'000, broken, nullptr);
+                              } else {
+                                exchange.RespondStreaming({}, 5, whole, failing);
+                              }
+                            } });
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    const std::string received = Exchange(server, request + request);
+    BOOST_TEST(served == 1);
+    BOOST_TEST(received.rfind("HTTP/1.1") == (failsInBody ? 0U : std::string::npos));
+    server.Stop(kTimeout);
+  }
+}
+
 // Guards against memory and time that grow with framing that never ends.
 BOOST_AUTO_TEST_CASE(framing_without_end_is_cut)
 {
