End the connection after an answer not of its declared length

What callers saw: a handler that declared another length than its body has got its answer sent as whole, and the connection stayed in use.

Cause: RespondStreaming took it on trust that a body which ends without BodyTruncated has the length in the head.

Evidence, an_answer_that_is_not_as_long_as_declared_ends_the_connection on the code before, "hello" declared as 4, 6 and 20,000 bytes: 9 checks failed, among them served == 1 [2 != 1] and sentWhole == 0 [2 != 0] for each.

Bytes over the length and an end before it count as truncated, which cuts the connection before the last part is sent and before an outcome is recorded.

--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -38,8 +38,8 @@
   /// @brief Sends a whole answer held in memory.
   virtual void Respond(const HttpResponseHead& head, const std::string& body) = 0;
 
-  /// @brief Streams an answer. A body that turns out truncated aborts the connection, so that the
-  /// caller's framing shows it.
+  /// @brief Streams an answer. A body that turns out truncated, or not of the declared length,
+  /// aborts the connection, so that the caller's framing shows it.
   /// @param length length of the body, or -1 to send it chunked
   /// @param beforeLastBytes called after the body was read whole and before its last bytes are sent
   /// @return whether the caller was sent the whole answer
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -1,7 +1,8 @@
 #include "acaciapulley/transport/detail/server_exchange.hpp"
 
-#include <algorithm> // min
+#include <algorithm> // max, min
 #include <array>     // array
+#include <cstdint>   // int64_t
 #include <utility>   // exchange, move, swap
 
 namespace acp::detail {
@@ -16,6 +17,35 @@
 // Slower readers than this would hold an upstream's slot for minutes.
 constexpr double kSlowestBytesPerSecond = 65'536.0;
 
+/// A body that counts as truncated when it has not the length that the answer's head declares.
+class DeclaredBody final : public BodySource
+{
+public:
+  /// @param length bytes, or kChunked when none are declared
+  DeclaredBody(BodySource& source, std::int64_t length)
+    : source_(source)
+    , isDeclared_(length >= 0)
+    , left_(static_cast<std::size_t>(std::max<std::int64_t>(length, 0)))
+  {
+  }
+
+  std::size_t Read(char* buffer, std::size_t size) override
+  {
+    const std::size_t count = source_.Read(buffer, size);
+    const bool endsEarly = count == 0 && left_ > 0;
+    if (isDeclared_ && (endsEarly || count > left_)) {
+      throw BodyTruncated{};
+    }
+    left_ -= isDeclared_ ? count : 0;
+    return count;
+  }
+
+private:
+  BodySource& source_;
+  bool isDeclared_;
+  std::size_t left_;
+};
+
 } // namespace
 
 ConnectionExchange::ConnectionExchange(HttpConnection& connection,
@@ -87,10 +117,11 @@
   std::string start = StartAnswer(head, isChunked ? kChunked : length);
   // Until the answer is whole, whatever ends it early must end the connection as well.
   const bool staysUsable = std::exchange(usable_, false);
+  DeclaredBody declared(body, length);
   bool isWhole = false;
   try {
     isWhole = hasNoBody ? SendHead(start, beforeLastBytes)
-                        : CopyBody(std::move(start), isChunked, body, beforeLastBytes);
+                        : CopyBody(std::move(start), isChunked, declared, beforeLastBytes);
   } catch (const BodyTruncated&) {
     isWhole = false;
   }
--- a/tests/transport_test/truncated_answers_test.cpp
+++ b/tests/transport_test/truncated_answers_test.cpp
@@ -229,6 +229,28 @@
   }
 }
 
+// P7, MIXED. Guards against a next answer that fills up a body shorter than its head says, and
+// against the end of a longer one that is read as the next answer.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_not_as_long_as_declared_ends_the_connection)
+{
+  for (const std::int64_t declared : { 4, 6, 20'000 }) {
+    std::atomic<int> served{ 0 };
+    std::atomic<int> sentWhole{ 0 };
+    acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                              ++served;
+                              acp::StringBody body("hello");
+                              sentWhole +=
+                                exchange.RespondStreaming({}, declared, body, nullptr) ? 1 : 0;
+                            } });
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    const std::string received = Exchange(server, request + request);
+    BOOST_TEST(served == 1);
+    BOOST_TEST(sentWhole == 0);
+    BOOST_TEST(received == "");
+    server.Stop(kTimeout);
+  }
+}
+
 // Guards against memory and time that grow with framing that never ends.
 BOOST_AUTO_TEST_CASE(framing_without_end_is_cut)
 {
