Tell the operator when an answer is too large for acpctl

What operators saw: an answer over 16 MiB was shown as an empty one, with the status of the whole one.

Cause: ControlClient took ReadAll's "too large" for an empty body. The other readers of answers tell the two apart, or check the body (acp-load).

Evidence, an_answer_that_is_not_whole_answers_nothing on the code before: 1 check failed, for Content-Length:. Answers cut in the head and in the body were told before as well.

It counts as no answer now, like one that ended too early.

--- a/src/programs/acpctl/control_client.cpp
+++ b/src/programs/acpctl/control_client.cpp
@@ -62,7 +62,12 @@
   }
   Attempt attempt{ .mayHaveArrived = true, .status = sent.value()->Response().status };
   try {
-    attempt.body = ReadAll(sent.value()->Body(), kMaxAnswerBytes).value_or("");
+    auto read = ReadAll(sent.value()->Body(), kMaxAnswerBytes);
+    if (!read) {
+      attempt.problem = where + "the answer is too large";
+      return attempt;
+    }
+    attempt.body = *std::move(read);
   } catch (const BodyTruncated&) {
     attempt.problem = where + "the answer ended too early";
     return attempt;
--- a/tests/acpctl/control_client_test.cpp
+++ b/tests/acpctl/control_client_test.cpp
@@ -6,6 +6,7 @@
 #include <string>           // string
 #include <vector>           // vector
 
+#include "../transport_test/cutting_server.hpp"
 #include "acaciapulley/transport/http_server.hpp"
 #include "control_client.hpp"
 
@@ -118,4 +119,21 @@
   BOOST_TEST(Call({ refusing.Where() }, "request-1", kOnce).status == 409);
 }
 
+// Guards against a part of an answer that is shown to the operator as all of it.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_not_whole_answers_nothing)
+{
+  using namespace acp::test;
+  // The largest answer is 16 MiB.
+  constexpr std::size_t kTooLarge = (16U << 20U) + 1;
+  const std::string large = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kTooLarge) +
+                            "\r\n\r\n" + std::string(kTooLarge, 'x');
+  const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
+  CuttingServer replica;
+  for (const std::string& bytes : { start, start + "\r\n{", large }) {
+    replica.Give(bytes, EndBy::Close);
+    const auto reply = Call({ replica.Where() }, "request-1", kOnce);
+    BOOST_TEST((reply.end == acp::RequestEnd::Unknown), bytes.substr(0, 60));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
