Test that a body does not go on after a silence that ended it

Shows that FramedBody could return 0 before a body's end: silence between a chunk's bytes and the end of its line drops the bytes that were read, and a second read found the line and no bytes.

--- a/tests/transport_test/client_failure_test.cpp
+++ b/tests/transport_test/client_failure_test.cpp
@@ -347,4 +347,34 @@
   BOOST_TEST(pool.OpenConnections() == 0);
 }
 
+// P7, MIXED. Guards against a body that is read on, and as whole, after a part of it was lost.
+BOOST_AUTO_TEST_CASE(a_body_that_was_silent_for_too_long_stays_cut)
+{
+  std::promise<void> cut;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    auto connection = socket.acceptConnection();
+    Take(connection);
+    Give(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello");
+    cut.get_future().get();
+    try {
+      Give(connection, "\r\n0\r\n\r\n");
+      Take(connection);
+    } catch (const Poco::Exception&) {
+      return; // the client has closed
+    }
+  });
+  acp::HttpPool pool({ .address = server.Where() });
+  acp::StringBody empty("");
+  auto sent = pool.Send({ .method = "GET", .target = "/" },
+                        empty,
+                        0,
+                        { .timeout = kTimeout, .bodySilence = std::chrono::milliseconds(20) });
+  BOOST_REQUIRE(sent.has_value());
+  BOOST_CHECK_THROW(acp::ReadAll(sent.value()->Body(), 1000), acp::BodyTruncated);
+  cut.set_value();
+  BOOST_CHECK_THROW(acp::ReadAll(sent.value()->Body(), 1000), acp::BodyTruncated);
+  sent.value().reset();
+  BOOST_TEST(pool.OpenConnections() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
