--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -293,6 +293,10 @@
 {
   std::string_view fields = text;
   const std::string_view line = TakeLine(&fields);
+  // POCO ends the status line at a bare line feed and reads fields from what follows.
+  if (!std::all_of(line.begin(), line.end(), IsValueChar)) {
+    return "the status line contains control characters";
+  }
   if (auto wrong = CheckFieldLines(fields)) {
     return wrong;
   }
@@ -436,6 +440,18 @@
 }
 
 std::size_t FramedBody::Read(char* buffer, std::size_t size)
+{
+  if (isCut_) {
+    throw BodyTruncated{};
+  }
+  // Where a failed read has stopped is unknown, so that no later one may go on from there.
+  isCut_ = true;
+  const std::size_t count = ReadNext(buffer, size);
+  isCut_ = false;
+  return count;
+}
+
+std::size_t FramedBody::ReadNext(char* buffer, std::size_t size)
 {
   if (ended_) {
     return 0;
--- /dev/null
+++ b/tests/transport_test/truncated_answers_test.cpp
@@ -0,0 +1,284 @@
+#include <boost/test/unit_test.hpp>
+
+#include <Poco/Net/StreamSocket.h>
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <stdexcept>
+
+#include "acaciapulley/transport/http_client.hpp"
+#include "acaciapulley/transport/http_server.hpp"
+#include "cutting_server.hpp"
+
+namespace {
+
+using namespace acp::test;
+
+constexpr acp::Duration kTimeout = std::chrono::seconds(10);
+const acp::Address kAnyPort{ .ip = "127.0.0.1", .port = 0 };
+constexpr const char* kCut = "failure";
+
+/// Returns the body of a whole answer, or kCut.
+std::string Fetch(acp::HttpPool& pool, const std::string& method = "GET")
+{
+  acp::StringBody empty("");
+  const auto sent = pool.Send({ .method = method, .target = "/" }, empty, 0, kTimeout);
+  if (!sent) {
+    BOOST_TEST(acp::NameOf(sent.error().code) == "connection_lost");
+    return kCut;
+  }
+  try {
+    return acp::ReadAll(sent.value()->Body(), 1000).value_or("too large");
+  } catch (const acp::BodyTruncated&) {
+    return kCut;
+  }
+}
+
+/// What a client makes of @p bytes before the end of the connection.
+std::string Read(const std::string& bytes, const std::string& method = "GET")
+{
+  CuttingServer server;
+  server.Give(bytes, EndBy::Close);
+  acp::HttpPool pool({ .address = server.Where() });
+  return Fetch(pool, method);
+}
+
+/// Sends @p bytes and returns all that comes back.
+std::string Exchange(const acp::HttpServer& server, const std::string& bytes)
+{
+  Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", server.Port()));
+  socket.setReceiveTimeout(Poco::Timespan(10, 0));
+  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  socket.shutdownSend();
+  std::string received;
+  std::array<char, 4096> buffer{};
+  for (int count = 1; count > 0;) {
+    count = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    received.append(buffer.data(), static_cast<std::size_t>(std::max(count, 0)));
+  }
+  return received;
+}
+
+/// A body that fails other than by being cut.
+class BrokenBody final : public acp::BodySource
+{
+public:
+  std::size_t Read(char* buffer, std::size_t size) override
+  {
+    if (++reads_ > 3) {
+      throw std::runtime_error("no memory");
+    }
+    std::fill_n(buffer, size, 'x');
+    return size;
+  }
+
+private:
+  int reads_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(truncated_answers)
+
+// P7, MIXED. Guards against an answer that ends at any byte and looks whole.
+BOOST_AUTO_TEST_CASE(an_answer_cut_at_any_byte_is_a_visible_failure)
+{
+  for (const RawAnswer& answer : WellFormedAnswers()) {
+    for (const EndBy end : { EndBy::Close, EndBy::Reset }) {
+      CuttingServer server;
+      acp::HttpPool pool({ .address = server.Where() });
+      for (std::size_t size = 0; size < answer.bytes.size(); ++size) {
+        server.Give(answer.bytes.substr(0, size), end);
+        const std::string seen = Fetch(pool);
+        BOOST_TEST(seen == kCut, answer.name << " cut at byte " << size << " gave " << seen);
+        BOOST_TEST(pool.OpenConnections() == 0);
+      }
+      server.Give(answer.bytes, end);
+      const std::string whole = Fetch(pool);
+      if (!answer.hasKnownEnd) {
+        BOOST_TEST(whole == kCut, answer.name << " gave " << whole);
+      } else if (end == EndBy::Close) {
+        BOOST_TEST(whole == answer.body, answer.name << " gave " << whole);
+      } else {
+        BOOST_TEST((whole == answer.body || whole == kCut), answer.name << " gave " << whole);
+      }
+    }
+  }
+}
+
+// P7, MIXED. Guards against an answer whose end two readers could see at different places.
+BOOST_AUTO_TEST_CASE(an_answer_with_unclear_framing_is_a_visible_failure)
+{
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const auto& bytes : {
+         std::string("HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 200 OK\nContent-Length: 3\n\nab\r\n\r\nabc"),
+         std::string("HTTP/1.1 200 OK\rContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 200 \x01\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 200\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 200 OK\n\n"),
+         std::string("HTTP/1.1 200 OK\r\r"),
+         std::string("HTTP/1.1 20\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/2 200\r\nContent-Length: 0\r\n\r\n"),
+         std::string("\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+         start + "Content-Length: 0\nX: y\r\n\r\n",
+         start + "Content-Length: 0\r\nX\r\n\r\n",
+         start + "Content-Length: 1\r\n 0\r\n\r\n",
+         start + "Content-Length : 0\r\n\r\n",
+         start + "Content-Length: 0\r\nContent-Length: 5\r\n\r\nhello",
+         start + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+         start + "Content-Length: 5, 5\r\n\r\nhello",
+         start + "Content-Length: \r\n\r\n",
+         start + "Content-Length: -1\r\n\r\n",
+         start + "Content-Length: +0\r\n\r\n",
+         start + "Content-Length: 0x0\r\n\r\n",
+         start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         start + "Content-Length: 18446744073709551616\r\n\r\n",
+         start + "Content-Length: 18446744073709551621\r\n\r\nhello",
+         start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+         start + "Transfer-Encoding: \r\n\r\n0\r\n\r\n",
+         start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         chunked + "-0\r\n\r\n",
+         chunked + "\r\n\r\n",
+         chunked + "0\n\n",
+         chunked + "5\nhello\n0\n\n",
+         chunked + "5\r\nhello0\r\n\r\n",
+         chunked + "5\r\nhello\r\n10000000000000000\r\n\r\n",
+         chunked + "5\r\nhello\r\n0x0\r\n\r\n",
+       }) {
+    const std::string seen = Read(bytes);
+    BOOST_TEST(seen == kCut, bytes << " gave " << seen);
+  }
+}
+
+// Guards against a client that refuses what endpoints may well send.
+BOOST_AUTO_TEST_CASE(unusual_but_clear_framing_is_read_whole)
+{
+  BOOST_TEST(Read("HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello") == "hello");
+  BOOST_TEST(Read("HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello") == "hello");
+  BOOST_TEST(Read("HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello") == "hello");
+  BOOST_TEST(Read("HTTP/1.1 204 No Content\r\n\r\n") == "");
+  BOOST_TEST(Read("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n") == "");
+  BOOST_TEST(Read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HEAD") == "");
+}
+
+// P7, MIXED. Guards against a body that goes on after bytes that could not be framed.
+BOOST_AUTO_TEST_CASE(a_body_that_was_cut_stays_cut)
+{
+  for (const std::string rest : { "zz\r\n0\r\n\r\n", "5\r\nhelloxx\r\n0\r\n\r\n" }) {
+    CuttingServer server;
+    server.Give("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n" + rest,
+                EndBy::Close);
+    acp::HttpPool pool({ .address = server.Where() });
+    acp::StringBody empty("");
+    auto sent = pool.Send({ .method = "GET", .target = "/" }, empty, 0, kTimeout);
+    BOOST_REQUIRE(sent.has_value());
+    for (int i = 0; i < 3; ++i) {
+      BOOST_CHECK_THROW(acp::ReadAll(sent.value()->Body(), 1000), acp::BodyTruncated);
+    }
+    sent.value().reset();
+    BOOST_TEST(pool.OpenConnections() == 0);
+  }
+}
+
+// Guards against a request that is found in the rest of a body that could not be framed.
+BOOST_AUTO_TEST_CASE(nothing_after_a_malformed_request_body_is_served)
+{
+  std::atomic<int> served{ 0 };
+  acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                            ++served;
+                            try {
+                              acp::ReadAll(exchange.RequestBody(), 1000);
+                              exchange.Respond({ .status = 200 }, "");
+                            } catch (const acp::BodyTruncated&) {
+                              exchange.Respond({ .status = 400 }, "");
+                            }
+                          } });
+  Exchange(server,
+           "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n0\r\n\r\n"
+           "GET /hidden HTTP/1.1\r\n\r\n");
+  BOOST_TEST(served == 1);
+  server.Stop(kTimeout);
+}
+
+// P7, MIXED. Guards against a next answer that fills up a body whose handler failed.
+BOOST_AUTO_TEST_CASE(an_answer_whose_handler_fails_ends_the_connection)
+{
+  const auto failing = [] { throw std::runtime_error("not recorded"); };
+  for (const bool failsInBody : { true, false }) {
+    std::atomic<int> served{ 0 };
+    acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                              ++served;
+                              BrokenBody broken;
+                              acp::StringBody whole("hello");
+                              if (failsInBody) {
+                                exchange.RespondStreaming({}, 100'000, broken, nullptr);
+                              } else {
+                                exchange.RespondStreaming({}, 5, whole, failing);
+                              }
+                            } });
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    const std::string received = Exchange(server, request + request);
+    BOOST_TEST(served == 1);
+    BOOST_TEST(received.rfind("HTTP/1.1") == (failsInBody ? 0U : std::string::npos));
+    server.Stop(kTimeout);
+  }
+}
+
+// P7, MIXED. Guards against a next answer that fills up a body shorter than its head says, and
+// against the end of a longer one that is read as the next answer.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_not_as_long_as_declared_ends_the_connection)
+{
+  for (const std::int64_t declared : { 4, 6, 20'000 }) {
+    std::atomic<int> served{ 0 };
+    std::atomic<int> sentWhole{ 0 };
+    acp::HttpServer server({ .address = kAnyPort, .handler = [&](acp::ServerExchange& exchange) {
+                              ++served;
+                              acp::StringBody body("hello");
+                              sentWhole +=
+                                exchange.RespondStreaming({}, declared, body, nullptr) ? 1 : 0;
+                            } });
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    const std::string received = Exchange(server, request + request);
+    BOOST_TEST(served == 1);
+    BOOST_TEST(sentWhole == 0);
+    BOOST_TEST(received == "");
+    server.Stop(kTimeout);
+  }
+}
+
+// Guards against memory and time that grow with framing that never ends.
+BOOST_AUTO_TEST_CASE(framing_without_end_is_cut)
+{
+  // Above both sides' socket buffers, so that a client that reads on is told from one that stops.
+  constexpr std::size_t kMostBytes = 16U << 20U;
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string filled(4096, 'x');
+  struct Endless
+  {
+    std::string start;
+    std::string repeated;
+  };
+  for (const Endless& endless : { Endless{ chunked + "0\r\n", "X-Field: 1\r\n" },
+                                  Endless{ chunked + "0\r\nX-Long: ", filled },
+                                  Endless{ chunked + "5;", filled },
+                                  Endless{ chunked, std::string(4096, '0') } }) {
+    std::string bytes = endless.start;
+    while (bytes.size() < kMostBytes) {
+      bytes += endless.repeated;
+    }
+    CuttingServer server;
+    server.Give(bytes, EndBy::Close);
+    acp::HttpPool pool({ .address = server.Where() });
+    BOOST_TEST(Fetch(pool) == kCut);
+    BOOST_TEST(pool.OpenConnections() == 0);
+    server.Finish();
+    BOOST_TEST(server.HasBeenLeft(), "all was read of " << endless.repeated.substr(0, 20));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
