Log the load of a node each second in which it refuses or fails a request

A node writes `node_load` at most once a second, and only when it has refused or failed a request since the line before: the gate (in flight, limit, waiting, oldest, threshold, refusals by reason, mean wait), how runs ended at the upstream and how long they held a slot, how requests of callers and nested calls ended and at what age, and connections opened and closed by reason. The same counts are metrics. No decision reads them.

--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -68,6 +68,7 @@
 
 // transport
 #include "acaciapulley/transport/address.hpp"
+#include "acaciapulley/transport/connection_counts.hpp"
 #include "acaciapulley/transport/control_channel.hpp"
 #include "acaciapulley/transport/http_client.hpp"
 #include "acaciapulley/transport/http_message.hpp"
--- a/include/acaciapulley/admission/concurrency_limit.hpp
+++ b/include/acaciapulley/admission/concurrency_limit.hpp
@@ -3,10 +3,12 @@
 /// @file
 /// Adaptive limit on the requests that one upstream works on at the same time.
 
+#include <array>  // array
 #include <map>    // map
 #include <string> // string
 
 #include "acaciapulley/core/clock.hpp" // Duration, TimePoint
+#include "acaciapulley/core/names.hpp" // EnumName, NameTable
 
 namespace acp {
 
@@ -20,6 +22,18 @@
   Neutral,   ///< says nothing about the upstream: caller gone, callee failed
 };
 
+template<>
+struct NameTable<GateResult>
+{
+  static constexpr std::array<EnumName<GateResult>, 5> kRows = { {
+    { GateResult::Succeeded, "succeeded" },
+    { GateResult::Failed, "failed" },
+    { GateResult::Refused, "refused" },
+    { GateResult::Lost, "lost" },
+    { GateResult::Neutral, "neutral" },
+  } };
+};
+
 /// Settings of ConcurrencyLimit; the defaults are explained in docs/overload.md.
 struct ConcurrencyLimitOptions
 {
--- a/include/acaciapulley/admission/gate.hpp
+++ b/include/acaciapulley/admission/gate.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The admission gate in front of one upstream.
 
+#include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
 #include <optional>      // optional
 #include <string>        // string
@@ -109,6 +110,9 @@
   /// @brief Returns what callers should send for @p account, for `Acp-Threshold`.
   [[nodiscard]] AdmissionThreshold Threshold(const std::string& account) const;
 
+  /// @brief Returns the number of requests that wait.
+  [[nodiscard]] std::size_t Waiting() const { return queue_.Size(); }
+
   /// @brief Returns the figures for `Acp-Load`.
   [[nodiscard]] LoadReport Load(TimePoint now) const;
 
--- a/include/acaciapulley/node/blocking_gate.hpp
+++ b/include/acaciapulley/node/blocking_gate.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The admission gate of the local upstream for threads that wait until they may start.
 
+#include <cstddef>    // size_t
 #include <cstdint>    // uint64_t
 #include <map>        // map
 #include <mutex>      // mutex
@@ -16,6 +17,30 @@
 
 namespace acp {
 
+/// Events of one kind, and the time that they took.
+struct TimedCount
+{
+  std::uint64_t count = 0;
+  Duration time{};
+};
+
+/// What a gate has decided since its start, and how the requests that it let through ended.
+struct GateCounts
+{
+  TimedCount started; ///< with the time that they had waited
+  std::map<Reason, std::uint64_t> refused;
+  std::map<GateResult, TimedCount> ended; ///< with the time that they held their slot
+};
+
+/// A gate at one moment.
+struct GateFigures
+{
+  LoadReport load;
+  std::size_t waiting = 0;
+  AdmissionThreshold threshold; ///< of requests without an account
+  GateCounts counts;
+};
+
 /// Guards a Gate by one lock and lets request threads wait in its queue.
 class BlockingGate
 {
@@ -24,9 +49,10 @@
   class Permit
   {
   public:
-    Permit(BlockingGate& gate, std::uint64_t id)
+    Permit(BlockingGate& gate, std::uint64_t id, TimePoint startedAt)
       : gate_(&gate)
       , id_(id)
+      , startedAt_(startedAt)
     {
     }
     Permit(Permit&& other) noexcept;
@@ -41,6 +67,7 @@
   private:
     BlockingGate* gate_;
     std::uint64_t id_;
+    TimePoint startedAt_;
   };
 
   BlockingGate(const GateOptions& options, const Clock& clock);
@@ -65,6 +92,9 @@
   /// @brief Returns the figures for `Acp-Load`.
   [[nodiscard]] LoadReport Load() const;
 
+  /// @brief Returns the figures for logs and metrics.
+  [[nodiscard]] GateFigures Figures() const;
+
 private:
   enum class WaitState
   {
@@ -80,15 +110,20 @@
     WaitPoint changed;
   };
 
-  void Finish(std::uint64_t id, GateResult result);
+  void Finish(std::uint64_t id, TimePoint startedAt, GateResult result);
   void PollLocked();
-  OrRefusal<Permit> WaitForTurn(std::unique_lock<std::mutex>& lock,
-                                const GateRequest& request,
-                                const std::stop_token& callerGone);
+  /// Returns why the request may not start, or Reason::None once it may.
+  Reason AwaitStart(std::unique_lock<std::mutex>& lock,
+                    const GateRequest& request,
+                    const std::stop_token& callerGone);
+  Reason WaitForTurn(std::unique_lock<std::mutex>& lock,
+                     const GateRequest& request,
+                     const std::stop_token& callerGone);
 
   const Clock& clock_;
   mutable std::mutex mutex_;
   Gate gate_;
+  GateCounts counts_;
   std::uint64_t nextId_ = 1;
   std::map<std::uint64_t, Waiter*> waiters_; ///< owned by the waiting threads
 };
--- a/include/acaciapulley/node/detail/dispatcher.hpp
+++ b/include/acaciapulley/node/detail/dispatcher.hpp
@@ -36,6 +36,7 @@
 {
   OrRefusal<void> result = boost::outcome_v2::success();
   int unusedRetries = 0;
+  bool gotServerError = false; ///< the answer that was passed on is an upstream's server error
 };
 
 /// Calls may come from any thread.
--- /dev/null
+++ b/include/acaciapulley/node/detail/load_log.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+/// @file
+/// A log line for each second in which a node refused or failed a request.
+
+#include <cstdint>          // uint64_t
+#include <functional>       // function
+#include <initializer_list> // initializer_list
+#include <map>              // map
+#include <memory>           // shared_ptr
+#include <mutex>            // mutex
+#include <string>           // string
+
+#include "acaciapulley/core/clock.hpp"                  // Clock
+#include "acaciapulley/core/log.hpp"                    // LogField
+#include "acaciapulley/node/blocking_gate.hpp"          // GateFigures, TimedCount
+#include "acaciapulley/node/request_pipeline.hpp"       // EndedRequest
+#include "acaciapulley/transport/connection_counts.hpp" // ConnectionCounts
+
+namespace acp::detail {
+
+/// What a LoadLog reads and where it writes; what is pointed to outlives it.
+struct LoadLogOptions
+{
+  const Clock* clock = nullptr;
+  std::function<std::string()> service; ///< of the local upstream; empty when there is none
+  std::function<GateFigures()> gate;
+  std::shared_ptr<const ConnectionCounts> upstreamConnections;
+  std::shared_ptr<const ConnectionCounts> peerConnections;
+  std::function<void(std::initializer_list<LogField>)> write;
+};
+
+/// Counts how requests end and writes the figures since the line before, with those of the gate and
+/// of the connections. No line is written while all requests are answered.
+///
+/// Calls may come from any thread.
+class LoadLog
+{
+public:
+  explicit LoadLog(LoadLogOptions options);
+
+  /// @brief Counts a request of the ingress.
+  void NoteEnded(const EndedRequest& ended);
+
+  /// @brief Writes a line if the last one is a second old and anything was refused or failed since.
+  void WriteWhenDue();
+
+private:
+  /// How requests ended, by `answered`, `upstream_error` or the reason of their failure.
+  using Ends = std::map<std::string, TimedCount>;
+
+  /// The figures of the line before, to which those of the next one are relative.
+  struct Before
+  {
+    GateCounts gate;
+    std::map<ConnectionEvent, std::uint64_t> upstreamConnections;
+    std::map<ConnectionEvent, std::uint64_t> peerConnections;
+  };
+
+  void WriteLine(const GateFigures& gate, Duration span);
+  [[nodiscard]] bool IsAnythingAmiss(const GateCounts& gate) const;
+
+  LoadLogOptions options_;
+  std::mutex mutex_;
+  TimePoint writtenAt_;
+  Ends withAccount_;
+  Ends withoutAccount_;
+  Before before_;
+};
+
+} // namespace acp::detail
--- a/include/acaciapulley/node/detail/peer_client.hpp
+++ b/include/acaciapulley/node/detail/peer_client.hpp
@@ -26,6 +26,7 @@
   const ContextSigner* signer = nullptr;
   ThresholdBook* thresholds = nullptr;
   MemberTable* members = nullptr;
+  std::shared_ptr<ConnectionCounts> connections; ///< may be null
   PipelineGuards guards;
 };
 
--- a/include/acaciapulley/node/local_upstream.hpp
+++ b/include/acaciapulley/node/local_upstream.hpp
@@ -44,8 +44,11 @@
   using TranslationFor = std::function<HttpTranslation(const Announcement& announcement)>;
 
   /// @param translationFor for upstreams that speak another protocol; may be empty
-  explicit LocalUpstream(TranslationFor translationFor = nullptr)
+  /// @param connections counts the connections to the upstream; may be null
+  explicit LocalUpstream(TranslationFor translationFor = nullptr,
+                         std::shared_ptr<ConnectionCounts> connections = nullptr)
     : translationFor_(std::move(translationFor))
+    , connections_(std::move(connections))
   {
   }
 
@@ -63,6 +66,7 @@
 
 private:
   TranslationFor translationFor_;
+  std::shared_ptr<ConnectionCounts> connections_;
   mutable std::mutex mutex_;
   std::optional<Announcement> current_;
   bool stopping_ = false;
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -5,19 +5,21 @@
 
 #include <cstdint>    // int64_t
 #include <functional> // function
-#include <memory>     // unique_ptr
+#include <memory>     // shared_ptr, unique_ptr
 #include <string>     // string
 
-#include "acaciapulley/core/clock.hpp"               // Clock
-#include "acaciapulley/node/detail/claim_client.hpp" // ControlCall
-#include "acaciapulley/node/detail/token_client.hpp" // TokenCallCounts
-#include "acaciapulley/node/local_upstream.hpp"      // LocalUpstream
-#include "acaciapulley/node/node_view.hpp"           // NodeView
-#include "acaciapulley/node/pipeline_guards.hpp"     // PipelineGuards
-#include "acaciapulley/node/refusal.hpp"             // Refusal
-#include "acaciapulley/retries/retry_policy.hpp"     // SharedRetryBudget
-#include "acaciapulley/routing/member_table.hpp"     // MemberTable
-#include "acaciapulley/transport/http_server.hpp"    // ServerExchange
+#include "acaciapulley/core/clock.hpp"                  // Clock
+#include "acaciapulley/node/blocking_gate.hpp"          // GateFigures
+#include "acaciapulley/node/detail/claim_client.hpp"    // ControlCall
+#include "acaciapulley/node/detail/token_client.hpp"    // TokenCallCounts
+#include "acaciapulley/node/local_upstream.hpp"         // LocalUpstream
+#include "acaciapulley/node/node_view.hpp"              // NodeView
+#include "acaciapulley/node/pipeline_guards.hpp"        // PipelineGuards
+#include "acaciapulley/node/refusal.hpp"                // Refusal
+#include "acaciapulley/retries/retry_policy.hpp"        // SharedRetryBudget
+#include "acaciapulley/routing/member_table.hpp"        // MemberTable
+#include "acaciapulley/transport/connection_counts.hpp" // ConnectionCounts
+#include "acaciapulley/transport/http_server.hpp"       // ServerExchange
 
 namespace acp {
 
@@ -33,6 +35,7 @@
   std::string requestId; ///< from the field RequestPipelineOptions::requestIdField, or empty
   int status = 0;        ///< of an answer of the node itself; 0 when the upstream's was passed on
   std::string message;   ///< of an answer of the node itself
+  bool isUpstreamError = false; ///< the upstream's answer, a server error, was passed on
 };
 
 /// Construction options of a RequestPipeline. What is pointed to outlives it.
@@ -53,13 +56,21 @@
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
   MemberTable* members = nullptr;
-  detail::ControlCall control;                      ///< claims
-  detail::ControlCall tokens;                       ///< rate tokens
-  std::function<void()> onAnnounced;                ///< called after each changed announcement
-  std::function<void(const EndedRequest&)> onEnded; ///< called for each request of the ingress
+  detail::ControlCall control;                       ///< claims
+  detail::ControlCall tokens;                        ///< rate tokens
+  std::shared_ptr<ConnectionCounts> peerConnections; ///< may be null
+  std::function<void()> onAnnounced;                 ///< called after each changed announcement
+  std::function<void(const EndedRequest&)> onEnded;  ///< called for each request of the ingress
   PipelineGuards guards;
 };
 
+/// What a RequestPipeline tells logs and metrics.
+struct PipelineFigures
+{
+  detail::TokenCallCounts tokenCalls;
+  GateFigures gate; ///< of the local upstream
+};
+
 /// Handlers of the node's ingress, peer and egress listeners. Calls may come from any thread.
 class RequestPipeline
 {
@@ -81,8 +92,8 @@
   /// @brief Serves the local upstream's nested calls and announcements.
   void HandleEgress(ServerExchange& exchange);
 
-  /// @brief Returns the calls for rate tokens, for metrics.
-  [[nodiscard]] detail::TokenCallCounts TokenCalls() const;
+  /// @brief Returns figures for logs and metrics.
+  [[nodiscard]] PipelineFigures Figures() const;
 
 private:
   class Impl;
--- a/include/acaciapulley/transport/detail/pool_core.hpp
+++ b/include/acaciapulley/transport/detail/pool_core.hpp
@@ -4,6 +4,7 @@
 /// The connections of one HttpPool: which are idle, in use, or to be retired.
 
 #include <condition_variable> // condition_variable
+#include <cstdint>            // uint64_t
 #include <deque>              // deque
 #include <memory>             // enable_shared_from_this, unique_ptr
 #include <mutex>              // mutex
@@ -56,7 +57,7 @@
   void GiveBack(ConnectionPtr connection);
 
   /// @brief Closes a connection that cannot be used again.
-  void Drop(ConnectionPtr connection);
+  void Drop(ConnectionPtr connection, ConnectionEvent why);
 
   /// @brief Notes that @p connection gave no answer in time.
   void NoteSilence(const PooledConnection& connection);
@@ -90,6 +91,7 @@
                     const std::stop_token& callerGone);
   void WakeOne();
   void Forget(const PooledConnection* connection);
+  void Count(ConnectionEvent event, std::uint64_t count = 1) const;
 
   const HttpPoolOptions options_;
   mutable std::mutex mutex_;
--- a/include/acaciapulley/transport/http_client.hpp
+++ b/include/acaciapulley/transport/http_client.hpp
@@ -9,10 +9,11 @@
 #include <memory>     // shared_ptr, unique_ptr
 #include <stop_token> // stop_token
 
-#include "acaciapulley/core/clock.hpp"                // Duration
-#include "acaciapulley/transport/address.hpp"         // Address
-#include "acaciapulley/transport/http_message.hpp"    // BodySource, HttpRequestHead
-#include "acaciapulley/transport/transport_error.hpp" // TransportResult
+#include "acaciapulley/core/clock.hpp"                  // Duration
+#include "acaciapulley/transport/address.hpp"           // Address
+#include "acaciapulley/transport/connection_counts.hpp" // ConnectionCounts
+#include "acaciapulley/transport/http_message.hpp"      // BodySource, HttpRequestHead
+#include "acaciapulley/transport/transport_error.hpp"   // TransportResult
 
 namespace acp {
 
@@ -68,7 +69,8 @@
   /// Sends `GET /.acp/heartbeat` on idle connections, and retires all older connections when one is
   /// silent while a fresh one answers. Only for addresses served by an HttpServer.
   bool sendsHeartbeats = false;
-  HttpTranslation translation; ///< for peers that speak another protocol
+  HttpTranslation translation;              ///< for peers that speak another protocol
+  std::shared_ptr<ConnectionCounts> counts; ///< may be shared by several pools; may be null
 };
 
 /// Bounds of one call.
--- a/src/node/blocking_gate.cpp
+++ b/src/node/blocking_gate.cpp
@@ -23,6 +23,7 @@
 BlockingGate::Permit::Permit(Permit&& other) noexcept
   : gate_(std::exchange(other.gate_, nullptr))
   , id_(other.id_)
+  , startedAt_(other.startedAt_)
 {
 }
 
@@ -34,7 +35,7 @@
 void BlockingGate::Permit::Finish(GateResult result)
 {
   if (auto* gate = std::exchange(gate_, nullptr)) {
-    gate->Finish(id_, result);
+    gate->Finish(id_, startedAt_, result);
   }
 }
 
@@ -49,20 +50,33 @@
 {
   std::unique_lock lock(mutex_);
   request.id = nextId_++;
+  const TimePoint arrivedAt = clock_.Now();
+  const Reason refusal = AwaitStart(lock, request, callerGone);
+  if (refusal != Reason::None) {
+    ++counts_.refused[refusal];
+    return RefuseBecause(refusal);
+  }
+  const TimePoint startedAt = clock_.Now();
+  ++counts_.started.count;
+  counts_.started.time += startedAt - arrivedAt;
+  return Permit(*this, request.id, startedAt);
+}
+
+Reason BlockingGate::AwaitStart(std::unique_lock<std::mutex>& lock,
+                                const GateRequest& request,
+                                const std::stop_token& callerGone)
+{
   const auto offered = gate_.Offer(request, clock_.Now());
   if (offered.decision == OfferDecision::Queued) {
     return WaitForTurn(lock, request, callerGone);
   }
   PollLocked();
-  if (offered.decision == OfferDecision::Refused) {
-    return RefuseBecause(offered.reason);
-  }
-  return Permit(*this, request.id);
+  return offered.reason;
 }
 
-OrRefusal<BlockingGate::Permit> BlockingGate::WaitForTurn(std::unique_lock<std::mutex>& lock,
-                                                          const GateRequest& request,
-                                                          const std::stop_token& callerGone)
+Reason BlockingGate::WaitForTurn(std::unique_lock<std::mutex>& lock,
+                                 const GateRequest& request,
+                                 const std::stop_token& callerGone)
 {
   const std::uint64_t id = request.id;
   const bool isPatient = request.patience > Duration::zero();
@@ -87,10 +101,7 @@
     PollLocked();
   }
   waiters_.erase(id);
-  if (waiter.state == WaitState::Refused) {
-    return RefuseBecause(waiter.reason);
-  }
-  return Permit(*this, id);
+  return waiter.reason;
 }
 
 void BlockingGate::PollLocked()
@@ -112,10 +123,14 @@
   }
 }
 
-void BlockingGate::Finish(std::uint64_t id, GateResult result)
+void BlockingGate::Finish(std::uint64_t id, TimePoint startedAt, GateResult result)
 {
   const std::lock_guard lock(mutex_);
-  gate_.Finish(id, clock_.Now(), result);
+  const TimePoint now = clock_.Now();
+  gate_.Finish(id, now, result);
+  TimedCount& ended = counts_.ended[result];
+  ++ended.count;
+  ended.time += now - startedAt;
   PollLocked();
 }
 
@@ -143,4 +158,13 @@
   return gate_.Load(clock_.Now());
 }
 
+GateFigures BlockingGate::Figures() const
+{
+  const std::lock_guard lock(mutex_);
+  return { .load = gate_.Load(clock_.Now()),
+           .waiting = gate_.Waiting(),
+           .threshold = gate_.Threshold(""),
+           .counts = counts_ };
+}
+
 } // namespace acp
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -128,7 +128,8 @@
     retriesLeft = split.own + end.unusedRetries;
     if (end.result) {
       NoteAnswer(call, end);
-      return { .unusedRetries = retriesLeft };
+      return { .unusedRetries = retriesLeft,
+               .gotServerError = end.routing == CallResult::ServerError };
     }
     keep(end.result);
     // The retry after a dropped answer has been decided and taken from the budget already.
--- /dev/null
+++ b/src/node/load_log.cpp
@@ -0,0 +1,189 @@
+#include "acaciapulley/node/detail/load_log.hpp"
+
+#include <chrono>      // floor, milliseconds
+#include <string_view> // string_view
+#include <utility>     // move
+
+#include <fmt/format.h> // format
+
+namespace acp::detail {
+
+namespace {
+
+constexpr Duration kInterval = std::chrono::seconds(1);
+constexpr const char* kAnswered = "answered";
+constexpr const char* kUpstreamError = "upstream_error";
+
+using Connections = std::map<ConnectionEvent, std::uint64_t>;
+
+std::int64_t Millis(Duration span)
+{
+  return std::chrono::floor<std::chrono::milliseconds>(span).count();
+}
+
+void AppendItem(std::string& list, const std::string& item)
+{
+  list += list.empty() ? item : "," + item;
+}
+
+void AppendCount(std::string& list, std::string_view name, std::uint64_t count)
+{
+  if (count > 0) {
+    AppendItem(list, fmt::format("{}:{}", name, count));
+  }
+}
+
+/// Appends `NAME:COUNT/MEAN`, the mean time in milliseconds.
+void AppendTimed(std::string& list, std::string_view name, const TimedCount& timed)
+{
+  if (timed.count > 0) {
+    const auto mean = Millis(timed.time) / static_cast<std::int64_t>(timed.count);
+    AppendItem(list, fmt::format("{}:{}/{}", name, timed.count, mean));
+  }
+}
+
+template<typename Key>
+TimedCount Since(const std::map<Key, TimedCount>& before, const Key& key, const TimedCount& now)
+{
+  const auto found = before.find(key);
+  const TimedCount last = found == before.end() ? TimedCount{} : found->second;
+  return { .count = now.count - last.count, .time = now.time - last.time };
+}
+
+template<typename Key>
+std::uint64_t Since(const std::map<Key, std::uint64_t>& before, const Key& key, std::uint64_t now)
+{
+  const auto found = before.find(key);
+  return found == before.end() ? now : now - found->second;
+}
+
+std::string FormatEnds(const std::map<std::string, TimedCount>& ends)
+{
+  std::string list;
+  for (const auto& [name, timed] : ends) {
+    AppendTimed(list, name, timed);
+  }
+  return list;
+}
+
+std::string FormatGate(const GateCounts& before, const GateCounts& now)
+{
+  std::string list;
+  AppendTimed(list,
+              "started",
+              { .count = now.started.count - before.started.count,
+                .time = now.started.time - before.started.time });
+  for (const auto& [reason, count] : now.refused) {
+    AppendCount(list, NameOf(reason), Since(before.refused, reason, count));
+  }
+  return list;
+}
+
+std::string FormatRuns(const GateCounts& before, const GateCounts& now)
+{
+  std::string list;
+  for (const auto& [result, timed] : now.ended) {
+    AppendTimed(list, NameOf(result), Since(before.ended, result, timed));
+  }
+  return list;
+}
+
+Connections Read(const ConnectionCounts& counts)
+{
+  Connections read;
+  for (const auto& row : NameTable<ConnectionEvent>::kRows) {
+    read[row.value] = counts.Of(row.value);
+  }
+  return read;
+}
+
+std::string FormatConnections(const Connections& before, const Connections& now)
+{
+  std::string list;
+  for (const auto& [event, count] : now) {
+    AppendCount(list, NameOf(event), Since(before, event, count));
+  }
+  return list;
+}
+
+} // namespace
+
+LoadLog::LoadLog(LoadLogOptions options)
+  : options_(std::move(options))
+  , writtenAt_(options_.clock->Now())
+{
+}
+
+void LoadLog::NoteEnded(const EndedRequest& ended)
+{
+  std::string name(NameOf(ended.reason));
+  if (ended.status == 0) {
+    name = ended.isUpstreamError ? kUpstreamError : kAnswered;
+  }
+  const std::lock_guard lock(mutex_);
+  TimedCount& timed = (ended.account.empty() ? withoutAccount_ : withAccount_)[name];
+  ++timed.count;
+  timed.time += ended.latency;
+}
+
+void LoadLog::WriteWhenDue()
+{
+  const std::lock_guard lock(mutex_);
+  const TimePoint now = options_.clock->Now();
+  const Duration span = now - writtenAt_;
+  if (span < kInterval) {
+    return;
+  }
+  writtenAt_ = now;
+  const GateFigures gate = options_.gate();
+  if (IsAnythingAmiss(gate.counts)) {
+    WriteLine(gate, span);
+  }
+  withAccount_.clear();
+  withoutAccount_.clear();
+  before_ = { .gate = gate.counts,
+              .upstreamConnections = Read(*options_.upstreamConnections),
+              .peerConnections = Read(*options_.peerConnections) };
+}
+
+bool LoadLog::IsAnythingAmiss(const GateCounts& gate) const
+{
+  for (const Ends* ends : { &withAccount_, &withoutAccount_ }) {
+    if (ends->size() > ends->count(kAnswered)) {
+      return true;
+    }
+  }
+  for (const auto& [reason, count] : gate.refused) {
+    if (Since(before_.gate.refused, reason, count) > 0) {
+      return true;
+    }
+  }
+  for (const auto& [result, timed] : gate.ended) {
+    if (result != GateResult::Succeeded && Since(before_.gate.ended, result, timed).count > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void LoadLog::WriteLine(const GateFigures& gate, Duration span)
+{
+  const auto upstream = Read(*options_.upstreamConnections);
+  const auto peers = Read(*options_.peerConnections);
+  options_.write(
+    { { "span_ms", std::to_string(Millis(span)) },
+      { "service", options_.service() },
+      { "in_flight", std::to_string(gate.load.inFlight) },
+      { "limit", std::to_string(gate.load.limit) },
+      { "waiting", std::to_string(gate.waiting) },
+      { "oldest_ms", std::to_string(gate.load.queueAgeMs) },
+      { "threshold", FormatThreshold(gate.threshold) },
+      { "gate", FormatGate(before_.gate, gate.counts) },
+      { "runs", FormatRuns(before_.gate, gate.counts) },
+      { "with_account", FormatEnds(withAccount_) },
+      { "without_account", FormatEnds(withoutAccount_) },
+      { "upstream_connections", FormatConnections(before_.upstreamConnections, upstream) },
+      { "peer_connections", FormatConnections(before_.peerConnections, peers) } });
+}
+
+} // namespace acp::detail
--- a/src/node/local_upstream.cpp
+++ b/src/node/local_upstream.cpp
@@ -44,7 +44,8 @@
     pool_ = std::make_shared<HttpPool>(HttpPoolOptions{
       .address = announcement.address,
       .maxConnections = announcement.maxConnections,
-      .translation = translationFor_ ? translationFor_(announcement) : HttpTranslation{} });
+      .translation = translationFor_ ? translationFor_(announcement) : HttpTranslation{},
+      .counts = connections_ });
   }
   current_ = announcement;
   current_->draining = current_->draining || stopping_;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -9,6 +9,7 @@
 #include <utility>   // exchange, move
 
 #include "acaciapulley/core/log.hpp"                  // Log
+#include "acaciapulley/node/detail/load_log.hpp"      // LoadLog
 #include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
 #include "acaciapulley/node/sync_loop.hpp"            // SyncLoop
 #include "acaciapulley/record/record_counters.hpp"    // RecordCounters
@@ -128,7 +129,7 @@
   explicit Impl(const NodeProcessOptions& options)
     : epoch_(CountMillis(options.clock->WallNow()))
     , clock_(*options.clock)
-    , upstream_(options.translationFor)
+    , upstream_(options.translationFor, upstreamConnections_)
     , record_(options.clock->WallNow())
     , control_({ .replicas = options.control })
     , tokenChannel_({ .replicas = options.control, .maxConnections = 1 })
@@ -148,8 +149,15 @@
                   .members = &members_,
                   .control = [this](const auto& call) { return control_.Call(call); },
                   .tokens = [this](const auto& call) { return tokenChannel_.Call(call); },
+                  .peerConnections = peerConnections_,
                   .onAnnounced = [this] { sync_.Wake(); },
                   .onEnded = [this](const EndedRequest& ended) { Record(ended); } })
+    , load_({ .clock = options.clock,
+              .service = [this] { return UpstreamService(); },
+              .gate = [this] { return pipeline_.Figures().gate; },
+              .upstreamConnections = upstreamConnections_,
+              .peerConnections = peerConnections_,
+              .write = [](auto fields) { Log(LogLevel::Info, "node_load", fields); } })
     , sync_({ .nodeId = options.nodeId,
               .epoch = epoch_,
               .dataCentre = options.dataCentre,
@@ -230,8 +238,12 @@
              .maxConnections = maxConnections,
              .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
              .runsInTasks = true,
-             .onServed = [counts = std::make_shared<ListenerMetrics>(metrics_, name)](
-                           const ServedRequest& served) { counts->Count(served); } };
+             .onServed =
+               [this, counts = std::make_shared<ListenerMetrics>(metrics_, name)](
+                 const ServedRequest& served) {
+                 counts->Count(served);
+                 load_.WriteWhenDue();
+               } };
   }
 
   HttpServerOptions Ingress(const NodeProcessOptions& options)
@@ -269,9 +281,16 @@
           { "left_out", std::to_string(lineBudget_.TakeLeftOut()) } });
   }
 
+  [[nodiscard]] std::string UpstreamService() const
+  {
+    const auto announced = upstream_.Current();
+    return announced ? announced->service : "";
+  }
+
   void Record(const EndedRequest& ended)
   {
     LogOwnAnswer(ended);
+    load_.NoteEnded(ended);
     if (ended.requestClass.empty()) {
       return;
     }
@@ -316,26 +335,60 @@
     const auto pool = upstream_.Pool();
     metrics_.Gauge("acp_upstream_connections", "Open connections to the upstream.")
       .Set(pool ? pool->OpenConnections() : 0);
-    const auto tokenCalls = pipeline_.TokenCalls();
+    const auto figures = pipeline_.Figures();
     const auto calls = [this](const std::string& result, std::uint64_t count) {
       metrics_
         .Gauge(
           "acp_token_calls", "Calls for rate tokens since the start.", { { "result", result } })
         .Set(static_cast<double>(count));
     };
-    calls("answered", tokenCalls.calls - tokenCalls.failed);
-    calls("failed", tokenCalls.failed);
+    calls("answered", figures.tokenCalls.calls - figures.tokenCalls.failed);
+    calls("failed", figures.tokenCalls.failed);
+    CollectGate(figures.gate.counts);
+    CollectConnections("upstream", *upstreamConnections_);
+    CollectConnections("peers", *peerConnections_);
     metrics_.Gauge("acp_state_version", "Version of the state this node decides by.")
       .Set(static_cast<double>(view_.Version()));
     metrics_.Gauge("acp_state_fresh", "1 when keyed requests are served.").Set(isFresh ? 1 : 0);
     return metrics_.Serialize();
   }
 
+  void CollectGate(const GateCounts& counts)
+  {
+    for (const auto& [reason, count] : counts.refused) {
+      metrics_
+        .Gauge("acp_gate_refused",
+               "Requests that the gate has refused since the start.",
+               { { "reason", std::string(NameOf(reason)) } })
+        .Set(static_cast<double>(count));
+    }
+    for (const auto& [result, ended] : counts.ended) {
+      metrics_
+        .Gauge("acp_gate_runs",
+               "Requests that have run on the upstream since the start.",
+               { { "result", std::string(NameOf(result)) } })
+        .Set(static_cast<double>(ended.count));
+    }
+  }
+
+  void CollectConnections(const std::string& to, const ConnectionCounts& counts)
+  {
+    for (const auto& row : NameTable<ConnectionEvent>::kRows) {
+      metrics_
+        .Gauge("acp_connection_events",
+               "Connections opened, and closed by reason, since the start.",
+               { { "to", to }, { "event", std::string(row.name) } })
+        .Set(static_cast<double>(counts.Of(row.value)));
+    }
+  }
+
   std::int64_t epoch_;
   const Clock& clock_;
   LineBudget lineBudget_;
   MetricsRegistry metrics_;
   NodeView view_;
+  std::shared_ptr<ConnectionCounts> upstreamConnections_ = std::make_shared<ConnectionCounts>();
+  std::shared_ptr<ConnectionCounts> peerConnections_ = std::make_shared<ConnectionCounts>();
   LocalUpstream upstream_;
   MemberTable members_;
   RecordCounters record_;
@@ -344,6 +397,7 @@
   ControlChannel tokenChannel_;
   ControlChannel syncChannel_; ///< its calls may be held by control
   RequestPipeline pipeline_;
+  detail::LoadLog load_;
   SyncLoop sync_;
   HttpServer peer_;
   std::optional<HttpServer> egress_;
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -65,7 +65,8 @@
     pool =
       std::make_shared<HttpPool>(HttpPoolOptions{ .address = address ? address.value() : Address{},
                                                   .maxConnections = kMaxPeerConnections,
-                                                  .sendsHeartbeats = true });
+                                                  .sendsHeartbeats = true,
+                                                  .counts = options_.connections });
   }
   return pool;
 }
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -30,6 +30,11 @@
 // control leader serves it (docs/measurements-replication.md).
 constexpr Duration kFirstStateWait = std::chrono::milliseconds(450);
 
+auto RefuseAsOverloaded(const char* message)
+{
+  return NotRun(503, Reason::Overloaded, message, kOverloadRetryAfter);
+}
+
 } // namespace
 
 class RequestPipeline::Impl
@@ -42,7 +47,10 @@
   void HandleEgress(ServerExchange& exchange);
   void Announce(const Announcement& announcement);
 
-  [[nodiscard]] detail::TokenCallCounts TokenCalls() const { return tokens_.CallCounts(); }
+  [[nodiscard]] PipelineFigures Figures() const
+  {
+    return { tokens_.CallCounts(), gate_.Figures() };
+  }
 
 private:
   /// A caller's request that may run.
@@ -52,7 +60,8 @@
     RequestContext context;
     std::optional<LimitKey> limit; ///< whose token the request needs
     std::shared_ptr<detail::TokenClient::Token> token;
-    Duration patience{}; ///< see PendingCall::patience
+    Duration patience{};         ///< see PendingCall::patience
+    bool gotServerError = false; ///< the upstream's answer was one
   };
 
   void AwaitFirstState(const ServerExchange& exchange);
@@ -114,6 +123,7 @@
              .signer = &signer_,
              .thresholds = &thresholds_,
              .members = options_.members,
+             .connections = options_.peerConnections,
              .guards = options_.guards })
   , dispatcher_({ .nodeId = options_.nodeId,
                   .epoch = options_.epoch,
@@ -186,10 +196,7 @@
   }
   root.context = std::move(context).value();
   if (!thresholds_.AdmitsRequest(detail::ClassName(root.request), root.context)) {
-    return NotRun(503,
-                  Reason::Overloaded,
-                  "a service that the request needs is overloaded",
-                  kOverloadRetryAfter);
+    return RefuseAsOverloaded("a service that the request needs is overloaded");
   }
   if (!root.request.requestClass->openToAll) {
     root.limit = { root.request.service, account.value() };
@@ -246,10 +253,7 @@
   root.patience = detail::PatienceOf(requestClass, remaining, isNested);
   root.context.retriesLeft = std::min(options_.retryBudget, requestClass.maxAttempts - 1);
   if (!isNested && !thresholds_.AdmitsRequest(detail::ClassName(root.request), root.context)) {
-    return NotRun(503,
-                  Reason::Overloaded,
-                  "a service that the request needs is overloaded",
-                  kOverloadRetryAfter);
+    return RefuseAsOverloaded("a service that the request needs is overloaded");
   }
   if (caller.value().isLimited) {
     root.limit = { kWholeFleet, caller.value().account };
@@ -281,7 +285,9 @@
   if (root.token) {
     call.commitToken = [&root] { return root.token->Commit(); };
   }
-  return dispatcher_.Run(call, root.context).result;
+  const auto end = dispatcher_.Run(call, root.context);
+  root.gotServerError = end.gotServerError;
+  return end.result;
 }
 
 void RequestPipeline::Impl::HandleIngress(ServerExchange& exchange)
@@ -293,6 +299,7 @@
   auto root = options_.routesByFleet ? AdmitFleetRoot(exchange, ended) : AdmitRoot(exchange, ended);
   if (root) {
     result = RunRoot(exchange, root.value());
+    ended.isUpstreamError = root.value().gotServerError;
   } else {
     result = boost::outcome_v2::failure(root.error());
   }
@@ -393,7 +400,7 @@
   if (!thresholds_.AdmitsCall(
         ownClass, { request.service, request.requestClass->name }, parent.value())) {
     hops_.NoteRefusedCall(parent.value().hopId);
-    return NotRun(503, Reason::Overloaded, "the called service is overloaded", kOverloadRetryAfter);
+    return RefuseAsOverloaded("the called service is overloaded");
   }
   RequestBody body(
     exchange.RequestBody(), exchange.RequestBodyLength(), request.requestClass->maxBodyBytes);
@@ -487,9 +494,9 @@
   impl_->HandleEgress(exchange);
 }
 
-detail::TokenCallCounts RequestPipeline::TokenCalls() const
+PipelineFigures RequestPipeline::Figures() const
 {
-  return impl_->TokenCalls();
+  return impl_->Figures();
 }
 
 } // namespace acp
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -61,7 +61,7 @@
     if (body_.IsEnded() && framing_.keepAlive && !aborted_) {
       pool_->GiveBack(std::move(connection_));
     } else {
-      pool_->Drop(std::move(connection_));
+      pool_->Drop(std::move(connection_), WhyDropped());
     }
   }
 
@@ -91,6 +91,14 @@
   }
 
 private:
+  [[nodiscard]] ConnectionEvent WhyDropped() const
+  {
+    if (aborted_) {
+      return ConnectionEvent::Cancelled;
+    }
+    return body_.IsEnded() ? ConnectionEvent::NotKept : ConnectionEvent::Unread;
+  }
+
   /// A connection whose answer has been read whole stays in the pool.
   void EndUnread()
   {
@@ -158,7 +166,8 @@
         return Finish(std::move(connection), status);
       }
       const bool wasReused = sentBefore > 0;
-      pool_->Drop(std::move(connection));
+      pool_->Drop(std::move(connection),
+                  wasReused ? ConnectionEvent::Stale : ConnectionEvent::Broken);
       if (!wasReused) {
         return Fail(TransportErrorCode::Unreachable, Where() + ": closed before anything was sent");
       }
@@ -299,13 +308,16 @@
     if (status == IoStatus::TimedOut && !isCancelled) {
       pool_->NoteSilence(*connection);
     }
-    pool_->Drop(std::move(connection));
     TransportErrorCode code = TransportErrorCode::ConnectionLost;
+    ConnectionEvent why = ConnectionEvent::Broken;
     if (isCancelled) {
       code = TransportErrorCode::Cancelled;
+      why = ConnectionEvent::Cancelled;
     } else if (status == IoStatus::TimedOut) {
       code = TransportErrorCode::Timeout;
+      why = ConnectionEvent::TimedOut;
     }
+    pool_->Drop(std::move(connection), why);
     return Fail(code, Where() + ": " + what);
   }
 
--- a/src/transport/pool_core.cpp
+++ b/src/transport/pool_core.cpp
@@ -65,7 +65,7 @@
       if (IsUsable(*connection)) {
         return connection;
       }
-      Drop(std::move(connection));
+      Drop(std::move(connection), ConnectionEvent::Stale);
       lock.lock();
       continue;
     }
@@ -134,10 +134,12 @@
       throw Poco::Net::NetException(std::generic_category().message(error));
     }
     auto connection = std::make_unique<PooledConnection>(socket);
+    Count(ConnectionEvent::Opened);
     const std::lock_guard lock(mutex_);
     inUse_.insert(connection.get());
     return connection;
   } catch (const Poco::Exception& e) {
+    Count(ConnectionEvent::OpenFailed);
     Forget(nullptr);
     return Fail(TransportErrorCode::Unreachable,
                 options_.address.ToString() + ": " + e.displayText());
@@ -159,8 +161,9 @@
   }
 }
 
-void PoolCore::Drop(ConnectionPtr connection)
+void PoolCore::Drop(ConnectionPtr connection, ConnectionEvent why)
 {
+  Count(why);
   Forget(connection.get());
 }
 
@@ -174,6 +177,13 @@
   }
 }
 
+void PoolCore::Count(ConnectionEvent event, std::uint64_t count) const
+{
+  if (options_.counts) {
+    options_.counts->Add(event, count);
+  }
+}
+
 void PoolCore::NoteSilence(const PooledConnection& connection)
 {
   const std::lock_guard lock(mutex_);
@@ -192,6 +202,7 @@
     return idle->io.LastReceive() <= silentSince;
   });
   open_ -= static_cast<int>(closed);
+  Count(ConnectionEvent::Silent, closed);
   silentSince_.reset();
 }
 
@@ -203,9 +214,11 @@
     return now - idle->lastUsed > options_.maxIdle || idle->io.HasInput();
   });
   open_ -= static_cast<int>(closed);
+  Count(ConnectionEvent::Stale, closed);
   if (sentinel_ && (now - sentinel_->lastUsed > kSentinelIdle || sentinel_->io.HasInput())) {
     sentinel_.reset();
     --open_;
+    Count(ConnectionEvent::Stale);
   }
 }
 
@@ -252,9 +265,11 @@
   const std::lock_guard lock(mutex_);
   const auto closed = std::erase_if(idle_, [&](const ConnectionPtr& idle) { return isOld(*idle); });
   open_ -= static_cast<int>(closed);
+  Count(ConnectionEvent::Silent, closed);
   if (sentinel_ && isOld(*sentinel_)) {
     sentinel_.reset();
     --open_;
+    Count(ConnectionEvent::Silent);
   }
   for (auto* connection : inUse_) {
     if (isOld(*connection)) {
--- a/src/transport/pool_keeper.cpp
+++ b/src/transport/pool_keeper.cpp
@@ -58,7 +58,7 @@
   auto& pool = *heartbeat.pool;
   auto fresh = pool.Open(SteadyNow() + kConnectTime);
   if (!fresh) {
-    pool.Drop(std::move(heartbeat.connection));
+    pool.Drop(std::move(heartbeat.connection), ConnectionEvent::Silent);
     return;
   }
   const TimePoint opened = fresh.value()->io.CreatedAt();
@@ -68,7 +68,7 @@
   if (AwaitHeartbeat(*heartbeat.connection, late) == IoStatus::Ok) {
     pool.EndHeartbeat(std::move(heartbeat.connection));
   } else {
-    pool.Drop(std::move(heartbeat.connection));
+    pool.Drop(std::move(heartbeat.connection), ConnectionEvent::Silent);
     if (answers) {
       Log(LogLevel::Warning,
           "silent_connections_retired",
@@ -79,7 +79,7 @@
   if (answers) {
     pool.EndHeartbeat(std::move(fresh).value());
   } else {
-    pool.Drop(std::move(fresh).value());
+    pool.Drop(std::move(fresh).value(), ConnectionEvent::Silent);
   }
 }
 
@@ -92,7 +92,7 @@
       if (SendHeartbeat(*connection, *pool)) {
         sent.push_back({ .pool = pool, .connection = std::move(connection), .sentAt = now });
       } else {
-        pool->Drop(std::move(connection));
+        pool->Drop(std::move(connection), ConnectionEvent::Stale);
       }
     }
   }
@@ -112,7 +112,9 @@
     } else if (status == IoStatus::TimedOut && !isKnown) {
       silent.push_back(std::move(heartbeat));
     } else {
-      heartbeat.pool->Drop(std::move(heartbeat.connection));
+      const bool isSilent = status == IoStatus::TimedOut;
+      heartbeat.pool->Drop(std::move(heartbeat.connection),
+                           isSilent ? ConnectionEvent::Silent : ConnectionEvent::Stale);
     }
   }
   return silent;
@@ -179,7 +181,7 @@
       if (SteadyNow() - start < kAnswerTime + kProbeBudget) {
         ProbeSilent(std::move(silent));
       } else {
-        silent.pool->Drop(std::move(silent.connection));
+        silent.pool->Drop(std::move(silent.connection), ConnectionEvent::Silent);
       }
     }
     pools.clear();
--- a/tests/transport_test/client_failure_test.cpp
+++ b/tests/transport_test/client_failure_test.cpp
@@ -347,4 +347,46 @@
   BOOST_TEST(pool.OpenConnections() == 0);
 }
 
+// Guards against connections that are lost without a trace of who ended them.
+BOOST_AUTO_TEST_CASE(closed_connections_are_counted_by_their_reason)
+{
+  std::stop_source caller;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    auto silent = socket.acceptConnection();
+    Take(silent);
+    auto left = socket.acceptConnection();
+    Take(left);
+    caller.request_stop();
+    auto unread = socket.acceptConnection();
+    Take(unread);
+    Give(unread, Answer("never read"));
+    auto notKept = socket.acceptConnection();
+    Take(notKept);
+    Give(notKept, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    auto broken = socket.acceptConnection();
+    Take(broken);
+    Give(broken, Answer("once"));
+    Take(broken);
+  });
+  const auto counts = std::make_shared<acp::ConnectionCounts>();
+  acp::HttpPool pool({ .address = server.Where(), .counts = counts });
+  BOOST_TEST(Get(pool, { .timeout = std::chrono::milliseconds(20) }) == "timeout");
+  BOOST_TEST(Get(pool, { .timeout = kTimeout, .callerGone = caller.get_token() }) == "cancelled");
+  acp::StringBody empty("");
+  BOOST_TEST(pool.Send({ .method = "GET", .target = "/" }, empty, 0, kTimeout).has_value());
+  BOOST_TEST(Get(pool) == "");
+  BOOST_TEST(Get(pool) == "once");
+  BOOST_TEST(Get(pool) == "connection_lost");
+  using acp::ConnectionEvent;
+  BOOST_TEST(counts->Of(ConnectionEvent::Opened) == 5U);
+  for (const auto event : { ConnectionEvent::TimedOut,
+                            ConnectionEvent::Cancelled,
+                            ConnectionEvent::Unread,
+                            ConnectionEvent::NotKept,
+                            ConnectionEvent::Broken }) {
+    BOOST_TEST(counts->Of(event) == 1U, acp::NameOf(event));
+  }
+  BOOST_TEST(counts->Of(ConnectionEvent::Stale) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
