--- a/include/acaciapulley/node/detail/peer_client.hpp
+++ b/include/acaciapulley/node/detail/peer_client.hpp
@@ -24,6 +24,7 @@
   const Clock* clock = nullptr;
   const ContextSigner* signer = nullptr;
   MemberTable* members = nullptr;
+  std::shared_ptr<ConnectionCounts> connections; ///< may be null
   PipelineGuards guards;
 };
 
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -19,6 +19,7 @@
 
 using detail::AttemptEnd;
 using detail::Audience;
+using detail::DispatchEnd;
 using detail::PendingCall;
 using detail::RequestBody;
 using detail::ResolvedRequest;
@@ -30,6 +31,11 @@
 constexpr double kUsableShare = 0.95;
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
 
+auto RefuseAsOverloaded(const char* message)
+{
+  return NotRun(503, Reason::Overloaded, message, kOverloadRetryAfter);
+}
+
 } // namespace
 
 class RequestPipeline::Impl
@@ -42,7 +48,10 @@
   void HandleEgress(ServerExchange& exchange);
   void Announce(const Announcement& announcement);
 
-  [[nodiscard]] detail::TokenCallCounts TokenCalls() const { return tokens_.CallCounts(); }
+  [[nodiscard]] PipelineFigures Figures() const
+  {
+    return { tokens_.CallCounts(), gate_.Figures() };
+  }
 
 private:
   using TokenPtr = std::shared_ptr<detail::TokenClient::Token>;
@@ -51,7 +60,7 @@
   /// Tells the gate how long the present message has waited for this node's processor.
   void NoteDelay();
   OrRefusal<TokenPtr> TakeToken(const ServerExchange& exchange, const Root& root);
-  OrRefusal<void> RunRoot(ServerExchange& exchange, const Root& root);
+  DispatchEnd RunRoot(ServerExchange& exchange, const Root& root);
   OrRefusal<void> RunPeerCall(ServerExchange& exchange);
   OrRefusal<void> RunNestedCall(ServerExchange& exchange);
   OrRefusal<void> RunOpenCall(ServerExchange& exchange, const ResolvedRequest& request);
@@ -115,6 +124,7 @@
   , peers_({ .clock = options_.clock,
              .signer = &signer_,
              .members = options_.members,
+             .connections = options_.peerConnections,
              .guards = options_.guards })
   , dispatcher_({ .nodeId = options_.nodeId,
                   .epoch = options_.epoch,
@@ -142,7 +152,7 @@
   return tokens_.Take(*root.limit, exchange.CallerGone());
 }
 
-OrRefusal<void> RequestPipeline::Impl::RunRoot(ServerExchange& exchange, const Root& root)
+DispatchEnd RequestPipeline::Impl::RunRoot(ServerExchange& exchange, const Root& root)
 {
   const bool hasParent = !root.parentClass.empty();
   auto& thresholds = hasParent ? runThresholds_ : entryThresholds_;
@@ -152,12 +162,12 @@
     exchange.RequestBody(), exchange.RequestBodyLength(), root.request.requestClass->maxBodyBytes);
   auto prefetched = body.Prefetch();
   if (!prefetched) {
-    return prefetched;
+    return { .result = prefetched };
   }
   // Not before the body is there, so that a slow caller holds no token.
   const auto token = TakeToken(exchange, root);
   if (!token) {
-    return boost::outcome_v2::failure(token.error());
+    return { .result = boost::outcome_v2::failure(token.error()) };
   }
   PendingCall call{ .exchange = exchange,
                     .request = root.request,
@@ -171,7 +181,7 @@
   if (token.value()) {
     call.commitToken = [&token] { return token.value()->Commit(); };
   }
-  return dispatcher_.Run(call, root.context).result;
+  return dispatcher_.Run(call, root.context);
 }
 
 void RequestPipeline::Impl::NoteDelay()
@@ -190,7 +200,9 @@
   NoteDelay();
   const auto root = admission_.Admit(exchange, ended);
   if (root) {
-    result = RunRoot(exchange, root.value());
+    const DispatchEnd end = RunRoot(exchange, root.value());
+    result = end.result;
+    ended.isUpstreamError = end.gotServerError;
   } else {
     result = boost::outcome_v2::failure(root.error());
   }
@@ -264,7 +276,7 @@
   // The call may belong to a request whose context the upstream left out; a budget of its own would
   // multiply that request's retries.
   root.context.retriesLeft = 0;
-  return RunRoot(exchange, root);
+  return RunRoot(exchange, root).result;
 }
 
 OrRefusal<void> RequestPipeline::Impl::RunNestedCall(ServerExchange& exchange)
@@ -290,7 +302,7 @@
   if (!runThresholds_.AdmitsCall(
         ownClass, { request.service, request.requestClass->name }, parent.value())) {
     hops_.NoteRefusedCall(parent.value().hopId);
-    return NotRun(503, Reason::Overloaded, "the called service is overloaded", kOverloadRetryAfter);
+    return RefuseAsOverloaded("the called service is overloaded");
   }
   RequestBody body(
     exchange.RequestBody(), exchange.RequestBodyLength(), request.requestClass->maxBodyBytes);
@@ -386,9 +398,9 @@
   impl_->HandleEgress(exchange);
 }
 
-detail::TokenCallCounts RequestPipeline::TokenCalls() const
+PipelineFigures RequestPipeline::Figures() const
 {
-  return impl_->TokenCalls();
+  return impl_->Figures();
 }
 
 } // namespace acp
