Tell answers on a kept connection to an upstream apart by their id

Callers were told "not run, try again" (503) for a request that an upstream had run (REFUSED), or the request ran at a second upstream as well (TWICE), after the first upstream had written an earlier refusal once more.

Cause: an answer without id, and one with an id that had been sent on the connection before, belonged to a request by its place on the connection only. A look for input before a connection is handed out does not help: the second copy may arrive after it.

HttpTranslation::idField names the field that answers echo. A connection of such a pool carries no id twice, so that an id on it names one try. An answer without id counts only as the first one on its connection, where it can be about nothing else, and the connection is closed after it; later ones end the connection and leave open whether the request ran: 502, no second upstream for a request that is not idempotent. Refusals with the request's id, which is what upstreams that are full send, keep their connection, so that overload costs no connections. A connection remembers up to 512 ids (4 KiB) and is closed then: one connection more for 512 requests.

--- a/include/acaciapulley/transport/detail/pool_core.hpp
+++ b/include/acaciapulley/transport/detail/pool_core.hpp
@@ -4,12 +4,15 @@
 /// The connections of one HttpPool: which are idle, in use, or to be retired.
 
 #include <condition_variable> // condition_variable
+#include <cstddef>            // size_t
 #include <deque>              // deque
+#include <functional>         // hash
 #include <memory>             // enable_shared_from_this, unique_ptr
 #include <mutex>              // mutex
 #include <optional>           // optional
 #include <set>                // set
 #include <stop_token>         // stop_token
+#include <string>             // string
 #include <thread>             // thread
 #include <vector>             // vector
 
@@ -22,6 +25,26 @@
 
 namespace acp::detail {
 
+/// Ids of the requests that a connection has carried; a late answer to one of them may still come.
+class CarriedIds
+{
+public:
+  /// @brief Notes an id that is about to be sent.
+  void Add(const std::string& id) { hashes_.push_back(std::hash<std::string>{}(id)); }
+
+  /// @brief Returns whether an id has been sent. Two ids with one hash count as the same.
+  [[nodiscard]] bool Contain(const std::string& id) const;
+
+  /// @brief Returns whether no further id may be added, which bounds memory and search.
+  [[nodiscard]] bool IsFull() const { return hashes_.size() >= kMaxIds; }
+
+private:
+  // A new connection for as many requests costs little against them.
+  static constexpr std::size_t kMaxIds = 512;
+
+  std::vector<std::size_t> hashes_;
+};
+
 /// A connection of a pool and when it last carried a request.
 struct PooledConnection
 {
@@ -33,6 +56,7 @@
 
   HttpConnection io;
   TimePoint lastUsed;
+  CarriedIds ids;
 };
 
 /// Bookkeeping of a pool's connections. Calls may come from any thread.
--- a/include/acaciapulley/transport/http_client.hpp
+++ b/include/acaciapulley/transport/http_client.hpp
@@ -8,6 +8,7 @@
 #include <functional> // function
 #include <memory>     // shared_ptr, unique_ptr
 #include <stop_token> // stop_token
+#include <string>     // string
 
 #include "acaciapulley/core/clock.hpp"                // Duration
 #include "acaciapulley/transport/address.hpp"         // Address
@@ -54,6 +55,10 @@
   /// Called with each answer; false ends the call with ConnectionLost, since the answer does not
   /// belong to the request. May be empty.
   std::function<bool(const HttpRequestHead& request, HttpResponseHead& answer)> answer;
+  /// Field with a request's id, which answers echo. A connection carries no id twice, and an answer
+  /// without it counts only as the first one on its connection, which is closed after it. Empty:
+  /// answers belong to requests by their order alone.
+  std::string idField;
 };
 
 /// Construction options of an HttpPool.
@@ -92,7 +97,7 @@
 /// Connections to one address; the most recently used one is taken first.
 ///
 /// A connection whose exchange did not end cleanly is closed, so that no answer reaches another
-/// request.
+/// request. See HttpTranslation::idField for peers that may send an answer more than once.
 class HttpPool
 {
 public:
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -125,8 +125,12 @@
     , options_(options)
     , deadline_(SteadyNow() + options.timeout)
   {
-    if (const auto& translate = pool_->Options().translation.request) {
-      translate(head_);
+    const auto& translation = pool_->Options().translation;
+    if (translation.request) {
+      translation.request(head_);
+    }
+    if (IdentifiesAnswers()) {
+      id_ = head_.headers.Find(translation.idField);
     }
   }
 
@@ -143,7 +147,7 @@
     // A reused connection may have been closed by the peer a moment ago. Another one is tried as
     // long as the kernel has taken no byte.
     while (true) {
-      auto acquired = pool_->Acquire(deadline_, options_);
+      auto acquired = AcquireWithoutId();
       if (!acquired) {
         return boost::outcome_v2::failure(acquired.error());
       }
@@ -153,11 +157,15 @@
         return Fail(TransportErrorCode::Abandoned, Where() + ": the caller left; not sent");
       }
       const std::uint64_t sentBefore = connection->io.SentBytes();
+      const bool wasReused = sentBefore > 0;
+      isFirst_ = !wasReused;
+      if (id_) {
+        connection->ids.Add(*id_);
+      }
       const IoStatus status = connection->io.Write(start, first_, deadline_);
       if (status == IoStatus::Ok || connection->io.SentBytes() != sentBefore) {
         return Finish(std::move(connection), status);
       }
-      const bool wasReused = sentBefore > 0;
       pool_->Drop(std::move(connection));
       if (!wasReused) {
         return Fail(TransportErrorCode::Unreachable, Where() + ": closed before anything was sent");
@@ -178,6 +186,23 @@
     return options_.isFollowedToEnd ? std::stop_token() : options_.callerGone;
   }
 
+  [[nodiscard]] bool IdentifiesAnswers() const
+  {
+    return !pool_->Options().translation.idField.empty();
+  }
+
+  /// Takes a connection on which a late answer to an earlier try of the request cannot arrive.
+  TransportResult<PoolCore::ConnectionPtr> AcquireWithoutId()
+  {
+    while (true) {
+      auto acquired = pool_->Acquire(deadline_, options_);
+      if (!acquired || !id_ || !acquired.value()->ids.Contain(*id_)) {
+        return acquired;
+      }
+      pool_->Drop(std::move(acquired).value());
+    }
+  }
+
   [[nodiscard]] std::string Where() const { return pool_->Options().address.ToString(); }
 
   /// Reads a small body whole, so that it goes out in one packet with its head.
@@ -281,11 +306,20 @@
     if (answer.status != IoStatus::Ok) {
       return Lose(std::move(connection), answer.status, answer.wrong);
     }
-    const auto& translate = pool_->Options().translation.answer;
-    if (translate && !translate(head_, answer.head)) {
+    const auto& translation = pool_->Options().translation;
+    const bool isIdentified =
+      IdentifiesAnswers() && answer.head.headers.Find(translation.idField).has_value();
+    if (translation.answer && !translation.answer(head_, answer.head)) {
       return Lose(std::move(connection), IoStatus::Failed, "an answer to another request");
     }
-    answer.framing.keepAlive = answer.framing.keepAlive && sentWhole;
+    if (IdentifiesAnswers() && !isIdentified && !isFirst_) {
+      return Lose(std::move(connection),
+                  IoStatus::Failed,
+                  "an answer without id after others on its connection");
+    }
+    // Another copy of an answer without id could not be told from the answer to the next request.
+    const bool mayCarryMore = !IdentifiesAnswers() || (isIdentified && !connection->ids.IsFull());
+    answer.framing.keepAlive = answer.framing.keepAlive && sentWhole && mayCarryMore;
     pool_->NoteAnswer(*connection);
     return ExchangePtr(std::make_unique<PooledExchange>(
       pool_, std::move(connection), std::move(answer.head), answer.framing, options_));
@@ -315,7 +349,9 @@
   std::int64_t bodyLength_;
   const SendOptions& options_;
   TimePoint deadline_;
-  std::string first_; ///< first part of the body
+  std::optional<std::string> id_; ///< see HttpTranslation::idField
+  bool isFirst_ = false;          ///< nothing was sent before it on its connection
+  std::string first_;             ///< first part of the body
   bool isWhole_ = false;
 };
 
--- a/src/transport/pool_core.cpp
+++ b/src/transport/pool_core.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/transport/detail/pool_core.hpp"
 
-#include <algorithm>    // max, min
+#include <algorithm>    // find, max, min
 #include <system_error> // generic_category
 #include <utility>      // move
 
@@ -24,6 +24,12 @@
 
 } // namespace
 
+bool CarriedIds::Contain(const std::string& id) const
+{
+  const auto hash = std::hash<std::string>{}(id);
+  return std::find(hashes_.begin(), hashes_.end(), hash) != hashes_.end();
+}
+
 int PoolCore::OpenConnections() const
 {
   const std::lock_guard lock(mutex_);
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -346,6 +346,7 @@
 
 TestNode::TestNode(const TestNodeOptions& options)
   : options_(options)
+  , upstream_(options.translationFor)
   , pipeline_({ .nodeId = options.id,
                 .epoch = 1,
                 .dataCentre = "d1",
@@ -430,10 +431,15 @@
 
 int TestNode::Announce(bool isDraining)
 {
-  const std::string body =
-    R"({"service":")" + options_.service + R"(","address":"127.0.0.1:)" +
-    std::to_string(options_.upstream->Port()) + R"(","slots":)" + std::to_string(options_.slots) +
-    R"(,"max_connections":100,"draining":)" + (isDraining ? "true}" : "false}");
+  return AnnounceAt(options_.upstream->Port(), isDraining);
+}
+
+int TestNode::AnnounceAt(std::uint16_t port, bool isDraining)
+{
+  const std::string body = R"({"service":")" + options_.service + R"(","address":"127.0.0.1:)" +
+                           std::to_string(port) + R"(","slots":)" + std::to_string(options_.slots) +
+                           R"(,"max_connections":100,"draining":)" +
+                           (isDraining ? "true}" : "false}");
   return Fetch(Egress(), { .method = "PUT", .target = "/.acp/upstream" }, body).status;
 }
 
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -123,6 +123,7 @@
   PipelineGuards guards;
   int slots = 100;            ///< announced for the upstream
   bool routesByFleet = false; ///< see FleetOrder() and FleetRead()
+  LocalUpstream::TranslationFor translationFor;
 };
 
 inline constexpr int kRetryBudget = 2;
@@ -157,6 +158,8 @@
 
   void TakeState();
   int Announce(bool isDraining);
+  /// Announces an upstream other than the one of the options.
+  int AnnounceAt(std::uint16_t port, bool isDraining = false);
   [[nodiscard]] std::uint16_t Ingress() const { return ingress_.Port(); }
   [[nodiscard]] std::uint16_t Egress() const { return egress_.Port(); }
   [[nodiscard]] std::uint16_t Peer() const { return peer_.Port(); }
--- /dev/null
+++ b/tests/node_test/repeated_refusals_test.cpp
@@ -0,0 +1,182 @@
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+#include "pipeline_fixture.hpp"
+#include "scripted_upstream.hpp"
+
+namespace {
+
+using namespace acp::test;
+
+constexpr const char* kIdField = "X-Try";
+constexpr const char* kNotRunField = "X-Not-Run";
+
+/// A protocol whose answers echo the id of their request.
+acp::HttpTranslation EchoedIds()
+{
+  return { .answer =
+             [](const acp::HttpRequestHead& request, acp::HttpResponseHead& answer) {
+               const auto echoed = answer.headers.Find(kIdField);
+               const bool isRefusal = answer.headers.Find(kNotRunField).has_value();
+               if (isRefusal) {
+                 answer.status = 503;
+                 answer.headers.Set("Acp-Outcome", "not-run");
+               }
+               return echoed ? echoed == request.headers.Find(kIdField) : isRefusal;
+             },
+           .idField = kIdField };
+}
+
+std::string EchoOf(const acp::HttpRequestHead& head)
+{
+  return std::string(kIdField) + ": " + head.headers.Find(kIdField).value_or("") + "\r\n";
+}
+
+std::string Refusal(const std::string& fields)
+{
+  return AnswerBytes(503, std::string(kNotRunField) + ": 1\r\n" + fields, "");
+}
+
+acp::HttpRequestHead WithId(acp::HttpRequestHead head, const std::string& id)
+{
+  head.headers.Set(kIdField, id);
+  return head;
+}
+
+/// Refuses the first request of a connection and runs the others, before whose answers it writes
+/// that refusal once more. The first connection alone begins with a refusal.
+std::string RefuseTwice(const ScriptedRequest& request, const std::string& refusal)
+{
+  std::string answer = AnswerBytes(200, EchoOf(request.head), "ran");
+  if (request.connection > 1) {
+    return answer;
+  }
+  return request.place == 1 ? refusal : refusal + answer;
+}
+
+enum class Hops
+{
+  Upstream,       ///< the node that the caller asks is beside the upstream
+  PeerAndUpstream ///< it asks a peer
+};
+
+/// A node beside a scripted upstream, one beside a sound upstream, and one without.
+struct Fleet
+{
+  explicit Fleet(std::function<std::string(const ScriptedRequest&)> script,
+                 const acp::HttpTranslation& translation = EchoedIds())
+    : faulty(std::move(script))
+    , beside({ .control = &control,
+               .routesByFleet = true,
+               .translationFor = [translation](const auto&) { return translation; } })
+    , other({ .id = "n2", .control = &control, .upstream = &sound, .routesByFleet = true })
+    , far({ .id = "n3", .service = "back", .control = &control, .routesByFleet = true })
+  {
+    beside.AnnounceAt(faulty.Port());
+    beside.Learn({ &beside });
+    far.Learn({ &beside });
+  }
+
+  /// The sound upstream can be asked from now on, if the faulty one does not serve a request.
+  void AddOther() { beside.Learn({ &beside, &other }); }
+
+  TestNode& Entry(Hops hops) { return hops == Hops::Upstream ? beside : far; }
+
+  FakeControl control;
+  ScriptedUpstream faulty;
+  FakeUpstream sound;
+  TestNode beside;
+  TestNode other;
+  TestNode far;
+};
+
+constexpr std::array kAllHops = { Hops::Upstream, Hops::PeerAndUpstream };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(repeated_refusals)
+
+BOOST_AUTO_TEST_CASE(refusal_without_id_is_not_told_to_the_next_caller_whose_request_ran)
+{
+  for (const auto hops : kAllHops) {
+    Fleet fleet([](const auto& request) { return RefuseTwice(request, Refusal("")); });
+    const auto port = fleet.Entry(hops).Ingress();
+    BOOST_TEST(Fetch(port, WithId(FleetOrder("first"), "1")).outcome == "not-run");
+    const Answer second = Fetch(port, WithId(FleetOrder("second"), "2"));
+    BOOST_TEST(fleet.faulty.Arrivals("second") == 1);
+    BOOST_TEST(second.outcome == "ran");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refusal_without_id_does_not_send_an_order_that_ran_to_a_second_upstream)
+{
+  Fleet fleet([](const auto& request) { return RefuseTwice(request, Refusal("")); });
+  Fetch(fleet.beside.Ingress(), WithId(FleetOrder("first"), "1"));
+  fleet.AddOther();
+  Fetch(fleet.beside.Ingress(), WithId(FleetOrder("second"), "2"));
+  BOOST_TEST(fleet.faulty.Arrivals("second") == 1);
+  BOOST_TEST(fleet.sound.Runs("second") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(refusal_of_an_earlier_try_is_not_told_to_a_caller_whose_later_try_ran)
+{
+  for (const auto hops : kAllHops) {
+    Fleet fleet(
+      [](const auto& request) { return RefuseTwice(request, Refusal(EchoOf(request.head))); });
+    const auto port = fleet.Entry(hops).Ingress();
+    BOOST_TEST(Fetch(port, WithId(FleetOrder("first"), "1")).outcome == "not-run");
+    BOOST_TEST(Fetch(port, WithId(FleetOrder("again"), "1")).outcome == "ran");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refusal_of_an_earlier_try_does_not_send_an_order_that_ran_to_a_second_upstream)
+{
+  Fleet fleet(
+    [](const auto& request) { return RefuseTwice(request, Refusal(EchoOf(request.head))); });
+  Fetch(fleet.beside.Ingress(), WithId(FleetOrder("first"), "1"));
+  fleet.AddOther();
+  Fetch(fleet.beside.Ingress(), WithId(FleetOrder("again"), "1"));
+  BOOST_TEST(fleet.faulty.Arrivals("again") == 1);
+  BOOST_TEST(fleet.sound.Runs("again") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(late_refusal_without_id_leaves_open_whether_a_request_ran)
+{
+  const auto script = [](const ScriptedRequest& request) {
+    const std::string answer = AnswerBytes(200, EchoOf(request.head), "ran");
+    return request.place == 1 ? answer : Refusal("") + answer;
+  };
+  for (const auto hops : kAllHops) {
+    Fleet fleet(script);
+    const auto port = fleet.Entry(hops).Ingress();
+    BOOST_TEST(Fetch(port, WithId(FleetOrder("first"), "1")).outcome == "ran");
+    const Answer order = Fetch(port, WithId(FleetOrder("second"), "2"));
+    BOOST_TEST(order.outcome == "unknown");
+    BOOST_TEST(order.status == 502);
+    BOOST_TEST(fleet.faulty.Arrivals("second") == 1);
+  }
+  Fleet fleet(script);
+  fleet.AddOther();
+  const auto port = fleet.beside.Ingress();
+  Fetch(port, WithId(FleetRead("first"), "1"));
+  BOOST_TEST(Fetch(port, WithId(FleetOrder("second"), "2")).outcome == "unknown");
+  BOOST_TEST(fleet.sound.Runs("second") == 0);
+  Fetch(port, WithId(FleetRead("third"), "3"));
+  const Answer read = Fetch(port, WithId(FleetRead("fourth"), "4"));
+  BOOST_TEST(read.outcome == "ran");
+  BOOST_TEST(fleet.sound.Runs("fourth") == 1);
+}
+
+// Guards against a new connection for each refusal, which under overload adds to the load.
+BOOST_AUTO_TEST_CASE(refusals_that_name_their_request_keep_the_connection)
+{
+  Fleet fleet([](const auto& request) { return Refusal(EchoOf(request.head)); });
+  for (int i = 0; i < 20; ++i) {
+    const auto id = std::to_string(i);
+    BOOST_TEST(Fetch(fleet.beside.Ingress(), WithId(FleetOrder(id), id)).outcome == "not-run");
+  }
+  BOOST_TEST(fleet.faulty.Connections() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/node_test/scripted_upstream.cpp
@@ -0,0 +1,122 @@
+#include "scripted_upstream.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <Poco/Exception.h>
+
+#include "acaciapulley/transport/detail/http_framing.hpp"
+
+namespace acp::test {
+
+namespace {
+
+/// Reads the next head off @p received, receiving as much as it needs.
+bool ReadHead(Poco::Net::StreamSocket& socket, std::string& received, HttpRequestHead& head)
+{
+  std::size_t end = received.find("\r\n\r\n");
+  while (end == std::string::npos) {
+    std::array<char, 4096> buffer{};
+    const int count = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    if (count <= 0) {
+      return false;
+    }
+    received.append(buffer.data(), static_cast<std::size_t>(count));
+    end = received.find("\r\n\r\n");
+  }
+  detail::MessageFraming framing;
+  const bool isValid = !detail::ParseRequestHead(received.substr(0, end + 4), &head, &framing);
+  received.erase(0, end + 4);
+  return isValid;
+}
+
+} // namespace
+
+std::string AnswerBytes(int status, const std::string& fields, const std::string& body)
+{
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+ScriptedUpstream::ScriptedUpstream(std::function<std::string(const ScriptedRequest&)> script)
+  : script_(std::move(script))
+  , listener_(Poco::Net::SocketAddress("127.0.0.1", 0))
+  , acceptor_([this] { Accept(); })
+{
+}
+
+ScriptedUpstream::~ScriptedUpstream()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  // Wakes the acceptor, which then sees that it has to stop.
+  Poco::Net::StreamSocket(Poco::Net::SocketAddress("127.0.0.1", Port())).close();
+  acceptor_.join();
+  for (auto& socket : sockets_) {
+    try {
+      socket.shutdown();
+    } catch (const Poco::Exception&) {
+      continue; // closed already
+    }
+  }
+  for (auto& server : servers_) {
+    server.join();
+  }
+}
+
+int ScriptedUpstream::Connections() const
+{
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(servers_.size());
+}
+
+int ScriptedUpstream::Arrivals(const std::string& name) const
+{
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(
+    std::count_if(targets_.begin(), targets_.end(), [&name](const auto& target) {
+      return target.ends_with(name);
+    }));
+}
+
+void ScriptedUpstream::Accept()
+{
+  while (true) {
+    const Poco::Net::StreamSocket socket = listener_.acceptConnection();
+    const std::lock_guard lock(mutex_);
+    if (stopping_) {
+      return;
+    }
+    sockets_.push_back(socket);
+    const int connection = static_cast<int>(sockets_.size());
+    servers_.emplace_back([this, socket, connection] { Serve(socket, connection); });
+  }
+}
+
+void ScriptedUpstream::Serve(Poco::Net::StreamSocket socket, int connection)
+{
+  ScriptedRequest request{ .connection = connection };
+  std::string received;
+  try {
+    while (ReadHead(socket, received, request.head)) {
+      ++request.place;
+      std::string answer;
+      {
+        const std::lock_guard lock(mutex_);
+        targets_.push_back(request.head.target);
+        answer = script_(request);
+      }
+      if (answer.empty()) {
+        break;
+      }
+      socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
+    }
+    socket.shutdown();
+  } catch (const Poco::Exception&) {
+    return; // the node has closed
+  }
+}
+
+} // namespace acp::test
--- /dev/null
+++ b/tests/node_test/scripted_upstream.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "acaciapulley/transport/http_message.hpp"
+
+namespace acp::test {
+
+/// A request as an upstream sees it on one of its connections.
+struct ScriptedRequest
+{
+  HttpRequestHead head;
+  int connection = 0; ///< from 1 on, in the order of their arrival
+  int place = 0;      ///< from 1 on, among the requests of the connection
+};
+
+/// An upstream that answers with the bytes its script returns, so that it may send what no server
+/// should. Requests must have no body.
+class ScriptedUpstream
+{
+public:
+  /// @param script called under a lock; an empty text closes the connection
+  explicit ScriptedUpstream(std::function<std::string(const ScriptedRequest&)> script);
+  ScriptedUpstream(const ScriptedUpstream&) = delete;
+  ScriptedUpstream& operator=(const ScriptedUpstream&) = delete;
+  ~ScriptedUpstream();
+
+  [[nodiscard]] std::uint16_t Port() const { return listener_.address().port(); }
+  [[nodiscard]] int Connections() const;
+  /// Requests whose target ends with @p name.
+  [[nodiscard]] int Arrivals(const std::string& name) const;
+
+private:
+  void Accept();
+  void Serve(Poco::Net::StreamSocket socket, int connection);
+
+  std::function<std::string(const ScriptedRequest&)> script_;
+  mutable std::mutex mutex_;
+  std::vector<std::string> targets_;
+  std::list<Poco::Net::StreamSocket> sockets_;
+  std::list<std::thread> servers_;
+  bool stopping_ = false;
+  Poco::Net::ServerSocket listener_;
+  std::thread acceptor_;
+};
+
+/// @brief Returns the bytes of an answer; @p fields are lines that end with CRLF.
+std::string AnswerBytes(int status, const std::string& fields, const std::string& body);
+
+} // namespace acp::test
--- a/tests/platform_test/translation_test.cpp
+++ b/tests/platform_test/translation_test.cpp
@@ -131,6 +131,12 @@
   BOOST_TEST(!answer.headers.Find(acp::detail::kOutcomeHeader).has_value());
 }
 
+// Guards against an earlier refusal that is taken for this request's; see HttpTranslation::idField.
+BOOST_AUTO_TEST_CASE(connections_to_upstreams_tell_answers_apart_by_the_request_id)
+{
+  BOOST_TEST(TranslationFor({}).idField == kRequestIdField);
+}
+
 // Guards against a retry that is not made although the upstream has not run the request.
 BOOST_AUTO_TEST_CASE(only_the_upstreams_own_word_counts_as_not_run)
 {
--- /dev/null
+++ b/tests/transport_test/answer_ids_test.cpp
@@ -0,0 +1,100 @@
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <string>
+
+#include "acaciapulley/transport/http_client.hpp"
+#include "acaciapulley/transport/http_server.hpp"
+
+namespace {
+
+constexpr acp::Duration kTimeout = std::chrono::seconds(10);
+constexpr const char* kIdField = "X-Try";
+
+enum class Echo
+{
+  Always,
+  Never
+};
+
+/// A server that counts its connections, and a pool that expects ids in its answers.
+class Peers
+{
+public:
+  explicit Peers(Echo echo)
+    : server_(
+        { .address = { .ip = "127.0.0.1", .port = 0 },
+          .handler = [this, echo](acp::ServerExchange& exchange) { Answer(exchange, echo); } })
+    , pool_({ .address = { .ip = "127.0.0.1", .port = server_.Port() },
+              .translation = { .idField = kIdField } })
+  {
+  }
+
+  /// Sends a request with @p id, without one if it is empty.
+  void Send(const std::string& id)
+  {
+    acp::HttpRequestHead head{ .method = "GET", .target = "/" };
+    if (!id.empty()) {
+      head.headers.Set(kIdField, id);
+    }
+    acp::StringBody empty("");
+    const auto sent = pool_.Send(head, empty, 0, kTimeout);
+    BOOST_REQUIRE(sent.has_value());
+    BOOST_TEST(acp::ReadAll(sent.value()->Body(), 1000).value_or("too large") == "answer");
+  }
+
+  [[nodiscard]] int Connections() const { return connections_; }
+
+private:
+  void Answer(acp::ServerExchange& exchange, Echo echo)
+  {
+    connections_ += exchange.IsFirstOnConnection() ? 1 : 0;
+    acp::HttpResponseHead head{ .status = 200 };
+    const auto id = exchange.Request().headers.Find(kIdField);
+    if (id && echo == Echo::Always) {
+      head.headers.Set(kIdField, *id);
+    }
+    exchange.Respond(head, "answer");
+  }
+
+  std::atomic<int> connections_{ 0 };
+  acp::HttpServer server_;
+  acp::HttpPool pool_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(answer_ids)
+
+// Guards against a late answer to an earlier try with the same id.
+BOOST_AUTO_TEST_CASE(an_id_is_not_sent_twice_on_one_connection)
+{
+  Peers peers(Echo::Always);
+  peers.Send("1");
+  peers.Send("2");
+  BOOST_TEST(peers.Connections() == 1);
+  peers.Send("1");
+  BOOST_TEST(peers.Connections() == 2);
+}
+
+// Guards against a second copy of an answer without id, which is read as the next answer.
+BOOST_AUTO_TEST_CASE(a_connection_is_not_used_again_after_an_answer_without_id)
+{
+  Peers peers(Echo::Never);
+  peers.Send("1");
+  peers.Send("2");
+  peers.Send("");
+  BOOST_TEST(peers.Connections() == 3);
+}
+
+// Guards against memory that grows with the age of a connection.
+BOOST_AUTO_TEST_CASE(a_connection_is_closed_before_it_remembers_too_many_ids)
+{
+  Peers peers(Echo::Always);
+  for (int i = 0; i < 600; ++i) {
+    peers.Send(std::to_string(i));
+  }
+  BOOST_TEST(peers.Connections() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
