Name each attempt on the hops of the own protocol, so that a refusal sent twice is noticed

Cause: requests of the own protocol had nothing that an answer could echo.

Each attempt now carries Acp-Attempt, the hop id that it has already. Nodes echo it on the peer listener (HttpServerOptions::echoedField); an answer that names another attempt ends the connection and leaves open whether the request ran. Upstreams may echo it. After a refusal that does not, the connection is closed, so that a second copy meets no request; refusals that do echo it keep the connection.

--- a/include/acaciapulley/node/detail/answer_relay.hpp
+++ b/include/acaciapulley/node/detail/answer_relay.hpp
@@ -45,6 +45,9 @@
 /// @return whether the body is whole
 [[nodiscard]] bool ReadToEnd(BodySource& body);
 
+/// @brief Returns the translation for connections on which answers may echo kAttemptHeader.
+[[nodiscard]] HttpTranslation AttemptEcho();
+
 /// @brief Returns whether the upstream or peer says itself that it did not run the request.
 [[nodiscard]] bool SaysNotRun(const HttpResponseHead& head);
 
--- a/include/acaciapulley/node/detail/headers.hpp
+++ b/include/acaciapulley/node/detail/headers.hpp
@@ -11,6 +11,8 @@
 inline constexpr const char* kIdempotencyKeyHeader = "Idempotency-Key";
 inline constexpr const char* kDeadlineHeader = "Acp-Deadline-Ms";
 inline constexpr const char* kContextHeader = "Acp-Context";
+/// Names one attempt of a request. Peers echo it in answers, upstreams may.
+inline constexpr const char* kAttemptHeader = "Acp-Attempt";
 inline constexpr const char* kOutcomeHeader = "Acp-Outcome";
 inline constexpr const char* kReasonHeader = "Acp-Reason";
 inline constexpr const char* kThresholdHeader = "Acp-Threshold";
--- a/include/acaciapulley/transport/http_client.hpp
+++ b/include/acaciapulley/transport/http_client.hpp
@@ -45,6 +45,23 @@
 
   /// @brief Ends the body as truncated when it is not whole after @p span from now.
   virtual void EndBodyWithin(Duration /*span*/) {}
+
+  /// @brief Returns whether the answer echoes the id of its request; see HttpTranslation::idField.
+  [[nodiscard]] virtual bool IsIdentified() const { return false; }
+
+  /// @brief Has the connection closed at the end of the exchange.
+  virtual void CloseAfterUse() {}
+};
+
+/// Who chooses the ids that tell answers apart.
+enum class IdSource
+{
+  /// An id may repeat and each answer echoes its request's. A connection carries no id twice; an
+  /// answer without it counts only as the first one on its connection, which is closed after it.
+  Caller,
+  /// The sender makes an id for each call. Peers may leave it out; such an answer belongs to its
+  /// request by its place on the connection.
+  Sender
 };
 
 /// Turns the project's header fields into those of another protocol, and back.
@@ -53,12 +70,12 @@
   /// Called with each request before it is sent; may be empty.
   std::function<void(HttpRequestHead& request)> request;
   /// Called with each answer; false ends the call with ConnectionLost, since the answer does not
-  /// belong to the request. May be empty.
+  /// belong to the request. Compares the ids, if there are any. May be empty.
   std::function<bool(const HttpRequestHead& request, HttpResponseHead& answer)> answer;
-  /// Field with a request's id, which answers echo. A connection carries no id twice, and an answer
-  /// without it counts only as the first one on its connection, which is closed after it. Empty:
-  /// answers belong to requests by their order alone.
+  /// Field with a request's id, which answers echo. Empty: answers belong to requests by their
+  /// order alone.
   std::string idField;
+  IdSource idSource = IdSource::Caller;
 };
 
 /// Construction options of an HttpPool.
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -83,6 +83,8 @@
   /// A caller that has kept the server waiting for this long, and for longer than its answer takes
   /// at 64 KiB/s, is disconnected, so that a slow reader does not hold an upstream's slot.
   Duration slowReaderGrace = std::chrono::seconds(5);
+  /// Field of requests that answers echo, so that callers can tell answers apart; empty: none.
+  std::string echoedField;
   std::function<void(const ServedRequest& served)>
     onServed; ///< called after each request; optional
 };
--- a/src/node/answer_relay.cpp
+++ b/src/node/answer_relay.cpp
@@ -91,6 +91,15 @@
   }
 }
 
+HttpTranslation AttemptEcho()
+{
+  const auto isOwn = [](const HttpRequestHead& request, const HttpResponseHead& answer) {
+    const auto echoed = answer.headers.Find(kAttemptHeader);
+    return !echoed || echoed == request.headers.Find(kAttemptHeader);
+  };
+  return { .answer = isOwn, .idField = kAttemptHeader, .idSource = IdSource::Sender };
+}
+
 bool SaysNotRun(const HttpResponseHead& head)
 {
   // Another status may be a nested refusal that the upstream passes on after it ran itself.
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -137,6 +137,7 @@
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers, options_.guards.stripKey);
   const auto forUpstream = options_.hops->Open(context, ClassName(call.request));
   head.headers.Set(kContextHeader, options_.signer->Sign(forUpstream));
+  head.headers.Set(kAttemptHeader, context.hopId);
   const auto remaining = std::chrono::floor<std::chrono::milliseconds>(Remaining(context));
   head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
   if (call.request.isFleetRoute) {
@@ -230,6 +231,10 @@
   const ClosedHop hop = options_.hops->Close(context.hopId);
   const int unused = hop.unusedRetries;
   if (SaysNotRun(upstreamHead)) {
+    if (!answer.IsIdentified()) {
+      // Another copy of the refusal would be read as the answer to the next request.
+      answer.CloseAfterUse();
+    }
     if (admitted.ticket) {
       options_.claims->Release(*admitted.ticket);
     }
--- a/src/node/local_upstream.cpp
+++ b/src/node/local_upstream.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/node/local_upstream.hpp"
 
-#include "acaciapulley/core/json_reader.hpp" // JsonReader
+#include "acaciapulley/core/json_reader.hpp"         // JsonReader
+#include "acaciapulley/node/detail/answer_relay.hpp" // AttemptEcho
 
 namespace acp {
 
@@ -44,7 +45,7 @@
     pool_ = std::make_shared<HttpPool>(HttpPoolOptions{
       .address = announcement.address,
       .maxConnections = announcement.maxConnections,
-      .translation = translationFor_ ? translationFor_(announcement) : HttpTranslation{} });
+      .translation = translationFor_ ? translationFor_(announcement) : detail::AttemptEcho() });
   }
   current_ = announcement;
   current_->draining = current_->draining || stopping_;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -9,6 +9,7 @@
 #include <utility>   // exchange, move
 
 #include "acaciapulley/core/log.hpp"                  // Log
+#include "acaciapulley/node/detail/headers.hpp"       // kAttemptHeader
 #include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
 #include "acaciapulley/node/sync_loop.hpp"            // SyncLoop
 #include "acaciapulley/record/record_counters.hpp"    // RecordCounters
@@ -163,7 +164,7 @@
               .calls = &control_,
               .tokens = &tokenChannel_,
               .hold = kSyncHold })
-    , peer_(Listener("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer))
+    , peer_(Peer(options))
     , admin_({ .address = options.admin,
                .maxConnections = kAdminConnections,
                .handler = [this](ServerExchange& e) { HandleAdmin(e); } })
@@ -234,6 +235,14 @@
                            const ServedRequest& served) { counts->Count(served); } };
   }
 
+  HttpServerOptions Peer(const NodeProcessOptions& options)
+  {
+    HttpServerOptions peer =
+      Listener("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer);
+    peer.echoedField = detail::kAttemptHeader;
+    return peer;
+  }
+
   HttpServerOptions Ingress(const NodeProcessOptions& options)
   {
     HttpServerOptions ingress =
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // clamp
 #include <charconv>  // from_chars
 
-#include "acaciapulley/node/detail/answer_relay.hpp"  // ReadMessage, SaysNotRun
+#include "acaciapulley/node/detail/answer_relay.hpp"  // AttemptEcho, ReadMessage
 #include "acaciapulley/node/detail/headers.hpp"       // kContextHeader
 #include "acaciapulley/node/detail/request_times.hpp" // MillisIn
 
@@ -65,7 +65,8 @@
     pool =
       std::make_shared<HttpPool>(HttpPoolOptions{ .address = address ? address.value() : Address{},
                                                   .maxConnections = kMaxPeerConnections,
-                                                  .sendsHeartbeats = true });
+                                                  .sendsHeartbeats = true,
+                                                  .translation = AttemptEcho() });
   }
   return pool;
 }
@@ -95,6 +96,7 @@
                         .target = "/" + call.request.service + call.request.upstreamTarget };
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers, options_.guards.stripKey);
   head.headers.Set(kContextHeader, options_.signer->Sign(context));
+  head.headers.Set(kAttemptHeader, context.hopId);
   if (call.request.isFleetRoute) {
     head.target = call.request.upstreamTarget;
     head.headers.Set("Host", call.exchange.Request().headers.Find("Host").value_or(""));
--- a/src/programs/acp-upstream/main.cpp
+++ b/src/programs/acp-upstream/main.cpp
@@ -42,7 +42,8 @@
   acp::HttpServer server(
     { .address = settings.GetAddress("listen"),
       .maxConnections = static_cast<int>(settings.GetInteger("max-connections")),
-      .handler = [&](acp::ServerExchange& e) { upstream.Handle(e); } });
+      .handler = [&](acp::ServerExchange& e) { upstream.Handle(e); },
+      .echoedField = "Acp-Attempt" });
   std::unique_ptr<acp::HttpServer> admin;
   if (!settings.GetText("admin").empty()) {
     admin = std::make_unique<acp::HttpServer>(acp::HttpServerOptions{
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -36,11 +36,13 @@
                  PoolCore::ConnectionPtr connection,
                  HttpResponseHead head,
                  const detail::MessageFraming& framing,
+                 bool isIdentified,
                  const SendOptions& options)
     : pool_(std::move(pool))
     , connection_(std::move(connection))
     , head_(std::move(head))
     , framing_(framing)
+    , isIdentified_(isIdentified)
     , body_(connection_->io,
             framing.bodyLength,
             options.bodySilence.count() > 0 ? options.bodySilence : options.timeout)
@@ -83,6 +85,8 @@
   }
 
   void EndBodyWithin(Duration span) final { body_.EndBy(SteadyNow() + span); }
+  [[nodiscard]] bool IsIdentified() const override { return isIdentified_; }
+  void CloseAfterUse() override { framing_.keepAlive = false; }
 
   void Abort() override
   {
@@ -103,6 +107,7 @@
   PoolCore::ConnectionPtr connection_;
   HttpResponseHead head_;
   detail::MessageFraming framing_;
+  bool isIdentified_;
   detail::FramedBody body_;
   std::atomic<bool> isRead_{ false };
   std::atomic<bool> aborted_{ false };
@@ -129,7 +134,7 @@
     if (translation.request) {
       translation.request(head_);
     }
-    if (IdentifiesAnswers()) {
+    if (RequiresIds()) {
       id_ = head_.headers.Find(translation.idField);
     }
   }
@@ -186,9 +191,11 @@
     return options_.isFollowedToEnd ? std::stop_token() : options_.callerGone;
   }
 
-  [[nodiscard]] bool IdentifiesAnswers() const
+  /// Whether each answer must echo the id of its request.
+  [[nodiscard]] bool RequiresIds() const
   {
-    return !pool_->Options().translation.idField.empty();
+    const auto& translation = pool_->Options().translation;
+    return !translation.idField.empty() && translation.idSource == IdSource::Caller;
   }
 
   /// Takes a connection on which a late answer to an earlier try of the request cannot arrive.
@@ -308,21 +315,25 @@
     }
     const auto& translation = pool_->Options().translation;
     const bool isIdentified =
-      IdentifiesAnswers() && answer.head.headers.Find(translation.idField).has_value();
+      !translation.idField.empty() && answer.head.headers.Find(translation.idField).has_value();
     if (translation.answer && !translation.answer(head_, answer.head)) {
       return Lose(std::move(connection), IoStatus::Failed, "an answer to another request");
     }
-    if (IdentifiesAnswers() && !isIdentified && !isFirst_) {
+    if (RequiresIds() && !isIdentified && !isFirst_) {
       return Lose(std::move(connection),
                   IoStatus::Failed,
                   "an answer without id after others on its connection");
     }
     // Another copy of an answer without id could not be told from the answer to the next request.
-    const bool mayCarryMore = !IdentifiesAnswers() || (isIdentified && !connection->ids.IsFull());
+    const bool mayCarryMore = !RequiresIds() || (isIdentified && !connection->ids.IsFull());
     answer.framing.keepAlive = answer.framing.keepAlive && sentWhole && mayCarryMore;
     pool_->NoteAnswer(*connection);
-    return ExchangePtr(std::make_unique<PooledExchange>(
-      pool_, std::move(connection), std::move(answer.head), answer.framing, options_));
+    return ExchangePtr(std::make_unique<PooledExchange>(pool_,
+                                                        std::move(connection),
+                                                        std::move(answer.head),
+                                                        answer.framing,
+                                                        isIdentified,
+                                                        options_));
   }
 
   TransportResult<ExchangePtr> Lose(PoolCore::ConnectionPtr connection,
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // min
 #include <array>     // array
+#include <optional>  // nullopt
 #include <utility>   // move, swap
 
 namespace acp::detail {
@@ -68,7 +69,14 @@
   // A caller that waits for `100 Continue` and gets a final answer may or may not send its body.
   const bool bodyIsUncertain = framing_.expectsContinue && !body_.IsEnded();
   usable_ = usable_ && !isStopping_() && !bodyIsUncertain;
-  return FormatResponseHead(head, length, usable_);
+  const auto& echoed = options_.echoedField;
+  const auto id = echoed.empty() ? std::nullopt : head_.headers.Find(echoed);
+  if (!id) {
+    return FormatResponseHead(head, length, usable_);
+  }
+  HttpResponseHead named = head;
+  named.headers.Set(echoed, *id);
+  return FormatResponseHead(named, length, usable_);
 }
 
 void ConnectionExchange::Respond(const HttpResponseHead& head, const std::string& body)
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -391,9 +391,11 @@
 
 HttpServerOptions TestNode::Listener(void (RequestPipeline::*handle)(ServerExchange&))
 {
+  const bool isPeer = handle == &RequestPipeline::HandlePeer;
   return { .address = kAnyPort,
            .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
-           .runsInTasks = true };
+           .runsInTasks = true,
+           .echoedField = isPeer ? "Acp-Attempt" : "" };
 }
 
 void TestNode::Join(const std::vector<TestNode*>& nodes)
--- a/tests/node_test/repeated_refusals_test.cpp
+++ b/tests/node_test/repeated_refusals_test.cpp
@@ -13,7 +13,7 @@
 constexpr const char* kNotRunField = "X-Not-Run";
 
 /// A protocol whose answers echo the id of their request.
-acp::HttpTranslation EchoedIds()
+acp::HttpTranslation EchoedIds(const acp::Announcement& /*announcement*/)
 {
   return { .answer =
              [](const acp::HttpRequestHead& request, acp::HttpResponseHead& answer) {
@@ -65,11 +65,10 @@
 struct Fleet
 {
   explicit Fleet(std::function<std::string(const ScriptedRequest&)> script,
-                 const acp::HttpTranslation& translation = EchoedIds())
+                 acp::LocalUpstream::TranslationFor translationFor = EchoedIds)
     : faulty(std::move(script))
-    , beside({ .control = &control,
-               .routesByFleet = true,
-               .translationFor = [translation](const auto&) { return translation; } })
+    , beside(
+        { .control = &control, .routesByFleet = true, .translationFor = std::move(translationFor) })
     , other({ .id = "n2", .control = &control, .upstream = &sound, .routesByFleet = true })
     , far({ .id = "n3", .service = "back", .control = &control, .routesByFleet = true })
   {
@@ -91,6 +90,15 @@
   TestNode far;
 };
 
+/// Of upstreams that need no translation.
+const acp::LocalUpstream::TranslationFor kOwnProtocol = nullptr;
+
+/// Refuses in the project's own protocol.
+std::string OwnRefusal()
+{
+  return AnswerBytes(503, "Acp-Outcome: not-run\r\n", "");
+}
+
 constexpr std::array kAllHops = { Hops::Upstream, Hops::PeerAndUpstream };
 
 } // namespace
@@ -168,6 +176,18 @@
   BOOST_TEST(fleet.sound.Runs("fourth") == 1);
 }
 
+BOOST_AUTO_TEST_CASE(refusal_in_the_own_protocol_is_not_told_to_the_next_caller_whose_request_ran)
+{
+  for (const auto hops : kAllHops) {
+    Fleet fleet([](const auto& request) { return RefuseTwice(request, OwnRefusal()); },
+                kOwnProtocol);
+    const auto port = fleet.Entry(hops).Ingress();
+    BOOST_TEST(Fetch(port, FleetOrder("first")).outcome == "not-run");
+    BOOST_TEST(Fetch(port, FleetOrder("second")).outcome == "ran");
+    BOOST_TEST(fleet.faulty.Arrivals("second") == 1);
+  }
+}
+
 // Guards against a new connection for each refusal, which under overload adds to the load.
 BOOST_AUTO_TEST_CASE(refusals_that_name_their_request_keep_the_connection)
 {
@@ -179,4 +199,31 @@
   BOOST_TEST(fleet.faulty.Connections() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(refusals_in_the_own_protocol_that_name_their_attempt_keep_the_connection)
+{
+  Fleet fleet(
+    [](const auto& request) {
+      const std::string attempt = request.head.headers.Find("Acp-Attempt").value_or("");
+      return AnswerBytes(503, "Acp-Outcome: not-run\r\nAcp-Attempt: " + attempt + "\r\n", "");
+    },
+    kOwnProtocol);
+  for (int i = 0; i < 20; ++i) {
+    const auto port = fleet.beside.Ingress();
+    BOOST_TEST(Fetch(port, FleetOrder(std::to_string(i))).outcome == "not-run");
+  }
+  BOOST_TEST(fleet.faulty.Connections() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(answer_to_another_attempt_leaves_open_whether_a_request_ran)
+{
+  Fleet fleet(
+    [](const auto& /*request*/) {
+      return AnswerBytes(503, "Acp-Outcome: not-run\r\nAcp-Attempt: of-another\r\n", "");
+    },
+    kOwnProtocol);
+  for (const auto hops : kAllHops) {
+    BOOST_TEST(Fetch(fleet.Entry(hops).Ingress(), FleetOrder("order")).outcome == "unknown");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/transport_test/answer_ids_test.cpp
+++ b/tests/transport_test/answer_ids_test.cpp
@@ -21,12 +21,12 @@
 class Peers
 {
 public:
-  explicit Peers(Echo echo)
-    : server_(
-        { .address = { .ip = "127.0.0.1", .port = 0 },
-          .handler = [this, echo](acp::ServerExchange& exchange) { Answer(exchange, echo); } })
+  explicit Peers(Echo echo, acp::IdSource idSource = acp::IdSource::Caller)
+    : server_({ .address = { .ip = "127.0.0.1", .port = 0 },
+                .handler = [this](acp::ServerExchange& exchange) { Answer(exchange); },
+                .echoedField = echo == Echo::Always ? kIdField : "" })
     , pool_({ .address = { .ip = "127.0.0.1", .port = server_.Port() },
-              .translation = { .idField = kIdField } })
+              .translation = { .idField = kIdField, .idSource = idSource } })
   {
   }
 
@@ -46,15 +46,10 @@
   [[nodiscard]] int Connections() const { return connections_; }
 
 private:
-  void Answer(acp::ServerExchange& exchange, Echo echo)
+  void Answer(acp::ServerExchange& exchange)
   {
     connections_ += exchange.IsFirstOnConnection() ? 1 : 0;
-    acp::HttpResponseHead head{ .status = 200 };
-    const auto id = exchange.Request().headers.Find(kIdField);
-    if (id && echo == Echo::Always) {
-      head.headers.Set(kIdField, *id);
-    }
-    exchange.Respond(head, "answer");
+    exchange.Respond({ .status = 200 }, "answer");
   }
 
   std::atomic<int> connections_{ 0 };
@@ -87,6 +82,15 @@
   BOOST_TEST(peers.Connections() == 3);
 }
 
+// Guards against a new connection for each call to a peer that leaves the id out.
+BOOST_AUTO_TEST_CASE(ids_of_the_sender_may_be_left_out_of_answers)
+{
+  Peers peers(Echo::Never, acp::IdSource::Sender);
+  peers.Send("1");
+  peers.Send("2");
+  BOOST_TEST(peers.Connections() == 1);
+}
+
 // Guards against memory that grows with the age of a connection.
 BOOST_AUTO_TEST_CASE(a_connection_is_closed_before_it_remembers_too_many_ids)
 {
