Do not pass on the status of a peer's answer that has no outcome

A caller got 503, a promise that a request has not run and will not, although the node itself called its outcome unknown (REFUSED).

Cause: an answer from a peer's address without a known Acp-Outcome did not come from a node's pipeline, yet its status was passed on. Such an answer can be a stranger's at a reused address, or one to another request.

It is 502 now, as for a connection that is lost. Before the fix: answer_of_a_peer_without_outcome_is_no_promise_that_a_request_has_not_run: check answer.status == 502 has failed [503 != 502]

--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kMaxPeerConnections = 256;
+constexpr int kBadGateway = 502;
 // A peer answers by the deadline itself; this is for its answer's way back.
 constexpr Duration kAnswerGrace = std::chrono::milliseconds(50);
 
@@ -153,8 +154,9 @@
   const auto outcome = FromName<RequestOutcome>(head.headers.Find(kOutcomeHeader).value_or(""));
   if (outcome != RequestOutcome::Ran) {
     const auto reason = FromName<Reason>(head.headers.Find(kReasonHeader).value_or(""));
-    // An answer without a known outcome did not come from a node's pipeline.
-    Refusal refusal{ .status = head.status,
+    // An answer without a known outcome did not come from a node's pipeline, so that its status
+    // promises nothing.
+    Refusal refusal{ .status = outcome ? head.status : kBadGateway,
                      .outcome = outcome.value_or(RequestOutcome::Unknown),
                      .reason = reason.value_or(Reason::UpstreamConnectionLost),
                      .message = ReadMessage(answer) };
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -420,6 +420,19 @@
   members_.Apply(0, 1, members, clock_.Now());
 }
 
+void TestNode::LearnPeer(std::uint16_t port)
+{
+  members_.Apply(0,
+                 1,
+                 { { .nodeId = "stranger",
+                     .epoch = 1,
+                     .service = "front",
+                     .dataCentre = "d1",
+                     .peerAddress = "127.0.0.1:" + std::to_string(port),
+                     .slots = 100 } },
+                 clock_.Now());
+}
+
 bool TestNode::WaitForEnded(int count, Duration longest)
 {
   const TimePoint giveUpAt = clock_.Now() + longest;
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -153,6 +153,9 @@
   /// Makes @p nodes the members to which this node sends requests.
   void Learn(const std::vector<TestNode*>& nodes);
 
+  /// Makes the only member of `front` a peer at @p port that is no node.
+  void LearnPeer(std::uint16_t port);
+
   /// Waits until @p count requests of callers have ended, for at most @p longest.
   bool WaitForEnded(int count, Duration longest);
 
--- a/tests/node_test/repeated_refusals_test.cpp
+++ b/tests/node_test/repeated_refusals_test.cpp
@@ -188,6 +188,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(answer_of_a_peer_without_outcome_is_no_promise_that_a_request_has_not_run)
+{
+  FakeControl control;
+  ScriptedUpstream stranger([](const auto&) { return AnswerBytes(503, "", "not a node"); });
+  TestNode near({ .control = &control, .routesByFleet = true });
+  near.LearnPeer(stranger.Port());
+  const Answer answer = Fetch(near.Ingress(), FleetOrder("order"));
+  BOOST_TEST(stranger.Arrivals("order") == 1);
+  BOOST_TEST(answer.outcome == "unknown");
+  BOOST_TEST(answer.status == 502);
+}
+
 // Guards against a new connection for each refusal, which under overload adds to the load.
 BOOST_AUTO_TEST_CASE(refusals_that_name_their_request_keep_the_connection)
 {
