Do not take just any answer for a heartbeat's

A request on a kept connection to a peer could read the late answer to a heartbeat as its own: a caller of the pool got an empty 204.

Cause: whatever came next on the connection counted as the heartbeat's answer, so that after an extra answer each later one was read one request too late. Nodes write no extra answers, so that this was not seen between nodes; the fault is that a place on the connection alone was trusted.

Only a 204 with nothing after it ends a heartbeat now; anything else closes the connection.

--- a/src/transport/pool_keeper.cpp
+++ b/src/transport/pool_keeper.cpp
@@ -22,6 +22,8 @@
 // Bound on probing for one round, so that many lost peers do not delay the heartbeats of others.
 constexpr Duration kProbeBudget = std::chrono::seconds(1);
 
+constexpr int kHeartbeatStatus = 204;
+
 /// A connection that carries a heartbeat.
 struct Heartbeat
 {
@@ -48,7 +50,9 @@
   HttpResponseHead head;
   MessageFraming framing;
   const bool isValid = !ParseResponseHead(text, "GET", &head, &framing);
-  const bool isReusable = isValid && framing.bodyLength == 0 && framing.keepAlive;
+  // Any other answer, or input after it, is not the heartbeat's, whose own may still come.
+  const bool isExpected = head.status == kHeartbeatStatus && !connection.io.HasInput();
+  const bool isReusable = isValid && isExpected && framing.keepAlive;
   return isReusable ? IoStatus::Ok : IoStatus::Failed;
 }
 
--- a/tests/transport_test/client_failure_test.cpp
+++ b/tests/transport_test/client_failure_test.cpp
@@ -270,6 +270,34 @@
   BOOST_TEST(probe.get_future().get().starts_with("GET /.acp/heartbeat "));
 }
 
+// Guards against a heartbeat's answer that reaches a request, since another was taken for it.
+BOOST_AUTO_TEST_CASE(an_extra_answer_is_not_taken_for_a_heartbeats)
+{
+  std::promise<void> extraSent;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    auto first = socket.acceptConnection();
+    Take(first);
+    Give(first, Answer("first"));
+    Take(first); // the heartbeat
+    Give(first, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    extraSent.set_value();
+    if (!Take(first).empty()) {
+      Give(first, "HTTP/1.1 204 No Content\r\n\r\n");
+      return;
+    }
+    auto second = socket.acceptConnection();
+    Take(second);
+    Give(second, Answer("second"));
+  });
+  acp::HttpPool pool({ .address = server.Where(),
+                       .maxConnections = 1,
+                       .maxWait = kTimeout,
+                       .sendsHeartbeats = true });
+  BOOST_TEST(Get(pool) == "first");
+  extraSent.get_future().get();
+  BOOST_TEST(Get(pool) == "second");
+}
+
 // Guards against memory that grows with what a broken server sends before the end of a head.
 BOOST_AUTO_TEST_CASE(heads_without_end_are_cut)
 {
