--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -140,6 +140,7 @@
   options_.thresholds->NoteRequest(ClassName(call.request));
   const auto forUpstream = options_.hops->Open(context, ClassName(call.request));
   head.headers.Set(kContextHeader, options_.signer->Sign(forUpstream));
+  head.headers.Set(kAttemptHeader, context.hopId);
   const auto remaining = std::chrono::floor<std::chrono::milliseconds>(Remaining(context));
   head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
   if (call.request.isFleetRoute) {
@@ -238,6 +239,10 @@
   const ClosedHop hop = options_.hops->Close(context.hopId);
   const int unused = hop.unusedRetries;
   if (SaysNotRun(upstreamHead)) {
+    if (!answer.IsIdentified()) {
+      // Another copy of the refusal would be read as the answer to the next request.
+      answer.CloseAfterUse();
+    }
     if (admitted.ticket) {
       options_.claims->Release(*admitted.ticket);
     }
--- a/src/node/headers.cpp
+++ b/src/node/headers.cpp
@@ -15,10 +15,11 @@
 };
 
 // Fields between caller and node, or between nodes.
-constexpr std::array<std::string_view, 15> kNodeFields = {
-  kKeyHeader,       kDeadlineHeader, kContextHeader,     kOutcomeHeader,       kReasonHeader,
-  kThresholdHeader, kLoadHeader,     kRetriesLeftHeader, kRetryAfterHeader,    kPatienceHeader,
-  kServiceHeader,   kClassHeader,    kAccountHeader,     kCallerServiceHeader, kOpenHeader,
+constexpr std::array<std::string_view, 16> kNodeFields = {
+  kKeyHeader,        kDeadlineHeader,      kContextHeader, kOutcomeHeader,
+  kReasonHeader,     kThresholdHeader,     kLoadHeader,    kRetriesLeftHeader,
+  kRetryAfterHeader, kPatienceHeader,      kServiceHeader, kClassHeader,
+  kAccountHeader,    kCallerServiceHeader, kOpenHeader,    kAttemptHeader,
 };
 
 template<std::size_t Size>
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // clamp
 #include <charconv>  // from_chars
 
-#include "acaciapulley/node/detail/answer_relay.hpp"  // ReadMessage, SaysNotRun
+#include "acaciapulley/node/detail/answer_relay.hpp"  // AttemptEcho, ReadMessage
 #include "acaciapulley/node/detail/headers.hpp"       // kContextHeader
 #include "acaciapulley/node/detail/request_times.hpp" // MillisIn
 
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kMaxPeerConnections = 256;
+constexpr int kBadGateway = 502;
 // A peer answers by the deadline itself; this is for its answer's way back.
 constexpr Duration kAnswerGrace = std::chrono::milliseconds(50);
 
@@ -66,6 +67,7 @@
       std::make_shared<HttpPool>(HttpPoolOptions{ .address = address ? address.value() : Address{},
                                                   .maxConnections = kMaxPeerConnections,
                                                   .sendsHeartbeats = true,
+                                                  .translation = AttemptEcho(),
                                                   .counts = options_.connections });
   }
   return pool;
@@ -92,6 +94,7 @@
                         .target = "/" + call.request.service + call.request.upstreamTarget };
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers, options_.guards.stripKey);
   head.headers.Set(kContextHeader, options_.signer->Sign(context));
+  head.headers.Set(kAttemptHeader, context.hopId);
   if (call.request.isFleetRoute) {
     head.target = call.request.upstreamTarget;
     head.headers.Set("Host", call.exchange.Request().headers.Find("Host").value_or(""));
@@ -150,8 +153,9 @@
   const auto outcome = FromName<RequestOutcome>(head.headers.Find(kOutcomeHeader).value_or(""));
   if (outcome != RequestOutcome::Ran) {
     const auto reason = FromName<Reason>(head.headers.Find(kReasonHeader).value_or(""));
-    // An answer without a known outcome did not come from a node's pipeline.
-    Refusal refusal{ .status = head.status,
+    // An answer without a known outcome did not come from a node's pipeline, so that its status
+    // promises nothing.
+    Refusal refusal{ .status = outcome ? head.status : kBadGateway,
                      .outcome = outcome.value_or(RequestOutcome::Unknown),
                      .reason = reason.value_or(Reason::UpstreamConnectionLost),
                      .message = ReadMessage(answer) };
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -36,11 +36,13 @@
                  PoolCore::ConnectionPtr connection,
                  HttpResponseHead head,
                  const detail::MessageFraming& framing,
+                 bool isIdentified,
                  const SendOptions& options)
     : pool_(std::move(pool))
     , connection_(std::move(connection))
     , head_(std::move(head))
     , framing_(framing)
+    , isIdentified_(isIdentified)
     , body_(connection_->io,
             framing.bodyLength,
             options.bodySilence.count() > 0 ? options.bodySilence : options.timeout)
@@ -83,6 +85,8 @@
   }
 
   void EndBodyWithin(Duration span) final { body_.EndBy(SteadyNow() + span); }
+  [[nodiscard]] bool IsIdentified() const override { return isIdentified_; }
+  void CloseAfterUse() override { framing_.keepAlive = false; }
 
   void Abort() override
   {
@@ -111,6 +115,7 @@
   PoolCore::ConnectionPtr connection_;
   HttpResponseHead head_;
   detail::MessageFraming framing_;
+  bool isIdentified_;
   detail::FramedBody body_;
   std::atomic<bool> isRead_{ false };
   std::atomic<bool> aborted_{ false };
@@ -133,8 +138,12 @@
     , options_(options)
     , deadline_(SteadyNow() + options.timeout)
   {
-    if (const auto& translate = pool_->Options().translation.request) {
-      translate(head_);
+    const auto& translation = pool_->Options().translation;
+    if (translation.request) {
+      translation.request(head_);
+    }
+    if (RequiresIds()) {
+      id_ = head_.headers.Find(translation.idField);
     }
   }
 
@@ -151,7 +160,7 @@
     // A reused connection may have been closed by the peer a moment ago. Another one is tried as
     // long as the kernel has taken no byte.
     while (true) {
-      auto acquired = pool_->Acquire(deadline_, options_);
+      auto acquired = AcquireWithoutId();
       if (!acquired) {
         return boost::outcome_v2::failure(acquired.error());
       }
@@ -161,11 +170,15 @@
         return Fail(TransportErrorCode::Abandoned, Where() + ": the caller left; not sent");
       }
       const std::uint64_t sentBefore = connection->io.SentBytes();
+      const bool wasReused = sentBefore > 0;
+      isFirst_ = !wasReused;
+      if (id_) {
+        connection->ids.Add(*id_);
+      }
       const IoStatus status = connection->io.Write(start, first_, deadline_);
       if (status == IoStatus::Ok || connection->io.SentBytes() != sentBefore) {
         return Finish(std::move(connection), status);
       }
-      const bool wasReused = sentBefore > 0;
       pool_->Drop(std::move(connection),
                   wasReused ? ConnectionEvent::Stale : ConnectionEvent::Broken);
       if (!wasReused) {
@@ -187,6 +200,25 @@
     return options_.isFollowedToEnd ? std::stop_token() : options_.callerGone;
   }
 
+  /// Whether each answer must echo the id of its request.
+  [[nodiscard]] bool RequiresIds() const
+  {
+    const auto& translation = pool_->Options().translation;
+    return !translation.idField.empty() && translation.idSource == IdSource::Caller;
+  }
+
+  /// Takes a connection on which a late answer to an earlier try of the request cannot arrive.
+  TransportResult<PoolCore::ConnectionPtr> AcquireWithoutId()
+  {
+    while (true) {
+      auto acquired = pool_->Acquire(deadline_, options_);
+      if (!acquired || !id_ || !acquired.value()->ids.Contain(*id_)) {
+        return acquired;
+      }
+      pool_->Drop(std::move(acquired).value(), ConnectionEvent::NotKept);
+    }
+  }
+
   [[nodiscard]] std::string Where() const { return pool_->Options().address.ToString(); }
 
   /// Reads a small body whole, so that it goes out in one packet with its head.
@@ -290,14 +322,27 @@
     if (answer.status != IoStatus::Ok) {
       return Lose(std::move(connection), answer.status, answer.wrong);
     }
-    const auto& translate = pool_->Options().translation.answer;
-    if (translate && !translate(head_, answer.head)) {
+    const auto& translation = pool_->Options().translation;
+    const bool isIdentified =
+      !translation.idField.empty() && answer.head.headers.Find(translation.idField).has_value();
+    if (translation.answer && !translation.answer(head_, answer.head)) {
       return Lose(std::move(connection), IoStatus::Failed, "an answer to another request");
     }
-    answer.framing.keepAlive = answer.framing.keepAlive && sentWhole;
+    if (RequiresIds() && !isIdentified && !isFirst_) {
+      return Lose(std::move(connection),
+                  IoStatus::Failed,
+                  "an answer without id after others on its connection");
+    }
+    // Another copy of an answer without id could not be told from the answer to the next request.
+    const bool mayCarryMore = !RequiresIds() || (isIdentified && !connection->ids.IsFull());
+    answer.framing.keepAlive = answer.framing.keepAlive && sentWhole && mayCarryMore;
     pool_->NoteAnswer(*connection);
-    return ExchangePtr(std::make_unique<PooledExchange>(
-      pool_, std::move(connection), std::move(answer.head), answer.framing, options_));
+    return ExchangePtr(std::make_unique<PooledExchange>(pool_,
+                                                        std::move(connection),
+                                                        std::move(answer.head),
+                                                        answer.framing,
+                                                        isIdentified,
+                                                        options_));
   }
 
   TransportResult<ExchangePtr> Lose(PoolCore::ConnectionPtr connection,
@@ -327,7 +372,9 @@
   std::int64_t bodyLength_;
   const SendOptions& options_;
   TimePoint deadline_;
-  std::string first_; ///< first part of the body
+  std::optional<std::string> id_; ///< see HttpTranslation::idField
+  bool isFirst_ = false;          ///< nothing was sent before it on its connection
+  std::string first_;             ///< first part of the body
   bool isWhole_ = false;
 };
 
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // max, min
 #include <array>     // array
 #include <cstdint>   // int64_t
+#include <optional>  // nullopt
 #include <utility>   // exchange, move, swap
 
 namespace acp::detail {
@@ -98,7 +99,14 @@
   // A caller that waits for `100 Continue` and gets a final answer may or may not send its body.
   const bool bodyIsUncertain = framing_.expectsContinue && !body_.IsEnded();
   usable_ = usable_ && !isStopping_() && !bodyIsUncertain;
-  return FormatResponseHead(head, length, usable_);
+  const auto& echoed = options_.echoedField;
+  const auto id = echoed.empty() ? std::nullopt : head_.headers.Find(echoed);
+  if (!id) {
+    return FormatResponseHead(head, length, usable_);
+  }
+  HttpResponseHead named = head;
+  named.headers.Set(echoed, *id);
+  return FormatResponseHead(named, length, usable_);
 }
 
 void ConnectionExchange::Respond(const HttpResponseHead& head, const std::string& body)
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -360,6 +360,7 @@
 
 TestNode::TestNode(const TestNodeOptions& options)
   : options_(options)
+  , upstream_(options.translationFor)
   , pipeline_({ .nodeId = options.id,
                 .epoch = 1,
                 .dataCentre = "d1",
@@ -404,9 +405,11 @@
 
 HttpServerOptions TestNode::Listener(void (RequestPipeline::*handle)(ServerExchange&))
 {
+  const bool isPeer = handle == &RequestPipeline::HandlePeer;
   return { .address = kAnyPort,
            .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
-           .runsInTasks = true };
+           .runsInTasks = true,
+           .echoedField = isPeer ? "Acp-Attempt" : "" };
 }
 
 void TestNode::Join(const std::vector<TestNode*>& nodes)
@@ -431,6 +434,19 @@
   members_.Apply(0, 1, members, clock_.Now());
 }
 
+void TestNode::LearnPeer(std::uint16_t port)
+{
+  members_.Apply(0,
+                 1,
+                 { { .nodeId = "stranger",
+                     .epoch = 1,
+                     .service = "front",
+                     .dataCentre = "d1",
+                     .peerAddress = "127.0.0.1:" + std::to_string(port),
+                     .slots = 100 } },
+                 clock_.Now());
+}
+
 bool TestNode::WaitForEnded(int count, Duration longest)
 {
   const TimePoint giveUpAt = clock_.Now() + longest;
@@ -444,10 +460,15 @@
 
 int TestNode::Announce(bool isDraining)
 {
-  const std::string body =
-    R"({"service":")" + options_.service + R"(","address":"127.0.0.1:)" +
-    std::to_string(options_.upstream->Port()) + R"(","slots":)" + std::to_string(options_.slots) +
-    R"(,"max_connections":100,"draining":)" + (isDraining ? "true}" : "false}");
+  return AnnounceAt(options_.upstream->Port(), isDraining);
+}
+
+int TestNode::AnnounceAt(std::uint16_t port, bool isDraining)
+{
+  const std::string body = R"({"service":")" + options_.service + R"(","address":"127.0.0.1:)" +
+                           std::to_string(port) + R"(","slots":)" + std::to_string(options_.slots) +
+                           R"(,"max_connections":100,"draining":)" +
+                           (isDraining ? "true}" : "false}");
   return Fetch(Egress(), { .method = "PUT", .target = "/.acp/upstream" }, body).status;
 }
 
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -123,6 +123,7 @@
   PipelineGuards guards;
   int slots = 100;            ///< announced for the upstream
   bool routesByFleet = false; ///< see FleetOrder() and FleetRead()
+  LocalUpstream::TranslationFor translationFor;
 };
 
 inline constexpr int kRetryBudget = 2;
@@ -152,11 +153,16 @@
   /// Makes @p nodes the members to which this node sends requests.
   void Learn(const std::vector<TestNode*>& nodes);
 
+  /// Makes the only member of `front` a peer at @p port that is no node.
+  void LearnPeer(std::uint16_t port);
+
   /// Waits until @p count requests of callers have ended, for at most @p longest.
   bool WaitForEnded(int count, Duration longest);
 
   void TakeState();
   int Announce(bool isDraining);
+  /// Announces an upstream other than the one of the options.
+  int AnnounceAt(std::uint16_t port, bool isDraining = false);
   [[nodiscard]] std::uint16_t Ingress() const { return ingress_.Port(); }
   [[nodiscard]] std::uint16_t Egress() const { return egress_.Port(); }
   [[nodiscard]] std::uint16_t Peer() const { return peer_.Port(); }
