Let an HTTP server begin its stop before it closes its listener

A server that stops refuses new connections at once, so that the nested calls of requests in progress found no listener any more, and a handler could not end its connection.

BeginStop() answers with `Connection: close` and closes idle connections, but goes on accepting until Stop(). An answer of a handler with `Connection: close` ends its connection.

--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -87,7 +87,8 @@
     onServed; ///< called after each request; optional
 };
 
-/// A listener. Stop() lets requests in progress end, then closes.
+/// A listener. Stop() lets requests in progress end, then closes. A handler's answer with
+/// `Connection: close` ends its connection.
 ///
 /// A malformed, conflicting or oversized head is answered 400 or 413 with `Acp-Outcome: not-run`
 /// before the handler is called. `GET /.acp/heartbeat` is answered 204 by the server itself.
@@ -113,6 +114,10 @@
   /// @brief Returns the number of open connections.
   [[nodiscard]] int Connections() const;
 
+  /// @brief Answers with `Connection: close` and closes idle connections from now on, but goes on
+  /// accepting.
+  void BeginStop();
+
   /// @brief Stops accepting, answers requests in progress with `Connection: close`, waits up to
   /// @p patience for them, then closes. Idle connections are closed at once.
   void Stop(Duration patience);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -85,18 +85,26 @@
     return static_cast<int>(open_.size());
   }
 
-  void Stop(Duration patience)
+  void BeginStop()
   {
     if (isStopping_.exchange(true)) {
       return;
     }
+    const std::lock_guard lock(mutex_);
+    EndIdle();
+  }
+
+  void Stop(Duration patience)
+  {
+    if (hasStopped_.exchange(true)) {
+      return;
+    }
+    isStopping_ = true;
     acceptor_.Post([this] { EndAccepting(); });
     {
       std::unique_lock lock(mutex_);
       changed_.wait(lock, [this] { return hasEndedAccepting_; });
-      for (const auto& connection : open_) {
-        connection->OnStop();
-      }
+      EndIdle();
       const bool ended = changed_.wait_for(lock, patience, [this] { return open_.empty(); });
       if (!ended) {
         Log(LogLevel::Warning, "stop_cut", { { "connections", std::to_string(open_.size()) } });
@@ -112,6 +120,14 @@
   }
 
 private:
+  /// Called with mutex_ held.
+  void EndIdle()
+  {
+    for (const auto& connection : open_) {
+      connection->OnStop();
+    }
+  }
+
   // Notified under the lock: the server may be destroyed as soon as its last connection has left.
   void Leave(ServerConnection& connection)
   {
@@ -199,6 +215,7 @@
   std::optional<Poco::ThreadPool> workers_;
   detail::ServerShared shared_;
   std::atomic<bool> isStopping_{ false };
+  std::atomic<bool> hasStopped_{ false };
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::set<std::shared_ptr<ServerConnection>> open_;
@@ -225,6 +242,11 @@
   return impl_->Connections();
 }
 
+void HttpServer::BeginStop()
+{
+  impl_->BeginStop();
+}
+
 void HttpServer::Stop(Duration patience)
 {
   impl_->Stop(patience);
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -16,6 +16,11 @@
 // Slower readers than this would hold an upstream's slot for minutes.
 constexpr double kSlowestBytesPerSecond = 65'536.0;
 
+bool EndsConnection(const HttpResponseHead& head)
+{
+  return EqualsIgnoreCase(head.headers.Find("Connection").value_or(""), "close");
+}
+
 } // namespace
 
 ConnectionExchange::ConnectionExchange(HttpConnection& connection,
@@ -67,7 +72,7 @@
   reason_ = head.headers.Find("Acp-Reason").value_or("");
   // A caller that waits for `100 Continue` and gets a final answer may or may not send its body.
   const bool bodyIsUncertain = framing_.expectsContinue && !body_.IsEnded();
-  usable_ = usable_ && !isStopping_() && !bodyIsUncertain;
+  usable_ = usable_ && !isStopping_() && !EndsConnection(head) && !bodyIsUncertain;
   return FormatResponseHead(head, length, usable_);
 }
 
--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <future>
@@ -272,4 +273,36 @@
   BOOST_TEST(answer.ends_with("4 bytes\n"));
 }
 
+// Guards against a stop that turns away the calls that requests in progress still have to make.
+BOOST_AUTO_TEST_CASE(a_stop_that_has_begun_still_serves_new_connections)
+{
+  acp::HttpServer server({ .address = kAnyPort, .handler = Echo });
+  RawClient idle(server);
+  idle.Send("GET / HTTP/1.1\r\n\r\n");
+  idle.Receive("bytes\n");
+  server.BeginStop();
+  BOOST_TEST(idle.Receive() == "");
+  RawClient late(server);
+  late.Send("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab");
+  const std::string answer = late.Receive();
+  BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+  BOOST_TEST(answer.ends_with("2 bytes\n"));
+  server.Stop(kTimeout);
+  BOOST_CHECK_THROW(RawClient{ server }, Poco::Exception);
+}
+
+// Guards against a caller that sends its next request to a node that told it to leave.
+BOOST_AUTO_TEST_CASE(a_handlers_connection_close_ends_the_connection)
+{
+  acp::HttpServer server({ .address = kAnyPort, .handler = [](acp::ServerExchange& exchange) {
+                            acp::HttpResponseHead head{ .status = 503 };
+                            head.headers.Set("Connection", "close");
+                            exchange.Respond(head, "refused\n");
+                          } });
+  RawClient client(server);
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  BOOST_TEST(client.Receive().ends_with("refused\n"));
+  server.Stop(kTimeout);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
