Take only requests that can end before a planned stop ends the process

Cause: nothing bounded a request's time by the time that was left. After SIGTERM a node took requests for 3 s with their whole deadline (6 s on these sites) and cut what was left 5.3 s after it. A request that had waited for a slot was passed on in the same way. The listeners were stopped one after the other: while the callers' requests ended, peers' requests were still taken, and nested calls of requests in progress met a closed port.

Now the node knows from BeginStop on when it has to end. StopTimes takes a request, and lets it be sent, only when it can be expected to end by then: within its aimed latency, twice of it when it may not be repeated, or its own deadline where that is shorter or no latency is set. What does not fit is refused as not run before it is passed on: `stopping` with `Connection: close` for callers, `draining` for peers, which choose another node. Upstreams are told at most the time that leaves room for their answer's way back, while the node itself waits for the whole time allowed, so that the upstream's answer comes first and no 504 of the node replaces a run. All listeners refuse at the same time; nested calls are served until the requests in progress have ended. Peers are told the aimed latency of fleet routes (`Acp-Target-Ms`), by which they decide.

--- a/include/acaciapulley/node/detail/attempt.hpp
+++ b/include/acaciapulley/node/detail/attempt.hpp
@@ -8,6 +8,7 @@
 
 #include "acaciapulley/node/detail/request_body.hpp"     // RequestBody
 #include "acaciapulley/node/detail/request_resolver.hpp" // ResolvedRequest
+#include "acaciapulley/node/detail/stop_times.hpp"       // StopCandidate
 #include "acaciapulley/node/refusal.hpp"                 // OrRefusal
 #include "acaciapulley/retries/request_context.hpp"      // RequestContext
 #include "acaciapulley/routing/member_table.hpp"         // CallResult
@@ -62,6 +63,17 @@
   return request.service + "/" + request.requestClass->name;
 }
 
+/// @brief Returns what decides whether a call can end before a stop does.
+[[nodiscard]] inline StopCandidate StopCandidateOf(const PendingCall& call,
+                                                   const RequestContext& context)
+{
+  const bool isCallers = call.entersHere && !context.account.empty();
+  const RequestSource own = isCallers ? RequestSource::Caller : RequestSource::OwnUpstream;
+  return { .source = call.audience == Audience::Peer ? RequestSource::Peer : own,
+           .requestClass = *call.request.requestClass,
+           .deadline = context.deadline };
+}
+
 /// @brief Returns the result that routing learns from a refusal.
 [[nodiscard]] inline CallResult RoutingResult(const Refusal& refusal)
 {
--- a/include/acaciapulley/node/detail/executor.hpp
+++ b/include/acaciapulley/node/detail/executor.hpp
@@ -11,6 +11,7 @@
 #include "acaciapulley/node/detail/attempt.hpp"        // AttemptEnd, PendingCall
 #include "acaciapulley/node/detail/claim_client.hpp"   // ClaimClient
 #include "acaciapulley/node/detail/hop_book.hpp"       // HopBook
+#include "acaciapulley/node/detail/stop_times.hpp"     // StopTimes
 #include "acaciapulley/node/detail/threshold_book.hpp" // ThresholdBook
 #include "acaciapulley/node/local_upstream.hpp"        // LocalUpstream
 #include "acaciapulley/node/pipeline_guards.hpp"       // PipelineGuards
@@ -29,6 +30,7 @@
   HopBook* hops = nullptr;
   ClaimClient* claims = nullptr;
   ThresholdBook* thresholds = nullptr;
+  const StopTimes* stop = nullptr;
   PipelineGuards guards;
 };
 
--- a/include/acaciapulley/node/detail/headers.hpp
+++ b/include/acaciapulley/node/detail/headers.hpp
@@ -18,6 +18,8 @@
 inline constexpr const char* kRetriesLeftHeader = "Acp-Retries-Left";
 /// Longest wait of a fleet route's request at the gate, in milliseconds.
 inline constexpr const char* kPatienceHeader = "Acp-Patience-Ms";
+/// Aimed latency of a fleet route's request, in milliseconds; missing when none is set.
+inline constexpr const char* kTargetHeader = "Acp-Target-Ms";
 /// Exact form of `Retry-After`, in milliseconds.
 inline constexpr const char* kRetryAfterHeader = "Acp-Retry-After-Ms";
 /// Service and class that the node at which a request entered has chosen by the fleet document.
--- a/include/acaciapulley/node/detail/peer_client.hpp
+++ b/include/acaciapulley/node/detail/peer_client.hpp
@@ -11,6 +11,7 @@
 
 #include "acaciapulley/core/clock.hpp"                 // Clock
 #include "acaciapulley/node/detail/attempt.hpp"        // AttemptEnd, PendingCall
+#include "acaciapulley/node/detail/stop_times.hpp"     // StopTimes
 #include "acaciapulley/node/detail/threshold_book.hpp" // ThresholdBook
 #include "acaciapulley/node/pipeline_guards.hpp"       // PipelineGuards
 #include "acaciapulley/routing/balancer.hpp"           // Choice
@@ -26,6 +27,7 @@
   const ContextSigner* signer = nullptr;
   ThresholdBook* thresholds = nullptr;
   MemberTable* members = nullptr;
+  const StopTimes* stop = nullptr;
   PipelineGuards guards;
 };
 
--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -9,7 +9,7 @@
 #include <string>     // string
 #include <vector>     // vector
 
-#include "acaciapulley/core/clock.hpp"            // Clock, Duration
+#include "acaciapulley/core/clock.hpp"            // Clock, TimePoint
 #include "acaciapulley/node/local_upstream.hpp"   // Announcement, LocalUpstream
 #include "acaciapulley/retries/retry_policy.hpp"  // SharedRetryBudget
 #include "acaciapulley/transport/address.hpp"     // Address
@@ -67,14 +67,16 @@
   /// that names it is known.
   [[nodiscard]] std::optional<std::string> HealthPathOf(const std::string& service) const;
 
-  /// @brief Makes the node not ready, so that callers move to others; requests are still served.
-  void BeginStop();
+  /// @brief Makes the node not ready, so that callers move to others. Requests that can end by
+  /// @p endsAt are still served.
+  void BeginStop(TimePoint endsAt);
 
-  /// @brief Tells peers to choose other upstreams; requests are still served. Implies BeginStop.
+  /// @brief Tells peers to choose other upstreams. Call BeginStop before.
   void BeginDrain();
 
-  /// @brief Lets requests in progress end, for at most @p patience, then stops.
-  void Stop(Duration patience);
+  /// @brief Lets requests in progress and their nested calls end until the moment that BeginStop
+  /// was told, then stops. Implies BeginDrain.
+  void Stop();
 
 private:
   class Impl;
--- a/include/acaciapulley/node/node_view.hpp
+++ b/include/acaciapulley/node/node_view.hpp
@@ -8,6 +8,7 @@
 #include <memory>       // shared_ptr
 #include <optional>     // optional
 #include <shared_mutex> // shared_mutex
+#include <stop_token>   // stop_token
 #include <string>       // string
 #include <vector>       // vector
 
@@ -15,7 +16,7 @@
 #include "acaciapulley/config/fleet_document.hpp"   // FleetDocumentPtr
 #include "acaciapulley/config/service_document.hpp" // ServiceDocument
 #include "acaciapulley/core/change_signal.hpp"      // ChangeSignal
-#include "acaciapulley/core/clock.hpp"              // Duration, TimePoint
+#include "acaciapulley/core/clock.hpp"              // Clock, Duration, TimePoint
 
 namespace acp {
 
@@ -57,6 +58,10 @@
   /// @brief Returns the state version, 0 before the first Apply.
   [[nodiscard]] std::int64_t Version() const;
 
+  /// @brief Waits until there is a state, for at most @p longest.
+  /// @param ended ends the wait when it is stopped
+  void AwaitFirst(const Clock& clock, Duration longest, const std::stop_token& ended) const;
+
   /// @brief Returns whether the state was current within the last @p bound.
   [[nodiscard]] bool IsFresh(TimePoint now, Duration bound) const;
 
@@ -84,7 +89,7 @@
 private:
   void TakeFleet(const ReceivedDocument& received);
 
-  ChangeSignal changes_;
+  mutable ChangeSignal changes_;
   mutable std::shared_mutex mutex_;
   std::int64_t version_ = 0;
   std::optional<TimePoint> confirmedAt_;
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -10,6 +10,7 @@
 
 #include "acaciapulley/core/clock.hpp"               // Clock
 #include "acaciapulley/node/detail/claim_client.hpp" // ControlCall
+#include "acaciapulley/node/detail/stop_times.hpp"   // StopTimes
 #include "acaciapulley/node/detail/token_client.hpp" // TokenCallCounts
 #include "acaciapulley/node/local_upstream.hpp"      // LocalUpstream
 #include "acaciapulley/node/node_view.hpp"           // NodeView
@@ -53,6 +54,7 @@
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
   MemberTable* members = nullptr;
+  detail::StopTimes* stop = nullptr;
   detail::ControlCall control;                      ///< claims
   detail::ControlCall tokens;                       ///< rate tokens
   std::function<void()> onAnnounced;                ///< called after each changed announcement
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -186,17 +186,18 @@
   }
   const Refusal& refusal = end.result.error();
   const std::lock_guard lock(ratioMutex_);
-  return DecideRetry({ .outcome = refusal.outcome,
-                       .nothingSent = end.nothingSent,
-                       .idempotent = call.request.requestClass->idempotent,
-                       .mayPass = refusal.status >= kFirstServerError,
-                       .attempt = attempt,
-                       .retriesLeft = retriesLeft,
-                       .remaining = RemainingTime(*options_.clock, context) },
-                     {},
-                     BudgetOf(call),
-                     options_.clock->Now(),
-                     RandomCoin());
+  return DecideRetry(
+    { .outcome = refusal.outcome,
+      .nothingSent = end.nothingSent,
+      .idempotent = call.request.requestClass->idempotent,
+      .mayPass = refusal.status >= kFirstServerError && refusal.reason != Reason::Stopping,
+      .attempt = attempt,
+      .retriesLeft = retriesLeft,
+      .remaining = RemainingTime(*options_.clock, context) },
+    {},
+    BudgetOf(call),
+    options_.clock->Now(),
+    RandomCoin());
 }
 
 } // namespace acp::detail
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -125,6 +125,11 @@
     release();
     return FailedAttempt(CallerLeft("the upstream"), true, 0);
   }
+  const auto fits = options_.stop->CheckSend(StopCandidateOf(call, context));
+  if (!fits) {
+    release();
+    return FailedAttempt(fits.error(), true, context.retriesLeft);
+  }
   if (call.commitToken && !call.commitToken()) {
     release();
     return FailedAttempt(
@@ -135,10 +140,12 @@
   HttpRequestHead head{ .method = call.exchange.Request().method,
                         .target = call.request.upstreamTarget };
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers, options_.guards.stripKey);
-  const auto forUpstream = options_.hops->Open(context, ClassName(call.request));
+  RequestContext bounded = context;
+  bounded.deadline = options_.stop->Bound(context.deadline);
+  const auto forUpstream = options_.hops->Open(bounded, ClassName(call.request));
   head.headers.Set(kContextHeader, options_.signer->Sign(forUpstream));
-  const auto remaining = std::chrono::floor<std::chrono::milliseconds>(Remaining(context));
-  head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
+  const auto told = std::chrono::floor<std::chrono::milliseconds>(Remaining(bounded));
+  head.headers.Set(kDeadlineHeader, std::to_string(told.count()));
   if (call.request.isFleetRoute) {
     head.headers.Set("Host", call.exchange.Request().headers.Find("Host").value_or(""));
     head.headers.Set(kCallerServiceHeader, call.callerService);
@@ -146,7 +153,8 @@
       head.headers.Set(kAccountHeader, context.account);
     }
   }
-  const SendOptions sending{ .timeout = remaining,
+  // Not the bounded time, so that the upstream's own answer at that time comes first.
+  const SendOptions sending{ .timeout = Remaining(context),
                              .bodySilence = kBodySilence,
                              .bodyTime = kLongestBody,
                              .callerGone = call.exchange.CallerGone(),
--- a/src/node/fleet_resolver.cpp
+++ b/src/node/fleet_resolver.cpp
@@ -5,9 +5,10 @@
 #include <numeric>   // accumulate
 #include <utility>   // move
 
-#include "acaciapulley/accounts/key_table.hpp"  // HashKey
-#include "acaciapulley/core/random.hpp"         // ToHex
-#include "acaciapulley/node/detail/headers.hpp" // kKeyHeader, kServiceHeader
+#include "acaciapulley/accounts/key_table.hpp"        // HashKey
+#include "acaciapulley/core/random.hpp"               // ToHex
+#include "acaciapulley/node/detail/headers.hpp"       // kKeyHeader, kServiceHeader
+#include "acaciapulley/node/detail/request_times.hpp" // MillisIn
 
 namespace acp::detail {
 
@@ -139,6 +140,7 @@
   requestClass->idempotent = context.idempotent;
   requestClass->needsClaim = false;
   requestClass->openToAll = context.account.empty();
+  requestClass->target = MillisIn(head.headers, kTargetHeader);
   // The node at which the request entered has applied the fleet's limit.
   requestClass->maxBodyBytes = kMaxPeerBodyBytes;
   ResolvedRequest request;
--- a/src/node/headers.cpp
+++ b/src/node/headers.cpp
@@ -15,10 +15,10 @@
 };
 
 // Fields between caller and node, or between nodes.
-constexpr std::array<std::string_view, 14> kNodeFields = {
+constexpr std::array<std::string_view, 15> kNodeFields = {
   kKeyHeader,       kDeadlineHeader, kContextHeader,     kOutcomeHeader,       kReasonHeader,
   kThresholdHeader, kLoadHeader,     kRetriesLeftHeader, kRetryAfterHeader,    kPatienceHeader,
-  kServiceHeader,   kClassHeader,    kAccountHeader,     kCallerServiceHeader,
+  kServiceHeader,   kClassHeader,    kAccountHeader,     kCallerServiceHeader, kTargetHeader,
 };
 
 template<std::size_t Size>
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -1,14 +1,16 @@
 #include "acaciapulley/node/node_process.hpp"
 
-#include <algorithm> // max
+#include <algorithm> // max, min
 #include <atomic>    // atomic
 #include <map>       // map
 #include <mutex>     // mutex
 #include <optional>  // optional
 #include <tuple>     // tie
 #include <utility>   // exchange, move
+#include <vector>    // vector
 
 #include "acaciapulley/core/log.hpp"                  // Log
+#include "acaciapulley/node/detail/stop_times.hpp"    // StopListeners, StopTimes
 #include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
 #include "acaciapulley/node/sync_loop.hpp"            // SyncLoop
 #include "acaciapulley/record/record_counters.hpp"    // RecordCounters
@@ -130,6 +132,7 @@
     , clock_(*options.clock)
     , upstream_(options.translationFor)
     , record_(options.clock->WallNow())
+    , stop_(*options.clock)
     , control_({ .replicas = options.control })
     , tokenChannel_({ .replicas = options.control, .maxConnections = 1 })
     , syncChannel_({ .replicas = options.control, .timeout = kSyncTimeout })
@@ -146,6 +149,7 @@
                   .view = &view_,
                   .upstream = &upstream_,
                   .members = &members_,
+                  .stop = &stop_,
                   .control = [this](const auto& call) { return control_.Call(call); },
                   .tokens = [this](const auto& call) { return tokenChannel_.Call(call); },
                   .onAnnounced = [this] { sync_.Wake(); },
@@ -196,28 +200,28 @@
     return found != nullptr ? std::optional(found->healthPath) : std::nullopt;
   }
 
-  void BeginStop() { stopping_ = true; }
+  void BeginStop(TimePoint endsAt)
+  {
+    stopping_ = true;
+    stop_.Begin(endsAt);
+  }
 
   void BeginDrain()
   {
-    BeginStop();
     // Peers choose other nodes as soon as control has passed this on.
     upstream_.BeginStop();
     sync_.Wake();
   }
 
-  void Stop(Duration patience)
+  void Stop()
   {
     BeginDrain();
-    const TimePoint deadline = clock_.Now() + patience;
-    const auto left = [&] { return std::max(deadline - clock_.Now(), Duration::zero()); };
-    ingress_.Stop(left());
-    peer_.Stop(left());
-    // Requests that ended above may have made nested calls through the egress until now.
+    std::vector<HttpServer*> listeners = { &ingress_, &peer_ };
     if (egress_) {
-      egress_->Stop(left());
+      listeners.push_back(&*egress_);
     }
-    admin_.Stop(left());
+    detail::StopListeners(stop_, listeners);
+    admin_.Stop(stop_.Left());
   }
 
 private:
@@ -340,6 +344,7 @@
   MemberTable members_;
   RecordCounters record_;
   std::atomic<bool> stopping_{ false };
+  detail::StopTimes stop_;
   ControlChannel control_;
   ControlChannel tokenChannel_;
   ControlChannel syncChannel_; ///< its calls may be held by control
@@ -378,9 +383,9 @@
   return impl_->HealthPathOf(service);
 }
 
-void NodeProcess::BeginStop()
+void NodeProcess::BeginStop(TimePoint endsAt)
 {
-  impl_->BeginStop();
+  impl_->BeginStop(endsAt);
 }
 
 void NodeProcess::BeginDrain()
@@ -388,9 +393,9 @@
   impl_->BeginDrain();
 }
 
-void NodeProcess::Stop(Duration patience)
+void NodeProcess::Stop()
 {
-  impl_->Stop(patience);
+  impl_->Stop();
 }
 
 } // namespace acp
--- a/src/node/node_view.cpp
+++ b/src/node/node_view.cpp
@@ -1,5 +1,6 @@
 #include "acaciapulley/node/node_view.hpp"
 
+#include <cstdint> // uint64_t
 #include <mutex>   // unique_lock
 #include <utility> // move
 
@@ -47,6 +48,20 @@
   changes_.Notify();
 }
 
+void NodeView::AwaitFirst(const Clock& clock, Duration longest, const std::stop_token& ended) const
+{
+  const TimePoint giveUpAt = clock.Now() + longest;
+  std::uint64_t seen = changes_.Count();
+  while (Version() == 0 && !ended.stop_requested()) {
+    const TimePoint now = clock.Now();
+    if (now >= giveUpAt) {
+      return;
+    }
+    changes_.WaitBeyond(seen, giveUpAt - now, ended);
+    seen = changes_.Count();
+  }
+}
+
 void NodeView::TakeFleet(const ReceivedDocument& received)
 {
   auto parsed = FleetDocument::Parse(received.body);
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -23,6 +23,14 @@
   return std::clamp(unused, 0, sent);
 }
 
+void SetTarget(const RequestClass& requestClass, HttpHeaders& headers)
+{
+  const auto target = std::chrono::floor<std::chrono::milliseconds>(requestClass.target);
+  if (target.count() > 0) {
+    headers.Set(kTargetHeader, std::to_string(target.count()));
+  }
+}
+
 AttemptEnd WithoutAnswer(const TransportError& error, int sentRetries)
 {
   if (error.code == TransportErrorCode::Abandoned) {
@@ -81,6 +89,10 @@
   if (call.exchange.IsCallerGone()) {
     return FailedAttempt(CallerLeft("a peer"), true, context.retriesLeft);
   }
+  const auto fits = options_.stop->CheckSend(StopCandidateOf(call, context));
+  if (!fits) {
+    return FailedAttempt(fits.error(), true, context.retriesLeft);
+  }
   if (call.commitToken && !call.commitToken()) {
     return FailedAttempt(
       { .reason = Reason::RateUnavailable, .message = "the lease of the rate token has ended" },
@@ -94,7 +106,9 @@
   HttpRequestHead head{ .method = call.exchange.Request().method,
                         .target = "/" + call.request.service + call.request.upstreamTarget };
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers, options_.guards.stripKey);
-  head.headers.Set(kContextHeader, options_.signer->Sign(context));
+  RequestContext bounded = context;
+  bounded.deadline = options_.stop->Bound(context.deadline);
+  head.headers.Set(kContextHeader, options_.signer->Sign(bounded));
   if (call.request.isFleetRoute) {
     head.target = call.request.upstreamTarget;
     head.headers.Set("Host", call.exchange.Request().headers.Find("Host").value_or(""));
@@ -105,7 +119,8 @@
       kPatienceHeader,
       std::to_string(std::chrono::floor<std::chrono::milliseconds>(call.patience).count()));
     // Hosts' wall clocks differ, so that peers are told the time that is left.
-    head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
+    head.headers.Set(kDeadlineHeader, std::to_string(CountMillis(bounded.deadline) - now));
+    SetTarget(*call.request.requestClass, head.headers);
   }
   // The peer sees the close and decides: a request that has gone to its upstream and must not be
   // repeated is followed to its end there.
--- a/src/node/refusal.cpp
+++ b/src/node/refusal.cpp
@@ -16,6 +16,9 @@
     const auto millis = std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter);
     head.headers.Set(detail::kRetryAfterHeader, std::to_string(millis.count()));
   }
+  if (refusal.reason == Reason::Stopping) {
+    head.headers.Set("Connection", "close");
+  }
   if (refusal.threshold) {
     head.headers.Set(detail::kThresholdHeader, FormatThreshold(*refusal.threshold));
   }
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -55,7 +55,6 @@
     Duration patience{}; ///< see PendingCall::patience
   };
 
-  void AwaitFirstState(const ServerExchange& exchange);
   OrRefusal<Root> AdmitRoot(ServerExchange& exchange, EndedRequest& ended);
   OrRefusal<Root> AdmitFleetRoot(ServerExchange& exchange, EndedRequest& ended);
   OrRefusal<void> TakeToken(const ServerExchange& exchange, Root& root);
@@ -109,11 +108,13 @@
                 .hops = &hops_,
                 .claims = &claims_,
                 .thresholds = &thresholds_,
+                .stop = options_.stop,
                 .guards = options_.guards })
   , peers_({ .clock = options_.clock,
              .signer = &signer_,
              .thresholds = &thresholds_,
              .members = options_.members,
+             .stop = options_.stop,
              .guards = options_.guards })
   , dispatcher_({ .nodeId = options_.nodeId,
                   .epoch = options_.epoch,
@@ -145,21 +146,6 @@
                          .issuerEpoch = options_.epoch };
 }
 
-void RequestPipeline::Impl::AwaitFirstState(const ServerExchange& exchange)
-{
-  ChangeSignal& changes = options_.view->Changes();
-  const TimePoint giveUpAt = options_.clock->Now() + kFirstStateWait;
-  std::uint64_t seen = changes.Count();
-  while (options_.view->Version() == 0) {
-    const TimePoint now = options_.clock->Now();
-    if (now >= giveUpAt || exchange.IsCallerGone()) {
-      return;
-    }
-    changes.WaitBeyond(seen, giveUpAt - now, exchange.CallerGone());
-    seen = changes.Count();
-  }
-}
-
 OrRefusal<RequestPipeline::Impl::Root> RequestPipeline::Impl::AdmitRoot(ServerExchange& exchange,
                                                                         EndedRequest& ended)
 {
@@ -265,11 +251,6 @@
   if (!prefetched) {
     return prefetched;
   }
-  // Not before the body is there, so that a slow caller holds no token.
-  auto taken = TakeToken(exchange, root);
-  if (!taken) {
-    return taken;
-  }
   PendingCall call{ .exchange = exchange,
                     .request = root.request,
                     .body = body,
@@ -278,6 +259,15 @@
                     .ownClass = detail::ClassName(root.request),
                     .patience = root.patience,
                     .callerService = options_.callerService };
+  const auto entry = options_.stop->Enter(StopCandidateOf(call, root.context));
+  if (!entry) {
+    return boost::outcome_v2::failure(entry.error());
+  }
+  // Not before the body is there, so that a slow caller holds no token.
+  auto taken = TakeToken(exchange, root);
+  if (!taken) {
+    return taken;
+  }
   if (root.token) {
     call.commitToken = [&root] { return root.token->Commit(); };
   }
@@ -289,7 +279,7 @@
   const TimePoint start = options_.clock->Now();
   EndedRequest ended;
   OrRefusal<void> result = boost::outcome_v2::success();
-  AwaitFirstState(exchange);
+  options_.view->AwaitFirst(*options_.clock, kFirstStateWait, exchange.CallerGone());
   auto root = options_.routesByFleet ? AdmitFleetRoot(exchange, ended) : AdmitRoot(exchange, ended);
   if (root) {
     result = RunRoot(exchange, root.value());
@@ -341,6 +331,10 @@
                       detail::MillisIn(exchange.Request().headers, detail::kPatienceHeader),
                     .callerService =
                       exchange.Request().headers.Find(detail::kCallerServiceHeader).value_or("") };
+  const auto entry = options_.stop->Enter(StopCandidateOf(call, context.value()));
+  if (!entry) {
+    return boost::outcome_v2::failure(entry.error());
+  }
   AttemptEnd end = executor_.Run(call, context.value());
   if (!end.result) {
     // Refusals carry the same figures as answers, so that callers learn most when it matters most.
--- a/src/programs/acp-node/main.cpp
+++ b/src/programs/acp-node/main.cpp
@@ -60,7 +60,8 @@
            { { "node", settings.GetText("node-id") }, { "ingress", settings.GetText("ingress") } });
   acp::WaitForStopSignal();
   acp::Log(acp::LogLevel::Info, "node_stopping", {});
-  process.Stop(kStopPatience);
+  process.BeginStop(clock.Now() + kStopPatience);
+  process.Stop();
   return 0;
 }
 
--- /dev/null
+++ b/tests/node_test/pipeline_documents.cpp
@@ -0,0 +1,63 @@
+#include "pipeline_documents.hpp"
+
+#include "acaciapulley/accounts/key_table.hpp"
+#include "acaciapulley/core/random.hpp"
+#include "pipeline_fixture.hpp"
+
+namespace acp::test {
+
+namespace {
+
+struct FleetRouteText
+{
+  std::string prefix;
+  bool isIdempotent = true;
+  bool isOpen = false;
+  int targetMs = 100'000;
+};
+
+std::string FleetRouteOf(const std::string& name, const FleetRouteText& route)
+{
+  const auto text = [](bool value) { return value ? "true" : "false"; };
+  return R"({"name":")" + name + R"(","host":"h","path_prefix":")" + route.prefix +
+         R"(","idempotent":)" + text(route.isIdempotent) + R"(,"open":)" + text(route.isOpen) +
+         R"(,"priority":4,"timeout_ms":100000,"target_ms":)" + std::to_string(route.targetMs) +
+         R"(,"max_attempts":2,"destinations":[{"service":"front","weight":1}]})";
+}
+
+std::string FleetAccountOf(const std::string& name, const char* key, int rate)
+{
+  return R"({"name":")" + name + R"(","key_hashes":[")" + ToHex(HashKey(key)) +
+         R"("],"priority":1,"rate":)" + std::to_string(rate) + R"(,"burst":)" +
+         std::to_string(rate) + "}";
+}
+
+} // namespace
+
+std::string DocumentOf(const std::string& service)
+{
+  return R"({"service":")" + service +
+         R"(","accounts":[{"name":"a","rate":5000,"burst":5000},{"name":"b","rate":5000,)"
+         R"("burst":5000},{"name":"poor","rate":1,"burst":1}],"classes":[)"
+         R"({"name":"order","methods":["POST"],"path":"/orders","priority":0,"idempotent":false,)"
+         R"("deadline_ms":20000,"max_body_bytes":1000},)"
+         R"({"name":"read","methods":["GET"],"path":"/items/*","priority":5,"idempotent":true,)"
+         R"("deadline_ms":20000},{"name":"open","methods":["GET"],"path":"/open","priority":5,)"
+         R"("idempotent":true,"open":true,"deadline_ms":20000}]})";
+}
+
+std::string FleetDocumentText()
+{
+  return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)"
+         R"({"name":"front","health_path":"","max_connections":100}],"routes":[)" +
+         FleetRouteOf("order", { .prefix = "/orders/", .isIdempotent = false }) + "," +
+         FleetRouteOf("read", { .prefix = "/items/" }) + "," +
+         FleetRouteOf("quick-order",
+                      { .prefix = "/quick/orders/", .isIdempotent = false, .targetMs = 1000 }) +
+         "," + FleetRouteOf("quick-read", { .prefix = "/quick/items/", .targetMs = 1000 }) + "," +
+         FleetRouteOf("nested", { .prefix = "/nested/", .isOpen = true }) + R"(],"accounts":[)" +
+         FleetAccountOf("unlimited", kUnlimitedKey, 0) + "," +
+         FleetAccountOf("limited", kLimitedKey, kLimitedRate) + "]}";
+}
+
+} // namespace acp::test
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -2,57 +2,19 @@
 
 #include <thread>
 
-#include "acaciapulley/accounts/key_table.hpp"
-#include "acaciapulley/core/random.hpp"
 #include "acaciapulley/transport/http_client.hpp"
+#include "pipeline_documents.hpp"
 
 namespace acp::test {
 
 namespace {
 
 constexpr Duration kFetchTimeout = std::chrono::seconds(30);
-constexpr int kLimitedRate = 5000;
 const Address kAnyPort{ .ip = "127.0.0.1", .port = 0 };
 
 struct AnswerLost
 {};
 
-std::string DocumentOf(const std::string& service)
-{
-  return R"({"service":")" + service +
-         R"(","accounts":[{"name":"a","rate":5000,"burst":5000},{"name":"b","rate":5000,)"
-         R"("burst":5000},{"name":"poor","rate":1,"burst":1}],"classes":[)"
-         R"({"name":"order","methods":["POST"],"path":"/orders","priority":0,"idempotent":false,)"
-         R"("deadline_ms":20000,"max_body_bytes":1000},)"
-         R"({"name":"read","methods":["GET"],"path":"/items/*","priority":5,"idempotent":true,)"
-         R"("deadline_ms":20000},{"name":"open","methods":["GET"],"path":"/open","priority":5,)"
-         R"("idempotent":true,"open":true,"deadline_ms":20000}]})";
-}
-
-std::string FleetRouteOf(const std::string& name, const std::string& prefix, bool isIdempotent)
-{
-  return R"({"name":")" + name + R"(","host":"h","path_prefix":")" + prefix + R"(","idempotent":)" +
-         (isIdempotent ? "true" : "false") +
-         R"(,"open":false,"priority":4,"timeout_ms":100000,"target_ms":100000,"max_attempts":2,)"
-         R"("destinations":[{"service":"front","weight":1}]})";
-}
-
-std::string FleetAccountOf(const std::string& name, const char* key, int rate)
-{
-  return R"({"name":")" + name + R"(","key_hashes":[")" + ToHex(HashKey(key)) +
-         R"("],"priority":1,"rate":)" + std::to_string(rate) + R"(,"burst":)" +
-         std::to_string(rate) + "}";
-}
-
-std::string FleetDocumentText()
-{
-  return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)"
-         R"({"name":"front","health_path":"","max_connections":100}],"routes":[)" +
-         FleetRouteOf("order", "/orders/", false) + "," + FleetRouteOf("read", "/items/", true) +
-         R"(],"accounts":[)" + FleetAccountOf("unlimited", kUnlimitedKey, 0) + "," +
-         FleetAccountOf("limited", kLimitedKey, kLimitedRate) + "]}";
-}
-
 /// A body of which only the first bytes arrive.
 class CutBody final : public BodySource
 {
@@ -71,6 +33,18 @@
   int reads_ = 0;
 };
 
+HttpRequestHead FleetRequest(const std::string& method,
+                             const std::string& target,
+                             const std::string& key)
+{
+  HttpRequestHead head{ .method = method, .target = target };
+  head.headers.Set("Host", "h");
+  if (!key.empty()) {
+    head.headers.Set("Acp-Key", key);
+  }
+  return head;
+}
+
 ClaimKey FromWire(const wire::ClaimKey& key)
 {
   return { key.account, key.serviceName, key.idempotencyKey };
@@ -346,6 +320,7 @@
 
 TestNode::TestNode(const TestNodeOptions& options)
   : options_(options)
+  , stop_(clock_)
   , pipeline_({ .nodeId = options.id,
                 .epoch = 1,
                 .dataCentre = "d1",
@@ -357,6 +332,7 @@
                 .view = &view_,
                 .upstream = &upstream_,
                 .members = &members_,
+                .stop = &stop_,
                 .control = [this](const auto& call) { return options_.control->Call(call); },
                 .tokens = [this](const auto& call) { return options_.control->Call(call); },
                 .onAnnounced = [] {},
@@ -437,6 +413,16 @@
   return Fetch(Egress(), { .method = "PUT", .target = "/.acp/upstream" }, body).status;
 }
 
+void TestNode::BeginStop(Duration left)
+{
+  stop_.Begin(clock_.Now() + left);
+}
+
+void TestNode::Stop()
+{
+  detail::StopListeners(stop_, { &ingress_, &peer_, &egress_ });
+}
+
 HttpRequestHead Order(const std::string& name, const std::string& key)
 {
   HttpRequestHead head{ .method = "POST", .target = "/front/orders" };
@@ -456,18 +442,27 @@
 
 HttpRequestHead FleetOrder(const std::string& name, const std::string& key)
 {
-  HttpRequestHead head{ .method = "POST", .target = "/orders/" + name };
-  head.headers.Set("Host", "h");
-  head.headers.Set("Acp-Key", key);
-  return head;
+  return FleetRequest("POST", "/orders/" + name, key);
 }
 
 HttpRequestHead FleetRead(const std::string& name, const std::string& key)
 {
-  HttpRequestHead head{ .method = "GET", .target = "/items/" + name };
-  head.headers.Set("Host", "h");
-  head.headers.Set("Acp-Key", key);
-  return head;
+  return FleetRequest("GET", "/items/" + name, key);
+}
+
+HttpRequestHead FleetQuickOrder(const std::string& name)
+{
+  return FleetRequest("POST", "/quick/orders/" + name, kUnlimitedKey);
+}
+
+HttpRequestHead FleetQuickRead(const std::string& name)
+{
+  return FleetRequest("GET", "/quick/items/" + name, kUnlimitedKey);
+}
+
+HttpRequestHead FleetNestedRead(const std::string& name)
+{
+  return FleetRequest("GET", "/nested/" + name, "");
 }
 
 } // namespace acp::test
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -157,6 +157,10 @@
 
   void TakeState();
   int Announce(bool isDraining);
+  /// Lets the node's stop end after @p left.
+  void BeginStop(Duration left);
+  /// Stops the node's listeners; returns when its requests have ended.
+  void Stop();
   [[nodiscard]] std::uint16_t Ingress() const { return ingress_.Port(); }
   [[nodiscard]] std::uint16_t Egress() const { return egress_.Port(); }
   [[nodiscard]] std::uint16_t Peer() const { return peer_.Port(); }
@@ -170,6 +174,7 @@
   NodeView view_;
   LocalUpstream upstream_;
   MemberTable members_;
+  detail::StopTimes stop_;
   RequestPipeline pipeline_;
   HttpServer peer_;
   HttpServer egress_;
@@ -187,5 +192,10 @@
 /// Requests on routes of the fleet document to the service `front`.
 HttpRequestHead FleetOrder(const std::string& name, const std::string& key = kUnlimitedKey);
 HttpRequestHead FleetRead(const std::string& name, const std::string& key = kUnlimitedKey);
+/// As FleetOrder and FleetRead, on routes with a target of a second.
+HttpRequestHead FleetQuickOrder(const std::string& name);
+HttpRequestHead FleetQuickRead(const std::string& name);
+/// A call that the upstream makes, without a key.
+HttpRequestHead FleetNestedRead(const std::string& name);
 
 } // namespace acp::test
