--- a/include/acaciapulley/node/detail/root_admission.hpp
+++ b/include/acaciapulley/node/detail/root_admission.hpp
@@ -65,7 +65,6 @@
                                                      const std::string& account) const;
 
 private:
-  void AwaitFirstState(const ServerExchange& exchange);
   OrRefusal<Root> AdmitByDocument(const ServerExchange& exchange, EndedRequest& ended);
   OrRefusal<Root> AdmitByFleet(const ServerExchange& exchange, EndedRequest& ended);
   /// Gives a nested call priority and account of the request to which it belongs.
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -11,6 +11,7 @@
 #include "acaciapulley/core/clock.hpp"                  // Clock
 #include "acaciapulley/node/blocking_gate.hpp"          // GateFigures
 #include "acaciapulley/node/detail/claim_client.hpp"    // ControlCall
+#include "acaciapulley/node/detail/stop_times.hpp"      // StopTimes
 #include "acaciapulley/node/detail/token_client.hpp"    // TokenCallCounts
 #include "acaciapulley/node/local_upstream.hpp"         // LocalUpstream
 #include "acaciapulley/node/node_view.hpp"              // NodeView
@@ -56,6 +57,7 @@
   NodeView* view = nullptr;
   LocalUpstream* upstream = nullptr;
   MemberTable* members = nullptr;
+  detail::StopTimes* stop = nullptr;
   detail::ControlCall control;                       ///< claims
   detail::ControlCall tokens;                        ///< rate tokens
   std::shared_ptr<ConnectionCounts> peerConnections; ///< may be null
--- a/src/node/headers.cpp
+++ b/src/node/headers.cpp
@@ -15,11 +15,11 @@
 };
 
 // Fields between caller and node, or between nodes.
-constexpr std::array<std::string_view, 16> kNodeFields = {
-  kKeyHeader,        kDeadlineHeader,      kContextHeader, kOutcomeHeader,
-  kReasonHeader,     kThresholdHeader,     kLoadHeader,    kRetriesLeftHeader,
-  kRetryAfterHeader, kPatienceHeader,      kServiceHeader, kClassHeader,
-  kAccountHeader,    kCallerServiceHeader, kOpenHeader,    kAttemptHeader,
+constexpr std::array<std::string_view, 17> kNodeFields = {
+  kKeyHeader,       kDeadlineHeader, kContextHeader,     kOutcomeHeader,       kReasonHeader,
+  kThresholdHeader, kLoadHeader,     kRetriesLeftHeader, kRetryAfterHeader,    kPatienceHeader,
+  kServiceHeader,   kClassHeader,    kAccountHeader,     kCallerServiceHeader, kOpenHeader,
+  kAttemptHeader,   kTargetHeader,
 };
 
 template<std::size_t Size>
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -120,11 +120,13 @@
                 .hops = &hops_,
                 .claims = &claims_,
                 .thresholds = &runThresholds_,
+                .stop = options_.stop,
                 .guards = options_.guards })
   , peers_({ .clock = options_.clock,
              .signer = &signer_,
              .members = options_.members,
              .connections = options_.peerConnections,
+             .stop = options_.stop,
              .guards = options_.guards })
   , dispatcher_({ .nodeId = options_.nodeId,
                   .epoch = options_.epoch,
@@ -164,11 +166,6 @@
   if (!prefetched) {
     return { .result = prefetched };
   }
-  // Not before the body is there, so that a slow caller holds no token.
-  const auto token = TakeToken(exchange, root);
-  if (!token) {
-    return { .result = boost::outcome_v2::failure(token.error()) };
-  }
   PendingCall call{ .exchange = exchange,
                     .request = root.request,
                     .body = body,
@@ -178,6 +175,15 @@
                     .thresholds = &thresholds,
                     .patience = root.patience,
                     .callerService = options_.callerService };
+  const auto entry = options_.stop->Enter(StopCandidateOf(call, root.context));
+  if (!entry) {
+    return { .result = boost::outcome_v2::failure(entry.error()) };
+  }
+  // Not before the body is there, so that a slow caller holds no token.
+  const auto token = TakeToken(exchange, root);
+  if (!token) {
+    return { .result = boost::outcome_v2::failure(token.error()) };
+  }
   if (token.value()) {
     call.commitToken = [&token] { return token.value()->Commit(); };
   }
@@ -252,6 +258,10 @@
                       detail::MillisIn(exchange.Request().headers, detail::kPatienceHeader),
                     .callerService =
                       exchange.Request().headers.Find(detail::kCallerServiceHeader).value_or("") };
+  const auto entry = options_.stop->Enter(StopCandidateOf(call, context.value()));
+  if (!entry) {
+    return boost::outcome_v2::failure(entry.error());
+  }
   AttemptEnd end = executor_.Run(call, context.value());
   if (!end.result) {
     // Refusals carry the same figures as answers, so that callers learn most when it matters most.
--- a/src/node/root_admission.cpp
+++ b/src/node/root_admission.cpp
@@ -33,7 +33,7 @@
 
 OrRefusal<Root> RootAdmission::Admit(const ServerExchange& exchange, EndedRequest& ended)
 {
-  AwaitFirstState(exchange);
+  options_.view->AwaitFirst(*options_.clock, kFirstStateWait, exchange.CallerGone());
   return options_.routesByFleet ? AdmitByFleet(exchange, ended) : AdmitByDocument(exchange, ended);
 }
 
@@ -56,21 +56,6 @@
                          .issuerEpoch = options_.epoch };
 }
 
-void RootAdmission::AwaitFirstState(const ServerExchange& exchange)
-{
-  ChangeSignal& changes = options_.view->Changes();
-  const TimePoint giveUpAt = options_.clock->Now() + kFirstStateWait;
-  std::uint64_t seen = changes.Count();
-  while (options_.view->Version() == 0) {
-    const TimePoint now = options_.clock->Now();
-    if (now >= giveUpAt || exchange.IsCallerGone()) {
-      return;
-    }
-    changes.WaitBeyond(seen, giveUpAt - now, exchange.CallerGone());
-    seen = changes.Count();
-  }
-}
-
 OrRefusal<Root> RootAdmission::AdmitByDocument(const ServerExchange& exchange, EndedRequest& ended)
 {
   const auto& head = exchange.Request();
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -47,6 +47,11 @@
   std::size_t left_;
 };
 
+bool EndsConnection(const HttpResponseHead& head)
+{
+  return EqualsIgnoreCase(head.headers.Find("Connection").value_or(""), "close");
+}
+
 } // namespace
 
 ConnectionExchange::ConnectionExchange(HttpConnection& connection,
@@ -98,7 +103,7 @@
   reason_ = head.headers.Find("Acp-Reason").value_or("");
   // A caller that waits for `100 Continue` and gets a final answer may or may not send its body.
   const bool bodyIsUncertain = framing_.expectsContinue && !body_.IsEnded();
-  usable_ = usable_ && !isStopping_() && !bodyIsUncertain;
+  usable_ = usable_ && !isStopping_() && !EndsConnection(head) && !bodyIsUncertain;
   const auto& echoed = options_.echoedField;
   const auto id = echoed.empty() ? std::nullopt : head_.headers.Find(echoed);
   if (!id) {
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -2,71 +2,19 @@
 
 #include <thread>
 
-#include "acaciapulley/accounts/key_table.hpp"
-#include "acaciapulley/core/random.hpp"
 #include "acaciapulley/transport/http_client.hpp"
+#include "pipeline_documents.hpp"
 
 namespace acp::test {
 
 namespace {
 
 constexpr Duration kFetchTimeout = std::chrono::seconds(30);
-constexpr int kLimitedRate = 5000;
 const Address kAnyPort{ .ip = "127.0.0.1", .port = 0 };
 
 struct AnswerLost
 {};
 
-std::string DocumentOf(const std::string& service)
-{
-  return R"({"service":")" + service +
-         R"(","accounts":[{"name":"a","rate":5000,"burst":5000},{"name":"b","rate":5000,)"
-         R"("burst":5000},{"name":"poor","rate":1,"burst":1}],"classes":[)"
-         R"({"name":"order","methods":["POST"],"path":"/orders","priority":0,"idempotent":false,)"
-         R"("deadline_ms":20000,"max_body_bytes":1000},)"
-         R"({"name":"read","methods":["GET"],"path":"/items/*","priority":5,"idempotent":true,)"
-         R"("deadline_ms":20000},{"name":"open","methods":["GET"],"path":"/open","priority":5,)"
-         R"("idempotent":true,"open":true,"deadline_ms":20000}]})";
-}
-
-struct FleetRouteText
-{
-  std::string name;
-  std::string prefix;
-  bool isIdempotent = true;
-  bool isOpen = false;
-  std::string service = "front";
-};
-
-std::string FleetRouteOf(const FleetRouteText& route)
-{
-  return R"({"name":")" + route.name + R"(","host":"h","path_prefix":")" + route.prefix +
-         R"(","idempotent":)" + (route.isIdempotent ? "true" : "false") + R"(,"open":)" +
-         (route.isOpen ? "true" : "false") +
-         R"(,"priority":4,"timeout_ms":100000,"target_ms":100000,"max_attempts":2,)"
-         R"("destinations":[{"service":")" +
-         route.service + R"(","weight":1}]})";
-}
-
-std::string FleetAccountOf(const std::string& name, const char* key, int rate)
-{
-  return R"({"name":")" + name + R"(","key_hashes":[")" + ToHex(HashKey(key)) +
-         R"("],"priority":1,"rate":)" + std::to_string(rate) + R"(,"burst":)" +
-         std::to_string(rate) + "}";
-}
-
-std::string FleetDocumentText()
-{
-  return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)"
-         R"({"name":"front","health_path":"","max_connections":100},)"
-         R"({"name":"back","health_path":"","max_connections":100}],"routes":[)" +
-         FleetRouteOf({ .name = "order", .prefix = "/orders/", .isIdempotent = false }) + "," +
-         FleetRouteOf({ .name = "read", .prefix = "/items/" }) + "," +
-         FleetRouteOf({ .name = "stock", .prefix = "/stock/", .isOpen = true, .service = "back" }) +
-         R"(],"accounts":[)" + FleetAccountOf("unlimited", kUnlimitedKey, 0) + "," +
-         FleetAccountOf("limited", kLimitedKey, kLimitedRate) + "]}";
-}
-
 /// A body of which only the first bytes arrive.
 class CutBody final : public BodySource
 {
@@ -85,6 +33,18 @@
   int reads_ = 0;
 };
 
+HttpRequestHead FleetRequest(const std::string& method,
+                             const std::string& target,
+                             const std::string& key)
+{
+  HttpRequestHead head{ .method = method, .target = target };
+  head.headers.Set("Host", "h");
+  if (!key.empty()) {
+    head.headers.Set("Acp-Key", key);
+  }
+  return head;
+}
+
 ClaimKey FromWire(const wire::ClaimKey& key)
 {
   return { key.account, key.serviceName, key.idempotencyKey };
@@ -361,6 +321,7 @@
 TestNode::TestNode(const TestNodeOptions& options)
   : options_(options)
   , upstream_(options.translationFor)
+  , stop_(clock_)
   , pipeline_({ .nodeId = options.id,
                 .epoch = 1,
                 .dataCentre = "d1",
@@ -372,6 +333,7 @@
                 .view = &view_,
                 .upstream = &upstream_,
                 .members = &members_,
+                .stop = &stop_,
                 .control = [this](const auto& call) { return options_.control->Call(call); },
                 .tokens = [this](const auto& call) { return options_.control->Call(call); },
                 .onAnnounced = [] {},
@@ -472,6 +434,16 @@
   return Fetch(Egress(), { .method = "PUT", .target = "/.acp/upstream" }, body).status;
 }
 
+void TestNode::BeginStop(Duration left)
+{
+  stop_.Begin(clock_.Now() + left);
+}
+
+void TestNode::Stop()
+{
+  detail::StopListeners(stop_, { &ingress_, &peer_, &egress_ });
+}
+
 HttpRequestHead Order(const std::string& name, const std::string& key)
 {
   HttpRequestHead head{ .method = "POST", .target = "/front/orders" };
@@ -491,10 +463,7 @@
 
 HttpRequestHead FleetOrder(const std::string& name, const std::string& key)
 {
-  HttpRequestHead head{ .method = "POST", .target = "/orders/" + name };
-  head.headers.Set("Host", "h");
-  head.headers.Set("Acp-Key", key);
-  return head;
+  return FleetRequest("POST", "/orders/" + name, key);
 }
 
 HttpRequestHead FleetNested(const std::string& name, const SeenRequest& parent)
@@ -507,10 +476,22 @@
 
 HttpRequestHead FleetRead(const std::string& name, const std::string& key)
 {
-  HttpRequestHead head{ .method = "GET", .target = "/items/" + name };
-  head.headers.Set("Host", "h");
-  head.headers.Set("Acp-Key", key);
-  return head;
+  return FleetRequest("GET", "/items/" + name, key);
+}
+
+HttpRequestHead FleetQuickOrder(const std::string& name)
+{
+  return FleetRequest("POST", "/quick/orders/" + name, kUnlimitedKey);
+}
+
+HttpRequestHead FleetQuickRead(const std::string& name)
+{
+  return FleetRequest("GET", "/quick/items/" + name, kUnlimitedKey);
+}
+
+HttpRequestHead FleetNestedRead(const std::string& name)
+{
+  return FleetRequest("GET", "/nested/" + name, "");
 }
 
 } // namespace acp::test
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -163,6 +163,10 @@
   int Announce(bool isDraining);
   /// Announces an upstream other than the one of the options.
   int AnnounceAt(std::uint16_t port, bool isDraining = false);
+  /// Lets the node's stop end after @p left.
+  void BeginStop(Duration left);
+  /// Stops the node's listeners; returns when its requests have ended.
+  void Stop();
   [[nodiscard]] std::uint16_t Ingress() const { return ingress_.Port(); }
   [[nodiscard]] std::uint16_t Egress() const { return egress_.Port(); }
   [[nodiscard]] std::uint16_t Peer() const { return peer_.Port(); }
@@ -176,6 +180,7 @@
   NodeView view_;
   LocalUpstream upstream_;
   MemberTable members_;
+  detail::StopTimes stop_;
   RequestPipeline pipeline_;
   HttpServer peer_;
   HttpServer egress_;
@@ -193,6 +198,11 @@
 /// Requests on routes of the fleet document to the service `front`.
 HttpRequestHead FleetOrder(const std::string& name, const std::string& key = kUnlimitedKey);
 HttpRequestHead FleetRead(const std::string& name, const std::string& key = kUnlimitedKey);
+/// As FleetOrder and FleetRead, on routes with a target of a second.
+HttpRequestHead FleetQuickOrder(const std::string& name);
+HttpRequestHead FleetQuickRead(const std::string& name);
+/// A call that the upstream makes, without a key.
+HttpRequestHead FleetNestedRead(const std::string& name);
 
 /// A call to the service `back` that the upstream of @p parent makes: without a key and without a
 /// context, with the time that its parent has left.
