Serve nested calls before fresh work of their priority

Seen by callers: requests that had been let in failed late, because a nested call of theirs waited behind requests on which no work had been done yet, or gave way to one in a full queue. Nested calls had to be put above all priorities to avoid this, which lets a reader's nested calls pass an important request. Cause: the queue knew the priority of the root only. Change: GateRequest::continuesWork marks a nested call. Each priority has two levels, nested calls and then fresh work; the order of the priorities stays. No caller sets the mark yet. Evidence: before the change the new tests print nested_calls_are_served_before_fresh_work_of_their_priority_only: check queue.Pop(kStart)->id == expected has failed [1 != 2] a_full_queue_evicts_fresh_work_before_nested_calls: check queue.Push(MakeNested(3, "large", 6), kStart)->id == 2U has failed [3 != 2]

--- a/include/acaciapulley/admission/fair_queue.hpp
+++ b/include/acaciapulley/admission/fair_queue.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// The queue in front of one upstream: strict priority, then max-min fair among client accounts.
+/// The queue in front of one upstream: strict priority, then nested calls before fresh work, then
+/// max-min fair among client accounts.
 
 #include <array>         // array
 #include <cstddef>       // size_t
@@ -33,6 +34,8 @@
   /// node has applied the share that this gate announces.
   bool entersHere = false;
   Duration patience{}; ///< longest wait, instead of the queue's age bounds; 0: those apply
+  /// True for a nested call: refusing it wastes the work that its root request has had so far.
+  bool continuesWork = false;
 };
 
 /// A request that ends unserved, with the reason for its caller.
@@ -56,9 +59,9 @@
 
 /// Waiting requests of one gate.
 ///
-/// Its rules: a request is popped only when none of a more important priority waits; accounts of
-/// one priority are served by deficit round robin in proportion to their weights; no request waits
-/// longer than its age bound or its deadline.
+/// Its rules: a request is popped only when none of a more important priority waits; within one
+/// priority nested calls go before fresh work; accounts of either are served by deficit round robin
+/// in proportion to their weights; no request waits longer than its age bound or its deadline.
 ///
 /// Not thread-safe.
 class FairQueue
@@ -67,7 +70,8 @@
   explicit FairQueue(FairQueueOptions options = {});
 
   /// @brief Adds @p request. When the queue is full, the newest request of the most over-served
-  /// account of the least important priority gives way, which may be @p request itself.
+  /// account of the least important priority gives way, fresh work before nested calls; this may be
+  /// @p request itself.
   /// @return the refused request, if any
   [[nodiscard]] std::optional<GateRefusal> Push(const GateRequest& request, TimePoint now);
 
@@ -100,6 +104,8 @@
   [[nodiscard]] std::optional<TimePoint> NextExpiry(TimePoint now) const;
 
 private:
+  static constexpr std::size_t kLevelsPerPriority = 2; // nested calls, then fresh work
+
   struct Entry
   {
     GateRequest request;
@@ -137,7 +143,7 @@
   void NoteSize(TimePoint now);
 
   FairQueueOptions options_;
-  std::array<Level, kPriorityCount> levels_;
+  std::array<Level, kPriorityCount * kLevelsPerPriority> levels_;
   std::unordered_map<std::uint64_t, Place> places_;
   TimePoint lastEmpty_{};
 };
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -19,7 +19,8 @@
 FairQueue::Place FairQueue::PlaceOf(const GateRequest& request) const
 {
   const int priority = std::clamp(request.priority, 0, kPriorityCount - 1);
-  return { .level = options_.byPriority ? static_cast<std::size_t>(priority) : 0U,
+  const auto first = options_.byPriority ? static_cast<std::size_t>(priority) : 0U;
+  return { .level = first * kLevelsPerPriority + (request.continuesWork ? 0U : 1U),
            .account = options_.byAccount ? request.account : std::string() };
 }
 
--- a/tests/admission_test/fair_queue_test.cpp
+++ b/tests/admission_test/fair_queue_test.cpp
@@ -15,6 +15,13 @@
   };
 }
 
+acp::GateRequest MakeNested(std::uint64_t id, const std::string& account, int priority)
+{
+  acp::GateRequest request = MakeRequest(id, account, priority);
+  request.continuesWork = true;
+  return request;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(fair_queue)
@@ -50,4 +57,29 @@
   BOOST_TEST(queue.Size() == 2U);
 }
 
+// Guards against fresh work that takes slots from requests on which work has been done.
+BOOST_AUTO_TEST_CASE(nested_calls_are_served_before_fresh_work_of_their_priority_only)
+{
+  acp::FairQueue queue;
+  BOOST_TEST(!queue.Push(MakeRequest(1, "a", 6), kStart).has_value());
+  BOOST_TEST(!queue.Push(MakeNested(2, "a", 6), kStart).has_value());
+  BOOST_TEST(!queue.Push(MakeNested(3, "b", 7), kStart).has_value());
+  BOOST_TEST(!queue.Push(MakeRequest(4, "b", 1), kStart).has_value());
+  BOOST_TEST(!queue.Push(MakeNested(5, "b", 6), kStart).has_value());
+  for (const std::uint64_t expected : { 4U, 2U, 5U, 1U, 3U }) {
+    BOOST_TEST(queue.Pop(kStart)->id == expected);
+  }
+}
+
+// Guards against a full queue that evicts a nested call for fresh work of its priority.
+BOOST_AUTO_TEST_CASE(a_full_queue_evicts_fresh_work_before_nested_calls)
+{
+  acp::FairQueue queue({ .maxCount = 2 });
+  BOOST_TEST(!queue.Push(MakeNested(1, "large", 6), kStart).has_value());
+  BOOST_TEST(!queue.Push(MakeRequest(2, "small", 6), kStart).has_value());
+  BOOST_TEST(queue.Push(MakeNested(3, "large", 6), kStart)->id == 2U);
+  BOOST_TEST(queue.Push(MakeRequest(4, "small", 6), kStart)->id == 4U);
+  BOOST_TEST(queue.Push(MakeRequest(5, "small", 1), kStart)->id == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
