Let the latest threshold of a class replace an account's entry that is older than the hold

Seen by callers: with many nodes and accounts, roots were admitted although the service that they need refused its calls. Cause: a threshold is kept by account. With 57 nodes and 74 accounts a node meets one account of a class less than once in 200 ms, so each entry had begun to reopen by the account's next request. Entries of other accounts, which the same callee had just confirmed, did not count. Change: an account's own entry counts while it is fresh, else the class's latest one, with its own age.

--- a/include/acaciapulley/admission/threshold_table.hpp
+++ b/include/acaciapulley/admission/threshold_table.hpp
@@ -22,6 +22,8 @@
   std::size_t maxAccounts = 1000; ///< accounts per class and callee; further ones share an entry
   std::string seed;    ///< for example the node's id; spreads which requests the nodes admit first
   bool enabled = true; ///< false: admits everything (for comparison)
+  /// False: an account's own entry counts at any age (for comparison).
+  bool fallsBackToLatest = true;
 };
 
 /// A callee: one request class of one service.
@@ -111,7 +113,7 @@
   {
     Counter calls;
     std::map<std::string, Learnt> accounts;
-    Learnt latest; // for accounts without an own entry
+    Learnt latest; // for accounts without an own entry of late
   };
 
   struct OwnClass
--- a/src/admission/threshold_table.cpp
+++ b/src/admission/threshold_table.cpp
@@ -90,7 +90,11 @@
                                            TimePoint now) const
 {
   const auto found = callee.accounts.find(account);
-  return Aged(found == callee.accounts.end() ? callee.latest : found->second, now);
+  if (found == callee.accounts.end()) {
+    return Aged(callee.latest, now);
+  }
+  const bool isFresh = now - found->second.at <= options_.hold;
+  return Aged(isFresh || !options_.fallsBackToLatest ? found->second : callee.latest, now);
 }
 
 double ThresholdTable::AdmittedShare(const OwnClass& own,
--- a/tests/admission_test/threshold_test.cpp
+++ b/tests/admission_test/threshold_test.cpp
@@ -111,6 +111,18 @@
   BOOST_TEST(table.Combined("history", "a", learnt + 2s).Level() == 10.0);
 }
 
+// Guards against accounts that pass because they call too seldom to keep their own entries fresh.
+BOOST_AUTO_TEST_CASE(threshold_of_a_rare_account_follows_the_latest_of_its_class)
+{
+  acp::ThresholdTable table;
+  const acp::AdmissionThreshold closed{ .priority = 6, .share = 0.0 };
+  table.Learn("history", kCallee, "rare", closed, acp::TimePoint(0ms));
+  table.Learn("history", kCallee, "large", closed, acp::TimePoint(1s));
+  BOOST_TEST(!table.AdmitsRequest("history", "rare", 6, acp::TimePoint(1s)));
+  table.Learn("history", kCallee, "large", {}, acp::TimePoint(1010ms));
+  BOOST_TEST(table.AdmitsRequest("history", "rare", 6, acp::TimePoint(1020ms)));
+}
+
 // Guards against shedding important requests, idling under overload, and slow reopening after it.
 BOOST_AUTO_TEST_CASE(controller_sheds_by_priority_and_reopens_within_a_second)
 {
