Limit the requests in flight by the delay with which a node handles its messages

Cause: a node that has no processor time left is a queue that no gate sees. Its upstream has free slots, so its gate lets more requests in, each of which makes calls through the same node. Few nodes of one service can stop all: every request needs calls that start beside the export upstreams. Change: DelayLimit. The gate's limit falls below the requests in flight while the node's messages wait for longer than 20 ms on average and rises when they hardly wait. Queue, refusals and thresholds follow from the limit as before. The node has yet to call Gate::NoteDelay.

--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -35,6 +35,7 @@
 // admission
 #include "acaciapulley/admission/admission_error.hpp"
 #include "acaciapulley/admission/concurrency_limit.hpp"
+#include "acaciapulley/admission/delay_limit.hpp"
 #include "acaciapulley/admission/fair_queue.hpp"
 #include "acaciapulley/admission/gate.hpp"
 #include "acaciapulley/admission/intake_limit.hpp"
--- a/include/acaciapulley/admission/gate.hpp
+++ b/include/acaciapulley/admission/gate.hpp
@@ -10,6 +10,7 @@
 #include <vector>        // vector
 
 #include "acaciapulley/admission/concurrency_limit.hpp"    // ConcurrencyLimit, GateResult
+#include "acaciapulley/admission/delay_limit.hpp"          // DelayLimit
 #include "acaciapulley/admission/fair_queue.hpp"           // FairQueue, GateRequest, GateRefusal
 #include "acaciapulley/admission/load_report.hpp"          // LoadReport
 #include "acaciapulley/admission/threshold_controller.hpp" // ThresholdController
@@ -22,6 +23,7 @@
 struct GateOptions
 {
   ConcurrencyLimitOptions limit;
+  DelayLimitOptions delay;
   FairQueueOptions queue;
   ThresholdControllerOptions threshold;
 };
@@ -100,6 +102,9 @@
   /// @brief Follows a new announcement of the upstream.
   void Announce(int slots, Duration coldStart, TimePoint now);
 
+  /// @brief Records how long a message that was ready waited until the node handled it.
+  void NoteDelay(Duration delay, TimePoint now);
+
   /// @brief Refuses all waiting and later requests, for draining or stopping; started ones go on.
   void Close(Reason reason);
 
@@ -121,10 +126,12 @@
   };
 
   void Tick(TimePoint now);
+  [[nodiscard]] int Limit(TimePoint now) const;
   void Start(const GateRequest& request, TimePoint now);
   void Refuse(const GateRefusal& refusal);
 
   ConcurrencyLimit limit_;
+  DelayLimit delayLimit_;
   FairQueue queue_;
   ThresholdController controller_;
   std::unordered_map<std::uint64_t, Running> running_;
--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -18,15 +18,26 @@
 
 Gate::Gate(GateOptions options, TimePoint now)
   : limit_(options.limit, now)
+  , delayLimit_(options.delay, options.limit.slots, now)
   , queue_(options.queue)
   , controller_(options.threshold, now)
 {
 }
 
+int Gate::Limit(TimePoint now) const
+{
+  return std::min(limit_.Current(now), delayLimit_.Current());
+}
+
+void Gate::NoteDelay(Duration delay, TimePoint now)
+{
+  delayLimit_.OnDelay(delay, static_cast<int>(running_.size()), now);
+}
+
 void Gate::Tick(TimePoint now)
 {
   limit_.Update(now);
-  controller_.Update({ .limit = limit_.Current(now),
+  controller_.Update({ .limit = Limit(now),
                        .inFlight = static_cast<int>(running_.size()),
                        .queueAge = queue_.OldestAge(now) },
                      now);
@@ -34,7 +45,7 @@
 
 void Gate::Start(const GateRequest& request, TimePoint now)
 {
-  const bool isFull = static_cast<int>(running_.size()) + 1 >= limit_.Current(now);
+  const bool isFull = static_cast<int>(running_.size()) + 1 >= Limit(now);
   running_.emplace(
     request.id,
     Running{ .requestClass = request.requestClass, .startedAt = now, .wasFull = isFull });
@@ -62,7 +73,7 @@
   }
   controller_.OnOffer(request.priority, request.account, request.weight, !request.entersHere);
   Tick(now);
-  const bool hasSlot = static_cast<int>(running_.size()) < limit_.Current(now);
+  const bool hasSlot = static_cast<int>(running_.size()) < Limit(now);
   if (hasSlot && queue_.Size() == 0) {
     Start(request, now);
     return { .decision = OfferDecision::Start };
@@ -109,7 +120,7 @@
   for (const GateRefusal& refusal : queue_.Expire(now)) {
     Refuse(refusal);
   }
-  while (static_cast<int>(running_.size()) < limit_.Current(now)) {
+  while (static_cast<int>(running_.size()) < Limit(now)) {
     const auto request = queue_.Pop(now);
     if (!request) {
       break;
@@ -135,6 +146,7 @@
 void Gate::Announce(int slots, Duration coldStart, TimePoint now)
 {
   limit_.Announce(slots, coldStart, now);
+  delayLimit_.Announce(slots);
 }
 
 void Gate::Close(Reason reason)
@@ -155,7 +167,7 @@
   const auto age =
     std::chrono::duration_cast<std::chrono::milliseconds>(queue_.OldestAge(now)).count();
   return { .inFlight = static_cast<int>(running_.size()),
-           .limit = limit_.Current(now),
+           .limit = Limit(now),
            .queueAgeMs = static_cast<int>(std::min<std::int64_t>(age, kMaxReportedAgeMs)) };
 }
 
--- /dev/null
+++ b/tests/admission_test/delay_limit_test.cpp
@@ -0,0 +1,94 @@
+#include <algorithm> // min
+
+#include <boost/test/unit_test.hpp>
+
+#include "acaciapulley/admission/delay_limit.hpp"
+#include "acaciapulley/admission/gate.hpp"
+#include "acaciapulley/core/clock.hpp"
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kSlots = 300;
+
+// A limit whose requests in flight fill it, up to a number.
+class Node
+{
+public:
+  int Run(std::chrono::milliseconds span, acp::Duration delay, int most = kSlots)
+  {
+    for (auto passed = 0ms; passed < span; passed += 1ms) {
+      clock_.Advance(1ms);
+      limit_.OnDelay(delay, std::min(most, limit_.Current()), clock_.Now());
+    }
+    return limit_.Current();
+  }
+
+  void Pause(acp::Duration span) { clock_.Advance(span); }
+
+private:
+  acp::ManualClock clock_;
+  acp::DelayLimit limit_{ {}, kSlots, clock_.Now() };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(delay_limit)
+
+// Guards against requests that pile up at a node without processor time while slots are free.
+BOOST_AUTO_TEST_CASE(late_messages_limit_the_requests_in_flight)
+{
+  Node node;
+  BOOST_TEST(node.Run(1s, 1ms, 100) == kSlots);
+  BOOST_TEST(node.Run(110ms, 100ms, 100) <= 90);
+  const int limit = node.Run(200ms, 100ms, 100);
+  BOOST_TEST(limit < 80);
+  // Between the target and a quarter of it the limit stays.
+  BOOST_TEST(node.Run(50ms, 10ms, 100) <= limit);
+  BOOST_TEST(node.Run(2s, 10ms, 100) >= limit * 8 / 10);
+  BOOST_TEST(node.Run(1min, 1s, 100) == 1);
+}
+
+// Guards against a limit that outlasts its cause by more than the recovery aim of 2 s.
+BOOST_AUTO_TEST_CASE(limit_recovers_within_two_seconds_after_late_messages)
+{
+  Node busy;
+  busy.Run(10s, 1s);
+  BOOST_TEST(busy.Run(2s, 1ms) == kSlots);
+  Node idle;
+  idle.Run(10s, 1s);
+  idle.Pause(2s);
+  BOOST_TEST(idle.Run(1ms, 1ms) == kSlots);
+}
+
+// Guards against a gate that announces open thresholds while its node has no processor time.
+BOOST_AUTO_TEST_CASE(gate_of_a_node_without_processor_time_queues_and_announces_it)
+{
+  acp::ManualClock clock;
+  acp::Gate gate({ .limit = { .slots = kSlots, .adaptive = false } }, clock.Now());
+  std::uint64_t id = 0;
+  const auto offer = [&] {
+    return gate
+      .Offer({ .id = ++id, .account = "a", .priority = 3, .deadline = clock.Now() + 1h },
+             clock.Now())
+      .decision;
+  };
+  for (int i = 0; i < 100; ++i) {
+    BOOST_TEST((offer() == acp::OfferDecision::Start));
+  }
+  BOOST_TEST(gate.Threshold("a").Level() == 10.0);
+  std::uint64_t oldest = 0;
+  for (auto passed = 0ms; passed < 1s; passed += 1ms) {
+    clock.Advance(1ms);
+    gate.NoteDelay(100ms, clock.Now());
+    gate.Finish(++oldest, clock.Now(), acp::GateResult::Succeeded);
+    static_cast<void>(offer());
+    static_cast<void>(offer());
+    static_cast<void>(gate.Poll(clock.Now()));
+  }
+  BOOST_TEST(gate.Load(clock.Now()).limit < 100);
+  BOOST_TEST(gate.Threshold("a").ShareOf(3) < 1.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
