--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -38,7 +38,6 @@
 #include "acaciapulley/admission/delay_limit.hpp"
 #include "acaciapulley/admission/fair_queue.hpp"
 #include "acaciapulley/admission/gate.hpp"
-#include "acaciapulley/admission/intake_limit.hpp"
 #include "acaciapulley/admission/load_report.hpp"
 #include "acaciapulley/admission/threshold_controller.hpp"
 #include "acaciapulley/admission/threshold_table.hpp"
