Model services that call each other in a graph in the overload bench

It runs the unmodified Gate and ThresholdTable; what is compared are ways to tell nested calls apart, to carry thresholds to the root and to limit by message delay.

--- /dev/null
+++ b/bench/overload/graph_model.cpp
@@ -0,0 +1,373 @@
+#include "graph_model.hpp"
+
+#include <algorithm> // max, min
+#include <cmath>     // log
+#include <iterator>  // next
+#include <utility>   // move
+
+namespace bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr acp::Duration kHopLatency = 500us; // one way
+constexpr acp::Duration kLoadValid = 1s;
+// As in detail::PatienceOf.
+constexpr int kNestedPatienceParts = 2;
+constexpr int kRootPatienceParts = 5;
+// Keeps what a node learns from peers to which it forwards roots apart from what its own upstream's
+// calls tell.
+constexpr const char* kForwarded = "forwarded ";
+
+acp::GateOptions MakeGateOptions(const GraphPolicy& policy, const GraphService& service)
+{
+  acp::GateOptions options;
+  options.limit.slots = std::max(1, static_cast<int>(policy.usedSlots * service.slots));
+  options.limit.adaptive = false;
+  return options;
+}
+
+acp::CalleeClass CalleeOf(const Graph& graph, const GraphClass& requestClass)
+{
+  return { .service = graph.services[requestClass.service].name,
+           .requestClass = requestClass.name };
+}
+
+double Seconds(acp::Duration span)
+{
+  return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+GraphNode::GraphNode(GraphMesh& mesh, std::size_t service, double speed)
+  : mesh_(mesh)
+  , service_(service)
+  , speed_(speed)
+  , gate_(MakeGateOptions(mesh.policy, mesh.graph.services[service]), mesh.events.Now())
+  , table_(
+      { .seed = std::to_string(mesh.nextId++), .fallsBackToLatest = mesh.policy.fallsBackToLatest })
+{
+  for (const GraphService& each : mesh.graph.services) {
+    views_.emplace_back(static_cast<std::size_t>(each.upstreams));
+  }
+}
+
+void GraphNode::Process(std::function<void()> action)
+{
+  const auto handling = mesh_.graph.handling;
+  if (handling == acp::Duration::zero()) {
+    action();
+    return;
+  }
+  const auto readyAt = mesh_.events.Now();
+  const auto startAt = std::max(processorFreeAt_, readyAt);
+  processorFreeAt_ = startAt + handling;
+  processorTime_ += handling;
+  mesh_.events.After(processorFreeAt_ - readyAt,
+                     [this, delay = startAt - readyAt, action = std::move(action)] {
+                       if (mesh_.policy.limitsByDelay) {
+                         gate_.NoteDelay(delay, mesh_.events.Now());
+                       }
+                       action();
+                     });
+}
+
+const GraphClass& GraphNode::ClassOf(const GraphRequest& request) const
+{
+  return mesh_.graph.classes[request.classIndex];
+}
+
+GraphAnswer GraphNode::Answer(const GraphRequest& request, GraphEnd end)
+{
+  const auto now = mesh_.events.Now();
+  const auto callees = table_.Combined(ClassOf(request).name, request.account, now);
+  return { .end = end,
+           .threshold = acp::Stricter(gate_.Threshold(request.account), callees),
+           .inFlight = gate_.Load(now).inFlight };
+}
+
+void GraphNode::HandleRoot(const GraphRequestPtr& request)
+{
+  const auto now = mesh_.events.Now();
+  const GraphClass& requestClass = ClassOf(*request);
+  const std::string ownClass =
+    (mesh_.policy.separatesForwarding ? kForwarded : "") + requestClass.name;
+  if (!table_.AdmitsRequest(ownClass, request->account, request->priority, now)) {
+    request->reply({ .end = GraphEnd::Refused });
+    return;
+  }
+  table_.OnRequest(ownClass, now);
+  const auto remaining = request->deadline - now;
+  request->patience = std::min(requestClass.target, remaining) / kRootPatienceParts;
+  Forward(ownClass, request);
+}
+
+std::size_t GraphNode::Pick(std::size_t service)
+{
+  auto& views = views_[service];
+  const auto now = mesh_.events.Now();
+  const auto used = [&views, now](std::size_t index) {
+    const View& view = views[index];
+    return now - view.at <= kLoadValid ? view.inFlight + view.sentSince : 0;
+  };
+  const std::size_t first = mesh_.random() % views.size();
+  const std::size_t second = mesh_.random() % views.size();
+  return used(first) <= used(second) ? first : second;
+}
+
+void GraphNode::Forward(const std::string& ownClass, const GraphRequestPtr& request)
+{
+  const GraphClass& requestClass = ClassOf(*request);
+  const std::size_t index = Pick(requestClass.service);
+  GraphNode* callee = mesh_.services[requestClass.service][index].get();
+  if (callee == this) {
+    request->entersHere = !request->isNested;
+    HandleCall(request);
+    return;
+  }
+  ++views_[requestClass.service][index].sentSince;
+  table_.OnCall(ownClass, CalleeOf(mesh_.graph, requestClass), mesh_.events.Now());
+  const auto learn =
+    [this, ownClass, &requestClass, account = request->account, index](const GraphAnswer& answer) {
+      const auto now = mesh_.events.Now();
+      views_[requestClass.service][index] = { .inFlight = answer.inFlight, .at = now };
+      table_.Learn(ownClass, CalleeOf(mesh_.graph, requestClass), account, answer.threshold, now);
+    };
+  request->reply = [this, learn, reply = request->reply](const GraphAnswer& answer) {
+    mesh_.events.After(kHopLatency, [this, learn, reply, answer] {
+      Process([learn, reply, answer] {
+        learn(answer);
+        reply(answer);
+      });
+    });
+  };
+  mesh_.events.After(kHopLatency, [this, callee, request] {
+    callee->Process([callee, request] { callee->HandleCall(request); });
+  });
+}
+
+void GraphNode::HandleCall(const GraphRequestPtr& request)
+{
+  if (request->isCancelled) {
+    return;
+  }
+  mesh_.deep.offered += IsDeepest() ? 1 : 0;
+  request->node = this;
+  const auto offered =
+    gate_.Offer({ .id = request->id,
+                  .account = request->account,
+                  .priority = request->priority,
+                  .requestClass = ClassOf(*request).name,
+                  .deadline = request->deadline,
+                  .entersHere = request->entersHere,
+                  .patience = request->patience,
+                  .continuesWork = mesh_.policy.nestedFirst && request->isNested },
+                mesh_.events.Now());
+  if (offered.decision == acp::OfferDecision::Refused) {
+    Refuse(request);
+  } else if (offered.decision == acp::OfferDecision::Start) {
+    StartRun(request);
+  } else {
+    waiting_.emplace(request->id, request);
+  }
+  Poll();
+}
+
+void GraphNode::Refuse(const GraphRequestPtr& request)
+{
+  mesh_.deep.refused += IsDeepest() ? 1 : 0;
+  request->node = nullptr;
+  request->reply(Answer(*request, GraphEnd::Refused));
+}
+
+void GraphNode::Poll()
+{
+  const auto polled = gate_.Poll(mesh_.events.Now());
+  for (const auto& refusal : polled.refuse) {
+    Refuse(waiting_.extract(refusal.id).mapped());
+  }
+  for (const auto id : polled.start) {
+    StartRun(waiting_.extract(id).mapped());
+  }
+  ScheduleTimer();
+}
+
+void GraphNode::ScheduleTimer()
+{
+  const auto next = gate_.NextPoll(mesh_.events.Now());
+  if (!next || *next >= timerAt_ || *next == acp::TimePoint::max()) {
+    return;
+  }
+  timerAt_ = *next;
+  mesh_.events.After(*next - mesh_.events.Now() + 1us, [this, at = *next] {
+    if (timerAt_ == at) {
+      timerAt_ = acp::TimePoint::max();
+      Poll();
+    }
+  });
+}
+
+double GraphNode::WorkSeconds(const GraphClass& requestClass)
+{
+  const double varying = -std::log(1.0 - mesh_.Uniform()) * requestClass.varyingPart;
+  return Seconds(requestClass.work) * (1.0 - requestClass.varyingPart + varying);
+}
+
+void GraphNode::StartRun(const GraphRequestPtr& request)
+{
+  const auto now = mesh_.events.Now();
+  const std::uint64_t id = request->id;
+  const GraphClass& requestClass = ClassOf(*request);
+  mesh_.deep.started += IsDeepest() ? 1 : 0;
+  Run& run = runs_[id];
+  run.request = request;
+  run.startedAt = now;
+  run.work = WorkSeconds(requestClass);
+  const bool isNearlyFull =
+    static_cast<double>(runs_.size()) > Service().nearlyFull * Service().slots;
+  const double slowdown = isNearlyFull ? Service().nearlyFullFactor : 1.0;
+  if (mesh_.policy.separatesForwarding) {
+    table_.OnRequest(requestClass.name, now);
+  }
+  mesh_.events.After(std::chrono::duration_cast<acp::Duration>(
+                       std::chrono::duration<double>(run.work * slowdown / speed_)),
+                     [this, id] { OnWorkDone(id); });
+  mesh_.events.After(request->deadline - now, [this, id] { EndRun(id, GraphEnd::Failed); });
+  if (!requestClass.nested) {
+    return;
+  }
+  if (!requestClass.nested->together) {
+    run.callsLeft = requestClass.nested->times;
+    return;
+  }
+  for (int i = 0; i < requestClass.nested->times; ++i) {
+    StartCall(id);
+  }
+}
+
+void GraphNode::OnWorkDone(std::uint64_t id)
+{
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) {
+    return;
+  }
+  found->second.isWorkDone = true;
+  EndIfDone(id);
+}
+
+// The run to which a call is attributed: its caller's, or any when that is not known.
+const GraphNode::Run* GraphNode::CallerOf(const Run& run, std::size_t callee)
+{
+  const bool isDeepest = callee + 1 == mesh_.graph.services.size();
+  if (!isDeepest || mesh_.Uniform() < mesh_.policy.linkedPart) {
+    return &run;
+  }
+  const auto steps = static_cast<std::ptrdiff_t>(mesh_.random() % runs_.size());
+  return &std::next(runs_.begin(), steps)->second;
+}
+
+void GraphNode::StartCall(std::uint64_t id)
+{
+  Run& run = runs_.at(id);
+  const auto now = mesh_.events.Now();
+  const GraphClass& own = ClassOf(*run.request);
+  const GraphClass& callee = mesh_.graph.classes[own.nested->classIndex];
+  auto call = std::make_shared<GraphRequest>();
+  call->id = mesh_.nextId++;
+  call->classIndex = own.nested->classIndex;
+  call->deadline = std::min(run.request->deadline, now + callee.timeout);
+  call->isNested = true;
+  call->deepWork = run.request->deepWork;
+  const auto half = (call->deadline - now) / kNestedPatienceParts;
+  const auto patience = mesh_.policy.nestedPatience;
+  call->patience = patience > acp::Duration::zero() ? std::min(patience, half) : half;
+  std::string ownClass = callee.name;
+  if (mesh_.policy.linksNestedCalls) {
+    const Run* caller = CallerOf(run, callee.service);
+    call->priority = caller->request->priority;
+    call->account = caller->request->account;
+    ownClass = ClassOf(*caller->request).name;
+  }
+  ++run.callsOpen;
+  run.calls.push_back(call);
+  call->reply = [this, id](const GraphAnswer& answer) { OnCallEnd(id, answer); };
+  Process([this, ownClass, call] {
+    if (!call->isCancelled) {
+      Forward(ownClass, call);
+    }
+  });
+}
+
+void GraphNode::OnCallEnd(std::uint64_t id, const GraphAnswer& answer)
+{
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) {
+    return;
+  }
+  --found->second.callsOpen;
+  if (answer.end != GraphEnd::Completed) {
+    EndRun(id, GraphEnd::Failed);
+    return;
+  }
+  EndIfDone(id);
+}
+
+void GraphNode::EndIfDone(std::uint64_t id)
+{
+  Run& run = runs_.at(id);
+  if (!run.isWorkDone || run.callsOpen > 0) {
+    return;
+  }
+  if (run.callsLeft > 0) {
+    --run.callsLeft;
+    run.calls.clear();
+    StartCall(id);
+    return;
+  }
+  EndRun(id, GraphEnd::Completed);
+}
+
+void GraphNode::EndRun(std::uint64_t id, std::optional<GraphEnd> end)
+{
+  const auto node = runs_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  const Run& run = node.mapped();
+  const auto now = mesh_.events.Now();
+  if (IsDeepest()) {
+    const double occupied = Seconds(now - run.startedAt);
+    mesh_.deep.occupied += occupied;
+    mesh_.deep.worked += std::min(run.work, occupied * speed_);
+    *run.request->deepWork += end == GraphEnd::Completed ? run.work : 0.0;
+  }
+  const bool isCompleted = end == GraphEnd::Completed;
+  gate_.Finish(id, now, isCompleted ? acp::GateResult::Succeeded : acp::GateResult::Neutral);
+  run.request->node = nullptr;
+  for (const GraphRequestPtr& call : run.calls) {
+    call->isCancelled = true;
+    if (call->node != nullptr) {
+      call->node->Drop(call);
+    }
+  }
+  if (end) {
+    Process([this, request = run.request, end = *end] { request->reply(Answer(*request, end)); });
+  }
+  Poll();
+}
+
+void GraphNode::Drop(const GraphRequestPtr& request)
+{
+  request->isCancelled = true;
+  if (waiting_.erase(request->id) > 0) {
+    gate_.Cancel(request->id, mesh_.events.Now());
+    request->node = nullptr;
+    Poll();
+    return;
+  }
+  EndRun(request->id, std::nullopt);
+}
+
+} // namespace bench
--- a/bench/overload/main.cpp
+++ b/bench/overload/main.cpp
@@ -6,7 +6,8 @@
 
 #include <fmt/format.h> // print
 
-#include "scenarios.hpp" // Run
+#include "graph_tables.hpp" // PrintGraphTables, PrintGraphTimelines
+#include "scenarios.hpp"    // Run
 
 namespace {
 
@@ -203,6 +204,14 @@
     PrintTimeline(Metastable(), { .name = "this" });
     return 0;
   }
+  if (argc > 1 && std::string(argv[1]) == "--graph") {
+    bench::PrintGraphTables(argc > 2 ? argv[2] : "");
+    return 0;
+  }
+  if (argc > 1 && std::string(argv[1]) == "--graph-timeline") {
+    bench::PrintGraphTimelines(argc > 2 ? argv[2] : "");
+    return 0;
+  }
   const std::vector<Policy> onlyThis = { { .name = "this" } };
   for (const auto& group : { Surges(), Others(), Shapes() }) {
     for (const Scenario& scenario : group) {
