--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -35,6 +35,7 @@
 // admission
 #include "acaciapulley/admission/admission_error.hpp"
 #include "acaciapulley/admission/concurrency_limit.hpp"
+#include "acaciapulley/admission/delay_limit.hpp"
 #include "acaciapulley/admission/fair_queue.hpp"
 #include "acaciapulley/admission/gate.hpp"
 #include "acaciapulley/admission/load_report.hpp"
@@ -68,6 +69,7 @@
 
 // transport
 #include "acaciapulley/transport/address.hpp"
+#include "acaciapulley/transport/connection_counts.hpp"
 #include "acaciapulley/transport/control_channel.hpp"
 #include "acaciapulley/transport/http_client.hpp"
 #include "acaciapulley/transport/http_message.hpp"
--- a/include/acaciapulley/admission/concurrency_limit.hpp
+++ b/include/acaciapulley/admission/concurrency_limit.hpp
@@ -3,10 +3,12 @@
 /// @file
 /// Adaptive limit on the requests that one upstream works on at the same time.
 
+#include <array>  // array
 #include <map>    // map
 #include <string> // string
 
 #include "acaciapulley/core/clock.hpp" // Duration, TimePoint
+#include "acaciapulley/core/names.hpp" // EnumName, NameTable
 
 namespace acp {
 
@@ -20,6 +22,18 @@
   Neutral,   ///< says nothing about the upstream: caller gone, callee failed
 };
 
+template<>
+struct NameTable<GateResult>
+{
+  static constexpr std::array<EnumName<GateResult>, 5> kRows = { {
+    { GateResult::Succeeded, "succeeded" },
+    { GateResult::Failed, "failed" },
+    { GateResult::Refused, "refused" },
+    { GateResult::Lost, "lost" },
+    { GateResult::Neutral, "neutral" },
+  } };
+};
+
 /// Settings of ConcurrencyLimit; the defaults are explained in docs/overload.md.
 struct ConcurrencyLimitOptions
 {
@@ -27,6 +41,9 @@
   Duration coldStart{}; ///< length of the ramp from a tenth of the slots
   Duration period = std::chrono::milliseconds(100); ///< time between two adjustments
   bool adaptive = true; ///< false: the limit is always the announced slots
+  /// Part of the slots that is used at most, above 0 to 1. Some upstreams slow down when they are
+  /// nearly full, which costs more than the slots that stay free. Fewer than 10 slots are all used.
+  double usableShare = 1.0;
 };
 
 /// Follows the real capacity of one upstream between 1 and its announced slots.
--- a/include/acaciapulley/admission/gate.hpp
+++ b/include/acaciapulley/admission/gate.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The admission gate in front of one upstream.
 
+#include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
 #include <optional>      // optional
 #include <string>        // string
@@ -10,6 +11,7 @@
 #include <vector>        // vector
 
 #include "acaciapulley/admission/concurrency_limit.hpp"    // ConcurrencyLimit, GateResult
+#include "acaciapulley/admission/delay_limit.hpp"          // DelayLimit
 #include "acaciapulley/admission/fair_queue.hpp"           // FairQueue, GateRequest, GateRefusal
 #include "acaciapulley/admission/load_report.hpp"          // LoadReport
 #include "acaciapulley/admission/threshold_controller.hpp" // ThresholdController
@@ -22,6 +24,7 @@
 struct GateOptions
 {
   ConcurrencyLimitOptions limit;
+  DelayLimitOptions delay;
   FairQueueOptions queue;
   ThresholdControllerOptions threshold;
 };
@@ -100,6 +103,9 @@
   /// @brief Follows a new announcement of the upstream.
   void Announce(int slots, Duration coldStart, TimePoint now);
 
+  /// @brief Records how long a message that was ready waited until the node handled it.
+  void NoteDelay(Duration delay, TimePoint now);
+
   /// @brief Refuses all waiting and later requests, for draining or stopping; started ones go on.
   void Close(Reason reason);
 
@@ -109,6 +115,9 @@
   /// @brief Returns what callers should send for @p account, for `Acp-Threshold`.
   [[nodiscard]] AdmissionThreshold Threshold(const std::string& account) const;
 
+  /// @brief Returns the number of requests that wait.
+  [[nodiscard]] std::size_t Waiting() const { return queue_.Size(); }
+
   /// @brief Returns the figures for `Acp-Load`.
   [[nodiscard]] LoadReport Load(TimePoint now) const;
 
@@ -121,10 +130,12 @@
   };
 
   void Tick(TimePoint now);
+  [[nodiscard]] int Limit(TimePoint now) const;
   void Start(const GateRequest& request, TimePoint now);
   void Refuse(const GateRefusal& refusal);
 
   ConcurrencyLimit limit_;
+  DelayLimit delayLimit_;
   FairQueue queue_;
   ThresholdController controller_;
   std::unordered_map<std::uint64_t, Running> running_;
--- a/include/acaciapulley/core/event_loop.hpp
+++ b/include/acaciapulley/core/event_loop.hpp
@@ -81,6 +81,11 @@
   /// @brief Suspends the calling task until @p descriptor is ready for @p events (as of poll()).
   WaitEnd WaitFor(int descriptor, short events, TimePoint deadline);
 
+  /// @brief Returns how long what is ready waits for its turn: the length of the latest round over
+  /// the ready descriptors, timers and steps, or of the present one if that is longer. To be called
+  /// on the loop's thread.
+  [[nodiscard]] Duration Delay() const;
+
 private:
   struct Task;
   class Stacks;
@@ -90,6 +95,8 @@
   void RunPosted();
   void ExpireTimers();
   void PollDescriptors();
+  /// Begins a round when the one before has had all its descriptors.
+  void NoteRound(TimePoint asked, TimePoint now, bool isBatchFull, bool wasIdle);
   [[nodiscard]] int MillisToNextTimer();
   void End(WaitId id, WaitEnd end);
   void Resume(Task& task);
@@ -106,6 +113,9 @@
   std::unordered_map<WaitId, Callback> waits_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   WaitId nextWait_ = 1;
+  TimePoint roundStart_;   ///< when the present round's descriptors became ready
+  Duration latestRound_{}; ///< length of the round before
+  int fullBatches_ = 0;    ///< of the present round, so far
 
   std::mutex mutex_;
   std::vector<std::function<void()>> posted_;
--- a/include/acaciapulley/node/detail/dispatcher.hpp
+++ b/include/acaciapulley/node/detail/dispatcher.hpp
@@ -36,6 +36,7 @@
 {
   OrRefusal<void> result = boost::outcome_v2::success();
   int unusedRetries = 0;
+  bool gotServerError = false; ///< the answer that was passed on is an upstream's server error
 };
 
 /// Calls may come from any thread.
@@ -54,6 +55,8 @@
                      RequestContext context,
                      const Choice& choice,
                      int calleeRetries);
+  /// Runs the attempt on the own upstream, which is a callee like any peer.
+  AttemptEnd RunHere(PendingCall& call, const RequestContext& context);
   [[nodiscard]] RetryDecision Decide(const PendingCall& call,
                                      const RequestContext& context,
                                      const AttemptEnd& end,
--- a/include/acaciapulley/node/detail/executor.hpp
+++ b/include/acaciapulley/node/detail/executor.hpp
@@ -11,6 +11,7 @@
 #include "acaciapulley/node/detail/attempt.hpp"        // AttemptEnd, PendingCall
 #include "acaciapulley/node/detail/claim_client.hpp"   // ClaimClient
 #include "acaciapulley/node/detail/hop_book.hpp"       // HopBook
+#include "acaciapulley/node/detail/stop_times.hpp"     // StopTimes
 #include "acaciapulley/node/detail/threshold_book.hpp" // ThresholdBook
 #include "acaciapulley/node/local_upstream.hpp"        // LocalUpstream
 #include "acaciapulley/node/pipeline_guards.hpp"       // PipelineGuards
@@ -28,7 +29,8 @@
   BlockingGate* gate = nullptr;
   HopBook* hops = nullptr;
   ClaimClient* claims = nullptr;
-  ThresholdBook* thresholds = nullptr;
+  ThresholdBook* thresholds = nullptr; ///< of the requests that the upstream runs
+  const StopTimes* stop = nullptr;
   PipelineGuards guards;
 };
 
@@ -42,6 +44,11 @@
   /// @param context hop that the upstream executes; its retriesLeft go to nested calls
   AttemptEnd Run(PendingCall& call, const RequestContext& context);
 
+  /// @brief Returns which requests of a class the upstream and the callees of its nested calls
+  /// admit.
+  [[nodiscard]] AdmissionThreshold Threshold(const ResolvedRequest& request,
+                                             const std::string& account) const;
+
 private:
   /// An attempt that has passed the gate.
   struct Admitted
--- a/include/acaciapulley/node/detail/headers.hpp
+++ b/include/acaciapulley/node/detail/headers.hpp
@@ -11,6 +11,8 @@
 inline constexpr const char* kIdempotencyKeyHeader = "Idempotency-Key";
 inline constexpr const char* kDeadlineHeader = "Acp-Deadline-Ms";
 inline constexpr const char* kContextHeader = "Acp-Context";
+/// Names one attempt of a request. Peers echo it in answers, upstreams may.
+inline constexpr const char* kAttemptHeader = "Acp-Attempt";
 inline constexpr const char* kOutcomeHeader = "Acp-Outcome";
 inline constexpr const char* kReasonHeader = "Acp-Reason";
 inline constexpr const char* kThresholdHeader = "Acp-Threshold";
@@ -18,11 +20,16 @@
 inline constexpr const char* kRetriesLeftHeader = "Acp-Retries-Left";
 /// Longest wait of a fleet route's request at the gate, in milliseconds.
 inline constexpr const char* kPatienceHeader = "Acp-Patience-Ms";
+/// Aimed latency of a fleet route's request, in milliseconds; missing when none is set.
+inline constexpr const char* kTargetHeader = "Acp-Target-Ms";
 /// Exact form of `Retry-After`, in milliseconds.
 inline constexpr const char* kRetryAfterHeader = "Acp-Retry-After-Ms";
 /// Service and class that the node at which a request entered has chosen by the fleet document.
 inline constexpr const char* kServiceHeader = "Acp-Service";
 inline constexpr const char* kClassHeader = "Acp-Class";
+/// Set between nodes for a route that is open to all; nested calls count for their parent's
+/// account.
+inline constexpr const char* kOpenHeader = "Acp-Open";
 /// Client account, told to upstreams of a fleet document's routes.
 inline constexpr const char* kAccountHeader = "Acp-Account";
 /// Service of the host on which the request began.
--- a/include/acaciapulley/transport/detail/pool_core.hpp
+++ b/include/acaciapulley/transport/detail/pool_core.hpp
@@ -4,12 +4,16 @@
 /// The connections of one HttpPool: which are idle, in use, or to be retired.
 
 #include <condition_variable> // condition_variable
+#include <cstddef>            // size_t
+#include <cstdint>            // uint64_t
 #include <deque>              // deque
+#include <functional>         // hash
 #include <memory>             // enable_shared_from_this, unique_ptr
 #include <mutex>              // mutex
 #include <optional>           // optional
 #include <set>                // set
 #include <stop_token>         // stop_token
+#include <string>             // string
 #include <thread>             // thread
 #include <vector>             // vector
 
@@ -22,6 +26,26 @@
 
 namespace acp::detail {
 
+/// Ids of the requests that a connection has carried; a late answer to one of them may still come.
+class CarriedIds
+{
+public:
+  /// @brief Notes an id that is about to be sent.
+  void Add(const std::string& id) { hashes_.push_back(std::hash<std::string>{}(id)); }
+
+  /// @brief Returns whether an id has been sent. Two ids with one hash count as the same.
+  [[nodiscard]] bool Contain(const std::string& id) const;
+
+  /// @brief Returns whether no further id may be added, which bounds memory and search.
+  [[nodiscard]] bool IsFull() const { return hashes_.size() >= kMaxIds; }
+
+private:
+  // A new connection for as many requests costs little against them.
+  static constexpr std::size_t kMaxIds = 512;
+
+  std::vector<std::size_t> hashes_;
+};
+
 /// A connection of a pool and when it last carried a request.
 struct PooledConnection
 {
@@ -33,6 +57,7 @@
 
   HttpConnection io;
   TimePoint lastUsed;
+  CarriedIds ids;
 };
 
 /// Bookkeeping of a pool's connections. Calls may come from any thread.
@@ -56,7 +81,7 @@
   void GiveBack(ConnectionPtr connection);
 
   /// @brief Closes a connection that cannot be used again.
-  void Drop(ConnectionPtr connection);
+  void Drop(ConnectionPtr connection, ConnectionEvent why);
 
   /// @brief Notes that @p connection gave no answer in time.
   void NoteSilence(const PooledConnection& connection);
@@ -90,6 +115,7 @@
                     const std::stop_token& callerGone);
   void WakeOne();
   void Forget(const PooledConnection* connection);
+  void Count(ConnectionEvent event, std::uint64_t count = 1) const;
 
   const HttpPoolOptions options_;
   mutable std::mutex mutex_;
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -38,8 +38,8 @@
   /// @brief Sends a whole answer held in memory.
   virtual void Respond(const HttpResponseHead& head, const std::string& body) = 0;
 
-  /// @brief Streams an answer. A body that turns out truncated aborts the connection, so that the
-  /// caller's framing shows it.
+  /// @brief Streams an answer. A body that turns out truncated, or not of the declared length,
+  /// aborts the connection, so that the caller's framing shows it.
   /// @param length length of the body, or -1 to send it chunked
   /// @param beforeLastBytes called after the body was read whole and before its last bytes are sent
   /// @return whether the caller was sent the whole answer
@@ -83,11 +83,14 @@
   /// A caller that has kept the server waiting for this long, and for longer than its answer takes
   /// at 64 KiB/s, is disconnected, so that a slow reader does not hold an upstream's slot.
   Duration slowReaderGrace = std::chrono::seconds(5);
+  /// Field of requests that answers echo, so that callers can tell answers apart; empty: none.
+  std::string echoedField;
   std::function<void(const ServedRequest& served)>
     onServed; ///< called after each request; optional
 };
 
-/// A listener. Stop() lets requests in progress end, then closes.
+/// A listener. Stop() lets requests in progress end, then closes. A handler's answer with
+/// `Connection: close` ends its connection.
 ///
 /// A malformed, conflicting or oversized head is answered 400 or 413 with `Acp-Outcome: not-run`
 /// before the handler is called. `GET /.acp/heartbeat` is answered 204 by the server itself.
@@ -113,6 +116,10 @@
   /// @brief Returns the number of open connections.
   [[nodiscard]] int Connections() const;
 
+  /// @brief Answers with `Connection: close` and closes idle connections from now on, but goes on
+  /// accepting.
+  void BeginStop();
+
   /// @brief Stops accepting, answers requests in progress with `Connection: close`, waits up to
   /// @p patience for them, then closes. Idle connections are closed at once.
   void Stop(Duration patience);
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -25,6 +25,8 @@
 constexpr double kGrowthFactor = 1.25;
 constexpr double kGrowthStep = 1.0;
 constexpr double kColdStartShare = 0.1;
+// Of fewer slots, a single one would be too large a part to keep free.
+constexpr int kFewestSlotsForReserve = 10;
 constexpr double kSmoothing = 0.1;
 constexpr double kBaseDriftPerSecond = 0.01;
 
@@ -163,7 +165,9 @@
 
 int ConcurrencyLimit::Current(TimePoint now) const
 {
-  const double bound = std::min({ limit_, ColdStartCap(now), static_cast<double>(options_.slots) });
+  const bool hasReserve = options_.slots >= kFewestSlotsForReserve;
+  const double usable = hasReserve ? options_.usableShare * options_.slots : options_.slots;
+  const double bound = std::min({ limit_, ColdStartCap(now), usable });
   return std::max(1, static_cast<int>(std::floor(bound)));
 }
 
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -1,14 +1,18 @@
 #include "acaciapulley/node/node_process.hpp"
 
-#include <algorithm> // max
+#include <algorithm> // max, min
 #include <atomic>    // atomic
 #include <map>       // map
 #include <mutex>     // mutex
 #include <optional>  // optional
 #include <tuple>     // tie
 #include <utility>   // exchange, move
+#include <vector>    // vector
 
 #include "acaciapulley/core/log.hpp"                  // Log
+#include "acaciapulley/node/detail/headers.hpp"       // kAttemptHeader
+#include "acaciapulley/node/detail/load_log.hpp"      // LoadLog
+#include "acaciapulley/node/detail/stop_times.hpp"    // StopListeners, StopTimes
 #include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
 #include "acaciapulley/node/sync_loop.hpp"            // SyncLoop
 #include "acaciapulley/record/record_counters.hpp"    // RecordCounters
@@ -128,8 +132,9 @@
   explicit Impl(const NodeProcessOptions& options)
     : epoch_(CountMillis(options.clock->WallNow()))
     , clock_(*options.clock)
-    , upstream_(options.translationFor)
+    , upstream_(options.translationFor, upstreamConnections_)
     , record_(options.clock->WallNow())
+    , stop_(*options.clock)
     , control_({ .replicas = options.control })
     , tokenChannel_({ .replicas = options.control, .maxConnections = 1 })
     , syncChannel_({ .replicas = options.control, .timeout = kSyncTimeout })
@@ -146,10 +151,18 @@
                   .view = &view_,
                   .upstream = &upstream_,
                   .members = &members_,
+                  .stop = &stop_,
                   .control = [this](const auto& call) { return control_.Call(call); },
                   .tokens = [this](const auto& call) { return tokenChannel_.Call(call); },
+                  .peerConnections = peerConnections_,
                   .onAnnounced = [this] { sync_.Wake(); },
                   .onEnded = [this](const EndedRequest& ended) { Record(ended); } })
+    , load_({ .clock = options.clock,
+              .service = [this] { return UpstreamService(); },
+              .gate = [this] { return pipeline_.Figures().gate; },
+              .upstreamConnections = upstreamConnections_,
+              .peerConnections = peerConnections_,
+              .write = [](auto fields) { Log(LogLevel::Info, "node_load", fields); } })
     , sync_({ .nodeId = options.nodeId,
               .epoch = epoch_,
               .dataCentre = options.dataCentre,
@@ -163,7 +176,7 @@
               .calls = &control_,
               .tokens = &tokenChannel_,
               .hold = kSyncHold })
-    , peer_(Listener("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer))
+    , peer_(Peer(options))
     , admin_({ .address = options.admin,
                .maxConnections = kAdminConnections,
                .handler = [this](ServerExchange& e) { HandleAdmin(e); } })
@@ -196,28 +209,28 @@
     return found != nullptr ? std::optional(found->healthPath) : std::nullopt;
   }
 
-  void BeginStop() { stopping_ = true; }
+  void BeginStop(TimePoint endsAt)
+  {
+    stopping_ = true;
+    stop_.Begin(endsAt);
+  }
 
   void BeginDrain()
   {
-    BeginStop();
     // Peers choose other nodes as soon as control has passed this on.
     upstream_.BeginStop();
     sync_.Wake();
   }
 
-  void Stop(Duration patience)
+  void Stop()
   {
     BeginDrain();
-    const TimePoint deadline = clock_.Now() + patience;
-    const auto left = [&] { return std::max(deadline - clock_.Now(), Duration::zero()); };
-    ingress_.Stop(left());
-    peer_.Stop(left());
-    // Requests that ended above may have made nested calls through the egress until now.
+    std::vector<HttpServer*> listeners = { &ingress_, &peer_ };
     if (egress_) {
-      egress_->Stop(left());
+      listeners.push_back(&*egress_);
     }
-    admin_.Stop(left());
+    detail::StopListeners(stop_, listeners);
+    admin_.Stop(stop_.Left());
   }
 
 private:
@@ -230,8 +243,20 @@
              .maxConnections = maxConnections,
              .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
              .runsInTasks = true,
-             .onServed = [counts = std::make_shared<ListenerMetrics>(metrics_, name)](
-                           const ServedRequest& served) { counts->Count(served); } };
+             .onServed =
+               [this, counts = std::make_shared<ListenerMetrics>(metrics_, name)](
+                 const ServedRequest& served) {
+                 counts->Count(served);
+                 load_.WriteWhenDue();
+               } };
+  }
+
+  HttpServerOptions Peer(const NodeProcessOptions& options)
+  {
+    HttpServerOptions peer =
+      Listener("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer);
+    peer.echoedField = detail::kAttemptHeader;
+    return peer;
   }
 
   HttpServerOptions Ingress(const NodeProcessOptions& options)
@@ -269,9 +294,16 @@
           { "left_out", std::to_string(lineBudget_.TakeLeftOut()) } });
   }
 
+  [[nodiscard]] std::string UpstreamService() const
+  {
+    const auto announced = upstream_.Current();
+    return announced ? announced->service : "";
+  }
+
   void Record(const EndedRequest& ended)
   {
     LogOwnAnswer(ended);
+    load_.NoteEnded(ended);
     if (ended.requestClass.empty()) {
       return;
     }
@@ -316,34 +348,70 @@
     const auto pool = upstream_.Pool();
     metrics_.Gauge("acp_upstream_connections", "Open connections to the upstream.")
       .Set(pool ? pool->OpenConnections() : 0);
-    const auto tokenCalls = pipeline_.TokenCalls();
+    const auto figures = pipeline_.Figures();
     const auto calls = [this](const std::string& result, std::uint64_t count) {
       metrics_
         .Gauge(
           "acp_token_calls", "Calls for rate tokens since the start.", { { "result", result } })
         .Set(static_cast<double>(count));
     };
-    calls("answered", tokenCalls.calls - tokenCalls.failed);
-    calls("failed", tokenCalls.failed);
+    calls("answered", figures.tokenCalls.calls - figures.tokenCalls.failed);
+    calls("failed", figures.tokenCalls.failed);
+    CollectGate(figures.gate.counts);
+    CollectConnections("upstream", *upstreamConnections_);
+    CollectConnections("peers", *peerConnections_);
     metrics_.Gauge("acp_state_version", "Version of the state this node decides by.")
       .Set(static_cast<double>(view_.Version()));
     metrics_.Gauge("acp_state_fresh", "1 when keyed requests are served.").Set(isFresh ? 1 : 0);
     return metrics_.Serialize();
   }
 
+  void CollectGate(const GateCounts& counts)
+  {
+    for (const auto& [reason, count] : counts.refused) {
+      metrics_
+        .Gauge("acp_gate_refused",
+               "Requests that the gate has refused since the start.",
+               { { "reason", std::string(NameOf(reason)) } })
+        .Set(static_cast<double>(count));
+    }
+    for (const auto& [result, ended] : counts.ended) {
+      metrics_
+        .Gauge("acp_gate_runs",
+               "Requests that have run on the upstream since the start.",
+               { { "result", std::string(NameOf(result)) } })
+        .Set(static_cast<double>(ended.count));
+    }
+  }
+
+  void CollectConnections(const std::string& to, const ConnectionCounts& counts)
+  {
+    for (const auto& row : NameTable<ConnectionEvent>::kRows) {
+      metrics_
+        .Gauge("acp_connection_events",
+               "Connections opened, and closed by reason, since the start.",
+               { { "to", to }, { "event", std::string(row.name) } })
+        .Set(static_cast<double>(counts.Of(row.value)));
+    }
+  }
+
   std::int64_t epoch_;
   const Clock& clock_;
   LineBudget lineBudget_;
   MetricsRegistry metrics_;
   NodeView view_;
+  std::shared_ptr<ConnectionCounts> upstreamConnections_ = std::make_shared<ConnectionCounts>();
+  std::shared_ptr<ConnectionCounts> peerConnections_ = std::make_shared<ConnectionCounts>();
   LocalUpstream upstream_;
   MemberTable members_;
   RecordCounters record_;
   std::atomic<bool> stopping_{ false };
+  detail::StopTimes stop_;
   ControlChannel control_;
   ControlChannel tokenChannel_;
   ControlChannel syncChannel_; ///< its calls may be held by control
   RequestPipeline pipeline_;
+  detail::LoadLog load_;
   SyncLoop sync_;
   HttpServer peer_;
   std::optional<HttpServer> egress_;
@@ -378,9 +446,9 @@
   return impl_->HealthPathOf(service);
 }
 
-void NodeProcess::BeginStop()
+void NodeProcess::BeginStop(TimePoint endsAt)
 {
-  impl_->BeginStop();
+  impl_->BeginStop(endsAt);
 }
 
 void NodeProcess::BeginDrain()
@@ -388,9 +456,9 @@
   impl_->BeginDrain();
 }
 
-void NodeProcess::Stop(Duration patience)
+void NodeProcess::Stop()
 {
-  impl_->Stop(patience);
+  impl_->Stop();
 }
 
 } // namespace acp
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // clamp
 #include <charconv>  // from_chars
 
-#include "acaciapulley/node/detail/answer_relay.hpp"  // ReadMessage, SaysNotRun
+#include "acaciapulley/node/detail/answer_relay.hpp"  // AttemptEcho, ReadMessage
 #include "acaciapulley/node/detail/headers.hpp"       // kContextHeader
 #include "acaciapulley/node/detail/request_times.hpp" // MillisIn
 
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kMaxPeerConnections = 256;
+constexpr int kBadGateway = 502;
 // A peer answers by the deadline itself; this is for its answer's way back.
 constexpr Duration kAnswerGrace = std::chrono::milliseconds(50);
 
@@ -23,6 +24,14 @@
   return std::clamp(unused, 0, sent);
 }
 
+void SetTarget(const RequestClass& requestClass, HttpHeaders& headers)
+{
+  const auto target = std::chrono::floor<std::chrono::milliseconds>(requestClass.target);
+  if (target.count() > 0) {
+    headers.Set(kTargetHeader, std::to_string(target.count()));
+  }
+}
+
 AttemptEnd WithoutAnswer(const TransportError& error, int sentRetries)
 {
   if (error.code == TransportErrorCode::Abandoned) {
@@ -65,7 +74,9 @@
     pool =
       std::make_shared<HttpPool>(HttpPoolOptions{ .address = address ? address.value() : Address{},
                                                   .maxConnections = kMaxPeerConnections,
-                                                  .sendsHeartbeats = true });
+                                                  .sendsHeartbeats = true,
+                                                  .translation = AttemptEcho(),
+                                                  .counts = options_.connections });
   }
   return pool;
 }
@@ -81,20 +92,23 @@
   if (call.exchange.IsCallerGone()) {
     return FailedAttempt(CallerLeft("a peer"), true, context.retriesLeft);
   }
+  const auto fits = options_.stop->CheckSend(StopCandidateOf(call, context));
+  if (!fits) {
+    return FailedAttempt(fits.error(), true, context.retriesLeft);
+  }
   if (call.commitToken && !call.commitToken()) {
     return FailedAttempt(
       { .reason = Reason::RateUnavailable, .message = "the lease of the rate token has ended" },
       true,
       context.retriesLeft);
   }
-  if (call.entersHere) {
-    options_.thresholds->NoteForwarded(call.ownClass,
-                                       { call.request.service, call.request.requestClass->name });
-  }
   HttpRequestHead head{ .method = call.exchange.Request().method,
                         .target = "/" + call.request.service + call.request.upstreamTarget };
   head.headers = ForwardedRequestHeaders(call.exchange.Request().headers, options_.guards.stripKey);
-  head.headers.Set(kContextHeader, options_.signer->Sign(context));
+  RequestContext bounded = context;
+  bounded.deadline = options_.stop->Bound(context.deadline);
+  head.headers.Set(kContextHeader, options_.signer->Sign(bounded));
+  head.headers.Set(kAttemptHeader, context.hopId);
   if (call.request.isFleetRoute) {
     head.target = call.request.upstreamTarget;
     head.headers.Set("Host", call.exchange.Request().headers.Find("Host").value_or(""));
@@ -104,8 +118,12 @@
     head.headers.Set(
       kPatienceHeader,
       std::to_string(std::chrono::floor<std::chrono::milliseconds>(call.patience).count()));
+    if (call.request.requestClass->openToAll) {
+      head.headers.Set(kOpenHeader, "1");
+    }
     // Hosts' wall clocks differ, so that peers are told the time that is left.
-    head.headers.Set(kDeadlineHeader, std::to_string(remaining.count()));
+    head.headers.Set(kDeadlineHeader, std::to_string(CountMillis(bounded.deadline) - now));
+    SetTarget(*call.request.requestClass, head.headers);
   }
   // The peer sees the close and decides: a request that has gone to its upstream and must not be
   // repeated is followed to its end there.
@@ -129,8 +147,7 @@
                        const HttpResponseHead& answer)
 {
   if (const auto header = answer.headers.Find(kThresholdHeader)) {
-    const CalleeClass callee{ call.request.service, call.request.requestClass->name };
-    options_.thresholds->Learn(call.ownClass, callee, context.account, *header);
+    call.thresholds->Learn(call.ownClass, CalleeOf(call.request), context.account, *header);
   }
   if (const auto header = answer.headers.Find(kLoadHeader)) {
     const auto load = ParseLoad(*header);
@@ -151,8 +168,9 @@
   const auto outcome = FromName<RequestOutcome>(head.headers.Find(kOutcomeHeader).value_or(""));
   if (outcome != RequestOutcome::Ran) {
     const auto reason = FromName<Reason>(head.headers.Find(kReasonHeader).value_or(""));
-    // An answer without a known outcome did not come from a node's pipeline.
-    Refusal refusal{ .status = head.status,
+    // An answer without a known outcome did not come from a node's pipeline, so that its status
+    // promises nothing.
+    Refusal refusal{ .status = outcome ? head.status : kBadGateway,
                      .outcome = outcome.value_or(RequestOutcome::Unknown),
                      .reason = reason.value_or(Reason::UpstreamConnectionLost),
                      .message = ReadMessage(answer) };
--- a/src/transport/pool_keeper.cpp
+++ b/src/transport/pool_keeper.cpp
@@ -22,6 +22,8 @@
 // Bound on probing for one round, so that many lost peers do not delay the heartbeats of others.
 constexpr Duration kProbeBudget = std::chrono::seconds(1);
 
+constexpr int kHeartbeatStatus = 204;
+
 /// A connection that carries a heartbeat.
 struct Heartbeat
 {
@@ -48,7 +50,9 @@
   HttpResponseHead head;
   MessageFraming framing;
   const bool isValid = !ParseResponseHead(text, "GET", &head, &framing);
-  const bool isReusable = isValid && framing.bodyLength == 0 && framing.keepAlive;
+  // Any other answer, or input after it, is not the heartbeat's, whose own may still come.
+  const bool isExpected = head.status == kHeartbeatStatus && !connection.io.HasInput();
+  const bool isReusable = isValid && isExpected && framing.keepAlive;
   return isReusable ? IoStatus::Ok : IoStatus::Failed;
 }
 
@@ -58,7 +62,7 @@
   auto& pool = *heartbeat.pool;
   auto fresh = pool.Open(SteadyNow() + kConnectTime);
   if (!fresh) {
-    pool.Drop(std::move(heartbeat.connection));
+    pool.Drop(std::move(heartbeat.connection), ConnectionEvent::Silent);
     return;
   }
   const TimePoint opened = fresh.value()->io.CreatedAt();
@@ -68,7 +72,7 @@
   if (AwaitHeartbeat(*heartbeat.connection, late) == IoStatus::Ok) {
     pool.EndHeartbeat(std::move(heartbeat.connection));
   } else {
-    pool.Drop(std::move(heartbeat.connection));
+    pool.Drop(std::move(heartbeat.connection), ConnectionEvent::Silent);
     if (answers) {
       Log(LogLevel::Warning,
           "silent_connections_retired",
@@ -79,7 +83,7 @@
   if (answers) {
     pool.EndHeartbeat(std::move(fresh).value());
   } else {
-    pool.Drop(std::move(fresh).value());
+    pool.Drop(std::move(fresh).value(), ConnectionEvent::Silent);
   }
 }
 
@@ -92,7 +96,7 @@
       if (SendHeartbeat(*connection, *pool)) {
         sent.push_back({ .pool = pool, .connection = std::move(connection), .sentAt = now });
       } else {
-        pool->Drop(std::move(connection));
+        pool->Drop(std::move(connection), ConnectionEvent::Stale);
       }
     }
   }
@@ -112,7 +116,9 @@
     } else if (status == IoStatus::TimedOut && !isKnown) {
       silent.push_back(std::move(heartbeat));
     } else {
-      heartbeat.pool->Drop(std::move(heartbeat.connection));
+      const bool isSilent = status == IoStatus::TimedOut;
+      heartbeat.pool->Drop(std::move(heartbeat.connection),
+                           isSilent ? ConnectionEvent::Silent : ConnectionEvent::Stale);
     }
   }
   return silent;
@@ -179,7 +185,7 @@
       if (SteadyNow() - start < kAnswerTime + kProbeBudget) {
         ProbeSilent(std::move(silent));
       } else {
-        silent.pool->Drop(std::move(silent.connection));
+        silent.pool->Drop(std::move(silent.connection), ConnectionEvent::Silent);
       }
     }
     pools.clear();
--- a/tests/core_test/event_loop_test.cpp
+++ b/tests/core_test/event_loop_test.cpp
@@ -5,6 +5,7 @@
 #include <future>
 #include <stdexcept>
 #include <stop_token>
+#include <thread>
 #include <vector>
 
 #include <poll.h>
@@ -61,6 +62,18 @@
 
 BOOST_AUTO_TEST_SUITE(event_loop)
 
+BOOST_AUTO_TEST_CASE(task_that_holds_the_loop_up_shows_as_delay_of_what_waits_behind_it)
+{
+  static constexpr acp::Duration kHeldUp = 30ms;
+  acp::EventLoop loop;
+  std::promise<acp::Duration> delay;
+  loop.Spawn([&] {
+    loop.Spawn([&] { delay.set_value(loop.Delay()); });
+    std::this_thread::sleep_for(kHeldUp);
+  });
+  BOOST_TEST((delay.get_future().get() >= kHeldUp));
+}
+
 BOOST_AUTO_TEST_CASE(tasks_that_wait_do_not_hold_up_others)
 {
   constexpr int kTasks = 2000;
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -123,6 +123,7 @@
   PipelineGuards guards;
   int slots = 100;            ///< announced for the upstream
   bool routesByFleet = false; ///< see FleetOrder() and FleetRead()
+  LocalUpstream::TranslationFor translationFor;
 };
 
 inline constexpr int kRetryBudget = 2;
@@ -152,11 +153,20 @@
   /// Makes @p nodes the members to which this node sends requests.
   void Learn(const std::vector<TestNode*>& nodes);
 
+  /// Makes the only member of `front` a peer at @p port that is no node.
+  void LearnPeer(std::uint16_t port);
+
   /// Waits until @p count requests of callers have ended, for at most @p longest.
   bool WaitForEnded(int count, Duration longest);
 
   void TakeState();
   int Announce(bool isDraining);
+  /// Announces an upstream other than the one of the options.
+  int AnnounceAt(std::uint16_t port, bool isDraining = false);
+  /// Lets the node's stop end after @p left.
+  void BeginStop(Duration left);
+  /// Stops the node's listeners; returns when its requests have ended.
+  void Stop();
   [[nodiscard]] std::uint16_t Ingress() const { return ingress_.Port(); }
   [[nodiscard]] std::uint16_t Egress() const { return egress_.Port(); }
   [[nodiscard]] std::uint16_t Peer() const { return peer_.Port(); }
@@ -170,6 +180,7 @@
   NodeView view_;
   LocalUpstream upstream_;
   MemberTable members_;
+  detail::StopTimes stop_;
   RequestPipeline pipeline_;
   HttpServer peer_;
   HttpServer egress_;
@@ -187,5 +198,14 @@
 /// Requests on routes of the fleet document to the service `front`.
 HttpRequestHead FleetOrder(const std::string& name, const std::string& key = kUnlimitedKey);
 HttpRequestHead FleetRead(const std::string& name, const std::string& key = kUnlimitedKey);
+/// As FleetOrder and FleetRead, on routes with a target of a second.
+HttpRequestHead FleetQuickOrder(const std::string& name);
+HttpRequestHead FleetQuickRead(const std::string& name);
+/// A call that the upstream makes, without a key.
+HttpRequestHead FleetNestedRead(const std::string& name);
+
+/// A call to the service `back` that the upstream of @p parent makes: without a key and without a
+/// context, with the time that its parent has left.
+HttpRequestHead FleetNested(const std::string& name, const SeenRequest& parent);
 
 } // namespace acp::test
--- a/tests/transport_test/client_failure_test.cpp
+++ b/tests/transport_test/client_failure_test.cpp
@@ -270,6 +270,34 @@
   BOOST_TEST(probe.get_future().get().starts_with("GET /.acp/heartbeat "));
 }
 
+// Guards against a heartbeat's answer that reaches a request, since another was taken for it.
+BOOST_AUTO_TEST_CASE(an_extra_answer_is_not_taken_for_a_heartbeats)
+{
+  std::promise<void> extraSent;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    auto first = socket.acceptConnection();
+    Take(first);
+    Give(first, Answer("first"));
+    Take(first); // the heartbeat
+    Give(first, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    extraSent.set_value();
+    if (!Take(first).empty()) {
+      Give(first, "HTTP/1.1 204 No Content\r\n\r\n");
+      return;
+    }
+    auto second = socket.acceptConnection();
+    Take(second);
+    Give(second, Answer("second"));
+  });
+  acp::HttpPool pool({ .address = server.Where(),
+                       .maxConnections = 1,
+                       .maxWait = kTimeout,
+                       .sendsHeartbeats = true });
+  BOOST_TEST(Get(pool) == "first");
+  extraSent.get_future().get();
+  BOOST_TEST(Get(pool) == "second");
+}
+
 // Guards against memory that grows with what a broken server sends before the end of a head.
 BOOST_AUTO_TEST_CASE(heads_without_end_are_cut)
 {
@@ -347,4 +375,76 @@
   BOOST_TEST(pool.OpenConnections() == 0);
 }
 
+// P7, MIXED. Guards against a body that is read on, and as whole, after a part of it was lost.
+BOOST_AUTO_TEST_CASE(a_body_that_was_silent_for_too_long_stays_cut)
+{
+  std::promise<void> cut;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    auto connection = socket.acceptConnection();
+    Take(connection);
+    Give(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello");
+    cut.get_future().get();
+    try {
+      Give(connection, "\r\n0\r\n\r\n");
+      Take(connection);
+    } catch (const Poco::Exception&) {
+      return; // the client has closed
+    }
+  });
+  acp::HttpPool pool({ .address = server.Where() });
+  acp::StringBody empty("");
+  auto sent = pool.Send({ .method = "GET", .target = "/" },
+                        empty,
+                        0,
+                        { .timeout = kTimeout, .bodySilence = std::chrono::milliseconds(20) });
+  BOOST_REQUIRE(sent.has_value());
+  BOOST_CHECK_THROW(acp::ReadAll(sent.value()->Body(), 1000), acp::BodyTruncated);
+  cut.set_value();
+  BOOST_CHECK_THROW(acp::ReadAll(sent.value()->Body(), 1000), acp::BodyTruncated);
+  sent.value().reset();
+  BOOST_TEST(pool.OpenConnections() == 0);
+}
+
+// Guards against connections that are lost without a trace of who ended them.
+BOOST_AUTO_TEST_CASE(closed_connections_are_counted_by_their_reason)
+{
+  std::stop_source caller;
+  const ScriptedServer server([&](Poco::Net::ServerSocket& socket) {
+    auto silent = socket.acceptConnection();
+    Take(silent);
+    auto left = socket.acceptConnection();
+    Take(left);
+    caller.request_stop();
+    auto unread = socket.acceptConnection();
+    Take(unread);
+    Give(unread, Answer("never read"));
+    auto notKept = socket.acceptConnection();
+    Take(notKept);
+    Give(notKept, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    auto broken = socket.acceptConnection();
+    Take(broken);
+    Give(broken, Answer("once"));
+    Take(broken);
+  });
+  const auto counts = std::make_shared<acp::ConnectionCounts>();
+  acp::HttpPool pool({ .address = server.Where(), .counts = counts });
+  BOOST_TEST(Get(pool, { .timeout = std::chrono::milliseconds(20) }) == "timeout");
+  BOOST_TEST(Get(pool, { .timeout = kTimeout, .callerGone = caller.get_token() }) == "cancelled");
+  acp::StringBody empty("");
+  BOOST_TEST(pool.Send({ .method = "GET", .target = "/" }, empty, 0, kTimeout).has_value());
+  BOOST_TEST(Get(pool) == "");
+  BOOST_TEST(Get(pool) == "once");
+  BOOST_TEST(Get(pool) == "connection_lost");
+  using acp::ConnectionEvent;
+  BOOST_TEST(counts->Of(ConnectionEvent::Opened) == 5U);
+  for (const auto event : { ConnectionEvent::TimedOut,
+                            ConnectionEvent::Cancelled,
+                            ConnectionEvent::Unread,
+                            ConnectionEvent::NotKept,
+                            ConnectionEvent::Broken }) {
+    BOOST_TEST(counts->Of(event) == 1U, acp::NameOf(event));
+  }
+  BOOST_TEST(counts->Of(ConnectionEvent::Stale) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
