--- a/tests/node_test/nested_calls_test.cpp
+++ b/tests/node_test/nested_calls_test.cpp
@@ -70,6 +70,7 @@
   std::atomic<int> sent = 0;
   std::atomic<bool> isRefused = false;
   std::vector<std::jthread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       while (!isRefused && sent++ < most) {
