Wait in the test of late refusals for a connection that is used again

Cause, in the test: a node gives a connection back a moment after the caller has its answer, so that the next request could get a new connection, on which the script writes no refusal. The product did what it should.

The test now sends requests until the upstream has seen one that is not the first on its connection, and holds that one to the same checks; the part on idempotent requests is a case of its own.

--- a/tests/node_test/repeated_refusals_test.cpp
+++ b/tests/node_test/repeated_refusals_test.cpp
@@ -99,6 +99,28 @@
   return AnswerBytes(503, "Acp-Outcome: not-run\r\n", "");
 }
 
+struct Reused
+{
+  std::string name;
+  Answer answer;
+};
+
+/// Sends requests until one is not the first on its connection to the faulty upstream. The node
+/// gives a connection back a moment after the caller has its answer.
+Reused SendUntilReused(const Fleet& fleet,
+                       std::uint16_t port,
+                       const std::function<acp::HttpRequestHead(const std::string&)>& make)
+{
+  constexpr int kMostRequests = 1000;
+  Reused sent;
+  for (int i = 0; i < kMostRequests && fleet.faulty.PlaceOf(sent.name) <= 1; ++i) {
+    sent.name = "request" + std::to_string(i);
+    sent.answer = Fetch(port, WithId(make(sent.name), sent.name));
+  }
+  BOOST_TEST(fleet.faulty.PlaceOf(sent.name) > 1);
+  return sent;
+}
+
 constexpr std::array kAllHops = { Hops::Upstream, Hops::PeerAndUpstream };
 
 } // namespace
@@ -155,25 +177,32 @@
     const std::string answer = AnswerBytes(200, EchoOf(request.head), "ran");
     return request.place == 1 ? answer : Refusal("") + answer;
   };
+  const auto order = [](const std::string& name) { return FleetOrder(name); };
   for (const auto hops : kAllHops) {
     Fleet fleet(script);
-    const auto port = fleet.Entry(hops).Ingress();
-    BOOST_TEST(Fetch(port, WithId(FleetOrder("first"), "1")).outcome == "ran");
-    const Answer order = Fetch(port, WithId(FleetOrder("second"), "2"));
-    BOOST_TEST(order.outcome == "unknown");
-    BOOST_TEST(order.status == 502);
-    BOOST_TEST(fleet.faulty.Arrivals("second") == 1);
+    const auto later = SendUntilReused(fleet, fleet.Entry(hops).Ingress(), order);
+    BOOST_TEST(later.answer.outcome == "unknown");
+    BOOST_TEST(later.answer.status == 502);
+    BOOST_TEST(fleet.faulty.Arrivals(later.name) == 1);
   }
   Fleet fleet(script);
   fleet.AddOther();
-  const auto port = fleet.beside.Ingress();
-  Fetch(port, WithId(FleetRead("first"), "1"));
-  BOOST_TEST(Fetch(port, WithId(FleetOrder("second"), "2")).outcome == "unknown");
-  BOOST_TEST(fleet.sound.Runs("second") == 0);
-  Fetch(port, WithId(FleetRead("third"), "3"));
-  const Answer read = Fetch(port, WithId(FleetRead("fourth"), "4"));
-  BOOST_TEST(read.outcome == "ran");
-  BOOST_TEST(fleet.sound.Runs("fourth") == 1);
+  const auto later = SendUntilReused(fleet, fleet.beside.Ingress(), order);
+  BOOST_TEST(later.answer.outcome == "unknown");
+  BOOST_TEST(fleet.sound.Runs(later.name) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(late_refusal_without_id_lets_an_idempotent_request_run_elsewhere)
+{
+  Fleet fleet([](const ScriptedRequest& request) {
+    const std::string answer = AnswerBytes(200, EchoOf(request.head), "ran");
+    return request.place == 1 ? answer : Refusal("") + answer;
+  });
+  fleet.AddOther();
+  const auto later = SendUntilReused(
+    fleet, fleet.beside.Ingress(), [](const std::string& name) { return FleetRead(name); });
+  BOOST_TEST(later.answer.outcome == "ran");
+  BOOST_TEST(fleet.sound.Runs(later.name) == 1);
 }
 
 BOOST_AUTO_TEST_CASE(refusal_in_the_own_protocol_is_not_told_to_the_next_caller_whose_request_ran)
--- a/tests/node_test/scripted_upstream.cpp
+++ b/tests/node_test/scripted_upstream.cpp
@@ -75,10 +75,20 @@
 int ScriptedUpstream::Arrivals(const std::string& name) const
 {
   const std::lock_guard lock(mutex_);
-  return static_cast<int>(
-    std::count_if(targets_.begin(), targets_.end(), [&name](const auto& target) {
-      return target.ends_with(name);
-    }));
+  const auto isNamed = [&name](const ScriptedRequest& request) {
+    return request.head.target.ends_with(name);
+  };
+  return static_cast<int>(std::count_if(arrived_.begin(), arrived_.end(), isNamed));
+}
+
+int ScriptedUpstream::PlaceOf(const std::string& name) const
+{
+  const std::lock_guard lock(mutex_);
+  int place = 0;
+  for (const auto& request : arrived_) {
+    place = request.head.target.ends_with(name) ? request.place : place;
+  }
+  return place;
 }
 
 void ScriptedUpstream::Accept()
@@ -105,7 +115,7 @@
       std::string answer;
       {
         const std::lock_guard lock(mutex_);
-        targets_.push_back(request.head.target);
+        arrived_.push_back(request);
         answer = script_(request);
       }
       if (answer.empty()) {
--- a/tests/node_test/scripted_upstream.hpp
+++ b/tests/node_test/scripted_upstream.hpp
@@ -37,6 +37,8 @@
   [[nodiscard]] int Connections() const;
   /// Requests whose target ends with @p name.
   [[nodiscard]] int Arrivals(const std::string& name) const;
+  /// Place on its connection of the last request whose target ends with @p name; 0: none.
+  [[nodiscard]] int PlaceOf(const std::string& name) const;
 
 private:
   void Accept();
@@ -44,7 +46,7 @@
 
   std::function<std::string(const ScriptedRequest&)> script_;
   mutable std::mutex mutex_;
-  std::vector<std::string> targets_;
+  std::vector<ScriptedRequest> arrived_;
   std::list<Poco::Net::StreamSocket> sockets_;
   std::list<std::thread> servers_;
   bool stopping_ = false;
