--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -74,6 +74,40 @@
   9: list<string> controlAddresses
   /// Time for which the answer was delayed; the state was confirmed after that.
   10: i64 heldMs
+  /// Address at which the leader listens for nodes.
+  11: string leaderRpcAddress
+  /// Whether nodes should poll replicas that are not the leader.
+  12: bool relaysPolls
+}
+
+/// The newest poll of a node at a replica that is not the leader.
+struct RelayedPoll {
+  1: string nodeId
+  2: i64 epoch
+  3: i64 stateVersion
+  /// Time since the poll arrived at the replica.
+  4: i64 ageMs
+  5: optional Member member
+}
+
+struct PollRelayRequest {
+  1: list<RelayedPoll> polls
+  /// Version of the member list that the replica has; 0: none.
+  2: i64 membersVersion
+}
+
+struct PollRelayReply {
+  /// Age of the confirmation; it covers all entries of the log up to `appliedIndex`.
+  1: i64 ageMs
+  2: i64 appliedIndex
+  3: i64 term
+  4: bool membersIncluded
+  5: i64 membersVersion
+  6: list<Member> members
+  /// The leader may not have heard all nodes yet: nodes keep the list of an earlier leader.
+  7: bool membersIncomplete
+  /// Whether nodes should poll replicas that are not the leader.
+  8: bool relaysPolls
 }
 
 /// A node's report on the tokens of one service and account, and its request for more. The totals
@@ -192,6 +226,7 @@
   SyncReply Sync(1: SyncRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
   TokenReply AcquireTokens(1: TokenRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
   RelayedTokenReply RelayTokens(1: RelayedTokenRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
+  PollRelayReply RelayPolls(1: PollRelayRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
   BeginClaimReply BeginClaim(1: BeginClaimRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
   void FinishClaim(1: FinishClaimRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
   void ReleaseClaim(1: ReleaseClaimRequest request) throws (1: NotLeader notLeader, 2: ControlFailure failure)
--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -101,6 +101,7 @@
 #include "acaciapulley/control/live_nodes.hpp"
 #include "acaciapulley/control/operator_directory.hpp"
 #include "acaciapulley/control/operator_request_store.hpp"
+#include "acaciapulley/control/poll_relay.hpp"
 #include "acaciapulley/control/rate_service.hpp"
 #include "acaciapulley/control/record_service.hpp"
 #include "acaciapulley/control/token_relay.hpp"
--- a/include/acaciapulley/control/detail/control_context.hpp
+++ b/include/acaciapulley/control/detail/control_context.hpp
@@ -11,6 +11,7 @@
 #include "acaciapulley/control/detail/control_metrics.hpp" // ControlMetrics
 #include "acaciapulley/control/live_nodes.hpp"             // LiveNodes
 #include "acaciapulley/control/operator_directory.hpp"     // OperatorDirectory
+#include "acaciapulley/control/poll_relay.hpp"             // PollRelay
 #include "acaciapulley/control/token_relay.hpp"            // TokenRelay
 #include "acaciapulley/core/change_signal.hpp"             // ChangeSignal
 #include "acaciapulley/core/clock.hpp"                     // Clock
@@ -34,6 +35,7 @@
   std::mutex nodesMutex;
   LiveNodes nodes;
   TokenRelay* relay = nullptr;          ///< null: token requests are not relayed to the leader
+  PollRelay* pollRelay = nullptr;       ///< null: only the leader answers polls
   ChangeSignal* changeSignal = nullptr; ///< for state and members; null: no long polls
 
   /// @brief Returns the time since the leadership of this replica was confirmed.
--- a/include/acaciapulley/control/live_nodes.hpp
+++ b/include/acaciapulley/control/live_nodes.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Nodes that poll the leader, with their confirmed state versions and announced upstreams.
 
+#include <cstddef>  // size_t
 #include <cstdint>  // int64_t, uint64_t
 #include <map>      // map
 #include <optional> // optional
@@ -22,6 +23,17 @@
 /// Time in which every live node polls a new leader: one poll interval with jitter and one retry.
 inline constexpr Duration kMemberListRebuildTime = std::chrono::seconds(2);
 
+/// From this number of nodes on, nodes poll replicas that are not the leader (PollRelay).
+inline constexpr std::size_t kMinRelayedNodes = 100;
+
+/// Minimum time between two published member lists. Each list is sent to every node, so that
+/// without a pause a start of n nodes would send n lists to n nodes.
+/// @param nodes number of nodes that receive the list; 0 for fleets whose lists cost little
+[[nodiscard]] Duration MemberPublishInterval(std::size_t nodes);
+
+/// @brief Returns the term of the leader that published the member list @p membersVersion.
+[[nodiscard]] std::int64_t TermOfMembersVersion(std::int64_t membersVersion);
+
 /// An upstream as announced by its node.
 struct MemberInfo
 {
@@ -82,16 +94,26 @@
   /// @brief Clears all nodes if @p term differs from the previous term.
   void BeginTerm(std::uint64_t term);
 
-  /// @brief Records a poll; polls of an older epoch of the same node are ignored.
-  void RecordPoll(const NodePoll& poll, TimePoint now);
+  /// @brief Records a poll. Polls of an older epoch of the same node, and polls that arrived
+  /// earlier than the newest one, are ignored.
+  /// @param polledAt when the poll arrived at this or another replica
+  void RecordPoll(const NodePoll& poll, TimePoint polledAt);
 
   /// @brief Removes members whose lease has ended and nodes that exceeded kNodeSilenceTimeout.
   void Expire(TimePoint now);
 
-  /// @brief Returns the members ordered by node id.
-  [[nodiscard]] std::vector<MemberInfo> Members() const;
+  /// @brief Publishes the changes of members if MemberPublishInterval() has passed since the last
+  /// publication.
+  /// @return whether a new list was published
+  bool Publish(TimePoint now);
+
+  /// @brief Returns the published members ordered by node id.
+  [[nodiscard]] const std::vector<MemberInfo>& Members() const { return published_; }
+
+  /// @brief Returns whether there are enough nodes for replicas to relay their polls.
+  [[nodiscard]] bool RelaysPolls() const { return byNode_.size() >= kMinRelayedNodes; }
 
-  /// @brief Returns the version of the member list, which is unique across terms and never 0.
+  /// @brief Returns the version of the published list, which is unique across terms and never 0.
   [[nodiscard]] std::int64_t MembersVersion() const;
 
   /// @brief Returns whether @p membersVersion belongs to the current term.
@@ -120,6 +142,9 @@
   std::map<std::string, Entry> byNode_;
   std::uint64_t term_ = 0;
   std::int64_t memberChanges_ = 1;
+  std::int64_t publishedChanges_ = 1; ///< memberChanges_ at the last publication
+  TimePoint publishedAt_;
+  std::vector<MemberInfo> published_;
 };
 
 } // namespace acp
--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -17,6 +17,10 @@
 #include "acaciapulley/routing/member_table.hpp"      // MemberTable
 #include "acaciapulley/transport/control_channel.hpp" // ControlChannel
 
+namespace acp::wire {
+class SyncReply;
+} // namespace acp::wire
+
 namespace acp {
 
 /// Construction options of a SyncLoop.
@@ -25,8 +29,10 @@
   std::string nodeId;
   std::int64_t epoch = 0;
   std::string dataCentre;
-  Address peerAddress;                   ///< address at which peers reach this node
-  ControlChannel* syncChannel = nullptr; ///< for the polls, which control may hold
+  Address peerAddress; ///< address at which peers reach this node
+  /// For the polls, which control may hold. In a large fleet they go to a follower, which the hash
+  /// of the node id selects.
+  ControlChannel* syncChannel = nullptr;
   const Clock* clock = nullptr;
   StateCache* stateCache = nullptr;
   LocalUpstream* upstream = nullptr;
@@ -58,12 +64,16 @@
 private:
   void Run();
   bool PollOnce();
-  void AddControlReplicas(const std::vector<std::string>& addressTexts);
-  void SelectTokenRelay(const std::vector<Address>& replicas);
+  void AddControlReplicas(const wire::SyncReply& reply);
+  void SelectTokenRelay(const std::vector<Address>& replicas, const Address& leader);
+  void SelectPollRelay(std::vector<Address> replicas, const Address& leader);
+  [[nodiscard]] std::size_t NodeHash() const;
 
   SyncLoopOptions options_;
   std::int64_t membersVersion_ = 0;
   std::vector<Address> relayCandidates_; ///< replicas from which the token relay was selected
+  std::size_t pollRelaySelections_ = 0;
+  TimePoint pollRelaySelectedAt_;
   std::mutex mutex_;
   std::condition_variable wakeUp_;
   bool woken_ = false;
--- a/include/acaciapulley/transport/detail/server_connection.hpp
+++ b/include/acaciapulley/transport/detail/server_connection.hpp
@@ -31,8 +31,9 @@
   std::function<void(ServerConnection& connection)> onClosed;
 };
 
-/// Waits for requests on an event loop and serves one at a time. An idle connection occupies
-/// neither a thread nor a stack.
+/// Waits for requests on an event loop and serves one at a time, so that responses keep the order
+/// of pipelined requests. Input behind the current request stays unread, apart from one read into
+/// the buffer, until its turn comes. An idle connection occupies neither a thread nor a stack.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
 public:
@@ -50,13 +51,21 @@
   void Abort() { connection_.Shutdown(); }
 
 private:
+  /// What happens to the connection after a request.
+  enum class NextStep
+  {
+    Continue,
+    Close,
+    CloseAfterResponse ///< lets the peer read the response even if it has sent further requests
+  };
+
   void WaitForRequest();
   void OnWaitEnded(WaitResult result);
   void Dispatch();
   void Serve();
-  bool ServeNext();
+  NextStep ServeNext();
   void Handle(ServerExchange& exchange);
-  bool Refuse(const HttpResponseHead& head, const std::string& body);
+  NextStep Refuse(const HttpResponseHead& head, const std::string& body);
   void Close();
 
   EventLoop& loop_;
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -13,6 +13,7 @@
 #include "acaciapulley/control/detail/node_event_writer.hpp" // NodeEventWriter
 #include "acaciapulley/control/detail/operator_api.hpp"      // OperatorApi
 #include "acaciapulley/control/detail/rpc_handler.hpp"       // RpcHandler
+#include "acaciapulley/control/poll_relay.hpp"               // PollRelay
 #include "acaciapulley/control/token_relay.hpp"              // TokenRelay
 #include "acaciapulley/transport/control_channel.hpp"        // ControlChannel
 #include "acaciapulley/transport/http_server.hpp"            // HttpServer
@@ -27,6 +28,8 @@
 constexpr int kSendTimeoutMillis = 5000;
 // Below TokenRelayOptions::maxWait, so that a failed call ends before the requests time out.
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(300);
+// Below kMaxRelayedAge, so that one lost call does not stop a relay.
+constexpr Duration kPollRelayTimeout = std::chrono::milliseconds(600);
 constexpr Duration kPutFleetTimeout = std::chrono::seconds(3);
 
 /// A server socket that can be opened before the server thread starts, so that a failure to bind is
@@ -56,8 +59,17 @@
                 .hooks = options.hooks,
                 .operators = options.operators,
                 .relay = &relay_,
+                .pollRelay = &pollRelay_,
                 .changeSignal = &changeSignal_ }
-    , relay_({ .callLeader = [this](const auto& call) { return CallLeader(call); } })
+    , relay_(
+        { .callLeader = [this](const auto& call) { return CallLeader(leaderChannel_, call); } })
+    , pollRelay_(
+        { .clock = options.clock,
+          .isFollower = [this] { return IsFollower(); },
+          .appliedIndex = [this] { return context_.log.Status().appliedIndex; },
+          .callLeader = [this](const auto& call) { return CallLeader(pollChannel_, call); },
+          .publishAsLeader = [this] { PublishMembers(); },
+          .onChanged = [this] { changeSignal_.Notify(); } })
     , operatorApi_(context_, [](Duration pause) { std::this_thread::sleep_for(pause); })
     , operatorServer_({ .address = options.operatorAddress,
                         .maxConnections = kMaxOperatorConnections,
@@ -175,14 +187,29 @@
     }
   }
 
-  TransportResult<void> CallLeader(const std::function<void(wire::ControlServiceIf&)>& call)
+  [[nodiscard]] bool IsFollower() const
+  {
+    const ReplicaStatus status = context_.log.Status();
+    return !status.isLeader && !status.leaderId.empty();
+  }
+
+  void PublishMembers()
+  {
+    const std::lock_guard lock(context_.nodesMutex);
+    if (context_.nodes.Publish(context_.clock.Now())) {
+      changeSignal_.Notify();
+    }
+  }
+
+  TransportResult<void> CallLeader(ControlChannel& channel,
+                                   const std::function<void(wire::ControlServiceIf&)>& call)
   {
     const auto leader = Address::Parse(context_.log.Status().leaderRpcAddress);
     if (!leader) {
       return Fail(TransportErrorCode::NotLeader, "no leader is known");
     }
-    leaderChannel_.Prefer(leader.value());
-    return leaderChannel_.Call(call);
+    channel.Prefer(leader.value());
+    return channel.Call(call);
   }
 
   ChangeSignal changeSignal_;
@@ -190,7 +217,11 @@
   ControlChannel leaderChannel_{
     { .timeout = kRelayTimeout, .callBudget = kRelayTimeout, .maxConnections = 1 }
   };
+  ControlChannel pollChannel_{
+    { .timeout = kPollRelayTimeout, .callBudget = kPollRelayTimeout, .maxConnections = 1 }
+  };
   TokenRelay relay_;
+  PollRelay pollRelay_;
   detail::OperatorApi operatorApi_;
   HttpServer operatorServer_;
   std::shared_ptr<ListeningSocket> rpcSocket_;
--- a/src/control/live_nodes.cpp
+++ b/src/control/live_nodes.cpp
@@ -9,26 +9,49 @@
 // Member list versions reserved for each term; keeps versions of different terms distinct.
 constexpr std::int64_t kVersionsPerTerm = std::int64_t{ 1 } << 32;
 
+// Smaller fleets receive each change at once.
+constexpr std::size_t kMinPacedNodes = 32;
+// Processor time of one list to one node at 0.15 cores.
+constexpr Duration kPublishTimePerNode = std::chrono::milliseconds(2);
+constexpr Duration kMaxPublishInterval = std::chrono::milliseconds(500);
+
 } // namespace
 
+Duration MemberPublishInterval(std::size_t nodes)
+{
+  if (nodes < kMinPacedNodes) {
+    return Duration::zero();
+  }
+  return std::min<Duration>(kPublishTimePerNode * static_cast<Duration::rep>(nodes),
+                            kMaxPublishInterval);
+}
+
+std::int64_t TermOfMembersVersion(std::int64_t membersVersion)
+{
+  return membersVersion / kVersionsPerTerm;
+}
+
 void LiveNodes::BeginTerm(std::uint64_t term)
 {
   if (term != term_) {
     term_ = term;
     memberChanges_ = 1;
+    publishedChanges_ = 1;
+    publishedAt_ = TimePoint{};
+    published_.clear();
     byNode_.clear();
   }
 }
 
-void LiveNodes::RecordPoll(const NodePoll& poll, TimePoint now)
+void LiveNodes::RecordPoll(const NodePoll& poll, TimePoint polledAt)
 {
   Entry& entry = byNode_[poll.nodeId];
-  if (entry.epoch > poll.epoch) {
+  if (entry.epoch > poll.epoch || entry.lastPollAt > polledAt) {
     return;
   }
   entry.epoch = poll.epoch;
   entry.confirmedVersion = poll.stateVersion;
-  entry.lastPollAt = now;
+  entry.lastPollAt = polledAt;
   if (entry.member != poll.member) {
     entry.member = poll.member;
     ++memberChanges_;
@@ -48,25 +71,31 @@
   });
 }
 
-std::vector<MemberInfo> LiveNodes::Members() const
+bool LiveNodes::Publish(TimePoint now)
 {
-  std::vector<MemberInfo> members;
+  const bool isDue = now - publishedAt_ >= MemberPublishInterval(byNode_.size());
+  if (memberChanges_ == publishedChanges_ || !isDue) {
+    return false;
+  }
+  published_.clear();
   for (const auto& [nodeId, entry] : byNode_) {
     if (entry.member) {
-      members.push_back(*entry.member);
+      published_.push_back(*entry.member);
     }
   }
-  return members;
+  publishedChanges_ = memberChanges_;
+  publishedAt_ = now;
+  return true;
 }
 
 std::int64_t LiveNodes::MembersVersion() const
 {
-  return static_cast<std::int64_t>(term_) * kVersionsPerTerm + memberChanges_;
+  return static_cast<std::int64_t>(term_) * kVersionsPerTerm + publishedChanges_;
 }
 
 bool LiveNodes::IsFromCurrentTerm(std::int64_t membersVersion) const
 {
-  return membersVersion / kVersionsPerTerm == static_cast<std::int64_t>(term_);
+  return TermOfMembersVersion(membersVersion) == static_cast<std::int64_t>(term_);
 }
 
 std::vector<NodeStatus> LiveNodes::Nodes(TimePoint now) const
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -44,6 +44,39 @@
            request.member.dataCentre.size() <= kMaxIdentifierBytes));
 }
 
+NodePoll ToPoll(const wire::SyncRequest& request)
+{
+  NodePoll poll{ .nodeId = request.nodeId,
+                 .epoch = request.epoch,
+                 .stateVersion = request.stateVersion };
+  if (request.__isset.member) {
+    poll.member = FromWire(request.member);
+    poll.member->nodeId = request.nodeId;
+    poll.member->epoch = request.epoch;
+  }
+  return poll;
+}
+
+RelayedPolls::Entry ToEntry(const wire::RelayedPoll& relayed, TimePoint now)
+{
+  RelayedPolls::Entry entry{ .poll = { .nodeId = relayed.nodeId,
+                                       .epoch = relayed.epoch,
+                                       .stateVersion = relayed.stateVersion },
+                             .polledAt = now - std::chrono::milliseconds(relayed.ageMs) };
+  if (relayed.__isset.member) {
+    entry.poll.member = FromWire(relayed.member);
+  }
+  return entry;
+}
+
+void SetMembers(const std::vector<MemberInfo>& members, std::vector<wire::Member>* message)
+{
+  message->reserve(members.size());
+  for (const auto& member : members) {
+    message->push_back(ToWire(member));
+  }
+}
+
 /// Trims the outcome to what is stored before it is written to the log and replicated.
 wire::FinishClaimRequest TrimForLog(const wire::FinishClaimRequest& request)
 {
@@ -95,6 +128,9 @@
     ThrowFailure(
       "sync", static_cast<int>(ControlErrorCode::InvalidRequest), "invalid node or member");
   }
+  if (context_.pollRelay != nullptr && !context_.log.Status().isLeader) {
+    context_.pollRelay->Record(ToPoll(request));
+  }
   const TimePoint start = context_.clock.Now();
   const Duration hold = std::min<Duration>(std::chrono::milliseconds(request.holdMs), kMaxHold);
   while (true) {
@@ -116,8 +152,10 @@
 
 void RpcHandler::FillState(wire::SyncReply& reply, const wire::SyncRequest& request, Duration held)
 {
+  const bool isRelay = context_.pollRelay != nullptr && context_.pollRelay->RelaysPolls() &&
+                       !context_.log.Status().isLeader;
   // The age is read before the state, so that the state is never older than the reported age.
-  const Duration age = RequireLeadership("sync");
+  const Duration age = isRelay ? RequireRelayedState() : RequireLeadership("sync");
   reply = {};
   reply.ageMs = std::chrono::ceil<std::chrono::milliseconds>(age).count();
   reply.heldMs = std::chrono::floor<std::chrono::milliseconds>(held).count();
@@ -130,11 +168,42 @@
     record.document = fleet.document;
     reply.__set_fleet(record);
   }
-  reply.fleetSecret = EnsureFleetSecret();
-  for (const auto& replica : context_.log.Status().replicas) {
+  reply.fleetSecret = isRelay ? context_.state.FleetSecret() : EnsureFleetSecret();
+  const ReplicaStatus status = context_.log.Status();
+  reply.leaderRpcAddress = status.leaderRpcAddress;
+  for (const auto& replica : status.replicas) {
     reply.controlAddresses.push_back(replica.rpcAddress);
   }
-  FillMembers(reply, request);
+  if (isRelay) {
+    FillRelayedMembers(reply, request);
+  } else {
+    FillMembers(reply, request);
+  }
+}
+
+Duration RpcHandler::RequireRelayedState()
+{
+  const auto confirmedAt = context_.pollRelay->ConfirmedAt();
+  if (!confirmedAt) {
+    // Names no leader, so that the nodes of this relay try other relays first.
+    context_.metrics.CountCall("sync", "not_relayed");
+    throw wire::NotLeader();
+  }
+  return context_.clock.Now() - *confirmedAt;
+}
+
+void RpcHandler::FillRelayedMembers(wire::SyncReply& reply, const wire::SyncRequest& request)
+{
+  reply.relaysPolls = true;
+  reply.membersVersion = request.membersVersion;
+  context_.pollRelay->WithState([&](const RelayedState& state) {
+    const auto* members = state.MembersFor(request.membersVersion);
+    reply.membersIncluded = members != nullptr;
+    if (reply.membersIncluded) {
+      reply.membersVersion = state.MembersVersion();
+      SetMembers(*members, &reply.members);
+    }
+  });
 }
 
 std::string RpcHandler::EnsureFleetSecret()
@@ -151,26 +220,26 @@
   return secret;
 }
 
-void RpcHandler::FillMembers(wire::SyncReply& reply, const wire::SyncRequest& request)
+void RpcHandler::RecordPolls(const std::vector<RelayedPolls::Entry>& polls,
+                             const Leadership& leadership)
 {
-  const Leadership leadership = context_.CurrentLeadership();
   const TimePoint now = context_.clock.Now();
-  NodePoll poll{ .nodeId = request.nodeId,
-                 .epoch = request.epoch,
-                 .stateVersion = request.stateVersion };
-  if (request.__isset.member) {
-    poll.member = FromWire(request.member);
-    poll.member->nodeId = request.nodeId;
-    poll.member->epoch = request.epoch;
-  }
-  const std::lock_guard lock(context_.nodesMutex);
   context_.nodes.BeginTerm(leadership.term);
-  const std::int64_t before = context_.nodes.MembersVersion();
-  context_.nodes.RecordPoll(poll, now);
+  for (const auto& entry : polls) {
+    context_.nodes.RecordPoll(entry.poll, entry.polledAt);
+  }
   context_.nodes.Expire(now);
-  if (context_.changeSignal != nullptr && context_.nodes.MembersVersion() != before) {
+  if (context_.nodes.Publish(now) && context_.changeSignal != nullptr) {
     context_.changeSignal->Notify();
   }
+}
+
+void RpcHandler::FillMembers(wire::SyncReply& reply, const wire::SyncRequest& request)
+{
+  const Leadership leadership = context_.CurrentLeadership();
+  const std::lock_guard lock(context_.nodesMutex);
+  RecordPolls({ { .poll = ToPoll(request), .polledAt = context_.clock.Now() } }, leadership);
+  reply.relaysPolls = context_.pollRelay != nullptr && context_.nodes.RelaysPolls();
   // Nodes keep the member list of the previous leader until this one had time to hear all nodes.
   const bool hasOlderList =
     request.membersVersion != 0 && !context_.nodes.IsFromCurrentTerm(request.membersVersion);
@@ -182,10 +251,35 @@
   reply.membersVersion = context_.nodes.MembersVersion();
   reply.membersIncluded = request.membersVersion != reply.membersVersion;
   if (reply.membersIncluded) {
-    for (const auto& member : context_.nodes.Members()) {
-      reply.members.push_back(ToWire(member));
-    }
+    SetMembers(context_.nodes.Members(), &reply.members);
+  }
+}
+
+void RpcHandler::RelayPolls(wire::PollRelayReply& reply, const wire::PollRelayRequest& request)
+{
+  // The age is read before the index, so that it holds for all entries up to the index.
+  const Duration age = RequireLeadership("relay_polls");
+  EnsureFleetSecret();
+  reply.ageMs = std::chrono::ceil<std::chrono::milliseconds>(age).count();
+  reply.appliedIndex = static_cast<std::int64_t>(context_.log.Status().appliedIndex);
+  const Leadership leadership = context_.CurrentLeadership();
+  const TimePoint now = context_.clock.Now();
+  std::vector<RelayedPolls::Entry> polls;
+  polls.reserve(request.polls.size());
+  for (const auto& relayed : request.polls) {
+    polls.push_back(ToEntry(relayed, now));
+  }
+  const std::lock_guard lock(context_.nodesMutex);
+  RecordPolls(polls, leadership);
+  reply.term = static_cast<std::int64_t>(leadership.term);
+  reply.relaysPolls = context_.nodes.RelaysPolls();
+  reply.membersIncomplete = leadership.leadingFor < kMemberListRebuildTime;
+  reply.membersVersion = context_.nodes.MembersVersion();
+  reply.membersIncluded = request.membersVersion != reply.membersVersion;
+  if (reply.membersIncluded) {
+    SetMembers(context_.nodes.Members(), &reply.members);
   }
+  context_.metrics.CountCall("relay_polls", "ok");
 }
 
 void RpcHandler::AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request)
--- a/src/gen/ControlService.cpp
+++ b/src/gen/ControlService.cpp
@@ -690,6 +690,233 @@
 }
 
 
+ControlService_RelayPolls_args::~ControlService_RelayPolls_args() noexcept {
+}
+
+
+uint32_t ControlService_RelayPolls_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlService_RelayPolls_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlService_RelayPolls_args");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlService_RelayPolls_pargs::~ControlService_RelayPolls_pargs() noexcept {
+}
+
+
+uint32_t ControlService_RelayPolls_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlService_RelayPolls_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlService_RelayPolls_result::~ControlService_RelayPolls_result() noexcept {
+}
+
+
+uint32_t ControlService_RelayPolls_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->notLeader.read(iprot);
+          this->__isset.notLeader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->failure.read(iprot);
+          this->__isset.failure = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlService_RelayPolls_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("ControlService_RelayPolls_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.notLeader) {
+    xfer += oprot->writeFieldBegin("notLeader", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->notLeader.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.failure) {
+    xfer += oprot->writeFieldBegin("failure", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->failure.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlService_RelayPolls_presult::~ControlService_RelayPolls_presult() noexcept {
+}
+
+
+uint32_t ControlService_RelayPolls_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->notLeader.read(iprot);
+          this->__isset.notLeader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->failure.read(iprot);
+          this->__isset.failure = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 ControlService_BeginClaim_args::~ControlService_BeginClaim_args() noexcept {
 }
 
@@ -1522,6 +1749,70 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "RelayTokens failed: unknown result");
 }
 
+void ControlServiceClient::RelayPolls(PollRelayReply& _return, const PollRelayRequest& request)
+{
+  send_RelayPolls(request);
+  recv_RelayPolls(_return);
+}
+
+void ControlServiceClient::send_RelayPolls(const PollRelayRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("RelayPolls", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlService_RelayPolls_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlServiceClient::recv_RelayPolls(PollRelayReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("RelayPolls") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ControlService_RelayPolls_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.notLeader) {
+    throw result.notLeader;
+  }
+  if (result.__isset.failure) {
+    throw result.failure;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "RelayPolls failed: unknown result");
+}
+
 void ControlServiceClient::BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request)
 {
   send_BeginClaim(request);
@@ -1903,6 +2194,66 @@
   }
 }
 
+void ControlServiceProcessor::process_RelayPolls(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("ControlService.RelayPolls", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ControlService.RelayPolls");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "ControlService.RelayPolls");
+  }
+
+  ControlService_RelayPolls_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "ControlService.RelayPolls", bytes);
+  }
+
+  ControlService_RelayPolls_result result;
+  try {
+    iface_->RelayPolls(result.success, args.request);
+    result.__isset.success = true;
+  } catch (NotLeader &notLeader) {
+    result.notLeader = std::move(notLeader);
+    result.__isset.notLeader = true;
+  } catch (ControlFailure &failure) {
+    result.failure = std::move(failure);
+    result.__isset.failure = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "ControlService.RelayPolls");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("RelayPolls", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "ControlService.RelayPolls");
+  }
+
+  oprot->writeMessageBegin("RelayPolls", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ControlService.RelayPolls", bytes);
+  }
+}
+
 void ControlServiceProcessor::process_BeginClaim(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -2364,6 +2715,98 @@
   } // end while(true)
 }
 
+void ControlServiceConcurrentClient::RelayPolls(PollRelayReply& _return, const PollRelayRequest& request)
+{
+  int32_t seqid = send_RelayPolls(request);
+  recv_RelayPolls(_return, seqid);
+}
+
+int32_t ControlServiceConcurrentClient::send_RelayPolls(const PollRelayRequest& request)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("RelayPolls", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlService_RelayPolls_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ControlServiceConcurrentClient::recv_RelayPolls(PollRelayReply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("RelayPolls") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      ControlService_RelayPolls_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.notLeader) {
+        sentry.commit();
+        throw result.notLeader;
+      }
+      if (result.__isset.failure) {
+        sentry.commit();
+        throw result.failure;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "RelayPolls failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void ControlServiceConcurrentClient::BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request)
 {
   int32_t seqid = send_BeginClaim(request);
--- a/src/gen/ControlService.h
+++ b/src/gen/ControlService.h
@@ -25,6 +25,7 @@
   virtual void Sync(SyncReply& _return, const SyncRequest& request) = 0;
   virtual void AcquireTokens(TokenReply& _return, const TokenRequest& request) = 0;
   virtual void RelayTokens(RelayedTokenReply& _return, const RelayedTokenRequest& request) = 0;
+  virtual void RelayPolls(PollRelayReply& _return, const PollRelayRequest& request) = 0;
   virtual void BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request) = 0;
   virtual void FinishClaim(const FinishClaimRequest& request) = 0;
   virtual void ReleaseClaim(const ReleaseClaimRequest& request) = 0;
@@ -66,6 +67,9 @@
   void RelayTokens(RelayedTokenReply& /* _return */, const RelayedTokenRequest& /* request */) override {
     return;
   }
+  void RelayPolls(PollRelayReply& /* _return */, const PollRelayRequest& /* request */) override {
+    return;
+  }
   void BeginClaim(BeginClaimReply& /* _return */, const BeginClaimRequest& /* request */) override {
     return;
   }
@@ -437,6 +441,126 @@
 
 };
 
+typedef struct _ControlService_RelayPolls_args__isset {
+  _ControlService_RelayPolls_args__isset() : request(false) {}
+  bool request :1;
+} _ControlService_RelayPolls_args__isset;
+
+class ControlService_RelayPolls_args {
+ public:
+
+  ControlService_RelayPolls_args(const ControlService_RelayPolls_args&);
+  ControlService_RelayPolls_args& operator=(const ControlService_RelayPolls_args&);
+  ControlService_RelayPolls_args() noexcept {
+  }
+
+  virtual ~ControlService_RelayPolls_args() noexcept;
+  PollRelayRequest request;
+
+  _ControlService_RelayPolls_args__isset __isset;
+
+  void __set_request(const PollRelayRequest& val);
+
+  bool operator == (const ControlService_RelayPolls_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlService_RelayPolls_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlService_RelayPolls_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ControlService_RelayPolls_pargs {
+ public:
+
+
+  virtual ~ControlService_RelayPolls_pargs() noexcept;
+  const PollRelayRequest* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlService_RelayPolls_result__isset {
+  _ControlService_RelayPolls_result__isset() : success(false), notLeader(false), failure(false) {}
+  bool success :1;
+  bool notLeader :1;
+  bool failure :1;
+} _ControlService_RelayPolls_result__isset;
+
+class ControlService_RelayPolls_result {
+ public:
+
+  ControlService_RelayPolls_result(const ControlService_RelayPolls_result&);
+  ControlService_RelayPolls_result& operator=(const ControlService_RelayPolls_result&);
+  ControlService_RelayPolls_result() noexcept {
+  }
+
+  virtual ~ControlService_RelayPolls_result() noexcept;
+  PollRelayReply success;
+  NotLeader notLeader;
+  ControlFailure failure;
+
+  _ControlService_RelayPolls_result__isset __isset;
+
+  void __set_success(const PollRelayReply& val);
+
+  void __set_notLeader(const NotLeader& val);
+
+  void __set_failure(const ControlFailure& val);
+
+  bool operator == (const ControlService_RelayPolls_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(notLeader == rhs.notLeader))
+      return false;
+    if (!(failure == rhs.failure))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlService_RelayPolls_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlService_RelayPolls_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlService_RelayPolls_presult__isset {
+  _ControlService_RelayPolls_presult__isset() : success(false), notLeader(false), failure(false) {}
+  bool success :1;
+  bool notLeader :1;
+  bool failure :1;
+} _ControlService_RelayPolls_presult__isset;
+
+class ControlService_RelayPolls_presult {
+ public:
+
+
+  virtual ~ControlService_RelayPolls_presult() noexcept;
+  PollRelayReply* success;
+  NotLeader notLeader;
+  ControlFailure failure;
+
+  _ControlService_RelayPolls_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _ControlService_BeginClaim_args__isset {
   _ControlService_BeginClaim_args__isset() : request(false) {}
   bool request :1;
@@ -815,6 +939,9 @@
   void RelayTokens(RelayedTokenReply& _return, const RelayedTokenRequest& request) override;
   void send_RelayTokens(const RelayedTokenRequest& request);
   void recv_RelayTokens(RelayedTokenReply& _return);
+  void RelayPolls(PollRelayReply& _return, const PollRelayRequest& request) override;
+  void send_RelayPolls(const PollRelayRequest& request);
+  void recv_RelayPolls(PollRelayReply& _return);
   void BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request) override;
   void send_BeginClaim(const BeginClaimRequest& request);
   void recv_BeginClaim(BeginClaimReply& _return);
@@ -842,6 +969,7 @@
   void process_Sync(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_AcquireTokens(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_RelayTokens(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_RelayPolls(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_BeginClaim(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_FinishClaim(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_ReleaseClaim(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
@@ -851,6 +979,7 @@
     processMap_["Sync"] = &ControlServiceProcessor::process_Sync;
     processMap_["AcquireTokens"] = &ControlServiceProcessor::process_AcquireTokens;
     processMap_["RelayTokens"] = &ControlServiceProcessor::process_RelayTokens;
+    processMap_["RelayPolls"] = &ControlServiceProcessor::process_RelayPolls;
     processMap_["BeginClaim"] = &ControlServiceProcessor::process_BeginClaim;
     processMap_["FinishClaim"] = &ControlServiceProcessor::process_FinishClaim;
     processMap_["ReleaseClaim"] = &ControlServiceProcessor::process_ReleaseClaim;
@@ -912,6 +1041,16 @@
     return;
   }
 
+  void RelayPolls(PollRelayReply& _return, const PollRelayRequest& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->RelayPolls(_return, request);
+    }
+    ifaces_[i]->RelayPolls(_return, request);
+    return;
+  }
+
   void BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -981,6 +1120,9 @@
   void RelayTokens(RelayedTokenReply& _return, const RelayedTokenRequest& request) override;
   int32_t send_RelayTokens(const RelayedTokenRequest& request);
   void recv_RelayTokens(RelayedTokenReply& _return, const int32_t seqid);
+  void RelayPolls(PollRelayReply& _return, const PollRelayRequest& request) override;
+  int32_t send_RelayPolls(const PollRelayRequest& request);
+  void recv_RelayPolls(PollRelayReply& _return, const int32_t seqid);
   void BeginClaim(BeginClaimReply& _return, const BeginClaimRequest& request) override;
   int32_t send_BeginClaim(const BeginClaimRequest& request);
   void recv_BeginClaim(BeginClaimReply& _return, const int32_t seqid);
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -1269,6 +1269,14 @@
 void SyncReply::__set_heldMs(const int64_t val) {
   this->heldMs = val;
 }
+
+void SyncReply::__set_leaderRpcAddress(const std::string& val) {
+  this->leaderRpcAddress = val;
+}
+
+void SyncReply::__set_relaysPolls(const bool val) {
+  this->relaysPolls = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -1401,6 +1409,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leaderRpcAddress);
+          this->__isset.leaderRpcAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relaysPolls);
+          this->__isset.relaysPolls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1475,6 +1499,14 @@
   xfer += oprot->writeI64(this->heldMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaderRpcAddress", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->leaderRpcAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relaysPolls", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->relaysPolls);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1492,6 +1524,8 @@
   swap(a.fleetSecret, b.fleetSecret);
   swap(a.controlAddresses, b.controlAddresses);
   swap(a.heldMs, b.heldMs);
+  swap(a.leaderRpcAddress, b.leaderRpcAddress);
+  swap(a.relaysPolls, b.relaysPolls);
   swap(a.__isset, b.__isset);
 }
 
@@ -1506,6 +1540,8 @@
   fleetSecret = other48.fleetSecret;
   controlAddresses = other48.controlAddresses;
   heldMs = other48.heldMs;
+  leaderRpcAddress = other48.leaderRpcAddress;
+  relaysPolls = other48.relaysPolls;
   __isset = other48.__isset;
 }
 SyncReply& SyncReply::operator=(const SyncReply& other49) {
@@ -1519,6 +1555,8 @@
   fleetSecret = other49.fleetSecret;
   controlAddresses = other49.controlAddresses;
   heldMs = other49.heldMs;
+  leaderRpcAddress = other49.leaderRpcAddress;
+  relaysPolls = other49.relaysPolls;
   __isset = other49.__isset;
   return *this;
 }
@@ -1535,6 +1573,566 @@
   out << ", " << "fleetSecret=" << to_string(fleetSecret);
   out << ", " << "controlAddresses=" << to_string(controlAddresses);
   out << ", " << "heldMs=" << to_string(heldMs);
+  out << ", " << "leaderRpcAddress=" << to_string(leaderRpcAddress);
+  out << ", " << "relaysPolls=" << to_string(relaysPolls);
+  out << ")";
+}
+
+
+RelayedPoll::~RelayedPoll() noexcept {
+}
+
+
+void RelayedPoll::__set_nodeId(const std::string& val) {
+  this->nodeId = val;
+}
+
+void RelayedPoll::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void RelayedPoll::__set_stateVersion(const int64_t val) {
+  this->stateVersion = val;
+}
+
+void RelayedPoll::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+
+void RelayedPoll::__set_member(const Member& val) {
+  this->member = val;
+__isset.member = true;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedPoll& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedPoll::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nodeId);
+          this->__isset.nodeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stateVersion);
+          this->__isset.stateVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedPoll::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedPoll");
+
+  xfer += oprot->writeFieldBegin("nodeId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->nodeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stateVersion", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->stateVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.member) {
+    xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->member.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedPoll &a, RelayedPoll &b) {
+  using ::std::swap;
+  swap(a.nodeId, b.nodeId);
+  swap(a.epoch, b.epoch);
+  swap(a.stateVersion, b.stateVersion);
+  swap(a.ageMs, b.ageMs);
+  swap(a.member, b.member);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedPoll::RelayedPoll(const RelayedPoll& other50) {
+  nodeId = other50.nodeId;
+  epoch = other50.epoch;
+  stateVersion = other50.stateVersion;
+  ageMs = other50.ageMs;
+  member = other50.member;
+  __isset = other50.__isset;
+}
+RelayedPoll& RelayedPoll::operator=(const RelayedPoll& other51) {
+  nodeId = other51.nodeId;
+  epoch = other51.epoch;
+  stateVersion = other51.stateVersion;
+  ageMs = other51.ageMs;
+  member = other51.member;
+  __isset = other51.__isset;
+  return *this;
+}
+void RelayedPoll::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedPoll(";
+  out << "nodeId=" << to_string(nodeId);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "stateVersion=" << to_string(stateVersion);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "member="; (__isset.member ? (out << to_string(member)) : (out << "<null>"));
+  out << ")";
+}
+
+
+PollRelayRequest::~PollRelayRequest() noexcept {
+}
+
+
+void PollRelayRequest::__set_polls(const std::vector<RelayedPoll> & val) {
+  this->polls = val;
+}
+
+void PollRelayRequest::__set_membersVersion(const int64_t val) {
+  this->membersVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const PollRelayRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PollRelayRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->polls.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->polls.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += this->polls[_i56].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.polls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->membersVersion);
+          this->__isset.membersVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PollRelayRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PollRelayRequest");
+
+  xfer += oprot->writeFieldBegin("polls", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->polls.size()));
+    std::vector<RelayedPoll> ::const_iterator _iter57;
+    for (_iter57 = this->polls.begin(); _iter57 != this->polls.end(); ++_iter57)
+    {
+      xfer += (*_iter57).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("membersVersion", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->membersVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PollRelayRequest &a, PollRelayRequest &b) {
+  using ::std::swap;
+  swap(a.polls, b.polls);
+  swap(a.membersVersion, b.membersVersion);
+  swap(a.__isset, b.__isset);
+}
+
+PollRelayRequest::PollRelayRequest(const PollRelayRequest& other58) {
+  polls = other58.polls;
+  membersVersion = other58.membersVersion;
+  __isset = other58.__isset;
+}
+PollRelayRequest& PollRelayRequest::operator=(const PollRelayRequest& other59) {
+  polls = other59.polls;
+  membersVersion = other59.membersVersion;
+  __isset = other59.__isset;
+  return *this;
+}
+void PollRelayRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PollRelayRequest(";
+  out << "polls=" << to_string(polls);
+  out << ", " << "membersVersion=" << to_string(membersVersion);
+  out << ")";
+}
+
+
+PollRelayReply::~PollRelayReply() noexcept {
+}
+
+
+void PollRelayReply::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+
+void PollRelayReply::__set_appliedIndex(const int64_t val) {
+  this->appliedIndex = val;
+}
+
+void PollRelayReply::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void PollRelayReply::__set_membersIncluded(const bool val) {
+  this->membersIncluded = val;
+}
+
+void PollRelayReply::__set_membersVersion(const int64_t val) {
+  this->membersVersion = val;
+}
+
+void PollRelayReply::__set_members(const std::vector<Member> & val) {
+  this->members = val;
+}
+
+void PollRelayReply::__set_membersIncomplete(const bool val) {
+  this->membersIncomplete = val;
+}
+
+void PollRelayReply::__set_relaysPolls(const bool val) {
+  this->relaysPolls = val;
+}
+std::ostream& operator<<(std::ostream& out, const PollRelayReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PollRelayReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedIndex);
+          this->__isset.appliedIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->membersIncluded);
+          this->__isset.membersIncluded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->membersVersion);
+          this->__isset.membersVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->members.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              xfer += this->members[_i64].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->membersIncomplete);
+          this->__isset.membersIncomplete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relaysPolls);
+          this->__isset.relaysPolls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PollRelayReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PollRelayReply");
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("appliedIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->appliedIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("membersIncluded", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->membersIncluded);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("membersVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->membersVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter65;
+    for (_iter65 = this->members.begin(); _iter65 != this->members.end(); ++_iter65)
+    {
+      xfer += (*_iter65).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("membersIncomplete", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->membersIncomplete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relaysPolls", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->relaysPolls);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PollRelayReply &a, PollRelayReply &b) {
+  using ::std::swap;
+  swap(a.ageMs, b.ageMs);
+  swap(a.appliedIndex, b.appliedIndex);
+  swap(a.term, b.term);
+  swap(a.membersIncluded, b.membersIncluded);
+  swap(a.membersVersion, b.membersVersion);
+  swap(a.members, b.members);
+  swap(a.membersIncomplete, b.membersIncomplete);
+  swap(a.relaysPolls, b.relaysPolls);
+  swap(a.__isset, b.__isset);
+}
+
+PollRelayReply::PollRelayReply(const PollRelayReply& other66) {
+  ageMs = other66.ageMs;
+  appliedIndex = other66.appliedIndex;
+  term = other66.term;
+  membersIncluded = other66.membersIncluded;
+  membersVersion = other66.membersVersion;
+  members = other66.members;
+  membersIncomplete = other66.membersIncomplete;
+  relaysPolls = other66.relaysPolls;
+  __isset = other66.__isset;
+}
+PollRelayReply& PollRelayReply::operator=(const PollRelayReply& other67) {
+  ageMs = other67.ageMs;
+  appliedIndex = other67.appliedIndex;
+  term = other67.term;
+  membersIncluded = other67.membersIncluded;
+  membersVersion = other67.membersVersion;
+  members = other67.members;
+  membersIncomplete = other67.membersIncomplete;
+  relaysPolls = other67.relaysPolls;
+  __isset = other67.__isset;
+  return *this;
+}
+void PollRelayReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PollRelayReply(";
+  out << "ageMs=" << to_string(ageMs);
+  out << ", " << "appliedIndex=" << to_string(appliedIndex);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "membersIncluded=" << to_string(membersIncluded);
+  out << ", " << "membersVersion=" << to_string(membersVersion);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "membersIncomplete=" << to_string(membersIncomplete);
+  out << ", " << "relaysPolls=" << to_string(relaysPolls);
   out << ")";
 }
 
@@ -1767,31 +2365,31 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenAsk::TokenAsk(const TokenAsk& other50) {
-  serviceName = other50.serviceName;
-  account = other50.account;
-  number = other50.number;
-  term = other50.term;
-  received = other50.received;
-  spent = other50.spent;
-  returned = other50.returned;
-  spentAgeMicros = other50.spentAgeMicros;
-  needed = other50.needed;
-  wanted = other50.wanted;
-  __isset = other50.__isset;
+TokenAsk::TokenAsk(const TokenAsk& other68) {
+  serviceName = other68.serviceName;
+  account = other68.account;
+  number = other68.number;
+  term = other68.term;
+  received = other68.received;
+  spent = other68.spent;
+  returned = other68.returned;
+  spentAgeMicros = other68.spentAgeMicros;
+  needed = other68.needed;
+  wanted = other68.wanted;
+  __isset = other68.__isset;
 }
-TokenAsk& TokenAsk::operator=(const TokenAsk& other51) {
-  serviceName = other51.serviceName;
-  account = other51.account;
-  number = other51.number;
-  term = other51.term;
-  received = other51.received;
-  spent = other51.spent;
-  returned = other51.returned;
-  spentAgeMicros = other51.spentAgeMicros;
-  needed = other51.needed;
-  wanted = other51.wanted;
-  __isset = other51.__isset;
+TokenAsk& TokenAsk::operator=(const TokenAsk& other69) {
+  serviceName = other69.serviceName;
+  account = other69.account;
+  number = other69.number;
+  term = other69.term;
+  received = other69.received;
+  spent = other69.spent;
+  returned = other69.returned;
+  spentAgeMicros = other69.spentAgeMicros;
+  needed = other69.needed;
+  wanted = other69.wanted;
+  __isset = other69.__isset;
   return *this;
 }
 void TokenAsk::printTo(std::ostream& out) const {
@@ -1874,14 +2472,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->asks.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->asks.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->asks[_i56].read(iprot);
+              xfer += this->asks[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1918,10 +2516,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<TokenAsk> ::const_iterator _iter57;
-    for (_iter57 = this->asks.begin(); _iter57 != this->asks.end(); ++_iter57)
+    std::vector<TokenAsk> ::const_iterator _iter75;
+    for (_iter75 = this->asks.begin(); _iter75 != this->asks.end(); ++_iter75)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1940,17 +2538,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenRequest::TokenRequest(const TokenRequest& other58) {
-  nodeId = other58.nodeId;
-  epoch = other58.epoch;
-  asks = other58.asks;
-  __isset = other58.__isset;
+TokenRequest::TokenRequest(const TokenRequest& other76) {
+  nodeId = other76.nodeId;
+  epoch = other76.epoch;
+  asks = other76.asks;
+  __isset = other76.__isset;
 }
-TokenRequest& TokenRequest::operator=(const TokenRequest& other59) {
-  nodeId = other59.nodeId;
-  epoch = other59.epoch;
-  asks = other59.asks;
-  __isset = other59.__isset;
+TokenRequest& TokenRequest::operator=(const TokenRequest& other77) {
+  nodeId = other77.nodeId;
+  epoch = other77.epoch;
+  asks = other77.asks;
+  __isset = other77.__isset;
   return *this;
 }
 void TokenRequest::printTo(std::ostream& out) const {
@@ -2157,27 +2755,27 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenAnswer::TokenAnswer(const TokenAnswer& other60) noexcept {
-  term = other60.term;
-  number = other60.number;
-  granted = other60.granted;
-  leaseMicros = other60.leaseMicros;
-  retryAfterMicros = other60.retryAfterMicros;
-  settleWithinMicros = other60.settleWithinMicros;
-  errorCode = other60.errorCode;
-  mayBeWithinRate = other60.mayBeWithinRate;
-  __isset = other60.__isset;
-}
-TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other61) noexcept {
-  term = other61.term;
-  number = other61.number;
-  granted = other61.granted;
-  leaseMicros = other61.leaseMicros;
-  retryAfterMicros = other61.retryAfterMicros;
-  settleWithinMicros = other61.settleWithinMicros;
-  errorCode = other61.errorCode;
-  mayBeWithinRate = other61.mayBeWithinRate;
-  __isset = other61.__isset;
+TokenAnswer::TokenAnswer(const TokenAnswer& other78) noexcept {
+  term = other78.term;
+  number = other78.number;
+  granted = other78.granted;
+  leaseMicros = other78.leaseMicros;
+  retryAfterMicros = other78.retryAfterMicros;
+  settleWithinMicros = other78.settleWithinMicros;
+  errorCode = other78.errorCode;
+  mayBeWithinRate = other78.mayBeWithinRate;
+  __isset = other78.__isset;
+}
+TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other79) noexcept {
+  term = other79.term;
+  number = other79.number;
+  granted = other79.granted;
+  leaseMicros = other79.leaseMicros;
+  retryAfterMicros = other79.retryAfterMicros;
+  settleWithinMicros = other79.settleWithinMicros;
+  errorCode = other79.errorCode;
+  mayBeWithinRate = other79.mayBeWithinRate;
+  __isset = other79.__isset;
   return *this;
 }
 void TokenAnswer::printTo(std::ostream& out) const {
@@ -2234,14 +2832,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->answers.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->answers.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->answers[_i66].read(iprot);
+              xfer += this->answers[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2270,10 +2868,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<TokenAnswer> ::const_iterator _iter67;
-    for (_iter67 = this->answers.begin(); _iter67 != this->answers.end(); ++_iter67)
+    std::vector<TokenAnswer> ::const_iterator _iter85;
+    for (_iter85 = this->answers.begin(); _iter85 != this->answers.end(); ++_iter85)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2290,13 +2888,13 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenReply::TokenReply(const TokenReply& other68) {
-  answers = other68.answers;
-  __isset = other68.__isset;
+TokenReply::TokenReply(const TokenReply& other86) {
+  answers = other86.answers;
+  __isset = other86.__isset;
 }
-TokenReply& TokenReply::operator=(const TokenReply& other69) {
-  answers = other69.answers;
-  __isset = other69.__isset;
+TokenReply& TokenReply::operator=(const TokenReply& other87) {
+  answers = other87.answers;
+  __isset = other87.__isset;
   return *this;
 }
 void TokenReply::printTo(std::ostream& out) const {
@@ -2346,14 +2944,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->requests.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->requests.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->requests[_i74].read(iprot);
+              xfer += this->requests[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2382,10 +2980,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<TokenRequest> ::const_iterator _iter75;
-    for (_iter75 = this->requests.begin(); _iter75 != this->requests.end(); ++_iter75)
+    std::vector<TokenRequest> ::const_iterator _iter93;
+    for (_iter93 = this->requests.begin(); _iter93 != this->requests.end(); ++_iter93)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2402,13 +3000,13 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedTokenRequest::RelayedTokenRequest(const RelayedTokenRequest& other76) {
-  requests = other76.requests;
-  __isset = other76.__isset;
+RelayedTokenRequest::RelayedTokenRequest(const RelayedTokenRequest& other94) {
+  requests = other94.requests;
+  __isset = other94.__isset;
 }
-RelayedTokenRequest& RelayedTokenRequest::operator=(const RelayedTokenRequest& other77) {
-  requests = other77.requests;
-  __isset = other77.__isset;
+RelayedTokenRequest& RelayedTokenRequest::operator=(const RelayedTokenRequest& other95) {
+  requests = other95.requests;
+  __isset = other95.__isset;
   return *this;
 }
 void RelayedTokenRequest::printTo(std::ostream& out) const {
@@ -2458,14 +3056,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->replies.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->replies.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->replies[_i82].read(iprot);
+              xfer += this->replies[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2494,10 +3092,10 @@
   xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-    std::vector<TokenReply> ::const_iterator _iter83;
-    for (_iter83 = this->replies.begin(); _iter83 != this->replies.end(); ++_iter83)
+    std::vector<TokenReply> ::const_iterator _iter101;
+    for (_iter101 = this->replies.begin(); _iter101 != this->replies.end(); ++_iter101)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2514,13 +3112,13 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedTokenReply::RelayedTokenReply(const RelayedTokenReply& other84) {
-  replies = other84.replies;
-  __isset = other84.__isset;
+RelayedTokenReply::RelayedTokenReply(const RelayedTokenReply& other102) {
+  replies = other102.replies;
+  __isset = other102.__isset;
 }
-RelayedTokenReply& RelayedTokenReply::operator=(const RelayedTokenReply& other85) {
-  replies = other85.replies;
-  __isset = other85.__isset;
+RelayedTokenReply& RelayedTokenReply::operator=(const RelayedTokenReply& other103) {
+  replies = other103.replies;
+  __isset = other103.__isset;
   return *this;
 }
 void RelayedTokenReply::printTo(std::ostream& out) const {
@@ -2640,17 +3238,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimKey::ClaimKey(const ClaimKey& other86) {
-  account = other86.account;
-  serviceName = other86.serviceName;
-  idempotencyKey = other86.idempotencyKey;
-  __isset = other86.__isset;
+ClaimKey::ClaimKey(const ClaimKey& other104) {
+  account = other104.account;
+  serviceName = other104.serviceName;
+  idempotencyKey = other104.idempotencyKey;
+  __isset = other104.__isset;
 }
-ClaimKey& ClaimKey::operator=(const ClaimKey& other87) {
-  account = other87.account;
-  serviceName = other87.serviceName;
-  idempotencyKey = other87.idempotencyKey;
-  __isset = other87.__isset;
+ClaimKey& ClaimKey::operator=(const ClaimKey& other105) {
+  account = other105.account;
+  serviceName = other105.serviceName;
+  idempotencyKey = other105.idempotencyKey;
+  __isset = other105.__isset;
   return *this;
 }
 void ClaimKey::printTo(std::ostream& out) const {
@@ -2806,21 +3404,21 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other88) {
-  key = other88.key;
-  attemptId = other88.attemptId;
-  nodeId = other88.nodeId;
-  fingerprint = other88.fingerprint;
-  deadlineMs = other88.deadlineMs;
-  __isset = other88.__isset;
-}
-BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other89) {
-  key = other89.key;
-  attemptId = other89.attemptId;
-  nodeId = other89.nodeId;
-  fingerprint = other89.fingerprint;
-  deadlineMs = other89.deadlineMs;
-  __isset = other89.__isset;
+BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other106) {
+  key = other106.key;
+  attemptId = other106.attemptId;
+  nodeId = other106.nodeId;
+  fingerprint = other106.fingerprint;
+  deadlineMs = other106.deadlineMs;
+  __isset = other106.__isset;
+}
+BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other107) {
+  key = other107.key;
+  attemptId = other107.attemptId;
+  nodeId = other107.nodeId;
+  fingerprint = other107.fingerprint;
+  deadlineMs = other107.deadlineMs;
+  __isset = other107.__isset;
   return *this;
 }
 void BeginClaimRequest::printTo(std::ostream& out) const {
@@ -2978,21 +3576,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other90) {
-  status = other90.status;
-  contentType = other90.contentType;
-  body = other90.body;
-  bodyKept = other90.bodyKept;
-  bodyDigest = other90.bodyDigest;
-  __isset = other90.__isset;
-}
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other91) {
-  status = other91.status;
-  contentType = other91.contentType;
-  body = other91.body;
-  bodyKept = other91.bodyKept;
-  bodyDigest = other91.bodyDigest;
-  __isset = other91.__isset;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other108) {
+  status = other108.status;
+  contentType = other108.contentType;
+  body = other108.body;
+  bodyKept = other108.bodyKept;
+  bodyDigest = other108.bodyDigest;
+  __isset = other108.__isset;
+}
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other109) {
+  status = other109.status;
+  contentType = other109.contentType;
+  body = other109.body;
+  bodyKept = other109.bodyKept;
+  bodyDigest = other109.bodyDigest;
+  __isset = other109.__isset;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -3049,9 +3647,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast92;
-          xfer += iprot->readI32(ecast92);
-          this->state = static_cast<ClaimState::type>(ecast92);
+          int32_t ecast110;
+          xfer += iprot->readI32(ecast110);
+          this->state = static_cast<ClaimState::type>(ecast110);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3103,15 +3701,15 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimReply::BeginClaimReply(const BeginClaimReply& other93) {
-  state = other93.state;
-  outcome = other93.outcome;
-  __isset = other93.__isset;
+BeginClaimReply::BeginClaimReply(const BeginClaimReply& other111) {
+  state = other111.state;
+  outcome = other111.outcome;
+  __isset = other111.__isset;
 }
-BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other94) {
-  state = other94.state;
-  outcome = other94.outcome;
-  __isset = other94.__isset;
+BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other112) {
+  state = other112.state;
+  outcome = other112.outcome;
+  __isset = other112.__isset;
   return *this;
 }
 void BeginClaimReply::printTo(std::ostream& out) const {
@@ -3251,19 +3849,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other95) {
-  key = other95.key;
-  attemptId = other95.attemptId;
-  outcome = other95.outcome;
-  outcomeUnknown = other95.outcomeUnknown;
-  __isset = other95.__isset;
+FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other113) {
+  key = other113.key;
+  attemptId = other113.attemptId;
+  outcome = other113.outcome;
+  outcomeUnknown = other113.outcomeUnknown;
+  __isset = other113.__isset;
 }
-FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other96) {
-  key = other96.key;
-  attemptId = other96.attemptId;
-  outcome = other96.outcome;
-  outcomeUnknown = other96.outcomeUnknown;
-  __isset = other96.__isset;
+FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other114) {
+  key = other114.key;
+  attemptId = other114.attemptId;
+  outcome = other114.outcome;
+  outcomeUnknown = other114.outcomeUnknown;
+  __isset = other114.__isset;
   return *this;
 }
 void FinishClaimRequest::printTo(std::ostream& out) const {
@@ -3369,15 +3967,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other97) {
-  key = other97.key;
-  attemptId = other97.attemptId;
-  __isset = other97.__isset;
+ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other115) {
+  key = other115.key;
+  attemptId = other115.attemptId;
+  __isset = other115.__isset;
 }
-ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other98) {
-  key = other98.key;
-  attemptId = other98.attemptId;
-  __isset = other98.__isset;
+ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other116) {
+  key = other116.key;
+  attemptId = other116.attemptId;
+  __isset = other116.__isset;
   return *this;
 }
 void ReleaseClaimRequest::printTo(std::ostream& out) const {
@@ -3464,13 +4062,13 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other99) : TException() {
-  leaderRpcAddress = other99.leaderRpcAddress;
-  __isset = other99.__isset;
+NotLeader::NotLeader(const NotLeader& other117) : TException() {
+  leaderRpcAddress = other117.leaderRpcAddress;
+  __isset = other117.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other100) {
-  leaderRpcAddress = other100.leaderRpcAddress;
-  __isset = other100.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other118) {
+  leaderRpcAddress = other118.leaderRpcAddress;
+  __isset = other118.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -3584,15 +4182,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlFailure::ControlFailure(const ControlFailure& other101) : TException() {
-  code = other101.code;
-  message = other101.message;
-  __isset = other101.__isset;
+ControlFailure::ControlFailure(const ControlFailure& other119) : TException() {
+  code = other119.code;
+  message = other119.message;
+  __isset = other119.__isset;
 }
-ControlFailure& ControlFailure::operator=(const ControlFailure& other102) {
-  code = other102.code;
-  message = other102.message;
-  __isset = other102.__isset;
+ControlFailure& ControlFailure::operator=(const ControlFailure& other120) {
+  code = other120.code;
+  message = other120.message;
+  __isset = other120.__isset;
   return *this;
 }
 void ControlFailure::printTo(std::ostream& out) const {
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -52,6 +52,12 @@
 
 class SyncReply;
 
+class RelayedPoll;
+
+class PollRelayRequest;
+
+class PollRelayReply;
+
 class TokenAsk;
 
 class TokenRequest;
@@ -525,7 +531,7 @@
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false), fleet(false), fleetSecret(false), controlAddresses(false), heldMs(false) {}
+  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false), fleet(false), fleetSecret(false), controlAddresses(false), heldMs(false), leaderRpcAddress(false), relaysPolls(false) {}
   bool ageMs :1;
   bool delta :1;
   bool membersIncluded :1;
@@ -536,6 +542,8 @@
   bool fleetSecret :1;
   bool controlAddresses :1;
   bool heldMs :1;
+  bool leaderRpcAddress :1;
+  bool relaysPolls :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -549,7 +557,9 @@
               membersVersion(0),
               acceptedReportNumber(0),
               fleetSecret(),
-              heldMs(0) {
+              heldMs(0),
+              leaderRpcAddress(),
+              relaysPolls(0) {
   }
 
   virtual ~SyncReply() noexcept;
@@ -563,6 +573,8 @@
   std::string fleetSecret;
   std::vector<std::string>  controlAddresses;
   int64_t heldMs;
+  std::string leaderRpcAddress;
+  bool relaysPolls;
 
   _SyncReply__isset __isset;
 
@@ -586,6 +598,10 @@
 
   void __set_heldMs(const int64_t val);
 
+  void __set_leaderRpcAddress(const std::string& val);
+
+  void __set_relaysPolls(const bool val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(ageMs == rhs.ageMs))
@@ -610,6 +626,10 @@
       return false;
     if (!(heldMs == rhs.heldMs))
       return false;
+    if (!(leaderRpcAddress == rhs.leaderRpcAddress))
+      return false;
+    if (!(relaysPolls == rhs.relaysPolls))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
@@ -628,6 +648,218 @@
 
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj);
 
+typedef struct _RelayedPoll__isset {
+  _RelayedPoll__isset() : nodeId(false), epoch(false), stateVersion(false), ageMs(false), member(false) {}
+  bool nodeId :1;
+  bool epoch :1;
+  bool stateVersion :1;
+  bool ageMs :1;
+  bool member :1;
+} _RelayedPoll__isset;
+
+class RelayedPoll : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedPoll(const RelayedPoll&);
+  RelayedPoll& operator=(const RelayedPoll&);
+  RelayedPoll() noexcept
+              : nodeId(),
+                epoch(0),
+                stateVersion(0),
+                ageMs(0) {
+  }
+
+  virtual ~RelayedPoll() noexcept;
+  std::string nodeId;
+  int64_t epoch;
+  int64_t stateVersion;
+  int64_t ageMs;
+  Member member;
+
+  _RelayedPoll__isset __isset;
+
+  void __set_nodeId(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_stateVersion(const int64_t val);
+
+  void __set_ageMs(const int64_t val);
+
+  void __set_member(const Member& val);
+
+  bool operator == (const RelayedPoll & rhs) const
+  {
+    if (!(nodeId == rhs.nodeId))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(stateVersion == rhs.stateVersion))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (__isset.member != rhs.__isset.member)
+      return false;
+    else if (__isset.member && !(member == rhs.member))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedPoll &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedPoll & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedPoll &a, RelayedPoll &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedPoll& obj);
+
+typedef struct _PollRelayRequest__isset {
+  _PollRelayRequest__isset() : polls(false), membersVersion(false) {}
+  bool polls :1;
+  bool membersVersion :1;
+} _PollRelayRequest__isset;
+
+class PollRelayRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  PollRelayRequest(const PollRelayRequest&);
+  PollRelayRequest& operator=(const PollRelayRequest&);
+  PollRelayRequest() noexcept
+                   : membersVersion(0) {
+  }
+
+  virtual ~PollRelayRequest() noexcept;
+  std::vector<RelayedPoll>  polls;
+  int64_t membersVersion;
+
+  _PollRelayRequest__isset __isset;
+
+  void __set_polls(const std::vector<RelayedPoll> & val);
+
+  void __set_membersVersion(const int64_t val);
+
+  bool operator == (const PollRelayRequest & rhs) const
+  {
+    if (!(polls == rhs.polls))
+      return false;
+    if (!(membersVersion == rhs.membersVersion))
+      return false;
+    return true;
+  }
+  bool operator != (const PollRelayRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PollRelayRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PollRelayRequest &a, PollRelayRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const PollRelayRequest& obj);
+
+typedef struct _PollRelayReply__isset {
+  _PollRelayReply__isset() : ageMs(false), appliedIndex(false), term(false), membersIncluded(false), membersVersion(false), members(false), membersIncomplete(false), relaysPolls(false) {}
+  bool ageMs :1;
+  bool appliedIndex :1;
+  bool term :1;
+  bool membersIncluded :1;
+  bool membersVersion :1;
+  bool members :1;
+  bool membersIncomplete :1;
+  bool relaysPolls :1;
+} _PollRelayReply__isset;
+
+class PollRelayReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  PollRelayReply(const PollRelayReply&);
+  PollRelayReply& operator=(const PollRelayReply&);
+  PollRelayReply() noexcept
+                 : ageMs(0),
+                   appliedIndex(0),
+                   term(0),
+                   membersIncluded(0),
+                   membersVersion(0),
+                   membersIncomplete(0),
+                   relaysPolls(0) {
+  }
+
+  virtual ~PollRelayReply() noexcept;
+  int64_t ageMs;
+  int64_t appliedIndex;
+  int64_t term;
+  bool membersIncluded;
+  int64_t membersVersion;
+  std::vector<Member>  members;
+  bool membersIncomplete;
+  bool relaysPolls;
+
+  _PollRelayReply__isset __isset;
+
+  void __set_ageMs(const int64_t val);
+
+  void __set_appliedIndex(const int64_t val);
+
+  void __set_term(const int64_t val);
+
+  void __set_membersIncluded(const bool val);
+
+  void __set_membersVersion(const int64_t val);
+
+  void __set_members(const std::vector<Member> & val);
+
+  void __set_membersIncomplete(const bool val);
+
+  void __set_relaysPolls(const bool val);
+
+  bool operator == (const PollRelayReply & rhs) const
+  {
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(appliedIndex == rhs.appliedIndex))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(membersIncluded == rhs.membersIncluded))
+      return false;
+    if (!(membersVersion == rhs.membersVersion))
+      return false;
+    if (!(members == rhs.members))
+      return false;
+    if (!(membersIncomplete == rhs.membersIncomplete))
+      return false;
+    if (!(relaysPolls == rhs.relaysPolls))
+      return false;
+    return true;
+  }
+  bool operator != (const PollRelayReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PollRelayReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PollRelayReply &a, PollRelayReply &b);
+
+std::ostream& operator<<(std::ostream& out, const PollRelayReply& obj);
+
 typedef struct _TokenAsk__isset {
   _TokenAsk__isset() : serviceName(false), account(false), number(false), term(false), received(false), spent(false), returned(false), spentAgeMicros(false), needed(false), wanted(false) {}
   bool serviceName :1;
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/node/sync_loop.hpp"
 
-#include <algorithm>  // min
+#include <algorithm>  // min, sort
 #include <functional> // hash
 #include <utility>    // move
 
@@ -18,6 +18,7 @@
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(50);
 // Keeps the polls of many nodes from synchronising.
 constexpr double kPollJitter = 0.2;
+constexpr Duration kPollRelaySelectionInterval = std::chrono::seconds(2);
 
 ReceivedChanges FromWire(const wire::StateDelta& delta)
 {
@@ -132,10 +133,10 @@
   }
 }
 
-void SyncLoop::AddControlReplicas(const std::vector<std::string>& addressTexts)
+void SyncLoop::AddControlReplicas(const wire::SyncReply& reply)
 {
   std::vector<Address> addresses;
-  for (const auto& text : addressTexts) {
+  for (const auto& text : reply.controlAddresses) {
     if (const auto address = Address::Parse(text)) {
       addresses.push_back(address.value());
     }
@@ -144,10 +145,16 @@
   if (options_.claimChannel != nullptr) {
     options_.claimChannel->AddReplicas(addresses);
   }
-  SelectTokenRelay(addresses);
+  const auto named = Address::Parse(reply.leaderRpcAddress);
+  // A control process that does not name the leader is the leader.
+  const Address leader = named ? named.value() : options_.syncChannel->Preferred();
+  SelectTokenRelay(addresses, leader);
+  if (reply.relaysPolls) {
+    SelectPollRelay(std::move(addresses), leader);
+  }
 }
 
-void SyncLoop::SelectTokenRelay(const std::vector<Address>& replicas)
+void SyncLoop::SelectTokenRelay(const std::vector<Address>& replicas, const Address& leader)
 {
   if (options_.tokenChannel == nullptr || replicas == relayCandidates_) {
     return;
@@ -155,13 +162,35 @@
   relayCandidates_ = replicas;
   options_.tokenChannel->AddReplicas(replicas);
   std::vector<Address> relays = replicas;
-  std::erase(relays, options_.syncChannel->Preferred());
+  std::erase(relays, leader);
   if (!relays.empty()) {
-    options_.tokenChannel->Prefer(
-      relays[std::hash<std::string>()(options_.nodeId) % relays.size()]);
+    options_.tokenChannel->Prefer(relays[NodeHash() % relays.size()]);
   }
 }
 
+/// Moves the polls from the leader to a relay. After a failure the channel may have returned to the
+/// leader; the next relay in order is tried then, because the previous one may be down.
+void SyncLoop::SelectPollRelay(std::vector<Address> replicas, const Address& leader)
+{
+  const TimePoint now = options_.clock->Now();
+  const bool isDue =
+    pollRelaySelections_ == 0 || now - pollRelaySelectedAt_ >= kPollRelaySelectionInterval;
+  std::erase(replicas, leader);
+  if (replicas.empty() || options_.syncChannel->Preferred() != leader || !isDue) {
+    return;
+  }
+  // Replicas report each other in different orders.
+  std::ranges::sort(replicas, {}, &Address::ToString);
+  options_.syncChannel->Prefer(replicas[(NodeHash() + pollRelaySelections_) % replicas.size()]);
+  ++pollRelaySelections_;
+  pollRelaySelectedAt_ = now;
+}
+
+std::size_t SyncLoop::NodeHash() const
+{
+  return std::hash<std::string>()(options_.nodeId);
+}
+
 bool SyncLoop::PollOnce()
 {
   wire::SyncRequest request;
@@ -197,7 +226,7 @@
   // Control confirms a held reply after the hold, which began after the poll had been sent.
   options_.stateCache->Apply(changes,
                              sentAt + std::chrono::milliseconds(reply.heldMs - reply.ageMs));
-  AddControlReplicas(reply.controlAddresses);
+  AddControlReplicas(reply);
   if (reply.membersIncluded) {
     membersVersion_ = reply.membersVersion;
     options_.members->Apply(0, membersVersion_, FromWire(reply.members), options_.clock->Now());
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -25,6 +25,19 @@
 constexpr Duration kRefusalTimeout = std::chrono::seconds(1);
 constexpr std::string_view kHeartbeatTarget = "/.acp/heartbeat";
 
+/// Sends the end of the output, then discards further input until the peer closes, for at most
+/// kLingerTime: closing with unread input would reset the connection and lose the response.
+void Linger(HttpConnection& connection)
+{
+  ::shutdown(connection.Descriptor(), SHUT_WR);
+  const TimePoint deadline = SteadyNow() + kLingerTime;
+  std::array<char, 4096> discarded; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  std::size_t count = 0;
+  while (connection.Read(discarded.data(), discarded.size(), deadline, &count) == IoStatus::Ok &&
+         SteadyNow() < deadline) {
+  }
+}
+
 /// A function to run on a thread of the pool; deletes itself.
 class Job final : public Poco::Runnable
 {
@@ -61,13 +74,7 @@
 {
   const auto length = static_cast<std::int64_t>(body.size());
   connection.Write(FormatResponseHead(head, length, false), body, SteadyNow() + kRefusalTimeout);
-  ::shutdown(connection.Descriptor(), SHUT_WR);
-  const TimePoint deadline = SteadyNow() + kLingerTime;
-  std::array<char, 4096> discarded; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  std::size_t count = 0;
-  while (connection.Read(discarded.data(), discarded.size(), deadline, &count) == IoStatus::Ok &&
-         SteadyNow() < deadline) {
-  }
+  Linger(connection);
 }
 
 ServerConnection::ServerConnection(const Poco::Net::StreamSocket& socket,
@@ -135,11 +142,16 @@
 
 void ServerConnection::Serve()
 {
-  bool isReusable = ServeNext();
-  while (isReusable && connection_.HasBuffered()) {
-    isReusable = ServeNext();
+  NextStep next = ServeNext();
+  // Requests that a caller sent ahead are not started once it has closed the connection.
+  while (next == NextStep::Continue && connection_.HasBuffered() &&
+         !watch_.Closed().stop_requested()) {
+    next = ServeNext();
   }
-  if (!isReusable) {
+  if (next == NextStep::CloseAfterResponse && connection_.HasInput()) {
+    Linger(connection_);
+  }
+  if (next != NextStep::Continue || connection_.HasBuffered()) {
     Close();
     return;
   }
@@ -147,7 +159,7 @@
   ScheduleWait();
 }
 
-bool ServerConnection::ServeNext()
+ServerConnection::NextStep ServerConnection::ServeNext()
 {
   std::string text;
   const auto deadline = SteadyNow() + server_.options->headTimeout;
@@ -156,7 +168,7 @@
     return Refuse(RefusalHead(413, Reason::TooLarge), "the head is larger than 16 KiB\n");
   }
   if (status != IoStatus::Ok) {
-    return false;
+    return NextStep::Close;
   }
   HttpRequestHead head;
   MessageFraming framing;
@@ -171,7 +183,10 @@
   if (server_.options->onServed) {
     server_.options->onServed(exchange.Served());
   }
-  return exchange.HasResponded() && exchange.FinishRequest();
+  if (!exchange.HasResponded()) {
+    return NextStep::Close;
+  }
+  return exchange.FinishRequest() ? NextStep::Continue : NextStep::CloseAfterResponse;
 }
 
 void ServerConnection::Handle(ServerExchange& exchange)
@@ -191,10 +206,11 @@
 
 /// Sends a refusal without calling the handler and closes the connection, since the rest of the
 /// input cannot be framed.
-bool ServerConnection::Refuse(const HttpResponseHead& head, const std::string& body)
+ServerConnection::NextStep ServerConnection::Refuse(const HttpResponseHead& head,
+                                                    const std::string& body)
 {
   RefuseAndLinger(connection_, head, body);
-  return false;
+  return NextStep::Close;
 }
 
 void ServerConnection::Close()
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -124,6 +124,12 @@
   throw NoReply{};
 }
 
+void FakeControl::RelayPolls(wire::PollRelayReply& /*reply*/,
+                             const wire::PollRelayRequest& /*request*/)
+{
+  throw NoReply{};
+}
+
 void FakeControl::AcquireTokens(wire::TokenReply& reply, const wire::TokenRequest& request)
 {
   if (!grantsTokens) {
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -45,6 +45,8 @@
   /// Nodes never call this.
   void RelayTokens(wire::RelayedTokenReply& reply,
                    const wire::RelayedTokenRequest& request) override;
+  /// Nodes never call this.
+  void RelayPolls(wire::PollRelayReply& reply, const wire::PollRelayRequest& request) override;
   void BeginClaim(wire::BeginClaimReply& reply, const wire::BeginClaimRequest& request) override;
   void FinishClaim(const wire::FinishClaimRequest& request) override;
   void ReleaseClaim(const wire::ReleaseClaimRequest& request) override;
--- a/tests/node_test/sync_loop_test.cpp
+++ b/tests/node_test/sync_loop_test.cpp
@@ -255,4 +255,26 @@
   BOOST_TEST(fixture.tokens.Preferred().ToString() == "127.0.0.1:3");
 }
 
+// Guards against polls of a large fleet that stay with the leader, or return to it for good after
+// the chosen relay has failed.
+BOOST_AUTO_TEST_CASE(polls_of_a_large_fleet_go_through_a_follower)
+{
+  SyncLoopFixture fixture;
+  const std::string leader = fixture.replica.ListenAddress().ToString();
+  const auto relaysPolls = [&](acp::wire::SyncReply& reply) {
+    reply.controlAddresses = { "127.0.0.1:2", leader, "127.0.0.1:1" };
+    reply.leaderRpcAddress = leader;
+    reply.relaysPolls = true;
+  };
+  fixture.script.AwaitRequest();
+  // Nothing listens at the relays, so that the next poll returns to the leader.
+  fixture.RespondAndAwaitNext(relaysPolls);
+  BOOST_TEST(fixture.channel.Preferred().ToString() == leader);
+  fixture.clock.Advance(std::chrono::seconds(10));
+  fixture.script.Respond(relaysPolls);
+  fixture.script.AwaitRequest();
+  fixture.script.Respond([](auto& reply) { reply.delta.toVersion = 9; });
+  BOOST_TEST(fixture.script.AwaitRequest().stateVersion == 9);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
