--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -9,6 +9,7 @@
 #include "acaciapulley/core/clock.hpp"
 #include "acaciapulley/core/error.hpp"
 #include "acaciapulley/core/event_loop.hpp"
+#include "acaciapulley/core/json_check.hpp"
 #include "acaciapulley/core/json_reader.hpp"
 #include "acaciapulley/core/log.hpp"
 #include "acaciapulley/core/names.hpp"
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -10,6 +10,8 @@
 #include <Poco/JSON/Parser.h>
 #include <fmt/format.h> // format
 
+#include "acaciapulley/core/json_check.hpp" // FindJsonProblem
+
 namespace acp {
 
 struct JsonReader::Node
@@ -44,6 +46,9 @@
 
 JsonReader JsonReader::FromText(std::string_view text)
 {
+  if (const auto problem = FindJsonProblem(text)) {
+    throw JsonFieldError("", *problem);
+  }
   try {
     Poco::JSON::Parser parser;
     const auto parsed = parser.parse(std::string(text));
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/node/sync_loop.hpp"
 
-#include <algorithm>  // min, sort
+#include <algorithm>  // clamp, min, sort
 #include <functional> // hash
 #include <utility>    // move
 
@@ -18,6 +18,9 @@
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(50);
 // Keeps the polls of many nodes from synchronising.
 constexpr double kPollJitter = 0.2;
+// Bounds for what an older control process may have accepted.
+constexpr int kMaxMemberSlots = 100'000;
+constexpr std::int64_t kMaxMemberColdStartMs = 3'600'000;
 constexpr Duration kPollRelaySelectionInterval = std::chrono::seconds(2);
 
 ReceivedChanges FromWire(const wire::StateDelta& delta)
@@ -43,8 +46,10 @@
   std::vector<RoutedMember> routed;
   for (const auto& member : members) {
     const auto address = Address::Parse(member.peerAddress);
-    if (!address) {
-      Log(LogLevel::Error, "member_rejected", { { "error", address.error().Describe() } });
+    if (!address || address.value().port == 0) {
+      Log(LogLevel::Error,
+          "member_rejected",
+          { { "error", address ? "its port is 0" : address.error().Describe() } });
       continue;
     }
     routed.push_back({ .nodeId = member.nodeId,
@@ -52,8 +57,9 @@
                        .service = member.serviceName,
                        .dataCentre = member.dataCentre,
                        .peerAddress = member.peerAddress,
-                       .slots = member.slots,
-                       .coldStart = std::chrono::milliseconds(member.coldStartMs),
+                       .slots = std::clamp(member.slots, 0, kMaxMemberSlots),
+                       .coldStart = std::chrono::milliseconds(
+                         std::clamp<std::int64_t>(member.coldStartMs, 0, kMaxMemberColdStartMs)),
                        .isDraining = member.draining });
   }
   return routed;
