--- a/include/acaciapulley/node/detail/token_client.hpp
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -85,7 +85,8 @@
   TokenClient& operator=(const TokenClient&) = delete;
   ~TokenClient();
 
-  /// @brief Reserves a token; waits for control if the node has none.
+  /// @brief Reserves a token; waits for control if the node has none. While calls to control keep
+  /// failing, one request of each account waits and the others are refused at once.
   /// @param callerGone ends the wait when the caller disconnects
   /// @return the token, or a refusal with 429 (rate exceeded) or 503 (control unreachable, or the
   /// caller gone)
@@ -122,6 +123,8 @@
   TokenClientOptions options_;
   TokenLeaseTable table_;
   std::atomic<TimePoint> lastAnswer_{ TimePoint() };
+  /// Calls have failed for as long as a request waits for a token.
+  std::atomic<bool> isControlSilent_{ false };
   std::mutex mutex_;
   std::condition_variable senderWakeUp_; ///< wakes the thread that calls control
   bool isSendRequested_ = false;
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -26,6 +26,10 @@
 // Requests of one account that may wait concurrently while tokens are scarce; further ones are
 // refused at once. On most nodes, an account gets fewer tokens than this within kMaxTokenWait.
 constexpr std::size_t kMaxWaitersWhenScarce = 16;
+// Requests of one account that may wait while calls to control keep failing; their asks show when
+// control answers again. Further ones are refused at once, so that their callers keep the time to
+// come back: a wait of kMaxTokenWait may be the whole latency objective of a class.
+constexpr std::size_t kMaxWaitersWhenSilent = 1;
 // While no shortage is known, a whole burst may wait at one node for the first answer.
 constexpr std::size_t kMaxWaiters = 1024;
 
@@ -61,6 +65,14 @@
            .mayBeWithinRate = answer.mayBeWithinRate };
 }
 
+auto RateUnavailableRefusal()
+{
+  return NotRunRefusal(503,
+                       Reason::RateUnavailable,
+                       "no answer from control to the request for a rate token",
+                       std::chrono::seconds(1));
+}
+
 auto RateExceededRefusal(Duration retryAfter)
 {
   return NotRunRefusal(
@@ -123,7 +135,11 @@
   }
   Waiter waiter;
   const bool isScarce = taken.retryAfter > Duration::zero();
-  if (!AddWaiter(key, waiter, isScarce ? kMaxWaitersWhenScarce : kMaxWaiters)) {
+  if (isControlSilent_.load()) {
+    if (!AddWaiter(key, waiter, kMaxWaitersWhenSilent)) {
+      return RateUnavailableRefusal();
+    }
+  } else if (!AddWaiter(key, waiter, isScarce ? kMaxWaitersWhenScarce : kMaxWaiters)) {
     return RateExceededRefusal(taken.retryAfter);
   }
   table_.AddWaiter(key);
@@ -204,10 +220,7 @@
     return RateExceededRefusal(taken.retryAfter);
   }
   if (now >= deadline) {
-    return NotRunRefusal(503,
-                         Reason::RateUnavailable,
-                         "no answer from control to the request for a rate token",
-                         std::chrono::seconds(1));
+    return RateUnavailableRefusal();
   }
   return std::nullopt;
 }
@@ -280,9 +293,11 @@
       Log(LogLevel::Warning, "tokens_unavailable", { { "error", error } });
     }
     ++failedCalls_;
+    isControlSilent_ = now - failingSince_ >= kMaxTokenWait;
     return;
   }
   lastAnswer_ = now;
+  isControlSilent_ = false;
   if (consecutiveFailures_ > 0) {
     const auto span = std::chrono::floor<std::chrono::milliseconds>(now - failingSince_);
     Log(LogLevel::Info,
--- a/tests/node_test/token_client_test.cpp
+++ b/tests/node_test/token_client_test.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "acaciapulley/core/wait_point.hpp"
 #include "acaciapulley/node/detail/token_client.hpp"
 #include "gen/ControlService.h"
 
@@ -164,4 +165,62 @@
   BOOST_TEST(tokens.CallCounts().failed == tokens.CallCounts().calls);
 }
 
+// Answers the load of a deployment whose control hosts are all down while callers have 200 ms to
+// their objective: guards against requests that each spend that time on a token that cannot come,
+// and against a node that does not notice when control is back.
+BOOST_AUTO_TEST_CASE(requests_do_not_wait_for_a_control_that_has_gone_silent)
+{
+  constexpr int kRequests = 20;
+  constexpr acp::Duration kStep = std::chrono::milliseconds(100);
+  const acp::LimitKey key{ "service", "account" };
+  acp::ManualClock clock;
+  BlockedControl control;
+  control.Release();
+  std::atomic<bool> isDown{ true };
+  acp::detail::TokenClient tokens(
+    { .nodeId = "n", .epoch = 1, .clock = &clock, .call = [&](const auto& call) {
+       if (isDown) {
+         return acp::TransportResult<void>(
+           acp::Fail(acp::TransportErrorCode::Unreachable, "refused"));
+       }
+       call(control);
+       return acp::TransportResult<void>(boost::outcome_v2::success());
+     } });
+  // The clock only advances here, so that a request that waits does so until it is stopped.
+  const auto awaitFailedCall = [&] {
+    for (const auto seen = tokens.CallCounts().failed; tokens.CallCounts().failed == seen;) {
+      acp::SleepFor(std::chrono::milliseconds(1));
+    }
+  };
+  for (int i = 0; i < 4; ++i) {
+    std::jthread waiting([&](const std::stop_token& stop) { (void)tokens.Reserve(key, stop); });
+    awaitFailedCall();
+    clock.Advance(kStep);
+  }
+  std::stop_source leaving;
+  std::atomic<int> refused{ 0 };
+  std::atomic<int> granted{ 0 };
+  std::vector<std::jthread> requests;
+  requests.reserve(kRequests);
+  for (int i = 0; i < kRequests; ++i) {
+    requests.emplace_back([&] {
+      const auto taken = tokens.Reserve(key, leaving.get_token());
+      refused += !taken && taken.error().reason == acp::Reason::RateUnavailable ? 1 : 0;
+      granted += taken ? 1 : 0;
+    });
+  }
+  for (int i = 0; i < 5'000 && refused < kRequests - 1; ++i) {
+    acp::SleepFor(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(refused == kRequests - 1);
+  isDown = false;
+  for (int i = 0; i < 200 && granted == 0; ++i) {
+    acp::SleepFor(std::chrono::milliseconds(20));
+    clock.Advance(std::chrono::milliseconds(1));
+  }
+  leaving.request_stop();
+  requests.clear();
+  BOOST_TEST(granted == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
