--- a/include/acaciapulley/control/poll_relay.hpp
+++ b/include/acaciapulley/control/poll_relay.hpp
@@ -8,7 +8,6 @@
 #include <deque>              // deque
 #include <functional>         // function
 #include <map>                // map
-#include <memory>             // shared_ptr
 #include <mutex>              // mutex
 #include <optional>           // optional
 #include <string>             // string
--- a/tests/platform_test/odd_entries_test.cpp
+++ b/tests/platform_test/odd_entries_test.cpp
@@ -182,6 +182,24 @@
   BOOST_TEST(node.Post("i", BodyWith("sequence", "1")) == 200);
 }
 
+// Guards against an operator who cannot tell from the log what another writer got wrong.
+BOOST_AUTO_TEST_CASE(a_rejected_heartbeat_names_its_field)
+{
+  const auto problemOf = [](const std::string& body) {
+    std::string problem;
+    BOOST_TEST(!Heartbeat::Parse("i", body, &problem).has_value());
+    return problem;
+  };
+  for (const char* field :
+       { "service", "address", "concurrency", "state", "sequence", "warmup_left_ms" }) {
+    BOOST_TEST(problemOf(BodyWith(field, "null")) == std::string(field) + " is missing");
+  }
+  BOOST_TEST(problemOf(BodyWith("born", "18446744073709551615")) == "born = 18446744073709551615");
+  BOOST_TEST(problemOf(BodyWith("concurrency", "100001")) == "concurrency = 100001");
+  BOOST_TEST(problemOf(BodyWith("state", "\"" + std::string(500, 's') + "\"")).size() < 100U);
+  BOOST_TEST(problemOf(BodyWith("more", "1e400")) == "the number 1e400 is too large");
+}
+
 // Guards against a control host that ends, or accepts, on a configuration that it cannot read.
 BOOST_AUTO_TEST_CASE(a_nested_configuration_is_refused)
 {
