Do not relay polls where control collects the nodes' reports

Found by reading: a follower that answers a poll accepts the report that comes with it, but only the leader stores reports, so that the monthly record of a fleet of 100 nodes or more would have lost them. Such a control (acp-control) answers polls at the leader as before; the platform's collects none. Relaying the reports as well is left.

--- a/include/acaciapulley/control/detail/control_context.hpp
+++ b/include/acaciapulley/control/detail/control_context.hpp
@@ -38,6 +38,11 @@
   PollRelay* pollRelay = nullptr;       ///< null: only the leader answers polls
   ChangeSignal* changeSignal = nullptr; ///< for state and members; null: no long polls
 
+  /// @brief Returns whether this replica may answer polls while it is not the leader. Reports of
+  /// nodes come with their polls and only the leader stores them, so a control that collects them
+  /// does not relay.
+  [[nodiscard]] bool MayRelayPolls() const { return pollRelay != nullptr && !hooks.acceptReport; }
+
   /// @brief Returns the time since the leadership of this replica was confirmed.
   /// @return the age, below kMaxLeadershipAge, or NotLeader
   ControlResult<Duration> ConfirmedLeadershipAge();
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -128,7 +128,7 @@
     ThrowFailure(
       "sync", static_cast<int>(ControlErrorCode::InvalidRequest), "invalid node or member");
   }
-  if (context_.pollRelay != nullptr && !context_.log.Status().isLeader) {
+  if (context_.MayRelayPolls() && !context_.log.Status().isLeader) {
     context_.pollRelay->Record(ToPoll(request));
   }
   const TimePoint start = context_.clock.Now();
@@ -152,7 +152,7 @@
 
 void RpcHandler::FillState(wire::SyncReply& reply, const wire::SyncRequest& request, Duration held)
 {
-  const bool isRelay = context_.pollRelay != nullptr && context_.pollRelay->RelaysPolls() &&
+  const bool isRelay = context_.MayRelayPolls() && context_.pollRelay->RelaysPolls() &&
                        !context_.log.Status().isLeader;
   // The age is read before the state, so that the state is never older than the reported age.
   const Duration age = isRelay ? RequireRelayedState() : RequireLeadership("sync");
@@ -239,7 +239,7 @@
   const Leadership leadership = context_.CurrentLeadership();
   const std::lock_guard lock(context_.nodesMutex);
   RecordPolls({ { .poll = ToPoll(request), .polledAt = context_.clock.Now() } }, leadership);
-  reply.relaysPolls = context_.pollRelay != nullptr && context_.nodes.RelaysPolls();
+  reply.relaysPolls = context_.MayRelayPolls() && context_.nodes.RelaysPolls();
   // Nodes keep the member list of the previous leader until this one had time to hear all nodes.
   const bool hasOlderList =
     request.membersVersion != 0 && !context_.nodes.IsFromCurrentTerm(request.membersVersion);
@@ -272,7 +272,7 @@
   const std::lock_guard lock(context_.nodesMutex);
   RecordPolls(polls, leadership);
   reply.term = static_cast<std::int64_t>(leadership.term);
-  reply.relaysPolls = context_.nodes.RelaysPolls();
+  reply.relaysPolls = !context_.hooks.acceptReport && context_.nodes.RelaysPolls();
   reply.membersIncomplete = leadership.leadingFor < kMemberListRebuildTime;
   reply.membersVersion = context_.nodes.MembersVersion();
   reply.membersIncluded = request.membersVersion != reply.membersVersion;
--- a/tests/control_test/poll_relay_test.cpp
+++ b/tests/control_test/poll_relay_test.cpp
@@ -262,4 +262,22 @@
   BOOST_CHECK_THROW(Sync(follower, 1), acp::wire::NotLeader);
 }
 
+// Guards against reports of nodes that a follower accepts and nobody stores.
+BOOST_FIXTURE_TEST_CASE(a_control_that_collects_reports_does_not_relay, RelayFixture)
+{
+  {
+    const std::lock_guard lock(mutex);
+    for (auto* context : { &leaderSide.context, &followerContext }) {
+      context->hooks.acceptReport = [](const auto& request) { return request.reportNumber; };
+    }
+  }
+  for (int i = 0; i < static_cast<int>(acp::kMinRelayedNodes); ++i) {
+    Sync(leader, i);
+  }
+  AwaitCall();
+  followerLog.isLeader = false;
+  BOOST_CHECK_THROW(Sync(follower, 1), acp::wire::NotLeader);
+  BOOST_TEST(!relay.RelaysPolls());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
