Know a large fleet from the log, and send its polls to relays

After all machines lost power the followers refused polls and named the leader, which got all polls, answered 2,443 of them too late and kept relays' calls waiting beyond their 600 ms.

Ruled out: an election (one leader from 32.2 s to the end), other control hosts (no poll given up there), the disk (configurations were read back).

Change: the number of joined nodes in the replicated state tells a large fleet; a leader that relays have called within 1 s refuses direct polls of such a fleet with the name of a relay before any work; a relay's call may take 1.2 s.

--- a/include/acaciapulley/control/control_state.hpp
+++ b/include/acaciapulley/control/control_state.hpp
@@ -115,6 +115,9 @@
   /// @brief Returns the joined nodes ordered by id.
   [[nodiscard]] std::vector<JoinedNode> JoinedNodes() const;
 
+  /// @brief Returns the number of joined nodes.
+  [[nodiscard]] std::size_t JoinedNodeCount() const;
+
   /// @brief Returns the record rows of the hours in [@p from, @p to), ordered by hour.
   [[nodiscard]] std::vector<RecordRows> Record(UnixMillis from, UnixMillis to) const;
 
--- a/include/acaciapulley/control/detail/control_context.hpp
+++ b/include/acaciapulley/control/detail/control_context.hpp
@@ -43,6 +43,13 @@
   /// does not relay.
   [[nodiscard]] bool MayRelayPolls() const { return pollRelay != nullptr && !hooks.acceptReport; }
 
+  /// @brief Returns whether the log lists enough nodes for polls to be relayed. Unlike the polls
+  /// that a leader has heard, this is known at once after a restart of all replicas.
+  [[nodiscard]] bool IsLargeFleet() const
+  {
+    return MayRelayPolls() && state.JoinedNodeCount() >= kMinRelayedNodes;
+  }
+
   /// @brief Returns the time since the leadership of this replica was confirmed.
   /// @return the age, below kMaxLeadershipAge, or NotLeader
   ControlResult<Duration> ConfirmedLeadershipAge();
--- a/include/acaciapulley/control/detail/rpc_handler.hpp
+++ b/include/acaciapulley/control/detail/rpc_handler.hpp
@@ -3,6 +3,9 @@
 /// @file
 /// Implementation of the Thrift service for nodes.
 
+#include <atomic> // atomic
+#include <string> // string
+
 #include "acaciapulley/control/detail/control_context.hpp" // ControlContext
 #include "gen/ControlService.h"
 
@@ -38,6 +41,7 @@
   Duration RequireLeadership(std::string_view call);
   wire::CommandReply Propose(std::string_view call, const wire::ControlCommand& command);
   void FillState(wire::SyncReply& reply, const wire::SyncRequest& request, Duration held);
+  void SendToRelay(const ReplicaStatus& status, const std::string& nodeId);
   Duration RequireRelayedState();
   std::string EnsureFleetSecret();
   void FillMembers(wire::SyncReply& reply, const wire::SyncRequest& request);
@@ -47,6 +51,7 @@
   [[noreturn]] void ThrowFailure(std::string_view call, int code, const std::string& message);
 
   ControlContext& context_;
+  std::atomic<TimePoint> lastRelayedAt_{ TimePoint() }; ///< of the last RelayPolls
 };
 
 } // namespace acp::detail
--- a/include/acaciapulley/control/poll_relay.hpp
+++ b/include/acaciapulley/control/poll_relay.hpp
@@ -136,6 +136,8 @@
   /// Publishes due changes of members; called regularly while this replica is the leader.
   std::function<void()> publishAsLeader;
   std::function<void()> onChanged; ///< a new member list was published
+  /// Returns whether the log lists a large fleet; may be null.
+  std::function<bool()> isLargeFleet;
   /// Pause between two calls while nodes poll this replica.
   Duration interval = std::chrono::milliseconds(200);
   /// Pause in a small fleet, in which the calls only tell whether it has become a large one.
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -28,8 +28,8 @@
 constexpr int kSendTimeoutMillis = 5000;
 // Below TokenRelayOptions::maxWait, so that a failed call ends before the requests time out.
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(300);
-// Below kMaxRelayedAge, so that one lost call does not stop a relay.
-constexpr Duration kPollRelayTimeout = std::chrono::milliseconds(600);
+// Below kMaxRelayedAge; long enough for a leader whose nodes all poll it after a restart.
+constexpr Duration kPollRelayTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kPutFleetTimeout = std::chrono::seconds(3);
 
 /// A server socket that can be opened before the server thread starts, so that a failure to bind is
@@ -69,7 +69,8 @@
           .appliedIndex = [this] { return context_.log.Status().appliedIndex; },
           .callLeader = [this](const auto& call) { return CallLeader(pollChannel_, call); },
           .publishAsLeader = [this] { PublishMembers(); },
-          .onChanged = [this] { changeSignal_.Notify(); } })
+          .onChanged = [this] { changeSignal_.Notify(); },
+          .isLargeFleet = [this] { return context_.IsLargeFleet(); } })
     , operatorApi_(context_, [](Duration pause) { std::this_thread::sleep_for(pause); })
     , operatorServer_({ .address = options.operatorAddress,
                         .maxConnections = kMaxOperatorConnections,
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -139,6 +139,12 @@
   return nodes;
 }
 
+std::size_t ControlState::JoinedNodeCount() const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->joinedNodes.size();
+}
+
 std::vector<RecordRows> ControlState::Record(UnixMillis from, UnixMillis to) const
 {
   const std::shared_lock lock(impl_->mutex);
--- a/src/control/poll_relay.cpp
+++ b/src/control/poll_relay.cpp
@@ -164,9 +164,11 @@
     } else {
       options_.publishAsLeader();
     }
+    const bool isLargeFleet = options_.isLargeFleet && options_.isLargeFleet();
     lock.lock();
     wakeUp_.wait_for(lock,
-                     state_.RelaysPolls() ? options_.interval : options_.smallFleetInterval,
+                     isLargeFleet || state_.RelaysPolls() ? options_.interval
+                                                          : options_.smallFleetInterval,
                      [this] { return stopping_; });
   }
 }
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -1,7 +1,8 @@
 #include "acaciapulley/control/detail/rpc_handler.hpp"
 
-#include <algorithm> // min
-#include <chrono>    // ceil
+#include <algorithm>  // min
+#include <chrono>     // ceil
+#include <functional> // hash
 
 #include "acaciapulley/control/detail/control_wire.hpp" // FromWire, ToWire
 #include "acaciapulley/core/random.hpp"                 // RandomHex
@@ -12,6 +13,8 @@
 
 // Below the call timeout of 500 ms of nodes, so that the node receives the result.
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(400);
+// Several calls of a relay.
+constexpr Duration kMaxRelayCallAge = std::chrono::seconds(1);
 constexpr std::size_t kMaxIdentifierBytes = 128;
 constexpr std::size_t kMaxContentTypeBytes = 256;
 constexpr std::size_t kFleetSecretBytes = 32;
@@ -128,7 +131,10 @@
     ThrowFailure(
       "sync", static_cast<int>(ControlErrorCode::InvalidRequest), "invalid node or member");
   }
-  if (context_.MayRelayPolls() && !context_.log.Status().isLeader) {
+  const ReplicaStatus status = context_.log.Status();
+  if (status.isLeader) {
+    SendToRelay(status, request.nodeId);
+  } else if (context_.MayRelayPolls()) {
     context_.pollRelay->Record(ToPoll(request));
   }
   const TimePoint start = context_.clock.Now();
@@ -150,10 +156,34 @@
   context_.metrics.CountCall("sync", "ok");
 }
 
+/// Refuses a poll that a relay can answer before any work is done for it. Otherwise the polls of a
+/// large fleet that restarts delay the calls by which the relays become able to answer.
+void RpcHandler::SendToRelay(const ReplicaStatus& status, const std::string& nodeId)
+{
+  const bool haveRelaysCalled =
+    context_.clock.Now() - lastRelayedAt_.load() < kMaxRelayCallAge && context_.IsLargeFleet();
+  if (!haveRelaysCalled) {
+    return;
+  }
+  std::vector<std::string> relays;
+  for (const auto& replica : status.replicas) {
+    if (!replica.isSelf && !replica.rpcAddress.empty()) {
+      relays.push_back(replica.rpcAddress);
+    }
+  }
+  if (relays.empty()) {
+    return;
+  }
+  context_.metrics.CountCall("sync", "sent_to_relay");
+  wire::NotLeader toRelay;
+  toRelay.leaderRpcAddress = relays[std::hash<std::string>()(nodeId) % relays.size()];
+  throw toRelay;
+}
+
 void RpcHandler::FillState(wire::SyncReply& reply, const wire::SyncRequest& request, Duration held)
 {
-  const bool isRelay = context_.MayRelayPolls() && context_.pollRelay->RelaysPolls() &&
-                       !context_.log.Status().isLeader;
+  const bool isRelay = context_.MayRelayPolls() && !context_.log.Status().isLeader &&
+                       (context_.pollRelay->RelaysPolls() || context_.IsLargeFleet());
   // The age is read before the state, so that the state is never older than the reported age.
   const Duration age = isRelay ? RequireRelayedState() : RequireLeadership("sync");
   reply = {};
@@ -239,7 +269,8 @@
   const Leadership leadership = context_.CurrentLeadership();
   const std::lock_guard lock(context_.nodesMutex);
   RecordPolls({ { .poll = ToPoll(request), .polledAt = context_.clock.Now() } }, leadership);
-  reply.relaysPolls = context_.MayRelayPolls() && context_.nodes.RelaysPolls();
+  reply.relaysPolls =
+    context_.MayRelayPolls() && (context_.nodes.RelaysPolls() || context_.IsLargeFleet());
   // Nodes keep the member list of the previous leader until this one had time to hear all nodes.
   const bool hasOlderList =
     request.membersVersion != 0 && !context_.nodes.IsFromCurrentTerm(request.membersVersion);
@@ -269,10 +300,12 @@
   for (const auto& relayed : request.polls) {
     polls.push_back(ToEntry(relayed, now));
   }
+  lastRelayedAt_ = now;
   const std::lock_guard lock(context_.nodesMutex);
   RecordPolls(polls, leadership);
   reply.term = static_cast<std::int64_t>(leadership.term);
-  reply.relaysPolls = !context_.hooks.acceptReport && context_.nodes.RelaysPolls();
+  reply.relaysPolls =
+    !context_.hooks.acceptReport && (context_.nodes.RelaysPolls() || context_.IsLargeFleet());
   reply.membersIncomplete = leadership.leadingFor < kMemberListRebuildTime;
   reply.membersVersion = context_.nodes.MembersVersion();
   reply.membersIncluded = request.membersVersion != reply.membersVersion;
--- a/tests/control_test/memory_log.hpp
+++ b/tests/control_test/memory_log.hpp
@@ -76,6 +76,9 @@
     status.leaderRpcAddress = "127.0.0.1:7300";
     status.leaderOperatorAddress = "127.0.0.1:7310";
     status.replicas = { { .id = voter, .isVoter = true } };
+    if (!followerRpcAddress.empty()) {
+      status.replicas.push_back({ .id = "follower", .rpcAddress = followerRpcAddress });
+    }
     return status;
   }
 
@@ -85,7 +88,8 @@
   TimePoint leaderSince;
   NextResult nextResult = NextResult::Normal;
   std::string voter = "r1";
-  std::string leaderId; ///< empty if unknown
+  std::string leaderId;           ///< empty if unknown
+  std::string followerRpcAddress; ///< of another replica; empty if there is none
 
 private:
   StateMachine& state_;
--- a/tests/control_test/poll_relay_test.cpp
+++ b/tests/control_test/poll_relay_test.cpp
@@ -262,6 +262,57 @@
   BOOST_CHECK_THROW(Sync(follower, 1), acp::wire::NotLeader);
 }
 
+// Answers the restart of all control replicas of a large fleet: guards against a leader whose nodes
+// all poll it, so that the calls by which relays would take them over come too late, and against
+// followers that take the fleet for a small one until they have heard the leader.
+BOOST_FIXTURE_TEST_CASE(a_restarted_fleet_is_known_to_be_large_from_the_log, RelayFixture)
+{
+  acp::wire::ControlCommand command;
+  command.__isset.noteNodes = true;
+  for (int i = 0; i < static_cast<int>(acp::kMinRelayedNodes); ++i) {
+    acp::wire::NodeNote note;
+    note.nodeId = "n" + std::to_string(i);
+    note.serviceName = "orders";
+    note.event = acp::wire::NodeEvent::JOINED;
+    command.noteNodes.notes.push_back(note);
+  }
+  {
+    const std::lock_guard lock(mutex);
+    isCut = true;
+    leaderSide.context.pollRelay = &relay;
+    leaderSide.log.followerRpcAddress = "127.0.0.1:7301";
+    BOOST_REQUIRE(leaderSide.context.Propose(command, std::chrono::seconds(1)).has_value());
+  }
+  leaderSide.clock.Advance(std::chrono::seconds(10));
+  // No relay has called yet: the leader is the only one that can answer.
+  BOOST_TEST(Sync(leader, 1).relaysPolls);
+  followerLog.isLeader = false;
+  try {
+    Sync(follower, 1);
+    BOOST_TEST(false);
+  } catch (const acp::wire::NotLeader& e) {
+    BOOST_TEST(e.leaderRpcAddress.empty());
+  }
+  {
+    const std::lock_guard lock(mutex);
+    isCut = false;
+  }
+  AwaitCall();
+  BOOST_TEST(Sync(follower, 1).relaysPolls);
+  try {
+    Sync(leader, 2);
+    BOOST_TEST(false);
+  } catch (const acp::wire::NotLeader& e) {
+    BOOST_TEST(e.leaderRpcAddress == "127.0.0.1:7301");
+  }
+  {
+    const std::lock_guard lock(mutex);
+    isCut = true;
+  }
+  leaderSide.clock.Advance(std::chrono::seconds(2));
+  BOOST_TEST(Sync(leader, 2).membersIncluded);
+}
+
 // Guards against reports of nodes that a follower accepts and nobody stores.
 BOOST_FIXTURE_TEST_CASE(a_control_that_collects_reports_does_not_relay, RelayFixture)
 {
