Let the test of relayed polls fail when polls stay with the leader

Nothing listened at the relays of the test before, so that it passed as well without any move to a relay. It now has a relay that must get the poll, fails it, and must get polls again. With the move switched off it fails. Product code is unchanged.

--- a/tests/node_test/sync_loop_test.cpp
+++ b/tests/node_test/sync_loop_test.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -259,22 +260,40 @@
 // the chosen relay has failed.
 BOOST_AUTO_TEST_CASE(polls_of_a_large_fleet_go_through_a_follower)
 {
+  ScriptedPolls relayScript;
+  acp::test::FakeControlReplica relay{ [&](auto& reply, const auto& request) {
+    relayScript.Handle(reply, request);
+  } };
   SyncLoopFixture fixture;
   const std::string leader = fixture.replica.ListenAddress().ToString();
   const auto relaysPolls = [&](acp::wire::SyncReply& reply) {
-    reply.controlAddresses = { "127.0.0.1:2", leader, "127.0.0.1:1" };
+    reply.controlAddresses = { leader, relay.ListenAddress().ToString() };
     reply.leaderRpcAddress = leader;
     reply.relaysPolls = true;
   };
+  const auto awaitRelayCalls = [&](int count) {
+    for (int i = 0; i < 10'000 && relay.calls < count; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    BOOST_REQUIRE(relay.calls >= count);
+    return relayScript.AwaitRequest();
+  };
   fixture.script.AwaitRequest();
-  // Nothing listens at the relays, so that the next poll returns to the leader.
-  fixture.RespondAndAwaitNext(relaysPolls);
-  BOOST_TEST(fixture.channel.Preferred().ToString() == leader);
-  fixture.clock.Advance(std::chrono::seconds(10));
+  fixture.loop.Wake();
   fixture.script.Respond(relaysPolls);
+  awaitRelayCalls(1);
+
+  // The relay fails, and the poll returns to the leader, which names the relay again.
+  relayScript.Respond(FailInHandler);
   fixture.script.AwaitRequest();
-  fixture.script.Respond([](auto& reply) { reply.delta.toVersion = 9; });
-  BOOST_TEST(fixture.script.AwaitRequest().stateVersion == 9);
+  fixture.clock.Advance(std::chrono::seconds(10));
+  fixture.loop.Wake();
+  fixture.script.Respond(relaysPolls);
+  awaitRelayCalls(2);
+  fixture.loop.Wake();
+  relayScript.Respond([](auto& reply) { reply.delta.toVersion = 9; });
+  BOOST_TEST(awaitRelayCalls(3).stateVersion == 9);
+  relayScript.End();
 }
 
 BOOST_AUTO_TEST_SUITE_END()
