Record for each request how it ended and whether it was forwarded

Callers saw connections closed without a response; most of these exits left no line, and none told whether the request had been forwarded, so that the hypotheses of the incident could not be told apart.

A listener now reports a RequestEnd and a Forwarding for each request that it has read, with the connection's age, the request's number on it and the bytes sent: metric acp_request_ends_total, the list 'unanswered' of node_load, and a rate-limited line request_unanswered. No decision changes.

--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -77,6 +77,7 @@
 #include "acaciapulley/transport/http_server.hpp"
 #include "acaciapulley/transport/metrics.hpp"
 #include "acaciapulley/transport/process.hpp"
+#include "acaciapulley/transport/request_end.hpp"
 #include "acaciapulley/transport/settings.hpp"
 #include "acaciapulley/transport/transport_error.hpp"
 
--- a/include/acaciapulley/node/detail/attempt.hpp
+++ b/include/acaciapulley/node/detail/attempt.hpp
@@ -14,6 +14,7 @@
 #include "acaciapulley/retries/request_context.hpp"                // RequestContext
 #include "acaciapulley/routing/member_table.hpp"                   // CallResult
 #include "acaciapulley/transport/http_server.hpp"                  // ServerExchange
+#include "acaciapulley/transport/request_end.hpp"                  // Forwarding
 
 namespace acp::detail {
 
@@ -36,7 +37,8 @@
   std::string callerClass;
   /// Of requests from the ingress, or of the local upstream's calls.
   ConcurrentThresholdTable* thresholds = nullptr;
-  Duration queueTimeout{};   ///< 0: the bounds of the gate apply
+  Forwarding forwarding = Forwarding::No; ///< of all attempts so far
+  Duration queueTimeout{};                ///< 0: the bounds of the gate apply
   std::string callerService; ///< service of the host where a request on a fleet route originated
   /// Commits the rate token right before the request is sent; false when its lease has expired.
   /// Empty when no token is needed.
--- a/include/acaciapulley/node/detail/load_log.hpp
+++ b/include/acaciapulley/node/detail/load_log.hpp
@@ -16,6 +16,7 @@
 #include "acaciapulley/node/blocking_gate.hpp"          // GateStats, TimedCount
 #include "acaciapulley/node/request_pipeline.hpp"       // CompletedRequest
 #include "acaciapulley/transport/connection_counts.hpp" // ConnectionCounts
+#include "acaciapulley/transport/request_end.hpp"       // RequestEnd
 
 namespace acp::detail {
 
@@ -42,6 +43,9 @@
   /// @brief Counts a completed request of the ingress.
   void RecordCompleted(const CompletedRequest& completed);
 
+  /// @brief Counts a request of any listener by how it ended.
+  void RecordEnd(RequestEnd end);
+
   /// @brief Once a second has passed, writes a line if a request was refused or failed in it, and
   /// begins the next interval.
   void WriteIfDue();
@@ -66,6 +70,7 @@
   TimePoint writtenAt_;
   CompletionCounts withAccount_;
   CompletionCounts withoutAccount_;
+  std::map<RequestEnd, std::uint64_t> unanswered_;
   PreviousCounts previous_;
 };
 
--- a/include/acaciapulley/node/detail/response_relay.hpp
+++ b/include/acaciapulley/node/detail/response_relay.hpp
@@ -48,6 +48,12 @@
 /// @brief Returns the translation for connections on which responses may echo kAttemptHeader.
 [[nodiscard]] HttpTranslation AttemptEchoTranslation();
 
+/// @brief Sends @p head with the body of @p call, and records whether the request was forwarded.
+[[nodiscard]] TransportResult<std::unique_ptr<ClientExchange>> Forward(PendingCall& call,
+                                                                       HttpPool& pool,
+                                                                       const HttpRequestHead& head,
+                                                                       const SendOptions& options);
+
 /// @brief Returns whether the upstream or peer reports that it has not run the request.
 [[nodiscard]] bool ReportsNotRun(const HttpResponseHead& head);
 
--- a/include/acaciapulley/transport/detail/server_connection.hpp
+++ b/include/acaciapulley/transport/detail/server_connection.hpp
@@ -19,6 +19,7 @@
 
 namespace acp::detail {
 
+class ConnectionExchange;
 class ServerConnection;
 
 /// State of the server that its connections use. The server exists until onClosed() returns.
@@ -47,8 +48,8 @@
   /// @brief Closes the connection soon if it is idle; a request in transit is still served.
   void OnStop();
 
-  /// @brief Shuts down the connection at once.
-  void Abort() { connection_.Shutdown(); }
+  /// @brief Shuts down the connection at once, at the end of a stop.
+  void Abort();
 
 private:
   /// What happens to the connection after a request.
@@ -64,7 +65,8 @@
   void Dispatch();
   void Serve();
   NextStep ServeNext();
-  void Handle(ServerExchange& exchange);
+  void Handle(ConnectionExchange& exchange);
+  void ReportServed(const ConnectionExchange& exchange);
   NextStep Refuse(const HttpResponseHead& head, const std::string& body);
   void Close();
 
@@ -73,6 +75,8 @@
   HttpConnection connection_;
   CloseWatcher::Watch watch_;
   EventLoop::WaitId wait_ = 0; ///< of an idle connection, else 0; used on the loop's thread only
+  int requestCount_ = 0;
+  std::atomic<bool> isAborted_{ false };
 };
 
 /// @brief Builds the response head for a request that was not passed to the handler.
--- a/include/acaciapulley/transport/detail/server_exchange.hpp
+++ b/include/acaciapulley/transport/detail/server_exchange.hpp
@@ -37,11 +37,16 @@
   [[nodiscard]] bool IsCallerGone() const override { return connection_.IsPeerGone(); }
   [[nodiscard]] std::stop_token CallerGone() const override { return callerGone_; }
   [[nodiscard]] bool IsFirstOnConnection() const override { return responseStart_ == 0; }
+  void SetForwarding(Forwarding forwarding) override { forwarding_ = forwarding; }
 
   /// @brief Returns whether the handler has started a response.
   [[nodiscard]] bool HasResponded() const { return hasResponded_; }
 
-  /// @brief Returns status, outcome and reason of the response; valid as long as this object.
+  /// @brief Records an end without a complete response; CallerGone replaces @p end if the caller
+  /// has closed its connection.
+  void EndUnanswered(RequestEnd end);
+
+  /// @brief Returns the result of the request; valid as long as this object.
   [[nodiscard]] ServedRequest Served() const;
 
   /// @brief Discards the rest of a small request body.
@@ -65,6 +70,8 @@
   int status_ = 0;
   std::string outcome_;
   std::string reason_;
+  RequestEnd end_ = RequestEnd::NoResponse;
+  Forwarding forwarding_ = Forwarding::No;
   TimePoint startedAt_ = SteadyNow();
   bool isReusable_; ///< whether the connection stays open after this response
   std::uint64_t responseStart_;
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -14,6 +14,7 @@
 #include "acaciapulley/core/clock.hpp"             // Duration
 #include "acaciapulley/transport/address.hpp"      // Address
 #include "acaciapulley/transport/http_message.hpp" // BodySource, HttpRequestHead, HttpResponseHead
+#include "acaciapulley/transport/request_end.hpp"  // Forwarding, RequestEnd
 
 namespace acp {
 
@@ -56,6 +57,9 @@
 
   /// @brief Returns whether this is the first request on its connection.
   [[nodiscard]] virtual bool IsFirstOnConnection() const { return false; }
+
+  /// @brief Records whether the request was forwarded, for logs and metrics.
+  virtual void SetForwarding(Forwarding /*forwarding*/) {}
 };
 
 /// Result of a served request, for metrics and logs.
@@ -65,6 +69,12 @@
   std::string_view outcome; ///< value of `Acp-Outcome`, or empty
   std::string_view reason;  ///< value of `Acp-Reason`, or empty
   Duration duration{};      ///< from the end of the request's head to the end of the response
+  RequestEnd end = RequestEnd::Answered;
+  Forwarding forwarding = Forwarding::No;
+  Duration connectionAge{};             ///< at the end of the request
+  int numberOnConnection = 0;           ///< from 1 on
+  std::uint64_t sentBytes = 0;          ///< of the response, accepted by the kernel
+  const HttpHeaders* request = nullptr; ///< fields of the request
 };
 
 /// Construction options of an HttpServer.
--- a/include/acaciapulley/transport/transport_error.hpp
+++ b/include/acaciapulley/transport/transport_error.hpp
@@ -47,6 +47,13 @@
 
 using TransportError = BasicError<TransportErrorCode>;
 
+/// @brief Returns whether no byte of the request was sent.
+[[nodiscard]] constexpr bool SentNothing(TransportErrorCode code)
+{
+  return code == TransportErrorCode::Unreachable || code == TransportErrorCode::BodyTooLarge ||
+         code == TransportErrorCode::Abandoned;
+}
+
 template<typename T>
 using TransportResult = Result<T, TransportError>;
 
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -174,7 +174,7 @@
                                  .isCallerGone = [&call] { return call.exchange.IsCallerGone(); },
                                  // The outcome of a non-idempotent request must be recorded.
                                  .waitsAfterDisconnect = !call.request.requestClass->idempotent };
-  auto sent = admitted.pool->Send(head, call.body, call.body.Length(), sendOptions);
+  auto sent = Forward(call, *admitted.pool, head, sendOptions);
   if (!sent) {
     return HandleSendFailure(sent.error(), context, admitted);
   }
@@ -193,9 +193,7 @@
     admitted.permit.Finish(GateResult::Neutral);
     return FailedAttempt(CallerGoneRefusal("the upstream"), true, unused);
   }
-  const bool nothingSent = error.code == TransportErrorCode::Unreachable ||
-                           error.code == TransportErrorCode::BodyTooLarge ||
-                           !options_.guards.unknownAfterSend;
+  const bool nothingSent = SentNothing(error.code) || !options_.guards.unknownAfterSend;
   if (nothingSent) {
     if (admitted.ticket) {
       options_.claims->Release(*admitted.ticket);
--- a/src/node/load_log.cpp
+++ b/src/node/load_log.cpp
@@ -92,6 +92,15 @@
   return list;
 }
 
+std::string FormatUnanswered(const std::map<RequestEnd, std::uint64_t>& ends)
+{
+  std::string list;
+  for (const auto& [end, count] : ends) {
+    AppendCount(list, NameOf(end), count);
+  }
+  return list;
+}
+
 EventCounts Snapshot(const ConnectionCounts& counts)
 {
   EventCounts read;
@@ -130,6 +139,15 @@
   timed.totalTime += completed.latency;
 }
 
+void LoadLog::RecordEnd(RequestEnd end)
+{
+  if (end == RequestEnd::Answered) {
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  ++unanswered_[end];
+}
+
 void LoadLog::WriteIfDue()
 {
   const std::lock_guard lock(mutex_);
@@ -145,6 +163,7 @@
   }
   withAccount_.clear();
   withoutAccount_.clear();
+  unanswered_.clear();
   previous_ = { .gate = gate.counts,
                 .upstreamConnections = Snapshot(*options_.upstreamConnections),
                 .peerConnections = Snapshot(*options_.peerConnections) };
@@ -157,6 +176,9 @@
       return true;
     }
   }
+  if (unanswered_.size() > unanswered_.count(RequestEnd::CallerGone)) {
+    return true;
+  }
   for (const auto& [reason, count] : gate.refused) {
     if (CountSince(previous_.gate.refused, reason, count) > 0) {
       return true;
@@ -187,6 +209,7 @@
       { "runs", FormatRuns(previous_.gate, gate.counts) },
       { "with_account", FormatCompletionCounts(withAccount_) },
       { "without_account", FormatCompletionCounts(withoutAccount_) },
+      { "unanswered", FormatUnanswered(unanswered_) },
       { "upstream_connections", FormatConnections(previous_.upstreamConnections, upstream) },
       { "peer_connections", FormatConnections(previous_.peerConnections, peers) } });
 }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -9,15 +9,17 @@
 #include <utility>   // exchange, move
 #include <vector>    // vector
 
-#include "acaciapulley/core/log.hpp"                  // Log
-#include "acaciapulley/node/detail/graceful_stop.hpp" // StopListeners, GracefulStop
-#include "acaciapulley/node/detail/headers.hpp"       // kAttemptHeader
-#include "acaciapulley/node/detail/load_log.hpp"      // LoadLog
-#include "acaciapulley/node/request_pipeline.hpp"     // RequestPipeline
-#include "acaciapulley/node/sync_loop.hpp"            // SyncLoop
-#include "acaciapulley/record/record_counters.hpp"    // RecordCounters
-#include "acaciapulley/transport/control_channel.hpp" // ControlChannel
-#include "acaciapulley/transport/metrics.hpp"         // MetricsRegistry
+#include "acaciapulley/core/log.hpp"                     // Log
+#include "acaciapulley/node/detail/graceful_stop.hpp"    // StopListeners, GracefulStop
+#include "acaciapulley/node/detail/headers.hpp"          // kAttemptHeader
+#include "acaciapulley/node/detail/listener_metrics.hpp" // ListenerMetrics
+#include "acaciapulley/node/detail/load_log.hpp"         // LoadLog
+#include "acaciapulley/node/detail/request_log.hpp"      // RequestLog
+#include "acaciapulley/node/request_pipeline.hpp"        // RequestPipeline
+#include "acaciapulley/node/sync_loop.hpp"               // SyncLoop
+#include "acaciapulley/record/record_counters.hpp"       // RecordCounters
+#include "acaciapulley/transport/control_channel.hpp"    // ControlChannel
+#include "acaciapulley/transport/metrics.hpp"            // MetricsRegistry
 
 namespace acp {
 
@@ -28,110 +30,17 @@
 constexpr Duration kSyncMaxHold = std::chrono::milliseconds(500);
 constexpr Duration kSyncTimeout = std::chrono::milliseconds(1000);
 
-/// Metrics of one listener. Counters are cached, since a look-up in the registry takes locks.
-class ListenerMetrics
-{
-public:
-  ListenerMetrics(MetricsRegistry& metrics, std::string listener)
-    : metrics_(metrics)
-    , listener_(std::move(listener))
-    , seconds_(
-        metrics.Histogram("acp_request_seconds",
-                          "Time from the end of the request's head to the end of the answer.",
-                          { { "listener", listener_ } }))
-  {
-  }
-
-  void Count(const ServedRequest& served)
-  {
-    seconds_.Observe(std::chrono::duration<double>(served.duration).count());
-    const Key key{ .status = served.status,
-                   .outcome = FromName<RequestOutcome>(served.outcome),
-                   .reason = FromName<Reason>(served.reason) };
-    const std::lock_guard lock(mutex_);
-    auto found = counters_.find(key);
-    if (found == counters_.end()) {
-      found = counters_.emplace(key, Find(key)).first;
-    }
-    found->second.Add();
-  }
-
-private:
-  /// Values outside the tables count as empty, since an upstream may send any text as its reason.
-  struct Key
-  {
-    int status = 0;
-    std::optional<RequestOutcome> outcome;
-    std::optional<Reason> reason;
-    bool operator<(const Key& other) const
-    {
-      return std::tie(status, outcome, reason) <
-             std::tie(other.status, other.outcome, other.reason);
-    }
-  };
-
-  MetricCounter Find(const Key& key)
-  {
-    const auto name = [](const auto& value) { return value ? std::string(NameOf(*value)) : ""; };
-    return metrics_.Counter("acp_requests_total",
-                            "Requests by listener, status and outcome.",
-                            { { "listener", listener_ },
-                              { "status", std::to_string(key.status) },
-                              { "outcome", name(key.outcome) },
-                              { "reason", name(key.reason) } });
-  }
-
-  MetricsRegistry& metrics_;
-  std::string listener_;
-  MetricHistogram seconds_;
-  std::mutex mutex_;
-  std::map<Key, MetricCounter> counters_;
-};
-
 } // namespace
 
-/// Limits the rate of log lines about single requests. Calls may come from any thread.
-class LogRateLimiter
-{
-public:
-  /// @return whether a line may be written now; otherwise it counts as suppressed
-  bool TryAcquire(TimePoint now)
-  {
-    const std::lock_guard lock(mutex_);
-    const double seconds = std::chrono::duration<double>(now - refilledAt_).count();
-    available_ = std::min(kLineBurst, available_ + std::max(seconds, 0.0) * kLinesPerSecond);
-    refilledAt_ = now;
-    if (available_ < 1) {
-      ++suppressed_;
-      return false;
-    }
-    available_ -= 1;
-    return true;
-  }
-
-  /// @return the number of lines suppressed since the last call
-  std::uint64_t TakeSuppressedCount()
-  {
-    const std::lock_guard lock(mutex_);
-    return std::exchange(suppressed_, 0);
-  }
-
-private:
-  static constexpr double kLinesPerSecond = 20;
-  static constexpr double kLineBurst = 40;
-
-  std::mutex mutex_;
-  double available_ = kLineBurst;
-  TimePoint refilledAt_{};
-  std::uint64_t suppressed_ = 0;
-};
-
 class NodeProcess::Impl
 {
 public:
   explicit Impl(const NodeProcessOptions& options)
     : epoch_(CountMillis(options.clock->WallNow()))
     , clock_(*options.clock)
+    , requestLog_({ .clock = options.clock,
+                    .stateCache = &stateCache_,
+                    .requestIdField = options.requestIdField })
     , upstream_(options.makeTranslation, upstreamConnections_)
     , record_(options.clock->WallNow())
     , stop_(*options.clock)
@@ -245,9 +154,11 @@
              .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
              .runsInTasks = true,
              .onServed =
-               [this, counts = std::make_shared<ListenerMetrics>(metrics_, name)](
+               [this, name, counts = std::make_shared<detail::ListenerMetrics>(metrics_, name)](
                  const ServedRequest& served) {
                  counts->Count(served);
+                 requestLog_.LogUnanswered(name, served);
+                 loadLog_.RecordEnd(served.end);
                  loadLog_.WriteIfDue();
                } };
   }
@@ -273,30 +184,6 @@
     return ingress;
   }
 
-  /// Logs responses of the node itself; those of upstreams are only counted.
-  void LogOwnResponse(const CompletedRequest& completed)
-  {
-    if (completed.status == 0 || !logRateLimiter_.TryAcquire(clock_.Now())) {
-      return;
-    }
-    const auto latency = std::chrono::floor<std::chrono::milliseconds>(completed.latency);
-    const auto age = std::chrono::floor<std::chrono::milliseconds>(stateCache_.Age(clock_.Now()));
-    Log(LogLevel::Info,
-        "request_answered",
-        { { "request", completed.requestId },
-          { "status", std::to_string(completed.status) },
-          { "outcome", std::string(NameOf(completed.outcome)) },
-          { "reason", std::string(NameOf(completed.reason)) },
-          { "service", completed.service },
-          { "class", completed.requestClass },
-          { "account", completed.account },
-          { "ms", std::to_string(latency.count()) },
-          { "state_age_ms", std::to_string(age.count()) },
-          { "fleet_version", std::to_string(stateCache_.FleetVersion()) },
-          { "detail", completed.message },
-          { "left_out", std::to_string(logRateLimiter_.TakeSuppressedCount()) } });
-  }
-
   [[nodiscard]] std::string UpstreamService() const
   {
     const auto announced = upstream_.Current();
@@ -305,7 +192,7 @@
 
   void RecordCompleted(const CompletedRequest& completed)
   {
-    LogOwnResponse(completed);
+    requestLog_.LogOwnResponse(completed);
     loadLog_.RecordCompleted(completed);
     if (completed.requestClass.empty()) {
       return;
@@ -400,9 +287,9 @@
 
   std::int64_t epoch_;
   const Clock& clock_;
-  LogRateLimiter logRateLimiter_;
   MetricsRegistry metrics_;
   StateCache stateCache_;
+  detail::RequestLog requestLog_;
   std::shared_ptr<ConnectionCounts> upstreamConnections_ = std::make_shared<ConnectionCounts>();
   std::shared_ptr<ConnectionCounts> peerConnections_ = std::make_shared<ConnectionCounts>();
   LocalUpstream upstream_;
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -37,9 +37,7 @@
   if (error.code == TransportErrorCode::Abandoned) {
     return FailedAttempt(CallerGoneRefusal("a peer"), true, sentRetries);
   }
-  const bool nothingSent =
-    error.code == TransportErrorCode::Unreachable || error.code == TransportErrorCode::BodyTooLarge;
-  if (nothingSent) {
+  if (SentNothing(error.code)) {
     return FailedAttempt(
       { .reason = Reason::UpstreamUnreachable, .message = error.Describe() }, true, sentRetries);
   }
@@ -134,8 +132,7 @@
                                  .bodyTimeout = kBodyTimeout,
                                  .callerGone = call.exchange.CallerGone(),
                                  .isCallerGone = [&call] { return call.exchange.IsCallerGone(); } };
-  const auto sent =
-    PoolOf(picked.peerAddress)->Send(head, call.body, call.body.Length(), sendOptions);
+  const auto sent = Forward(call, *PoolOf(picked.peerAddress), head, sendOptions);
   if (!sent) {
     return EndForTransportError(sent.error(), context.retriesLeft);
   }
--- a/src/node/response_relay.cpp
+++ b/src/node/response_relay.cpp
@@ -100,6 +100,26 @@
   return { .response = matchesAttempt, .idField = kAttemptHeader, .idSource = IdSource::Sender };
 }
 
+TransportResult<std::unique_ptr<ClientExchange>> Forward(PendingCall& call,
+                                                         HttpPool& pool,
+                                                         const HttpRequestHead& head,
+                                                         const SendOptions& options)
+{
+  const Forwarding before = call.forwarding;
+  const auto record = [&call](Forwarding forwarding) {
+    call.forwarding = forwarding;
+    call.exchange.SetForwarding(forwarding);
+  };
+  record(Forwarding::Unknown);
+  auto sent = pool.Send(head, call.body, call.body.Length(), options);
+  if (sent) {
+    record(Forwarding::Yes);
+  } else if (SentNothing(sent.error().code)) {
+    record(before);
+  }
+  return sent;
+}
+
 bool ReportsNotRun(const HttpResponseHead& head)
 {
   // With another status, it may be the refusal of a nested call, relayed by an upstream that ran.
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -101,6 +101,12 @@
   });
 }
 
+void ServerConnection::Abort()
+{
+  isAborted_ = true;
+  connection_.Shutdown();
+}
+
 void ServerConnection::WaitForRequest()
 {
   const Duration idle = server_.options->idleTimeout;
@@ -180,16 +186,14 @@
       return server_.isStopping->load();
     });
   Handle(exchange);
-  if (server_.options->onServed) {
-    server_.options->onServed(exchange.Served());
-  }
+  ReportServed(exchange);
   if (!exchange.HasResponded()) {
     return NextStep::Close;
   }
   return exchange.FinishRequest() ? NextStep::Continue : NextStep::CloseAfterResponse;
 }
 
-void ServerConnection::Handle(ServerExchange& exchange)
+void ServerConnection::Handle(ConnectionExchange& exchange)
 {
   if (exchange.Request().target == kHeartbeatTarget) {
     exchange.Respond({ .status = 204 }, "");
@@ -198,12 +202,27 @@
   try {
     server_.options->handler(exchange);
   } catch (const BodyTruncated&) {
-    Log(LogLevel::Debug, "request_body_ended_early", {});
+    exchange.EndUnanswered(RequestEnd::RequestCut);
   } catch (const std::exception& e) {
+    exchange.EndUnanswered(RequestEnd::HandlerFailed);
     Log(LogLevel::Error, "handler_failed", { { "error", e.what() } });
   }
 }
 
+void ServerConnection::ReportServed(const ConnectionExchange& exchange)
+{
+  ++requestCount_;
+  if (!server_.options->onServed) {
+    return;
+  }
+  ServedRequest served = exchange.Served();
+  served.numberOnConnection = requestCount_;
+  if (served.end != RequestEnd::Answered && isAborted_) {
+    served.end = RequestEnd::StopCut;
+  }
+  server_.options->onServed(served);
+}
+
 /// Sends a refusal without calling the handler and closes the connection, since the rest of the
 /// input cannot be framed.
 ServerConnection::NextStep ServerConnection::Refuse(const HttpResponseHead& head,
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -92,9 +92,17 @@
     second.remove_prefix(part.size());
   }
   isReusable_ = isReusable_ && status == IoStatus::Ok;
+  if (status != IoStatus::Ok) {
+    EndUnanswered(status == IoStatus::TimedOut ? RequestEnd::CallerSlow : RequestEnd::CallerGone);
+  }
   return status == IoStatus::Ok;
 }
 
+void ConnectionExchange::EndUnanswered(RequestEnd end)
+{
+  end_ = connection_.IsPeerGone() ? RequestEnd::CallerGone : end;
+}
+
 std::string ConnectionExchange::BeginResponse(const HttpResponseHead& head, std::int64_t length)
 {
   hasResponded_ = true;
@@ -118,7 +126,9 @@
 void ConnectionExchange::Respond(const HttpResponseHead& head, const std::string& body)
 {
   const std::string start = BeginResponse(head, static_cast<std::int64_t>(body.size()));
-  Send(start, head_.method == "HEAD" ? std::string_view() : std::string_view(body));
+  if (Send(start, head_.method == "HEAD" ? std::string_view() : std::string_view(body))) {
+    end_ = RequestEnd::Answered;
+  }
 }
 
 bool ConnectionExchange::RespondStreaming(const HttpResponseHead& head,
@@ -137,9 +147,11 @@
     isComplete = hasNoBody ? SendHead(start, beforeLastBytes)
                            : CopyBody(std::move(start), isChunked, checkedBody, beforeLastBytes);
   } catch (const BodyTruncated&) {
-    isComplete = false;
+    EndUnanswered(RequestEnd::SourceEnded);
   }
-  if (!isComplete) {
+  if (isComplete) {
+    end_ = RequestEnd::Answered;
+  } else {
     connection_.Shutdown();
   }
   isReusable_ = wasReusable && isComplete;
@@ -198,9 +210,16 @@
 
 ServedRequest ConnectionExchange::Served() const
 {
-  return {
-    .status = status_, .outcome = outcome_, .reason = reason_, .duration = SteadyNow() - startedAt_
-  };
+  const TimePoint now = SteadyNow();
+  return { .status = status_,
+           .outcome = outcome_,
+           .reason = reason_,
+           .duration = now - startedAt_,
+           .end = end_,
+           .forwarding = forwarding_,
+           .connectionAge = now - connection_.CreatedAt(),
+           .sentBytes = connection_.SentBytes() - responseStart_,
+           .request = &head_.headers };
 }
 
 bool ConnectionExchange::FinishRequest()
--- a/tests/node_test/load_log_test.cpp
+++ b/tests/node_test/load_log_test.cpp
@@ -61,6 +61,20 @@
   BOOST_TEST(!NextLine().has_value());
 }
 
+BOOST_FIXTURE_TEST_CASE(line_counts_requests_without_a_complete_response_by_their_end, Fixture)
+{
+  log.RecordEnd(acp::RequestEnd::Answered);
+  log.RecordEnd(acp::RequestEnd::CallerGone);
+  BOOST_TEST(!NextLine().has_value());
+  log.RecordEnd(acp::RequestEnd::CallerGone);
+  log.RecordEnd(acp::RequestEnd::SourceEnded);
+  log.RecordEnd(acp::RequestEnd::SourceEnded);
+  const auto written = NextLine();
+  BOOST_REQUIRE(written.has_value());
+  BOOST_TEST(written->at("unanswered") == "caller_gone:1,source_ended:2");
+  BOOST_TEST(!NextLine().has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(at_most_one_line_a_second_is_written_under_load, Fixture)
 {
   log.RecordCompleted({ .reason = acp::Reason::Overloaded, .status = 503 });
