Deliver responses that end with their connection

Cause: FramedBody rejected a body without length at the first read, because its end cannot be told from a cut. RFC 9112, 6.3, defines it: the close of the connection completes such a body, a reset does not.

The body is now read until the close. A connection that this side has shut down (a caller that left, a retired connection) reads as failed, not as closed, so that an aborted body does not look complete. Such a connection is never reused.

--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -24,7 +24,7 @@
   Ok,
   Closed,   ///< the peer closed its side
   TimedOut, ///< the deadline passed
-  Failed,   ///< the connection broke
+  Failed,   ///< the connection broke or was shut down by this side
   TooLarge, ///< the head is larger than allowed
 };
 
@@ -92,6 +92,7 @@
   std::uint64_t sentBytes_ = 0;
   TimePoint createdAt_;
   std::atomic<TimePoint> lastReceive_;
+  std::atomic<bool> isShutDown_{ false }; ///< a read then ends as if the peer had closed
 };
 
 } // namespace acp::detail
--- a/include/acaciapulley/transport/detail/http_framing.hpp
+++ b/include/acaciapulley/transport/detail/http_framing.hpp
@@ -93,6 +93,7 @@
 private:
   std::size_t ReadNext(char* buffer, std::size_t size);
   std::size_t ReadPart(char* buffer, std::size_t size);
+  std::size_t ReadUntilClose(char* buffer, std::size_t size);
   void StartChunk();
   void SkipTrailers();
   std::string ReadBodyLine(std::size_t limit);
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -84,7 +84,7 @@
       return IoStatus::Ok;
     }
     if (count == 0) {
-      return IoStatus::Closed;
+      return isShutDown_ ? IoStatus::Failed : IoStatus::Closed;
     }
     if (!IsRetryable(errno)) {
       return IoStatus::Failed;
@@ -204,6 +204,7 @@
 
 void HttpConnection::Shutdown()
 {
+  isShutDown_ = true;
   ::shutdown(fd_, SHUT_RDWR);
 }
 
--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -326,6 +326,7 @@
   if (method == HTTPRequest::HTTP_HEAD || isInterim || head->status == 204 || head->status == 304) {
     framing->bodyLength = 0;
   }
+  framing->keepAlive = framing->keepAlive && framing->bodyLength != kCloseDelimited;
   return std::nullopt;
 }
 
@@ -441,6 +442,18 @@
   return count;
 }
 
+/// Reads a body that the end of its connection completes (RFC 9112, section 6.3). A reset does not.
+std::size_t FramedBody::ReadUntilClose(char* buffer, std::size_t size)
+{
+  std::size_t count = 0;
+  const IoStatus status = connection_.Read(buffer, size, ReadDeadline(), &count);
+  isComplete_ = status == IoStatus::Closed;
+  if (status != IoStatus::Ok && !isComplete_) {
+    throw BodyTruncated{};
+  }
+  return count;
+}
+
 std::size_t FramedBody::Read(char* buffer, std::size_t size)
 {
   if (hasFailed_) {
@@ -462,9 +475,12 @@
     std::exchange(onFirstRead_, nullptr)();
   }
   // Checked here because reads of input that has already arrived ignore the deadline.
-  if (isCloseDelimited_ || SteadyNow() >= deadline_) {
+  if (SteadyNow() >= deadline_) {
     throw BodyTruncated{};
   }
+  if (isCloseDelimited_) {
+    return ReadUntilClose(buffer, size);
+  }
   if (isChunked_ && !inChunk_) {
     StartChunk();
     if (isComplete_) {
--- a/tests/transport_test/truncating_server.hpp
+++ b/tests/transport_test/truncating_server.hpp
@@ -29,6 +29,12 @@
   std::string bytes;
   std::string body;        ///< the decoded body
   bool isDelimited = true; ///< false: the body ends with the connection
+
+  /// Returns whether the first @p size bytes and then @p end are a complete response themselves.
+  [[nodiscard]] bool IsCompleteAt(std::size_t size, ConnectionEnd end) const
+  {
+    return !isDelimited && end == ConnectionEnd::Close && size >= bytes.find("\r\n\r\n") + 4;
+  }
 };
 
 inline std::vector<RawResponse> WellFormedResponses()
