--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -27,7 +27,7 @@
          ("reset", "PUT", "store", 4), ("reset_unread", "PUT", "store", 4),
          ("chunked", "PUT", "store", 4), ("nolength", "PUT", "store", 2),
          ("plain", "POST", "order", 6), ("nolength", "POST", "order", 2), ("early", "POST", "order", 2))
-CUT_KIND = ("cut", "GET", "read", 4)
+CUT_KINDS = (("cut", "GET", "read", 2), ("cut_late", "GET", "read", 2))
 STYLES = (("serial", 5), ("pipelined", 4), ("segmented", 2), ("slow", 2), ("slow_pipelined", 3),
           ("halfclose", 1), ("close", 1))
 
@@ -83,7 +83,7 @@
     """One request and what its answer must be."""
 
     def __init__(self, rng, number, options, idempotent_only, big_share):
-        kinds = KINDS + ((CUT_KIND,) if options.cut else ())
+        kinds = KINDS + (CUT_KINDS if options.cut else ())
         kinds = [kind for kind in kinds if kind[0] not in options.without.split(",")]
         if idempotent_only:
             kinds = [kind for kind in kinds if kind[1] != "POST"]
@@ -91,11 +91,12 @@
         self.id = f"{options.name}-{number}"
         self.size = rng.choice((0, 10, 200, 3000))
         # A reset discards what the upstream's kernel has not sent yet.
-        if not self.behaviour.startswith("reset") and rng.random() < big_share:
+        is_big = self.behaviour == "cut_late" or rng.random() < big_share
+        if is_big and not self.behaviour.startswith("reset"):
             self.size = rng.randrange(100_000, 2_000_000)
         wait = rng.choice((0, 0, 0, rng.randrange(1, 60)))
         if rng.random() < 0.003:
-            wait = rng.randrange(500, 2900)
+            wait = rng.randrange(500, 4500)
         self.target = f"/soak/{self.name}/{self.behaviour}?bytes={self.size}&ms={wait}"
         self.body = b""
         self.sent_at = 0.0
@@ -307,7 +308,7 @@
     parser.add_argument("--callers", type=int, default=40)
     parser.add_argument("--without", default="", help="behaviours to leave out")
     parser.add_argument("--small-windows", action="store_true", help="of callers that read slowly")
-    parser.add_argument("--cut", action="store_true", help="some answers end before their body")
+    parser.add_argument("--cut", action="store_true", help="some answers end early")
     json.dump(asyncio.run(Callers(parser.parse_args()).run()), sys.stdout)
 
 
--- a/tests/soak/kept_connections.py
+++ b/tests/soak/kept_connections.py
@@ -224,6 +224,8 @@
                       for _, node in seen if node != request["node"])
         if crossed and request["got"]:
             return "cut_behind_kill_or_freeze"
+        if request["behaviour"] == "cut_late" and request["got"]:
+            return "cut_by_its_upstream"
         if request["end"].startswith("wrong answer"):
             return "VIOLATION wrong answer"
         return "VIOLATION partial answer" if request["got"] else "VIOLATION no answer"
@@ -331,7 +333,7 @@
     parser.add_argument("--small-windows", action="store_true",
                         help="slow callers have receive buffers of 8 KiB")
     parser.add_argument("--cut", action="store_true",
-                        help="some upstream answers end before the first byte of their body")
+                        help="some upstream answers end early")
     options = parser.parse_args()
     passed = True
     for seed in options.seed or [1]:
--- a/tests/soak/scripted_upstream.py
+++ b/tests/soak/scripted_upstream.py
@@ -114,8 +114,8 @@
         if behaviour != "nolength":
             head += f"Content-Length: {len(body)}\r\n"
         start = f"HTTP/1.1 200 OK\r\n{head}\r\n".encode()
-        if behaviour == "cut":  # The only unsound behaviour: the body never starts.
-            writer.write(start)
+        if behaviour in ("cut", "cut_late"):  # The only unsound behaviours.
+            writer.write(start + (body[:len(body) // 2] if behaviour == "cut_late" else b""))
             return False
         if behaviour == "split":
             writer.write(start[:-3])
