--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -26,6 +26,7 @@
          ("split", "GET", "read", 4), ("plain", "PUT", "store", 8), ("early", "PUT", "store", 6),
          ("reset", "PUT", "store", 4), ("reset_unread", "PUT", "store", 4),
          ("chunked", "PUT", "store", 4), ("nolength", "PUT", "store", 2),
+         ("empty", "GET", "read", 2), ("empty", "PUT", "store", 2), ("http10", "GET", "read", 2),
          ("plain", "POST", "order", 6), ("nolength", "POST", "order", 2), ("early", "POST", "order", 2))
 CUT_KINDS = (("cut", "GET", "read", 2), ("cut_late", "GET", "read", 2))
 STYLES = (("serial", 5), ("pipelined", 4), ("segmented", 2), ("slow", 2), ("slow_pipelined", 3),
@@ -113,6 +114,8 @@
             self.body = chunk + b"0\r\n\r\n"
         elif self.method != "GET":
             head.append(f"Content-Length: {len(self.body)}")
+        if self.method != "GET" and rng.random() < 0.1:
+            head.append("Expect: 100-continue")
         self.head = "\r\n".join(head).encode() + b"\r\n"
 
     def bytes(self, closes):
--- a/tests/soak/kept_connections.py
+++ b/tests/soak/kept_connections.py
@@ -126,7 +126,6 @@
     def __init__(self, running, seed):
         self.fleet = running
         self.random = random.Random(seed)
-        self.version = 1
         self.log = []
         self.over = threading.Event()
 
@@ -169,8 +168,23 @@
         path = os.path.join(self.fleet.folder, "soak.json")
         with open(path, "w", encoding="ascii") as file:
             json.dump(document(self.random.randrange(3000, 5000)), file)
-        self.fleet.acpctl("config", "put", path, "--if-version", str(self.version))
-        self.version += 1
+        try:
+            now = json.loads(self.fleet.acpctl("--json", "config", "get", "soak"))["version"]
+            self.fleet.acpctl("config", "put", path, "--if-version", str(now))
+        except (fleet.FleetError, subprocess.TimeoutExpired):
+            pass  # Control has no leader just now.
+
+    def freeze_replica(self, _):
+        name = f"control-{self.random.randrange(1, 4)}"
+        self.fleet.signal(name, signal.SIGSTOP)
+        self.over.wait(0.3 + self.random.random() * 2)
+        self.fleet.signal(name, signal.SIGCONT)
+
+    def kill_replica(self, _):
+        index = self.random.randrange(3)
+        self.fleet.end(f"control-{index + 1}", signal.SIGKILL)
+        self.fleet.running[f"control-{index + 1}"] = self.fleet.start_replica(index)
+        wait_until_listening(int(self.fleet.operators[index].split(":")[1]))
 
     def play(self, kinds, pause):
         while not self.over.wait(pause * (0.3 + self.random.random())):
@@ -178,10 +192,11 @@
             kind(self.random.choice(self.fleet.nodes))
 
     def start(self):
-        """Plays nodes' and upstreams' faults beside each other."""
+        """Plays the faults of nodes, upstreams and control beside each other."""
         lanes = (((self.stop_node, 5), (self.kill_node, 2), (self.freeze_node, 2)), 1.2), (
             ((self.reload_node, 2), (self.drain_upstream, 3), (self.change_document, 2),
-             (self.leave_upstream, 2)), 0.7)
+             (self.leave_upstream, 2)), 0.7), (
+                 ((self.freeze_replica, 3), (self.kill_replica, 1)), 3)
         self.threads = [threading.Thread(target=self.play, args=lane) for lane in lanes]
         for thread in self.threads:
             thread.start()
@@ -228,7 +243,8 @@
             return "cut_by_its_upstream"
         if request["end"].startswith("wrong answer"):
             return "VIOLATION wrong answer"
-        return "VIOLATION partial answer" if request["got"] else "VIOLATION no answer"
+        around = " around a stop" if self.was(("stopped",), request["node"], start, end) else ""
+        return f"VIOLATION {'partial' if request['got'] else 'no'} answer{around}"
 
     def node_lines(self, request):
         """Returns the node's lines of requests that ended unanswered, from around the connection's end."""
@@ -266,6 +282,8 @@
 
 def start_fleet(running, options):
     running.start_control()
+    running.running = {f"control-{index + 1}": control
+                       for index, control in enumerate(running.controls)}
     path = os.path.join(running.folder, "soak.json")
     with open(path, "w", encoding="ascii") as file:
         json.dump(document(4000), file)
@@ -322,6 +340,17 @@
     return not lines and not running.unclean
 
 
+def failed_before(options):
+    """Returns the options of each play in failed_seeds.txt, whose lines are `SEED NODES SECONDS CAUSE`."""
+    plays = []
+    with open(os.path.join(HERE, "failed_seeds.txt"), encoding="ascii") as file:
+        for line in file:
+            seed, nodes, seconds, _ = line.split(" ", 3)
+            plays.append((int(seed), argparse.Namespace(**{**vars(options), "nodes": int(nodes),
+                                                           "seconds": float(seconds)})))
+    return plays
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, action="append")
@@ -334,9 +363,12 @@
                         help="slow callers have receive buffers of 8 KiB")
     parser.add_argument("--cut", action="store_true",
                         help="some upstream answers end early")
-    options = parser.parse_args()
+    parser.add_argument("--failed", action="store_true", help="play the seeds of failed_seeds.txt")
+    arguments = parser.parse_args()
     passed = True
-    for seed in options.seed or [1]:
+    plays = failed_before(arguments) if arguments.failed else [
+        (seed, arguments) for seed in arguments.seed or [1]]
+    for seed, options in plays:
         folder = tempfile.mkdtemp(prefix="acp-soak-")
         try:
             passed = play(options, seed, folder) and passed
--- a/tests/soak/scripted_upstream.py
+++ b/tests/soak/scripted_upstream.py
@@ -111,9 +111,13 @@
             return True
         if behaviour in ("close", "nolength"):
             head += "Connection: close\r\n" if self.random.random() < 0.7 or behaviour == "close" else ""
-        if behaviour != "nolength":
+        if behaviour == "empty":
+            writer.write(f"HTTP/1.1 204 No Content\r\n{head}\r\n".encode())
+            return True
+        if behaviour not in ("nolength", "http10"):
             head += f"Content-Length: {len(body)}\r\n"
-        start = f"HTTP/1.1 200 OK\r\n{head}\r\n".encode()
+        version = "1.0" if behaviour == "http10" else "1.1"
+        start = f"HTTP/{version} 200 OK\r\n{head}\r\n".encode()
         if behaviour in ("cut", "cut_late"):  # The only unsound behaviours.
             writer.write(start + (body[:len(body) // 2] if behaviour == "cut_late" else b""))
             return False
@@ -131,7 +135,7 @@
         if answers_early:
             await asyncio.sleep(0.01)
             await read_body(reader, headers)
-        return behaviour not in ("close", "nolength")
+        return behaviour not in ("close", "nolength", "http10")
 
     @staticmethod
     async def write_chunked(writer, head, body):
