--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -167,6 +167,7 @@
         self.changed = asyncio.Event()
         self.arrived = asyncio.Event()
         self.over = False
+        self.half_closed = False
         began = time.time()
         sending = asyncio.create_task(self.send(stream))
         sending.add_done_callback(lambda _: self.arrived.set())
@@ -187,7 +188,8 @@
             self.soak.unanswered.append(
                 {"id": request.id, "node": node, "style": self.style, "began": began,
                  "sent": request.sent_at, "ended": time.time(), "behaviour": request.behaviour,
-                 "method": request.method, "end": ended.text, "got": ended.got if index == 0 else 0})
+                 "method": request.method, "half_closed": self.half_closed, "end": ended.text,
+                 "got": ended.got if index == 0 else 0})
 
     async def send(self, stream):
         count = self.random.randrange(5, 300)
@@ -209,6 +211,7 @@
                 await self.write(stream, request, self.style == "close" and number == count)
             if self.style == "halfclose":
                 stream.sock.shutdown(socket.SHUT_WR)
+                self.half_closed = True
         except OSError:
             pass
 
--- a/tests/soak/kept_connections.py
+++ b/tests/soak/kept_connections.py
@@ -142,9 +142,9 @@
     def kill_node(self, node):
         start = time.time()
         self.fleet.end(node.name, signal.SIGKILL)
+        self.note("killed", node, start)
         self.over.wait(self.random.random() * 0.8)
         self.fleet.run_node(node)
-        self.note("killed", node, start)
 
     def freeze_node(self, node):
         start = time.time()
@@ -233,7 +233,7 @@
             return "hung" if request["end"] == "no answer in time" else None
         if self.was(("killed",), request["node"], request["began"], end + 0.2):
             return "own_node_killed"
-        if request["style"] == "halfclose":
+        if request["half_closed"]:
             return "half_closed"
         crossed = any(self.was(("killed", "frozen"), node, start - 0.2, end + 0.2)
                       for _, node in seen if node != request["node"])
