Answer a request whose response ends before its first byte

Callers on kept connections saw them closed without a byte, although their request had run: on each fault of a response's source in its first 32 KiB (a reset, a peer that ends, a body that is not of its declared length) shut the caller's connection down. An idempotent request was not tried elsewhere either.

Cause: RespondStreaming counted as the response as soon as it was called, and the executor and the peer client ignored its result; a handler that threw, or sent nothing, closed the connection.

RespondStreaming now returns a StreamingResult. NotStarted means that nothing was sent: the attempt then ends as 502 with an unknown outcome, counts as the upstream's failure and is retried under the usual rules. A listener itself answers 500 (502 when the request was forwarded) for a handler that sent no response. Only a request whose own body was cut still ends without one, and a response of which a part was sent is aborted.

Stand-ins that closed a connection by sending no response now call ServerExchange::Abort().

--- a/include/acaciapulley/core/outcome.hpp
+++ b/include/acaciapulley/core/outcome.hpp
@@ -60,13 +60,14 @@
   UpstreamTimeout,
   RetriesExhausted,
   Stopping,
-  CallerGone, ///< the caller closed its connection before the request was sent
+  CallerGone,    ///< the caller closed its connection before the request was sent
+  InternalError, ///< the process failed while it served the request
 };
 
 template<>
 struct NameTable<Reason>
 {
-  static constexpr std::array<EnumName<Reason>, 31> kRows = { {
+  static constexpr std::array<EnumName<Reason>, 32> kRows = { {
     { Reason::None, "none" },
     { Reason::BadRequest, "bad_request" },
     { Reason::TooLarge, "too_large" },
@@ -98,6 +99,7 @@
     { Reason::RetriesExhausted, "retries_exhausted" },
     { Reason::Stopping, "stopping" },
     { Reason::CallerGone, "caller_gone" },
+    { Reason::InternalError, "internal_error" },
   } };
 };
 
--- a/include/acaciapulley/node/detail/response_relay.hpp
+++ b/include/acaciapulley/node/detail/response_relay.hpp
@@ -63,6 +63,9 @@
                                                                       ClientExchange& response,
                                                                       int unusedRetries);
 
+/// @brief Builds the result of an attempt whose response ended before a byte of it was relayed.
+[[nodiscard]] AttemptResult TruncatedResponseAttempt(const PendingCall& call, int unusedRetries);
+
 /// @brief Returns the body of a response as the message of a refusal, or a fixed text when the body
 /// is larger than 4 KiB or truncated.
 [[nodiscard]] std::string ReadMessage(ClientExchange& response);
--- a/include/acaciapulley/transport/detail/server_exchange.hpp
+++ b/include/acaciapulley/transport/detail/server_exchange.hpp
@@ -30,14 +30,15 @@
   [[nodiscard]] std::int64_t RequestBodyLength() const override { return framing_.bodyLength; }
   BodySource& RequestBody() override { return body_; }
   void Respond(const HttpResponseHead& head, const std::string& body) override;
-  bool RespondStreaming(const HttpResponseHead& head,
-                        std::int64_t length,
-                        BodySource& body,
-                        const std::function<void()>& beforeLastBytes) override;
+  StreamingResult RespondStreaming(const HttpResponseHead& head,
+                                   std::int64_t length,
+                                   BodySource& body,
+                                   const std::function<void()>& beforeLastBytes) override;
   [[nodiscard]] bool IsCallerGone() const override { return connection_.IsPeerGone(); }
   [[nodiscard]] std::stop_token CallerGone() const override { return callerGone_; }
   [[nodiscard]] bool IsFirstOnConnection() const override { return responseStart_ == 0; }
   void SetForwarding(Forwarding forwarding) override { forwarding_ = forwarding; }
+  void Abort() override;
 
   /// @brief Returns whether the handler has started a response.
   [[nodiscard]] bool HasResponded() const { return hasResponded_; }
@@ -46,6 +47,13 @@
   /// has closed its connection.
   void EndUnanswered(RequestEnd end);
 
+  /// @brief Returns whether the caller is owed a response that the handler has not sent.
+  [[nodiscard]] bool IsResponseDue() const { return !hasResponded_ && !isAborted_ && !isCut_; }
+
+  /// @brief Responds in place of a handler that sent no response, and closes the connection.
+  /// The recorded end stays.
+  void RespondToFailure();
+
   /// @brief Returns the result of the request; valid as long as this object.
   [[nodiscard]] ServedRequest Served() const;
 
@@ -70,6 +78,8 @@
   int status_ = 0;
   std::string outcome_;
   std::string reason_;
+  bool isAborted_ = false;
+  bool isCut_ = false; ///< the request's body ended early
   RequestEnd end_ = RequestEnd::NoResponse;
   Forwarding forwarding_ = Forwarding::No;
   TimePoint startedAt_ = SteadyNow();
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -18,7 +18,16 @@
 
 namespace acp {
 
-/// One request that is being served. Send exactly one response.
+/// Result of ServerExchange::RespondStreaming().
+enum class StreamingResult
+{
+  Complete,   ///< the kernel has accepted the complete response
+  Incomplete, ///< the response was cut and the connection aborted
+  NotStarted, ///< the body ended early and nothing was sent; another response may follow
+};
+
+/// One request that is being served. Send exactly one response. If the handler sends none, the
+/// server responds with 500, or 502 for a forwarded request, and an unknown outcome.
 class ServerExchange
 {
 public:
@@ -37,16 +46,16 @@
   /// @brief Sends a response whose body is in memory.
   virtual void Respond(const HttpResponseHead& head, const std::string& body) = 0;
 
-  /// @brief Streams a response. If the body is truncated or not of the declared length, the
-  /// connection is aborted, so that the caller detects an incomplete response by its framing.
+  /// @brief Streams a response. If the body is truncated or not of the declared length after a part
+  /// was sent, the connection is aborted, so that the caller detects an incomplete response by its
+  /// framing.
   /// @param length length of the body, or -1 to send it chunked
   /// @param beforeLastBytes called once the body has been read completely, before its last bytes
   /// are sent
-  /// @return whether the complete response was sent
-  virtual bool RespondStreaming(const HttpResponseHead& head,
-                                std::int64_t length,
-                                BodySource& body,
-                                const std::function<void()>& beforeLastBytes) = 0;
+  virtual StreamingResult RespondStreaming(const HttpResponseHead& head,
+                                           std::int64_t length,
+                                           BodySource& body,
+                                           const std::function<void()>& beforeLastBytes) = 0;
 
   /// @brief Returns whether the caller closed or broke its connection; never blocks, so that it can
   /// be polled to cancel work. A caller that only shut down its sending side counts as gone.
@@ -58,6 +67,9 @@
   /// @brief Returns whether this is the first request on its connection.
   [[nodiscard]] virtual bool IsFirstOnConnection() const { return false; }
 
+  /// @brief Closes the connection without a response, as a faulty server does. For stand-ins.
+  virtual void Abort() {}
+
   /// @brief Records whether the request was forwarded, for logs and metrics.
   virtual void SetForwarding(Forwarding /*forwarding*/) {}
 };
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -279,7 +279,7 @@
     }
   };
   BodySource& body = admitted.ticket ? static_cast<BodySource&>(recorded) : answer.Body();
-  call.exchange.RespondStreaming(
+  const StreamingResult streamed = call.exchange.RespondStreaming(
     ResponseHead(call, context, upstreamHead, unused), answer.BodyLength(), body, record);
   if (!isRecorded && admitted.ticket && DiscardBody(recorded)) {
     record();
@@ -287,6 +287,12 @@
   if (!isRecorded && admitted.ticket) {
     options_.claims->MarkUnknown(*admitted.ticket);
   }
+  if (streamed == StreamingResult::NotStarted) {
+    AttemptResult attemptResult = TruncatedResponseAttempt(call, unused);
+    const bool isCancelled = attemptResult.callResult == CallResult::Cancelled;
+    admitted.permit.Finish(isCancelled ? GateResult::Neutral : GateResult::Lost);
+    return attemptResult;
+  }
   const bool isServerError = upstreamHead.status >= kMinServerErrorStatus;
   admitted.permit.Finish(isServerError ? GateResult::Failed : GateResult::Succeeded);
   return { .unusedRetries = unused,
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -189,7 +189,11 @@
   if (const auto reason = head.headers.Find(kReasonHeader)) {
     callerHead.headers.Set(kReasonHeader, *reason);
   }
-  call.exchange.RespondStreaming(callerHead, response.BodyLength(), response.Body(), nullptr);
+  const StreamingResult streamed =
+    call.exchange.RespondStreaming(callerHead, response.BodyLength(), response.Body(), nullptr);
+  if (streamed == StreamingResult::NotStarted) {
+    return TruncatedResponseAttempt(call, unusedRetries);
+  }
   return { .unusedRetries = unusedRetries,
            .callResult = isServerError ? CallResult::ServerError : CallResult::Answered };
 }
--- a/src/node/response_relay.cpp
+++ b/src/node/response_relay.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kDiscardBufferBytes = 4096;
 // Longest time to read the body of a response that is not delivered.
 constexpr Duration kMessageTimeout = std::chrono::milliseconds(250);
+constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 
 } // namespace
@@ -147,6 +148,20 @@
   return attemptResult;
 }
 
+AttemptResult TruncatedResponseAttempt(const PendingCall& call, int unusedRetries)
+{
+  auto attemptResult = FailedAttempt({ .status = kBadGateway,
+                                       .outcome = RequestOutcome::Unknown,
+                                       .reason = Reason::UpstreamConnectionLost,
+                                       .message = "the response ended early" },
+                                     false,
+                                     unusedRetries);
+  if (call.exchange.IsCallerGone()) {
+    attemptResult.callResult = CallResult::Cancelled;
+  }
+  return attemptResult;
+}
+
 std::string ReadMessage(ClientExchange& response)
 {
   response.SetBodyTimeout(kMessageTimeout);
--- a/src/programs/acp-upstream/stub_upstream.cpp
+++ b/src/programs/acp-upstream/stub_upstream.cpp
@@ -254,7 +254,10 @@
   head.headers.Set("Content-Type", "text/plain");
   head.headers.Set("X-Request-Id", id);
   const bool isChunked = request.target.find("chunked") != std::string::npos;
-  exchange.RespondStreaming(head, isChunked ? -1 : length, body, nullptr);
+  const auto result = exchange.RespondStreaming(head, isChunked ? -1 : length, body, nullptr);
+  if (result == acp::StreamingResult::NotStarted) {
+    exchange.Abort(); // a small body that is to be cut
+  }
 }
 
 StubUpstream::NestedResult StubUpstream::CallNested(const NestedCall& call,
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -186,6 +186,9 @@
       return server_.isStopping->load();
     });
   Handle(exchange);
+  if (exchange.IsResponseDue()) {
+    exchange.RespondToFailure();
+  }
   ReportServed(exchange);
   if (!exchange.HasResponded()) {
     return NextStep::Close;
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -6,6 +6,8 @@
 #include <optional>  // nullopt
 #include <utility>   // exchange, move, swap
 
+#include "acaciapulley/core/outcome.hpp" // Reason, RequestOutcome
+
 namespace acp::detail {
 
 namespace {
@@ -16,6 +18,8 @@
 constexpr std::size_t kMaxDiscardedBytes = 262'144;
 // Slower readers would occupy a slot of an upstream for minutes.
 constexpr double kMinBytesPerSecond = 65'536.0;
+constexpr int kInternalServerError = 500;
+constexpr int kBadGateway = 502;
 
 /// A body that counts as truncated if its length differs from that declared in the response head.
 class LengthCheckedBody final : public BodySource
@@ -100,9 +104,16 @@
 
 void ConnectionExchange::EndUnanswered(RequestEnd end)
 {
+  isCut_ = isCut_ || end == RequestEnd::RequestCut;
   end_ = connection_.IsPeerGone() ? RequestEnd::CallerGone : end;
 }
 
+void ConnectionExchange::Abort()
+{
+  isAborted_ = true;
+  connection_.Shutdown();
+}
+
 std::string ConnectionExchange::BeginResponse(const HttpResponseHead& head, std::int64_t length)
 {
   hasResponded_ = true;
@@ -131,16 +142,24 @@
   }
 }
 
-bool ConnectionExchange::RespondStreaming(const HttpResponseHead& head,
-                                          std::int64_t length,
-                                          BodySource& body,
-                                          const std::function<void()>& beforeLastBytes)
+StreamingResult ConnectionExchange::RespondStreaming(const HttpResponseHead& head,
+                                                     std::int64_t length,
+                                                     BodySource& body,
+                                                     const std::function<void()>& beforeLastBytes)
 {
   const bool hasNoBody = head_.method == "HEAD" || head.status == 204 || head.status == 304;
   const bool isChunked = length < 0;
+  const bool wasReusable = isReusable_;
+  const std::uint64_t sentBefore = connection_.SentBytes();
   std::string start = BeginResponse(head, isChunked ? kChunked : length);
   // If the response ends early for any reason, such as an exception, the connection must end too.
-  const bool wasReusable = std::exchange(isReusable_, false);
+  const bool isReusableAfter = std::exchange(isReusable_, false);
+  const auto withdrawUnsent = [&] {
+    const bool isUnsent = connection_.SentBytes() == sentBefore;
+    hasResponded_ = !isUnsent;
+    isReusable_ = isUnsent && wasReusable;
+    return isUnsent;
+  };
   LengthCheckedBody checkedBody(body, length);
   bool isComplete = false;
   try {
@@ -148,14 +167,33 @@
                            : CopyBody(std::move(start), isChunked, checkedBody, beforeLastBytes);
   } catch (const BodyTruncated&) {
     EndUnanswered(RequestEnd::SourceEnded);
+    if (withdrawUnsent()) {
+      return StreamingResult::NotStarted;
+    }
+  } catch (...) {
+    withdrawUnsent();
+    throw;
   }
-  if (isComplete) {
-    end_ = RequestEnd::Answered;
-  } else {
+  if (!isComplete) {
     connection_.Shutdown();
+    return StreamingResult::Incomplete;
   }
-  isReusable_ = wasReusable && isComplete;
-  return isComplete;
+  end_ = RequestEnd::Answered;
+  isReusable_ = isReusableAfter;
+  return StreamingResult::Complete;
+}
+
+void ConnectionExchange::RespondToFailure()
+{
+  const RequestEnd end = end_;
+  const bool wasForwarded = forwarding_ != Forwarding::No;
+  HttpResponseHead head{ .status = wasForwarded ? kBadGateway : kInternalServerError };
+  head.headers.Set("Content-Type", "text/plain");
+  head.headers.Set("Connection", "close");
+  head.headers.Set("Acp-Outcome", std::string(NameOf(RequestOutcome::Unknown)));
+  head.headers.Set("Acp-Reason", std::string(NameOf(Reason::InternalError)));
+  Respond(head, "the request failed in this process\n");
+  end_ = end;
 }
 
 /// Sends @p start as the complete response once @p beforeLastBytes has returned.
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -285,6 +285,7 @@
     recorded_.push_back(recorded);
   }
   if (behaviour == UpstreamBehaviour::CloseBeforeRun) {
+    exchange.Abort();
     return;
   }
   if (behaviour == UpstreamBehaviour::RefuseAsNotRun) {
@@ -297,6 +298,7 @@
     onRun(recorded);
   }
   if (behaviour == UpstreamBehaviour::CloseAfterRun) {
+    exchange.Abort();
     return;
   }
   while (behaviour == UpstreamBehaviour::Stall && !exchange.IsCallerGone()) {
--- a/tests/node_test/unanswered_requests_test.cpp
+++ b/tests/node_test/unanswered_requests_test.cpp
@@ -123,4 +123,43 @@
   }
 }
 
+// P7, LOST. Guards against a connection that is closed although its response has not begun.
+BOOST_AUTO_TEST_CASE(response_cut_before_its_first_byte_is_answered_on_kept_connections)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& cut : { head + "Content-Length: 12\r\n\r\nhello",
+                                  head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+                                  head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+                                  head + "Content-Length: 5\r\n\r\n" }) {
+    const Fleet fleet(cut);
+    for (const TestNode* entry : { &fleet.near, &fleet.far }) {
+      KeptConnection caller(entry->IngressPort());
+      for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(caller.Send(FleetOrder("order")) == 502);
+        BOOST_TEST(caller.Send(FleetRead("read")) == 502);
+      }
+    }
+    BOOST_TEST(fleet.upstream.CountRequests("order") == 6);
+  }
+}
+
+// P2, LOST. Guards against an idempotent request that is given up although another upstream could
+// answer it.
+BOOST_AUTO_TEST_CASE(response_cut_before_its_first_byte_is_retried_at_another_upstream)
+{
+  Fleet fleet("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nhello");
+  FakeUpstream healthy;
+  TestNode spare(
+    { .id = "spare", .control = &fleet.control, .upstream = &healthy, .routesByFleet = true });
+  fleet.far.SetMembers({ &fleet.near, &spare });
+  KeptConnection caller(fleet.far.IngressPort());
+  int retried = 0;
+  for (int i = 0; i < 6; ++i) {
+    const std::string name = "read-" + std::to_string(i);
+    BOOST_TEST(caller.Send(FleetRead(name)) == 200);
+    retried += fleet.upstream.CountRequests(name);
+  }
+  BOOST_TEST(retried > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
