Let the peer close first after every closing response

Callers could lose a complete response to a reset: a listener that closes behind a response looked once whether input was waiting, and closed at once if there was none. A request body that arrived a moment later met a closed socket, and the reset overtook the response.

The listener now always ends its output and reads on until the peer closes, for at most one second (RFC 9112, 9.6).

--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -154,7 +154,7 @@
          !watch_.Closed().stop_requested()) {
     next = ServeNext();
   }
-  if (next == NextStep::CloseAfterResponse && connection_.HasInput()) {
+  if (next == NextStep::CloseAfterResponse) {
     Linger(connection_);
   }
   if (next != NextStep::Continue || connection_.HasBuffered()) {
--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -48,6 +48,8 @@
 
   void EndSending() { socket_.shutdownSend(); }
 
+  void AwaitInput() { socket_.poll(Poco::Timespan(10, 0), Poco::Net::Socket::SELECT_READ); }
+
 private:
   Poco::Net::StreamSocket socket_;
 };
@@ -188,6 +190,27 @@
   server.Stop(kTimeout);
 }
 
+// Guards against a response that is lost to a reset because its request's body arrives after it.
+BOOST_AUTO_TEST_CASE(late_request_body_does_not_reset_the_connection_behind_a_response)
+{
+  constexpr std::size_t kBodyBytes = 100'000;
+  acp::HttpServer server({ .address = kAnyPort, .handler = [](acp::ServerExchange& exchange) {
+                            acp::HttpResponseHead head{ .status = 503 };
+                            head.headers.Set("Connection", "close");
+                            exchange.Respond(head, "refused\n");
+                          } });
+  for (int i = 0; i < 20; ++i) {
+    RawClient client(server);
+    client.Send("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n");
+    client.AwaitInput();
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    BOOST_CHECK_NO_THROW(client.Send(std::string(kBodyBytes / 2, 'x')));
+    BOOST_CHECK_NO_THROW(client.Send(std::string(kBodyBytes / 2, 'x')));
+    BOOST_CHECK_NO_THROW(BOOST_TEST(client.Receive().ends_with("refused\n")));
+  }
+  server.Stop(kTimeout);
+}
+
 // Guards against a request whose caller gets no response because its handler failed.
 BOOST_AUTO_TEST_CASE(handler_that_sends_no_response_is_answered_with_an_unknown_outcome)
 {
