Close a connection whose request fails outside its handler

A caller's connection stayed open for ever, and a stop never ended, when serving a request threw outside the handler (a hook, memory for a head): the task ended as task_failed and nobody closed the connection, for which HttpServer::Stop waits without limit.

--- a/include/acaciapulley/transport/detail/server_connection.hpp
+++ b/include/acaciapulley/transport/detail/server_connection.hpp
@@ -64,6 +64,7 @@
   void OnWaitEnded(WaitResult result);
   void Dispatch();
   void Serve();
+  NextStep ServeBuffered();
   NextStep ServeNext();
   void Handle(ConnectionExchange& exchange);
   void ReportServed(const ConnectionExchange& exchange);
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // min
 #include <array>     // array
+#include <exception> // exception
 #include <utility>   // move
 
 #include <Poco/Exception.h>
@@ -148,11 +149,12 @@
 
 void ServerConnection::Serve()
 {
-  NextStep next = ServeNext();
-  // Requests that a caller sent ahead are not started once it has closed the connection.
-  while (next == NextStep::Continue && connection_.HasBuffered() &&
-         !watch_.Closed().stop_requested()) {
-    next = ServeNext();
+  NextStep next = NextStep::Close;
+  // The server waits for each connection to be closed, so no exception may skip that.
+  try {
+    next = ServeBuffered();
+  } catch (const std::exception& e) {
+    Log(LogLevel::Error, "connection_failed", { { "error", e.what() } });
   }
   if (next == NextStep::CloseAfterResponse) {
     Linger(connection_);
@@ -165,6 +167,18 @@
   ScheduleWait();
 }
 
+/// Serves the request that has come and those that the caller has sent ahead.
+ServerConnection::NextStep ServerConnection::ServeBuffered()
+{
+  NextStep next = ServeNext();
+  // Requests that a caller sent ahead are not started once it has closed the connection.
+  while (next == NextStep::Continue && connection_.HasBuffered() &&
+         !watch_.Closed().stop_requested()) {
+    next = ServeNext();
+  }
+  return next;
+}
+
 ServerConnection::NextStep ServerConnection::ServeNext()
 {
   std::string text;
--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -211,6 +211,26 @@
   server.Stop(kTimeout);
 }
 
+// Guards against a connection that is never closed, and a stop that never ends, after an exception
+// outside the handler.
+BOOST_AUTO_TEST_CASE(exception_outside_the_handler_closes_the_connection)
+{
+  for (const bool runsInTasks : { true, false }) {
+    acp::HttpServer server(
+      { .address = kAnyPort,
+        .handler = Echo,
+        .runsInTasks = runsInTasks,
+        .onServed = [](const acp::ServedRequest&) { throw std::runtime_error("no memory"); } });
+    RawClient client(server);
+    client.Send("GET / HTTP/1.1\r\n\r\n");
+    BOOST_TEST(client.Receive().ends_with("0 bytes\n"));
+    while (server.Connections() > 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    server.Stop(kTimeout);
+  }
+}
+
 // Guards against a request whose caller gets no response because its handler failed.
 BOOST_AUTO_TEST_CASE(handler_that_sends_no_response_is_answered_with_an_unknown_outcome)
 {
