Free the connection slot of a control call that throws

Callers saw "all connections to control are in use" (unreachable) for every later call, once as many calls as maxConnections had ended with an exception that is not Thrift's. Cause: ControlChannel::Call released the slot only when CallWithFailover returned. The decoder throws std::bad_alloc for a list that a faulty host announces. Evidence: an_exception_of_a_call_frees_its_connection, one connection: the second call ended as unreachable before, succeeds now; the suite control_channel passes.

--- a/src/transport/control_channel.cpp
+++ b/src/transport/control_channel.cpp
@@ -262,9 +262,10 @@
   if (!AcquireSlot(start + options_.timeout)) {
     return Fail(TransportErrorCode::Unreachable, "all connections to control are in use");
   }
-  auto result = CallWithFailover(call, start + options_.callBudget);
-  ReleaseSlot();
-  return result;
+  // Also released if the call throws an exception that is not Thrift's.
+  const std::unique_ptr<ControlChannel, void (*)(ControlChannel*)> slot(
+    this, [](ControlChannel* channel) { channel->ReleaseSlot(); });
+  return CallWithFailover(call, start + options_.callBudget);
 }
 
 } // namespace acp
--- a/tests/transport_test/control_channel_test.cpp
+++ b/tests/transport_test/control_channel_test.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <future>
+#include <new>
 #include <thread>
 
 #include "acaciapulley/transport/control_channel.hpp"
@@ -127,4 +128,14 @@
   BOOST_TEST(second.calls == 1);
 }
 
+// Guards against connections that are no longer counted as free after an exception in a call.
+BOOST_AUTO_TEST_CASE(an_exception_of_a_call_frees_its_connection)
+{
+  FakeControlReplica replica(EchoNumber);
+  acp::ControlChannel channel({ .replicas = { replica.ListenAddress() }, .maxConnections = 1 });
+  const auto fail = [](acp::wire::ControlServiceIf& /*control*/) { throw std::bad_alloc(); };
+  BOOST_CHECK_THROW((void)channel.Call(fail), std::bad_alloc);
+  BOOST_TEST(Sync(channel, 1) == "1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
