Bound what a control host or replica may send in a reply

Callers saw: a call to a faulty control host never ended while the host sent single bytes, a reply of 30 bytes took gigabytes of the node's memory or ended with std::bad_alloc, and a node without state could not be served by a control whose stores are full. Cause: with the library's defaults a list is resized to the announced count before any element is read (structs count as 0 bytes, and the element type of the sender is trusted), a message goes on in the next frame, the receive time-out applies to each read alone, and a frame may have 16,384,000 bytes, less than the largest answer to a node. thrift_limits.hpp has the bounds as constants and the transport and protocol that keep them: frames of 20 MiB, buffers that grow with the bytes received, lengths checked against the rest of the frame, 131,072 elements, depth 32, 256 MiB for all messages being received in the process, and a deadline for the whole reply. A refused reply writes one warning line for each connection. Held before: oversized and negative lengths, nesting, strings above 100 MB.

--- a/src/replication/peer_channel.cpp
+++ b/src/replication/peer_channel.cpp
@@ -4,29 +4,27 @@
 #include <utility>   // exchange, move
 
 #include <thrift/TOutput.h>
-#include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/protocol/TMultiplexedProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
 #include "acaciapulley/core/log.hpp"                         // Log
 #include "acaciapulley/core/random.hpp"                      // Jittered
 #include "acaciapulley/replication/detail/wire_messages.hpp" // ToWire, FromWire
 #include "acaciapulley/replication/replica.hpp"              // kReplicationServiceName
+#include "acaciapulley/transport/detail/thrift_limits.hpp" // MakeBoundedProtocol, kMaxThriftFrameBytes
 #include "gen/ReplicationService.h"
 
 namespace acp::detail {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::protocol::TMultiplexedProtocol;
-using apache::thrift::transport::TFramedTransport;
 using apache::thrift::transport::TSocket;
 
-/// Bytes that can be queued for one peer. They are sent as one frame, and Thrift accepts frames of
-/// at most 16,384,000 bytes. Further messages are dropped; Raft retransmits what is still needed.
+/// Bytes that can be queued for one peer, which are sent as one frame. Further messages are
+/// dropped; Raft retransmits what is still needed.
 constexpr std::size_t kMaxQueuedBytes = 12U << 20U;
+static_assert(kMaxQueuedBytes < kMaxThriftFrameBytes);
 constexpr std::size_t kMaxQueuedMessages = 8192;
 
 /// Fixed part of the size of a message, so that many messages without data count as well.
@@ -57,6 +55,20 @@
   });
 }
 
+/// Logs the error of a call if the reply was malformed; failed connections are logged by Run().
+void LogIfMalformed(const Address& peer, const apache::thrift::TException& error)
+{
+  using apache::thrift::transport::TTransportException;
+  const auto* transport = dynamic_cast<const TTransportException*>(&error);
+  const bool timedOut =
+    transport != nullptr && transport->getType() == TTransportException::TIMED_OUT;
+  if (!timedOut && IsMalformedMessage(error)) {
+    Log(LogLevel::Warning,
+        "replica_reply_refused",
+        { { "peer", peer.ToString() }, { "error", error.what() } });
+  }
+}
+
 int ToMillis(Duration span)
 {
   return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
@@ -69,9 +81,8 @@
 public:
   Connection(const Address& address, Duration timeout)
     : socket_(std::make_shared<TSocket>(address.ip, address.port))
-    , client_(std::make_shared<TMultiplexedProtocol>(
-        std::make_shared<TCompactProtocol>(std::make_shared<TFramedTransport>(socket_)),
-        kReplicationServiceName))
+    , client_(std::make_shared<TMultiplexedProtocol>(MakeBoundedProtocol(socket_, timeout),
+                                                     kReplicationServiceName))
   {
     socket_->setConnTimeout(ToMillis(timeout));
     socket_->setRecvTimeout(ToMillis(timeout));
@@ -96,8 +107,7 @@
     socket->setSendTimeout(ToMillis(timeout));
     socket->open();
     wire::ReplicationServiceClient client(std::make_shared<TMultiplexedProtocol>(
-      std::make_shared<TCompactProtocol>(std::make_shared<TFramedTransport>(socket)),
-      kReplicationServiceName));
+      MakeBoundedProtocol(socket, timeout), kReplicationServiceName));
     wire::ReplicaHello hello;
     client.Hello(hello);
     HelloReply reply;
@@ -108,7 +118,8 @@
       reply.initialEntry = FromWire(hello.initialEntry);
     }
     return reply;
-  } catch (const apache::thrift::TException&) {
+  } catch (const apache::thrift::TException& e) {
+    LogIfMalformed(address, e);
     return std::nullopt;
   }
 }
@@ -181,7 +192,8 @@
     }
     connection_->Client().Deliver(messages);
     return true;
-  } catch (const apache::thrift::TException&) {
+  } catch (const apache::thrift::TException& e) {
+    LogIfMalformed(address_, e);
     // After a timeout the reply may still arrive, so the connection must not be used again.
     connection_.reset();
     return false;
--- a/src/transport/control_channel.cpp
+++ b/src/transport/control_channel.cpp
@@ -4,11 +4,10 @@
 #include <utility>   // move
 
 #include <thrift/TOutput.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
-#include "acaciapulley/core/log.hpp" // Log
+#include "acaciapulley/core/log.hpp"                       // Log
+#include "acaciapulley/transport/detail/thrift_limits.hpp" // IsMalformedMessage, MakeBoundedProtocol
 #include "gen/ControlService.h"
 
 namespace acp {
@@ -20,8 +19,6 @@
 // A host without power does not respond at all; the next replica is tried instead.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TFramedTransport;
 using apache::thrift::transport::TSocket;
 using apache::thrift::transport::TTransportException;
 
@@ -45,7 +42,7 @@
   Connection(std::size_t replica, const Address& address, Duration timeout)
     : replica_(replica)
     , socket_(std::make_shared<TSocket>(address.ip, address.port))
-    , client_(std::make_shared<TCompactProtocol>(std::make_shared<TFramedTransport>(socket_)))
+    , client_(detail::MakeBoundedProtocol(socket_, timeout))
   {
     socket_->setConnTimeout(ToMillis(std::min(timeout, kConnectTimeout)));
     socket_->setRecvTimeout(ToMillis(timeout));
@@ -233,6 +230,9 @@
     if (!isConnected) {
       return Fail(TransportErrorCode::Unreachable, where + ": " + e.what());
     }
+    if (!timedOut && detail::IsMalformedMessage(e)) {
+      Log(LogLevel::Warning, "control_reply_refused", { { "peer", where }, { "error", e.what() } });
+    }
     return Fail(timedOut ? TransportErrorCode::Timeout : TransportErrorCode::ConnectionLost,
                 where + ": " + e.what());
   }
