Bound what any caller may send to control and to a replica

Callers saw: one frame of about 40 bytes from any client of the rpc address ended the control process (std::bad_alloc in the connection's thread, std::terminate), and with it the calls of all nodes; unfinished frames and elements of one byte took gigabytes; a client that sent single bytes held a thread and one of 4096 places without limit. Cause: TFramedTransportFactory and TCompactProtocolFactory with the library's defaults, and TThreadedServer catches only Thrift's exceptions. Both servers now use the transport and protocol of thrift_limits.hpp; a request's frame must be complete 5 s after its first byte, and GuardProcessor logs a malformed request with its peer and closes the connection. Connections that are idle between requests stay without limit. Held before: frames above the limit, negative lengths, nesting, valid messages without end.

--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -4,9 +4,7 @@
 #include <thread>    // sleep_for, thread
 
 #include <thrift/processor/TMultiplexedProcessor.h>
-#include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
 #include "acaciapulley/config/fleet_document.hpp"            // FleetDocument
@@ -16,6 +14,7 @@
 #include "acaciapulley/control/poll_relay.hpp"               // PollRelay
 #include "acaciapulley/control/token_relay.hpp"              // TokenRelay
 #include "acaciapulley/transport/control_channel.hpp"        // ControlChannel
+#include "acaciapulley/transport/detail/thrift_limits.hpp"   // Bounded..., GuardProcessor
 #include "acaciapulley/transport/http_server.hpp"            // HttpServer
 
 namespace acp {
@@ -169,13 +168,12 @@
   std::unique_ptr<apache::thrift::server::TServer> MakeRpcServer(
     const ControlProcessOptions& options)
   {
-    using apache::thrift::protocol::TCompactProtocolFactory;
     using apache::thrift::server::TThreadedServer;
-    using apache::thrift::transport::TFramedTransportFactory;
-    auto server = std::make_unique<TThreadedServer>(MakeProcessor(options),
-                                                    rpcSocket_,
-                                                    std::make_shared<TFramedTransportFactory>(),
-                                                    std::make_shared<TCompactProtocolFactory>());
+    auto server =
+      std::make_unique<TThreadedServer>(detail::GuardProcessor(MakeProcessor(options)),
+                                        rpcSocket_,
+                                        std::make_shared<detail::BoundedTransportFactory>(),
+                                        std::make_shared<detail::BoundedProtocolFactory>());
     server->setConcurrentClientLimit(kMaxRpcConnections);
     return server;
   }
--- a/src/replication/replication_server.cpp
+++ b/src/replication/replication_server.cpp
@@ -5,13 +5,12 @@
 #include <utility> // move
 
 #include <thrift/processor/TMultiplexedProcessor.h>
-#include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
 #include "acaciapulley/replication/detail/wire_messages.hpp" // FromWire, ToWire
 #include "acaciapulley/replication/replica.hpp"              // kReplicationServiceName
+#include "acaciapulley/transport/detail/thrift_limits.hpp"   // Bounded..., GuardProcessor
 #include "gen/ReplicationService.h"
 
 namespace acp::detail {
@@ -77,10 +76,10 @@
     auto multiplexed = std::make_shared<TMultiplexedProcessor>();
     multiplexed->registerProcessor(kReplicationServiceName, processor);
     server_ = std::make_unique<server::TThreadedServer>(
-      multiplexed,
+      GuardProcessor(multiplexed),
       std::make_shared<transport::TServerSocket>(address.ip, address.port),
-      std::make_shared<transport::TFramedTransportFactory>(),
-      std::make_shared<protocol::TCompactProtocolFactory>());
+      std::make_shared<BoundedTransportFactory>(),
+      std::make_shared<BoundedProtocolFactory>());
     server_->setServerEventHandler(listenEventHandler_);
     thread_ = std::thread([this] { Serve(); });
   }
