--- a/include/acaciapulley/control/detail/wire_codec.hpp
+++ b/include/acaciapulley/control/detail/wire_codec.hpp
@@ -4,6 +4,7 @@
 /// Encoding and decoding of Thrift structs in the compact protocol.
 
 #include <cstdint> // uint8_t, uint32_t
+#include <limits>  // numeric_limits
 #include <memory>  // make_shared
 #include <string>  // string
 
@@ -11,6 +12,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include "acaciapulley/transport/detail/thrift_limits.hpp" // BoundedCompactProtocol
+
 namespace acp::detail {
 
 /// @brief Encodes @p message.
@@ -31,9 +34,14 @@
   using apache::thrift::transport::TMemoryBuffer;
   try {
     std::string copy = bytes;
+    // Snapshots may be larger than frames.
+    const auto configuration = std::make_shared<apache::thrift::TConfiguration>(
+      std::numeric_limits<int>::max(), kMaxThriftFrameBytes, kMaxThriftDepth);
     auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()),
-                                                  static_cast<std::uint32_t>(copy.size()));
-    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+                                                  static_cast<std::uint32_t>(copy.size()),
+                                                  TMemoryBuffer::OBSERVE,
+                                                  configuration);
+    BoundedCompactProtocol protocol(buffer);
     message->read(&protocol);
     return buffer->available_read() == 0;
   } catch (const apache::thrift::TException&) {
