Remove the timers of waits that have ended

Memory grew with the rate at which a faulty server sent: an event loop kept the timer of each wait until its deadline, 10 s for the body of a response and 30 s for that of a request, although the wait itself had ended after microseconds.

Cause: EventLoop::timers_ dropped the timers of ended waits only from its front, where any wait with an earlier deadline held the others back. It now removes them in bulk, at the latest when there are four for each wait and more than 1024.

--- a/include/acaciapulley/core/event_loop.hpp
+++ b/include/acaciapulley/core/event_loop.hpp
@@ -103,6 +103,9 @@
   void UpdateRound(TimePoint pollStart, TimePoint now, bool isBatchFull, bool wasIdle);
   [[nodiscard]] int MillisToNextTimer();
   void FinishWait(WaitId id, WaitResult result);
+  void AddTimer(TimePoint deadline, WaitId id);
+  /// Removes the timers of waits that have ended.
+  void PruneTimers();
   void Resume(Task& task);
   /// @return false when the descriptor cannot be watched
   bool ArmDescriptor(int descriptor, short events, WaitId id);
--- a/src/core/event_loop.cpp
+++ b/src/core/event_loop.cpp
@@ -39,6 +39,11 @@
 // Threads for blocking calls, such as those to control; further calls are queued.
 constexpr std::size_t kBlockingCallThreads = 8;
 
+// Timers of waits that have ended are removed above this number, and when there are this many
+// timers for each wait.
+constexpr std::size_t kMinTimersToPrune = 1'024;
+constexpr std::size_t kMaxTimersPerWait = 4;
+
 thread_local EventLoop* loopOfThread = nullptr;
 
 TimePoint SteadyNow()
@@ -231,7 +236,7 @@
     task.result = result;
     Resume(task);
   });
-  timers_.emplace(deadline, id);
+  AddTimer(deadline, id);
   task.loopFiber = std::move(task.loopFiber).resume();
   return task.result;
 }
@@ -252,10 +257,32 @@
   if (descriptor >= 0 && !ArmDescriptor(descriptor, POLLIN, id)) {
     Post([this, id] { FinishWait(id, WaitResult::Ready); });
   }
-  timers_.emplace(deadline, id);
+  AddTimer(deadline, id);
   return id;
 }
 
+void EventLoop::AddTimer(TimePoint deadline, WaitId id)
+{
+  timers_.emplace(deadline, id);
+  // Reads end long before their deadlines, so their timers are removed in bulk.
+  if (timers_.size() > kMinTimersToPrune && timers_.size() > kMaxTimersPerWait * waits_.size()) {
+    PruneTimers();
+  }
+}
+
+void EventLoop::PruneTimers()
+{
+  std::vector<Timer> pending;
+  pending.reserve(waits_.size());
+  while (!timers_.empty()) {
+    if (waits_.contains(timers_.top().second)) {
+      pending.push_back(timers_.top());
+    }
+    timers_.pop();
+  }
+  timers_ = decltype(timers_)(std::greater<>(), std::move(pending));
+}
+
 bool EventLoop::CancelWait(WaitId id)
 {
   return waits_.erase(id) > 0;
