--- a/tests/soak/stop_while_reading.py
+++ b/tests/soak/stop_while_reading.py
@@ -121,6 +121,17 @@
         time.sleep(0.1)
 
 
+def refused_expectation_closes_the_connection(_, client):
+    """Without a stop: the refusal says close, requests sent ahead arrive for longer than the linger time."""
+    client.send("first", SIZE)
+    time.sleep(0.5)
+    client.sock.sendall(b"PUT /none HTTP/1.1\r\nHost: soak\r\nExpect: 100-continue\r\n"
+                        b"Content-Length: 10\r\n\r\n0123456789")
+    for number in range(15):
+        client.send(f"ahead-{number}", 10)
+        time.sleep(0.1)
+
+
 def later_answer_is_cut_by_its_upstream(_, client):
     """The second answer is cut; the first, complete one is still being read."""
     client.send("first", SIZE)
