--- a/tests/soak/kept_connections.py
+++ b/tests/soak/kept_connections.py
@@ -341,13 +341,15 @@
 
 
 def failed_before(options):
-    """Returns the options of each play in failed_seeds.txt, whose lines are `SEED NODES SECONDS CAUSE`."""
+    """Returns the plays in failed_seeds.txt: lines of `SEED NODES SECONDS FLAGS CAUSE`, FLAGS `-` or
+    such as `calm,cut`."""
     plays = []
     with open(os.path.join(HERE, "failed_seeds.txt"), encoding="ascii") as file:
         for line in file:
-            seed, nodes, seconds, _ = line.split(" ", 3)
-            plays.append((int(seed), argparse.Namespace(**{**vars(options), "nodes": int(nodes),
-                                                           "seconds": float(seconds)})))
+            seed, nodes, seconds, flags, _ = line.split(" ", 4)
+            chosen = {flag: True for flag in flags.split(",") if flag != "-"}
+            plays.append((int(seed), argparse.Namespace(**{
+                **vars(options), **chosen, "nodes": int(nodes), "seconds": float(seconds)})))
     return plays
 
 
