--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -189,11 +189,15 @@
   if (const auto reason = head.headers.Find(kReasonHeader)) {
     callerHead.headers.Set(kReasonHeader, *reason);
   }
+  ObservedBody observed(response.Body(), call.exchange);
   const StreamingResult streamed =
-    call.exchange.RespondStreaming(callerHead, response.BodyLength(), response.Body(), nullptr);
+    call.exchange.RespondStreaming(callerHead, response.BodyLength(), observed, nullptr);
   if (streamed == StreamingResult::NotStarted) {
     return TruncatedResponseAttempt(call, unusedRetries);
   }
+  if (observed.HasFailed()) {
+    return { .unusedRetries = unusedRetries, .callResult = CallResult::Failed };
+  }
   return { .unusedRetries = unusedRetries,
            .callResult = isServerError ? CallResult::ServerError : CallResult::Answered };
 }
