Count the memory of a request until it was handled

Seen: 32 unfinished frames of 16 MB took 351 MiB in a run of control_test at load 63 (limit of the test: 320), by hand 698 MiB on 32 connections that were renewed for 10 s. Cause: buffers that double left as many bytes again with the allocator, and the share of a request ended before its handler ran. Buffers now grow fourfold, and a server gives the share back after the handler.

--- a/include/acaciapulley/transport/detail/thrift_limits.hpp
+++ b/include/acaciapulley/transport/detail/thrift_limits.hpp
@@ -38,8 +38,8 @@
 /// kMaxThriftMemoryBytes, so that small calls go on while that is used up.
 inline constexpr std::uint64_t kFreeThriftBytes = 64U << 10U;
 
-/// Memory in bytes for the messages that all connections of the process are receiving. It holds the
-/// largest batches, each as a frame and decoded, of the other 6 replicas at once.
+/// Memory in bytes for the messages that all connections of the process are receiving or handling.
+/// It holds the largest batches, each as a frame and decoded, of the other 6 replicas at once.
 inline constexpr std::uint64_t kMaxThriftMemoryBytes = 256U << 20U;
 
 /// Time from the first byte of a request until its frame must be complete.
@@ -81,6 +81,10 @@
   /// @throw TTransportException if the message has too many elements, or the memory is used up
   void CountElements(std::uint64_t count);
 
+  /// @brief Ends the count of the last message's memory. Clients call it with readEnd(), servers
+  /// once the request was handled, since the handler still holds the message.
+  void ReleaseMemory();
+
   /// @brief Returns the peer as `ip:port`.
   [[nodiscard]] std::string PeerName() const;
 
--- a/src/transport/thrift_limits.cpp
+++ b/src/transport/thrift_limits.cpp
@@ -35,13 +35,6 @@
     std::clamp<std::int64_t>(left.count(), 0, std::numeric_limits<int>::max()));
 }
 
-/// Returns the peer of @p protocol as `ip:port`.
-std::string PeerOf(TProtocol& protocol)
-{
-  const auto* transport = dynamic_cast<BoundedFramedTransport*>(protocol.getTransport().get());
-  return transport != nullptr ? transport->PeerName() : "unknown";
-}
-
 class GuardedProcessor final : public TProcessor
 {
 public:
@@ -54,9 +47,14 @@
                std::shared_ptr<TProtocol> out,
                void* context) override
   {
+    auto* transport = dynamic_cast<BoundedFramedTransport*>(in->getTransport().get());
     std::string error;
     try {
-      return inner_->process(in, out, context);
+      const bool isOpen = inner_->process(in, out, context);
+      if (transport != nullptr) {
+        transport->ReleaseMemory();
+      }
+      return isOpen;
     } catch (const TException& e) {
       if (!IsMalformedMessage(e)) {
         throw;
@@ -66,7 +64,9 @@
       error = e.what();
     }
     Log(
-      LogLevel::Warning, "thrift_request_refused", { { "peer", PeerOf(*in) }, { "error", error } });
+      LogLevel::Warning,
+      "thrift_request_refused",
+      { { "peer", transport != nullptr ? transport->PeerName() : "unknown" }, { "error", error } });
     return false; // closes the connection
   }
 
@@ -124,9 +124,16 @@
   const std::uint32_t bytesRead = TFramedTransport::readEnd();
   setReadBuffer(rBuf_.get(), 0);
   isInMessage_ = false;
+  if (replyTimeout_) {
+    ReleaseMemory();
+  }
+  return bytesRead;
+}
+
+void BoundedFramedTransport::ReleaseMemory()
+{
   elements_ = 0;
   ResizeShare();
-  return bytesRead;
 }
 
 void BoundedFramedTransport::CountElements(std::uint64_t count)
@@ -211,8 +218,8 @@
   std::uint32_t received = 0;
   while (received < size) {
     if (received == rBufSize_) {
-      // Doubles the buffer, so that an announced size alone takes no memory.
-      GrowBuffer(std::min(size, std::max(kFirstBufferBytes, 2 * rBufSize_)));
+      // The buffer grows with the bytes received, so that an announced size alone takes no memory.
+      GrowBuffer(std::min(size, std::max(kFirstBufferBytes, 4 * rBufSize_)));
     }
     const std::uint32_t count =
       ReadSome(rBuf_.get() + received, std::min(size, rBufSize_) - received);
