Fail a body without length after a failed write; read what arrived before a time-out

A connection remembers now that a read or write failed; the end of the input is then a failure.

A complete response that had arrived 200 ms before the deadline was dropped with a time-out when the event loop was busy past it: timers expire before descriptors are polled. A read looks at the descriptor once more before it reports a time-out.

--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -73,6 +73,9 @@
   /// @brief Returns whether there is anything to read, including a close by the peer.
   [[nodiscard]] bool HasInput() const;
 
+  /// @brief Returns whether the peer has not acknowledged all output; false where that is unknown.
+  [[nodiscard]] bool HasUnsentOutput() const;
+
   /// @brief Shuts down both directions at once and unblocks a thread that waits on the connection.
   void Shutdown();
 
@@ -88,6 +91,7 @@
 
 private:
   IoStatus Fill(TimePoint deadline);
+  [[nodiscard]] bool IsReadable() const;
   IoStatus WaitFor(short events, TimePoint deadline) const;
 
   std::shared_ptr<Poco::Net::StreamSocket> socket_; ///< owns the descriptor
@@ -98,7 +102,9 @@
   std::uint64_t sentBytes_ = 0;
   TimePoint createdAt_;
   std::atomic<TimePoint> lastReceive_;
-  std::atomic<bool> isShutDown_{ false }; ///< a read then ends as if the peer had closed
+  std::atomic<bool> isShutDown_{ false }; ///< reads report Failed instead of Closed
+  /// A read or write has failed. The kernel reports an error once, then the end of the input.
+  bool hasFailed_ = false;
 };
 
 } // namespace acp::detail
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -7,10 +7,12 @@
 #include <utility>   // exchange
 
 #include <Poco/Net/StreamSocket.h>
-#include <netinet/in.h>  // IPPROTO_TCP
-#include <netinet/tcp.h> // TCP_KEEPIDLE, TCP_USER_TIMEOUT
-#include <poll.h>        // poll
-#include <sys/socket.h>  // recv, sendmsg, setsockopt
+#include <linux/sockios.h> // SIOCOUTQ
+#include <netinet/in.h>    // IPPROTO_TCP
+#include <netinet/tcp.h>   // TCP_KEEPIDLE, TCP_USER_TIMEOUT
+#include <poll.h>          // poll
+#include <sys/ioctl.h>     // ioctl
+#include <sys/socket.h>    // recv, sendmsg, setsockopt
 
 #include "acaciapulley/core/event_loop.hpp" // WaitUntilReady
 
@@ -71,9 +73,10 @@
   position_ = 0;
   while (true) {
     if (!std::exchange(isReadable_, false)) {
-      const IoStatus waited = WaitFor(POLLIN, deadline);
-      if (waited != IoStatus::Ok) {
-        return waited;
+      // Input may have arrived while the loop was busy past the deadline.
+      const bool hasTimedOut = WaitFor(POLLIN, deadline) != IoStatus::Ok;
+      if (hasTimedOut && !IsReadable()) {
+        return IoStatus::TimedOut;
       }
     }
     std::array<char, kReadBytes> bytes; // NOLINT(cppcoreguidelines-pro-type-member-init)
@@ -84,9 +87,10 @@
       return IoStatus::Ok;
     }
     if (count == 0) {
-      return isShutDown_ ? IoStatus::Failed : IoStatus::Closed;
+      return isShutDown_ || hasFailed_ ? IoStatus::Failed : IoStatus::Closed;
     }
     if (!IsRetryable(errno)) {
+      hasFailed_ = true;
       return IoStatus::Failed;
     }
   }
@@ -161,6 +165,7 @@
     message.msg_iovlen = parts.size();
     const auto count = ::sendmsg(fd_, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (count < 0 && !IsRetryable(errno)) {
+      hasFailed_ = true;
       return IoStatus::Failed;
     }
     if (count < 0) {
@@ -193,15 +198,23 @@
   return ::poll(&entry, 1, 0) > 0;
 }
 
-bool HttpConnection::HasInput() const
+bool HttpConnection::IsReadable() const
 {
-  if (HasBuffered()) {
-    return true;
-  }
   pollfd entry{ .fd = fd_, .events = POLLIN | POLLRDHUP, .revents = 0 };
   return ::poll(&entry, 1, 0) != 0;
 }
 
+bool HttpConnection::HasInput() const
+{
+  return HasBuffered() || IsReadable();
+}
+
+bool HttpConnection::HasUnsentOutput() const
+{
+  int bytes = 0;
+  return ::ioctl(fd_, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void HttpConnection::Shutdown()
 {
   isShutDown_ = true;
