Finish the member's call when an attempt throws

A member kept a call in flight for ever when an attempt ended with an exception, and was picked less often from then on. Found by the review, by reading; no test of its own. node_test passes.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -163,17 +163,24 @@
   context.retriesLeft = calleeRetries;
   context.issuer = options_.nodeId;
   context.issuerEpoch = options_.epoch;
-  AttemptResult attemptResult =
-    picked.isLocal ? RunLocally(call, context) : options_.peers->Run(call, context, picked);
-  const TimePoint now = options_.clock->Now();
-  options_.members->FinishCall(call.request.service,
-                               picked.nodeId,
-                               picked.epoch,
-                               { .result = attemptResult.callResult,
-                                 .startedAt = picked.startedAt,
-                                 .requestClass = call.request.requestClass->name },
-                               now);
-  return attemptResult;
+  const auto finishCall = [&](CallResult result) {
+    options_.members->FinishCall(call.request.service,
+                                 picked.nodeId,
+                                 picked.epoch,
+                                 { .result = result,
+                                   .startedAt = picked.startedAt,
+                                   .requestClass = call.request.requestClass->name },
+                                 options_.clock->Now());
+  };
+  try {
+    AttemptResult attemptResult =
+      picked.isLocal ? RunLocally(call, context) : options_.peers->Run(call, context, picked);
+    finishCall(attemptResult.callResult);
+    return attemptResult;
+  } catch (...) {
+    finishCall(CallResult::Failed); // otherwise the member would count the call as in flight
+    throw;
+  }
 }
 
 AttemptResult Dispatcher::RunLocally(PendingCall& call, const RequestContext& context)
