Echo the request id in the ingress listener's own responses

A response that the listener itself sends for a failed handler does not pass the translation of the host process and had no id. A retry no longer lowers the recorded forwarding of a request.

--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -175,6 +175,7 @@
   {
     HttpServerOptions ingress = ListenerOptions(
       "ingress", options.ingress, options.maxConnections, &RequestPipeline::HandleIngress);
+    ingress.echoedField = options.requestIdField;
     if (options.ingressMiddleware) {
       ingress.handler = [middleware = options.ingressMiddleware,
                          serve = std::function(ingress.handler)](ServerExchange& exchange) {
--- a/src/node/response_relay.cpp
+++ b/src/node/response_relay.cpp
@@ -128,7 +128,7 @@
     call.forwarding = forwarding;
     call.exchange.SetForwarding(forwarding);
   };
-  record(Forwarding::Unknown);
+  record(before == Forwarding::Yes ? before : Forwarding::Unknown);
   auto sent = pool.Send(head, call.body, call.body.Length(), options);
   if (sent) {
     record(Forwarding::Yes);
