Keep a closed connection until its caller has all output

Callers lost complete responses that they were still reading, without a line in any log, when the node closed their connection and further input arrived: the kernel resets the connection and drops what is not delivered.

Lingering now lasts until the peer closes, for one second or while the peer has not acknowledged all output, up to the grace of slow readers. Idle connections with unsent output and cut responses linger as well.

Besides, from the review: without memory for a task's stack only that connection is closed, not the process; an idle connection whose request arrived while the loop was busy is served; no status stays from a withdrawn response; ServerExchange::Abort is pure virtual.

--- a/include/acaciapulley/transport/detail/server_connection.hpp
+++ b/include/acaciapulley/transport/detail/server_connection.hpp
@@ -62,7 +62,9 @@
 
   void WaitForRequest();
   void OnWaitEnded(WaitResult result);
-  void Dispatch();
+  /// Runs @p step in a task or on a thread; closes the connection if neither can be had.
+  void Dispatch(const std::function<void()>& step);
+  void LingerAndClose();
   void Serve();
   NextStep ServeBuffered();
   NextStep ServeNext();
--- a/include/acaciapulley/transport/detail/server_exchange.hpp
+++ b/include/acaciapulley/transport/detail/server_exchange.hpp
@@ -48,10 +48,13 @@
   void EndUnanswered(RequestEnd end);
 
   /// @brief Returns whether the caller is owed a response that the handler has not sent.
-  [[nodiscard]] bool IsResponseDue() const { return !hasResponded_ && !isAborted_ && !isCut_; }
+  [[nodiscard]] bool IsResponseDue() const
+  {
+    return !hasResponded_ && !isAborted_ && !isRequestCut_;
+  }
 
   /// @brief Responds in place of a handler that sent no response, and closes the connection.
-  /// The recorded end stays.
+  /// Served() still reports why the handler failed.
   void RespondToFailure();
 
   /// @brief Returns the result of the request; valid as long as this object.
@@ -79,7 +82,7 @@
   std::string outcome_;
   std::string reason_;
   bool isAborted_ = false;
-  bool isCut_ = false; ///< the request's body ended early
+  bool isRequestCut_ = false; ///< the request's body ended early
   RequestEnd end_ = RequestEnd::NoResponse;
   Forwarding forwarding_ = Forwarding::No;
   TimePoint startedAt_ = SteadyNow();
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -23,7 +23,8 @@
 {
   Complete,   ///< the kernel has accepted the complete response
   Incomplete, ///< the response was cut and the connection aborted
-  NotStarted, ///< the body ended early and nothing was sent; another response may follow
+  NotStarted, ///< the body was not of its declared length or ended early, and nothing was sent;
+              ///< another response may follow
 };
 
 /// One request that is being served. Send exactly one response. If the handler sends none, the
@@ -67,8 +68,8 @@
   /// @brief Returns whether this is the first request on its connection.
   [[nodiscard]] virtual bool IsFirstOnConnection() const { return false; }
 
-  /// @brief Closes the connection without a response, as a faulty server does. For stand-ins.
-  virtual void Abort() {}
+  /// @brief Closes the connection without a response.
+  virtual void Abort() = 0;
 
   /// @brief Records whether the request was forwarded, for logs and metrics.
   virtual void SetForwarding(Forwarding /*forwarding*/) {}
--- a/src/programs/acp-upstream/stub_upstream.cpp
+++ b/src/programs/acp-upstream/stub_upstream.cpp
@@ -256,7 +256,7 @@
   const bool isChunked = request.target.find("chunked") != std::string::npos;
   const auto result = exchange.RespondStreaming(head, isChunked ? -1 : length, body, nullptr);
   if (result == acp::StreamingResult::NotStarted) {
-    exchange.Abort(); // a small body that is to be cut
+    exchange.Abort(); // nothing of the truncated body was sent
   }
 }
 
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -21,21 +21,35 @@
 namespace {
 
 constexpr Duration kLingerTime = std::chrono::seconds(1);
+// Between two looks at the output that is not acknowledged yet.
+constexpr Duration kLingerPollInterval = std::chrono::milliseconds(100);
 // After a stop, a request in transit on an idle connection is still served.
 constexpr Duration kStopGrace = std::chrono::milliseconds(100);
 constexpr Duration kRefusalTimeout = std::chrono::seconds(1);
 constexpr std::string_view kHeartbeatTarget = "/.acp/heartbeat";
 
-/// Sends the end of the output, then discards further input until the peer closes, for at most
-/// kLingerTime: closing with unread input would reset the connection and lose the response.
-void Linger(HttpConnection& connection)
+/// Sends the end of the output, then discards further input until the peer closes: closing with
+/// unread input would reset the connection and lose the response. Ends after kLingerTime, or after
+/// @p slowReaderGrace while the peer has not acknowledged all output.
+void Linger(HttpConnection& connection, Duration slowReaderGrace)
 {
   ::shutdown(connection.Descriptor(), SHUT_WR);
-  const TimePoint deadline = SteadyNow() + kLingerTime;
+  const TimePoint start = SteadyNow();
+  const TimePoint latest = start + std::max(kLingerTime, slowReaderGrace);
+  TimePoint deadline = start + kLingerTime;
   std::array<char, 4096> discarded; // NOLINT(cppcoreguidelines-pro-type-member-init)
   std::size_t count = 0;
-  while (connection.Read(discarded.data(), discarded.size(), deadline, &count) == IoStatus::Ok &&
-         SteadyNow() < deadline) {
+  while (true) {
+    const IoStatus status = connection.Read(discarded.data(), discarded.size(), deadline, &count);
+    const bool isOpen = status == IoStatus::Ok || status == IoStatus::TimedOut;
+    const TimePoint now = SteadyNow();
+    const bool isDue = status == IoStatus::TimedOut || now >= deadline;
+    if (!isOpen || (isDue && (now >= latest || !connection.HasUnsentOutput()))) {
+      return;
+    }
+    if (isDue) {
+      deadline = std::min(now + kLingerPollInterval, latest);
+    }
   }
 }
 
@@ -75,7 +89,7 @@
 {
   const auto length = static_cast<std::int64_t>(body.size());
   connection.Write(FormatResponseHead(head, length, false), body, SteadyNow() + kRefusalTimeout);
-  Linger(connection);
+  Linger(connection, kLingerTime);
 }
 
 ServerConnection::ServerConnection(const Poco::Net::StreamSocket& socket,
@@ -121,32 +135,41 @@
 void ServerConnection::OnWaitEnded(WaitResult result)
 {
   wait_ = 0;
-  if (result != WaitResult::Ready) {
+  // A request may have arrived while the loop was busy past the deadline.
+  if (result == WaitResult::Ready || connection_.HasInput()) {
+    connection_.MarkReadable();
+    Dispatch([self = shared_from_this()] { self->Serve(); });
+  } else if (connection_.HasUnsentOutput()) {
+    Dispatch([self = shared_from_this()] { self->LingerAndClose(); });
+  } else {
     Close();
-    return;
   }
-  connection_.MarkReadable();
-  Dispatch();
 }
 
-void ServerConnection::Dispatch()
+void ServerConnection::Dispatch(const std::function<void()>& step)
 {
-  const auto serve = [self = shared_from_this()] { self->Serve(); };
-  if (server_.workers == nullptr) {
-    loop_.StartNow(serve);
-    return;
-  }
-  auto job = std::make_unique<Job>(serve);
   try {
+    if (server_.workers == nullptr) {
+      loop_.StartNow(step);
+      return;
+    }
+    auto job = std::make_unique<Job>(step);
     server_.workers->start(*job);
     // The job deletes itself at the end of run().
     [[maybe_unused]] const auto* started = job.release();
-  } catch (const Poco::Exception& e) {
-    Log(LogLevel::Error, "no_worker", { { "error", e.displayText() } });
+  } catch (const std::exception& e) {
+    // No thread, or no memory for a stack.
+    Log(LogLevel::Error, "no_worker", { { "error", e.what() } });
     Close();
   }
 }
 
+void ServerConnection::LingerAndClose()
+{
+  Linger(connection_, server_.options->slowReaderGrace);
+  Close();
+}
+
 void ServerConnection::Serve()
 {
   NextStep next = NextStep::Close;
@@ -157,7 +180,8 @@
     Log(LogLevel::Error, "connection_failed", { { "error", e.what() } });
   }
   if (next == NextStep::CloseAfterResponse) {
-    Linger(connection_);
+    LingerAndClose();
+    return;
   }
   if (next != NextStep::Continue || connection_.HasBuffered()) {
     Close();
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -104,7 +104,7 @@
 
 void ConnectionExchange::EndUnanswered(RequestEnd end)
 {
-  isCut_ = isCut_ || end == RequestEnd::RequestCut;
+  isRequestCut_ = isRequestCut_ || end == RequestEnd::RequestCut;
   end_ = connection_.IsPeerGone() ? RequestEnd::CallerGone : end;
 }
 
@@ -156,8 +156,13 @@
   const bool isReusableAfter = std::exchange(isReusable_, false);
   const auto withdrawUnsent = [&] {
     const bool isUnsent = connection_.SentBytes() == sentBefore;
-    hasResponded_ = !isUnsent;
-    isReusable_ = isUnsent && wasReusable;
+    if (isUnsent) {
+      hasResponded_ = false;
+      isReusable_ = wasReusable;
+      status_ = 0;
+      outcome_.clear();
+      reason_.clear();
+    }
     return isUnsent;
   };
   LengthCheckedBody checkedBody(body, length);
@@ -175,7 +180,10 @@
     throw;
   }
   if (!isComplete) {
-    connection_.Shutdown();
+    // Earlier responses may still be on their way to a caller that reads.
+    if (end_ != RequestEnd::SourceEnded) {
+      connection_.Shutdown();
+    }
     return StreamingResult::Incomplete;
   }
   end_ = RequestEnd::Answered;
