Read small chunks that have arrived together

Requests of others waited while responses in chunks of one byte without end were relayed: each read of a body returned at most one chunk, and each chunk became a write to the caller. A task sent 2700 packets for one 16 KiB input before it let other tasks of its event loop run.

FramedBody::Read now goes on with the next chunks as long as they are valid and have arrived completely, so that it neither waits longer nor loses bytes in front of a malformed chunk.

--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -58,6 +58,12 @@
   /// @brief Returns whether the buffer contains input that has not been consumed.
   [[nodiscard]] bool HasBuffered() const { return position_ < buffer_.size(); }
 
+  /// @brief Returns that input; valid until the next read.
+  [[nodiscard]] std::string_view Buffered() const
+  {
+    return std::string_view(buffer_).substr(position_);
+  }
+
   /// @brief Frees the buffer if all of its input has been consumed.
   void ReleaseBuffer();
 
--- a/include/acaciapulley/transport/detail/http_framing.hpp
+++ b/include/acaciapulley/transport/detail/http_framing.hpp
@@ -70,6 +70,10 @@
 /// @brief Formats the line before a chunk of @p size bytes.
 [[nodiscard]] std::string FormatChunkStart(std::size_t size);
 
+/// @brief Parses the line before a chunk and ignores its extensions.
+/// @return the size of the chunk in bytes, or nothing when it is malformed
+[[nodiscard]] std::optional<std::int64_t> ParseChunkLength(std::string_view line);
+
 /// Reads a body with its framing from a connection.
 class FramedBody final : public BodySource
 {
@@ -92,6 +96,8 @@
 
 private:
   std::size_t ReadNext(char* buffer, std::size_t size);
+  std::size_t ReadPiece(char* buffer, std::size_t size);
+  [[nodiscard]] bool HasWholeChunk() const;
   std::size_t ReadPart(char* buffer, std::size_t size);
   std::size_t ReadUntilClose(char* buffer, std::size_t size);
   void StartChunk();
--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/transport/detail/http_framing.hpp"
 
-#include <algorithm> // all_of, min
+#include <algorithm> // all_of
 #include <array>     // array
 #include <charconv>  // from_chars, to_chars
 #include <sstream>   // ostringstream
@@ -20,8 +20,6 @@
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
-constexpr std::size_t kMaxChunkLineBytes = 256;
-constexpr std::size_t kMaxTrailerBytes = 8'192;
 // 15 decimal or hexadecimal digits always fit in 64 bits.
 constexpr std::size_t kMaxLengthDigits = 15;
 constexpr char kEscapeChar = '\x01';
@@ -373,136 +371,9 @@
   return line + "\r\n";
 }
 
-// Bodies are not framed by POCO because it reports a truncated or malformed chunked body as a
-// normal end. Its client session also reconnects and resends silently after a write error, which
-// would run a non-idempotent request twice, so connections are not handled by POCO either.
-FramedBody::FramedBody(HttpConnection& connection, std::int64_t length, Duration idleTimeout)
-  : connection_(connection)
-  , remaining_(std::max<std::int64_t>(length, 0))
-  , isChunked_(length == kChunked)
-  , isCloseDelimited_(length == kCloseDelimited)
-  , isComplete_(length == 0)
-  , idleTimeout_(idleTimeout)
+std::optional<std::int64_t> ParseChunkLength(std::string_view line)
 {
-}
-
-TimePoint FramedBody::ReadDeadline() const
-{
-  return std::min(SteadyNow() + idleTimeout_, deadline_);
-}
-
-std::string FramedBody::ReadBodyLine(std::size_t limit)
-{
-  std::string line;
-  if (connection_.ReadLine(limit, ReadDeadline(), &line) != IoStatus::Ok) {
-    throw BodyTruncated{};
-  }
-  return line;
-}
-
-void FramedBody::SkipTrailers()
-{
-  std::size_t total = 0;
-  while (true) {
-    const std::string line = ReadBodyLine(kMaxTrailerBytes);
-    total += line.size();
-    if (line.empty()) {
-      return;
-    }
-    if (total > kMaxTrailerBytes) {
-      throw BodyTruncated{};
-    }
-  }
-}
-
-void FramedBody::StartChunk()
-{
-  const std::string line = ReadBodyLine(kMaxChunkLineBytes);
-  const std::string_view digits = Trim(std::string_view(line).substr(0, line.find(';')));
-  const auto length = ParseLength(digits, 16);
-  if (!length) {
-    throw BodyTruncated{};
-  }
-  remaining_ = *length;
-  inChunk_ = remaining_ > 0;
-  if (!inChunk_) {
-    SkipTrailers();
-    isComplete_ = true;
-  }
-}
-
-std::size_t FramedBody::ReadPart(char* buffer, std::size_t size)
-{
-  std::size_t count = 0;
-  const std::size_t wanted = std::min(size, static_cast<std::size_t>(remaining_));
-  if (connection_.Read(buffer, wanted, ReadDeadline(), &count) != IoStatus::Ok) {
-    throw BodyTruncated{};
-  }
-  remaining_ -= static_cast<std::int64_t>(count);
-  return count;
-}
-
-/// Reads a body that the end of its connection completes (RFC 9112, section 6.3). A reset does not.
-std::size_t FramedBody::ReadUntilClose(char* buffer, std::size_t size)
-{
-  std::size_t count = 0;
-  const IoStatus status = connection_.Read(buffer, size, ReadDeadline(), &count);
-  isComplete_ = status == IoStatus::Closed;
-  if (status != IoStatus::Ok && !isComplete_) {
-    throw BodyTruncated{};
-  }
-  return count;
-}
-
-std::size_t FramedBody::Read(char* buffer, std::size_t size)
-{
-  if (hasFailed_) {
-    throw BodyTruncated{};
-  }
-  // The position after a failed read is unknown, so no later read may continue from it.
-  hasFailed_ = true;
-  const std::size_t count = ReadNext(buffer, size);
-  hasFailed_ = false;
-  return count;
-}
-
-std::size_t FramedBody::ReadNext(char* buffer, std::size_t size)
-{
-  if (isComplete_) {
-    return 0;
-  }
-  if (onFirstRead_) {
-    std::exchange(onFirstRead_, nullptr)();
-  }
-  // Checked here because reads of input that has already arrived ignore the deadline.
-  if (SteadyNow() >= deadline_) {
-    throw BodyTruncated{};
-  }
-  if (isCloseDelimited_) {
-    return ReadUntilClose(buffer, size);
-  }
-  if (isChunked_ && !inChunk_) {
-    StartChunk();
-    if (isComplete_) {
-      return 0;
-    }
-  }
-  std::size_t count = 0;
-  while (count < size && remaining_ > 0) {
-    // Only the first part may wait, so that input that has arrived is returned without delay.
-    if (count > 0 && !connection_.HasInput()) {
-      break;
-    }
-    count += ReadPart(buffer + count, size - count);
-  }
-  if (remaining_ == 0 && isChunked_) {
-    if (!ReadBodyLine(0).empty()) {
-      throw BodyTruncated{};
-    }
-    inChunk_ = false;
-  }
-  isComplete_ = remaining_ == 0 && !isChunked_;
-  return count;
+  return ParseLength(Trim(line.substr(0, line.find(';'))), 16);
 }
 
 } // namespace acp::detail
--- a/tests/transport_test/endless_responses_test.cpp
+++ b/tests/transport_test/endless_responses_test.cpp
@@ -16,6 +16,7 @@
 #include "acaciapulley/transport/http_client.hpp"
 #include "acaciapulley/transport/http_server.hpp"
 #include "endless_server.hpp"
+#include "truncating_server.hpp"
 
 namespace {
 
@@ -233,6 +234,7 @@
   const MemoryPeak memory;
   {
     std::vector<std::jthread> senders;
+    senders.reserve(static_cast<std::size_t>(load.connections));
     for (int i = 0; i < load.connections; ++i) {
       senders.emplace_back([&](const std::stop_token& stop) {
         while (!stop.stop_requested()) {
@@ -243,6 +245,7 @@
       });
     }
     others.RunFor(load.span);
+    StopAll(senders);
   }
   Report(name, load, memory, others, std::to_string(sentBytes >> 20U) + " MiB sent");
   server.Stop(kHeadTimeout);
@@ -276,6 +279,32 @@
   RunServerCase("connections above the limit", { "", kFilled }, 0);
 }
 
+// Guards against a packet to the caller for each chunk, during which a loop runs no other task.
+BOOST_AUTO_TEST_CASE(small_chunks_that_have_arrived_are_read_together)
+{
+  constexpr int kChunks = 2000;
+  constexpr int kMaxReads = 200;
+  std::string bytes = kChunked;
+  for (int i = 0; i < kChunks; ++i) {
+    bytes += "1\r\nx\r\n";
+  }
+  TruncatingServer server;
+  server.SetResponse(bytes + "0\r\n\r\n", ConnectionEnd::Close);
+  acp::HttpPool pool({ .address = server.ListenAddress() });
+  acp::StringBody empty("");
+  const auto sent = pool.Send({ .method = "GET", .target = "/" }, empty, 0, kHeadTimeout);
+  BOOST_REQUIRE(sent.has_value());
+  std::array<char, 16'384> buffer{};
+  std::size_t total = 0;
+  int reads = 0;
+  while (const auto count = sent.value()->Body().Read(buffer.data(), buffer.size())) {
+    total += count;
+    ++reads;
+  }
+  BOOST_TEST(total == kChunks);
+  BOOST_TEST(reads <= kMaxReads);
+}
+
 // Guards against a timer that is kept until its deadline for each read that has ended long before.
 BOOST_AUTO_TEST_CASE(reads_that_have_ended_take_no_memory)
 {
--- a/tests/transport_test/endless_server.hpp
+++ b/tests/transport_test/endless_server.hpp
@@ -130,6 +130,15 @@
   return sent;
 }
 
+/// Stops all threads at the same time, since each may take a while.
+inline void StopAll(std::vector<std::jthread>& threads)
+{
+  for (auto& thread : threads) {
+    thread.request_stop();
+  }
+  threads.clear();
+}
+
 /// A server that responds with bytes without end, on as many connections at a time as it has
 /// threads. Requests must not have a body.
 class EndlessServer
@@ -148,6 +157,10 @@
     }
   }
 
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+  ~EndlessServer() { StopAll(threads_); }
+
   [[nodiscard]] Address ListenAddress() const
   {
     return { .ip = "127.0.0.1", .port = socket_.address().port() };
