Count a response that ends early as a failure of its upstream

Callers kept getting responses cut in their middle from one faulty upstream, although others were free: 60 of 60 requests at its own node and 18 of 60 at an entry node in front of it. A body that breaks its framing or exceeds its total time counted as an answer once a part was sent: the member table recorded a success, the gate too, and the retry budget grew.

Cause: executor and peer client did not look at how the body ended. ObservedBody now records that its source failed while the caller was connected; such an attempt is recorded as CallResult::Failed and GateResult::Lost, and adds nothing to the retry budget. The caller sees the same as before.

--- a/include/acaciapulley/node/detail/response_relay.hpp
+++ b/include/acaciapulley/node/detail/response_relay.hpp
@@ -19,6 +19,24 @@
 /// Longest time for a whole response body. A faulty server may send bytes without end.
 inline constexpr Duration kBodyTimeout = std::chrono::seconds(60);
 
+/// Records whether a body ended early while its caller was still connected, which is a failure of
+/// its upstream.
+class ObservedBody final : public BodySource
+{
+public:
+  /// @param exchange the exchange with the caller
+  ObservedBody(BodySource& source, const ServerExchange& exchange);
+
+  std::size_t Read(char* buffer, std::size_t size) override;
+
+  [[nodiscard]] bool HasFailed() const { return hasFailed_; }
+
+private:
+  BodySource& source_;
+  const ServerExchange& exchange_;
+  bool hasFailed_ = false;
+};
+
 /// Records a body for the outcome of a claim while it is passed on.
 class RecordingBody final : public BodySource
 {
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -145,7 +145,9 @@
 
 void Dispatcher::RecordResponse(const PendingCall& call, const AttemptResult& attemptResult)
 {
-  if (call.request.isFleetRoute && attemptResult.callResult == CallResult::ServerError) {
+  const bool hasFailed = attemptResult.callResult == CallResult::Failed;
+  const bool isServerError = attemptResult.callResult == CallResult::ServerError;
+  if (hasFailed || (call.request.isFleetRoute && isServerError)) {
     return;
   }
   const std::lock_guard lock(budgetMutex_);
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -270,7 +270,8 @@
     admitted.permit.Finish(GateResult::Failed);
     return *std::move(replaced);
   }
-  RecordingBody recorded(answer.Body());
+  ObservedBody observed(answer.Body(), call.exchange);
+  RecordingBody recorded(observed);
   bool isRecorded = false;
   const auto record = [&] {
     isRecorded = true;
@@ -278,7 +279,7 @@
       options_.claims->Finish(*admitted.ticket, recorded.ToOutcome(upstreamHead));
     }
   };
-  BodySource& body = admitted.ticket ? static_cast<BodySource&>(recorded) : answer.Body();
+  BodySource& body = admitted.ticket ? static_cast<BodySource&>(recorded) : observed;
   call.exchange.RespondStreaming(
     ResponseHead(call, context, upstreamHead, unused), answer.BodyLength(), body, record);
   if (!isRecorded && admitted.ticket && DiscardBody(recorded)) {
@@ -287,6 +288,10 @@
   if (!isRecorded && admitted.ticket) {
     options_.claims->MarkUnknown(*admitted.ticket);
   }
+  if (observed.HasFailed()) {
+    admitted.permit.Finish(GateResult::Lost);
+    return { .unusedRetries = unused, .callResult = CallResult::Failed };
+  }
   const bool isServerError = upstreamHead.status >= kMinServerErrorStatus;
   admitted.permit.Finish(isServerError ? GateResult::Failed : GateResult::Succeeded);
   return { .unusedRetries = unused,
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -189,7 +189,11 @@
   if (const auto reason = head.headers.Find(kReasonHeader)) {
     callerHead.headers.Set(kReasonHeader, *reason);
   }
-  call.exchange.RespondStreaming(callerHead, response.BodyLength(), response.Body(), nullptr);
+  ObservedBody observed(response.Body(), call.exchange);
+  call.exchange.RespondStreaming(callerHead, response.BodyLength(), observed, nullptr);
+  if (observed.HasFailed()) {
+    return { .unusedRetries = unusedRetries, .callResult = CallResult::Failed };
+  }
   return { .unusedRetries = unusedRetries,
            .callResult = isServerError ? CallResult::ServerError : CallResult::Answered };
 }
--- a/src/node/response_relay.cpp
+++ b/src/node/response_relay.cpp
@@ -19,6 +19,23 @@
 
 } // namespace
 
+ObservedBody::ObservedBody(BodySource& source, const ServerExchange& exchange)
+  : source_(source)
+  , exchange_(exchange)
+{
+}
+
+std::size_t ObservedBody::Read(char* buffer, std::size_t size)
+{
+  try {
+    return source_.Read(buffer, size);
+  } catch (const BodyTruncated&) {
+    // Checked here, since the connection to the caller is shut down after a truncated body.
+    hasFailed_ = !exchange_.IsCallerGone();
+    throw;
+  }
+}
+
 /// SHA-256 of the bytes passed on so far.
 class RecordingBody::Digest
 {
