Let other tasks run between the writes of a task

Requests of others waited 1193 ms while 256 callers sent heartbeats ahead without end: a task served all requests in its 16 KiB of input, 400 writes, before its event loop ran another task.

Cause: a read suspends its task, but a write does so only when the kernel's buffer is full. After 16 writes without a wait a task now lets the others run for one round. It doesn't wait for POLLOUT, which needs a third of the buffer to be free and would fail writes to slow callers sooner.

--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -88,7 +88,7 @@
 
 private:
   IoStatus Fill(TimePoint deadline);
-  IoStatus WaitFor(short events, TimePoint deadline) const;
+  IoStatus WaitFor(short events, TimePoint deadline);
 
   std::shared_ptr<Poco::Net::StreamSocket> socket_; ///< owns the descriptor
   int fd_;
@@ -96,6 +96,7 @@
   std::size_t position_ = 0; ///< first byte of buffer_ not yet consumed
   bool isReadable_ = false;  ///< see MarkReadable()
   std::uint64_t sentBytes_ = 0;
+  int writesSinceWait_ = 0;
   TimePoint createdAt_;
   std::atomic<TimePoint> lastReceive_;
   std::atomic<bool> isShutDown_{ false }; ///< a read then ends as if the peer had closed
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -26,6 +26,9 @@
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 3;
+// Writes without a wait, after which a task lets others run.
+constexpr int kMaxWritesPerTurn = 16;
+constexpr Duration kMaxRound = std::chrono::minutes(1);
 
 void SetOption(int fd, int level, int name, int value)
 {
@@ -38,6 +41,16 @@
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
 
+/// Suspends the calling task, if any, for one round of its event loop.
+void LetOtherTasksRun()
+{
+  if (EventLoop* loop = EventLoop::Current()) {
+    const auto id = loop->NewWaitId();
+    loop->Wake(id);
+    loop->Wait(id, SteadyNow() + kMaxRound);
+  }
+}
+
 } // namespace
 
 TimePoint SteadyNow()
@@ -59,8 +72,9 @@
   SetOption(fd_, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
-IoStatus HttpConnection::WaitFor(short events, TimePoint deadline) const
+IoStatus HttpConnection::WaitFor(short events, TimePoint deadline)
 {
+  writesSinceWait_ = 0;
   const WaitResult result = WaitUntilReady(fd_, events, deadline);
   return result == WaitResult::Ready ? IoStatus::Ok : IoStatus::TimedOut;
 }
@@ -153,6 +167,11 @@
 
 IoStatus HttpConnection::Write(std::string_view first, std::string_view second, TimePoint deadline)
 {
+  // A task that always finds input and room for output must still let others run.
+  if (++writesSinceWait_ > kMaxWritesPerTurn) {
+    writesSinceWait_ = 0;
+    LetOtherTasksRun();
+  }
   while (!first.empty() || !second.empty()) {
     std::array<iovec, 2> parts = { iovec{ const_cast<char*>(first.data()), first.size() },
                                    iovec{ const_cast<char*>(second.data()), second.size() } };
--- a/tests/transport_test/endless_responses_test.cpp
+++ b/tests/transport_test/endless_responses_test.cpp
@@ -13,6 +13,7 @@
 
 #include "acaciapulley/core/event_loop.hpp"
 #include "acaciapulley/core/wait_point.hpp"
+#include "acaciapulley/transport/detail/http_connection.hpp"
 #include "acaciapulley/transport/http_client.hpp"
 #include "acaciapulley/transport/http_server.hpp"
 #include "endless_server.hpp"
@@ -305,6 +306,48 @@
   BOOST_TEST(reads <= kMaxReads);
 }
 
+// Guards against a task that runs as long as its peer sends ahead and takes what it writes.
+BOOST_AUTO_TEST_CASE(task_that_writes_often_lets_others_run)
+{
+  constexpr int kWrites = 200;
+  constexpr int kMinTurns = 5;
+  std::array<int, 2> ends{};
+  BOOST_REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
+  const int alwaysReadable = ::eventfd(1, EFD_CLOEXEC);
+  acp::detail::HttpConnection connection(
+    Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(ends[0])));
+  std::atomic<bool> isDone = false;
+  int turnsOfOther = 0;
+  int written = 0;
+  {
+    acp::EventLoop loop;
+    std::latch ended(2);
+    const auto deadline = acp::TimePoint::clock::now() + kHeadTimeout;
+    loop.Spawn([&] {
+      const auto isReady = [&] {
+        return acp::WaitUntilReady(alwaysReadable, POLLIN, deadline) == acp::WaitResult::Ready;
+      };
+      while (!isDone && isReady()) {
+        ++turnsOfOther;
+      }
+      ended.count_down();
+    });
+    loop.Spawn([&] {
+      while (written < kWrites &&
+             connection.Write("x", {}, deadline) == acp::detail::IoStatus::Ok) {
+        ++written;
+      }
+      isDone = true;
+      ended.count_down();
+    });
+    ended.wait();
+  }
+  ::close(alwaysReadable);
+  ::close(ends[1]);
+  BOOST_TEST(written == kWrites);
+  BOOST_TEST(turnsOfOther >= kMinTurns);
+}
+
 // Guards against a timer that is kept until its deadline for each read that has ended long before.
 BOOST_AUTO_TEST_CASE(reads_that_have_ended_take_no_memory)
 {
