--- a/tests/node_test/endless_responses_test.cpp
+++ b/tests/node_test/endless_responses_test.cpp
@@ -24,6 +24,7 @@
 constexpr acp::Duration kAttemptPause = std::chrono::milliseconds(5);
 // Generous, since the machine may be busy; without a fault it is a few milliseconds.
 constexpr acp::Duration kMaxOtherLatency = std::chrono::seconds(5);
+constexpr acp::Duration kMaxFirstResponse = std::chrono::seconds(20);
 constexpr std::size_t kBytesUntilDisconnect = 65'536;
 
 const std::string kFilled(4096, 'x');
@@ -230,6 +231,10 @@
   const MemoryPeak memory;
   Callers callers(endless, (fleet.*entry).IngressPort(), load.connections);
   const acp::Duration longest = SendOthers(fleet.otherNode, load.span);
+  const auto giveUpAt = acp::TimePoint::clock::now() + kMaxFirstResponse;
+  while (callers.Expected() == 0 && acp::TimePoint::clock::now() < giveUpAt) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
   callers.Stop();
   const std::uint64_t sentBytes = fleet.faulty->SentBytes();
   fleet.faulty.reset();
