--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -92,7 +92,7 @@
 private:
   IoStatus Fill(TimePoint deadline);
   [[nodiscard]] bool IsReadable() const;
-  IoStatus WaitFor(short events, TimePoint deadline) const;
+  IoStatus WaitFor(short events, TimePoint deadline);
 
   std::shared_ptr<Poco::Net::StreamSocket> socket_; ///< owns the descriptor
   int fd_;
@@ -100,6 +100,7 @@
   std::size_t position_ = 0; ///< first byte of buffer_ not yet consumed
   bool isReadable_ = false;  ///< see MarkReadable()
   std::uint64_t sentBytes_ = 0;
+  int writesSinceWait_ = 0;
   TimePoint createdAt_;
   std::atomic<TimePoint> lastReceive_;
   std::atomic<bool> isShutDown_{ false }; ///< reads report Failed instead of Closed
