--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -22,7 +22,7 @@
 enum class StreamingResult
 {
   Complete,   ///< the kernel has accepted the complete response
-  Incomplete, ///< the response was cut and the connection aborted
+  Incomplete, ///< the response was cut; its connection is closed
   NotStarted, ///< the body was not of its declared length or ended early, and nothing was sent;
               ///< another response may follow
 };
@@ -48,7 +48,7 @@
   virtual void Respond(const HttpResponseHead& head, const std::string& body) = 0;
 
   /// @brief Streams a response. If the body is truncated or not of the declared length after a part
-  /// was sent, the connection is aborted, so that the caller detects an incomplete response by its
+  /// was sent, the connection is closed, so that the caller detects an incomplete response by its
   /// framing.
   /// @param length length of the body, or -1 to send it chunked
   /// @param beforeLastBytes called once the body has been read completely, before its last bytes
