--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -84,6 +84,7 @@
         self.process = None
         self.wanted = False
         self.starts = 0
+        self.seeds = None    # addresses; None: those of the first three control machines
         self.exits = []
         self.folder = os.path.join(rig.folder, name)
         os.makedirs(self.folder)
@@ -91,6 +92,7 @@
 
     def write_settings(self, bootstrap):
         ports = self.rig.ports
+        self.seeds = self.seeds or [m.ip for m in self.rig.controls][:3]
         is_core = self.role == "control"
         listen = {"control": f"{self.ip}:{ports['control']}"}
         if not is_core:
@@ -100,7 +102,7 @@
             "serves": ["control_plane" if is_core else "sidecar"], "ip": self.ip, "zone": self.zone,
             "region": "r", "zones": {zone: "r" for zone in self.rig.zones}, "listen_addrs": listen,
             "internal_ports": [ports["internal"], ports["internal"] + 15],
-            "seed_nodes": [f"{m.ip}:{ports['control']}" for m in self.rig.controls][:3],
+            "seed_nodes": [f"{ip}:{ports['control']}" for ip in self.seeds],
             "bootstrap": bootstrap, "counts_as_loss": is_core,
             "limits": {"cpu_share": 0.4, "vcpus": 1, "memory_mb": 256, "max_fds": 4096,
                        "bandwidth_mbps": 1000.0, "disk_mb": 256 if is_core else 0},
@@ -124,6 +126,7 @@
         while self.wanted and not self.rig.closing:
             self._run_once()
             time.sleep(RESTART_SECONDS)
+            # The whole system starts for the first time only once.
             self.write_settings(False)
 
     def _run_once(self):
@@ -161,6 +164,12 @@
         with contextlib.suppress(ProcessLookupError):
             resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
 
+    def remove(self):
+        """Takes the machine away for good."""
+        self.rig.record(f"{self.name} is gone for good")
+        self.wanted = False
+        self.process.kill()
+
     def signal(self, number):
         self.rig.record(f"{self.name}: {signal.Signals(number).name}")
         self.process.send_signal(number)
@@ -221,8 +230,8 @@
         self.log.close()
         self.temporary.cleanup()
 
-    def add_control(self, zone):
-        number = 1 + len(self.controls)
+    def add_control(self, zone, number=None):
+        number = number or 1 + len(self.controls)
         self.controls.append(Machine(self, f"core-{number}", "control", zone, number))
         return self.controls[-1]
 
@@ -335,16 +344,53 @@
     return entry
 
 
+class DelayingProxy:
+    """Passes each connection's bytes on to another address, later; also those of a sender that has
+    closed its connection meanwhile."""
+
+    def __init__(self, target, seconds):
+        self.listener = socket.create_server((target[0], 0))
+        self.address = self.listener.getsockname()
+        self.target, self.seconds = target, seconds
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                client, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._pass_on, args=(client,), daemon=True).start()
+
+    def _pass_on(self, client):
+        arrived = time.monotonic()
+        parts = []
+        client.settimeout(self.seconds)
+        with contextlib.suppress(OSError):
+            while part := client.recv(65536):
+                parts.append(part)
+        time.sleep(max(0.0, arrived + self.seconds - time.monotonic()))
+        with contextlib.suppress(OSError), socket.create_connection(self.target, 1) as target:
+            target.settimeout(1)
+            target.sendall(b"".join(parts))
+            answer = target.recv(65536)
+            client.sendall(answer)
+        client.close()
+
+    def close(self):
+        self.listener.close()
+
+
 class Endpoint:
     """An application endpoint beside a node: runs requests, answers health checks, sends heartbeats."""
 
-    def __init__(self, rig, machine, slots=55, work_ms=20):
+    def __init__(self, rig, machine, slots=55, work_ms=20, own_id=None):
         self.rig = rig
         self.machine = machine
         self.service = machine.service
         self.slots = slots
         self.work_ms = work_ms
-        self.id = "i-" + secrets.token_hex(5)
+        self.id = own_id or "i-" + secrets.token_hex(5)
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = "ready"
@@ -352,6 +398,7 @@
         self.runs = []
         self.lock = threading.Lock()
         self.running = 0
+        self.connections = set()
         self.closed = threading.Event()
         endpoint = self
 
@@ -368,10 +415,12 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
 
-    def say(self, call, more=None):
-        """Calls the node beside this endpoint; returns the status, or None without an answer."""
+    def say(self, call, more=None, address=None):
+        """Calls the node beside this endpoint, or a proxy of it; returns the status, or None without
+        an answer within a second."""
         body = json.dumps({"born": self.born, **(more or {})}).encode()
-        connection = http.client.HTTPConnection(self.machine.ip, self.rig.ports["control"], timeout=1)
+        address = address or (self.machine.ip, self.rig.ports["control"])
+        connection = http.client.HTTPConnection(*address, timeout=1)
         try:
             connection.request("POST", f"/rpc?call={call}&of={self.id}", body,
                                {"Content-Type": "application/json"})
@@ -395,6 +444,15 @@
             self.closed.wait(HEARTBEAT_SECONDS if status == 200 else 0.3)
 
     def serve_connection(self, handler):
+        with self.lock:
+            self.connections.add(handler.connection)
+        try:
+            self._serve_requests(handler)
+        finally:
+            with self.lock:
+                self.connections.discard(handler.connection)
+
+    def _serve_requests(self, handler):
         while not self.closed.is_set():
             try:
                 line = handler.rfile.readline(65536)
@@ -464,9 +522,15 @@
         return True
 
     def close(self):
+        """Ends the endpoint; its connections are closed."""
         self.closed.set()
         self.server.shutdown()
         self.server.server_close()
+        with self.lock:
+            connections, self.connections = self.connections, set()
+        for connection in connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
 
 def send_request(rig, machine, host, target, method="GET", key=None, deadline_ms=5000, body=None,
