--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -489,6 +489,10 @@
         handler.wfile.write(head.encode() + body)
         handler.wfile.flush()
 
+    def run(self, request_id, target):
+        """Returns the body of the answer."""
+        return f"{request_id} {target}\n".encode()
+
     def respond(self, handler, method, target, headers):
         load = f"{self.running},0,{self.slots}"
         if target == "/health":
@@ -516,7 +520,7 @@
         finally:
             with self.lock:
                 self.running -= 1
-        answer = f"{request_id} {target}\n".encode()
+        answer = self.run(request_id, target)
         self.send(handler, 200, {**common, "Acaciapulley-Server-Signature": f"{self.id}.{request_id}"},
                   answer)
         return True
