Review: the stand-in operator moves on after a failure; the rig ends what it started

The operator of case 2 picked a machine at random for each try; in one play of eight all tries met hung processes, nothing was written while the third disk was full, and the rule held. In one play of case 1 a supervising thread ran on after the folder was gone.

--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import http.client
+import itertools
 import json
 import os
 import random
@@ -82,9 +83,8 @@
         self.service = service
         self.disk_full = False
         self.process = None
-        self.wanted = False
+        self.supervisor = None
         self.starts = 0
-        self.seeds = None    # addresses; None: those of the first three control machines
         self.exits = []
         self.folder = os.path.join(rig.folder, name)
         os.makedirs(self.folder)
@@ -92,7 +92,6 @@
 
     def write_settings(self, bootstrap):
         ports = self.rig.ports
-        self.seeds = self.seeds or [m.ip for m in self.rig.controls][:3]
         is_core = self.role == "control"
         listen = {"control": f"{self.ip}:{ports['control']}"}
         if not is_core:
@@ -102,7 +101,7 @@
             "serves": ["control_plane" if is_core else "sidecar"], "ip": self.ip, "zone": self.zone,
             "region": "r", "zones": {zone: "r" for zone in self.rig.zones}, "listen_addrs": listen,
             "internal_ports": [ports["internal"], ports["internal"] + 15],
-            "seed_nodes": [f"{ip}:{ports['control']}" for ip in self.seeds],
+            "seed_nodes": [f"{m.ip}:{ports['control']}" for m in self.rig.controls][:3],
             "bootstrap": bootstrap, "counts_as_loss": is_core,
             "limits": {"cpu_share": 0.4, "vcpus": 1, "memory_mb": 256, "max_fds": 4096,
                        "bandwidth_mbps": 1000.0, "disk_mb": 256 if is_core else 0},
@@ -119,15 +118,23 @@
 
     def start(self, bootstrap=False):
         self.write_settings(bootstrap)
-        self.wanted = True
-        threading.Thread(target=self._supervise, daemon=True).start()
+        self.supervisor = threading.Thread(target=self._supervise, daemon=True)
+        self.supervisor.start()
 
     def _supervise(self):
-        while self.wanted and not self.rig.closing:
+        while not self.rig.closing:
             self._run_once()
             time.sleep(RESTART_SECONDS)
-            # The whole system starts for the first time only once.
-            self.write_settings(False)
+            if not self.rig.closing:
+                # The whole system starts for the first time only once.
+                self.write_settings(False)
+
+    def end(self):
+        """Ends the process for good; the rig is closing."""
+        while self.supervisor is not None and self.supervisor.is_alive():
+            if self.is_running():
+                self.process.kill()
+            self.supervisor.join(0.1)
 
     def _run_once(self):
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
@@ -164,12 +171,6 @@
         with contextlib.suppress(ProcessLookupError):
             resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
 
-    def remove(self):
-        """Takes the machine away for good."""
-        self.rig.record(f"{self.name} is gone for good")
-        self.wanted = False
-        self.process.kill()
-
     def signal(self, number):
         self.rig.record(f"{self.name}: {signal.Signals(number).name}")
         self.process.send_signal(number)
@@ -213,15 +214,8 @@
 
     def __exit__(self, *_):
         self.closing = True
-        machines = self.controls + self.nodes
-        for machine in machines:
-            machine.wanted = False
-        for machine in machines:
-            if machine.is_running():
-                machine.process.kill()
-        for machine in machines:
-            if machine.process is not None:
-                machine.process.wait()
+        for machine in self.controls + self.nodes:
+            machine.end()
         keep = os.environ.get("KEEP_LOG")
         if keep:
             self.log.flush()
@@ -230,8 +224,8 @@
         self.log.close()
         self.temporary.cleanup()
 
-    def add_control(self, zone, number=None):
-        number = number or 1 + len(self.controls)
+    def add_control(self, zone):
+        number = 1 + len(self.controls)
         self.controls.append(Machine(self, f"core-{number}", "control", zone, number))
         return self.controls[-1]
 
@@ -274,8 +268,10 @@
         self.record(f"operator sends version {document['version']}")
         until = time.monotonic() + seconds
         pause = 0.1
+        # After a failure a caller moves on to another node.
+        order = itertools.cycle(random.sample(self.controls, len(self.controls)))
         while time.monotonic() < until:
-            machine = random.choice(self.controls)
+            machine = next(order)
             answer = self.call(machine, "config.replace", body)
             if answer and answer[0] in (200, 400, 409, 412, 413, 422):
                 self.record(f"{machine.name} answers version {document['version']}: {answer[0]} "
