--- a/review/3/play.py
+++ b/review/3/play.py
@@ -17,6 +17,7 @@
 MEMBER_WORK_MS, MEMBER_DEADLINE_MS = 640, 8000    # as member-lookup on the sheet of the site
 ORDER_WORK_MS, ORDER_DEADLINE_MS = 210, 5000      # as dyelot-order
 MEAN_PAUSE_SECONDS = 0.4
+CLIENTS_EACH = 2          # of each tenant and class at each node
 
 
 def document(version, base, with_tenants):
@@ -61,7 +62,7 @@
     stop, sent = threading.Event(), {}
     clients = []
     for node in rig.nodes:
-        for tenant in range(TENANTS):
+        for tenant in list(range(TENANTS)) * CLIENTS_EACH:
             clients.append(Client(rig, node, tenant, "/members/1", "GET", MEMBER_DEADLINE_MS, stop, sent))
             clients.append(Client(rig, node, tenant, "/orders/1", "POST", ORDER_DEADLINE_MS, stop, sent))
     for client in clients:
