--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -562,15 +562,14 @@
 
 def main(case, play):
     """Plays a case; the exit code is 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    with Rig(case) as rig:
-        try:
+    try:
+        with Rig(case) as rig:
             broken = play(rig)
-        except CannotRun as error:
-            rig.record(f"cannot run: {error}")
-            print(f"cannot run: {error}")
-            return 2
-        verdict = "broken" if broken else "held"
-        rig.record(f"verdict: the rule is {verdict}")
-        print(f"trouble={'yes' if TROUBLE else 'no'}: the rule is {verdict}"
-              + (f": {broken}" if broken else ""))
-        return 1 if broken else 0
+            verdict = "broken" if broken else "held"
+            rig.record(f"verdict: the rule is {verdict}")
+    except Exception as error:  # pylint: disable=broad-except
+        # Whatever goes wrong in the script itself says nothing about the rule.
+        print(f"cannot run: {error!r}")
+        return 2
+    print(f"trouble={'yes' if TROUBLE else 'no'}: the rule is {verdict}" + (f": {broken}" if broken else ""))
+    return 1 if broken else 0
