--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -148,7 +148,7 @@
         self.starts += 1
         self.rig.record(f"{self.name} starts (pid {process.pid})")
         for line in process.stdout:
-            text = line.decode("utf-8", "replace").rstrip()
+            text = line.decode("utf-8", "replace").rstrip().replace(self.rig.folder + "/", "")
             with self.rig.log_lock:
                 self.rig.log.write(f"{self.rig.record.now():9.3f} {self.name} {text}\n")
             if "level=error" in text:
