--- a/include/acaciapulley/replication/detail/replica_impl.hpp
+++ b/include/acaciapulley/replication/detail/replica_impl.hpp
@@ -105,6 +105,7 @@
   void UpdatePeerAddresses(const std::vector<RaftMessage>& messages);
   void AbortPending(const ReplicationError& error);
   void ReportFailure(const ReplicationError& error);
+  [[nodiscard]] ReplicationError StoppedError() const;
 
   void RunBootstrap();
   std::optional<InitialSet> FindInitialSet();
@@ -124,6 +125,7 @@
 
   mutable std::mutex publishedMutex_;
   PublishedState published_;
+  std::string failure_; ///< description of the error that stopped the replica
 
   std::mutex inboxMutex_;
   std::condition_variable inboxChanged_;
--- a/src/replication/replica_impl.cpp
+++ b/src/replication/replica_impl.cpp
@@ -165,8 +165,7 @@
         ReportFailure({ ReplicationErrorCode::Corrupt, e.what() });
       }
     } else {
-      AbortPending(
-        { ReplicationErrorCode::Stopped, "the replica has stopped because of an error" });
+      AbortPending(StoppedError());
       StartProposals(std::move(inbox.proposals));
       StartReplacements(std::move(inbox.replacements));
     }
@@ -258,8 +257,7 @@
 {
   for (auto& proposal : proposals) {
     if (failed_) {
-      proposal.promise->set_value(
-        acp::Fail(ReplicationErrorCode::Stopped, "the replica has stopped because of an error"));
+      proposal.promise->set_value(StoppedError());
       continue;
     }
     auto position = core_.Propose(std::move(proposal.command), options_.clock->WallNow());
@@ -275,8 +273,7 @@
 {
   for (auto& replacement : replacements) {
     if (failed_) {
-      replacement.promise->set_value(
-        acp::Fail(ReplicationErrorCode::Stopped, "the replica has stopped because of an error"));
+      replacement.promise->set_value(StoppedError());
       continue;
     }
     auto position = core_.Replace(replacement.lostId, replacement.newId, options_.clock->WallNow());
@@ -353,8 +350,13 @@
 
 void Replica::Impl::ReportFailure(const ReplicationError& error)
 {
-  if (failed_.exchange(true)) {
-    return;
+  {
+    const std::lock_guard lock(publishedMutex_);
+    if (failed_) {
+      return;
+    }
+    failure_ = error.Describe();
+    failed_ = true;
   }
   Log(LogLevel::Error, "replica_failed", { { "error", error.Describe() } });
   if (options_.onFailure) {
@@ -362,6 +364,12 @@
   }
 }
 
+ReplicationError Replica::Impl::StoppedError() const
+{
+  const std::lock_guard lock(publishedMutex_);
+  return { ReplicationErrorCode::Stopped, "the replica has stopped: " + failure_ };
+}
+
 ReplicationResult<std::string> Replica::Impl::Propose(const std::string& command, Duration timeout)
 {
   if (command.size() > options_.maxCommandBytes) {
