Keep the numbers of log segments without a gap after a start that failed

Cause: a start creates the next segment. If its header cannot be written, the empty file stays; the next start takes it for a torn tail at offset 0 and removes it, but counted on from its number, so that the segment after it was created and the start after that found a gap. A loss of power at a start does the same, without a full disk.

Why it works: the number of the removed segment is used again, so that numbers have no gap at any point of a start.

--- a/src/replication/file_storage.cpp
+++ b/src/replication/file_storage.cpp
@@ -129,6 +129,8 @@
     if (tornTail_->offset == 0) {
       BOOST_OUTCOME_TRYV(disk_->Remove(tornTail_->name));
       segments_.pop_back();
+      // The numbers of the segments have no gap.
+      --segmentNumber_;
     }
   }
   // If only the process crashed, the data that was read may not be synced yet.
