End a failed process at once, from any thread

Cause: a replica that fails calls its hook on the thread that failed, mostly the disk's. The hook raised SIGTERM: raise() sends a signal to the calling thread, where it is blocked, and sigwait() on the main thread does not see what is pending for another thread. The thread then ends, and the signal with it. The process stayed with its ports open, so that nothing restarted it: a disk without room for a moment cost a replica for good.

Change: EndFailedProcess() writes the last line and leaves with code 1, without waiting for any thread, and for the reader of the log at most one second. SIGXFSZ is ignored, so that a limit of file sizes is an error of the write; signals are blocked before the command line is read. No raise() is left in the programs.

--- a/src/programs/acp-control/main.cpp
+++ b/src/programs/acp-control/main.cpp
@@ -9,7 +9,7 @@
 #include "acaciapulley/control/rate_service.hpp"    // StartRateRefresh, RateService
 #include "acaciapulley/control/record_service.hpp"  // RecordService
 #include "acaciapulley/core/log.hpp"                // Log
-#include "acaciapulley/transport/process.hpp"       // BlockStopSignals, WaitForStopSignal
+#include "acaciapulley/transport/process.hpp"       // PrepareProcess, WaitForStopSignal
 #include "acaciapulley/transport/settings.hpp"      // Settings
 #include "replica_settings.hpp"                     // StartReplica
 
@@ -71,6 +71,7 @@
 
 int main(int argc, char** argv)
 {
+  acp::PrepareProcess();
   acp::Settings settings("acp-control", ACP_VERSION, "One replica of the fleet's control state.");
   settings.AddAddress("rpc", "where nodes and replicas connect", "127.0.0.1:7300");
   settings.AddAddress("operator", "where operators connect", "127.0.0.1:7310");
@@ -79,7 +80,6 @@
                    acp::Settings::kRequired);
   acp::AddReplicaSettings(settings);
   settings.ParseOrExit(argc, argv);
-  acp::BlockStopSignals();
   try {
     return Run(settings);
   } catch (const std::exception& e) {
--- a/src/programs/acp-control/replica_settings.cpp
+++ b/src/programs/acp-control/replica_settings.cpp
@@ -1,11 +1,10 @@
 #include "replica_settings.hpp"
 
 #include <algorithm> // find
-#include <csignal>   // raise, SIGTERM
 #include <stdexcept> // runtime_error
 #include <utility>   // move
 
-#include "acaciapulley/core/log.hpp" // Log
+#include "acaciapulley/transport/process.hpp" // EndFailedProcess
 
 namespace acp {
 
@@ -56,9 +55,7 @@
                      .startListener = false,
                      .onFailure =
                        [](const ReplicationError& error) {
-                         Log(LogLevel::Error, "replica_failed", { { "error", error.Describe() } });
-                         // A replica that cannot use its disk must stop serving requests.
-                         std::raise(SIGTERM);
+                         EndFailedProcess("control_failed", error.Describe());
                        } },
                    state);
   if (!started) {
--- a/src/programs/acp-load/main.cpp
+++ b/src/programs/acp-load/main.cpp
@@ -5,7 +5,7 @@
 
 #include <fmt/format.h> // print
 
-#include "acaciapulley/transport/process.hpp"  // BlockStopSignals
+#include "acaciapulley/transport/process.hpp"  // PrepareProcess
 #include "acaciapulley/transport/settings.hpp" // Settings
 #include "load_options.hpp"
 #include "load_run.hpp"
@@ -30,6 +30,7 @@
 
 int main(int argc, char** argv)
 {
+  acp::PrepareProcess();
   acp::Settings settings(
     "acp-load",
     ACP_VERSION,
@@ -37,7 +38,6 @@
     "belong to its request.");
   LoadOptions::Declare(settings);
   settings.ParseOrExit(argc, argv);
-  acp::BlockStopSignals();
   try {
     return Run(settings);
   } catch (const std::exception& e) {
--- a/src/programs/acp-node/main.cpp
+++ b/src/programs/acp-node/main.cpp
@@ -8,7 +8,7 @@
 
 #include "acaciapulley/core/log.hpp"           // Log
 #include "acaciapulley/node/node_process.hpp"  // NodeProcess
-#include "acaciapulley/transport/process.hpp"  // BlockStopSignals, WaitForStopSignal
+#include "acaciapulley/transport/process.hpp"  // PrepareProcess, WaitForStopSignal
 #include "acaciapulley/transport/settings.hpp" // Settings
 
 namespace {
@@ -69,6 +69,7 @@
 
 int main(int argc, char** argv)
 {
+  acp::PrepareProcess();
   acp::Settings settings("acp-node", ACP_VERSION, "Overload control beside one upstream.");
   settings.AddText("node-id", "unique name of this node", acp::Settings::kRequired);
   settings.AddText("data-centre", "data centre of this host", acp::Settings::kRequired);
@@ -83,7 +84,6 @@
   settings.AddInteger("max-connections", "connections for each listener", 1024, 1, 10'000);
   settings.AddInteger("retry-budget", "retries of one request over its whole call tree", 2, 0, 8);
   settings.ParseOrExit(argc, argv);
-  acp::BlockStopSignals();
   try {
     return Run(settings);
   } catch (const std::exception& e) {
--- a/src/programs/acp-upstream/main.cpp
+++ b/src/programs/acp-upstream/main.cpp
@@ -9,7 +9,7 @@
 
 #include "acaciapulley/core/log.hpp"              // Log
 #include "acaciapulley/transport/http_server.hpp" // HttpServer
-#include "acaciapulley/transport/process.hpp"     // BlockStopSignals, WaitForStopSignal
+#include "acaciapulley/transport/process.hpp"     // PrepareProcess, WaitForStopSignal
 #include "acaciapulley/transport/settings.hpp"    // Settings
 #include "stub_upstream.hpp"
 
@@ -70,6 +70,7 @@
 
 int main(int argc, char** argv)
 {
+  acp::PrepareProcess();
   acp::Settings settings("acp-upstream", ACP_VERSION, "A stub upstream.");
   settings.AddText("service", "service to announce", acp::Settings::kRequired);
   settings.AddAddress("listen", "where the node connects", acp::Settings::kRequired);
@@ -90,7 +91,6 @@
     "next", "nested calls, comma-separated, such as /members/listings/1,POST:/orders/dye-lots", "");
   settings.AddText("record-file", "file for the heads of all requests; empty for none", "");
   settings.ParseOrExit(argc, argv);
-  acp::BlockStopSignals();
   try {
     return Run(settings);
   } catch (const std::exception& e) {
--- a/tests/processes/scenarios.py
+++ b/tests/processes/scenarios.py
@@ -5,6 +5,7 @@
 """
 
 import concurrent.futures
+import contextlib
 import json
 import os
 import secrets
@@ -261,6 +262,41 @@
     run.fleet.wait_for("orders run", lambda: run.order(run.second)[0] == 200)
 
 
+def full_disks_in_turn(run):
+    """P12: a replica whose disk is full ends with an error, also at each start, and works again once
+    there is room."""
+    run.start()
+
+    def put_next():
+        run.fleet.acpctl("config", "put", ORDERS, "--if-version", str(run.document()["version"]))
+
+    def has_ended(process):
+        with contextlib.suppress(fleet.FleetError):
+            put_next()
+        return process.poll() is not None
+
+    def require_failed(name, process):
+        run.fleet.processes.remove((name, process))
+        require(process.wait(fleet.START_SECONDS) == 1, f"{name} ended with {process.returncode}")
+
+    for index in range(3):
+        name = f"control-{index + 1}"
+        process = run.process(name)
+        fleet.set_disk_full(process.pid)
+        run.fleet.processes.remove((name, process))
+        run.fleet.wait_for(f"{name} ends", lambda ended=process: has_ended(ended))
+        require(process.returncode == 1, f"{name} ended with {process.returncode}")
+        for _ in range(4):
+            require_failed(name, run.fleet.start_replica(index, disk_full=True))
+        run.fleet.start_replica(index)
+        run.wait_for_leader()
+    version = run.document()["version"]
+    put_next()
+    require(run.document()["version"] == version + 1, "the last change was lost")
+    run.fleet.wait_for("both nodes serve orders", lambda: all(
+        run.order(node)[0] == 200 for node in run.fleet.nodes))
+
+
 def restart_after_hundreds_of_changes(run):
     """P5 and P12: restarting killed replicas after hundreds of changes restores no older state."""
     run.start()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import resource
 import secrets
 import subprocess
 import time
@@ -39,6 +40,12 @@
     return [next(_next_port) for _ in range(count)]
 
 
+def set_disk_full(pid=0):
+    """Makes each write of a process fail that would add a byte to a file, by its own limit; 0: this
+    process."""
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
+
+
 def get(port, path, headers=None, method="GET", timeout=5):
     """Sends one request; returns status, headers and body of the response."""
     connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
@@ -91,10 +98,11 @@
             file.write(text)
         os.chmod(path, 0o600)
 
-    def _start(self, name, program, *flags):
+    def _start(self, name, program, *flags, disk_full=False):
         log = open(os.path.join(self.folder, name + ".log"), "w", encoding="utf-8")
         command = [os.path.join(self.bin, program)] + [str(flag) for flag in flags]
-        process = subprocess.Popen(command, stdout=log, stderr=log)
+        process = subprocess.Popen(command, stdout=log, stderr=log,
+                                   preexec_fn=set_disk_full if disk_full else None)
         log.close()
         self.processes.append((name, process))
         return process
@@ -127,13 +135,15 @@
         self.controls = [self.start_replica(index) for index in range(replicas)]
         self.wait_for("control has a leader", lambda: self.acpctl("members"))
 
-    def start_replica(self, index, folder=None):
-        """Starts a control replica with its data folder, or with @p folder if that is given."""
+    def start_replica(self, index, folder=None, disk_full=False):
+        """Starts a control replica with its data folder, or with @p folder if that is given; its
+        files take no byte if @p disk_full is true."""
         folder = folder or os.path.join(self.folder, f"control-{index + 1}")
         return self._start(f"control-{index + 1}", "acp-control", "--rpc", self.rpc[index],
                            "--operator", self.operators[index], "--replicas", self.control,
                            "--data-folder", folder, "--bootstrap",
-                           "--operator-key-hash-file", self._operators_file)
+                           "--operator-key-hash-file", self._operators_file,
+                           disk_full=disk_full)
 
     def acpctl(self, *words):
         command = [os.path.join(self.bin, "acpctl"), "--control", self.operator,
