Compare the start of an upstream in its deregistration

Cause: the deregistration was matched by the id alone and held as final for the current start; the start that it states was not read. Now it ends the start that it states and earlier ones, also when no heartbeat of that start has arrived yet. One that states no start ends the one that is known, as before. A body that cannot be read is refused like such a heartbeat, with the field in the log.

--- a/tests/platform_test/upstream_registry_test.cpp
+++ b/tests/platform_test/upstream_registry_test.cpp
@@ -69,9 +69,9 @@
 BOOST_AUTO_TEST_CASE(deregistration_lasts_until_the_next_start)
 {
   registry.ApplyHeartbeat(MakeHeartbeat("a", 100, 1));
-  registry.ApplyDeregistration("other");
+  registry.ApplyDeregistration({ .instanceId = "other" });
   BOOST_TEST(!announced.back().draining);
-  registry.ApplyDeregistration("a");
+  registry.ApplyDeregistration({ .instanceId = "a" });
   BOOST_TEST(announced.back().draining);
   registry.ApplyHeartbeat(MakeHeartbeat("a", 100, 2));
   BOOST_TEST(announced.back().draining);
@@ -79,6 +79,49 @@
   BOOST_TEST(!announced.back().draining);
 }
 
+// Guards against an upstream that gets no requests after its earlier start deregistered late.
+BOOST_AUTO_TEST_CASE(late_deregistration_of_an_earlier_start_changes_nothing)
+{
+  registry.ApplyHeartbeat(MakeHeartbeat("a", 100, 5, true));
+  registry.ApplyHeartbeat(MakeHeartbeat("a", 200, 1));
+  const auto announcements = announced.size();
+  BOOST_TEST(!registry.ApplyDeregistration({ .instanceId = "a", .startedAtMs = 100 }));
+  BOOST_TEST(announced.size() == announcements);
+  BOOST_TEST(registry.ApplyHeartbeat(MakeHeartbeat("a", 200, 2)));
+  BOOST_TEST(!announced.back().draining);
+  BOOST_TEST(registry.ApplyDeregistration({ .instanceId = "a", .startedAtMs = 200 }));
+  BOOST_TEST(announced.back().draining);
+}
+
+// Guards against an upstream that is used again because a heartbeat of the start that deregistered
+// arrives late.
+BOOST_AUTO_TEST_CASE(deregistration_of_a_start_without_heartbeats_is_kept)
+{
+  registry.ApplyHeartbeat(MakeHeartbeat("a", 100, 5));
+  BOOST_TEST(registry.ApplyDeregistration({ .instanceId = "a", .startedAtMs = 200 }));
+  BOOST_TEST(registry.ApplyHeartbeat(MakeHeartbeat("a", 200, 1)));
+  BOOST_TEST(announced.back().draining);
+  BOOST_TEST(registry.ApplyHeartbeat(MakeHeartbeat("a", 300, 1)));
+  BOOST_TEST(!announced.back().draining);
+}
+
+// Guards against an upstream that another writer's deregistration takes out.
+BOOST_AUTO_TEST_CASE(invalid_deregistrations_are_rejected)
+{
+  using acp::platform::Deregistration;
+  BOOST_TEST(Deregistration::Parse("i", "").value().startedAtMs == 0);
+  BOOST_TEST(Deregistration::Parse("i", "{}").value().startedAtMs == 0);
+  BOOST_TEST(Deregistration::Parse("i", R"({"born":12,"more":[]})").value().startedAtMs == 12);
+  for (const std::string body :
+       { "[]", "{", "\xff", R"({"born":"12"})", R"({"born":-1})", R"({"born":1.5})",
+         R"({"born":null})", R"({"born":true})", R"({"born":99999999999999999999})" }) {
+    std::string problem;
+    BOOST_TEST(!Deregistration::Parse("i", body, &problem).has_value(), body);
+    BOOST_TEST(!problem.empty());
+  }
+  BOOST_TEST(!Deregistration::Parse("", "{}").has_value());
+}
+
 // Guards against requests to an upstream that is draining or does not state its identity.
 BOOST_AUTO_TEST_CASE(only_a_healthy_response_with_identity_and_slots_is_accepted)
 {
@@ -128,7 +171,7 @@
   registry.ApplyProbe(found);
   BOOST_TEST(announced.size() == 1U);
   BOOST_TEST(registry.HasUpstream());
-  registry.ApplyDeregistration("i");
+  registry.ApplyDeregistration({ .instanceId = "i" });
   BOOST_TEST(registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 7)));
   BOOST_TEST(announced.back().draining);
   BOOST_TEST(registry.ApplyHeartbeat(MakeHeartbeat("j", 2000, 1)));
