Take a client account from the request's own key only

Cause: without accounts in the document a request has no account, as a nested call has none; it was then given that of a request that runs at the local upstream, drawn at random, and since its route is not open to all, the account was named to the upstream. Now only a call on an open route, whose upstream is never told an account, inherits one for scheduling.

Evidence: request_never_bears_the_account_of_another_request, at the own upstream and over a hop; both failed before.

--- a/src/node/ingress_admission.cpp
+++ b/src/node/ingress_admission.cpp
@@ -147,7 +147,11 @@
   }
   admitted.parentClass = parent->requestClass;
   admitted.context.rootId = parent->context.rootId;
-  admitted.context.account = parent->context.account;
+  // The account of a request that is not open to all is named to the upstream, so it comes from the
+  // request's own key only.
+  if (admitted.request.requestClass->openToAll) {
+    admitted.context.account = parent->context.account;
+  }
   admitted.context.priority = parent->context.priority;
 }
 
--- a/tests/node_test/nested_calls_test.cpp
+++ b/tests/node_test/nested_calls_test.cpp
@@ -1,3 +1,4 @@
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
@@ -6,6 +7,7 @@
 
 #include "acaciapulley/core/outcome.hpp"
 #include "acaciapulley/node/detail/hop_registry.hpp"
+#include "pipeline_documents.hpp"
 #include "pipeline_fixture.hpp"
 
 namespace {
@@ -110,6 +112,40 @@
              "unlimited");
 }
 
+// Guards against a request that runs for another client account while a document without accounts
+// comes into force.
+BOOST_DATA_TEST_CASE(request_never_bears_the_account_of_another_request,
+                     boost::unit_test::data::make({ false, true }),
+                     isSentToPeer)
+{
+  FakeControl control;
+  FakeUpstream ownUpstream;
+  FakeUpstream peerUpstream;
+  TestNode own({ .control = &control, .upstream = &ownUpstream, .routesByFleet = true });
+  TestNode peer(
+    { .id = "n2", .control = &control, .upstream = &peerUpstream, .routesByFleet = true });
+  TestNode::ConnectAll({ &own, &peer });
+  FetchResult second;
+  ownUpstream.onRun = [&](const RecordedRequest& recorded) {
+    if (recorded.head.target.ends_with("root")) {
+      for (auto* node : { &own, &peer }) {
+        node->ApplyFleet(2, FleetDocumentText(false));
+      }
+      own.Announce(isSentToPeer);
+      auto head = FleetRead("second", kLimitedKey);
+      head.headers.Set("Acp-Deadline-Ms", "3000");
+      second = Fetch(own.IngressPort(), head);
+    }
+  };
+  peer.Announce(!isSentToPeer);
+  BOOST_TEST(Fetch(own.IngressPort(), RequestWithDeadline("9000")).status == 200);
+  BOOST_TEST(second.status == 200);
+  const auto runs = (isSentToPeer ? peerUpstream : ownUpstream).Recorded();
+  BOOST_REQUIRE(!runs.empty());
+  BOOST_TEST(runs.back().head.target == "/items/second");
+  BOOST_TEST(!runs.back().head.headers.Find("Acp-Account"));
+}
+
 BOOST_AUTO_TEST_CASE(nested_call_without_context_is_matched_to_the_hop_with_its_deadline)
 {
   acp::ManualClock clock(kNow);
--- a/tests/node_test/pipeline_documents.cpp
+++ b/tests/node_test/pipeline_documents.cpp
@@ -47,8 +47,10 @@
          R"("idempotent":true,"open":true,"deadline_ms":20000}]})";
 }
 
-std::string FleetDocumentText()
+std::string FleetDocumentText(bool hasAccounts)
 {
+  const std::string accounts = FleetAccountJson("unlimited", kUnlimitedKey, 0) + "," +
+                               FleetAccountJson("limited", kLimitedKey, kLimitedRate);
   return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)"
          R"({"name":"front","health_path":"","max_connections":100},)"
          R"({"name":"back","health_path":"","max_connections":100}],"routes":[)" +
@@ -59,8 +61,7 @@
          "," + FleetRouteJson("quick-read", { .prefix = "/quick/items/", .targetMs = 1000 }) + "," +
          FleetRouteJson("nested", { .prefix = "/nested/", .isOpen = true }) + "," +
          FleetRouteJson("stock", { .prefix = "/stock/", .isOpen = true, .service = "back" }) +
-         R"(],"accounts":[)" + FleetAccountJson("unlimited", kUnlimitedKey, 0) + "," +
-         FleetAccountJson("limited", kLimitedKey, kLimitedRate) + "]}";
+         R"(],"accounts":[)" + (hasAccounts ? accounts : "") + "]}";
 }
 
 } // namespace acp::test
--- a/tests/node_test/pipeline_documents.hpp
+++ b/tests/node_test/pipeline_documents.hpp
@@ -11,6 +11,6 @@
 
 /// The fleet document. Its routes lead to the service `front`, but for /stock/, which leads to
 /// `back`.
-std::string FleetDocumentText();
+std::string FleetDocumentText(bool hasAccounts = true);
 
 } // namespace acp::test
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -376,6 +376,14 @@
     clock_.Now() - age);
 }
 
+void TestNode::ApplyFleet(std::int64_t version, const std::string& text)
+{
+  stateCache_.Apply({ .toVersion = version,
+                      .fleet = ReceivedDocument{ version, text },
+                      .fleetSecret = std::string(32, 'f') },
+                    clock_.Now() + std::chrono::hours(1));
+}
+
 HttpServerOptions TestNode::ListenerOptions(void (RequestPipeline::*handle)(ServerExchange&))
 {
   const bool isPeer = handle == &RequestPipeline::HandlePeer;
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -164,6 +164,8 @@
   bool WaitForCompleted(int count, Duration longest);
 
   void ApplyState();
+  /// Puts a later fleet document in force.
+  void ApplyFleet(std::int64_t version, const std::string& text);
   int Announce(bool isDraining);
   /// Announces an upstream at @p port instead of the one in the options.
   int AnnounceAt(std::uint16_t port, bool isDraining = false);
