--- a/include/acaciapulley/transport/process.hpp
+++ b/include/acaciapulley/transport/process.hpp
@@ -20,7 +20,8 @@
 /// @param onReload called on this thread for each SIGHUP; may be empty
 void WaitForStopSignal(const std::function<void()>& onReload = nullptr);
 
-/// @brief Logs @p event with @p error as the last line and ends the process at once with exit code 1.
+/// @brief Logs @p event with @p error as the last line and ends the process at once with exit
+/// code 1.
 ///
 /// May be called on any thread. Takes at most one second, whatever the other threads and the reader
 /// of the log do: no thread is joined and no destructor runs.
--- a/tests/platform_test/upstream_registry_test.cpp
+++ b/tests/platform_test/upstream_registry_test.cpp
@@ -112,9 +112,15 @@
   BOOST_TEST(Deregistration::Parse("i", "").value().startedAtMs == 0);
   BOOST_TEST(Deregistration::Parse("i", "{}").value().startedAtMs == 0);
   BOOST_TEST(Deregistration::Parse("i", R"({"born":12,"more":[]})").value().startedAtMs == 12);
-  for (const std::string body :
-       { "[]", "{", "\xff", R"({"born":"12"})", R"({"born":-1})", R"({"born":1.5})",
-         R"({"born":null})", R"({"born":true})", R"({"born":99999999999999999999})" }) {
+  for (const std::string body : { "[]",
+                                  "{",
+                                  "\xff",
+                                  R"({"born":"12"})",
+                                  R"({"born":-1})",
+                                  R"({"born":1.5})",
+                                  R"({"born":null})",
+                                  R"({"born":true})",
+                                  R"({"born":99999999999999999999})" }) {
     std::string problem;
     BOOST_TEST(!Deregistration::Parse("i", body, &problem).has_value(), body);
     BOOST_TEST(!problem.empty());
--- a/tests/replication_test/memory_disk.hpp
+++ b/tests/replication_test/memory_disk.hpp
@@ -29,8 +29,8 @@
     }
   }
 
-  /// Keeps the synced data and a random part of each appended tail, which may be corrupt. Names that
-  /// were created, renamed or removed without a sync of the folder may be kept or lost.
+  /// Keeps the synced data and a random part of each appended tail, which may be corrupt. Names
+  /// that were created, renamed or removed without a sync of the folder may be kept or lost.
   void Crash(std::mt19937_64& random)
   {
     std::map<std::string, std::string> kept = durableFiles;
@@ -49,8 +49,9 @@
     for (const auto& [name, bytes] : files) {
       if (!durableFiles.contains(name) && random() % 2 == 0) {
         const auto synced = syncedContents.find(name);
-        kept[name] = synced != syncedContents.end() ? synced->second
-                                                    : bytes.substr(0, random() % (bytes.size() + 1));
+        kept[name] = synced != syncedContents.end()
+                       ? synced->second
+                       : bytes.substr(0, random() % (bytes.size() + 1));
       }
     }
     for (const auto& [name, bytes] : durableFiles) {
--- a/tests/replication_test/storage_faults_test.cpp
+++ b/tests/replication_test/storage_faults_test.cpp
@@ -152,8 +152,7 @@
     if (!batch.entries.empty()) {
       return !state.entries.empty() && state.entries.back() == batch.entries.back();
     }
-    return batch.snapshot && state.snapshot &&
-           state.snapshot->position == batch.snapshot->position;
+    return batch.snapshot && state.snapshot && state.snapshot->position == batch.snapshot->position;
   }
 
   Contents contents_;
