Let a caller that reads steadily with a small window have its whole answer

Cause: TCP_USER_TIMEOUT of 5 s on each connection. While the window of a reader has less room than a segment, the kernel counts from the last time that all was acknowledged, as for a peer that is gone. Accepted connections now have only the deadlines of their writes (HttpServerOptions::slowReaderGrace). So that these measure what the caller takes, the kernel accepts at most 128 KiB beyond what is in flight (TCP_NOTSENT_LOWAT), which also bounds what is held for a slow reader.

Connections that a node opens keep the time-out: the same may happen to an upload that an upstream reads through a small window (not tried).

--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -31,13 +31,21 @@
 /// @brief Returns the current monotonic time.
 [[nodiscard]] TimePoint SteadyNow();
 
+/// Which end of a connection a socket is.
+enum class ConnectionEnd
+{
+  Opened,   ///< this process has opened the connection
+  Accepted, ///< a caller, which may read responses slowly
+};
+
 /// Buffered I/O with deadlines on one socket. Not thread-safe, except for Shutdown() and
 /// LastReceive().
 class HttpConnection
 {
 public:
-  /// Sets TCP_NODELAY, TCP_USER_TIMEOUT and keep-alive options on the socket.
-  explicit HttpConnection(const Poco::Net::StreamSocket& socket);
+  /// Sets TCP_NODELAY and keep-alive options on the socket; on an opened one also TCP_USER_TIMEOUT,
+  /// on an accepted one TCP_NOTSENT_LOWAT.
+  HttpConnection(const Poco::Net::StreamSocket& socket, ConnectionEnd end);
 
   /// @brief Reads up to and including the empty line at the end of a head.
   /// @param limit maximum size of the head in bytes
--- a/include/acaciapulley/transport/detail/pool_core.hpp
+++ b/include/acaciapulley/transport/detail/pool_core.hpp
@@ -50,7 +50,7 @@
 struct PooledConnection
 {
   explicit PooledConnection(const Poco::Net::StreamSocket& socket)
-    : io(socket)
+    : io(socket, ConnectionEnd::Opened)
     , lastUsed(io.CreatedAt())
   {
   }
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -21,10 +21,13 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16'384;
-// Limit on the age of unacknowledged data. It also ends a connection whose peer has not read for
-// this long, so it must not be below the slow reader grace; heartbeats detect silent connections
-// sooner.
+// Limit on the age of unacknowledged data. While the peer's window is smaller than a segment, the
+// kernel also counts the time of a peer that reads slowly, so that accepted connections have the
+// deadlines of their writes instead. Heartbeats detect silent connections sooner.
 constexpr int kUserTimeoutMs = 5'000;
+// Bytes that the kernel accepts beyond those in flight. A larger send buffer would become writable
+// again only after seconds of slow reading, and its bytes would count as read by the caller.
+constexpr int kMaxUnsentBytes = 131'072;
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 3;
@@ -60,14 +63,18 @@
   return std::chrono::steady_clock::now();
 }
 
-HttpConnection::HttpConnection(const Poco::Net::StreamSocket& socket)
+HttpConnection::HttpConnection(const Poco::Net::StreamSocket& socket, ConnectionEnd end)
   : socket_(std::make_shared<Poco::Net::StreamSocket>(socket))
   , fd_(socket.impl()->sockfd())
   , createdAt_(SteadyNow())
   , lastReceive_(createdAt_)
 {
   SetOption(fd_, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  if (end == ConnectionEnd::Opened) {
+    SetOption(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  } else {
+    SetOption(fd_, IPPROTO_TCP, TCP_NOTSENT_LOWAT, kMaxUnsentBytes);
+  }
   SetOption(fd_, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(fd_, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   SetOption(fd_, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -204,7 +204,7 @@
     ++*lingering_;
     // This task may outlive the server.
     acceptor_.StartNow([socket, lingering = lingering_] {
-      HttpConnection connection(socket);
+      HttpConnection connection(socket, detail::ConnectionEnd::Accepted);
       auto head = detail::RefusalHead(503, Reason::Overloaded);
       head.headers.Set("Retry-After", "1");
       detail::RefuseAndLinger(
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -97,7 +97,7 @@
                                    const ServerContext& server)
   : loop_(loop)
   , server_(server)
-  , connection_(socket)
+  , connection_(socket, ConnectionEnd::Accepted)
   , watch_(CloseWatcher::Instance(), connection_.Descriptor())
 {
 }
--- a/tests/transport_test/endless_responses_test.cpp
+++ b/tests/transport_test/endless_responses_test.cpp
@@ -315,7 +315,8 @@
   BOOST_REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
   const int alwaysReadable = ::eventfd(1, EFD_CLOEXEC);
   acp::detail::HttpConnection connection(
-    Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(ends[0])));
+    Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(ends[0])),
+    acp::detail::ConnectionEnd::Opened);
   std::atomic<bool> isDone = false;
   int turnsOfOther = 0;
   int written = 0;
--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -6,8 +6,10 @@
 #include <chrono>
 #include <future>
 #include <stdexcept>
+#include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "acaciapulley/transport/http_client.hpp"
 #include "acaciapulley/transport/http_server.hpp"
@@ -295,6 +297,52 @@
   server.Stop(kTimeout);
 }
 
+// Guards against a caller whose response is cut although it reads steadily, with a small window.
+BOOST_AUTO_TEST_CASE(slow_reader_with_a_small_window_receives_the_complete_response)
+{
+  constexpr std::size_t kSize = 1'200'000;
+  constexpr std::size_t kPart = 75'000;
+  constexpr int kWindows[] = { 4'096, 32'768, 131'072 };
+  acp::HttpServer server({ .address = kAnyPort, .handler = [](acp::ServerExchange& exchange) {
+                            acp::StringBody body(std::string(kSize, 'x'));
+                            (void)exchange.RespondStreaming({}, kSize, body, nullptr);
+                          } });
+  std::vector<std::future<std::size_t>> readers;
+  for (const int window : kWindows) {
+    readers.push_back(std::async(std::launch::async, [&server, window] {
+      Poco::Net::StreamSocket socket;
+      socket.init(AF_INET);
+      socket.setReceiveBufferSize(window);
+      socket.connect(Poco::Net::SocketAddress("127.0.0.1", server.Port()));
+      const std::string request = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+      socket.sendBytes(request.data(), static_cast<int>(request.size()));
+      std::vector<char> buffer(kPart);
+      std::size_t received = 0;
+      try {
+        while (true) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(500));
+          for (std::size_t part = 0; part < kPart;) {
+            const int count =
+              socket.receiveBytes(buffer.data(), static_cast<int>(kPart - part));
+            if (count <= 0) {
+              return received;
+            }
+            part += static_cast<std::size_t>(count);
+            received += static_cast<std::size_t>(count);
+          }
+        }
+      } catch (const Poco::Exception&) {
+        // The connection was reset; the number of bytes tells.
+      }
+      return received;
+    }));
+  }
+  for (auto& reader : readers) {
+    BOOST_TEST(reader.get() > kSize);
+  }
+  server.Stop(kTimeout);
+}
+
 // Guards against work that continues after its caller has disconnected.
 BOOST_AUTO_TEST_CASE(caller_disconnect_is_detected)
 {
