--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -322,8 +322,7 @@
         while (true) {
           std::this_thread::sleep_for(std::chrono::milliseconds(500));
           for (std::size_t part = 0; part < kPart;) {
-            const int count =
-              socket.receiveBytes(buffer.data(), static_cast<int>(kPart - part));
+            const int count = socket.receiveBytes(buffer.data(), static_cast<int>(kPart - part));
             if (count <= 0) {
               return received;
             }
