Log without blocking or throwing, end without waiting for a disk, and accept again after a shortage of descriptors

Log lines to standard error are now dropped like those to standard output, and a line that cannot be written throws no more (acp-node ended when the reader of its log was gone). The last line is written on the failing thread, so that it needs no other one. - An exception on the main thread, and a SIGTERM, waited for a disk that hangs, since the end of the replica joins its thread. The socket now accepts again after 20 ms, and the number of connections follows RLIMIT_NOFILE. - Two processes could listen at one HTTP address (SO_REUSEPORT), each with a part of the connections. The second now fails. - An error of readdir was taken for the end of the folder (read). - full_disks_in_turn passed by the exception of a log line on the full disk, not by the hook: its logs now go through a pipe, and the last line is checked.

--- a/include/acaciapulley/core/log.hpp
+++ b/include/acaciapulley/core/log.hpp
@@ -4,6 +4,7 @@
 /// Structured logging: one line of key=value pairs for each event.
 
 #include <array>            // array
+#include <chrono>           // milliseconds
 #include <initializer_list> // initializer_list
 #include <string>           // string
 #include <string_view>      // string_view
@@ -37,12 +38,11 @@
 /// or control characters are quoted.
 using LogField = std::pair<std::string_view, std::string>;
 
-/// Destination of log lines.
+/// Destination of log lines. Lines that cannot be written immediately are dropped, and the next
+/// line written reports their number.
 enum class LogOutput
 {
   StandardError,
-  /// Never blocks: lines that cannot be written immediately are dropped, and the next line written
-  /// reports their number.
   StandardOutput,
 };
 
@@ -57,12 +57,19 @@
                                         std::string_view event,
                                         std::initializer_list<LogField> fields);
 
-/// @brief Writes one line to the output set by SetLogOutput(). Must never be given the key of a
-/// client account.
+/// @brief Writes one line to the output set by SetLogOutput(); never blocks and never throws. Must
+/// never be given the key of a client account.
 /// @par Example
 /// @code
 /// acp::Log(acp::LogLevel::Info, "listening", { { "address", address } });
 /// @endcode
-void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) noexcept;
+
+/// @brief Writes the last line of a process; takes no lock and never throws.
+/// @param timeout maximum wait for room in the output
+void LogLastLine(LogLevel level,
+                 std::string_view event,
+                 std::initializer_list<LogField> fields,
+                 std::chrono::milliseconds timeout) noexcept;
 
 } // namespace acp
--- a/include/acaciapulley/transport/process.hpp
+++ b/include/acaciapulley/transport/process.hpp
@@ -23,8 +23,8 @@
 /// @brief Logs @p event with @p error as the last line and ends the process at once with exit
 /// code 1.
 ///
-/// May be called on any thread. Takes at most one second, whatever the other threads and the reader
-/// of the log do: no thread is joined and no destructor runs.
+/// May be called on any thread. Takes at most two seconds, whatever the other threads and the
+/// reader of the log do: no thread is joined and no destructor runs.
 /// @par Example
 /// @code
 /// options.onFailure = [](const acp::ReplicationError& error) {
@@ -33,6 +33,11 @@
 /// @endcode
 [[noreturn]] void EndFailedProcess(std::string_view event, const std::string& error) noexcept;
 
+/// @brief Ends the process at once with exit code 0, after its listeners have stopped.
+///
+/// No thread is joined, so that a disk that hangs does not delay the end.
+[[noreturn]] void EndStoppedProcess() noexcept;
+
 /// @brief Reads a complete file.
 /// @throw std::runtime_error when it cannot be read
 [[nodiscard]] std::string ReadFile(const std::string& path);
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -1,8 +1,12 @@
 #include "acaciapulley/control/control_process.hpp"
 
+#include <algorithm> // clamp
+#include <atomic>    // atomic
+#include <cstdint>   // int64_t
 #include <stdexcept> // runtime_error
 #include <thread>    // sleep_for, thread
 
+#include <sys/resource.h> // getrlimit
 #include <thrift/processor/TMultiplexedProcessor.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TServerSocket.h>
@@ -13,6 +17,7 @@
 #include "acaciapulley/control/detail/rpc_handler.hpp"       // RpcHandler
 #include "acaciapulley/control/poll_relay.hpp"               // PollRelay
 #include "acaciapulley/control/token_relay.hpp"              // TokenRelay
+#include "acaciapulley/core/log.hpp"                         // Log
 #include "acaciapulley/transport/control_channel.hpp"        // ControlChannel
 #include "acaciapulley/transport/detail/thrift_limits.hpp"   // Bounded..., GuardProcessor
 #include "acaciapulley/transport/http_server.hpp"            // HttpServer
@@ -24,6 +29,9 @@
 constexpr int kMaxOperatorConnections = 64;
 // Allows a few connections for each of 540 nodes.
 constexpr int kMaxRpcConnections = 4096;
+constexpr int kMinRpcConnections = 64;
+constexpr std::int64_t kOtherDescriptors = 256;
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(20);
 constexpr int kSendTimeoutMillis = 5000;
 // Below TokenRelayOptions::maxWait, so that a failed call ends before the requests time out.
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(300);
@@ -32,20 +40,59 @@
 constexpr Duration kPutFleetTimeout = std::chrono::seconds(3);
 
 /// A server socket that can be opened before the server thread starts, so that a failure to bind is
-/// reported at start.
+/// reported at start. It goes on accepting after a shortage of descriptors or memory, for which
+/// TServerFramework would end the server.
 class ListeningSocket final : public apache::thrift::transport::TServerSocket
 {
 public:
   using TServerSocket::TServerSocket;
 
+  void interrupt() override
+  {
+    isInterrupted_ = true;
+    TServerSocket::interrupt();
+  }
+
   void listen() override
   {
     if (!isOpen()) {
       TServerSocket::listen();
     }
   }
+
+protected:
+  std::shared_ptr<apache::thrift::transport::TTransport> acceptImpl() override
+  {
+    while (true) {
+      try {
+        return TServerSocket::acceptImpl();
+      } catch (const apache::thrift::transport::TTransportException& e) {
+        if (isInterrupted_ ||
+            e.getType() == apache::thrift::transport::TTransportException::INTERRUPTED) {
+          throw;
+        }
+        Log(LogLevel::Error, "accept_failed", { { "error", e.what() } });
+        std::this_thread::sleep_for(kAcceptRetryDelay);
+      }
+    }
+  }
+
+private:
+  std::atomic<bool> isInterrupted_{ false };
 };
 
+/// Returns the maximum number of rpc connections: files, other listeners and the replicas' own
+/// connections need descriptors as well.
+int MaxRpcConnections()
+{
+  rlimit limit{};
+  const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  const auto available =
+    isKnown ? static_cast<std::int64_t>(limit.rlim_cur) - kOtherDescriptors : kMaxRpcConnections;
+  return static_cast<int>(
+    std::clamp<std::int64_t>(available, kMinRpcConnections, kMaxRpcConnections));
+}
+
 } // namespace
 
 class ControlProcess::Impl
@@ -174,7 +221,7 @@
                                         rpcSocket_,
                                         std::make_shared<detail::BoundedTransportFactory>(),
                                         std::make_shared<detail::BoundedProtocolFactory>());
-    server->setConcurrentClientLimit(kMaxRpcConnections);
+    server->setConcurrentClientLimit(MaxRpcConnections());
     return server;
   }
 
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -7,7 +7,7 @@
 #include <climits>   // PIPE_BUF
 #include <cstddef>   // size_t
 #include <cstdint>   // uint64_t
-#include <cstdio>    // stderr
+#include <exception> // exception
 #include <mutex>     // mutex
 
 #include <fmt/chrono.h> // gmtime
@@ -22,7 +22,7 @@
 std::atomic<LogLevel> gMinLevel{ LogLevel::Info };
 std::atomic<LogOutput> gOutput{ LogOutput::StandardError };
 std::atomic<std::uint64_t> gDroppedLines{ 0 };
-std::mutex gStandardOutputMutex;
+std::mutex gOutputMutex;
 
 // Writes to a pipe of up to this size are atomic, and a pipe that poll() reports as writable has
 // room for one.
@@ -58,30 +58,35 @@
   return quoted;
 }
 
-bool WriteToStandardOutput(std::string_view line)
+bool WriteToOutput(std::string_view line, std::chrono::milliseconds timeout)
 {
-  // No other thread may fill the pipe between poll() and write().
-  const std::lock_guard lock(gStandardOutputMutex);
-  pollfd entry{ .fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0 };
-  if (::poll(&entry, 1, 0) != 1 || (entry.revents & POLLOUT) == 0) {
+  const int handle = gOutput.load() == LogOutput::StandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+  pollfd entry{ .fd = handle, .events = POLLOUT, .revents = 0 };
+  if (::poll(&entry, 1, static_cast<int>(timeout.count())) != 1 || (entry.revents & POLLOUT) == 0) {
     return false;
   }
-  return ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+  return ::write(handle, line.data(), line.size()) == static_cast<ssize_t>(line.size());
 }
 
-void Write(std::string line)
+std::string FormatTimedLine(LogLevel level,
+                            std::string_view event,
+                            std::initializer_list<LogField> fields)
+{
+  const auto now =
+    std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  const auto seconds = std::chrono::time_point_cast<std::chrono::seconds>(now);
+  return fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}",
+                     fmt::gmtime(std::chrono::system_clock::to_time_t(seconds)),
+                     (now - seconds).count(),
+                     FormatLogLine(level, event, fields));
+}
+
+/// Ends @p line, which may be too long, with the number of lines that were dropped before it.
+std::string EndLine(std::string line, std::uint64_t dropped)
 {
-  if (gOutput.load() == LogOutput::StandardError) {
-    fmt::print(stderr, "{}\n", line);
-    return;
-  }
-  const std::uint64_t dropped = gDroppedLines.exchange(0);
   const std::string end = dropped > 0 ? fmt::format(" lines_left_out={}\n", dropped) : "\n";
   line.resize(std::min(line.size(), kMaxLineBytes - end.size()));
-  line += end;
-  if (!WriteToStandardOutput(line)) {
-    gDroppedLines += dropped + 1;
-  }
+  return line + end;
 }
 
 } // namespace
@@ -107,18 +112,37 @@
   return line;
 }
 
-void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) noexcept
 {
   if (level < gMinLevel.load()) {
     return;
   }
-  const auto now =
-    std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-  const auto seconds = std::chrono::time_point_cast<std::chrono::seconds>(now);
-  Write(fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}",
-                    fmt::gmtime(std::chrono::system_clock::to_time_t(seconds)),
-                    (now - seconds).count(),
-                    FormatLogLine(level, event, fields)));
+  const std::uint64_t dropped = gDroppedLines.exchange(0);
+  bool isWritten = false;
+  try {
+    const std::string line = EndLine(FormatTimedLine(level, event, fields), dropped);
+    // No other thread may fill the pipe between poll() and write().
+    const std::lock_guard lock(gOutputMutex);
+    isWritten = WriteToOutput(line, std::chrono::milliseconds(0));
+  } catch (const std::exception&) { // NOLINT(bugprone-empty-catch)
+    // There is no memory for the line; it counts as dropped.
+  }
+  if (!isWritten) {
+    gDroppedLines += dropped + 1;
+  }
+}
+
+void LogLastLine(LogLevel level,
+                 std::string_view event,
+                 std::initializer_list<LogField> fields,
+                 std::chrono::milliseconds timeout) noexcept
+{
+  try {
+    WriteToOutput(EndLine(FormatTimedLine(level, event, fields), gDroppedLines), timeout);
+  } catch (const std::exception&) {
+    WriteToOutput("level=error event=process_failed error=\"no memory for the last line\"\n",
+                  timeout);
+  }
 }
 
 } // namespace acp
--- a/src/programs/acp-control/main.cpp
+++ b/src/programs/acp-control/main.cpp
@@ -9,7 +9,7 @@
 #include "acaciapulley/control/rate_service.hpp"    // StartRateRefresh, RateService
 #include "acaciapulley/control/record_service.hpp"  // RecordService
 #include "acaciapulley/core/log.hpp"                // Log
-#include "acaciapulley/transport/process.hpp"       // PrepareProcess, WaitForStopSignal
+#include "acaciapulley/transport/process.hpp"       // EndFailedProcess, PrepareProcess
 #include "acaciapulley/transport/settings.hpp"      // Settings
 #include "replica_settings.hpp"                     // StartReplica
 
@@ -30,13 +30,14 @@
   return operators.value();
 }
 
-int Run(const acp::Settings& settings)
+/// Serves nodes and operators until the process is told to stop.
+void Serve(const acp::Settings& settings,
+           const acp::OperatorDirectory& operators,
+           const acp::Clock& clock,
+           acp::ControlState& state,
+           acp::Replica& replica)
 {
-  const acp::SystemClock clock;
-  const acp::OperatorDirectory operators = ReadOperators(settings);
-  acp::ControlState state;
-  const auto replica = acp::StartReplica(settings, clock, state);
-  acp::RateService rates(state, *replica, clock);
+  acp::RateService rates(state, replica, clock);
   const std::jthread rateRefresh = acp::StartRateRefresh(rates, kRateRefreshInterval);
   acp::ControlHooks hooks;
   hooks.acquireTokens = [&rates](auto& reply, const auto& request, const auto& leadership) {
@@ -52,10 +53,10 @@
                                 .operatorAddress = settings.GetAddress("operator"),
                                 .operators = operators,
                                 .clock = &clock,
-                                .log = replica.get(),
+                                .log = &replica,
                                 .state = &state,
                                 .hooks = hooks,
-                                .replicationProcessor = replica->Processor(),
+                                .replicationProcessor = replica.Processor(),
                                 .replicationServiceName = acp::kReplicationServiceName });
   acp::Log(acp::LogLevel::Info,
            "control_started",
@@ -64,7 +65,21 @@
   acp::Log(acp::LogLevel::Info, "control_stopping", {});
   process.Stop(kDrainTimeout);
   acp::Log(acp::LogLevel::Info, "control_stopped", {});
-  return 0;
+}
+
+[[noreturn]] void Run(const acp::Settings& settings)
+{
+  const acp::SystemClock clock;
+  const acp::OperatorDirectory operators = ReadOperators(settings);
+  acp::ControlState state;
+  const auto replica = acp::StartReplica(settings, clock, state);
+  // The end of the replica would wait for its disk.
+  try {
+    Serve(settings, operators, clock, state, *replica);
+  } catch (const std::exception& e) {
+    acp::EndFailedProcess("control_failed", e.what());
+  }
+  acp::EndStoppedProcess();
 }
 
 } // namespace
@@ -81,9 +96,8 @@
   acp::AddReplicaSettings(settings);
   settings.ParseOrExit(argc, argv);
   try {
-    return Run(settings);
+    Run(settings);
   } catch (const std::exception& e) {
-    acp::Log(acp::LogLevel::Error, "control_failed", { { "error", e.what() } });
-    return 1;
+    acp::EndFailedProcess("control_failed", e.what());
   }
 }
--- a/src/replication/folder_disk.cpp
+++ b/src/replication/folder_disk.cpp
@@ -113,11 +113,19 @@
     return FailSystemCall("opendir", path_);
   }
   std::vector<std::string> names;
+  errno = 0;
   while (const dirent* item = ::readdir(stream)) { // NOLINT(concurrency-mt-unsafe)
     const std::string name = item->d_name;
     if (name != "." && name != ".." && name != kLockName) {
       names.push_back(name);
     }
+    errno = 0;
+  }
+  if (errno != 0) {
+    // A short list would be taken for a folder without these files.
+    auto failure = FailSystemCall("readdir", path_);
+    ::closedir(stream);
+    return failure;
   }
   ::closedir(stream);
   std::sort(names.begin(), names.end());
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -42,7 +42,8 @@
 {
   try {
     Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(address.ip, address.port), true);
+    // Without SO_REUSEPORT, with which a second process would get a part of the connections.
+    socket.bind(Poco::Net::SocketAddress(address.ip, address.port), true, false);
     socket.listen(kListenBacklog);
     socket.setBlocking(false);
     return socket;
--- a/src/transport/process.cpp
+++ b/src/transport/process.cpp
@@ -1,26 +1,24 @@
 #include "acaciapulley/transport/process.hpp"
 
-#include <chrono>    // seconds
+#include <chrono>    // milliseconds
 #include <csignal>   // sigset_t, sigwait
-#include <cstdlib>   // EXIT_FAILURE
+#include <cstdlib>   // EXIT_FAILURE, EXIT_SUCCESS
 #include <exception> // current_exception, set_terminate
 #include <fstream>   // ifstream
-#include <future>    // promise
-#include <memory>    // make_shared
 #include <sstream>   // ostringstream
 #include <stdexcept> // runtime_error
-#include <thread>    // thread
 
-#include <unistd.h> // _exit
+#include <unistd.h> // alarm, _exit
 
-#include "acaciapulley/core/log.hpp" // Log
+#include "acaciapulley/core/log.hpp" // Log, LogLastLine
 
 namespace acp {
 
 namespace {
 
-/// For the last log line of a failed process.
-constexpr std::chrono::seconds kLastLineTimeout{ 1 };
+/// For a reader of the log, before the last line of a failed process.
+constexpr std::chrono::milliseconds kLastLineTimeout{ 1'000 };
+constexpr unsigned int kLastLineGuardSeconds = 2;
 
 std::string DescribeCurrentException()
 {
@@ -77,20 +75,17 @@
 
 void EndFailedProcess(std::string_view event, const std::string& error) noexcept
 {
-  try {
-    // A reader that has stopped reading must not keep the process alive.
-    const auto written = std::make_shared<std::promise<void>>();
-    std::thread([written, event = std::string(event), error] {
-      Log(LogLevel::Error, event, { { "error", error } });
-      written->set_value();
-    }).detach();
-    written->get_future().wait_for(kLastLineTimeout);
-  } catch (const std::exception&) { // NOLINT(bugprone-empty-catch)
-    // There is no thread or memory for the line.
-  }
+  // Another thread may fill the log between the wait for room and the write.
+  ::alarm(kLastLineGuardSeconds);
+  LogLastLine(LogLevel::Error, event, { { "error", error } }, kLastLineTimeout);
   ::_exit(EXIT_FAILURE);
 }
 
+void EndStoppedProcess() noexcept
+{
+  ::_exit(EXIT_SUCCESS);
+}
+
 std::string ReadFile(const std::string& path)
 {
   const std::ifstream file(path, std::ios::binary);
--- a/tests/processes/scenarios.py
+++ b/tests/processes/scenarios.py
@@ -265,6 +265,7 @@
 def full_disks_in_turn(run):
     """P12: a replica whose disk is full ends with an error, also at each start, and works again once
     there is room."""
+    run.fleet.pipes_logs = True
     run.start()
 
     def put_next():
@@ -275,9 +276,14 @@
             put_next()
         return process.poll() is not None
 
+    def last_line(name):
+        with open(os.path.join(run.fleet.folder, name + ".log"), encoding="utf-8") as file:
+            return (file.read().splitlines() or [""])[-1]
+
     def require_failed(name, process):
-        run.fleet.processes.remove((name, process))
         require(process.wait(fleet.START_SECONDS) == 1, f"{name} ended with {process.returncode}")
+        run.fleet.wait_for(f"the last line of {name} names the error",
+                           lambda: "event=control_failed error=\"[804 storage_failed]" in last_line(name))
 
     for index in range(3):
         name = f"control-{index + 1}"
@@ -285,9 +291,11 @@
         fleet.set_disk_full(process.pid)
         run.fleet.processes.remove((name, process))
         run.fleet.wait_for(f"{name} ends", lambda ended=process: has_ended(ended))
-        require(process.returncode == 1, f"{name} ended with {process.returncode}")
+        require_failed(name, process)
         for _ in range(4):
-            require_failed(name, run.fleet.start_replica(index, disk_full=True))
+            process = run.fleet.start_replica(index, disk_full=True)
+            run.fleet.processes.remove((name, process))
+            require_failed(name, process)
         run.fleet.start_replica(index)
         run.wait_for_leader()
     version = run.document()["version"]
--- a/tests/transport_test/process_test.cpp
+++ b/tests/transport_test/process_test.cpp
@@ -122,6 +122,17 @@
                                     "threads\"\n"));
 }
 
+// Guards against a log without a reader that ends the process or a thread's work.
+BOOST_AUTO_TEST_CASE(log_line_that_cannot_be_written_is_dropped)
+{
+  const auto child = RunChild([] {
+    ::close(STDERR_FILENO);
+    acp::Log(acp::LogLevel::Info, "not_written", {});
+  });
+  BOOST_REQUIRE(child.hasEnded);
+  BOOST_TEST(child.status == 0);
+}
+
 // Guards against a process that a limit of file sizes ends without a line.
 BOOST_AUTO_TEST_CASE(signals_of_failed_writes_are_ignored)
 {
--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -297,6 +297,16 @@
   server.Stop(kTimeout);
 }
 
+// Guards against a second process that takes a part of the connections of the first.
+BOOST_AUTO_TEST_CASE(address_in_use_is_refused)
+{
+  acp::HttpServer first({ .address = kAnyPort, .handler = [](acp::ServerExchange&) {} });
+  const acp::HttpServerOptions second{ .address = { .ip = "127.0.0.1", .port = first.Port() },
+                                       .handler = [](acp::ServerExchange&) {} };
+  BOOST_CHECK_THROW(acp::HttpServer{ second }, std::runtime_error);
+  first.Stop(kTimeout);
+}
+
 // Guards against a caller whose response is cut although it reads steadily, with a small window.
 BOOST_AUTO_TEST_CASE(slow_reader_with_a_small_window_receives_the_complete_response)
 {
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -9,6 +9,7 @@
 import resource
 import secrets
 import subprocess
+import threading
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -40,6 +41,13 @@
     return [next(_next_port) for _ in range(count)]
 
 
+def copy_lines(source, log):
+    with log:
+        for line in source:
+            log.write(line.decode("utf-8", "replace"))
+            log.flush()
+
+
 def set_disk_full(pid=0):
     """Makes each write of a process fail that would add a byte to a file, by its own limit; 0: this
     process."""
@@ -88,6 +96,7 @@
         self.nodes = []
         self.keys = {}
         self.processes = []
+        self.pipes_logs = False  # so that a limit of file sizes does not reach the logs
         self._secrets = os.path.join(folder, "fleet.secret")
         self._operator_key = os.path.join(folder, "operator.key")
         self._write(self._secrets, secrets.token_hex(32))
@@ -101,9 +110,13 @@
     def _start(self, name, program, *flags, disk_full=False):
         log = open(os.path.join(self.folder, name + ".log"), "w", encoding="utf-8")
         command = [os.path.join(self.bin, program)] + [str(flag) for flag in flags]
-        process = subprocess.Popen(command, stdout=log, stderr=log,
+        process = subprocess.Popen(command, stdout=subprocess.PIPE if self.pipes_logs else log,
+                                   stderr=subprocess.STDOUT,
                                    preexec_fn=set_disk_full if disk_full else None)
-        log.close()
+        if self.pipes_logs:
+            threading.Thread(target=copy_lines, args=(process.stdout, log), daemon=True).start()
+        else:
+            log.close()
         self.processes.append((name, process))
         return process
 
