--- a/review/standin-2/rig.py
+++ b/review/standin-2/rig.py
@@ -271,6 +271,7 @@
         self.endpoints = []
         self.proxies = []
         self.version = 0
+        self.answered_by = None
 
     @staticmethod
     def free_ports(net):
@@ -307,12 +308,14 @@
 
     # The operator
 
-    def order(self, name, body, seconds, first=0):
-        """Sends a call until it gets a clear answer; moves on to another control process after each failure."""
+    def order(self, name, body, seconds, first=None):
+        """Sends a call until it gets a clear answer, first to the process that answered last; moves on to another
+        control process after each failure."""
         deadline = time.monotonic() + seconds
-        turn = first
+        addresses = [process.address("control") for process in self.controls]
+        turn = addresses.index(self.answered_by) if self.answered_by and first is None else first or 0
         while time.monotonic() < deadline:
-            address = self.controls[turn % len(self.controls)].address("control")
+            address = addresses[turn % len(addresses)]
             turn += 1
             for _ in range(3):
                 try:
@@ -321,19 +324,20 @@
                     break
                 if answer.status != 307:
                     if answer.status < 500 and answer.status not in (408, 429):
+                        self.answered_by = address
                         return answer
                     break
                 address = answer.fields["location"].split("/")[2]
             time.sleep(0.05)
         return None
 
-    def configure(self, services, routes, tenants, seconds=20, first=0):
+    def configure(self, services, routes, tenants, seconds=20, first=None):
         """Puts a configuration on top of the newest one; returns when it was acknowledged."""
         document = configuration(self.version + 1, self.version, services, routes, tenants)
         text = json.dumps(document)
-        shown = text if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]}... ({len(text)} bytes)"
+        shown = text if len(text) <= MAX_SHOWN else f"version {self.version + 1}, {len(text)} bytes"
         self.record(f"operator sends {shown}")
-        answer = self.order("config.replace", document, seconds, first)
+        answer = self.order("config.replace", text.encode(), seconds, first)
         if answer is None or answer.status != 200:
             raise CannotRun(f"the configuration got {answer and answer.status}")
         acked = time.monotonic()
