--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,6 +1,9 @@
-"""The only tenant is taken out of the configuration while its clients are connected."""
+"""The disk of a control process that does not vote is lost; later a voter freezes, and another voter's disk is lost."""
 
+import json
 import os
+import shutil
+import signal
 import sys
 import time
 
@@ -11,58 +14,78 @@
 SERVICES = ["orders", "stock"]
 HOST = "shop.example"
 KEY = "6wsjnbanfqasnmgkcuyj"
-NEVER_HELD = "0000000000notakey000"
-REVOKE_SECONDS = standin.BOUNDS["revoke_ms"] / 1000
-SLACK_SECONDS = 0.5
-ROUNDS = 5
+CORE = 4            # three seeds, which found the cluster, and one that learns
+DARK_SECONDS = 0.5
+CATCH_UP_SECONDS = standin.BOUNDS["catch_up_s"] + 0.3
+FREEZE_SECONDS = 5.0
+RECOVERY_SECONDS = standin.BOUNDS["recovery_s"]
+READ_SECONDS = standin.BOUNDS["contact_ms"] / 1000 + 2
 
 
-def send(rig, connection, key, path):
-    """Sends an order on a kept connection; returns when it was sent and its id."""
-    request_id = standin.new_id()
-    sent = time.monotonic()
-    connection.send("POST", path, standin.request_fields(HOST, key, request_id), b"2 bolts of cloth")
-    answer = connection.receive(8)
-    rig.record(f"client sends {request_id} POST {path} with key {key}, gets {answer.status}")
-    return sent, request_id, answer
+def lose_disk(process):
+    process.kill()
+    shutil.rmtree(os.path.join(process.folder, "data"))
+    process.rig.record(f"{process.name} has lost its disk")
+    time.sleep(DARK_SECONDS)
+    process.start()
+
+
+def read_back(rig):
+    """Asks every control process again and again; returns the versions read."""
+    versions = set()
+    statuses = {}
+    deadline = time.monotonic() + READ_SECONDS
+    while time.monotonic() < deadline:
+        for process in rig.controls:
+            try:
+                answer = standin.rpc(process.address("control"), "config.describe", {})
+            except (OSError, EOFError, ConnectionError) as error:
+                answer = None
+                statuses[process.name] = type(error).__name__
+            if answer is not None:
+                statuses[process.name] = answer.status
+                if answer.status == 200:
+                    versions.add(json.loads(answer.body)["version"])
+        time.sleep(0.1)
+    rig.record(f"read back: versions {sorted(versions)}, last answers {statuses}")
+    return versions
+
+
+def order_status(rig):
+    fields = standin.request_fields(HOST, KEY, standin.new_id())
+    try:
+        return standin.call(rig.nodes[0].address("outbound"), "POST", "/order/1", fields, b"cloth", 7).status
+    except (OSError, EOFError, ConnectionError) as error:
+        return type(error).__name__
 
 
 def play(rig, trouble):
-    endpoints = [standin.Endpoint(rig, node) for node in rig.nodes]
-    routes = [standin.route("dyelot-order", HOST, "/order/", "non_idempotent", "orders"),
-              standin.route("stock-check", HOST, "/stock/", "idempotent", "stock")]
-    rig.configure(SERVICES, routes, [standin.tenant("pulo780", [KEY], 150, 150)])
+    standin.Endpoint(rig, rig.nodes[0])
+    routes = [standin.route("dyelot-order", HOST, "/order/", "non_idempotent", "orders")]
+    tenants = [standin.tenant("pulo780", [KEY])]
+    rig.configure(SERVICES, routes, tenants)
     rig.await_ready()
-    time.sleep(1)
-    connections = [standin.Connection(node.address("outbound"), 5) for node in rig.nodes]
-    for connection in connections:
-        if send(rig, connection, KEY, "/order/1")[2].status != 200:
-            raise standin.CannotRun("an order with the tenant's key is not served")
-    acked = time.monotonic()
+    time.sleep(2)
+    leader = rig.leader()
+    frozen, wiped = [process for process in rig.controls[:3] if process is not leader]
+    if trouble:
+        lose_disk(rig.controls[3])
+        time.sleep(CATCH_UP_SECONDS)
+        frozen.signal(signal.SIGSTOP)
+        time.sleep(FREEZE_SECONDS)
+    routes.append(standin.route("stock-check", HOST, "/stock/", "idempotent", "stock"))
+    rig.configure(SERVICES, routes, tenants)
+    newest = f"{rig.version:08x}"
     if trouble:
-        acked = rig.configure(SERVICES, routes, [])
-    binds = acked + REVOKE_SECONDS + SLACK_SECONDS
-    late = {}
-    while time.monotonic() < binds:
-        for connection in connections:  # they stay connected and busy
-            send(rig, connection, KEY, "/order/2")
-        time.sleep(0.5)
-    for _ in range(ROUNDS):
-        for connection in connections:
-            if trouble:
-                sent, request_id, _ = send(rig, connection, KEY, "/order/3")
-                late[request_id] = f"the withdrawn key, sent {sent - acked:.1f} s after the acknowledgement"
-            _, request_id, _ = send(rig, connection, NEVER_HELD, "/order/4")
-            late[request_id] = "a key that no configuration held"
-        time.sleep(0.2)
-    breaks = []
-    for endpoint in endpoints:
-        for request_id, what in late.items():
-            for run in endpoint.runs_of(request_id):
-                tenant = run["fields"].get("acaciapulley-tenant-id")
-                breaks.append(f"{endpoint.id} of {endpoint.node.service} ran {request_id} with {what}; "
-                              f"Acaciapulley-Tenant-Id: {tenant}")
-    return breaks
+        lose_disk(wiped)
+        frozen.signal(signal.SIGCONT)
+    rig.record("all machines are back")
+    time.sleep(RECOVERY_SECONDS if trouble else 1)
+    versions = read_back(rig)
+    rig.record(f"an order gets {order_status(rig)}")
+    if not versions:
+        return [f"no control process returns the configuration, though version {newest} was acknowledged"]
+    return [] if versions == {newest} else [f"versions {sorted(versions)} are read, {newest} was acknowledged"]
 
 
-standin.run_case(FOLDER, ["orders", "orders", "stock"], play)
+standin.run_case(FOLDER, ["orders"], play, controls=CORE)
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,5 +1,8 @@
-"""A node starts again while its endpoint, which has deregistered, still serves; an older heartbeat arrives late."""
+"""Two operators change a configuration that has grown by many routes, hundreds of times, while the platform keeps its
+limit on memory."""
 
+import concurrent.futures
+import json
 import os
 import sys
 import threading
@@ -11,86 +14,116 @@
 
 SERVICES = ["orders", "stock"]
 HOST = "shop.example"
-KEY = "6wsjnbanfqasnmgkcuyj"
-WORK_SECONDS = 0.25
-LATE_SECONDS = 2.0    # of the heartbeat
-SERVES_SECONDS = 10.0  # of the endpoint after the acknowledgement
-DRAIN_SECONDS = standin.BOUNDS["drain_ms"] / 1000
-CONTACT_SECONDS = standin.BOUNDS["contact_ms"] / 1000
-SLACK_SECONDS = 0.2
+BIG_CONFIGS = 4
+ROUTES_MORE = 350  # of one `big_config`, the largest count of the sites
+PAIRS = 500
+PLAY_SECONDS = 105
+ORDER_SECONDS = 20
+MEMORY_MB = 256    # of a `core` machine
+ENDS_OF_A_FAULT = 3
+CHECK_SECONDS = 0.05
 
 
-def work(_run):
-    time.sleep(WORK_SECONDS)
-    return 200, b"placed"
+def tenants():
+    return [standin.tenant(f"pulo{i}", [f"6wsjnbanfqasnmgkcuy{i}", f"8pjbvk9m68k7b2ex5wa{i}"], 150, 150)
+            for i in range(8)]
 
 
-class Clients:
-    """Send orders from one machine that nothing disturbs."""
+def base_routes():
+    return [standin.route("dyelot-order", HOST, "/order/", "non_idempotent", "orders"),
+            standin.route("stock-check", HOST, "/stock/", "idempotent", "stock")]
 
-    def __init__(self, rig, node, count):
-        self.rig, self.node = rig, node
+
+def more_routes(turn):
+    split = [{"service": "orders", "weight": 90}, {"service": "stock", "weight": 10}]
+    return [standin.route(f"r-{turn}x{i:05d}", f"hulo{turn}.example", f"/leny{i}/", "idempotent", split)
+            for i in range(ROUTES_MORE)]
+
+
+class Platform:
+    """Kills a process of the core that uses more than its machine's memory, and starts it again."""
+
+    def __init__(self, rig):
+        self.rig = rig
+        self.ends = {process.name: 0 for process in rig.controls}
+        self.most = {process.name: 0.0 for process in rig.controls}
         self.over = threading.Event()
-        self.statuses = {}
-        self.threads = [threading.Thread(target=self.run, daemon=True) for _ in range(count)]
-        for thread in self.threads:
-            thread.start()
-
-    def run(self):
-        while not self.over.is_set():
-            request_id = standin.new_id()
-            fields = standin.request_fields(HOST, KEY, request_id)
-            try:
-                answer = standin.call(self.node.address("outbound"), "POST", "/order/1", fields, b"cloth", 7)
-                status = answer.status
-            except (OSError, EOFError, ConnectionError) as error:
-                status = type(error).__name__
-            self.statuses[request_id] = status
-            if status != 200:
-                self.rig.record(f"order {request_id} ends with {status}")
+        self.thread = threading.Thread(target=self.watch, daemon=True)
+        self.thread.start()
+
+    def watch(self):
+        while not self.over.wait(CHECK_SECONDS):
+            for process in self.rig.controls:
+                used = standin.rss_mb(process)
+                self.most[process.name] = max(self.most[process.name], used)
+                if used > MEMORY_MB:
+                    self.rig.record(f"{process.name} uses {used:.0f} MB of private memory, {MEMORY_MB} allowed")
+                    process.kill()
+                    self.ends[process.name] += 1
+                    time.sleep(standin.RESTART_SECONDS)
+                    process.start()
+
+    def is_fault(self):
+        """Whether processes have ended three times on half of the core."""
+        machines = [name for name, count in self.ends.items() if count >= ENDS_OF_A_FAULT]
+        return 2 * len(machines) >= len(self.ends)
 
     def stop(self):
         self.over.set()
-        for thread in self.threads:
-            thread.join()
+        self.thread.join()
+
+
+class Operators:
+    """Two operators who change the configuration at once, each on top of the same version; one of them wins."""
+
+    def __init__(self, rig, routes):
+        self.rig, self.routes = rig, routes
+        self.pool = concurrent.futures.ThreadPoolExecutor(2)
+        self.sent = self.acknowledged = 0
+
+    def order(self, timeout_ms):
+        routes = [self.routes[0], dict(self.routes[1], timeout_ms=timeout_ms)] + self.routes[2:]
+        document = standin.configuration(self.rig.version + 1, self.rig.version, SERVICES, routes, tenants())
+        answer = self.rig.order("config.replace", json.dumps(document).encode(), ORDER_SECONDS)
+        return None if answer is None else answer.status
+
+    def change(self, turn):
+        statuses = list(self.pool.map(self.order, (5000 + 2 * turn, 5001 + 2 * turn)))
+        self.sent += 2
+        if sorted(map(str, statuses)) != ["200", "412"]:
+            raise standin.CannotRun(f"two orders on the same version got {statuses}")
+        self.acknowledged += 1
+        self.rig.version += 1
 
 
 def play(rig, trouble):
-    endpoints = [standin.Endpoint(rig, node, work=work) for node in rig.nodes]
-    rig.configure(SERVICES, [standin.route("dyelot-order", HOST, "/order/", "non_idempotent", "orders")],
-                  [standin.tenant("pulo780", [KEY])])
+    standin.Endpoint(rig, rig.nodes[0])
+    routes = base_routes()
+    rig.configure(SERVICES, routes, tenants())
     rig.await_ready()
-    clients = Clients(rig, rig.nodes[4], 6)  # in the zone of the first node
-    time.sleep(2)
-    leaving, node = endpoints[0], rig.nodes[0]
-    late_heartbeat = leaving.heartbeat()
-    rig.record(f"{leaving.id} sends heartbeat {late_heartbeat['sequence']} (ready), which is held up on its way")
-    leaving.sends_heartbeats = False
-    leaving.state = "leaving"
-    if leaving.deregister() != 200:
-        raise standin.CannotRun("the deregistration is not acknowledged")
-    acked = in_touch = time.monotonic()
     if trouble:
-        node.kill()
-        time.sleep(standin.RESTART_SECONDS)
-        node.start()
-        in_touch = time.monotonic() + CONTACT_SECONDS
-    time.sleep(max(0.0, acked + LATE_SECONDS - time.monotonic()))
-    status = leaving.send_heartbeat(late_heartbeat)
-    rig.record(f"heartbeat {late_heartbeat['sequence']} of {leaving.id} arrives, gets {status}")
-    time.sleep(max(0.0, acked + SERVES_SECONDS - time.monotonic()))
-    with leaving.lock:
-        cut = [run["id"] for run in leaving.runs if "status" not in run]
-    rig.record(f"{leaving.id} exits")
-    leaving.stop()
-    time.sleep(1)
-    clients.stop()
-    rig.record(f"{len(clients.statuses)} orders; orders in progress at the exit: "
-               f"{[(request_id, clients.statuses.get(request_id)) for request_id in cut]}")
-    binds = max(acked + DRAIN_SECONDS + SLACK_SECONDS, in_touch)
-    late = [run for run in leaving.runs if run["at"] > binds]
-    return [f"{leaving.id} got {run['id']} {run['at'] - acked:.2f} s after its deregistration was acknowledged"
-            for run in late]
-
-
-standin.run_case(FOLDER, ["orders"] * 3 + ["stock"] * 4, play)
+        for turn in range(BIG_CONFIGS):
+            routes += more_routes(turn)
+            rig.configure(SERVICES, routes, tenants())
+    platform = Platform(rig)
+    operators = Operators(rig, routes)
+    start = time.monotonic()
+    try:
+        for turn in range(PAIRS):
+            if time.monotonic() - start > PLAY_SECONDS or platform.is_fault():
+                break
+            operators.change(turn)
+            if turn % 25 == 24:
+                rig.record(f"{operators.sent} orders, {operators.acknowledged} acknowledged; MB now "
+                           f"{[round(standin.rss_mb(process)) for process in rig.controls]}; ends {platform.ends}")
+    finally:
+        platform.stop()
+    rig.record(f"{operators.sent} orders, {operators.acknowledged} acknowledged in {time.monotonic() - start:.0f} s; "
+               f"most MB {platform.most}; ends {platform.ends}")
+    if not platform.is_fault():
+        return []
+    return [f"{name}: its process was ended {count} times for memory over the limit, without a disruption there"
+            for name, count in platform.ends.items()]
+
+
+standin.run_case(FOLDER, ["orders"], play)
