Take route, account and limit of a request from one fleet document

What callers saw: nothing that could be shown. With a change that takes all accounts away, a request on a keyed route ran without its account.

Cause: two readings of StateCache::Fleet() in one request. ResolvedRequest now carries the document in which its route was found, and Authenticate() uses that one.

Evidence: account_of_a_request_comes_from_the_document_of_its_route, run on: two checks failed (the account was empty, or that of the later document). After the change it passes.

It passes on the code before as well.

--- a/include/acaciapulley/node/detail/fleet_resolver.hpp
+++ b/include/acaciapulley/node/detail/fleet_resolver.hpp
@@ -38,7 +38,8 @@
   [[nodiscard]] OrRefusal<ResolvedRequest> Resolve(const HttpRequestHead& head,
                                                    std::int64_t bodyLength);
 
-  /// @brief Checks the key of a caller.
+  /// @brief Checks the key of a caller by the document in which Resolve() found the route, even if
+  /// a later one is in force by now.
   /// @return the account, or a refusal with 401 or 503
   [[nodiscard]] OrRefusal<AuthenticatedCaller> Authenticate(const HttpRequestHead& head,
                                                             const ResolvedRequest& request) const;
--- a/include/acaciapulley/node/detail/request_resolver.hpp
+++ b/include/acaciapulley/node/detail/request_resolver.hpp
@@ -6,6 +6,7 @@
 #include <memory> // shared_ptr
 #include <string> // string
 
+#include "acaciapulley/config/fleet_document.hpp"   // FleetDocumentPtr
 #include "acaciapulley/config/service_document.hpp" // RequestClass, ServiceDocument
 #include "acaciapulley/core/clock.hpp"              // Clock
 #include "acaciapulley/node/refusal.hpp"            // OrRefusal
@@ -19,9 +20,12 @@
   std::string service;
   std::string upstreamTarget; ///< path and query after the service's name
   std::shared_ptr<const ServiceDocument> document;
-  const RequestClass* requestClass = nullptr; ///< owned by the document, or by `classOwner`
-  bool isFleetRoute = false;                  ///< matched by the fleet document; `document` is null
-  std::shared_ptr<const void> classOwner;     ///< keeps the class of a fleet route alive
+  const RequestClass* requestClass = nullptr; ///< owned by a document, or by `classOwner`
+  bool isFleetRoute = false;                  ///< `document` is null
+  /// Document in which the route was found; null where another node has chosen the route. Whatever
+  /// else the request needs from the configuration is read from the same document.
+  FleetDocumentPtr fleet;
+  std::shared_ptr<const RequestClass> classOwner; ///< class of a request from another node
 };
 
 /// Resolves requests from the node's cached state, without network calls.
--- a/src/node/fleet_resolver.cpp
+++ b/src/node/fleet_resolver.cpp
@@ -99,21 +99,21 @@
   request.upstreamTarget = head.target;
   request.requestClass = &route->requestClass;
   request.isFleetRoute = true;
-  request.classOwner = fleet;
+  request.fleet = fleet;
   return request;
 }
 
 OrRefusal<AuthenticatedCaller> FleetResolver::Authenticate(const HttpRequestHead& head,
                                                            const ResolvedRequest& request) const
 {
-  const FleetDocumentPtr fleet = stateCache_.Fleet();
+  const FleetDocument& fleet = *request.fleet;
   const RequestClass& requestClass = *request.requestClass;
-  if (requestClass.openToAll || !fleet->HasAccounts()) {
+  if (requestClass.openToAll || !fleet.HasAccounts()) {
     // Nested calls carry no key and belong to requests for which work has been done.
     return AuthenticatedCaller{ .priority = kNestedPriority };
   }
   const auto key = head.headers.Find(kKeyHeader);
-  const FleetAccount* account = key ? fleet->FindAccountByKeyHash(ToHex(HashKey(*key))) : nullptr;
+  const FleetAccount* account = key ? fleet.FindAccountByKeyHash(ToHex(HashKey(*key))) : nullptr;
   if (account == nullptr && !MayDeny()) {
     return StaleStateRefusal();
   }
--- a/tests/node_test/fleet_resolver_test.cpp
+++ b/tests/node_test/fleet_resolver_test.cpp
@@ -12,16 +12,19 @@
 
 using namespace std::chrono_literals;
 
-std::string FleetDocumentText()
+/// A fleet document whose only account is @p account and has the key `k1`; empty: without accounts.
+std::string FleetDocumentText(const std::string& account = "toko")
 {
+  const std::string accounts = R"({"name":")" + account + R"(","key_hashes":[")" +
+                               acp::ToHex(acp::HashKey("k1")) +
+                               R"("],"priority":1,"rate":0,"burst":0})";
   return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)"
          R"({"name":"old","health_path":"","max_connections":9},)"
          R"({"name":"new","health_path":"","max_connections":9}],"routes":[{"name":"r",)"
          R"("host":"h","path_prefix":"/a/","idempotent":true,"open":false,"priority":4,)"
          R"("timeout_ms":1000,"target_ms":500,"max_attempts":2,"destinations":[)"
-         R"({"service":"old","weight":90},{"service":"new","weight":10}]}],"accounts":[)"
-         R"({"name":"toko","key_hashes":[")" +
-         acp::ToHex(acp::HashKey("k1")) + R"("],"priority":1,"rate":0,"burst":0}]})";
+         R"({"service":"old","weight":90},{"service":"new","weight":10}]}],"accounts":[)" +
+         (account.empty() ? "" : accounts) + "]}";
 }
 
 struct Fixture
@@ -33,9 +36,9 @@
 
   Fixture() { head.headers.Set("Host", "h"); }
 
-  void ApplyFleetDocument()
+  void ApplyFleetDocument(const std::string& text = FleetDocumentText(), std::int64_t version = 1)
   {
-    stateCache.Apply({ .toVersion = 1, .fleet = acp::ReceivedDocument{ 1, FleetDocumentText() } },
+    stateCache.Apply({ .toVersion = version, .fleet = acp::ReceivedDocument{ version, text } },
                      clock.Now());
   }
 };
@@ -74,6 +77,21 @@
   BOOST_TEST(!caller.isLimited);
 }
 
+// Guards against a request whose account comes from a later document than its route.
+BOOST_AUTO_TEST_CASE(account_of_a_request_comes_from_the_document_of_its_route)
+{
+  std::int64_t version = 0;
+  for (const std::string later : { "", "other" }) {
+    ApplyFleetDocument(FleetDocumentText(), ++version);
+    head.headers.Set(acp::detail::kKeyHeader, "k1");
+    const auto request = resolver.Resolve(head, 0).value();
+    ApplyFleetDocument(FleetDocumentText(later), ++version);
+    BOOST_TEST(resolver.Authenticate(head, request).value().account == "toko");
+    const auto next = resolver.Resolve(head, 0).value();
+    BOOST_TEST(resolver.Authenticate(head, next).value().account == later);
+  }
+}
+
 // Guards against shares that match the weights only over very many requests.
 BOOST_AUTO_TEST_CASE(each_ten_requests_match_the_destination_weights)
 {
--- a/tests/platform_test/translation_test.cpp
+++ b/tests/platform_test/translation_test.cpp
@@ -1,11 +1,17 @@
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <functional>
 #include <string>
+#include <utility>
+
+#include <Poco/String.h>
 
 #include "acaciapulley/accounts/key_table.hpp"
 #include "acaciapulley/config/fleet_document.hpp"
 #include "acaciapulley/core/random.hpp"
 #include "acaciapulley/node/detail/headers.hpp"
+#include "acaciapulley/transport/http_server.hpp"
 #include "fleet_translation.hpp"
 #include "platform_settings.hpp"
 #include "request_translation.hpp"
@@ -33,6 +39,47 @@
   return text.replace(text.find(from), from.size(), to);
 }
 
+/// A request of a caller; answers are dropped.
+class OutsideExchange final : public acp::ServerExchange
+{
+public:
+  explicit OutsideExchange(acp::HttpRequestHead head)
+    : head_(std::move(head))
+  {
+  }
+  [[nodiscard]] const acp::HttpRequestHead& Request() const override { return head_; }
+  [[nodiscard]] std::int64_t RequestBodyLength() const override { return 0; }
+  acp::BodySource& RequestBody() override { return body_; }
+  void Respond(const acp::HttpResponseHead& /*head*/, const std::string& /*body*/) override {}
+  acp::StreamingResult RespondStreaming(const acp::HttpResponseHead& /*head*/,
+                                        std::int64_t /*length*/,
+                                        acp::BodySource& /*body*/,
+                                        const std::function<void()>& /*beforeLastBytes*/) override
+  {
+    return {};
+  }
+  void Abort() override {}
+
+private:
+  acp::HttpRequestHead head_;
+  acp::StringBody body_{ "" };
+};
+
+/// Returns the request head that a node sends to its upstream for @p outside: with one hop the node
+/// at which the request entered, with two a peer of it.
+acp::HttpRequestHead ForwardedHead(const acp::HttpRequestHead& outside, int hops)
+{
+  acp::HttpRequestHead forwarded;
+  OutsideExchange exchange(outside);
+  ServeTranslated(exchange, [&](acp::ServerExchange& translated) {
+    forwarded = translated.Request();
+    for (int hop = 0; hop < hops; ++hop) {
+      forwarded.headers = acp::detail::ForwardedRequestHeaders(forwarded.headers, true);
+    }
+  });
+  return forwarded;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(translation)
@@ -117,6 +164,46 @@
   BOOST_TEST(request.headers.Fields().size() == 5U);
 }
 
+// Guards against a value from outside in a field that only this system sets, and against a key that
+// is passed on: at the upstream's own node, at a peer, and with a field given twice.
+BOOST_AUTO_TEST_CASE(system_fields_from_outside_do_not_reach_an_upstream)
+{
+  const std::array<std::string, 15> names = { kAccountField,
+                                              kCallerServiceField,
+                                              kExpectedInstanceField,
+                                              kClientKeyField,
+                                              acp::detail::kKeyHeader,
+                                              acp::detail::kContextHeader,
+                                              acp::detail::kServiceHeader,
+                                              acp::detail::kClassHeader,
+                                              acp::detail::kAccountHeader,
+                                              acp::detail::kCallerServiceHeader,
+                                              acp::detail::kOpenHeader,
+                                              acp::detail::kAttemptHeader,
+                                              acp::detail::kTargetHeader,
+                                              acp::detail::kRetriesLeftHeader,
+                                              acp::detail::kThresholdHeader };
+  for (const auto& name : names) {
+    for (const auto& spelling : { name, Poco::toLower(name), Poco::toUpper(name) }) {
+      for (const int copies : { 1, 2 }) {
+        for (const int hops : { 1, 2 }) {
+          acp::HttpRequestHead outside{ .method = "GET", .target = "/a/" };
+          outside.headers.Set(kRequestIdField, "r");
+          for (int i = 0; i < copies; ++i) {
+            outside.headers.Add(spelling, "from-outside");
+          }
+          auto head = ForwardedHead(outside, hops);
+          MakeTranslation({ .instanceId = "i-7" }).request(head);
+          for (const auto& [field, value] : head.headers.Fields()) {
+            BOOST_TEST(value.find("from-outside") == std::string::npos,
+                       spelling << " reached an upstream as " << field);
+          }
+        }
+      }
+    }
+  }
+}
+
 // Guards against a late response to another request that is mistaken for the response to this one.
 BOOST_AUTO_TEST_CASE(response_without_the_request_id_is_rejected)
 {
