Order the identities of a control host's address, and replace voters only by replicas that answer

ReplaceVoterWithLostDisk took any record at the address of a voter for the later identity there, so that the record of the lost disk replaced the live voter that had come after it, and retired it. A Join alone counted as being heard. A replica that was retired was ignored by all others and told nothing, so that it ran for good without a leader.

Now the later one of two identities is the one that has answered a heartbeat round which began after the leader knew the other one; a Join, which may be late, proves nothing. The earlier one is put on the list of retired identities in the log (voter change reason learner_replaced), so that the next leader knows it too. Only learners that have answered become voters. A retired replica that asks for a leader is told so, stores a new identity, ends with [809 retired] and joins as a spare at its next start.

Links through a proxy are not in it yet.

--- a/include/acaciapulley/replication/raft_core.hpp
+++ b/include/acaciapulley/replication/raft_core.hpp
@@ -52,7 +52,7 @@
   std::size_t maxAppendBytes = 256U << 10U;     ///< data in one Append message
   std::uint64_t maxEntriesInFlight = 4096;      ///< entries sent to a replica but not acknowledged
   std::size_t snapshotChunkBytes = 256U << 10U; ///< data in one Snapshot message
-  std::uint64_t retainedEntries = 10'000; ///< kept in memory before a snapshot, for slow replicas
+  std::uint64_t retainedEntries = 10'000;   ///< kept in memory before a snapshot, for slow replicas
 
   std::function<std::uint64_t()> random; ///< required; randomises the election timeouts
   RaftGuards guards;
@@ -136,10 +136,11 @@
                                          const std::string& newId,
                                          UnixMillis wall);
 
-  /// @brief Starts the next automatic change of the voter set, one at a time. A learner that has
-  /// caught up replaces a voter whose address it reports, which proves that the old identity is
-  /// lost; or it replaces a silent voter; or it is added if the set is smaller than
-  /// RaftOptions::targetVoterCount.
+  /// @brief Starts the next automatic change of the membership, one at a time. Of two identities at
+  /// one address, the one that is proved to be the later one stays: a learner of the earlier one is
+  /// retired, and a voter of the earlier one is replaced once the later one has caught up. A
+  /// learner that has caught up also replaces a silent voter, and is added if the set is smaller
+  /// than RaftOptions::targetVoterCount. Only learners that answer become voters.
   /// @return the change, or nothing if none is needed or possible
   std::optional<VoterChange> MaintainVoters(const RaftTime& time);
 
@@ -168,6 +169,10 @@
   /// @brief Returns the local state for operators.
   [[nodiscard]] ReplicaStatus Status() const;
 
+  /// @brief Returns whether this replica has been told that its identity was replaced, and has
+  /// stored a new one, under which it can join again after a restart. It no longer takes part.
+  [[nodiscard]] bool IsRetired() const;
+
   [[nodiscard]] RaftRole Role() const { return role_; }
   [[nodiscard]] std::uint64_t Term() const { return hardState_.term; }
   [[nodiscard]] std::uint64_t CommitIndex() const { return commitIndex_; }
@@ -194,7 +199,18 @@
     std::uint64_t matchIndex = 0;
     std::uint64_t nextIndex = 1;
     std::uint64_t ackedRound = 0; ///< newest heartbeat round that it answered
+    /// Newest heartbeat round when this leader learned of the replica. An answer to a later round
+    /// proves that the replica existed after that moment; a message that arrives late does not.
+    std::uint64_t knownSinceRound = 0;
     TimePoint lastHeardAt;
+
+    [[nodiscard]] bool HasAnswered() const { return ackedRound > knownSinceRound; }
+    /// Returns whether this replica existed after @p other was known, and not the other way round.
+    /// At one address it is then the later one.
+    [[nodiscard]] bool IsLaterThan(const Progress& other) const
+    {
+      return ackedRound > other.knownSinceRound && other.ackedRound <= knownSinceRound;
+    }
     bool heartbeatDue = true;
     std::shared_ptr<const std::string> snapshot; ///< encoded; set while it is being sent
     LogPosition snapshotPosition;
@@ -218,6 +234,8 @@
   // Message filter and roles.
   [[nodiscard]] bool AcceptsMessage(const RaftMessage& message) const;
   void AdoptCluster(const RaftMessage& message);
+  void NotifyRetired(const RaftMessage& message);
+  void StepRetired(const RaftMessage& message);
   void StepInTerm(const RaftMessage& message, const RaftTime& time);
   void BecomeFollower(std::uint64_t term, const std::string& leaderId, TimePoint now);
   void BecomeCandidate(const RaftTime& time);
@@ -260,10 +278,14 @@
   // Changes of the voter set.
   [[nodiscard]] ReplicationResult<void> CheckVoterChange(const std::string& learnerId) const;
   LogPosition BeginVoterChange(Membership next, const std::string& learnerId, UnixMillis wall);
+  std::optional<VoterChange> RetireReplacedLearner(const RaftTime& time);
   std::optional<VoterChange> ReplaceVoterWithLostDisk(const RaftTime& time);
   std::optional<VoterChange> ReplaceSilentVoter(const ReplicaRecord& learner, const RaftTime& time);
   std::optional<VoterChange> AddVoter(const ReplicaRecord& learner, const RaftTime& time);
   [[nodiscard]] const ReplicaRecord* ReachableLearner(TimePoint now) const;
+  [[nodiscard]] bool IsReachableLearner(const std::string& id, TimePoint now) const;
+  /// Returns the address of the voter or learner @p id, empty if it is neither.
+  [[nodiscard]] std::string AddressOf(const std::string& id) const;
   [[nodiscard]] Duration SilenceOf(const std::string& id, TimePoint now) const;
 
   LogPosition AppendAsLeader(EntryKind kind, std::string data, UnixMillis wall);
@@ -323,6 +345,7 @@
   std::uint64_t persistedIndex_ = 0;
   std::uint64_t persistedTerm_ = 0;
   std::uint64_t voteWriteNumber_ = 0; ///< write that contains the vote for itself
+  bool isRetired_ = false;            ///< the hard state has a new identity
 };
 
 } // namespace acp
--- a/include/acaciapulley/replication/raft_types.hpp
+++ b/include/acaciapulley/replication/raft_types.hpp
@@ -28,6 +28,9 @@
   bool operator==(const ReplicaRecord&) const = default;
 };
 
+/// @brief Returns a new identity, 16 random bytes in hexadecimal.
+[[nodiscard]] std::string NewIdentity();
+
 /// The voter set. During a change `oldVoters` contains the previous voters, and every quorum needs
 /// a majority of both sets (joint consensus).
 struct Membership
@@ -35,7 +38,8 @@
   std::string clusterId;
   std::vector<ReplicaRecord> voters;
   std::vector<ReplicaRecord> oldVoters;
-  std::vector<std::string> retiredIds; ///< replaced identities; their messages are ignored
+  /// Replaced identities. Their messages are ignored, so that they never act again whoever leads.
+  std::vector<std::string> retiredIds;
   /// Old voters that the current change removes although their disks may be intact; they may rejoin
   /// as learners.
   std::vector<std::string> demotedIds;
@@ -89,28 +93,30 @@
 /// Reason for an automatic change of the voter set by the leader.
 enum class VoterChangeReason
 {
-  HostReturnedEmpty, ///< a learner reports the address of a voter, so the voter's disk is lost
+  HostReturnedEmpty, ///< a later identity runs at the address of a voter, whose disk is lost
   VoterSilent,       ///< a voter has been silent for RaftOptions::voterSilenceTimeout
   SetTooSmall,       ///< there are fewer voters than RaftOptions::targetVoterCount
+  LearnerReplaced,   ///< a later identity runs at the address of a learner; no voter changes
 };
 
 template<>
 struct NameTable<VoterChangeReason>
 {
-  static constexpr std::array<EnumName<VoterChangeReason>, 3> kRows = { {
+  static constexpr std::array<EnumName<VoterChangeReason>, 4> kRows = { {
     { VoterChangeReason::HostReturnedEmpty, "host_returned_empty" },
     { VoterChangeReason::VoterSilent, "voter_silent" },
     { VoterChangeReason::SetTooSmall, "set_too_small" },
+    { VoterChangeReason::LearnerReplaced, "learner_replaced" },
   } };
 };
 
-/// An automatic change of the voter set that the leader has appended to its log.
+/// An automatic change of the membership that the leader has appended to its log.
 struct VoterChange
 {
   VoterChangeReason reason = VoterChangeReason::SetTooSmall;
-  LogPosition position;   ///< of the first of two membership entries
+  LogPosition position;   ///< of the first membership entry
   std::string leavingId;  ///< empty when a voter is added
-  std::string learnerId;  ///< becomes a voter
+  std::string learnerId;  ///< becomes a voter, or replaces the leaving learner
   Duration silence{};     ///< time since the leaving voter was last heard from
   std::size_t voters = 0; ///< number of voters before the change
 };
@@ -139,7 +145,8 @@
   AppendReply = 6,
   Snapshot = 7, ///< one chunk of a snapshot
   SnapshotReply = 8,
-  Join = 9, ///< a replica that may not be a voter asks the leader to replicate the log to it
+  Join = 9,     ///< a replica that may not be a voter asks the leader to replicate the log to it
+  Retired = 10, ///< the committed membership lists the recipient as replaced
 };
 
 /// A message between replicas. Which fields are used depends on the kind.
--- a/include/acaciapulley/replication/replication_error.hpp
+++ b/include/acaciapulley/replication/replication_error.hpp
@@ -21,12 +21,13 @@
   InvalidMessage = 806, ///< encoded data cannot be read
   ListenFailed = 807,   ///< cannot listen on the replica's address
   TooLarge = 808,       ///< the command exceeds the maximum size
+  Retired = 809,        ///< the identity was replaced; the replica joins under a new one
 };
 
 template<>
 struct NameTable<ReplicationErrorCode>
 {
-  static constexpr std::array<EnumName<ReplicationErrorCode>, 9> kRows = { {
+  static constexpr std::array<EnumName<ReplicationErrorCode>, 10> kRows = { {
     { ReplicationErrorCode::NotLeader, "not_leader" },
     { ReplicationErrorCode::Unconfirmed, "unconfirmed" },
     { ReplicationErrorCode::Stopped, "stopped" },
@@ -36,6 +37,7 @@
     { ReplicationErrorCode::InvalidMessage, "invalid_message" },
     { ReplicationErrorCode::ListenFailed, "listen_failed" },
     { ReplicationErrorCode::TooLarge, "too_large" },
+    { ReplicationErrorCode::Retired, "retired" },
   } };
 };
 
--- a/include/acaciapulley/replication/storage.hpp
+++ b/include/acaciapulley/replication/storage.hpp
@@ -68,7 +68,7 @@
 struct FileStorageOptions
 {
   std::uint64_t segmentBytes = 16U << 20U;  ///< a segment that exceeds this size is closed
-  std::function<std::string()> newIdentity; ///< default: 16 random bytes in hexadecimal
+  std::function<std::string()> newIdentity; ///< default: NewIdentity
 };
 
 /// Storage in the files of one folder:
--- a/src/replication/file_storage.cpp
+++ b/src/replication/file_storage.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/outcome/try.hpp> // BOOST_OUTCOME_TRY
 
-#include "acaciapulley/core/random.hpp"                      // RandomHex
 #include "acaciapulley/replication/detail/codec.hpp"         // ByteWriter, Checksum
 #include "acaciapulley/replication/detail/storage_files.hpp" // FailCorrupt, NamesWithPrefix
 
@@ -18,7 +17,6 @@
 using detail::ByteWriter;
 
 constexpr const char* kHardStateName = "hard-state";
-constexpr std::size_t kIdentityBytes = 16;
 
 } // namespace
 
@@ -27,7 +25,7 @@
   , options_(std::move(options))
 {
   if (!options_.newIdentity) {
-    options_.newIdentity = [] { return RandomHex(kIdentityBytes); };
+    options_.newIdentity = NewIdentity;
   }
 }
 
--- a/src/replication/membership.cpp
+++ b/src/replication/membership.cpp
@@ -1,11 +1,14 @@
 #include <algorithm> // any_of, count_if, find
 
+#include "acaciapulley/core/random.hpp" // RandomHex
 #include "acaciapulley/replication/raft_types.hpp"
 
 namespace acp {
 
 namespace {
 
+constexpr std::size_t kIdentityBytes = 16;
+
 bool ContainsReplica(const std::vector<ReplicaRecord>& replicas, const std::string& id)
 {
   return std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaRecord& replica) {
@@ -29,6 +32,11 @@
 
 } // namespace
 
+std::string NewIdentity()
+{
+  return RandomHex(kIdentityBytes);
+}
+
 bool Membership::IsVoter(const std::string& id) const
 {
   return ContainsReplica(voters, id) || ContainsReplica(oldVoters, id);
--- a/src/replication/raft_core.cpp
+++ b/src/replication/raft_core.cpp
@@ -62,6 +62,9 @@
 
 void RaftCore::Tick(const RaftTime& time)
 {
+  if (isRetired_) {
+    return;
+  }
   if (role_ == RaftRole::Leader) {
     TickLeader(time);
     return;
@@ -82,6 +85,36 @@
   }
 }
 
+void RaftCore::NotifyRetired(const RaftMessage& message)
+{
+  // Only requests of replicas that look for a leader or want to become one are answered.
+  const bool asks = message.kind == MessageKind::Join || message.kind == MessageKind::PreVote ||
+                    message.kind == MessageKind::Vote;
+  if (asks && message.clusterId == hardState_.clusterId &&
+      log_.MembershipAt(commitIndex_).IsRetired(message.from)) {
+    Send(MakeMessage(MessageKind::Retired, message.from));
+  }
+}
+
+void RaftCore::StepRetired(const RaftMessage& message)
+{
+  // A change that is not committed can still be dropped, so the sender has one that is. The voters
+  // do without the disk of this replica by now.
+  if (message.to != hardState_.identity) {
+    return;
+  }
+  role_ = RaftRole::Follower;
+  leaderId_.clear();
+  hardState_.identity = NewIdentity();
+  SetHardState(hardState_.term, {});
+  isRetired_ = true;
+}
+
+bool RaftCore::IsRetired() const
+{
+  return isRetired_ && !hardStateChanged_ && pendingWrites_.empty();
+}
+
 bool RaftCore::AcceptsMessage(const RaftMessage& message) const
 {
   if (!message.to.empty() && message.to != hardState_.identity) {
@@ -113,11 +146,18 @@
 
 void RaftCore::Step(const RaftMessage& message, const RaftTime& time)
 {
+  if (isRetired_) {
+    return;
+  }
+  NotifyRetired(message);
   if (!AcceptsMessage(message)) {
     return;
   }
   AdoptCluster(message);
   switch (message.kind) {
+    case MessageKind::Retired:
+      StepRetired(message);
+      return;
     case MessageKind::Join:
       StepJoin(message, time.now);
       return;
--- a/src/replication/raft_leader.cpp
+++ b/src/replication/raft_leader.cpp
@@ -43,6 +43,7 @@
     const auto [found, isNew] = progress_.try_emplace(id);
     if (isNew) {
       found->second.nextIndex = log_.Last().index + 1;
+      found->second.knownSinceRound = heartbeatRound_;
       found->second.lastHeardAt = now;
     }
   }
@@ -307,9 +308,10 @@
   const auto [found, isNew] = progress_.try_emplace(message.from);
   Progress& progress = found->second;
   progress.learner = message.sender;
-  progress.lastHeardAt = now;
   if (isNew) {
     progress.nextIndex = log_.Last().index + 1;
+    progress.knownSinceRound = heartbeatRound_;
+    progress.lastHeardAt = now;
   }
 }
 
--- a/src/replication/raft_voters.cpp
+++ b/src/replication/raft_voters.cpp
@@ -31,6 +31,9 @@
   if (learner == progress_.end() || learner->second.learner.id.empty()) {
     return Refuse("replica " + learnerId + " is not a learner of this leader");
   }
+  if (!learner->second.HasAnswered()) {
+    return Refuse("replica " + learnerId + " has not answered this leader since it joined");
+  }
   if (learner->second.matchIndex + kMaxLearnerLagEntries < commitIndex_) {
     return Refuse("replica " + learnerId + " has not caught up: it has entry " +
                   std::to_string(learner->second.matchIndex) + " of " +
@@ -73,6 +76,9 @@
   if (role_ != RaftRole::Leader || !IsMembershipStable() || commitIndex_ < termStartIndex_) {
     return std::nullopt;
   }
+  if (auto change = RetireReplacedLearner(time)) {
+    return change;
+  }
   if (auto change = ReplaceVoterWithLostDisk(time)) {
     return change;
   }
@@ -86,15 +92,44 @@
   return AddVoter(*learner, time);
 }
 
+std::optional<VoterChange> RaftCore::RetireReplacedLearner(const RaftTime& time)
+{
+  for (const auto& [earlierId, earlier] : progress_) {
+    if (earlier.learner.id.empty()) {
+      continue;
+    }
+    for (const auto& [laterId, later] : progress_) {
+      if (laterId == earlierId || AddressOf(laterId) != earlier.learner.rpcAddress ||
+          !later.IsLaterThan(earlier)) {
+        continue;
+      }
+      VoterChange change{ .reason = VoterChangeReason::LearnerReplaced,
+                          .leavingId = earlierId,
+                          .learnerId = laterId,
+                          .silence = SilenceOf(earlierId, time.now),
+                          .voters = log_.NewestMembership().voters.size() };
+      Membership next = log_.NewestMembership();
+      next.retiredIds.push_back(earlierId);
+      progress_.erase(change.leavingId);
+      change.position =
+        AppendAsLeader(EntryKind::Membership, detail::EncodeMembership(next), time.wall);
+      return change;
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<VoterChange> RaftCore::ReplaceVoterWithLostDisk(const RaftTime& time)
 {
   for (const auto& [id, progress] : progress_) {
     const ReplicaRecord& learner = progress.learner;
-    if (learner.id.empty()) {
+    if (learner.id.empty() || !IsReachableLearner(id, time.now)) {
       continue;
     }
     for (const auto& voter : log_.NewestMembership().voters) {
-      if (voter.rpcAddress != learner.rpcAddress) {
+      const auto earlier = progress_.find(voter.id);
+      if (voter.rpcAddress != learner.rpcAddress || earlier == progress_.end() ||
+          !progress.IsLaterThan(earlier->second)) {
         continue;
       }
       VoterChange change{ .reason = VoterChangeReason::HostReturnedEmpty,
@@ -156,14 +191,32 @@
 const ReplicaRecord* RaftCore::ReachableLearner(TimePoint now) const
 {
   for (const auto& [id, progress] : progress_) {
-    const bool isReachable = SilenceOf(id, now) < options_.electionTimeout;
-    if (isReachable && CheckVoterChange(id)) {
+    if (IsReachableLearner(id, now) && CheckVoterChange(id)) {
       return &progress.learner;
     }
   }
   return nullptr;
 }
 
+bool RaftCore::IsReachableLearner(const std::string& id, TimePoint now) const
+{
+  return progress_.at(id).HasAnswered() && SilenceOf(id, now) < options_.electionTimeout;
+}
+
+std::string RaftCore::AddressOf(const std::string& id) const
+{
+  const auto found = progress_.find(id);
+  if (found != progress_.end() && !found->second.learner.id.empty()) {
+    return found->second.learner.rpcAddress;
+  }
+  for (const auto& voter : log_.NewestMembership().voters) {
+    if (voter.id == id) {
+      return voter.rpcAddress;
+    }
+  }
+  return {};
+}
+
 Duration RaftCore::SilenceOf(const std::string& id, TimePoint now) const
 {
   const auto found = progress_.find(id);
--- a/src/replication/replica_impl.cpp
+++ b/src/replication/replica_impl.cpp
@@ -200,6 +200,12 @@
   Dispatch(core_.TakeReady(options_.clock->Now()));
   FinishReplacements();
   Publish();
+  if (core_.IsRetired()) {
+    ReportFailure({ ReplicationErrorCode::Retired,
+                    "replica " + self_.id +
+                      " was replaced while it was out of reach; it joins under a new identity "
+                      "after a restart" });
+  }
 }
 
 void Replica::Impl::MaintainVoters()
--- a/tests/replication_test/membership_test.cpp
+++ b/tests/replication_test/membership_test.cpp
@@ -393,6 +393,123 @@
   BOOST_TEST(!acp::detail::DecodeMembership(marked.substr(0, marked.size() - 1)).has_value());
 }
 
+// Guards against a live voter that is replaced by the identity of a lost disk: the leader still has
+// the record of that identity when a later one at its address has become a voter.
+BOOST_AUTO_TEST_CASE(record_of_a_learner_with_a_lost_disk_does_not_replace_a_live_voter)
+{
+  InMemoryCluster cluster;
+  cluster.maintainsVoters = true;
+  cluster.voterSilenceTimeout = 1s;
+  StartClusterWithLearner(cluster);
+  cluster.cores.erase("d");
+  cluster.Add("d2", {}, "address of d");
+  cluster.Run(1s);
+  const std::string silent = cluster.Follower();
+  cluster.isolated = { silent };
+  cluster.Run(3s);
+  const acp::Membership& membership = cluster.Leader().CurrentMembership();
+  BOOST_TEST(membership.IsVoter("d2"));
+  BOOST_TEST(!membership.IsVoter("d"));
+  BOOST_TEST(!membership.IsRetired("d2"));
+  BOOST_TEST(!membership.IsVoter(silent));
+
+  // The set bears the loss of one more disk.
+  cluster.cores.erase(cluster.Leader().CurrentHardState().identity);
+  cluster.isolated.clear();
+  cluster.Run(5s);
+  const auto position = cluster.Leader().Propose("x", cluster.clock.WallNow());
+  cluster.Run(1s);
+  BOOST_TEST(cluster.Leader().CommitIndex() >= position.value().index);
+}
+
+// Guards against a message of an earlier identity at an address that arrives after the later one
+// has reported, on the same leader and on the next.
+BOOST_AUTO_TEST_CASE(late_join_of_an_earlier_identity_changes_nothing)
+{
+  for (const bool isVoterLost : { false, true }) {
+    InMemoryCluster cluster;
+    cluster.maintainsVoters = true;
+    cluster.voterSilenceTimeout = 5s;
+    StartClusterWithLearner(cluster);
+    const std::string earlier = isVoterLost ? cluster.Follower() : "d";
+    acp::RaftMessage join;
+    join.kind = acp::MessageKind::Join;
+    join.clusterId = "cluster";
+    join.from = earlier;
+    join.sender = { earlier, "address of " + earlier, {} };
+    cluster.cores.erase(earlier);
+    cluster.Add("later", {}, "address of " + earlier);
+    cluster.Run(2s);
+    for (int leaders = 0; leaders < 2; ++leaders) {
+      for (int i = 0; i < 10; ++i) {
+        cluster.Leader().Step(join, cluster.Time());
+        cluster.Run(200ms);
+      }
+      const acp::Membership& membership = cluster.Leader().CurrentMembership();
+      BOOST_TEST(!membership.IsVoter(earlier));
+      BOOST_TEST(membership.IsRetired(earlier));
+      BOOST_TEST(!membership.IsRetired("later"));
+      BOOST_TEST(membership.IsVoter("later") == isVoterLost);
+      for (const auto& learner : cluster.Leader().Learners()) {
+        BOOST_TEST(learner.id != earlier);
+      }
+      if (leaders == 0) {
+        cluster.isolated = { cluster.Leader().CurrentHardState().identity };
+        cluster.Run(2s);
+        cluster.isolated.clear();
+      }
+    }
+  }
+}
+
+// Guards against a learner that is counted as reachable because it asked to join, although it has
+// not answered since.
+BOOST_AUTO_TEST_CASE(learner_that_does_not_answer_does_not_become_a_voter)
+{
+  InMemoryCluster cluster;
+  cluster.maintainsVoters = true;
+  cluster.voterSilenceTimeout = 1s;
+  StartCluster(cluster);
+  cluster.Run(3s);
+  const std::string silent = cluster.Follower();
+  cluster.isolated = { silent };
+  acp::RaftMessage join;
+  join.kind = acp::MessageKind::Join;
+  join.from = "mute";
+  join.sender = { "mute", "address of mute", {} };
+  for (int i = 0; i < 30; ++i) {
+    cluster.Leader().Step(join, cluster.Time());
+    cluster.Run(100ms);
+  }
+  BOOST_TEST(cluster.Leader().CurrentMembership().IsVoter(silent));
+  BOOST_TEST(!cluster.Leader().CurrentMembership().IsVoter("mute"));
+}
+
+// Guards against a replica that was replaced while it was out of reach, and then runs for good
+// without a leader.
+BOOST_AUTO_TEST_CASE(replaced_replica_learns_of_it_and_joins_under_a_new_identity)
+{
+  InMemoryCluster cluster;
+  StartClusterWithLearner(cluster);
+  const std::string replaced = cluster.Follower();
+  cluster.isolated = { replaced };
+  BOOST_REQUIRE(cluster.Leader().Replace(replaced, "d", cluster.clock.WallNow()).has_value());
+  cluster.Run(1s);
+  BOOST_TEST(!cluster.cores[replaced]->IsRetired());
+  cluster.isolated.clear();
+  // Twice the election timeout: the replica asks for a leader at least that often.
+  cluster.Run(2 * acp::RaftOptions().electionTimeout);
+  BOOST_REQUIRE(cluster.cores[replaced]->IsRetired());
+  const std::string next = cluster.cores[replaced]->CurrentHardState().identity;
+  BOOST_TEST(next != replaced);
+  cluster.cores.erase(replaced);
+  cluster.Add(next, "cluster", "address of " + replaced);
+  cluster.Run(1s);
+  BOOST_REQUIRE(cluster.Leader().Learners().size() == 1U);
+  BOOST_TEST(cluster.Leader().Learners().front().id == next);
+  BOOST_TEST(cluster.cores[next]->CommitIndex() == cluster.Leader().CommitIndex());
+}
+
 // Guards against changes that could lead to two quorums or to a voter set without a quorum.
 BOOST_AUTO_TEST_CASE(unsafe_replacements_are_refused)
 {
--- a/tests/soak/control_processes.py
+++ b/tests/soak/control_processes.py
@@ -1,6 +1,6 @@
 """Soak of control processes: the programs of the deploy file under faults and racing operators, from a seed.
 
-The deployment, its endpoints and its callers are those of review/standin. Judged from answers and runs
+Judged from answers and runs
 only, with the bounds of the platform's pages: an acknowledged change is in force in time and never
 older, no two changes follow one version, withdrawn keys and quotas hold, and each process that failed
 has ended with an error and works again. Rules for machines in touch are judged in calm only.
@@ -18,8 +18,7 @@
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-sys.path.insert(0, os.path.join(ROOT, "review", "standin"))
-import rig as standin  # noqa: E402  pylint: disable=wrong-import-position
+import platform_rig as standin
 
 SERVICES = ("orders", "stock")
 HOST = "shop.example"
@@ -27,6 +26,7 @@
 CONTACT_SECONDS = standin.BOUNDS["contact_ms"] / 1000
 APPLY_SECONDS = standin.BOUNDS["config_apply_ms"] / 1000
 REVOKE_SECONDS = standin.BOUNDS["revoke_ms"] / 1000
+RESTART_SECONDS = standin.RESTART_SECONDS
 GRACE_SECONDS = standin.BOUNDS["grace_s"]
 RECOVERY_SECONDS = standin.BOUNDS["recovery_s"]
 QUOTA_SECONDS = standin.BOUNDS["quota_window_s"]
@@ -95,6 +95,9 @@
         build = os.path.abspath(os.environ.get("ACP_BUILD_DIR", os.path.join(ROOT, "build")))
         self.rig.commands = {role: [os.path.join(build, "platform", f"acp-platform-{role}")]
                              for role in ("node", "control")}
+        for program, in self.rig.commands.values():
+            if not os.access(program, os.X_OK):
+                sys.exit(f"{program} is missing; build it, or name its build folder in ACP_BUILD_DIR")
         self.history = History()
         self.lock = threading.Lock()
         self.over = threading.Event()
@@ -360,6 +363,15 @@
             time.sleep(0.005)
         shutil.rmtree(os.path.join(machine.folder, "data"), ignore_errors=True)
 
+    def lose_disk_then_silence_another(self, machine):
+        """The machine is back and has had its time when another one falls silent, at times for long
+        enough to be replaced."""
+        self.lose_disk(machine)
+        time.sleep(CATCH_UP_SECONDS + RESTART_SECONDS + self.random.random() * 4)
+        other = self.random.choice([m for m in self.rig.controls if m is not machine])
+        self.rig.record(f"{machine.name} has lost its disk, now {other.name}")
+        self.random.choice((self.freeze, self.full_disk))(other)
+
     def kill_all(self, _):
         for machine in self.rig.controls:
             self.excuse(machine, (-9,), 2)
@@ -382,7 +394,7 @@
     def play_control_faults(self):
         """One machine is lost at a time, until catch_up_s after it is back."""
         kinds = ((self.full_disk, 5), (self.kill, 2), (self.stop, 2), (self.freeze, 3),
-                 (self.lose_disk, 2), (self.kill_all, 1))
+                 (self.lose_disk, 2), (self.lose_disk_then_silence_another, 4), (self.kill_all, 1))
         until = time.monotonic() + self.options.seconds
         while time.monotonic() < until:
             machine = self.random.choice(self.rig.controls)
