Tell an empty list of client accounts from a missing one

Cause: both "no accounts are defined" and "accounts are defined and there are none" became `"accounts": []`, and HasAccounts() was false for both. The fleet document now has the optional field keys_required, and RequiresKeys() decides.

--- a/include/acaciapulley/config/fleet_document.hpp
+++ b/include/acaciapulley/config/fleet_document.hpp
@@ -94,8 +94,10 @@
   /// @brief Returns all accounts in document order.
   [[nodiscard]] const std::vector<FleetAccount>& Accounts() const { return accounts_; }
 
-  /// @brief Returns whether callers need keys on routes that are not open to all.
-  [[nodiscard]] bool HasAccounts() const { return !accounts_.empty(); }
+  /// @brief Returns whether callers need keys on routes that are not open to all. That holds for
+  /// every document that defines accounts, also for one whose list of accounts is empty: then no
+  /// key is valid.
+  [[nodiscard]] bool RequiresKeys() const { return requiresKeys_; }
 
   /// @brief Returns the limits on requests and connections of callers.
   [[nodiscard]] const FleetLimits& Limits() const { return limits_; }
@@ -106,6 +108,7 @@
   std::vector<FleetRoute> routes_;
   std::vector<FleetService> services_;
   std::vector<FleetAccount> accounts_;
+  bool requiresKeys_ = false;
   FleetLimits limits_;
   std::unordered_map<std::string, std::size_t> routeByHostAndPrefix_; ///< key: host and prefix
   std::unordered_map<std::string, std::size_t> accountByKeyHash_;
--- a/src/config/fleet_document.cpp
+++ b/src/config/fleet_document.cpp
@@ -20,6 +20,8 @@
 /// A target this far above the timeout indicates a wrong unit.
 constexpr std::int64_t kMaxTargetAboveTimeoutMs = 60'000;
 constexpr std::size_t kKeyHashDigits = 64;
+/// Optional; by default keys are required if there are accounts.
+constexpr const char* kKeysRequiredField = "keys_required";
 
 [[noreturn]] void Throw(const std::string& path, const std::string& problem)
 {
@@ -181,6 +183,11 @@
       }
       fleet.accounts_.push_back(std::move(account));
     }
+    fleet.requiresKeys_ = reader.Has(kKeysRequiredField) ? reader.Boolean(kKeysRequiredField)
+                                                         : !fleet.accounts_.empty();
+    if (!fleet.requiresKeys_ && !fleet.accounts_.empty()) {
+      Throw(kKeysRequiredField, "is false although there are accounts");
+    }
     reader.RejectUnknownFields();
     return fleet;
   } catch (const JsonFieldError& e) {
--- a/src/node/fleet_resolver.cpp
+++ b/src/node/fleet_resolver.cpp
@@ -108,7 +108,7 @@
 {
   const FleetDocument& fleet = *request.fleet;
   const RequestClass& requestClass = *request.requestClass;
-  if (requestClass.openToAll || !fleet.HasAccounts()) {
+  if (requestClass.openToAll || !fleet.RequiresKeys()) {
     // Nested calls carry no key and belong to requests for which work has been done.
     return AuthenticatedCaller{ .priority = kNestedPriority };
   }
--- a/tests/config_test/fleet_document_test.cpp
+++ b/tests/config_test/fleet_document_test.cpp
@@ -50,6 +50,24 @@
   BOOST_TEST(fleet.Match("toko.example", "no slash") == nullptr);
 }
 
+// Guards against a document that defines accounts and has none, and is taken for one without them.
+BOOST_AUTO_TEST_CASE(empty_list_of_accounts_can_require_keys)
+{
+  const auto withField = [](const std::string& accounts, const std::string& field) {
+    std::string text = Fleet("", accounts);
+    text.pop_back();
+    return text + field + "}";
+  };
+  const std::string required = R"(,"keys_required":true)";
+  BOOST_TEST(!acp::FleetDocument::Parse(Fleet("")).value().RequiresKeys());
+  BOOST_TEST(acp::FleetDocument::Parse(Fleet("", Account("a", '1'))).value().RequiresKeys());
+  BOOST_TEST(acp::FleetDocument::Parse(withField("", required)).value().RequiresKeys());
+  BOOST_TEST(
+    acp::FleetDocument::Parse(withField(Account("a", '1'), required)).value().RequiresKeys());
+  BOOST_TEST(ErrorOf(withField(Account("a", '1'), R"(,"keys_required":false)")) ==
+             "[100 malformed_document] keys_required: is false although there are accounts");
+}
+
 BOOST_AUTO_TEST_CASE(a_key_shared_by_two_accounts_is_rejected)
 {
   const auto fleet =
--- a/tests/node_test/pipeline_documents.cpp
+++ b/tests/node_test/pipeline_documents.cpp
@@ -47,10 +47,10 @@
          R"("idempotent":true,"open":true,"deadline_ms":20000}]})";
 }
 
-std::string FleetDocumentText(bool hasAccounts)
+namespace {
+
+std::string FleetDocumentTextWithAccounts(const std::string& accounts)
 {
-  const std::string accounts = FleetAccountJson("unlimited", kUnlimitedKey, 0) + "," +
-                               FleetAccountJson("limited", kLimitedKey, kLimitedRate);
   return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)"
          R"({"name":"front","health_path":"","max_connections":100},)"
          R"({"name":"back","health_path":"","max_connections":100}],"routes":[)" +
@@ -61,7 +61,31 @@
          "," + FleetRouteJson("quick-read", { .prefix = "/quick/items/", .targetMs = 1000 }) + "," +
          FleetRouteJson("nested", { .prefix = "/nested/", .isOpen = true }) + "," +
          FleetRouteJson("stock", { .prefix = "/stock/", .isOpen = true, .service = "back" }) +
-         R"(],"accounts":[)" + (hasAccounts ? accounts : "") + "]}";
+         R"(],"accounts":[)" + accounts + "]}";
+}
+
+} // namespace
+
+std::string FleetDocumentText(bool hasAccounts)
+{
+  return FleetDocumentTextWithAccounts(hasAccounts
+                                         ? FleetAccountJson("unlimited", kUnlimitedKey, 0) + "," +
+                                             FleetAccountJson("limited", kLimitedKey, kLimitedRate)
+                                         : "");
+}
+
+std::string FleetDocumentTextWith(const std::map<std::string, const char*>* keysByAccount)
+{
+  if (keysByAccount == nullptr) {
+    return FleetDocumentTextWithAccounts("");
+  }
+  std::string accounts;
+  for (const auto& [account, key] : *keysByAccount) {
+    accounts += (accounts.empty() ? "" : ",") + FleetAccountJson(account, key, 0);
+  }
+  std::string text = FleetDocumentTextWithAccounts(accounts);
+  text.insert(text.size() - 1, R"(,"keys_required":true)");
+  return text;
 }
 
 } // namespace acp::test
--- a/tests/node_test/pipeline_documents.hpp
+++ b/tests/node_test/pipeline_documents.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 
 namespace acp::test {
@@ -13,4 +14,8 @@
 /// `back`.
 std::string FleetDocumentText(bool hasAccounts = true);
 
+/// The fleet document with other accounts. @p keysByAccount is null for a document that does not
+/// define accounts.
+std::string FleetDocumentTextWith(const std::map<std::string, const char*>* keysByAccount);
+
 } // namespace acp::test
--- a/tests/platform_test/translation_test.cpp
+++ b/tests/platform_test/translation_test.cpp
@@ -103,6 +103,21 @@
   BOOST_TEST(account->limit.burst == 75);
 }
 
+// Guards against an empty list of accounts that opens every route.
+BOOST_AUTO_TEST_CASE(empty_list_of_accounts_is_not_a_missing_one)
+{
+  const std::string accounts =
+    std::string(kConfiguration).substr(kConfiguration.find(",\"tenants"));
+  const auto requiresKeys = [&](const std::string& replacement) {
+    const auto change = TranslateConfiguration(WithReplacement(accounts, replacement)).value();
+    return acp::FleetDocument::Parse(change.document).value().RequiresKeys();
+  };
+  BOOST_TEST(requiresKeys(accounts));
+  BOOST_TEST(requiresKeys(R"(,"tenants":[]})"));
+  BOOST_TEST(!requiresKeys(R"(,"tenants":null})"));
+  BOOST_TEST(!requiresKeys("}"));
+}
+
 // Guards against a configuration that is applied with another meaning than its author intended.
 BOOST_AUTO_TEST_CASE(invalid_configuration_is_rejected)
 {
