Keep the first heartbeat after a node's start back until the upstream says that it is ready

Cause: UpstreamRegistry keeps calls and their order in memory only. After a start any heartbeat is the newest, a deregistration before the first heartbeat was acknowledged and dropped, and a late heartbeat of another instance displaced one that was known from a health check.

Where the memory could live was weighed in docs/design.md, section 7: control's log, other nodes, or the upstream. The upstream knows best; it says 503 to a health check while it leaves. So the first heartbeat that says ready waits until a health check says so too. That costs what a start cost before, one health check, nothing at a heartbeat, and nothing that grows with nodes. An upstream that answers no check is used after two heartbeats and three checks. A heartbeat of a service outside the configuration no longer displaces an upstream of a known one.

New tests in upstream_registry: first_heartbeat_after_a_start_waits_until_the_upstream_is_ready, late_heartbeat_of_another_instance_does_not_displace_a_probed_upstream, deregistration_before_the_first_heartbeat_is_kept, upstream_without_health_answers_is_used_while_it_sends_heartbeats, heartbeat_of_an_unknown_service_displaces_nothing. They use the new options, so that they do not build on the code before.

Not changed: within 1.5 s of a node's start its upstream may be another service's endpoint that answers the health check.

--- a/tests/platform_test/odd_entries_test.cpp
+++ b/tests/platform_test/odd_entries_test.cpp
@@ -94,7 +94,9 @@
   }
 
   std::vector<acp::Announcement> announced;
-  acp::platform::UpstreamRegistry registry{ [this](const auto& a) { announced.push_back(a); } };
+  acp::platform::UpstreamRegistry registry{ { .announce = [this](const auto& a) {
+    announced.push_back(a);
+  } } };
   acp::HttpServer server{ { .address = { .ip = "127.0.0.1", .port = 0 },
                             .maxConnections = 32,
                             .handler = [this](auto& e) { registry.Serve(e); } } };
--- a/tests/platform_test/upstream_registry_test.cpp
+++ b/tests/platform_test/upstream_registry_test.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
+using acp::platform::HealthAnswer;
 using acp::platform::Heartbeat;
+using acp::platform::ProbeResult;
 
 std::string HeartbeatBody(int sequence,
                           const std::string& state = "ready",
@@ -32,7 +34,23 @@
 struct Fixture
 {
   std::vector<acp::Announcement> announced;
-  acp::platform::UpstreamRegistry registry{ [this](const auto& a) { announced.push_back(a); } };
+  acp::platform::UpstreamRegistry registry{ { .announce = [this](const auto& a) {
+    announced.push_back(a);
+  } } };
+};
+
+/// The registry of a node that has just been started beside a running upstream.
+struct RestartedNode
+{
+  explicit RestartedNode(bool confirmsFirstHeartbeat = true)
+    : registry({ .announce = [this](const auto& a) { announced.push_back(a); },
+                 .isKnownService = [](const auto& service) { return service != "unknown"; },
+                 .confirmsFirstHeartbeat = confirmsFirstHeartbeat })
+  {
+  }
+
+  std::vector<acp::Announcement> announced;
+  acp::platform::UpstreamRegistry registry;
 };
 
 } // namespace
@@ -159,21 +177,24 @@
   for (const ConnectionEnd end : { ConnectionEnd::Close, ConnectionEnd::Reset }) {
     for (std::size_t size = 0; size < head.size(); ++size) {
       upstream.SetResponse(head.substr(0, size), end);
-      const auto found =
+      const auto probe =
         acp::platform::ProbeUpstream("orders", upstream.ListenAddress(), "/health");
-      BOOST_TEST(!found.has_value(), "named by " << size << " bytes");
+      BOOST_TEST(!probe.found.has_value(), "named by " << size << " bytes");
+      BOOST_TEST((probe.answer == acp::platform::HealthAnswer::None));
     }
   }
   upstream.SetResponse(head, ConnectionEnd::Close);
   BOOST_TEST(
-    acp::platform::ProbeUpstream("orders", upstream.ListenAddress(), "/health").has_value());
+    acp::platform::ProbeUpstream("orders", upstream.ListenAddress(), "/health").found.has_value());
 }
 
 // Guards against a probe that overrides a heartbeat, and against a late heartbeat that undoes the
 // deregistration of a probed upstream.
 BOOST_AUTO_TEST_CASE(probe_result_applies_until_the_first_heartbeat)
 {
-  Heartbeat found = MakeHeartbeat("i", 0, 0);
+  const ProbeResult found{ .answer = HealthAnswer::Ready,
+                           .instanceId = "i",
+                           .found = MakeHeartbeat("i", 0, 0) };
   registry.ApplyProbe(found);
   BOOST_TEST(announced.size() == 1U);
   BOOST_TEST(registry.HasUpstream());
@@ -186,4 +207,91 @@
   BOOST_TEST(announced.back().instanceId == "j");
 }
 
+// Guards against a node that is started again and takes a late heartbeat for news, although its
+// upstream has deregistered at the process before it.
+BOOST_AUTO_TEST_CASE(first_heartbeat_after_a_start_waits_until_the_upstream_is_ready)
+{
+  RestartedNode node;
+  node.registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 7));
+  BOOST_TEST(node.announced.empty());
+  BOOST_TEST(node.registry.ServiceToConfirm() == "orders");
+  for (int i = 0; i < 10; ++i) {
+    node.registry.ApplyProbe({ .answer = HealthAnswer::NotReady, .instanceId = "i" });
+    node.registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 8 + i));
+  }
+  BOOST_TEST(node.announced.empty());
+  node.registry.ApplyProbe({ .answer = HealthAnswer::Ready, .instanceId = "i" });
+  BOOST_REQUIRE(node.announced.size() == 1U);
+  BOOST_TEST(node.announced.back().instanceId == "i");
+  BOOST_TEST(!node.announced.back().draining);
+  BOOST_TEST(node.registry.HasUpstream());
+  // From now on the order of heartbeats is known.
+  BOOST_TEST(!node.registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 3)));
+  BOOST_TEST(node.registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 30, true)));
+  BOOST_TEST(node.announced.back().draining);
+}
+
+// Guards against a late heartbeat of an instance that no longer runs, at a node that knows the
+// current one by a health check only.
+BOOST_AUTO_TEST_CASE(late_heartbeat_of_another_instance_does_not_displace_a_probed_upstream)
+{
+  RestartedNode node;
+  const ProbeResult current{ .answer = HealthAnswer::Ready,
+                             .instanceId = "new",
+                             .found = MakeHeartbeat("new", 0, 0) };
+  node.registry.ApplyProbe(current);
+  node.registry.ApplyHeartbeat(MakeHeartbeat("old", 500, 90));
+  BOOST_TEST(node.announced.back().instanceId == "new");
+  BOOST_TEST(node.registry.ServiceToConfirm() == "orders");
+  node.registry.ApplyProbe(current);
+  BOOST_TEST(node.registry.HasUpstream());
+  BOOST_TEST(node.announced.back().instanceId == "new");
+  BOOST_TEST(node.registry.ApplyHeartbeat(MakeHeartbeat("new", 900, 5)));
+  BOOST_TEST(!node.registry.ApplyHeartbeat(MakeHeartbeat("old", 500, 91)));
+  BOOST_TEST(node.registry.ApplyHeartbeat(MakeHeartbeat("newest", 1500, 1)));
+}
+
+// Guards against a deregistration that is acknowledged and forgotten because no heartbeat has come
+// since the node's start.
+BOOST_AUTO_TEST_CASE(deregistration_before_the_first_heartbeat_is_kept)
+{
+  for (const bool confirms : { false, true }) {
+    RestartedNode node(confirms);
+    BOOST_TEST(node.registry.ApplyDeregistration({ .instanceId = "i", .startedAtMs = 1000 }));
+    node.registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 7));
+    node.registry.ApplyProbe({ .answer = HealthAnswer::Ready, .instanceId = "i" });
+    for (const auto& announcement : node.announced) {
+      BOOST_TEST(announcement.draining);
+    }
+    node.registry.ApplyHeartbeat(MakeHeartbeat("i", 2000, 1));
+    BOOST_TEST(!node.announced.back().draining);
+  }
+}
+
+// Guards against an upstream without requests because its health checks get no answer.
+BOOST_AUTO_TEST_CASE(upstream_without_health_answers_is_used_while_it_sends_heartbeats)
+{
+  RestartedNode node;
+  node.registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 1));
+  for (int i = 0; i < 5; ++i) {
+    node.registry.ApplyProbe({});
+  }
+  BOOST_TEST(node.announced.empty());
+  node.registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 2));
+  node.registry.ApplyProbe({});
+  BOOST_TEST(node.announced.size() == 1U);
+}
+
+// Guards against an upstream that a heartbeat for a service outside the configuration displaces.
+BOOST_AUTO_TEST_CASE(heartbeat_of_an_unknown_service_displaces_nothing)
+{
+  RestartedNode node(false);
+  BOOST_TEST(node.registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 1)));
+  auto other = MakeHeartbeat("j", 2000, 1);
+  other.announcement.service = "unknown";
+  BOOST_TEST(!node.registry.ApplyHeartbeat(other));
+  BOOST_TEST(node.announced.back().instanceId == "i");
+  BOOST_TEST(node.registry.ApplyHeartbeat(MakeHeartbeat("i", 1000, 2)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
