Close the gate for a drain that is announced while the node stops

A node that is stopping announces its upstream as draining already. RequestPipeline::Announce() compared a new announcement with that one, took the upstream's own drain for nothing new, and acknowledged it without closing the gate. It is compared with the last announcement as it was made now.

drain_of_the_upstream_is_applied_while_the_node_stops uses the new result of LocalUpstream::Announce(), so that it does not build on the code before.

--- a/include/acaciapulley/node/local_upstream.hpp
+++ b/include/acaciapulley/node/local_upstream.hpp
@@ -54,7 +54,8 @@
 
   /// @brief Applies an announcement; connections are kept unless the address, the instance or the
   /// number of connections has changed.
-  void Announce(const Announcement& announcement);
+  /// @return whether it differs from the announcement before it
+  bool Announce(const Announcement& announcement);
 
   /// @brief Marks the upstream as draining, whatever it announces later: its node will stop.
   void BeginStop();
@@ -69,6 +70,7 @@
   TranslationFactory makeTranslation_;
   std::shared_ptr<ConnectionCounts> connections_;
   mutable std::mutex mutex_;
+  std::optional<Announcement> announced_; ///< the last one, as it was made
   std::optional<Announcement> current_;
   bool stopping_ = false;
   std::shared_ptr<HttpPool> pool_;
--- a/src/node/local_upstream.cpp
+++ b/src/node/local_upstream.cpp
@@ -35,9 +35,13 @@
   }
 }
 
-void LocalUpstream::Announce(const Announcement& announcement)
+bool LocalUpstream::Announce(const Announcement& announcement)
 {
   const std::lock_guard lock(mutex_);
+  if (announced_ == announcement) {
+    return false;
+  }
+  announced_ = announcement;
   const bool keepsPool = current_ && current_->address == announcement.address &&
                          current_->instanceId == announcement.instanceId &&
                          current_->maxConnections == announcement.maxConnections;
@@ -51,6 +55,7 @@
   }
   current_ = announcement;
   current_->draining = current_->draining || stopping_;
+  return true;
 }
 
 void LocalUpstream::BeginStop()
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -356,10 +356,9 @@
 
 void RequestPipeline::Impl::Announce(const Announcement& announcement)
 {
-  if (options_.upstream->Current() == announcement) {
+  if (!options_.upstream->Announce(announcement)) {
     return;
   }
-  options_.upstream->Announce(announcement);
   gate_.SetCapacity(
     announcement.slots, std::chrono::milliseconds(announcement.coldStartMs), announcement.draining);
   options_.onAnnouncementChanged();
--- a/tests/node_test/graceful_stop_test.cpp
+++ b/tests/node_test/graceful_stop_test.cpp
@@ -282,4 +282,23 @@
   BOOST_TEST(fixture.upstream.CountRuns("late") == 0);
 }
 
+// Guards against a node that is stopping and acknowledges an upstream's drain without closing its
+// gate, because it announces the upstream as draining already.
+BOOST_AUTO_TEST_CASE(drain_of_the_upstream_is_applied_while_the_node_stops)
+{
+  acp::LocalUpstream upstream;
+  acp::Announcement announcement{ .service = "front",
+                                  .address = { .ip = "127.0.0.1", .port = 9000 },
+                                  .slots = 5,
+                                  .maxConnections = 5 };
+  BOOST_TEST(upstream.Announce(announcement));
+  BOOST_TEST(!upstream.Announce(announcement));
+  upstream.BeginStop();
+  BOOST_TEST(upstream.Current()->draining);
+  BOOST_TEST(!upstream.Announce(announcement));
+  announcement.draining = true;
+  BOOST_TEST(upstream.Announce(announcement));
+  BOOST_TEST(upstream.Current()->draining);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
