Bound the replicated log in bytes, and refuse a change of the fleet document that cannot win before it is logged

Each order of two racing operators took room in it, also those that had lost.

Now RaftOptions::retainedBytes (16 MiB, four times as much for a reachable follower) and maxBytesInFlight (8 MiB, or one entry) bound the same in bytes, with each entry's overhead. ControlProcess::PutFleet() takes changes one at a time and asks FleetStore::Settle(), which answers a change that was accepted before or whose base or version the current document has passed. acp_control_log_bytes shows the memory of the log.

--- a/include/acaciapulley/control/control_state.hpp
+++ b/include/acaciapulley/control/control_state.hpp
@@ -87,6 +87,11 @@
   /// @brief Returns the current fleet document; its version is 0 if none was put yet.
   [[nodiscard]] FleetChange Fleet() const;
 
+  /// @brief Returns the result of putting @p change if it no longer depends on later changes; see
+  /// FleetStore::Settle.
+  [[nodiscard]] std::optional<ControlResult<PutFleetResult>> SettleFleetChange(
+    const FleetChange& change) const;
+
   /// @brief Returns the version of the fleet document, 0 if none was put yet; cheaper than Fleet().
   [[nodiscard]] std::int64_t FleetVersion() const;
 
--- a/include/acaciapulley/control/detail/control_metrics.hpp
+++ b/include/acaciapulley/control/detail/control_metrics.hpp
@@ -16,6 +16,7 @@
   bool isLeader = false;
   double term = 0;
   double commitIndex = 0;
+  double logBytes = 0;
   double appliedIndex = 0;
   double stateVersion = 0;
   double smallestConfirmed = 0;
--- a/include/acaciapulley/control/fleet_store.hpp
+++ b/include/acaciapulley/control/fleet_store.hpp
@@ -3,10 +3,11 @@
 /// @file
 /// The current fleet document and the digests of accepted changes.
 
-#include <cstdint> // int64_t
-#include <set>     // set
-#include <string>  // string
-#include <vector>  // vector
+#include <cstdint>  // int64_t
+#include <optional> // optional
+#include <set>      // set
+#include <string>   // string
+#include <vector>   // vector
 
 #include "acaciapulley/control/control_error.hpp" // ControlResult
 
@@ -44,6 +45,11 @@
   /// @endcode
   ControlResult<PutFleetResult> Put(const FleetChange& change);
 
+  /// @brief Returns the result of Put() if no later change can alter it: for a change that was
+  /// accepted already, and for one whose base or version the current document has passed.
+  [[nodiscard]] std::optional<ControlResult<PutFleetResult>> Settle(
+    const FleetChange& change) const;
+
   /// @brief Sets the secret of the fleet; has no effect if it is already set.
   void InitSecret(const std::string& secret);
 
@@ -60,6 +66,8 @@
   void Restore(FleetChange current, std::set<std::string> accepted, std::string secret);
 
 private:
+  [[nodiscard]] ControlResult<PutFleetResult> Check(const FleetChange& change) const;
+
   FleetChange current_;
   std::set<std::string> accepted_;
   std::string secret_;
--- a/include/acaciapulley/replication/detail/raft_log.hpp
+++ b/include/acaciapulley/replication/detail/raft_log.hpp
@@ -37,6 +37,14 @@
   /// any exists.
   [[nodiscard]] std::vector<LogEntry> Slice(std::uint64_t first, std::size_t maxBytes) const;
 
+  /// @brief Returns the memory that the entries after @p before up to @p last take in bytes;
+  /// entries that are not in memory count as none.
+  [[nodiscard]] std::uint64_t BytesBetween(std::uint64_t before, std::uint64_t last) const;
+
+  /// @brief Returns the smallest index from which on the entries up to @p last take at most
+  /// @p maxBytes; `last + 1` if already the entry at @p last takes more.
+  [[nodiscard]] std::uint64_t FirstIndexWithin(std::uint64_t maxBytes, std::uint64_t last) const;
+
   /// @brief Returns the first index in memory with the same term as the entry at @p index.
   [[nodiscard]] std::uint64_t FirstIndexOfTermAt(std::uint64_t index) const;
 
@@ -62,9 +70,15 @@
   void ResetTo(const Snapshot& snapshot);
 
 private:
+  /// Returns the bytes of all entries ever appended up to @p index, which is limited to those in
+  /// memory.
+  [[nodiscard]] std::uint64_t BytesUpTo(std::uint64_t index) const;
+
   LogPosition base_;
   UnixMillis baseTime_{};
   std::deque<LogEntry> entries_;
+  std::deque<std::uint64_t> bytesUpTo_; ///< for each entry; including all entries before it
+  std::uint64_t bytesUpToBase_ = 0;
   std::map<std::uint64_t, Membership> memberships_; ///< never empty
 };
 
--- a/include/acaciapulley/replication/detail/replica_workers.hpp
+++ b/include/acaciapulley/replication/detail/replica_workers.hpp
@@ -158,6 +158,7 @@
   std::uint64_t appliedIndex_ = 0;
   std::uint64_t entriesSinceSnapshot_ = 0;
   std::uint64_t bytesSinceSnapshot_ = 0;
+  std::uint64_t lastSnapshotBytes_ = 0;
   std::thread thread_;
 };
 
--- a/include/acaciapulley/replication/raft_core.hpp
+++ b/include/acaciapulley/replication/raft_core.hpp
@@ -51,8 +51,10 @@
 
   std::size_t maxAppendBytes = 256U << 10U;     ///< data in one Append message
   std::uint64_t maxEntriesInFlight = 4096;      ///< entries sent to a replica but not acknowledged
+  std::uint64_t maxBytesInFlight = 8U << 20U;   ///< their memory in bytes, or one entry
   std::size_t snapshotChunkBytes = 256U << 10U; ///< data in one Snapshot message
   std::uint64_t retainedEntries = 10'000;   ///< kept in memory before a snapshot, for slow replicas
+  std::uint64_t retainedBytes = 16U << 20U; ///< memory of these entries in bytes
 
   std::function<std::uint64_t()> random; ///< required; randomises the election timeouts
   RaftGuards guards;
@@ -292,6 +294,9 @@
   [[nodiscard]] std::uint64_t ConfirmedRound() const;
   std::shared_ptr<const std::string> EncodedSnapshot();
   [[nodiscard]] std::uint64_t FirstIndexToKeep(std::uint64_t snapshotIndex) const;
+  /// Returns whether another Append with entries may be sent before the ones in flight are
+  /// acknowledged.
+  [[nodiscard]] bool MayHaveMoreInFlight(const Progress& progress) const;
 
   // Pending writes and outgoing messages.
   void MarkUnwritten(std::uint64_t firstIndex);
--- a/include/acaciapulley/replication/replica.hpp
+++ b/include/acaciapulley/replication/replica.hpp
@@ -53,7 +53,7 @@
   Duration heartbeatInterval = std::chrono::milliseconds(50);     ///< see RaftOptions
   Duration firstElectionTimeout = std::chrono::milliseconds(100); ///< see RaftOptions
   std::uint64_t snapshotEveryEntries = 50'000;   ///< entries applied between two snapshots
-  std::uint64_t snapshotEveryBytes = 64U << 20U; ///< bytes of commands between two snapshots
+  std::uint64_t snapshotEveryBytes = 16U << 20U; ///< of commands, or as many as the last one had
   std::uint64_t maxCommandBytes = 4U << 20U;     ///< larger commands are rejected
 
   /// Called at most once, from a thread of the replica, when the replica stops because of an error.
--- a/include/acaciapulley/replication/replicated_log.hpp
+++ b/include/acaciapulley/replication/replicated_log.hpp
@@ -74,6 +74,7 @@
   std::uint64_t commitIndex = 0;
   std::uint64_t appliedIndex = 0;
   std::uint64_t lastIndex = 0;
+  std::uint64_t logBytes = 0; ///< memory of the entries that are kept
   std::vector<ReplicaInfo> replicas;
 };
 
--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -72,6 +72,7 @@
   impl_->Set("acp_control_leader", "1 when this replica leads", gauges.isLeader ? 1 : 0);
   impl_->Set("acp_control_term", "Term of the replicated log", gauges.term);
   impl_->Set("acp_control_commit_index", "Last committed entry", gauges.commitIndex);
+  impl_->Set("acp_control_log_bytes", "Memory of the entries that are kept", gauges.logBytes);
   impl_->Set("acp_control_applied_index", "Last applied entry", gauges.appliedIndex);
   impl_->Set("acp_control_state_version", "Version of documents and keys", gauges.stateVersion);
   impl_->Set("acp_control_confirmed_version",
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -3,8 +3,10 @@
 #include <algorithm> // clamp
 #include <atomic>    // atomic
 #include <cstdint>   // int64_t
+#include <mutex>     // timed_mutex, unique_lock
 #include <stdexcept> // runtime_error
 #include <thread>    // sleep_for, thread
+#include <utility>   // move
 
 #include <sys/resource.h> // getrlimit
 #include <thrift/processor/TMultiplexedProcessor.h>
@@ -149,6 +151,15 @@
     if (!document) {
       return Fail(ControlErrorCode::InvalidDocument, document.error().Describe());
     }
+    // One at a time, so that of several changes on top of one version only the first one takes room
+    // in the log.
+    std::unique_lock lock(putFleetMutex_, std::defer_lock);
+    if (!lock.try_lock_for(kPutFleetTimeout)) {
+      return Fail(ControlErrorCode::Unconfirmed, "an earlier change is not confirmed yet");
+    }
+    if (auto settled = context_.state.SettleFleetChange(change)) {
+      return *std::move(settled);
+    }
     wire::PutFleetCommand put;
     put.operatorName = operatorName;
     put.version = change.version;
@@ -258,6 +269,7 @@
     return channel.Call(call);
   }
 
+  std::timed_mutex putFleetMutex_;
   ChangeSignal changeSignal_;
   detail::ControlContext context_;
   ControlChannel leaderChannel_{
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -74,6 +74,13 @@
   return impl_->fleet.Current();
 }
 
+std::optional<ControlResult<PutFleetResult>> ControlState::SettleFleetChange(
+  const FleetChange& change) const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->fleet.Settle(change);
+}
+
 std::int64_t ControlState::FleetVersion() const
 {
   const std::shared_lock lock(impl_->mutex);
--- a/src/control/fleet_store.cpp
+++ b/src/control/fleet_store.cpp
@@ -8,10 +8,29 @@
 
 namespace acp {
 
+std::optional<ControlResult<PutFleetResult>> FleetStore::Settle(const FleetChange& change) const
+{
+  if (accepted_.contains(Sha256(change.source))) {
+    return PutFleetResult{ .version = change.version, .isResend = true };
+  }
+  // A base that is still to come may become current; versions never go back.
+  const bool canWin = change.baseVersion >= current_.version && change.version > current_.version;
+  return canWin ? std::nullopt : std::optional(Check(change));
+}
+
 ControlResult<PutFleetResult> FleetStore::Put(const FleetChange& change)
 {
-  const std::string digest = Sha256(change.source);
-  if (accepted_.contains(digest)) {
+  auto checked = Check(change);
+  if (checked && !checked.value().isResend) {
+    current_ = change;
+    accepted_.insert(Sha256(change.source));
+  }
+  return checked;
+}
+
+ControlResult<PutFleetResult> FleetStore::Check(const FleetChange& change) const
+{
+  if (accepted_.contains(Sha256(change.source))) {
     return PutFleetResult{ .version = change.version, .isResend = true };
   }
   if (change.baseVersion != current_.version) {
@@ -28,8 +47,6 @@
                             change.version,
                             current_.version));
   }
-  current_ = change;
-  accepted_.insert(digest);
   return PutFleetResult{ .version = change.version };
 }
 
--- a/src/control/operator_views.cpp
+++ b/src/control/operator_views.cpp
@@ -250,6 +250,7 @@
   ControlGauges gauges{ .isLeader = status.isLeader,
                         .term = static_cast<double>(status.term),
                         .commitIndex = static_cast<double>(status.commitIndex),
+                        .logBytes = static_cast<double>(status.logBytes),
                         .appliedIndex = static_cast<double>(status.appliedIndex),
                         .stateVersion = static_cast<double>(context_.state.Version()),
                         .claims = static_cast<double>(context_.state.ClaimCount()),
--- a/src/replication/raft_core.cpp
+++ b/src/replication/raft_core.cpp
@@ -381,6 +381,7 @@
   status.commitIndex = commitIndex_;
   status.appliedIndex = appliedIndex_;
   status.lastIndex = log_.Last().index;
+  status.logBytes = log_.BytesBetween(0, status.lastIndex);
   const auto add = [&](const ReplicaRecord& replica, bool isVoter) {
     ReplicaInfo info;
     info.id = replica.id;
--- a/src/replication/raft_leader.cpp
+++ b/src/replication/raft_leader.cpp
@@ -15,9 +15,10 @@
 constexpr Duration kLearnerTimeout = std::chrono::seconds(10);
 
 /// A reachable replica that receives a snapshot must find the entries after it once the transfer is
-/// complete, however quickly further snapshots are taken. This factor, applied to
-/// RaftOptions::retainedEntries, limits the memory that this takes.
+/// complete, however quickly further snapshots are taken. These factors, applied to
+/// RaftOptions::retainedEntries and RaftOptions::retainedBytes, limit the memory that this takes.
 constexpr std::uint64_t kMaxRetainedFactor = 20;
+constexpr std::uint64_t kMaxRetainedBytesFactor = 4;
 
 /// Heartbeat rounds that can wait for a quorum: those of 12 s at the default interval, far longer
 /// than a leader remains leader without a quorum.
@@ -174,13 +175,18 @@
       continue;
     }
     while (progress.heartbeatDue ||
-           (progress.nextIndex <= log_.Last().index &&
-            progress.nextIndex - progress.matchIndex <= options_.maxEntriesInFlight)) {
+           (progress.nextIndex <= log_.Last().index && MayHaveMoreInFlight(progress))) {
       SendAppend(id, progress);
     }
   }
 }
 
+bool RaftCore::MayHaveMoreInFlight(const Progress& progress) const
+{
+  return progress.nextIndex - progress.matchIndex <= options_.maxEntriesInFlight &&
+         log_.BytesBetween(progress.matchIndex, progress.nextIndex - 1) < options_.maxBytesInFlight;
+}
+
 void RaftCore::SendAppend(const std::string& id, Progress& progress)
 {
   RaftMessage message = MakeMessage(MessageKind::Append, id);
@@ -189,7 +195,7 @@
   if (!progress.snapshot) {
     const std::uint64_t before = progress.nextIndex - 1;
     message.position = { .term = *log_.TermAt(before), .index = before };
-    if (progress.nextIndex - progress.matchIndex <= options_.maxEntriesInFlight) {
+    if (MayHaveMoreInFlight(progress)) {
       message.entries = log_.Slice(progress.nextIndex, options_.maxAppendBytes);
     }
     progress.nextIndex += message.entries.size();
@@ -208,10 +214,11 @@
 
 std::uint64_t RaftCore::FirstIndexToKeep(std::uint64_t snapshotIndex) const
 {
-  const auto firstOfLast = [&](std::uint64_t count) {
-    return snapshotIndex > count ? snapshotIndex - count + 1 : 1;
+  const auto firstOfLast = [&](std::uint64_t count, std::uint64_t bytes) {
+    return std::max(snapshotIndex > count ? snapshotIndex - count + 1 : 1,
+                    log_.FirstIndexWithin(bytes, snapshotIndex));
   };
-  std::uint64_t first = firstOfLast(options_.retainedEntries);
+  std::uint64_t first = firstOfLast(options_.retainedEntries, options_.retainedBytes);
   for (const auto& [id, progress] : progress_) {
     if (nextHeartbeat_ - progress.lastHeardAt < options_.electionTimeout) {
       const std::uint64_t receivedIndex =
@@ -219,7 +226,9 @@
       first = std::min(first, receivedIndex + 1);
     }
   }
-  return std::max(first, firstOfLast(options_.retainedEntries * kMaxRetainedFactor));
+  return std::max(first,
+                  firstOfLast(options_.retainedEntries * kMaxRetainedFactor,
+                              options_.retainedBytes * kMaxRetainedBytesFactor));
 }
 
 std::shared_ptr<const std::string> RaftCore::EncodedSnapshot()
--- a/src/replication/raft_log.cpp
+++ b/src/replication/raft_log.cpp
@@ -1,5 +1,6 @@
 #include "acaciapulley/replication/detail/raft_log.hpp"
 
+#include <algorithm> // lower_bound, min
 #include <stdexcept> // logic_error
 #include <utility>   // move
 
@@ -7,6 +8,13 @@
 
 namespace acp::detail {
 
+namespace {
+
+/// Memory of an entry without its data.
+constexpr std::uint64_t kEntryOverheadBytes = sizeof(LogEntry) + sizeof(std::uint64_t);
+
+} // namespace
+
 RaftLog::RaftLog(const SnapshotPtr& snapshot, std::vector<LogEntry> entries)
 {
   memberships_.emplace(0, Membership{});
@@ -59,6 +67,30 @@
   return slice;
 }
 
+std::uint64_t RaftLog::BytesUpTo(std::uint64_t index) const
+{
+  if (index <= base_.index || bytesUpTo_.empty()) {
+    return bytesUpToBase_;
+  }
+  return bytesUpTo_[std::min<std::uint64_t>(index - base_.index, bytesUpTo_.size()) - 1];
+}
+
+std::uint64_t RaftLog::BytesBetween(std::uint64_t before, std::uint64_t last) const
+{
+  return last <= before ? 0 : BytesUpTo(last) - BytesUpTo(before);
+}
+
+std::uint64_t RaftLog::FirstIndexWithin(std::uint64_t maxBytes, std::uint64_t last) const
+{
+  const std::uint64_t total = BytesUpTo(last);
+  const std::uint64_t least = total > maxBytes ? total - maxBytes : 0;
+  if (bytesUpToBase_ >= least) {
+    return base_.index + 1;
+  }
+  const auto kept = std::lower_bound(bytesUpTo_.begin(), bytesUpTo_.end(), least);
+  return base_.index + static_cast<std::uint64_t>(kept - bytesUpTo_.begin()) + 2;
+}
+
 std::uint64_t RaftLog::FirstIndexOfTermAt(std::uint64_t index) const
 {
   const auto term = TermAt(index);
@@ -86,6 +118,7 @@
     }
     memberships_.insert_or_assign(entry.position.index, std::move(membership.value()));
   }
+  bytesUpTo_.push_back(BytesUpTo(entry.position.index) + kEntryOverheadBytes + entry.data.size());
   entries_.push_back(std::move(entry));
 }
 
@@ -93,6 +126,7 @@
 {
   while (!entries_.empty() && entries_.back().position.index >= index) {
     entries_.pop_back();
+    bytesUpTo_.pop_back();
   }
   memberships_.erase(memberships_.lower_bound(index), memberships_.end());
 }
@@ -102,7 +136,9 @@
   while (base_.index < index && !entries_.empty()) {
     base_ = entries_.front().position;
     baseTime_ = entries_.front().time;
+    bytesUpToBase_ = bytesUpTo_.front();
     entries_.pop_front();
+    bytesUpTo_.pop_front();
   }
   const auto newest = std::prev(memberships_.upper_bound(base_.index));
   memberships_.erase(memberships_.begin(), newest);
@@ -111,6 +147,8 @@
 void RaftLog::ResetTo(const Snapshot& snapshot)
 {
   entries_.clear();
+  bytesUpTo_.clear();
+  bytesUpToBase_ = 0;
   memberships_.clear();
   base_ = snapshot.position;
   baseTime_ = snapshot.time;
--- a/src/replication/replica_workers.cpp
+++ b/src/replication/replica_workers.cpp
@@ -1,7 +1,16 @@
 #include "acaciapulley/replication/detail/replica_workers.hpp"
 
+#include <algorithm> // clamp
+#include <utility>   // move
+
 namespace acp::detail {
 
+namespace {
+
+constexpr std::uint64_t kMaxIntervalFactor = 4;
+
+} // namespace
+
 DiskWorker::DiskWorker(std::unique_ptr<Storage> storage, DiskHooks hooks)
   : storage_(std::move(storage))
   , hooks_(std::move(hooks))
@@ -142,12 +151,17 @@
 
 void ApplyWorker::TakeSnapshotIfDue()
 {
-  if (entriesSinceSnapshot_ < policy_.everyEntries && bytesSinceSnapshot_ < policy_.everyBytes) {
+  // A large state is written less often than a small one, but the log has a bound.
+  const std::uint64_t everyBytes = std::clamp<std::uint64_t>(
+    lastSnapshotBytes_, policy_.everyBytes, policy_.everyBytes * kMaxIntervalFactor);
+  if (entriesSinceSnapshot_ < policy_.everyEntries && bytesSinceSnapshot_ < everyBytes) {
     return;
   }
   entriesSinceSnapshot_ = 0;
   bytesSinceSnapshot_ = 0;
-  hooks_.snapshotTaken(appliedIndex_, machine_.TakeSnapshot());
+  std::string snapshot = machine_.TakeSnapshot();
+  lastSnapshotBytes_ = snapshot.size();
+  hooks_.snapshotTaken(appliedIndex_, std::move(snapshot));
 }
 
 } // namespace acp::detail
--- a/tests/control_test/fleet_store_test.cpp
+++ b/tests/control_test/fleet_store_test.cpp
@@ -27,6 +27,22 @@
   BOOST_TEST(store.Current().source == "a");
 }
 
+// Guards against changes that take room in the log although another one has won already, and
+// against an early refusal of one that may still be accepted.
+BOOST_AUTO_TEST_CASE(only_a_change_that_may_still_win_is_not_settled)
+{
+  acp::FleetStore store;
+  BOOST_TEST(!store.Settle(Change(3, 0, "first")).has_value());
+  BOOST_TEST(store.Put(Change(3, 0, "first")).has_value());
+  BOOST_TEST(!store.Settle(Change(7, 3, "a")).has_value());
+  BOOST_TEST(!store.Settle(Change(9, 7, "b")).has_value());
+  BOOST_TEST(store.Settle(Change(3, 0, "first"))->value().isResend);
+  BOOST_TEST(
+    (store.Settle(Change(5, 0, "late"))->error().code == acp::ControlErrorCode::VersionConflict));
+  BOOST_TEST(
+    (store.Settle(Change(3, 3, "low"))->error().code == acp::ControlErrorCode::InvalidDocument));
+}
+
 // Guards against refusing a resend by an operator whose first response was lost.
 BOOST_AUTO_TEST_CASE(a_resent_fleet_change_is_acknowledged_after_later_changes)
 {
