Follow a route's weights within one request a part, from the first request after a change

Cause: the credits of a route's parts were kept while their names stayed the same, and the greatest credit was taken whatever the weight. With three parts or more the shares could also be off by more than one request without any change.

The credits start from zero at each change of a route's parts or weights, and the next part is chosen by Tijdeman's algorithm for the chairman assignment problem, which keeps each part within one request of its share at any time.

--- a/include/acaciapulley/config/fleet_document.hpp
+++ b/include/acaciapulley/config/fleet_document.hpp
@@ -22,6 +22,8 @@
 {
   std::string service;
   double weight = 1; ///< share relative to the other destinations of the route, at least 0
+
+  bool operator==(const FleetDestination&) const = default;
 };
 
 /// A route for requests to a host with a path prefix.
--- a/include/acaciapulley/node/detail/fleet_resolver.hpp
+++ b/include/acaciapulley/node/detail/fleet_resolver.hpp
@@ -33,7 +33,8 @@
 public:
   FleetResolver(const StateCache& stateCache, const Clock& clock);
 
-  /// @brief Finds the route and picks one of its destinations in proportion to their weights.
+  /// @brief Finds the route and picks one of its destinations in proportion to their weights. Since
+  /// the last change of these weights, each destination has got its share within one request.
   /// @return the request; or a refusal with 404, 413 or 503
   [[nodiscard]] OrRefusal<ResolvedRequest> Resolve(const HttpRequestHead& head,
                                                    std::int64_t bodyLength);
@@ -50,10 +51,10 @@
                                                                  const RequestContext& context);
 
 private:
-  /// Credits of a route's destinations; the destination with the highest credit is next.
+  /// Credits of a route's destinations: the requests that each is behind its share.
   struct WeightedRoundRobin
   {
-    std::vector<std::string> services;
+    std::vector<FleetDestination> destinations;
     std::vector<double> credits;
   };
 
--- a/src/node/fleet_resolver.cpp
+++ b/src/node/fleet_resolver.cpp
@@ -1,8 +1,8 @@
 #include "acaciapulley/node/detail/fleet_resolver.hpp"
 
-#include <algorithm> // max_element, min
+#include <algorithm> // min
 #include <memory>    // make_shared
-#include <numeric>   // accumulate
+#include <optional>  // optional
 #include <utility>   // move
 
 #include "acaciapulley/accounts/key_table.hpp"        // HashKey
@@ -38,6 +38,43 @@
                        kStaleRetryAfter);
 }
 
+/// Picks a destination and updates the credits, by R. Tijdeman's algorithm for the chairman
+/// assignment problem (1980), which keeps every credit between -1 and 1: of the destinations that
+/// are far enough behind their share, the one that would be a whole request behind first is next.
+std::size_t PickByCredit(const std::vector<FleetDestination>& destinations,
+                         std::vector<double>& credits)
+{
+  double total = 0;
+  int count = 0;
+  for (const auto& destination : destinations) {
+    total += destination.weight;
+    count += destination.weight > 0 ? 1 : 0;
+  }
+  const double leastCredit = count > 1 ? 1.0 / (2 * (count - 1)) : 0.0;
+  std::optional<std::size_t> picked;
+  std::size_t furthestBehind = 0;
+  double earliest = 0;
+  for (std::size_t i = 0; i < destinations.size(); ++i) {
+    if (destinations[i].weight <= 0) {
+      continue;
+    }
+    const double share = destinations[i].weight / total;
+    credits[i] += share;
+    if (destinations[furthestBehind].weight <= 0 || credits[i] > credits[furthestBehind]) {
+      furthestBehind = i;
+    }
+    const double requestsLeft = (1 - leastCredit - credits[i]) / share;
+    if (credits[i] >= leastCredit && (!picked || requestsLeft < earliest)) {
+      picked = i;
+      earliest = requestsLeft;
+    }
+  }
+  // Without rounding errors one is always far enough behind.
+  const std::size_t next = picked.value_or(furthestBehind);
+  credits[next] -= 1;
+  return next;
+}
+
 } // namespace
 
 FleetResolver::FleetResolver(const StateCache& stateCache, const Clock& clock)
@@ -56,23 +93,14 @@
   if (route.destinations.size() == 1) {
     return route.destinations.front().service;
   }
-  std::vector<std::string> services;
-  double total = 0;
-  for (const auto& destination : route.destinations) {
-    services.push_back(destination.service);
-    total += destination.weight;
-  }
+  const auto& destinations = route.destinations;
   const std::lock_guard lock(mutex_);
   WeightedRoundRobin& roundRobin = roundRobins_[route.requestClass.name];
-  if (roundRobin.services != services) {
-    roundRobin = { .services = services, .credits = std::vector<double>(services.size(), 0.0) };
-  }
-  for (std::size_t i = 0; i < services.size(); ++i) {
-    roundRobin.credits[i] += route.destinations[i].weight / total;
+  if (roundRobin.destinations != destinations) {
+    roundRobin = { .destinations = destinations,
+                   .credits = std::vector<double>(destinations.size(), 0.0) };
   }
-  const auto picked = std::max_element(roundRobin.credits.begin(), roundRobin.credits.end());
-  *picked -= 1.0;
-  return services[static_cast<std::size_t>(picked - roundRobin.credits.begin())];
+  return destinations[PickByCredit(destinations, roundRobin.credits)].service;
 }
 
 OrRefusal<ResolvedRequest> FleetResolver::Resolve(const HttpRequestHead& head,
--- a/tests/node_test/fleet_resolver_test.cpp
+++ b/tests/node_test/fleet_resolver_test.cpp
@@ -1,7 +1,12 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <map>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "acaciapulley/accounts/key_table.hpp"
 #include "acaciapulley/core/random.hpp"
@@ -27,6 +32,25 @@
          (account.empty() ? "" : accounts) + "]}";
 }
 
+/// A fleet document whose route is split between services `s0`, `s1` and so on.
+std::string SplitDocumentText(const std::vector<int>& weights)
+{
+  std::string services;
+  std::string destinations;
+  for (std::size_t i = 0; i < weights.size(); ++i) {
+    const std::string separator = i == 0 ? "" : ",";
+    const std::string name = "s" + std::to_string(i);
+    services += separator + R"({"name":")" + name + R"(","health_path":"","max_connections":9})";
+    destinations +=
+      separator + R"({"service":")" + name + R"(","weight":)" + std::to_string(weights[i]) + "}";
+  }
+  return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)" +
+         services +
+         R"(],"routes":[{"name":"r","host":"h","path_prefix":"/a/","idempotent":true,"open":true,)"
+         R"("priority":4,"timeout_ms":1000,"target_ms":500,"max_attempts":2,"destinations":[)" +
+         destinations + R"(]}],"accounts":[]})";
+}
+
 struct Fixture
 {
   acp::ManualClock clock;
@@ -106,6 +130,41 @@
   }
 }
 
+// Guards against a destination that gets a request after its weight has become 0, and against
+// shares that are off by more than a request after a change of weights.
+BOOST_DATA_TEST_CASE(shares_follow_the_weights_from_the_first_request_after_a_change,
+                     boost::unit_test::data::xrange(20),
+                     seed)
+{
+  std::mt19937 random(static_cast<unsigned>(seed));
+  const auto draw = [&](int most) { return std::uniform_int_distribution<int>(0, most)(random); };
+  const int parts = 2 + draw(6);
+  for (int version = 1; version <= 60; ++version) {
+    std::vector<int> weights;
+    int total = 0;
+    for (int i = 0; i < parts; ++i) {
+      weights.push_back(draw(2) == 0 ? 0 : draw(100));
+      total += weights.back();
+    }
+    if (total == 0) {
+      weights[0] = total = 1;
+    }
+    ApplyFleetDocument(SplitDocumentText(weights), version);
+    std::map<std::string, int> counts;
+    const int requests = draw(200);
+    for (int sent = 1; sent <= requests; ++sent) {
+      ++counts[resolver.Resolve(head, 0).value().service];
+      for (int i = 0; i < parts; ++i) {
+        const double share = 1.0 * sent * weights[static_cast<std::size_t>(i)] / total;
+        const double off = counts["s" + std::to_string(i)] - share;
+        BOOST_REQUIRE_MESSAGE(std::abs(off) < 1 && (share > 0 || off == 0),
+                              "seed " << seed << ": part " << i << " of version " << version
+                                      << " is off by " << off << " after " << sent);
+      }
+    }
+  }
+}
+
 // Guards against a peer with an older fleet document that makes its own routing decision.
 BOOST_AUTO_TEST_CASE(peer_applies_the_routing_decision_of_the_entry_node)
 {
