Accept heads up to their limit, handle requests to the path of heartbeats, and apply the idle timeout of the configuration

Three findings of the reviews at a listener: - 400 for proper heads with a value above 8,192 bytes or with more than 100 fields, which are limits of the HTTP library. The fields are read here now, as they were checked here before; the library reads the start line. A name is still limited to 256 bytes and a head to 16 KiB. - A request to /.acp/heartbeat got 204 at every listener and never ran. Only peer listeners answer heartbeats now, and a request of a peer, which has the echoed field, is none. - idle_timeout_ms was read and not applied: connections of callers were closed after 15 s. HttpServerOptions has currentIdleTimeout, which the ingress takes from the fleet document.

--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -100,6 +100,9 @@
   /// RunBlocking. False: each request in progress has a thread.
   bool runsInTasks = false;
   Duration idleTimeout = std::chrono::seconds(15); ///< longer than HttpPoolOptions::idleTimeout
+  /// If set, returns the idle timeout that is in force, instead of `idleTimeout`. Called each time
+  /// a connection becomes idle.
+  std::function<Duration()> currentIdleTimeout;
   Duration headTimeout = std::chrono::seconds(10); ///< from the first byte of a head to its last
   Duration bodyIdleTimeout = std::chrono::seconds(30); ///< maximum wait for more body bytes
   /// A caller is disconnected once it has kept the server waiting for this much longer than the
@@ -108,6 +111,9 @@
   Duration slowReaderGrace = std::chrono::seconds(5);
   /// Request field that responses echo, so that callers can match them to requests; empty: none.
   std::string echoedField;
+  /// Responds with 204 to `GET /.acp/heartbeat`; see HttpPoolOptions::sendsHeartbeats. A request
+  /// that has the echoed field is no heartbeat.
+  bool answersHeartbeats = false;
   std::function<void(const ServedRequest& served)>
     onServed; ///< called after each request; may be empty
 };
@@ -116,7 +122,7 @@
 /// response with `Connection: close` closes its connection.
 ///
 /// A malformed, ambiguous or oversized head gets 400 or 413 with `Acp-Outcome: not-run`, and the
-/// handler is not called. The server itself responds with 204 to `GET /.acp/heartbeat`.
+/// handler is not called.
 ///
 /// @par Example
 /// @code
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -168,6 +168,7 @@
     HttpServerOptions peer =
       ListenerOptions("peer", options.peer, options.maxConnections, &RequestPipeline::HandlePeer);
     peer.echoedField = detail::kAttemptHeader;
+    peer.answersHeartbeats = true;
     return peer;
   }
 
@@ -176,6 +177,12 @@
     HttpServerOptions ingress = ListenerOptions(
       "ingress", options.ingress, options.maxConnections, &RequestPipeline::HandleIngress);
     ingress.echoedField = options.requestIdField;
+    if (options.routesByFleet) {
+      ingress.currentIdleTimeout = [this, fallback = ingress.idleTimeout] {
+        const FleetDocumentPtr fleet = stateCache_.Fleet();
+        return fleet ? fleet->Limits().idleTimeout : fallback;
+      };
+    }
     if (options.ingressMiddleware) {
       ingress.handler = [middleware = options.ingressMiddleware,
                          serve = std::function(ingress.handler)](ServerExchange& exchange) {
--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -22,7 +22,8 @@
 
 // 15 decimal or hexadecimal digits always fit in 64 bits.
 constexpr std::size_t kMaxLengthDigits = 15;
-constexpr char kEscapeChar = '\x01';
+
+constexpr std::size_t kMaxNameBytes = 256;
 
 // Two parties could interpret a request differently if one of these had a second value.
 constexpr std::array<std::string_view, 8> kSingletonFields = {
@@ -70,48 +71,34 @@
   return line;
 }
 
-/// Validates the header lines of @p text, since POCO skips lines without a colon and accepts folded
-/// lines, bare line feeds, invalid names and control characters.
-std::optional<std::string> CheckFieldLines(std::string_view text)
+/// Reads the header lines of @p text. POCO would skip lines without a colon, accept folded lines,
+/// bare line feeds, invalid names and control characters, decode encoded words, whose line breaks
+/// would become fields when the head is forwarded, and refuse more than 100 fields and values of
+/// more than 8 KiB.
+std::optional<std::string> ReadFields(std::string_view text, HttpHeaders* headers)
 {
   while (text != "\r\n") {
     const std::string_view line = ConsumeLine(&text);
     const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos || !IsToken(line.substr(0, colon))) {
+    if (colon == std::string_view::npos || colon > kMaxNameBytes ||
+        !IsToken(line.substr(0, colon))) {
       return "a header line has no valid name";
     }
-    const std::string_view value = line.substr(colon + 1);
+    const std::string_view value = Trim(line.substr(colon + 1));
     if (!std::all_of(value.begin(), value.end(), IsValueChar)) {
       return "a header value contains control characters";
     }
+    headers->Add(std::string(line.substr(0, colon)), std::string(value));
   }
   return std::nullopt;
 }
 
-/// Inserts a control character, which no accepted head contains, at the start of each encoded word.
-/// Otherwise POCO would decode the word, and line breaks in it would become header fields when the
-/// head is forwarded.
-std::string EscapeEncodedWords(std::string_view text)
-{
-  std::string escaped(text);
-  for (auto at = escaped.find("=?"); at != std::string::npos; at = escaped.find("=?", at)) {
-    escaped.insert(at + 1, 1, kEscapeChar);
-  }
-  return escaped;
-}
-
-std::string UnescapeEncodedWords(std::string text)
-{
-  std::erase(text, kEscapeChar);
-  return text;
-}
-
-/// Parses the head @p text with POCO.
+/// Parses the start line @p line with POCO.
 template<typename Message>
-std::optional<std::string> ReadHead(std::string_view text, Message* message)
+std::optional<std::string> ReadStartLine(std::string_view line, Message* message)
 {
-  const std::string escaped = EscapeEncodedWords(text);
-  Poco::MemoryInputStream stream(escaped.data(), static_cast<std::streamsize>(escaped.size()));
+  const std::string head = std::string(line) + "\r\n\r\n";
+  Poco::MemoryInputStream stream(head.data(), static_cast<std::streamsize>(head.size()));
   try {
     message->read(stream);
   } catch (const Poco::Exception& e) {
@@ -120,15 +107,6 @@
   return std::nullopt;
 }
 
-HttpHeaders FieldsOf(const HTTPMessage& message)
-{
-  HttpHeaders headers;
-  for (const auto& [name, value] : message) {
-    headers.Add(name, UnescapeEncodedWords(value));
-  }
-  return headers;
-}
-
 std::optional<std::string> CheckSingletonFields(const HttpHeaders& headers)
 {
   for (const auto& single : kSingletonFields) {
@@ -261,16 +239,16 @@
 {
   std::string_view fields = text;
   const std::string_view line = ConsumeLine(&fields);
-  if (auto parseError = CheckFieldLines(fields)) {
+  head->headers = {};
+  if (auto parseError = ReadFields(fields, &head->headers)) {
     return parseError;
   }
   HTTPRequest request;
-  if (auto parseError = ReadHead(text, &request)) {
+  if (auto parseError = ReadStartLine(line, &request)) {
     return parseError;
   }
   head->method = request.getMethod();
-  head->target = UnescapeEncodedWords(request.getURI());
-  head->headers = FieldsOf(request);
+  head->target = request.getURI();
   if (auto parseError = CheckRequestLine(line, *head)) {
     return parseError;
   }
@@ -296,11 +274,12 @@
   if (!std::all_of(line.begin(), line.end(), IsValueChar)) {
     return "the status line contains control characters";
   }
-  if (auto parseError = CheckFieldLines(fields)) {
+  head->headers = {};
+  if (auto parseError = ReadFields(fields, &head->headers)) {
     return parseError;
   }
   HTTPResponse response;
-  if (auto parseError = ReadHead(text, &response)) {
+  if (auto parseError = ReadStartLine(line, &response)) {
     return parseError;
   }
   const std::string& version = response.getVersion();
@@ -315,7 +294,6 @@
   if (head->status < 100 || !line.starts_with(start) || !isStatusDelimited) {
     return "the response has no valid status code";
   }
-  head->headers = FieldsOf(response);
   const bool isVersion10 = version == HTTPMessage::HTTP_1_0;
   if (auto parseError = ParseFraming(head->headers, isVersion10, kCloseDelimited, framing)) {
     return parseError;
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -72,6 +72,12 @@
   std::function<void()> step_;
 };
 
+bool IsHeartbeat(const HttpRequestHead& head, const HttpServerOptions& options)
+{
+  return options.answersHeartbeats && head.target == kHeartbeatTarget &&
+         (options.echoedField.empty() || !head.headers.Find(options.echoedField));
+}
+
 } // namespace
 
 HttpResponseHead RefusalHead(int status, Reason reason)
@@ -124,7 +130,9 @@
 
 void ServerConnection::WaitForRequest()
 {
-  const Duration idle = server_.options->idleTimeout;
+  const HttpServerOptions& options = *server_.options;
+  const Duration idle =
+    options.currentIdleTimeout ? options.currentIdleTimeout() : options.idleTimeout;
   const Duration maxWait = *server_.isStopping ? std::min(idle, kStopGrace) : idle;
   wait_ =
     loop_.Watch(connection_.Descriptor(),
@@ -236,7 +244,7 @@
 
 void ServerConnection::Handle(ConnectionExchange& exchange)
 {
-  if (exchange.Request().target == kHeartbeatTarget) {
+  if (IsHeartbeat(exchange.Request(), *server_.options)) {
     exchange.Respond({ .status = 204 }, "");
     return;
   }
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -390,7 +390,8 @@
   return { .address = kAnyPort,
            .handler = [this, handle](ServerExchange& e) { (pipeline_.*handle)(e); },
            .runsInTasks = true,
-           .echoedField = isPeer ? "Acp-Attempt" : "" };
+           .echoedField = isPeer ? "Acp-Attempt" : "",
+           .answersHeartbeats = isPeer };
 }
 
 void TestNode::ConnectAll(const std::vector<TestNode*>& nodes)
