Serve accounts with a bar in their name and accounts with a rate and no burst

The separator and the percent sign are percent-encoded in the context. A name with control characters or of more than 128 bytes fits into no context and no header field, so that a fleet document with it is refused with the field, the name's start and the bound. A burst of 0 with a rate becomes that of 0.1 s, or one request.

Contexts of accounts with `%` in their name are not understood between nodes of this build and an earlier one.

--- a/include/acaciapulley/config/fleet_document.hpp
+++ b/include/acaciapulley/config/fleet_document.hpp
@@ -49,7 +49,9 @@
   std::string name;
   std::vector<std::string> keyHashes; ///< SHA-256 of each key in hexadecimal
   std::optional<int> priority;        ///< overrides the priority of the route
-  AccountLimit limit;                 ///< across all services; a rate of 0 means no limit
+  /// Across all services. A rate of 0 means no limit; with a rate, a burst of 0 becomes that of
+  /// 0.1 s, or one request.
+  AccountLimit limit;
 };
 
 /// Limits on requests and connections of callers.
--- a/include/acaciapulley/retries/request_context.hpp
+++ b/include/acaciapulley/retries/request_context.hpp
@@ -52,7 +52,7 @@
 
   /// @brief Returns the header value for @p context.
   /// @throw std::invalid_argument for a field that Verify() would reject: an id of the wrong length
-  /// or not hexadecimal, a name that contains `|` or control characters or is longer than
+  /// or not hexadecimal, a name that contains control characters or is longer than
   /// kMaxContextNameBytes, a priority outside 0 to 9, or retries outside 0 to kMaxRetryBudget
   /// @par Example
   /// @code
--- a/src/config/fleet_document.cpp
+++ b/src/config/fleet_document.cpp
@@ -1,10 +1,12 @@
 #include "acaciapulley/config/fleet_document.hpp"
 
-#include <algorithm> // transform
+#include <algorithm> // any_of, max, transform
 #include <cctype>    // tolower
 #include <set>       // set
 #include <utility>   // move
 
+#include <fmt/format.h> // format
+
 #include "acaciapulley/core/json_reader.hpp" // JsonReader, JsonFieldError
 
 namespace acp {
@@ -19,7 +21,12 @@
 constexpr double kMaxRate = 1e9;
 /// A target this far above the timeout indicates a wrong unit.
 constexpr std::int64_t kMaxTargetAboveTimeoutMs = 60'000;
+/// Requests that an account without a burst may send at once, as a time at its rate: with none it
+/// would never get a token.
+constexpr double kLeastBurstSeconds = 0.1;
 constexpr std::size_t kKeyHashDigits = 64;
+constexpr std::size_t kMaxContextNameBytes = 128; // as in request contexts
+constexpr std::size_t kMaxShownBytes = 32;
 /// Optional; by default keys are required if there are accounts.
 constexpr const char* kKeysRequiredField = "keys_required";
 
@@ -112,10 +119,27 @@
   return service;
 }
 
+/// Names are sent in header fields and in request contexts.
+void CheckAccountName(const std::string& path, const std::string& name)
+{
+  if (name.size() > kMaxContextNameBytes) {
+    Throw(path,
+          fmt::format("'{}...' has {} bytes, allowed are {}",
+                      name.substr(0, kMaxShownBytes),
+                      name.size(),
+                      kMaxContextNameBytes));
+  }
+  const auto isControl = [](unsigned char c) { return c < 0x20 || c == 0x7f; };
+  if (std::any_of(name.begin(), name.end(), isControl)) {
+    Throw(path, "contains a control character");
+  }
+}
+
 FleetAccount ReadAccount(JsonReader& reader)
 {
   FleetAccount account;
   account.name = ReadText(reader, "name");
+  CheckAccountName(reader.PathOf("name"), account.name);
   account.keyHashes = reader.Strings("key_hashes");
   for (const auto& hash : account.keyHashes) {
     if (hash.size() != kKeyHashDigits) {
@@ -127,6 +151,9 @@
   }
   account.limit = { .rate = reader.Number("rate", 0, kMaxRate),
                     .burst = reader.Number("burst", 0, kMaxRate) };
+  if (account.limit.burst == 0 && account.limit.rate > 0) {
+    account.limit.burst = std::max(1.0, account.limit.rate * kLeastBurstSeconds);
+  }
   reader.RejectUnknownFields();
   return account;
 }
--- a/src/retries/request_context.cpp
+++ b/src/retries/request_context.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::string_view kVersionPrefix = "v1.";
 constexpr char kFieldSeparator = '|';
+constexpr std::string_view kEscapedSeparator = "%7C";
+constexpr std::string_view kEscapedPercent = "%25";
 constexpr std::size_t kFieldCount = 9;
 constexpr std::size_t kRootIdDigits = 32;
 constexpr std::size_t kHopIdDigits = 16;
@@ -152,13 +154,37 @@
          text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
 }
 
-// Fields of the payload are separated by kFieldSeparator, so a name must not contain it.
 bool IsName(std::string_view text)
 {
   return text.size() <= kMaxContextNameBytes &&
-         std::all_of(text.begin(), text.end(), [](unsigned char c) {
-           return c >= 0x20 && c != 0x7f && c != static_cast<unsigned char>(kFieldSeparator);
-         });
+         std::all_of(
+           text.begin(), text.end(), [](unsigned char c) { return c >= 0x20 && c != 0x7f; });
+}
+
+/// Percent-encodes the field separator and the percent sign.
+std::string EscapeName(std::string_view name)
+{
+  std::string escaped;
+  for (const char c : name) {
+    if (c == kFieldSeparator || c == '%') {
+      escaped += c == '%' ? kEscapedPercent : kEscapedSeparator;
+    } else {
+      escaped += c;
+    }
+  }
+  return escaped;
+}
+
+std::string UnescapeName(std::string_view escaped)
+{
+  std::string name;
+  while (!escaped.empty()) {
+    const bool isSeparator = escaped.starts_with(kEscapedSeparator);
+    const bool isPercent = escaped.starts_with(kEscapedPercent);
+    name += isSeparator ? kFieldSeparator : isPercent ? '%' : escaped.front();
+    escaped.remove_prefix(isSeparator || isPercent ? kEscapedPercent.size() : 1);
+  }
+  return name;
 }
 
 bool IsValid(const RequestContext& context)
@@ -178,9 +204,9 @@
   }
   context->rootId = fields[0];
   context->hopId = fields[1];
-  context->account = fields[2];
+  context->account = UnescapeName(fields[2]);
   context->idempotent = fields[4] == "1";
-  context->issuer = fields[7];
+  context->issuer = UnescapeName(fields[7]);
   std::int64_t deadline = 0;
   const bool numbersRead =
     ReadNumber(fields[3], &context->priority) && ReadNumber(fields[5], &deadline) &&
@@ -215,12 +241,12 @@
   const std::string payload = fmt::format("{}|{}|{}|{}|{}|{}|{}|{}|{}",
                                           context.rootId,
                                           context.hopId,
-                                          context.account,
+                                          EscapeName(context.account),
                                           context.priority,
                                           context.idempotent ? 1 : 0,
                                           CountMillis(context.deadline),
                                           context.retriesLeft,
-                                          context.issuer,
+                                          EscapeName(context.issuer),
                                           context.issuerEpoch);
   const std::string encoded = ToBase64Url(payload);
   return std::string(kVersionPrefix) + encoded + "." + Signature(encoded);
--- a/tests/config_test/fleet_document_test.cpp
+++ b/tests/config_test/fleet_document_test.cpp
@@ -68,6 +68,31 @@
              "[100 malformed_document] keys_required: is false although there are accounts");
 }
 
+// Guards against an account with a rate that never gets a token because it has no burst.
+BOOST_AUTO_TEST_CASE(rate_without_a_burst_admits_requests)
+{
+  const auto burstOf = [](const std::string& rate, const std::string& burst) {
+    const std::string account =
+      R"({"name":"a","key_hashes":[],"rate":)" + rate + R"(,"burst":)" + burst + "}";
+    return acp::FleetDocument::Parse(Fleet("", account)).value().Accounts().front().limit.burst;
+  };
+  BOOST_TEST(burstOf("150", "0") == 15);
+  BOOST_TEST(burstOf("2", "0") == 1);
+  BOOST_TEST(burstOf("150", "4") == 4);
+  BOOST_TEST(burstOf("0", "0") == 0);
+}
+
+// Guards against an account whose requests fail because its name fits into no context or header.
+BOOST_AUTO_TEST_CASE(account_names_that_cannot_be_sent_are_rejected)
+{
+  BOOST_TEST(ErrorOf(Fleet("", Account(std::string(129, 'a'), '1'))) ==
+             "[100 malformed_document] accounts[0].name: '" + std::string(32, 'a') +
+               "...' has 129 bytes, allowed are 128");
+  BOOST_TEST(ErrorOf(Fleet("", Account("a\\u0007", '1'))) ==
+             "[100 malformed_document] accounts[0].name: contains a control character");
+  BOOST_TEST(ErrorOf(Fleet("", Account(std::string(126, 'a') + "|%", '1'))).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_key_shared_by_two_accounts_is_rejected)
 {
   const auto fleet =
