Found the cluster without seeds that are lost before it is founded

Cause: only the first replica bootstraps, and only once all listed ones answer. With ReplicaOptions::bootstrapWithoutRestAfter a majority of them may do without the rest, once it has been out of reach for that long; the first one that is reachable does.

Test: cluster_is_founded_without_a_lost_first_replica; it uses the new option, so that it does not build on the code before. One of three replicas alone still founds nothing. Not played with real processes.

--- a/include/acaciapulley/replication/detail/replica_impl.hpp
+++ b/include/acaciapulley/replication/detail/replica_impl.hpp
@@ -109,6 +109,7 @@
 
   void RunBootstrap();
   std::optional<InitialSet> FindInitialSet();
+  bool MayBootstrapWith(std::size_t reachable);
   std::optional<InitialSet> ReadInitialSet(const detail::HelloReply& reply) const;
 
   template<typename Change>
@@ -139,6 +140,7 @@
   std::unique_ptr<detail::ReplicationServer> server_;
   std::thread thread_;
   std::thread bootstrapThread_;
+  std::optional<TimePoint> restMissingSince_; ///< used by the bootstrap thread only
 };
 
 } // namespace acp
--- a/include/acaciapulley/replication/replica.hpp
+++ b/include/acaciapulley/replication/replica.hpp
@@ -38,6 +38,11 @@
   /// listed replicas answer and are empty. A replica that lost its disk finds replicas that are not
   /// empty, so it does not bootstrap and joins as a learner.
   bool bootstrap = false;
+  /// If it is not zero, a majority of `replicaAddresses` may bootstrap the cluster without the
+  /// rest, once these have been out of reach for this long: the first one that is reachable does.
+  /// Only for hosts that are told to bootstrap at most once in the life of the cluster; otherwise
+  /// hosts that have lost their disks could replace the cluster of the others.
+  Duration bootstrapWithoutRestAfter = Duration::zero();
 
   /// Whether the leader changes the voter set without an operator; see RaftCore::MaintainVoters.
   bool maintainsVoters = false;
--- a/src/replication/replica_bootstrap.cpp
+++ b/src/replication/replica_bootstrap.cpp
@@ -42,6 +42,7 @@
 std::optional<Replica::Impl::InitialSet> Replica::Impl::FindInitialSet()
 {
   std::vector<ReplicaRecord> emptyReplicas;
+  bool isOtherReplicaKnown = false;
   for (const auto& address : options_.replicaAddresses) {
     if (address == options_.rpcAddress) {
       emptyReplicas.push_back(self_);
@@ -56,10 +57,12 @@
     }
     if (reply->clusterId.empty()) {
       emptyReplicas.push_back({ reply->id, address.ToString(), reply->operatorAddress });
+    } else {
+      isOtherReplicaKnown = true;
     }
   }
-  const bool isInitiator = options_.replicaAddresses.front() == options_.rpcAddress;
-  if (!isInitiator || emptyReplicas.size() != options_.replicaAddresses.size()) {
+  const bool isInitiator = !emptyReplicas.empty() && emptyReplicas.front().id == self_.id;
+  if (!isInitiator || isOtherReplicaKnown || !MayBootstrapWith(emptyReplicas.size())) {
     return std::nullopt;
   }
   InitialSet initialSet;
@@ -69,6 +72,25 @@
   return initialSet;
 }
 
+bool Replica::Impl::MayBootstrapWith(std::size_t reachable)
+{
+  const std::size_t all = options_.replicaAddresses.size();
+  if (reachable == all) {
+    return true;
+  }
+  const bool mayLeaveOut =
+    options_.bootstrapWithoutRestAfter > Duration::zero() && 2 * reachable > all;
+  if (!mayLeaveOut) {
+    restMissingSince_.reset();
+    return false;
+  }
+  const TimePoint now = options_.clock->Now();
+  if (!restMissingSince_) {
+    restMissingSince_ = now;
+  }
+  return now - *restMissingSince_ >= options_.bootstrapWithoutRestAfter;
+}
+
 std::optional<Replica::Impl::InitialSet> Replica::Impl::ReadInitialSet(
   const detail::HelloReply& reply) const
 {
--- a/tests/replication_test/replica_test.cpp
+++ b/tests/replication_test/replica_test.cpp
@@ -104,6 +104,35 @@
   BOOST_TEST(WaitUntilAllApplied(cluster, "fourth"));
 }
 
+// Guards against a cluster that is never founded because its first replica is lost before that.
+BOOST_AUTO_TEST_CASE(cluster_is_founded_without_a_lost_first_replica)
+{
+  LocalCluster cluster(3);
+  for (auto& host : cluster.hosts) {
+    host.options.bootstrapWithoutRestAfter = 300ms;
+    host.options.maintainsVoters = true;
+    host.options.targetVoterCount = 3;
+  }
+  BOOST_REQUIRE(cluster.Start(2).has_value());
+  std::this_thread::sleep_for(600ms);
+  BOOST_TEST(cluster.Leader() == 3U); // one of three must not bootstrap a cluster
+  BOOST_REQUIRE(cluster.Start(1).has_value());
+  BOOST_TEST(ProposeToAnyLeader(cluster, "first") == "applied first");
+  // The first one comes after all and joins; all three are voters then.
+  BOOST_REQUIRE(cluster.Start(0).has_value());
+  BOOST_TEST(WaitUntilAllApplied(cluster, "first"));
+  BOOST_TEST(LocalCluster::WaitFor([&] {
+    const std::size_t leader = cluster.Leader();
+    std::size_t voters = 0;
+    if (leader < cluster.hosts.size()) {
+      for (const auto& info : cluster.hosts[leader].replica->Status().replicas) {
+        voters += info.isVoter ? 1 : 0;
+      }
+    }
+    return voters == 3;
+  }));
+}
+
 // Guards against a second process that uses the address or data folder of a replica, and against
 // commands that are too large for a message.
 BOOST_AUTO_TEST_CASE(invalid_starts_and_commands_are_refused)
