--- a/tests/node_test/fleet_resolver_test.cpp
+++ b/tests/node_test/fleet_resolver_test.cpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <fmt/format.h>
+
 #include "acaciapulley/accounts/key_table.hpp"
 #include "acaciapulley/core/random.hpp"
 #include "acaciapulley/node/detail/fleet_resolver.hpp"
@@ -38,11 +40,10 @@
   std::string services;
   std::string destinations;
   for (std::size_t i = 0; i < weights.size(); ++i) {
-    const std::string separator = i == 0 ? "" : ",";
-    const std::string name = "s" + std::to_string(i);
-    services += separator + R"({"name":")" + name + R"(","health_path":"","max_connections":9})";
-    destinations +=
-      separator + R"({"service":")" + name + R"(","weight":)" + std::to_string(weights[i]) + "}";
+    const char* separator = i == 0 ? "" : ",";
+    services +=
+      fmt::format(R"({}{{"name":"s{}","health_path":"","max_connections":9}})", separator, i);
+    destinations += fmt::format(R"({}{{"service":"s{}","weight":{}}})", separator, i, weights[i]);
   }
   return R"({"max_body_bytes":1000,"head_timeout_ms":3000,"idle_timeout_ms":9000,"services":[)" +
          services +
