--- a/include/acaciapulley/transport/process.hpp
+++ b/include/acaciapulley/transport/process.hpp
@@ -13,7 +13,8 @@
 ///
 /// Blocks SIGTERM, SIGINT and SIGHUP in this thread and in threads that it starts later. Ignores
 /// SIGPIPE and SIGXFSZ, so that a write to a closed connection or beyond a file limit fails with an
-/// error instead. An exception that leaves a thread ends the process by EndFailedProcess().
+/// error instead. Limits the memory that the allocator keeps for threads. An exception that leaves
+/// a thread ends the process by EndFailedProcess().
 void PrepareProcess();
 
 /// @brief Waits until SIGTERM or SIGINT arrives.
--- a/src/transport/process.cpp
+++ b/src/transport/process.cpp
@@ -8,6 +8,7 @@
 #include <sstream>   // ostringstream
 #include <stdexcept> // runtime_error
 
+#include <malloc.h> // mallopt
 #include <unistd.h> // alarm, _exit
 
 #include "acaciapulley/core/log.hpp" // Log, LogLastLine
@@ -19,6 +20,9 @@
 /// For a reader of the log, before the last line of a failed process.
 constexpr std::chrono::milliseconds kLastLineTimeout{ 1'000 };
 constexpr unsigned int kLastLineGuardSeconds = 2;
+/// By default each of many threads gets an arena of its own, which keeps the most that the thread
+/// has ever used.
+constexpr int kMaxArenas = 2;
 
 std::string DescribeCurrentException()
 {
@@ -54,6 +58,7 @@
 
 void PrepareProcess()
 {
+  ::mallopt(M_ARENA_MAX, kMaxArenas);
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
