--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -147,12 +147,8 @@
 
   ControlResult<PutFleetResult> PutFleet(const std::string& operatorName, const FleetChange& change)
   {
-    const auto document = FleetDocument::Parse(change.document);
-    if (!document) {
-      return Fail(ControlErrorCode::InvalidDocument, document.error().Describe());
-    }
-    // One at a time, so that of several changes on top of one version only the first one takes room
-    // in the log.
+    // One at a time, so that of several changes on top of one version only the first one is parsed
+    // and takes room in the log.
     std::unique_lock lock(putFleetMutex_, std::defer_lock);
     if (!lock.try_lock_for(kPutFleetTimeout)) {
       return Fail(ControlErrorCode::Unconfirmed, "an earlier change is not confirmed yet");
@@ -160,6 +156,10 @@
     if (auto settled = context_.state.SettleFleetChange(change)) {
       return *std::move(settled);
     }
+    const auto document = FleetDocument::Parse(change.document);
+    if (!document) {
+      return Fail(ControlErrorCode::InvalidDocument, document.error().Describe());
+    }
     wire::PutFleetCommand put;
     put.operatorName = operatorName;
     put.version = change.version;
