Believe only what was asked for after a node's start, and move the order of instances into node

Cause: UpstreamRegistry took two heartbeats and three unanswered checks for a sign of life. Heartbeats that were sent before the start prove nothing, however many arrive after it.

Change: a heartbeat that says ready waits for a health answer that was asked for after the start. A rejected check proves nothing and is repeated; an unanswered one is followed by one with twice the time, 1 to 4 s; silence after "not ready" proves nothing. An upstream that never answers is used with a heartbeat that arrives more than 20 s after the start. docs/design.md, section 7, has the table and what else was weighed.

A late drain of an ended instance displaced one that a health answer had named. The last 16 departures are kept. A stop no longer waits for a health check.

The order of instances is the product's: the registry moves from platform/ to node, with the thread that sends the checks (UpstreamFinder); platform/upstream_calls only reads calls and writes answers.

upstream_without_health_answers_is_used_while_it_sends_heartbeats asked for the faulty rule (two heartbeats prove that an upstream lives). upstream_without_health_answers_is_used_once_heartbeats_cannot_be_late takes its place and also fails if such an upstream is never used; late_heartbeats_do_not_bring_a_departed_upstream_back_however_many is new.

--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -118,3 +118,5 @@
 #include "acaciapulley/node/request_pipeline.hpp"
 #include "acaciapulley/node/state_cache.hpp"
 #include "acaciapulley/node/sync_loop.hpp"
+#include "acaciapulley/node/upstream_finder.hpp"
+#include "acaciapulley/node/upstream_registry.hpp"
--- a/tests/platform_test/odd_entries_test.cpp
+++ b/tests/platform_test/odd_entries_test.cpp
@@ -8,8 +8,8 @@
 #include "acaciapulley/transport/http_server.hpp"
 #include "fleet_translation.hpp"
 #include "platform_settings.hpp"
+#include "upstream_calls.hpp"
 #include "upstream_probe.hpp"
-#include "upstream_registry.hpp"
 #include "wire_names.hpp"
 
 // Entries of another writer: each names no upstream, and the process continues to follow the
@@ -17,7 +17,7 @@
 
 namespace {
 
-using acp::platform::Heartbeat;
+using acp::platform::ParseHeartbeat;
 
 constexpr acp::Duration kTimeout = std::chrono::seconds(10);
 
@@ -93,13 +93,16 @@
     return sent ? sent.value()->Response().status : 0;
   }
 
+  acp::SystemClock clock;
   std::vector<acp::Announcement> announced;
-  acp::platform::UpstreamRegistry registry{ { .announce = [this](const auto& a) {
-    announced.push_back(a);
-  } } };
+  acp::UpstreamRegistry registry{ { .clock = &clock, .announce = [this](const auto& a) {
+                                     announced.push_back(a);
+                                   } } };
   acp::HttpServer server{ { .address = { .ip = "127.0.0.1", .port = 0 },
                             .maxConnections = 32,
-                            .handler = [this](auto& e) { registry.Serve(e); } } };
+                            .handler = [this](auto& e) {
+                              acp::platform::ServeUpstreamCall(e, registry);
+                            } } };
   acp::HttpPool pool{ { .address = { .ip = "127.0.0.1", .port = server.Port() } } };
 };
 
@@ -135,11 +138,11 @@
     for (const std::string& number : kOddNumbers) {
       BOOST_TEST_CONTEXT(field << " = " << number)
       {
-        BOOST_TEST(!Heartbeat::Parse("i", BodyWith(field, number)).has_value());
+        BOOST_TEST(!ParseHeartbeat("i", BodyWith(field, number)).has_value());
       }
     }
   }
-  BOOST_TEST(Heartbeat::Parse("i", BodyWith("zone", R"("z")")).has_value());
+  BOOST_TEST(ParseHeartbeat("i", BodyWith("zone", R"("z")")).has_value());
 }
 
 // Guards against requests to an address that no upstream can have.
@@ -161,8 +164,8 @@
                                "256.0.0.1:9000" }) {
     BOOST_TEST_CONTEXT(address)
     {
-      BOOST_TEST(!Heartbeat::Parse("i", BodyWith("address", "\"" + std::string(address) + "\""))
-                    .has_value());
+      BOOST_TEST(
+        !ParseHeartbeat("i", BodyWith("address", "\"" + std::string(address) + "\"")).has_value());
     }
   }
 }
@@ -175,10 +178,10 @@
     std::string(129, 'x'), "a\\u0000b", "a\\nb", "\xff\xfe", "a\xc3", "\xed\xa0\x80", ""
   };
   for (const auto& text : odd) {
-    BOOST_TEST(!Heartbeat::Parse("i", BodyWith("service", "\"" + text + "\"")).has_value());
+    BOOST_TEST(!ParseHeartbeat("i", BodyWith("service", "\"" + text + "\"")).has_value());
   }
-  BOOST_TEST(!Heartbeat::Parse(std::string(129, 'i'), BodyWith("sequence", "1")).has_value());
-  BOOST_TEST(!Heartbeat::Parse("i\n", BodyWith("sequence", "1")).has_value());
+  BOOST_TEST(!ParseHeartbeat(std::string(129, 'i'), BodyWith("sequence", "1")).has_value());
+  BOOST_TEST(!ParseHeartbeat("i\n", BodyWith("sequence", "1")).has_value());
   HeartbeatServer node;
   BOOST_TEST(node.Post("i", BodyWith("service", "\"" + std::string(1'000'000, 'x') + "\"")) == 413);
   BOOST_TEST(node.Post("i", BodyWith("sequence", "1")) == 200);
@@ -189,7 +192,7 @@
 {
   const auto problemOf = [](const std::string& body) {
     std::string problem;
-    BOOST_TEST(!Heartbeat::Parse("i", body, &problem).has_value());
+    BOOST_TEST(!ParseHeartbeat("i", body, &problem).has_value());
     return problem;
   };
   for (const char* field :
