--- a/include/acaciapulley/core/json_reader.hpp
+++ b/include/acaciapulley/core/json_reader.hpp
@@ -79,7 +79,7 @@
 
 private:
   struct Node;
-  explicit JsonReader(std::shared_ptr<Node> node, std::string path);
+  JsonReader(Node node, std::string path);
 
   std::shared_ptr<Node> node_;
   std::string path_;
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -1,34 +1,43 @@
 #include "acaciapulley/core/json_reader.hpp"
 
 #include <cmath>   // isfinite
+#include <limits>  // numeric_limits
 #include <utility> // move
 
-#include <Poco/Dynamic/Var.h>
-#include <Poco/Exception.h>
-#include <Poco/JSON/Array.h>
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <fmt/format.h> // format
+#include <nlohmann/json.hpp>
 
 #include "acaciapulley/core/json_check.hpp" // FindJsonProblem
 
 namespace acp {
 
+/// An object of a parsed document.
 struct JsonReader::Node
 {
-  Poco::JSON::Object::Ptr object;
+  std::shared_ptr<const nlohmann::json> document; ///< keeps the object alive
+  const nlohmann::json* object;
 };
 
 namespace {
 
-Poco::Dynamic::Var RequiredField(const Poco::JSON::Object::Ptr& object,
-                                 const std::string& field,
-                                 const std::string& path)
+using nlohmann::json;
+
+const json& RequiredField(const json& object, const std::string& field, const std::string& path)
 {
-  if (!object->has(field)) {
+  const auto found = object.find(field);
+  if (found == object.end()) {
     throw JsonFieldError(path, "is missing");
   }
-  return object->get(field);
+  return *found;
+}
+
+const json& RequiredList(const json& object, const std::string& field, const std::string& path)
+{
+  const json& list = RequiredField(object, field, path);
+  if (!list.is_array()) {
+    throw JsonFieldError(path, "is not a list");
+  }
+  return list;
 }
 
 } // namespace
@@ -38,8 +47,8 @@
 {
 }
 
-JsonReader::JsonReader(std::shared_ptr<Node> node, std::string path)
-  : node_(std::move(node))
+JsonReader::JsonReader(Node node, std::string path)
+  : node_(std::make_shared<Node>(std::move(node)))
   , path_(std::move(path))
 {
 }
@@ -50,15 +59,15 @@
     throw JsonFieldError("", *problem);
   }
   try {
-    Poco::JSON::Parser parser;
-    const auto parsed = parser.parse(std::string(text));
-    if (parsed.type() != typeid(Poco::JSON::Object::Ptr)) {
+    auto document = std::make_shared<const json>(json::parse(text));
+    if (!document->is_object()) {
       throw JsonFieldError("", "is not a JSON object");
     }
-    auto node = std::make_shared<Node>(Node{ parsed.extract<Poco::JSON::Object::Ptr>() });
-    return JsonReader(std::move(node), "");
-  } catch (const Poco::Exception& e) {
-    throw JsonFieldError("", "is not valid JSON: " + e.displayText());
+    const json* object = document.get();
+    return JsonReader(Node{ std::move(document), object }, "");
+  } catch (const json::parse_error& e) {
+    // The library's message quotes the text, which may hold keys of client accounts.
+    throw JsonFieldError("", fmt::format("is not valid JSON at byte {}", e.byte));
   }
 }
 
@@ -70,32 +79,33 @@
 bool JsonReader::Has(const std::string& field)
 {
   readFields_.insert(field);
-  return node_->object->has(field);
+  return node_->object->contains(field);
 }
 
 std::string JsonReader::String(const std::string& field)
 {
   readFields_.insert(field);
-  const auto value = RequiredField(node_->object, field, PathOf(field));
-  if (!value.isString()) {
+  const json& value = RequiredField(*node_->object, field, PathOf(field));
+  if (!value.is_string()) {
     throw JsonFieldError(PathOf(field), "is not a string");
   }
-  return value.convert<std::string>();
+  return value.get<std::string>();
 }
 
 std::int64_t JsonReader::Integer(const std::string& field, std::int64_t min, std::int64_t max)
 {
   readFields_.insert(field);
-  const auto value = RequiredField(node_->object, field, PathOf(field));
-  if (!value.isInteger()) {
+  const json& value = RequiredField(*node_->object, field, PathOf(field));
+  if (!value.is_number_integer()) {
     throw JsonFieldError(PathOf(field), "is not a whole number");
   }
-  std::int64_t number = 0;
-  try {
-    number = value.convert<Poco::Int64>();
-  } catch (const Poco::Exception&) {
+  const bool isTooLarge = value.is_number_unsigned() &&
+                          value.get<std::uint64_t>() >
+                            static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+  if (isTooLarge) {
     throw JsonFieldError(PathOf(field), "is too large");
   }
+  const auto number = value.get<std::int64_t>();
   if (number < min || number > max) {
     throw JsonFieldError(PathOf(field),
                          fmt::format("is {}, allowed is {} to {}", number, min, max));
@@ -106,11 +116,11 @@
 double JsonReader::Number(const std::string& field, double min, double max)
 {
   readFields_.insert(field);
-  const auto value = RequiredField(node_->object, field, PathOf(field));
-  if (!value.isNumeric() || value.isBoolean()) {
+  const json& value = RequiredField(*node_->object, field, PathOf(field));
+  if (!value.is_number()) {
     throw JsonFieldError(PathOf(field), "is not a number");
   }
-  const auto number = value.convert<double>();
+  const auto number = value.get<double>();
   if (!std::isfinite(number) || number < min || number > max) {
     throw JsonFieldError(PathOf(field),
                          fmt::format("is {}, allowed is {} to {}", number, min, max));
@@ -121,28 +131,22 @@
 bool JsonReader::Boolean(const std::string& field)
 {
   readFields_.insert(field);
-  const auto value = RequiredField(node_->object, field, PathOf(field));
-  if (!value.isBoolean()) {
+  const json& value = RequiredField(*node_->object, field, PathOf(field));
+  if (!value.is_boolean()) {
     throw JsonFieldError(PathOf(field), "is neither true nor false");
   }
-  return value.convert<bool>();
+  return value.get<bool>();
 }
 
 std::vector<std::string> JsonReader::Strings(const std::string& field)
 {
   readFields_.insert(field);
-  RequiredField(node_->object, field, PathOf(field));
-  const auto array = node_->object->getArray(field);
-  if (array.isNull()) {
-    throw JsonFieldError(PathOf(field), "is not a list");
-  }
   std::vector<std::string> texts;
-  for (unsigned int i = 0; i < array->size(); ++i) {
-    const auto value = array->get(i);
-    if (!value.isString()) {
-      throw JsonFieldError(fmt::format("{}[{}]", PathOf(field), i), "is not a string");
+  for (const json& value : RequiredList(*node_->object, field, PathOf(field))) {
+    if (!value.is_string()) {
+      throw JsonFieldError(fmt::format("{}[{}]", PathOf(field), texts.size()), "is not a string");
     }
-    texts.push_back(value.convert<std::string>());
+    texts.push_back(value.get<std::string>());
   }
   return texts;
 }
@@ -150,26 +154,20 @@
 std::vector<JsonReader> JsonReader::Objects(const std::string& field)
 {
   readFields_.insert(field);
-  RequiredField(node_->object, field, PathOf(field));
-  const auto array = node_->object->getArray(field);
-  if (array.isNull()) {
-    throw JsonFieldError(PathOf(field), "is not a list");
-  }
   std::vector<JsonReader> readers;
-  for (unsigned int i = 0; i < array->size(); ++i) {
-    const std::string path = fmt::format("{}[{}]", PathOf(field), i);
-    const auto object = array->getObject(i);
-    if (object.isNull()) {
+  for (const json& value : RequiredList(*node_->object, field, PathOf(field))) {
+    std::string path = fmt::format("{}[{}]", PathOf(field), readers.size());
+    if (!value.is_object()) {
       throw JsonFieldError(path, "is not an object");
     }
-    readers.push_back(JsonReader(std::make_shared<Node>(Node{ object }), path));
+    readers.push_back(JsonReader(Node{ node_->document, &value }, std::move(path)));
   }
   return readers;
 }
 
 void JsonReader::RejectUnknownFields() const
 {
-  for (const auto& name : node_->object->getNames()) {
+  for (const auto& [name, value] : node_->object->items()) {
     if (!readFields_.contains(name)) {
       throw JsonFieldError(PathOf(name), "is not a known field");
     }
--- a/tests/core_test/core_utilities_test.cpp
+++ b/tests/core_test/core_utilities_test.cpp
@@ -44,6 +44,27 @@
   BOOST_TEST(acp::CountMillis(clock.WallNow()) - wallStart == 1);
 }
 
+// Guards against a document that is read with another meaning than its author intended.
+BOOST_AUTO_TEST_CASE(json_values_of_another_type_are_rejected)
+{
+  const auto readInteger = [](const std::string& value) {
+    auto reader = acp::JsonReader::FromText(R"({"a": )" + value + "}");
+    return reader.Integer("a", -10, 10);
+  };
+  BOOST_TEST(readInteger("-3") == -3);
+  for (const char* value :
+       { "true", "null", "\"3\"", "3.0", "3e0", "11", "18446744073709551615" }) {
+    BOOST_CHECK_THROW(readInteger(value), acp::JsonFieldError);
+  }
+  for (const char* text :
+       { "{\"a\": 1} x", "{\"a\": 1,}", "{'a': 1}", "{\"a\": 01}", "{\"a\": 1" }) {
+    BOOST_CHECK_THROW(acp::JsonReader::FromText(text), acp::JsonFieldError);
+  }
+  // The last of several fields with one name counts.
+  auto reader = acp::JsonReader::FromText(R"({"a": 1, "a": 2})");
+  BOOST_TEST(reader.Integer("a", 0, 9) == 2);
+}
+
 // Guards against misspelt fields that are silently ignored.
 BOOST_AUTO_TEST_CASE(reader_reports_the_path_of_an_unknown_field)
 {
--- a/tests/platform_test/translation_test.cpp
+++ b/tests/platform_test/translation_test.cpp
@@ -135,6 +135,34 @@
     !TranslateConfiguration(WithReplacement(R"("burst":75)", R"("burst":"75")")).has_value());
 }
 
+// Guards against a configuration that is read in part, or that ends the process.
+BOOST_AUTO_TEST_CASE(configuration_that_cannot_be_read_in_full_is_rejected)
+{
+  BOOST_TEST(!TranslateConfiguration(kConfiguration + "}").has_value());
+  BOOST_TEST(!TranslateConfiguration(kConfiguration + " []").has_value());
+  BOOST_TEST(!TranslateConfiguration(WithReplacement(R"("r1")", R"("\ud800")")).has_value());
+  BOOST_TEST(
+    !TranslateConfiguration(WithReplacement(R"("weight":10}])", R"("weight":10},])")).has_value());
+  for (const char* number : { "1.5", "1e3", "true", "[]" }) {
+    BOOST_TEST(!TranslateConfiguration(WithReplacement(R"("0000000c")", number)).has_value(),
+               number);
+  }
+  for (const char* number : { "1e300", "-1e300", "18446744073709551615" }) {
+    const auto change = TranslateConfiguration(WithReplacement("6000", number));
+    BOOST_TEST((!change || !acp::FleetDocument::Parse(change.value().document)), number);
+  }
+}
+
+// Guards against a log line with the key of a client account.
+BOOST_AUTO_TEST_CASE(problem_of_a_configuration_does_not_quote_its_keys)
+{
+  for (std::size_t size = kConfiguration.find("key1"); size < kConfiguration.size(); ++size) {
+    const auto change = TranslateConfiguration(kConfiguration.substr(0, size) + "\x01");
+    BOOST_REQUIRE(!change.has_value());
+    BOOST_TEST(change.error().message.find("key") == std::string::npos, change.error().message);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(settings_are_read_and_unknown_fields_are_ignored)
 {
   const auto settings = ParsePlatformSettings(
