End a control process that has no descriptor for new connections for 5 s

Cause: both listeners try again every 20 ms and take no account of how long. Now a row of failures (pauses of at most 1 s between them) that lasts longer than 5 s ends a control process with [event=accept_failed] as its last line; it is started again with descriptors of its own. A shorter one recovers as before. Nodes go on, since their kept connections are worth more. The failure is logged once a row instead of 50 times a second.

--- a/include/acaciapulley/control/control_process.hpp
+++ b/include/acaciapulley/control/control_process.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The control process, which serves nodes over Thrift and operators over HTTP.
 
+#include <chrono>  // seconds
 #include <cstdint> // uint16_t
 #include <memory>  // shared_ptr, unique_ptr
 #include <string>  // string
@@ -21,6 +22,10 @@
 
 namespace acp {
 
+/// A control process that has no descriptor or memory for another connection for longer than this
+/// ends, so that a replica which is started anew can lead.
+inline constexpr Duration kMaxAcceptOutage = std::chrono::seconds(5);
+
 /// Construction options of a ControlProcess. The pointers must outlive it.
 struct ControlProcessOptions
 {
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -114,6 +114,9 @@
   /// Responds with 204 to `GET /.acp/heartbeat`; see HttpPoolOptions::sendsHeartbeats. A request
   /// that has the echoed field is no heartbeat.
   bool answersHeartbeats = false;
+  /// Ends the process by EndFailedProcess() when no connection can be accepted for longer than
+  /// this, because no descriptor or memory is available; 0: the server goes on trying.
+  Duration maxAcceptOutage{};
   std::function<void(const ServedRequest& served)>
     onServed; ///< called after each request; may be empty
 };
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -21,6 +21,7 @@
 #include "acaciapulley/control/token_relay.hpp"              // TokenRelay
 #include "acaciapulley/core/log.hpp"                         // Log
 #include "acaciapulley/transport/control_channel.hpp"        // ControlChannel
+#include "acaciapulley/transport/detail/accept_outage.hpp"   // HandleAcceptFailure
 #include "acaciapulley/transport/detail/thrift_limits.hpp"   // Bounded..., GuardProcessor
 #include "acaciapulley/transport/http_server.hpp"            // HttpServer
 
@@ -42,8 +43,8 @@
 constexpr Duration kPutFleetTimeout = std::chrono::seconds(3);
 
 /// A server socket that can be opened before the server thread starts, so that a failure to bind is
-/// reported at start. It goes on accepting after a shortage of descriptors or memory, for which
-/// TServerFramework would end the server.
+/// reported at start. It goes on accepting after a short shortage of descriptors or memory, for
+/// which TServerFramework would end the server; a lasting one ends the process.
 class ListeningSocket final : public apache::thrift::transport::TServerSocket
 {
 public:
@@ -67,13 +68,15 @@
   {
     while (true) {
       try {
-        return TServerSocket::acceptImpl();
+        auto accepted = TServerSocket::acceptImpl();
+        outage_.RecordSuccess();
+        return accepted;
       } catch (const apache::thrift::transport::TTransportException& e) {
         if (isInterrupted_ ||
             e.getType() == apache::thrift::transport::TTransportException::INTERRUPTED) {
           throw;
         }
-        Log(LogLevel::Error, "accept_failed", { { "error", e.what() } });
+        detail::HandleAcceptFailure(outage_, e.what(), kMaxAcceptOutage);
         std::this_thread::sleep_for(kAcceptRetryDelay);
       }
     }
@@ -81,6 +84,7 @@
 
 private:
   std::atomic<bool> isInterrupted_{ false };
+  detail::AcceptOutage outage_; ///< used on the server's thread only
 };
 
 /// Returns the maximum number of rpc connections: files, other listeners and the replicas' own
@@ -122,7 +126,8 @@
     , operatorApi_(context_, [](Duration pause) { std::this_thread::sleep_for(pause); })
     , operatorServer_({ .address = options.operatorAddress,
                         .maxConnections = kMaxOperatorConnections,
-                        .handler = [this](ServerExchange& e) { operatorApi_.Handle(e); } })
+                        .handler = [this](ServerExchange& e) { operatorApi_.Handle(e); },
+                        .maxAcceptOutage = kMaxAcceptOutage })
     , rpcSocket_(OpenSocket(options.rpcAddress))
     , rpcServer_(MakeRpcServer(options))
     , rpcThread_([this] { rpcServer_->serve(); })
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -7,6 +7,7 @@
 #include <optional>           // optional
 #include <set>                // set
 #include <stdexcept>          // runtime_error
+#include <system_error>       // system_category
 #include <utility>            // move
 
 #include <Poco/Exception.h>
@@ -18,6 +19,7 @@
 
 #include "acaciapulley/core/event_loop.hpp"                    // EventLoops
 #include "acaciapulley/core/log.hpp"                           // Log
+#include "acaciapulley/transport/detail/accept_outage.hpp"     // AcceptOutage
 #include "acaciapulley/transport/detail/server_connection.hpp" // ServerConnection
 
 namespace acp {
@@ -174,11 +176,13 @@
       const int fd =
         ::accept4(socket_.impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
       if (fd >= 0) {
+        acceptOutage_.RecordSuccess();
         AddConnection(Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(fd)));
       } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
         return true;
-      } else if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
-        Log(LogLevel::Error, "accept_failed", { { "error", std::to_string(errno) } });
+      } else if (errno == EMFILE || errno == ENFILE || errno == ENOMEM || errno == ENOBUFS) {
+        detail::HandleAcceptFailure(
+          acceptOutage_, std::system_category().message(errno), options_.maxAcceptOutage);
         return false;
       }
     }
@@ -226,7 +230,8 @@
   std::set<std::shared_ptr<ServerConnection>> connections_;
   bool hasStoppedAccepting_ = false;
   EventLoop& acceptor_;
-  EventLoop::WaitId acceptWait_ = 0; ///< used on the thread of acceptor_ only
+  EventLoop::WaitId acceptWait_ = 0;  ///< used on the thread of acceptor_ only
+  detail::AcceptOutage acceptOutage_; ///< used on the thread of acceptor_ only
   std::shared_ptr<std::atomic<int>> lingering_ = std::make_shared<std::atomic<int>>(0);
 };
 
--- a/tests/transport_test/server_failure_test.cpp
+++ b/tests/transport_test/server_failure_test.cpp
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "acaciapulley/core/clock.hpp"
+#include "acaciapulley/transport/detail/accept_outage.hpp"
 #include "acaciapulley/transport/http_client.hpp"
 #include "acaciapulley/transport/http_server.hpp"
 
@@ -436,4 +438,23 @@
   server.Stop(kTimeout);
 }
 
+// Guards against a process that ends after two short shortages, or never after one that lasts.
+BOOST_AUTO_TEST_CASE(accept_outage_lasts_while_failures_follow_each_other)
+{
+  using std::chrono::seconds;
+  acp::ManualClock clock;
+  acp::detail::AcceptOutage outage;
+  for (int i = 0; i <= 10; ++i) {
+    BOOST_TEST((outage.RecordFailure(clock.Now()) == i * seconds(1)));
+    BOOST_TEST(outage.IsNew() == (i == 0));
+    clock.Advance(seconds(1));
+  }
+  clock.Advance(seconds(1));
+  BOOST_TEST((outage.RecordFailure(clock.Now()) == seconds(0)));
+  clock.Advance(seconds(1));
+  outage.RecordSuccess();
+  BOOST_TEST((outage.RecordFailure(clock.Now()) == seconds(0)));
+  BOOST_TEST(outage.IsNew());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
