Soak of control processes: faulty links between hosts, pauses in series, and frozen leaders

The programs of the soak connect to each other's internal ports through loopback proxies (a preloaded library rewrites the port and binds the source). Promises are checked as before.

--- a/tests/soak/control_processes.py
+++ b/tests/soak/control_processes.py
@@ -18,6 +18,7 @@
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+import links
 import platform_rig as standin
 
 SERVICES = ("orders", "stock")
@@ -98,6 +99,9 @@
         for program, in self.rig.commands.values():
             if not os.access(program, os.X_OK):
                 sys.exit(f"{program} is missing; build it, or name its build folder in ACP_BUILD_DIR")
+        self.preload = os.path.join(build, "tests", "soak", "libredirected_connect.so")
+        if options.links and not os.access(self.preload, os.R_OK):
+            sys.exit(f"{self.preload} is missing; build it, or play with --no-links")
         self.history = History()
         self.lock = threading.Lock()
         self.over = threading.Event()
@@ -372,6 +376,64 @@
         self.rig.record(f"{machine.name} has lost its disk, now {other.name}")
         self.random.choice((self.freeze, self.full_disk))(other)
 
+    # Faults of links. A host that is cut off counts as lost; nodes that are cut off do not.
+
+    def pairs(self, machine, others):
+        return [pair for other in others for pair in ((machine.ip, other.ip), (other.ip, machine.ip))]
+
+    def other_controls(self, machine):
+        return [m for m in self.rig.controls if m is not machine]
+
+    def hold_links(self, pairs, fault, seconds):
+        self.rig.links.set(pairs, fault)
+        time.sleep(seconds)
+        self.rig.links.set(pairs, links.NONE)
+
+    def cut_off(self, machine):
+        """From all other control hosts, in both directions or in one."""
+        fault = self.random.choice((links.SILENT, links.SILENT, links.FORTH_ONLY, links.BACK_ONLY))
+        others = self.other_controls(machine)
+        pairs = self.random.choice((self.pairs(machine, others), [(machine.ip, m.ip) for m in others],
+                                    [(m.ip, machine.ip) for m in others]))
+        self.hold_links(pairs, fault, 0.3 + self.random.random() * 6)
+
+    def delay_links(self, machine):
+        seconds = self.random.choice((0.02, 0.1, 0.4))
+        self.hold_links(self.pairs(machine, self.other_controls(machine)), links.Fault(seconds, seconds),
+                        1 + self.random.random() * 4)
+
+    def reset_links(self, machine):
+        for _ in range(self.random.choice((1, 3, 8))):
+            self.rig.links.reset(self.pairs(machine, self.rig.controls + self.rig.nodes))
+            time.sleep(self.random.random() * 0.6)
+
+    def cut_from_nodes(self, machine):
+        nodes = self.random.sample(self.rig.nodes, max(1, len(self.rig.nodes) // 2))
+        self.rig.record(f"{machine.name} is cut from {[node.name for node in nodes]}")
+        self.hold_links(self.pairs(machine, nodes), links.SILENT, 1 + self.random.random() * 5)
+
+    def freeze_in_series(self, machine):
+        """Pauses that follow each other or overlap; service may be suspended, nothing is lost."""
+        for other in self.random.sample(self.rig.controls, min(3, len(self.rig.controls))):
+            process = other.process
+            other.signal(signal.SIGSTOP)
+            time.sleep(0.2 + self.random.random() * 1.5)
+            threading.Timer(self.random.random(), process.send_signal, (signal.SIGCONT,)).start()
+        time.sleep(1.1)
+
+    def freeze_leader(self, _):
+        """Over changes that are sent to it."""
+        leader = self.rig.leader()
+        if leader:
+            self.freeze(leader)
+
+    def lose_disk_then_cut_another(self, machine):
+        self.lose_disk(machine)
+        time.sleep(CATCH_UP_SECONDS + RESTART_SECONDS + self.random.random() * 4)
+        other = self.random.choice(self.other_controls(machine))
+        self.rig.record(f"{machine.name} has lost its disk, now {other.name} is cut off")
+        self.cut_off(other)
+
     def kill_all(self, _):
         for machine in self.rig.controls:
             self.excuse(machine, (-9,), 2)
@@ -395,6 +457,11 @@
         """One machine is lost at a time, until catch_up_s after it is back."""
         kinds = ((self.full_disk, 5), (self.kill, 2), (self.stop, 2), (self.freeze, 3),
                  (self.lose_disk, 2), (self.lose_disk_then_silence_another, 4), (self.kill_all, 1))
+        if self.options.links:
+            # Seeds that failed before there were links are drawn again without them.
+            kinds += ((self.freeze_in_series, 2), (self.freeze_leader, 2), (self.cut_off, 4),
+                      (self.delay_links, 2), (self.reset_links, 2), (self.cut_from_nodes, 2),
+                      (self.lose_disk_then_cut_another, 3))
         until = time.monotonic() + self.options.seconds
         while time.monotonic() < until:
             machine = self.random.choice(self.rig.controls)
@@ -440,6 +507,8 @@
         endpoints = [standin.Endpoint(self.rig, self.rig.add_node(
             self.rig.zones[index % 4], SERVICES[index % len(SERVICES)]))
                      for index in range(self.options.nodes)]
+        if self.options.links:
+            self.rig.use_links(self.preload)
         self.rig.start()
         first = self.history.begin(make_document(1, 0, {}, []))
         if self.rig.put(first["document"], CLEAR_SECONDS) != 200:
@@ -526,6 +595,8 @@
     parser.add_argument("--seconds", type=float, default=30, help="of control faults")
     parser.add_argument("--controls", type=int, default=4)
     parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--no-links", dest="links", action="store_false",
+                        help="no proxies between the hosts, and no faults of links")
     parser.add_argument("--keep-logs", metavar="DIR")
     options = parser.parse_args()
     return 0 if all([play(options, seed) for seed in options.seed or [1]]) else 1
--- a/tests/soak/platform_rig.py
+++ b/tests/soak/platform_rig.py
@@ -20,6 +20,8 @@
 import time
 import tomllib
 
+import links
+
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HEARTBEAT_SECONDS = 1.5
 RESTART_SECONDS = 0.5
@@ -137,6 +139,8 @@
     def _run_once(self):
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["ACACIAPULLEY_SETTINGS"] = self.settings
+        if self.rig.links:
+            environment |= self.rig.links.environment(self.ip) | {"LD_PRELOAD": self.rig.preload}
         # A full disk sends no signal: SIGXFSZ stays ignored, as it is in this process.
         process = subprocess.Popen(self.rig.commands[self.role], cwd=ROOT, env=environment,
                                    stdin=subprocess.DEVNULL, stdout=subprocess.PIPE,
@@ -193,6 +197,8 @@
         self.controls = []
         self.nodes = []
         self.version = 0
+        self.links = None  # faults between hosts; needs the library of redirected_connect.cpp
+        self.preload = None
         self._choose_ports()
 
     def _choose_ports(self):
@@ -205,7 +211,7 @@
         else:
             raise CannotRun("no free ports")
         self.ports = {"inbound": base, "outbound": base + 1, "ready": base + 2, "control": base + 3,
-                      "app": base + 4, "internal": base + 5}
+                      "app": base + 4, "internal": base + 5, "links": base + 22}
 
     def __enter__(self):
         return self
@@ -214,6 +220,8 @@
         self.closing = True
         for machine in self.controls + self.nodes:
             machine.end()
+        if self.links:
+            self.links.close()
         keep = os.environ.get("KEEP_LOG")
         if keep:
             self.log.flush()
@@ -232,6 +240,12 @@
         self.nodes.append(Machine(self, f"sidecar-{len(self.nodes) + 1}", "node", zone, number, service))
         return self.nodes[-1]
 
+    def use_links(self, preload):
+        """Puts a proxy in front of the internal port of each machine added so far."""
+        self.preload = preload
+        self.links = links.Links([m.ip for m in self.controls + self.nodes], self.ports["internal"],
+                                 self.ports["links"])
+
     def start(self):
         for machine in self.controls + self.nodes:
             machine.start(bootstrap=True)
