Bound the retained changes of control in bytes

The feed is not part of the replicated state, so that replicas of two builds agree.

Read for the same cause, not changed: DocumentStore keeps 20 versions of each document by count (part of the replicated state); the digests of accepted fleet documents and the retired identities grow with each one; the operator's requests of 24 h are 20,000.

--- a/include/acaciapulley/control/change_feed.hpp
+++ b/include/acaciapulley/control/change_feed.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The state version and the most recent changes, used to send deltas to nodes.
 
+#include <cstddef> // size_t
 #include <cstdint> // int64_t
 #include <deque>   // deque
 #include <string>  // string
@@ -17,6 +18,9 @@
 /// receives a snapshot.
 inline constexpr std::size_t kMaxRecentChanges = 1000;
 
+/// Memory of the retained changes in bytes; the latest change is retained in any case.
+inline constexpr std::size_t kMaxRecentBytes = 8U << 20U;
+
 /// The changes between two state versions, or a snapshot.
 struct StateChanges
 {
@@ -43,12 +47,16 @@
   /// @brief Returns the state version.
   [[nodiscard]] std::int64_t Version() const { return version_; }
 
+  /// @brief Returns the memory of the retained changes in bytes.
+  [[nodiscard]] std::size_t RetainedBytes() const { return recentBytes_; }
+
   /// @brief Resets the feed to @p version without any retained changes.
   void Restore(std::int64_t version);
 
 private:
   std::int64_t version_ = 0;
   std::deque<StateChanges> recent_; ///< oldest first
+  std::size_t recentBytes_ = 0;
 };
 
 } // namespace acp
--- a/src/control/change_feed.cpp
+++ b/src/control/change_feed.cpp
@@ -1,16 +1,39 @@
 #include "acaciapulley/control/change_feed.hpp"
 
+#include <cstddef> // size_t
 #include <map>     // map
 #include <utility> // move
 
 namespace acp {
 
+namespace {
+
+std::size_t BytesOf(const StateChanges& change)
+{
+  std::size_t bytes = sizeof change;
+  for (const auto& document : change.documents) {
+    bytes += sizeof document + document.service.size() + document.body.size();
+  }
+  for (const auto& key : change.issuedKeys) {
+    bytes += sizeof key + key.id.size() + key.hash.size() + key.account.size();
+  }
+  for (const auto& id : change.revokedKeyIds) {
+    bytes += sizeof id + id.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
 void ChangeFeed::Append(StateChanges change)
 {
   change.fromVersion = version_;
   change.toVersion = ++version_;
+  recentBytes_ += BytesOf(change);
   recent_.push_back(std::move(change));
-  if (recent_.size() > kMaxRecentChanges) {
+  while (recent_.size() > kMaxRecentChanges ||
+         (recentBytes_ > kMaxRecentBytes && recent_.size() > 1)) {
+    recentBytes_ -= BytesOf(recent_.front());
     recent_.pop_front();
   }
 }
@@ -45,6 +68,7 @@
 {
   version_ = version;
   recent_.clear();
+  recentBytes_ = 0;
 }
 
 } // namespace acp
