--- a/src/control/change_feed.cpp
+++ b/src/control/change_feed.cpp
@@ -2,6 +2,7 @@
 
 #include <cstddef> // size_t
 #include <map>     // map
+#include <string>  // string
 #include <utility> // move
 
 namespace acp {
@@ -18,7 +19,7 @@
     bytes += sizeof key + key.id.size() + key.hash.size() + key.account.size();
   }
   for (const auto& id : change.revokedKeyIds) {
-    bytes += sizeof id + id.size();
+    bytes += sizeof(std::string) + id.size();
   }
   return bytes;
 }
