--- a/tests/processes/descriptor_shortage.py
+++ b/tests/processes/descriptor_shortage.py
@@ -44,9 +44,7 @@
 def main():
     with tempfile.TemporaryDirectory(prefix="acp-descriptors-") as folder:
         rig = rigs.Rig(folder)
-        build = os.path.abspath(os.environ.get("ACP_BUILD_DIR", os.path.join(ROOT, "build")))
-        rig.commands = {role: [os.path.join(build, "platform", f"acp-platform-{role}")]
-                        for role in ("node", "control")}
+        rig.commands = rigs.built_commands()
         for zone in rig.zones:
             rig.add_control(zone)
         rig.start()
--- a/tests/soak/control_processes.py
+++ b/tests/soak/control_processes.py
@@ -93,12 +93,8 @@
         self.options = options
         self.random = random.Random(seed)
         self.rig = standin.Rig(folder, zones=tuple(f"z-{i}" for i in range(4)))
-        build = os.path.abspath(os.environ.get("ACP_BUILD_DIR", os.path.join(ROOT, "build")))
-        self.rig.commands = {role: [os.path.join(build, "platform", f"acp-platform-{role}")]
-                             for role in ("node", "control")}
-        for program, in self.rig.commands.values():
-            if not os.access(program, os.X_OK):
-                sys.exit(f"{program} is missing; build it, or name its build folder in ACP_BUILD_DIR")
+        self.rig.commands = standin.built_commands()
+        build = os.path.dirname(os.path.dirname(self.rig.commands["control"][0]))
         self.preload = os.path.join(build, "tests", "soak", "libredirected_connect.so")
         if options.links and not os.access(self.preload, os.R_OK):
             sys.exit(f"{self.preload} is missing; build it, or play with --no-links")
--- a/tests/soak/platform_rig.py
+++ b/tests/soak/platform_rig.py
@@ -62,6 +62,16 @@
     return {name: role["run"].split() for name, role in roles.items()}
 
 
+def built_commands():
+    """Returns the commands of the programs in ACP_BUILD_DIR."""
+    build = os.path.abspath(os.environ.get("ACP_BUILD_DIR", os.path.join(ROOT, "build")))
+    commands = {role: [os.path.join(build, "platform", f"acp-platform-{role}")] for role in ("node", "control")}
+    for program, in commands.values():
+        if not os.access(program, os.X_OK):
+            raise SystemExit(f"{program} is missing; build it, or name its build folder in ACP_BUILD_DIR")
+    return commands
+
+
 def is_free(address, port):
     with contextlib.closing(socket.socket()) as probe:
         try:
