--- a/include/acaciapulley/node/upstream_registry.hpp
+++ b/include/acaciapulley/node/upstream_registry.hpp
@@ -128,6 +128,7 @@
   [[nodiscard]] bool IsOfUnknownService(const UpstreamHeartbeat& heartbeat) const;
   [[nodiscard]] bool IsOtherThanChecked(const UpstreamHeartbeat& heartbeat) const;
   [[nodiscard]] bool MustConfirm(const UpstreamHeartbeat& heartbeat);
+  [[nodiscard]] bool MayHaveDeparted(const UpstreamHeartbeat& heartbeat);
   [[nodiscard]] bool IsSentAfterStart(const UpstreamHeartbeat& heartbeat) const;
   [[nodiscard]] bool IsSameStart(const UpstreamHeartbeat& heartbeat) const;
   [[nodiscard]] const UpstreamHeartbeat* FindKnown(const std::string& instanceId) const;
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -79,6 +79,13 @@
   return !isConfirmed_ && !heartbeat.announcement.draining && !HasDeparted(heartbeat);
 }
 
+/// Returns whether its instance departed without stating which start ended.
+bool UpstreamRegistry::MayHaveDeparted(const UpstreamHeartbeat& heartbeat)
+{
+  const KnownDeparture* known = FindDeparture(heartbeat.announcement.instanceId);
+  return known != nullptr && known->departure.startedAtMs == 0 && !IsSameStart(heartbeat);
+}
+
 /// Returns whether @p heartbeat, which must be confirmed, proves by itself that its upstream runs.
 bool UpstreamRegistry::IsSentAfterStart(const UpstreamHeartbeat& heartbeat) const
 {
@@ -101,8 +108,7 @@
     return false;
   }
   if (MustConfirm(heartbeat)) {
-    const bool hasDeparture = FindDeparture(heartbeat.announcement.instanceId) != nullptr;
-    if (hasDeparture || !IsSentAfterStart(heartbeat)) {
+    if (MayHaveDeparted(heartbeat) || !IsSentAfterStart(heartbeat)) {
       KeepBack(heartbeat);
       return false;
     }
--- a/tests/node_test/upstream_registry_test.cpp
+++ b/tests/node_test/upstream_registry_test.cpp
@@ -326,6 +326,20 @@
   BOOST_TEST(node.IsUsed());
 }
 
+// Guards against an upstream that started again under its id and gets no requests, since an earlier
+// start has departed and no health check is answered.
+BOOST_AUTO_TEST_CASE(start_after_a_departure_under_the_same_id_needs_no_health_answer)
+{
+  RestartedNode node;
+  node.registry.ApplyDeparture({ .instanceId = "i", .startedAtMs = 1000 });
+  node.clock.Advance(30 * kSecond);
+  node.registry.ApplyHeartbeat(MakeHeartbeat("i", 2000, 1));
+  node.Check(HealthAnswer::None);
+  BOOST_TEST(!node.IsUsed());
+  node.registry.ApplyHeartbeat(MakeHeartbeat("i", 2000, 2));
+  BOOST_TEST(node.IsUsed());
+}
+
 // Guards against requests for the wrong service where the address went to another one around the
 // node's start.
 BOOST_AUTO_TEST_CASE(service_in_a_heartbeat_replaces_the_service_that_a_check_assumed)
