Allowed regions of routes and accounts

A route and a client account of the fleet document may list regions (allowed_regions). The node at which a request enters picks only members in data centres whose region both lists allow, for every attempt and for the local upstream. Regions come from the settings (zones, region) and are read again at SIGHUP. A data centre without a known region is not allowed.

Considered: sending the list to the peer as well, so that it checks its own region. The peer's data centre is already known from the member list, and an older peer would ignore the field.

The ejection limit holds for a whole service, so all members of a small region can be ejected. An idempotent request that allows no other member goes to one of them at its first attempt.

--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -115,6 +115,7 @@
 #include "acaciapulley/node/node_process.hpp"
 #include "acaciapulley/node/pipeline_guards.hpp"
 #include "acaciapulley/node/refusal.hpp"
+#include "acaciapulley/node/region_map.hpp"
 #include "acaciapulley/node/request_pipeline.hpp"
 #include "acaciapulley/node/state_cache.hpp"
 #include "acaciapulley/node/sync_loop.hpp"
--- a/include/acaciapulley/config/fleet_document.hpp
+++ b/include/acaciapulley/config/fleet_document.hpp
@@ -33,6 +33,8 @@
   std::string pathPrefix; ///< begins and ends with `/`
   RequestClass requestClass;
   std::vector<FleetDestination> destinations; ///< at least one, with a total weight above 0
+  /// Regions whose upstreams may run requests of the route; empty: all.
+  std::vector<std::string> allowedRegions;
 };
 
 /// A service of the fleet.
@@ -52,6 +54,9 @@
   /// Across all services. A rate of 0 means no limit; with a rate, a burst of 0 becomes that of
   /// 0.1 s, or one request.
   AccountLimit limit;
+  /// Regions whose upstreams may run requests of the account; empty: all. A route's list applies
+  /// as well.
+  std::vector<std::string> allowedRegions;
 };
 
 /// Limits on requests and connections of callers.
--- a/include/acaciapulley/node/detail/dispatcher.hpp
+++ b/include/acaciapulley/node/detail/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "acaciapulley/node/detail/attempt.hpp"     // PendingCall
 #include "acaciapulley/node/detail/executor.hpp"    // Executor
 #include "acaciapulley/node/detail/peer_client.hpp" // PeerClient
+#include "acaciapulley/node/region_map.hpp"         // RegionMap
 #include "acaciapulley/retries/retry_policy.hpp"    // NodeRetryBudget
 #include "acaciapulley/routing/balancer.hpp"        // Balancer
 
@@ -29,6 +30,7 @@
   Balancer* balancer = nullptr;
   MemberTable* members = nullptr;
   FleetRetryBudget fleetRetryBudget; ///< for each service of the fleet routes
+  const RegionMap* regions = nullptr;
 };
 
 /// Result of a request after its last attempt.
@@ -50,6 +52,8 @@
   DispatchResult Run(PendingCall& call, const RequestContext& context);
 
 private:
+  [[nodiscard]] PickRequest PickRequestOf(const PendingCall& call,
+                                          const std::vector<std::string>& tried) const;
   [[nodiscard]] std::optional<PickedMember> PickMember(const PendingCall& call,
                                                        const std::vector<std::string>& tried);
   AttemptResult RunAttempt(PendingCall& call,
--- a/include/acaciapulley/node/detail/fleet_resolver.hpp
+++ b/include/acaciapulley/node/detail/fleet_resolver.hpp
@@ -22,6 +22,7 @@
   std::string account; ///< empty on open routes and in fleets without accounts
   int priority = 0;    ///< of the account, or of the route
   bool isLimited = false;
+  std::vector<std::string> allowedRegions; ///< of the account; empty: all
 };
 
 /// Resolves requests by the fleet document in the state cache, without calls to control.
--- a/include/acaciapulley/node/detail/request_resolver.hpp
+++ b/include/acaciapulley/node/detail/request_resolver.hpp
@@ -10,6 +10,7 @@
 #include "acaciapulley/config/service_document.hpp" // RequestClass, ServiceDocument
 #include "acaciapulley/core/clock.hpp"              // Clock
 #include "acaciapulley/node/refusal.hpp"            // OrRefusal
+#include "acaciapulley/node/region_map.hpp"         // AllowedRegions
 #include "acaciapulley/node/state_cache.hpp"        // StateCache
 
 namespace acp::detail {
@@ -26,6 +27,8 @@
   /// else the request needs from the configuration is read from the same document.
   FleetDocumentPtr fleet;
   std::shared_ptr<const RequestClass> classOwner; ///< class of a request from another node
+  /// Of the route and the client account. Unrestricted where another node has picked this one.
+  AllowedRegions allowedRegions;
 };
 
 /// Resolves requests from the node's cached state, without network calls.
--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -11,6 +11,7 @@
 
 #include "acaciapulley/core/clock.hpp"            // Clock, TimePoint
 #include "acaciapulley/node/local_upstream.hpp"   // Announcement, LocalUpstream
+#include "acaciapulley/node/region_map.hpp"       // RegionsByDataCentre
 #include "acaciapulley/retries/retry_policy.hpp"  // FleetRetryBudget
 #include "acaciapulley/transport/address.hpp"     // Address
 #include "acaciapulley/transport/http_server.hpp" // ServerExchange
@@ -35,6 +36,7 @@
   /// is no egress listener.
   bool routesByFleet = false;
   FleetRetryBudget fleetRetryBudget;
+  RegionsByDataCentre regionOf; ///< for routes and accounts with allowed regions
   std::string callerService;
   std::string requestIdField; ///< header field with the request id of the caller, for the logs
   LocalUpstream::TranslationFactory makeTranslation; ///< for upstreams that speak another protocol
@@ -60,6 +62,10 @@
   /// @brief Adds control replicas, for instance those of reloaded settings, to those it calls.
   void AddControlReplicas(const std::vector<Address>& replicas);
 
+  /// @brief Replaces the regions of all data centres, for instance with those of reloaded settings.
+  /// Requests that wait for a member are decided by the new ones.
+  void ReplaceRegions(RegionsByDataCentre regionOf);
+
   /// @brief Returns whether the node is ready: its state is recent and no stop has begun.
   [[nodiscard]] bool IsReady() const;
 
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -16,6 +16,7 @@
 #include "acaciapulley/node/local_upstream.hpp"         // LocalUpstream
 #include "acaciapulley/node/pipeline_guards.hpp"        // PipelineGuards
 #include "acaciapulley/node/refusal.hpp"                // Refusal
+#include "acaciapulley/node/region_map.hpp"             // RegionMap
 #include "acaciapulley/node/state_cache.hpp"            // StateCache
 #include "acaciapulley/retries/retry_policy.hpp"        // FleetRetryBudget
 #include "acaciapulley/routing/member_table.hpp"        // MemberTable
@@ -57,6 +58,7 @@
   StateCache* stateCache = nullptr;
   LocalUpstream* upstream = nullptr;
   MemberTable* members = nullptr;
+  const RegionMap* regions = nullptr; ///< for routes and accounts with allowed regions
   detail::GracefulStop* stop = nullptr;
   detail::ControlCall claimControl;                  ///< calls for claims
   detail::ControlCall tokenControl;                  ///< calls for rate tokens
--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -32,6 +32,9 @@
   std::vector<std::string> tried; ///< nodes that earlier attempts of this request were sent to
   std::string requestClass;       ///< latencies are compared within a class
   bool isIdempotent = true;       ///< only idempotent requests serve as trials of ejected members
+  /// Returns whether members in a data centre may run the request; empty: all. Called under the
+  /// lock of the service's members.
+  std::function<bool(const std::string& dataCentre)> allowedDataCentres;
 };
 
 /// The picked member. The caller must call MemberTable::FinishCall with this node and epoch.
@@ -45,7 +48,9 @@
   TimePoint startedAt;
 };
 
-/// Picks members. Draining members, ejected members and members tried before are never picked.
+/// Picks members. Draining members, members tried before and members in data centres that the
+/// request does not allow are never picked. Ejected members are picked only by rule 1, or when an
+/// idempotent request allows only some data centres and all eligible members there are ejected.
 /// Rules, in this order:
 ///
 /// 1. an ejected member whose ejection has ended gets one trial request;
@@ -71,7 +76,7 @@
   [[nodiscard]] std::optional<PickedMember> Pick(const PickRequest& request, TimePoint now);
 
   /// @brief Returns whether the service has a member that is neither draining nor in
-  /// PickRequest::tried.
+  /// PickRequest::tried, in a data centre that the request allows.
   [[nodiscard]] bool HasUntriedMember(const PickRequest& request) const;
 
 private:
--- a/src/config/fleet_document.cpp
+++ b/src/config/fleet_document.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t kMaxShownBytes = 32;
 /// Optional; by default keys are required if there are accounts.
 constexpr const char* kKeysRequiredField = "keys_required";
+/// Optional; without it, or with an empty list, all regions are allowed.
+constexpr const char* kAllowedRegionsField = "allowed_regions";
 
 [[noreturn]] void Throw(const std::string& path, const std::string& problem)
 {
@@ -61,6 +63,18 @@
   return text;
 }
 
+std::vector<std::string> ReadAllowedRegions(JsonReader& reader)
+{
+  if (!reader.Has(kAllowedRegionsField)) {
+    return {};
+  }
+  std::vector<std::string> regions = reader.Strings(kAllowedRegionsField);
+  if (std::any_of(regions.begin(), regions.end(), [](const auto& r) { return r.empty(); })) {
+    Throw(reader.PathOf(kAllowedRegionsField), "has an empty name");
+  }
+  return regions;
+}
+
 std::vector<FleetDestination> ReadDestinations(JsonReader& reader,
                                                const std::set<std::string>& services)
 {
@@ -105,6 +119,7 @@
   requestClass.maxAttempts = static_cast<int>(reader.Integer("max_attempts", 1, kMaxAttempts));
   requestClass.maxBodyBytes = limits.maxBodyBytes;
   route.destinations = ReadDestinations(reader, services);
+  route.allowedRegions = ReadAllowedRegions(reader);
   reader.RejectUnknownFields();
   return route;
 }
@@ -154,6 +169,7 @@
   if (account.limit.burst == 0 && account.limit.rate > 0) {
     account.limit.burst = std::max(1.0, account.limit.rate * kLeastBurstSeconds);
   }
+  account.allowedRegions = ReadAllowedRegions(reader);
   reader.RejectUnknownFields();
   return account;
 }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -26,14 +26,6 @@
   return canReplay && !call.exchange.IsCallerGone();
 }
 
-PickRequest PickRequestOf(const PendingCall& call, const std::vector<std::string>& tried)
-{
-  return { .service = call.request.service,
-           .tried = tried,
-           .requestClass = call.request.requestClass->name,
-           .isIdempotent = call.request.requestClass->idempotent };
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(const DispatcherOptions& options)
@@ -41,6 +33,16 @@
 {
 }
 
+PickRequest Dispatcher::PickRequestOf(const PendingCall& call,
+                                      const std::vector<std::string>& tried) const
+{
+  return { .service = call.request.service,
+           .tried = tried,
+           .requestClass = call.request.requestClass->name,
+           .isIdempotent = call.request.requestClass->idempotent,
+           .allowedDataCentres = options_.regions->DataCentresIn(call.request.allowedRegions) };
+}
+
 NodeRetryBudget& Dispatcher::RetryBudgetOf(const PendingCall& call)
 {
   if (!call.request.isFleetRoute) {
@@ -58,12 +60,14 @@
 std::optional<PickedMember> Dispatcher::PickMember(const PendingCall& call,
                                                    const std::vector<std::string>& tried)
 {
-  const PickRequest request = PickRequestOf(call, tried);
+  if (call.request.allowedRegions.AllowsNone()) {
+    return std::nullopt;
+  }
   const TimePoint giveUpAt = options_.clock->Now() + call.queueTimeout;
   while (true) {
     const auto changeCount = options_.members->Changes().Count();
     const TimePoint now = options_.clock->Now();
-    auto picked = options_.balancer->Pick(request, now);
+    auto picked = options_.balancer->Pick(PickRequestOf(call, tried), now);
     // While the service has no member at all, as after a restart, the next list may contain one.
     if (picked || !tried.empty() || now >= giveUpAt || call.exchange.IsCallerGone()) {
       return picked;
--- a/src/node/fleet_resolver.cpp
+++ b/src/node/fleet_resolver.cpp
@@ -128,6 +128,7 @@
   request.requestClass = &route->requestClass;
   request.isFleetRoute = true;
   request.fleet = fleet;
+  request.allowedRegions.Restrict(route->allowedRegions);
   return request;
 }
 
@@ -152,7 +153,8 @@
   return AuthenticatedCaller{ .account = account->name,
                               .priority =
                                 PriorityOf(account->priority.value_or(requestClass.priority)),
-                              .isLimited = account->limit.rate > 0 };
+                              .isLimited = account->limit.rate > 0,
+                              .allowedRegions = account->allowedRegions };
 }
 
 OrRefusal<ResolvedRequest> FleetResolver::ResolveForPeer(const HttpRequestHead& head,
--- a/src/node/ingress_admission.cpp
+++ b/src/node/ingress_admission.cpp
@@ -113,6 +113,7 @@
     return boost::outcome_v2::failure(caller.error());
   }
   completed.account = caller.value().account;
+  admitted.request.allowedRegions.Restrict(caller.value().allowedRegions);
   auto context = NewContext(head, admitted.request, caller.value().account);
   if (!context) {
     return boost::outcome_v2::failure(context.error());
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -42,6 +42,7 @@
                     .stateCache = &stateCache_,
                     .requestIdField = options.requestIdField })
     , upstream_(options.makeTranslation, upstreamConnections_)
+    , regions_(options.regionOf)
     , record_(options.clock->WallNow())
     , stop_(*options.clock)
     , control_({ .replicas = options.control })
@@ -60,6 +61,7 @@
                   .stateCache = &stateCache_,
                   .upstream = &upstream_,
                   .members = &members_,
+                  .regions = &regions_,
                   .stop = &stop_,
                   .claimControl = [this](const auto& call) { return control_.Call(call); },
                   .tokenControl = [this](const auto& call) { return tokenChannel_.Call(call); },
@@ -107,6 +109,12 @@
     }
   }
 
+  void ReplaceRegions(RegionsByDataCentre regionOf)
+  {
+    regions_.Replace(std::move(regionOf));
+    members_.Changes().Notify();
+  }
+
   [[nodiscard]] bool IsReady() const
   {
     return !stopping_ && stateCache_.IsFresh(clock_.Now(), kKeyedMaxStateAge);
@@ -302,6 +310,7 @@
   std::shared_ptr<ConnectionCounts> peerConnections_ = std::make_shared<ConnectionCounts>();
   LocalUpstream upstream_;
   MemberTable members_;
+  RegionMap regions_;
   RecordCounters record_;
   std::atomic<bool> stopping_{ false };
   detail::GracefulStop stop_;
@@ -334,6 +343,11 @@
   impl_->AddControlReplicas(replicas);
 }
 
+void NodeProcess::ReplaceRegions(RegionsByDataCentre regionOf)
+{
+  impl_->ReplaceRegions(std::move(regionOf));
+}
+
 bool NodeProcess::IsReady() const
 {
   return impl_->IsReady();
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -132,7 +132,8 @@
                   .peers = &peers_,
                   .balancer = &balancer_,
                   .members = options_.members,
-                  .fleetRetryBudget = options_.fleetRetryBudget })
+                  .fleetRetryBudget = options_.fleetRetryBudget,
+                  .regions = options_.regions })
 {
 }
 
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -26,6 +26,9 @@
 
 bool IsEligible(const PickRequest& request, const MemberState& member)
 {
+  if (request.allowedDataCentres && !request.allowedDataCentres(member.info.dataCentre)) {
+    return false;
+  }
   const auto tried = std::find(request.tried.begin(), request.tried.end(), member.info.nodeId);
   return !member.isDraining && tried == request.tried.end();
 }
@@ -123,6 +126,7 @@
                                   TimePoint now)
 {
   std::vector<MemberState*> usable;
+  std::vector<MemberState*> ejected;
   for (MemberState& member : members.Members()) {
     if (!IsEligible(request, member)) {
       continue;
@@ -131,10 +135,17 @@
       if (request.isIdempotent && member.outlier.IsTrialDue(now)) {
         return &member;
       }
+      ejected.push_back(&member);
       continue;
     }
     usable.push_back(&member);
   }
+  // The number of ejected members is limited for the whole service, so all those that this request
+  // may use can be ejected.
+  if (usable.empty() && request.allowedDataCentres && request.isIdempotent &&
+      request.tried.empty()) {
+    usable = std::move(ejected);
+  }
   if (usable.empty()) {
     return nullptr;
   }
--- a/tests/config_test/fleet_document_test.cpp
+++ b/tests/config_test/fleet_document_test.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <string>
+#include <vector>
 
 #include "acaciapulley/config/fleet_document.hpp"
 
@@ -129,4 +130,37 @@
              "prefix");
 }
 
+// Guards against a document without restrictions that older control wrote, and against a list that
+// is lost or read as another.
+BOOST_AUTO_TEST_CASE(allowed_regions_are_optional)
+{
+  const auto regionsOf = [](const std::string& field) {
+    std::string account = Account("a", '1');
+    account.insert(account.size() - 1, field);
+    const auto fleet = acp::FleetDocument::Parse(Fleet(Route("r", "/a/", field), account)).value();
+    BOOST_TEST(fleet.Routes().front().allowedRegions == fleet.Accounts().front().allowedRegions,
+               boost::test_tools::per_element());
+    return fleet.Routes().front().allowedRegions;
+  };
+  BOOST_TEST(regionsOf("").empty());
+  BOOST_TEST(regionsOf(R"(,"allowed_regions":[])").empty());
+  BOOST_TEST((regionsOf(R"(,"allowed_regions":["jawa","bali"])") ==
+              std::vector<std::string>{ "jawa", "bali" }));
+}
+
+// Guards against a restriction that is dropped because its list has an invalid entry.
+BOOST_AUTO_TEST_CASE(invalid_allowed_regions_are_rejected)
+{
+  for (const std::string list :
+       { R"("jawa")", R"([""])", R"(["jawa",""])", "[1]", "[null]", "{}" }) {
+    const std::string field = R"(,"allowed_regions":)" + list;
+    std::string account = Account("a", '1');
+    account.insert(account.size() - 1, field);
+    BOOST_TEST(ErrorOf(Fleet(Route("r", "/a/", field))).find("routes[0].allowed_regions") !=
+               std::string::npos);
+    BOOST_TEST(ErrorOf(Fleet(Route("r", "/a/"), account)).find("accounts[0].allowed_regions") !=
+               std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -333,7 +333,7 @@
   , stop_(clock_)
   , pipeline_({ .nodeId = options.id,
                 .epoch = 1,
-                .dataCentre = "d1",
+                .dataCentre = options.dataCentre,
                 .fleetSecret = std::string(32, 's'),
                 .retryBudget = kRetryBudget,
                 .routesByFleet = options.routesByFleet,
@@ -342,6 +342,7 @@
                 .stateCache = &stateCache_,
                 .upstream = &upstream_,
                 .members = &members_,
+                .regions = &regions_,
                 .stop = &stop_,
                 .claimControl = [this](const auto& call) { return options_.control->Call(call); },
                 .tokenControl = [this](const auto& call) { return options_.control->Call(call); },
@@ -409,7 +410,7 @@
     members.push_back({ .nodeId = node->options_.id,
                         .epoch = 1,
                         .service = node->options_.service,
-                        .dataCentre = "d1",
+                        .dataCentre = node->options_.dataCentre,
                         .peerAddress = "127.0.0.1:" + std::to_string(node->PeerPort()),
                         .slots = 100 });
   }
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -119,6 +119,7 @@
 {
   std::string id = "n1";
   std::string service = "front";
+  std::string dataCentre = "d1";
   FakeControl* control = nullptr;
   FakeUpstream* upstream = nullptr; ///< announced by the constructor; null: none
   bool isStale = false;
@@ -164,6 +165,8 @@
   bool WaitForCompleted(int count, Duration longest);
 
   void ApplyState();
+  /// Replaces the regions of all data centres, as a node does at SIGHUP.
+  void ReplaceRegions(const RegionsByDataCentre& regionOf) { regions_.Replace(regionOf); }
   /// Puts a later fleet document in force.
   void ApplyFleet(std::int64_t version, const std::string& text);
   int Announce(bool isDraining);
@@ -186,6 +189,7 @@
   StateCache stateCache_;
   LocalUpstream upstream_;
   MemberTable members_;
+  RegionMap regions_;
   detail::GracefulStop stop_;
   RequestPipeline pipeline_;
   HttpServer peer_;
--- a/tests/platform_test/translation_test.cpp
+++ b/tests/platform_test/translation_test.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <Poco/String.h>
 
@@ -163,6 +164,59 @@
   }
 }
 
+// Guards against a restriction that is lost in the translation. Null and an empty list are none,
+// and the document then has no field that an older node would reject.
+BOOST_AUTO_TEST_CASE(allowed_regions_are_translated)
+{
+  const auto translate = [](const std::string& list) {
+    const std::string field = R"("allowed_regions":)" + list + ",";
+    std::string text = WithReplacement(R"("priority":2,)", field + R"("priority":2,)");
+    const std::string rate = R"("rate_per_s":150,)";
+    text.insert(text.find(rate), field);
+    return TranslateConfiguration(text);
+  };
+  for (const std::string none : { "null", "[]" }) {
+    BOOST_TEST(translate(none).value().document.find("allowed_regions") == std::string::npos);
+  }
+  const auto fleet =
+    acp::FleetDocument::Parse(translate(R"(["jawa","bali"])").value().document).value();
+  const std::vector<std::string> expected = { "jawa", "bali" };
+  BOOST_TEST((fleet.Match("h.example", "/a/x")->allowedRegions == expected));
+  BOOST_TEST((fleet.Accounts().front().allowedRegions == expected));
+  BOOST_TEST(fleet.Match("g.example", "/b/")->allowedRegions.empty());
+  for (const std::string invalid :
+       { R"("jawa")", R"([""])", "[1]", "[null]", "{}", "0", "false" }) {
+    BOOST_TEST(translate(invalid).error().message.find("routes[0].allowed_regions") == 0U);
+  }
+}
+
+// Guards against a reload that is refused, or a node that does not start, because of settings
+// without regions; and against a data centre whose region is doubtful and that counts as allowed.
+BOOST_AUTO_TEST_CASE(regions_are_read_from_the_settings)
+{
+  const auto regionsOf = [](const std::string& fields) {
+    return ParsePlatformSettings(
+             R"({"node":"n","zone":"jawa-a","ip":"127.0.0.1","listen_addrs":{},"seed_nodes":[],)"
+             R"("internal_ports":[7000,7015],"bounds":{"grace_s":6})" +
+             fields + "}")
+      .regionOf;
+  };
+  using Regions = acp::RegionsByDataCentre;
+  BOOST_TEST((regionsOf("") == Regions{}));
+  BOOST_TEST((regionsOf(R"(,"zones":null,"region":null)") == Regions{}));
+  BOOST_TEST((regionsOf(R"(,"region":"jawa")") == Regions{ { "jawa-a", "jawa" } }));
+  const std::string zones = R"(,"zones":{"jawa-a":"jawa","bali-a":"bali"})";
+  const Regions both{ { "jawa-a", "jawa" }, { "bali-a", "bali" } };
+  BOOST_TEST((regionsOf(zones) == both));
+  BOOST_TEST((regionsOf(zones + R"(,"region":"jawa")") == both));
+  BOOST_TEST((regionsOf(zones + R"(,"region":"timor")") == Regions{ { "bali-a", "bali" } }));
+  BOOST_TEST((regionsOf(R"(,"zones":{"bali-a":"bali"},"region":"jawa")") == both));
+  for (const std::string invalid :
+       { "1", "[]", R"("jawa")", R"({"bali-a":1})", R"({"bali-a":""})", R"({"bali-a":null})" }) {
+    BOOST_CHECK_THROW(regionsOf(R"(,"zones":)" + invalid), std::runtime_error);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(settings_are_read_and_unknown_fields_are_ignored)
 {
   const auto settings = ParsePlatformSettings(
--- a/tests/routing_test/balancer_test.cpp
+++ b/tests/routing_test/balancer_test.cpp
@@ -285,4 +285,49 @@
   BOOST_TEST(PickMany(100)["n1"] > 20);
 }
 
+// Guards against a request that reaches a data centre it does not allow: the local one, which is
+// preferred otherwise, or another when the allowed one is full, tried before, or draining.
+BOOST_FIXTURE_TEST_CASE(only_allowed_data_centres_are_picked, Fixture)
+{
+  auto leaving = Member("n3", "b");
+  leaving.isDraining = true;
+  Apply({ Member("n0"), Member("n1"), Member("n2", "b"), leaving });
+  const auto request = [](std::vector<std::string> tried) {
+    return acp::PickRequest{ .service = "s",
+                             .tried = std::move(tried),
+                             .allowedDataCentres = [](const auto& name) { return name == "b"; } };
+  };
+  BOOST_TEST(balancer.HasUntriedMember(request({})));
+  for (int i = 0; i < 30; ++i) {
+    BOOST_TEST(balancer.Pick(request({}), clock.Now())->nodeId == "n2");
+  }
+  BOOST_TEST(!balancer.Pick(request({ "n2" }), clock.Now()).has_value());
+  BOOST_TEST(!balancer.HasUntriedMember(request({ "n2" })));
+  BOOST_TEST(Pick() == "n0");
+}
+
+// Guards against a request that is refused because the few members that it allows are ejected,
+// which the limit for the whole service does not prevent. One that must not run twice does not go
+// there.
+BOOST_FIXTURE_TEST_CASE(ejected_members_are_picked_when_no_other_is_allowed, Fixture)
+{
+  Apply({ Member("n0"), Member("n1"), Member("n2"), Member("n3", "b") });
+  for (int i = 0; i < 20; ++i) {
+    Finish("n3", acp::CallResult::Failed);
+  }
+  for (int i = 0; i < 50; ++i) {
+    BOOST_TEST(Pick({ "n0", "n1", "n2" }).empty());
+  }
+  acp::PickRequest request{ .service = "s",
+                            .allowedDataCentres = [](const auto& name) { return name == "b"; } };
+  BOOST_REQUIRE(balancer.Pick(request, clock.Now()).has_value());
+  BOOST_TEST(balancer.Pick(request, clock.Now())->nodeId == "n3");
+  request.tried = { "n2" };
+  BOOST_TEST(!balancer.Pick(request, clock.Now()).has_value());
+  request = { .service = "s", .isIdempotent = false, .allowedDataCentres = [](const auto& name) {
+               return name == "b";
+             } };
+  BOOST_TEST(!balancer.Pick(request, clock.Now()).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
