Responses with a status above 599 no longer reach callers

A response head with a status below 100, or not written with three digits, was already refused: the attempt ends as a lost connection (502, unknown outcome), and a repeatable request is sent to another member. Statuses from 600 to 999 were passed on as answers, over one hop and two, and those of a peer as well.

The new tests cover the local upstream, the upstream of a peer, the peer itself, interim responses, retries, claims and health checks.

--- a/src/transport/http_framing.cpp
+++ b/src/transport/http_framing.cpp
@@ -25,6 +25,10 @@
 
 constexpr std::size_t kMaxNameBytes = 256;
 
+// RFC 9110, section 15: a client treats other three-digit codes as an error of the server.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
 // Two parties could interpret a request differently if one of these had a second value.
 constexpr std::array<std::string_view, 8> kSingletonFields = {
   "Acp-Key",           "Acp-Context", "Acp-Deadline-Ms", "Idempotency-Key", "Content-Length",
@@ -291,7 +295,8 @@
   const std::string start = version + ' ' + std::to_string(head->status);
   const bool isStatusDelimited =
     line.size() == start.size() || line.substr(start.size()).starts_with(' ');
-  if (head->status < 100 || !line.starts_with(start) || !isStatusDelimited) {
+  const bool isInRange = head->status >= kMinStatus && head->status <= kMaxStatus;
+  if (!isInRange || !line.starts_with(start) || !isStatusDelimited) {
     return "the response has no valid status code";
   }
   const bool isVersion10 = version == HTTPMessage::HTTP_1_0;
