Build acpctl tables without -Wrestrict in Release

GCC 12 on x86-64 reports an overlap in the inlined operator+ of a literal and a temporary string at -O3, which is an error here. The text is now appended in parts.

--- a/src/programs/acpctl/tables.cpp
+++ b/src/programs/acpctl/tables.cpp
@@ -46,7 +46,8 @@
   if (const auto list = object->getArray(field)) {
     std::string text;
     for (unsigned int i = 0; i < list->size(); ++i) {
-      text += (text.empty() ? "" : ",") + list->getElement<std::string>(i);
+      text += text.empty() ? "" : ",";
+      text += list->getElement<std::string>(i);
     }
     return text.empty() ? "-" : text;
   }
@@ -84,7 +85,8 @@
     for (std::size_t i = 0; i + 1 < line.size(); ++i) {
       text += fmt::format("{:<{}}  ", line[i], widths[i]);
     }
-    text += line.back() + "\n";
+    text += line.back();
+    text += '\n';
   }
   return text;
 }
@@ -93,7 +95,7 @@
 {
   std::string text;
   for (const auto& column : columns) {
-    text += column.heading + ": " + FieldText(object, column.field) + "\n";
+    text += fmt::format("{}: {}\n", column.heading, FieldText(object, column.field));
   }
   return text;
 }
