--- a/idl/command.thrift
+++ b/idl/command.thrift
@@ -79,6 +79,14 @@
   1: binary secret
 }
 
+/// Starts or finishes the evacuation of a data centre. Replicas that do not know this command would
+/// diverge by skipping it, so it is written with format version 2.
+struct SetEvacuationCommand {
+  1: string operatorName
+  2: string dataCentre
+  3: bool evacuated
+}
+
 /// Entry of the log. Exactly one of the optional fields is set.
 struct ControlCommand {
   1: i32 formatVersion
@@ -93,6 +101,7 @@
   10: optional control.ReleaseClaimRequest releaseClaim
   11: optional PutFleetCommand putFleet
   12: optional FoundFleetCommand foundFleet
+  13: optional SetEvacuationCommand setEvacuation
 }
 
 /// Result of an entry, for its proposer and for operators who resend their request.
@@ -175,4 +184,6 @@
   13: list<StoreRecordCommand> record
   14: list<ReleasedAttemptRow> releasedAttempts
   15: optional FleetSnapshot fleet
+  /// Set only while a data centre is evacuated; such a snapshot has format version 2.
+  16: optional list<string> evacuatedDataCentres
 }
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -78,6 +78,8 @@
   11: string leaderRpcAddress
   /// Whether nodes should poll replicas that are not the leader.
   12: bool relaysPolls
+  /// Data centres whose upstreams must get no requests, complete in each reply.
+  13: list<string> evacuatedDataCentres
 }
 
 /// The newest poll of a node at a replica that is not the leader.
--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -98,6 +98,7 @@
 #include "acaciapulley/control/control_process.hpp"
 #include "acaciapulley/control/control_state.hpp"
 #include "acaciapulley/control/document_store.hpp"
+#include "acaciapulley/control/evacuation_store.hpp"
 #include "acaciapulley/control/fleet_store.hpp"
 #include "acaciapulley/control/key_store.hpp"
 #include "acaciapulley/control/live_nodes.hpp"
--- a/include/acaciapulley/control/change_feed.hpp
+++ b/include/acaciapulley/control/change_feed.hpp
@@ -30,6 +30,7 @@
   std::vector<StoredDocument> documents;
   std::vector<KeyRecord> issuedKeys;
   std::vector<std::string> revokedKeyIds;
+  std::vector<std::string> evacuatedDataCentres; ///< at toVersion, complete; not kept in the feed
 };
 
 /// The most recent changes. Invariant: each change increments the version by one; the version never
--- a/include/acaciapulley/control/control_process.hpp
+++ b/include/acaciapulley/control/control_process.hpp
@@ -7,9 +7,11 @@
 #include <cstdint> // uint16_t
 #include <memory>  // shared_ptr, unique_ptr
 #include <string>  // string
+#include <vector>  // vector
 
 #include "acaciapulley/control/control_hooks.hpp"      // ControlHooks
 #include "acaciapulley/control/control_state.hpp"      // ControlState
+#include "acaciapulley/control/evacuation_store.hpp"   // SetEvacuationResult
 #include "acaciapulley/control/fleet_store.hpp"        // FleetChange, PutFleetResult
 #include "acaciapulley/control/operator_directory.hpp" // OperatorDirectory
 #include "acaciapulley/core/clock.hpp"                 // Clock, Duration
@@ -79,6 +81,19 @@
   /// latest
   ControlResult<FleetChange> ReadFleet();
 
+  /// @brief Starts or finishes the evacuation of @p dataCentre. A resent order is confirmed again.
+  /// @param operatorName name recorded in the audit trail
+  /// @return the result, also if the order was in force already; or InvalidRequest,
+  /// TooManyEvacuations or NotLeader (nothing was changed); or Unconfirmed or Unavailable (the
+  /// order may still take effect, so the caller should resend it)
+  ControlResult<SetEvacuationResult> SetEvacuation(const std::string& operatorName,
+                                                   const std::string& dataCentre,
+                                                   bool evacuated);
+
+  /// @brief Returns the evacuated data centres, ordered by name.
+  /// @return the names, or NotLeader if this replica cannot confirm that they are the latest
+  ControlResult<std::vector<std::string>> ReadEvacuations();
+
   /// @brief Stops serving nodes, which fail over to another replica, then waits up to
   /// @p drainTimeout for operator requests in progress and closes the listeners.
   void Stop(Duration drainTimeout);
--- a/include/acaciapulley/control/control_state.hpp
+++ b/include/acaciapulley/control/control_state.hpp
@@ -20,8 +20,12 @@
 
 namespace acp {
 
-/// Format version of the commands and snapshots that this program writes.
-inline constexpr int kControlFormat = 1;
+/// Highest format version of commands and snapshots that this program reads.
+inline constexpr int kControlFormat = 2;
+
+/// Format version of commands and snapshots without an evacuation. They are written in the oldest
+/// format that can express them, so that replicas of the previous version can still apply them.
+inline constexpr int kBaseControlFormat = 1;
 
 /// How long the record is retained: two months.
 inline constexpr std::chrono::milliseconds kRecordRetention = std::chrono::hours(24 * 62);
@@ -80,8 +84,8 @@
   /// @brief Returns the changes since @p version, or a snapshot if they are no longer retained.
   [[nodiscard]] StateChanges ChangesSince(std::int64_t version) const;
 
-  /// @brief Returns the state version, which each change of documents, keys, fleet document or
-  /// fleet secret increments by one.
+  /// @brief Returns the state version, which each change of documents, keys, fleet document,
+  /// fleet secret or evacuations increments by one.
   [[nodiscard]] std::int64_t Version() const;
 
   /// @brief Returns the current fleet document; its version is 0 if none was put yet.
@@ -98,6 +102,9 @@
   /// @brief Returns the secret that signs request contexts, empty until it is initialised.
   [[nodiscard]] std::string FleetSecret() const;
 
+  /// @brief Returns the evacuated data centres, ordered by name.
+  [[nodiscard]] std::vector<std::string> EvacuatedDataCentres() const;
+
   /// @brief Returns the current document of @p service, or std::nullopt.
   [[nodiscard]] std::optional<StoredDocument> DocumentOf(const std::string& service) const;
 
--- a/include/acaciapulley/control/detail/control_context.hpp
+++ b/include/acaciapulley/control/detail/control_context.hpp
@@ -9,6 +9,7 @@
 #include "acaciapulley/control/control_hooks.hpp"          // ControlHooks
 #include "acaciapulley/control/control_state.hpp"          // ControlState
 #include "acaciapulley/control/detail/control_metrics.hpp" // ControlMetrics
+#include "acaciapulley/control/evacuation_store.hpp"       // SetEvacuationResult
 #include "acaciapulley/control/live_nodes.hpp"             // LiveNodes
 #include "acaciapulley/control/operator_directory.hpp"     // OperatorDirectory
 #include "acaciapulley/control/poll_relay.hpp"             // PollRelay
@@ -63,6 +64,14 @@
   /// or Unavailable
   ControlResult<wire::CommandReply> Propose(const wire::ControlCommand& command, Duration timeout);
 
+  /// @brief Starts or finishes the evacuation of @p dataCentre. An order that changes nothing is
+  /// written to the log as well, so that only a leader with a quorum can acknowledge it.
+  /// @return whether it was in force already; or InvalidRequest, TooManyEvacuations, NotLeader,
+  /// Unconfirmed or Unavailable
+  ControlResult<SetEvacuationResult> SetEvacuation(const std::string& operatorName,
+                                                   const std::string& dataCentre,
+                                                   bool evacuated);
+
   /// @brief Removes expired nodes and returns which nodes have confirmed @p version.
   [[nodiscard]] ConfirmationStatus ConfirmationOf(std::int64_t version);
 };
--- a/include/acaciapulley/control/detail/control_metrics.hpp
+++ b/include/acaciapulley/control/detail/control_metrics.hpp
@@ -23,6 +23,7 @@
   double nodes = 0;
   double members = 0;
   double claims = 0;
+  double evacuatedDataCentres = 0;
   double auditEntries = 0;
 };
 
--- a/include/acaciapulley/control/detail/control_state_impl.hpp
+++ b/include/acaciapulley/control/detail/control_state_impl.hpp
@@ -9,6 +9,7 @@
 #include <shared_mutex> // shared_mutex
 
 #include "acaciapulley/control/control_state.hpp"          // ControlState
+#include "acaciapulley/control/evacuation_store.hpp"       // EvacuationStore
 #include "acaciapulley/control/fleet_store.hpp"            // FleetStore
 #include "acaciapulley/control/operator_request_store.hpp" // OperatorRequestStore
 #include "gen/command_types.h"
@@ -40,6 +41,7 @@
   AuditTrail audit;
   ClaimRegistry claims;
   FleetStore fleet;
+  EvacuationStore evacuations;
   std::map<std::string, JoinedNode> joinedNodes;
   std::set<std::string> retiredReplicas;
   std::map<std::pair<std::int64_t, std::string>, std::string> record;
@@ -74,6 +76,7 @@
   wire::CommandReply ApplyStoreRecord(const wire::StoreRecordCommand& command, UnixMillis time);
   wire::CommandReply ApplyPutFleet(const wire::PutFleetCommand& command, UnixMillis time);
   wire::CommandReply ApplyFoundFleet(const wire::FoundFleetCommand& command);
+  wire::CommandReply ApplySetEvacuation(const wire::SetEvacuationCommand& command, UnixMillis time);
   wire::CommandReply ApplyBeginClaim(const wire::BeginClaimRequest& request, UnixMillis time);
   wire::CommandReply ApplyFinishClaim(const wire::FinishClaimRequest& request, UnixMillis time);
   wire::CommandReply ApplyReleaseClaim(const wire::ReleaseClaimRequest& request, UnixMillis time);
--- a/include/acaciapulley/control/detail/operator_api.hpp
+++ b/include/acaciapulley/control/detail/operator_api.hpp
@@ -61,6 +61,9 @@
                              const std::string& account,
                              const std::string& keyId);
   OperatorResponse ReplaceReplica(const OperatorApiRequest& request);
+  OperatorResponse SetEvacuation(const OperatorApiRequest& request,
+                                 const std::string& dataCentre,
+                                 bool evacuated);
   std::optional<OperatorResponse> ChangeReplicas(const std::string& lostId,
                                                  const std::string& newId);
   OperatorResponse MakeRefusal(const wire::CommandReply& reply) const;
@@ -72,6 +75,7 @@
   OperatorResponse ShowMembers();
   OperatorResponse ShowAudit(const std::string& query);
   OperatorResponse ShowControl();
+  OperatorResponse ShowEvacuations();
   OperatorResponse ShowReport(const std::string& query);
 
   [[nodiscard]] ControlGauges ReadGauges();
--- a/include/acaciapulley/node/blocking_gate.hpp
+++ b/include/acaciapulley/node/blocking_gate.hpp
@@ -87,6 +87,10 @@
   /// @brief Applies a new announcement of the upstream.
   void SetCapacity(int slots, Duration coldStart, bool isDraining);
 
+  /// @brief Closes the gate with Reason::Draining, which also refuses the queued requests, or opens
+  /// it again. Running requests complete.
+  void SetDraining(bool isDraining);
+
   /// @brief Returns the threshold that callers should apply to requests of @p account.
   [[nodiscard]] AdmissionThreshold Threshold(const std::string& account) const;
 
@@ -116,6 +120,7 @@
 
   void Finish(std::uint64_t id, TimePoint startedAt, GateResult result);
   void PollLocked();
+  void SetDrainingLocked(bool isDraining);
   /// Returns the reason for a refusal, or Reason::None once the request may start.
   Reason OfferAndWait(std::unique_lock<std::mutex>& lock,
                       const GateRequest& request,
--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -38,6 +38,8 @@
   std::string callerService;
   std::string requestIdField; ///< header field with the request id of the caller, for the logs
   LocalUpstream::TranslationFactory makeTranslation; ///< for upstreams that speak another protocol
+  /// See RequestPipelineOptions; may be empty.
+  std::function<void()> onEvacuationEnded;
   /// Called for each request of the ingress with the handler that serves it, for instance to
   /// translate requests of another protocol; may be empty.
   std::function<void(ServerExchange&, const std::function<void(ServerExchange&)>& serve)>
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>    // int64_t
 #include <functional> // function
 #include <memory>     // shared_ptr, unique_ptr
+#include <set>        // set
 #include <string>     // string
 
 #include "acaciapulley/core/clock.hpp"                  // Clock
@@ -62,6 +63,9 @@
   detail::ControlCall tokenControl;                  ///< calls for rate tokens
   std::shared_ptr<ConnectionCounts> peerConnections; ///< may be null
   std::function<void()> onAnnouncementChanged;       ///< called after each changed announcement
+  /// Called when the evacuation of this data centre has ended, before the local upstream gets
+  /// requests again; may be empty.
+  std::function<void()> onEvacuationEnded;
   /// Called for each request of the ingress.
   std::function<void(const CompletedRequest&)> onRequestCompleted;
   PipelineGuards guards;
@@ -71,7 +75,8 @@
 struct PipelineStats
 {
   detail::TokenCallCounts tokenCalls;
-  GateStats gate; ///< of the local upstream
+  GateStats gate;           ///< of the local upstream
+  bool isEvacuated = false; ///< the data centre of this node is evacuated
 };
 
 /// Handlers of the node's ingress, peer and egress listeners. Thread-safe.
@@ -92,6 +97,11 @@
   /// @brief Applies an announcement of the local upstream.
   void Announce(const Announcement& announcement);
 
+  /// @brief Applies the set of evacuated data centres: their members are no longer picked, and if
+  /// this node's is among them, the local upstream gets no more requests. Must be called by one
+  /// thread.
+  void SetEvacuated(const std::set<std::string>& dataCentres);
+
   /// @brief Serves the local upstream's nested calls and announcements.
   void HandleEgress(ServerExchange& exchange);
 
--- a/include/acaciapulley/node/state_cache.hpp
+++ b/include/acaciapulley/node/state_cache.hpp
@@ -7,6 +7,7 @@
 #include <map>          // map
 #include <memory>       // shared_ptr
 #include <optional>     // optional
+#include <set>          // set
 #include <shared_mutex> // shared_mutex
 #include <stop_token>   // stop_token
 #include <string>       // string
@@ -43,8 +44,9 @@
   std::vector<ReceivedDocument> documents;
   std::vector<KeyRecord> issuedKeys;
   std::vector<std::string> revokedKeyIds;
-  std::optional<ReceivedDocument> fleet; ///< set when the fleet document has changed
-  std::string fleetSecret;               ///< empty until control has created it
+  std::optional<ReceivedDocument> fleet;      ///< set when the fleet document has changed
+  std::string fleetSecret;                    ///< empty until control has created it
+  std::set<std::string> evacuatedDataCentres; ///< complete
 };
 
 /// The state by which a node admits and routes requests. All calls may come from any thread.
@@ -83,6 +85,9 @@
   /// @brief Returns the secret that signs request contexts, empty until control has created it.
   [[nodiscard]] std::string FleetSecret() const;
 
+  /// @brief Returns the data centres whose upstreams must get no requests. As old as the state.
+  [[nodiscard]] std::set<std::string> EvacuatedDataCentres() const;
+
   /// @brief Returns the client account of @p keyText, or nothing.
   [[nodiscard]] std::optional<std::string> FindAccountByKey(const std::string& keyText) const;
 
@@ -101,6 +106,7 @@
   FleetDocumentPtr fleet_;
   std::int64_t fleetVersion_ = 0;
   std::string fleetSecret_;
+  std::set<std::string> evacuated_;
 };
 
 } // namespace acp
--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -5,7 +5,9 @@
 
 #include <condition_variable> // condition_variable
 #include <cstdint>            // int64_t
+#include <functional>         // function
 #include <mutex>              // mutex
+#include <set>                // set
 #include <string>             // string
 #include <thread>             // thread
 #include <vector>             // vector
@@ -42,6 +44,9 @@
   ControlChannel* claimChannel = nullptr;
   /// Its calls go through a follower, which the hash of the node id selects; may be null.
   ControlChannel* tokenChannel = nullptr;
+  /// Called with the evacuated data centres on each reply that changes them, before the reply is
+  /// applied to `stateCache`; may be empty.
+  std::function<void(const std::set<std::string>&)> onEvacuationChanged;
   /// Longest time that control may hold a poll while nothing changes; 0: it replies at once.
   Duration maxHold{};
 };
@@ -67,10 +72,12 @@
   void AddControlReplicas(const wire::SyncReply& reply);
   void SelectTokenRelay(const std::vector<Address>& replicas, const Address& leader);
   void SelectPollRelay(std::vector<Address> replicas, const Address& leader);
+  void ReportEvacuation(const ReceivedChanges& changes);
   [[nodiscard]] std::size_t NodeHash() const;
 
   SyncLoopOptions options_;
   std::int64_t membersVersion_ = 0;
+  std::set<std::string> reportedEvacuation_;
   std::vector<Address> relayCandidates_; ///< replicas from which the token relay was selected
   std::size_t pollRelaySelections_ = 0;
   TimePoint pollRelaySelectedAt_;
--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -45,7 +45,8 @@
   TimePoint startedAt;
 };
 
-/// Picks members. Draining members, ejected members and members tried before are never picked.
+/// Picks members. Draining members, members in evacuated data centres, ejected members and members
+/// tried before are never picked.
 /// Rules, in this order:
 ///
 /// 1. an ejected member whose ejection has ended gets one trial request;
@@ -70,8 +71,8 @@
   /// Linear in the number of members of the service.
   [[nodiscard]] std::optional<PickedMember> Pick(const PickRequest& request, TimePoint now);
 
-  /// @brief Returns whether the service has a member that is neither draining nor in
-  /// PickRequest::tried.
+  /// @brief Returns whether the service has a member that is neither draining, nor in an
+  /// evacuated data centre, nor in PickRequest::tried.
   [[nodiscard]] bool HasUntriedMember(const PickRequest& request) const;
 
 private:
--- a/include/acaciapulley/routing/member_table.hpp
+++ b/include/acaciapulley/routing/member_table.hpp
@@ -10,6 +10,7 @@
 #include <map>        // map
 #include <memory>     // shared_ptr
 #include <mutex>      // mutex
+#include <set>        // set
 #include <string>     // string
 #include <vector>     // vector
 
@@ -92,8 +93,9 @@
   RoutedMember info;
   SlowStart slowStart;
   OutlierDetector outlier;
-  bool isDraining = false; ///< according to control's list or to a refusal by the member
-  TimePoint drainingUntil; ///< until then the refusal applies, even if the list does not show it
+  bool isDraining = false;  ///< according to control's list or to a refusal by the member
+  TimePoint drainingUntil;  ///< until then the refusal applies, even if the list does not show it
+  bool isEvacuated = false; ///< its data centre is evacuated
   std::vector<RunningCall> running; ///< calls of this node
   /// Moving averages of latencies by class.
   std::map<std::string, ClassLatency> latencies;
@@ -120,6 +122,9 @@
   /// finishes.
   [[nodiscard]] double SlownessAt(TimePoint now) const;
 
+  /// @brief Returns whether the member takes requests at all, apart from ejections.
+  [[nodiscard]] bool IsServing() const { return !isDraining && !isEvacuated; }
+
   /// @brief Returns the number of running calls of this node.
   [[nodiscard]] int InFlight() const { return static_cast<int>(running.size()); }
 
@@ -137,6 +142,14 @@
   /// not, because their age is unknown and most of them are warm.
   void Apply(const std::vector<RoutedMember>& members, TimePoint now);
 
+  /// @brief Sets the evacuated data centres, also for members of later lists.
+  void SetEvacuated(const std::set<std::string>& dataCentres);
+
+  /// @brief Ends drains that only a refusal has reported and that the list does not show after
+  /// kDrainRefusalLifetime. A member that refused because of an evacuation which ended since has no
+  /// new entry in the list.
+  void ExpireDrains(TimePoint now);
+
   /// @brief Records the start of a call to @p member.
   static void BeginCall(MemberState& member, const std::string& requestClass, TimePoint now);
 
@@ -166,6 +179,7 @@
   void UpdateBaseline(MemberState& member, const FinishedCall& finished, TimePoint now);
 
   std::vector<MemberState> members_;
+  std::set<std::string> evacuated_;
   std::map<std::string, BaselineLatency> baselines_; ///< by class
   bool hasList_ = false;
 };
@@ -188,6 +202,10 @@
              const std::vector<RoutedMember>& members,
              TimePoint now);
 
+  /// @brief Replaces the set of evacuated data centres, whose members are not picked. Calls that
+  /// run there are not affected.
+  void SetEvacuated(const std::set<std::string>& dataCentres);
+
   /// @brief Records a finished call. Must be called once for each member that Balancer::Pick
   /// returned.
   void FinishCall(const std::string& service,
@@ -223,7 +241,8 @@
 
   std::mutex mutex_; ///< guards the fields below; never held together with a ServiceEntry::mutex
   std::map<std::string, std::shared_ptr<ServiceEntry>> services_;
-  std::mutex applyMutex_; ///< serialises Apply()
+  std::mutex applyMutex_; ///< serialises Apply() and SetEvacuated(); guards evacuated_
+  std::set<std::string> evacuated_;
   std::int64_t term_ = 0;
   std::int64_t version_ = 0;
   std::atomic<std::size_t> size_{ 0 };
--- a/src/control/control_commands.cpp
+++ b/src/control/control_commands.cpp
@@ -82,6 +82,9 @@
   if (command.__isset.foundFleet) {
     return ApplyFoundFleet(command.foundFleet);
   }
+  if (command.__isset.setEvacuation) {
+    return ApplySetEvacuation(command.setEvacuation, time);
+  }
   return Refusal(ControlErrorCode::InvalidCommand, "log entry contains no known command");
 }
 
@@ -281,6 +284,27 @@
   return {};
 }
 
+wire::CommandReply ControlState::Impl::ApplySetEvacuation(const wire::SetEvacuationCommand& command,
+                                                          UnixMillis time)
+{
+  const auto changed = evacuations.Set(command.dataCentre, command.evacuated);
+  if (!changed) {
+    return Refusal(changed.error());
+  }
+  if (changed.value()) {
+    feed.Append({});
+    audit.Append({ .time = time,
+                   .operatorName = command.operatorName,
+                   .action = command.evacuated ? "evacuation_started" : "evacuation_finished",
+                   .subject = command.dataCentre });
+  }
+  wire::CommandReply reply;
+  reply.isResend = !changed.value();
+  reply.subject = command.dataCentre;
+  reply.stateVersion = feed.Version();
+  return reply;
+}
+
 wire::CommandReply ControlState::Impl::ApplyBeginClaim(const wire::BeginClaimRequest& request,
                                                        UnixMillis time)
 {
--- a/src/control/control_context.cpp
+++ b/src/control/control_context.cpp
@@ -3,9 +3,23 @@
 #include <fmt/format.h> // format
 
 #include "acaciapulley/control/detail/wire_codec.hpp" // DecodeWire, EncodeWire
+#include "acaciapulley/control/evacuation_store.hpp"  // IsDataCentreName
+#include "acaciapulley/core/log.hpp"                  // Log
 
 namespace acp::detail {
 
+namespace {
+
+constexpr Duration kSetEvacuationTimeout = std::chrono::seconds(3);
+
+/// Returns the oldest format version in which @p command can be applied.
+int FormatOf(const wire::ControlCommand& command)
+{
+  return command.__isset.setEvacuation ? kControlFormat : kBaseControlFormat;
+}
+
+} // namespace
+
 ControlResult<Duration> ControlContext::ConfirmedLeadershipAge()
 {
   const auto age = log.LeadershipConfirmationAge();
@@ -27,7 +41,7 @@
                                                           Duration timeout)
 {
   wire::ControlCommand versioned = command;
-  versioned.formatVersion = kControlFormat;
+  versioned.formatVersion = FormatOf(command);
   const auto applied = log.Propose(EncodeWire(versioned), timeout);
   if (!applied) {
     metrics.CountProposalFailure(NameOf(applied.error().code));
@@ -48,6 +62,37 @@
   return reply;
 }
 
+ControlResult<SetEvacuationResult> ControlContext::SetEvacuation(const std::string& operatorName,
+                                                                 const std::string& dataCentre,
+                                                                 bool evacuated)
+{
+  // Checked before the entry is written, because a refused entry takes room in the log as well.
+  if (!IsDataCentreName(dataCentre)) {
+    return Fail(ControlErrorCode::InvalidRequest, "invalid name of a data centre");
+  }
+  wire::SetEvacuationCommand order;
+  order.operatorName = operatorName;
+  order.dataCentre = dataCentre;
+  order.evacuated = evacuated;
+  wire::ControlCommand command;
+  command.__set_setEvacuation(order);
+  const auto applied = Propose(command, kSetEvacuationTimeout);
+  if (!applied) {
+    return boost::outcome_v2::failure(applied.error());
+  }
+  const wire::CommandReply& reply = applied.value();
+  if (reply.errorCode != 0) {
+    return Fail(static_cast<ControlErrorCode>(reply.errorCode), reply.message);
+  }
+  Log(LogLevel::Info,
+      evacuated ? "evacuation_started" : "evacuation_finished",
+      { { "data_centre", dataCentre },
+        { "operator", operatorName },
+        { "state_version", std::to_string(reply.stateVersion) },
+        { "resend", reply.isResend ? "yes" : "no" } });
+  return SetEvacuationResult{ .stateVersion = reply.stateVersion, .isResend = reply.isResend };
+}
+
 ConfirmationStatus ControlContext::ConfirmationOf(std::int64_t version)
 {
   std::vector<std::string> joinedNodeIds;
--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -81,6 +81,9 @@
   impl_->Set("acp_control_nodes", "Nodes that poll this leader", gauges.nodes);
   impl_->Set("acp_control_members", "Upstreams with a lease", gauges.members);
   impl_->Set("acp_control_claims", "Claims of the last 24 h", gauges.claims);
+  impl_->Set("acp_evacuated_data_centres",
+             "Data centres whose upstreams get no requests",
+             gauges.evacuatedDataCentres);
   impl_->Set("acp_control_audit_entries", "Entries of the audit trail", gauges.auditEntries);
   return impl_->Serialize();
 }
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -193,6 +193,22 @@
     return context_.state.Fleet();
   }
 
+  ControlResult<SetEvacuationResult> SetEvacuation(const std::string& operatorName,
+                                                   const std::string& dataCentre,
+                                                   bool evacuated)
+  {
+    return context_.SetEvacuation(operatorName, dataCentre, evacuated);
+  }
+
+  ControlResult<std::vector<std::string>> ReadEvacuations()
+  {
+    const auto age = context_.ConfirmedLeadershipAge();
+    if (!age) {
+      return boost::outcome_v2::failure(age.error());
+    }
+    return context_.state.EvacuatedDataCentres();
+  }
+
   void Stop(Duration drainTimeout)
   {
     nodeEventWriter_.Stop();
@@ -311,6 +327,18 @@
   return impl_->ReadFleet();
 }
 
+ControlResult<SetEvacuationResult> ControlProcess::SetEvacuation(const std::string& operatorName,
+                                                                 const std::string& dataCentre,
+                                                                 bool evacuated)
+{
+  return impl_->SetEvacuation(operatorName, dataCentre, evacuated);
+}
+
+ControlResult<std::vector<std::string>> ControlProcess::ReadEvacuations()
+{
+  return impl_->ReadEvacuations();
+}
+
 std::uint16_t ControlProcess::RpcPort() const
 {
   return impl_->RpcPort();
--- a/src/control/control_snapshot.cpp
+++ b/src/control/control_snapshot.cpp
@@ -79,7 +79,7 @@
 wire::ControlSnapshot ControlState::Impl::MakeLogSnapshot() const
 {
   wire::ControlSnapshot snapshot;
-  snapshot.formatVersion = kControlFormat;
+  snapshot.formatVersion = kBaseControlFormat;
   snapshot.stateVersion = feed.Version();
   for (const auto& document : documents.AllCurrent()) {
     const auto& service = document.service;
@@ -125,6 +125,10 @@
                                       fleet.AcceptedDigests().end());
   fleetMessage.secret = fleet.Secret();
   snapshot.__set_fleet(fleetMessage);
+  if (const auto evacuated = evacuations.All(); !evacuated.empty()) {
+    snapshot.formatVersion = kControlFormat;
+    snapshot.__set_evacuatedDataCentres(evacuated);
+  }
   return snapshot;
 }
 
@@ -172,6 +176,7 @@
                   .source = fleetMessage.source },
                 { fleetMessage.acceptedDigests.begin(), fleetMessage.acceptedDigests.end() },
                 fleetMessage.secret);
+  evacuations.Restore(snapshot.evacuatedDataCentres);
 }
 
 } // namespace acp
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -65,7 +65,11 @@
 {
   const std::shared_lock lock(impl_->mutex);
   StateChanges changes;
-  return impl_->feed.Collect(version, &changes) ? changes : impl_->MakeNodeSnapshot();
+  if (!impl_->feed.Collect(version, &changes)) {
+    changes = impl_->MakeNodeSnapshot();
+  }
+  changes.evacuatedDataCentres = impl_->evacuations.All();
+  return changes;
 }
 
 FleetChange ControlState::Fleet() const
@@ -93,6 +97,12 @@
   return impl_->fleet.Secret();
 }
 
+std::vector<std::string> ControlState::EvacuatedDataCentres() const
+{
+  const std::shared_lock lock(impl_->mutex);
+  return impl_->evacuations.All();
+}
+
 std::int64_t ControlState::Version() const
 {
   const std::shared_lock lock(impl_->mutex);
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -198,6 +198,10 @@
   if (request.method == "DELETE" && isKeys && path.size() == 4) {
     return RevokeKey(request, path[1], path[3]);
   }
+  const bool isStart = request.method == "PUT";
+  if ((isStart || request.method == "DELETE") && path[0] == "evacuations" && path.size() == 2) {
+    return SetEvacuation(request, path[1], isStart);
+  }
   return MakeError(404, 0, "not_found", "no such operation", "see acpctl --help");
 }
 
@@ -221,6 +225,9 @@
   if (path.size() == 1 && path[0] == "members") {
     return ShowMembers();
   }
+  if (path.size() == 1 && path[0] == "evacuations") {
+    return ShowEvacuations();
+  }
   if (path.size() == 1 && path[0] == "audit") {
     return ShowAudit(request.query);
   }
--- a/src/control/operator_changes.cpp
+++ b/src/control/operator_changes.cpp
@@ -246,4 +246,20 @@
   return { .json = ToJsonText(object) };
 }
 
+OperatorResponse OperatorApi::SetEvacuation(const OperatorApiRequest& request,
+                                            const std::string& dataCentre,
+                                            bool evacuated)
+{
+  const auto result = context_.SetEvacuation(request.operatorName, dataCentre, evacuated);
+  if (!result) {
+    return MakeError(result.error());
+  }
+  Poco::JSON::Object object;
+  object.set("data_centre", dataCentre);
+  object.set("evacuated", evacuated);
+  object.set("state_version", result.value().stateVersion);
+  object.set("resend", result.value().isResend);
+  return { .json = ToJsonText(object) };
+}
+
 } // namespace acp::detail
--- a/src/control/operator_responses.cpp
+++ b/src/control/operator_responses.cpp
@@ -32,6 +32,7 @@
   { ControlErrorCode::TooManyRequests, 429, "wait until requests older than 24 h have expired" },
   { ControlErrorCode::TooManyKeys, 429, "acpctl key withdraw ACCOUNT KEY-ID" },
   { ControlErrorCode::TooManyServices, 429, "put a document for an existing service" },
+  { ControlErrorCode::TooManyEvacuations, 429, "acpctl evacuation finish DATA-CENTRE" },
   { ControlErrorCode::InvalidRequest, 400, "see acpctl --help" },
   { ControlErrorCode::ReplaceRefused,
     409,
--- a/src/control/operator_views.cpp
+++ b/src/control/operator_views.cpp
@@ -172,6 +172,16 @@
   return { .json = ToJsonText(object) };
 }
 
+OperatorResponse OperatorApi::ShowEvacuations()
+{
+  const std::int64_t version = context_.state.Version();
+  Poco::JSON::Object object;
+  object.set("data_centres", ToArray(context_.state.EvacuatedDataCentres()));
+  object.set("state_version", version);
+  SetConfirmation(object, context_.ConfirmationOf(version));
+  return { .json = ToJsonText(object) };
+}
+
 OperatorResponse OperatorApi::ShowAudit(const std::string& query)
 {
   const std::int64_t next = context_.state.NextAuditNumber();
@@ -254,6 +264,8 @@
                         .appliedIndex = static_cast<double>(status.appliedIndex),
                         .stateVersion = static_cast<double>(context_.state.Version()),
                         .claims = static_cast<double>(context_.state.ClaimCount()),
+                        .evacuatedDataCentres =
+                          static_cast<double>(context_.state.EvacuatedDataCentres().size()),
                         .auditEntries = static_cast<double>(context_.state.NextAuditNumber() - 1) };
   const auto confirmation = context_.ConfirmationOf(context_.state.Version());
   gauges.smallestConfirmed = static_cast<double>(confirmation.smallestConfirmed);
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -189,7 +189,9 @@
   reply = {};
   reply.ageMs = std::chrono::ceil<std::chrono::milliseconds>(age).count();
   reply.heldMs = std::chrono::floor<std::chrono::milliseconds>(held).count();
-  reply.delta = ToWire(context_.state.ChangesSince(request.stateVersion));
+  const StateChanges changes = context_.state.ChangesSince(request.stateVersion);
+  reply.delta = ToWire(changes);
+  reply.evacuatedDataCentres = changes.evacuatedDataCentres;
   // Sent only on change: the document may be large, and nearly all polling nodes already have it.
   if (context_.state.FleetVersion() != request.fleetVersion) {
     const FleetChange fleet = context_.state.Fleet();
--- a/src/gen/command_types.cpp
+++ b/src/gen/command_types.cpp
@@ -1329,6 +1329,138 @@
 }
 
 
+SetEvacuationCommand::~SetEvacuationCommand() noexcept {
+}
+
+
+void SetEvacuationCommand::__set_operatorName(const std::string& val) {
+  this->operatorName = val;
+}
+
+void SetEvacuationCommand::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void SetEvacuationCommand::__set_evacuated(const bool val) {
+  this->evacuated = val;
+}
+std::ostream& operator<<(std::ostream& out, const SetEvacuationCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SetEvacuationCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operatorName);
+          this->__isset.operatorName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuated);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SetEvacuationCommand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SetEvacuationCommand");
+
+  xfer += oprot->writeFieldBegin("operatorName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->operatorName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->evacuated);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SetEvacuationCommand &a, SetEvacuationCommand &b) {
+  using ::std::swap;
+  swap(a.operatorName, b.operatorName);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.evacuated, b.evacuated);
+  swap(a.__isset, b.__isset);
+}
+
+SetEvacuationCommand::SetEvacuationCommand(const SetEvacuationCommand& other27) {
+  operatorName = other27.operatorName;
+  dataCentre = other27.dataCentre;
+  evacuated = other27.evacuated;
+  __isset = other27.__isset;
+}
+SetEvacuationCommand& SetEvacuationCommand::operator=(const SetEvacuationCommand& other28) {
+  operatorName = other28.operatorName;
+  dataCentre = other28.dataCentre;
+  evacuated = other28.evacuated;
+  __isset = other28.__isset;
+  return *this;
+}
+void SetEvacuationCommand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SetEvacuationCommand(";
+  out << "operatorName=" << to_string(operatorName);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "evacuated=" << to_string(evacuated);
+  out << ")";
+}
+
+
 ControlCommand::~ControlCommand() noexcept {
 }
 
@@ -1391,6 +1523,11 @@
   this->foundFleet = val;
 __isset.foundFleet = true;
 }
+
+void ControlCommand::__set_setEvacuation(const SetEvacuationCommand& val) {
+  this->setEvacuation = val;
+__isset.setEvacuation = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlCommand& obj)
 {
   obj.printTo(out);
@@ -1515,6 +1652,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->setEvacuation.read(iprot);
+          this->__isset.setEvacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1591,6 +1736,11 @@
     xfer += this->foundFleet.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.setEvacuation) {
+    xfer += oprot->writeFieldBegin("setEvacuation", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->setEvacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1610,38 +1760,41 @@
   swap(a.releaseClaim, b.releaseClaim);
   swap(a.putFleet, b.putFleet);
   swap(a.foundFleet, b.foundFleet);
+  swap(a.setEvacuation, b.setEvacuation);
   swap(a.__isset, b.__isset);
 }
 
-ControlCommand::ControlCommand(const ControlCommand& other27) {
-  formatVersion = other27.formatVersion;
-  putDocument = other27.putDocument;
-  issueKey = other27.issueKey;
-  revokeKey = other27.revokeKey;
-  replaceReplica = other27.replaceReplica;
-  noteNodes = other27.noteNodes;
-  storeRecord = other27.storeRecord;
-  beginClaim = other27.beginClaim;
-  finishClaim = other27.finishClaim;
-  releaseClaim = other27.releaseClaim;
-  putFleet = other27.putFleet;
-  foundFleet = other27.foundFleet;
-  __isset = other27.__isset;
+ControlCommand::ControlCommand(const ControlCommand& other29) {
+  formatVersion = other29.formatVersion;
+  putDocument = other29.putDocument;
+  issueKey = other29.issueKey;
+  revokeKey = other29.revokeKey;
+  replaceReplica = other29.replaceReplica;
+  noteNodes = other29.noteNodes;
+  storeRecord = other29.storeRecord;
+  beginClaim = other29.beginClaim;
+  finishClaim = other29.finishClaim;
+  releaseClaim = other29.releaseClaim;
+  putFleet = other29.putFleet;
+  foundFleet = other29.foundFleet;
+  setEvacuation = other29.setEvacuation;
+  __isset = other29.__isset;
 }
-ControlCommand& ControlCommand::operator=(const ControlCommand& other28) {
-  formatVersion = other28.formatVersion;
-  putDocument = other28.putDocument;
-  issueKey = other28.issueKey;
-  revokeKey = other28.revokeKey;
-  replaceReplica = other28.replaceReplica;
-  noteNodes = other28.noteNodes;
-  storeRecord = other28.storeRecord;
-  beginClaim = other28.beginClaim;
-  finishClaim = other28.finishClaim;
-  releaseClaim = other28.releaseClaim;
-  putFleet = other28.putFleet;
-  foundFleet = other28.foundFleet;
-  __isset = other28.__isset;
+ControlCommand& ControlCommand::operator=(const ControlCommand& other30) {
+  formatVersion = other30.formatVersion;
+  putDocument = other30.putDocument;
+  issueKey = other30.issueKey;
+  revokeKey = other30.revokeKey;
+  replaceReplica = other30.replaceReplica;
+  noteNodes = other30.noteNodes;
+  storeRecord = other30.storeRecord;
+  beginClaim = other30.beginClaim;
+  finishClaim = other30.finishClaim;
+  releaseClaim = other30.releaseClaim;
+  putFleet = other30.putFleet;
+  foundFleet = other30.foundFleet;
+  setEvacuation = other30.setEvacuation;
+  __isset = other30.__isset;
   return *this;
 }
 void ControlCommand::printTo(std::ostream& out) const {
@@ -1659,6 +1812,7 @@
   out << ", " << "releaseClaim="; (__isset.releaseClaim ? (out << to_string(releaseClaim)) : (out << "<null>"));
   out << ", " << "putFleet="; (__isset.putFleet ? (out << to_string(putFleet)) : (out << "<null>"));
   out << ", " << "foundFleet="; (__isset.foundFleet ? (out << to_string(foundFleet)) : (out << "<null>"));
+  out << ", " << "setEvacuation="; (__isset.setEvacuation ? (out << to_string(setEvacuation)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1859,27 +2013,27 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandReply::CommandReply(const CommandReply& other29) {
-  errorCode = other29.errorCode;
-  errorName = other29.errorName;
-  message = other29.message;
-  version = other29.version;
-  stateVersion = other29.stateVersion;
-  subject = other29.subject;
-  isResend = other29.isResend;
-  claim = other29.claim;
-  __isset = other29.__isset;
+CommandReply::CommandReply(const CommandReply& other31) {
+  errorCode = other31.errorCode;
+  errorName = other31.errorName;
+  message = other31.message;
+  version = other31.version;
+  stateVersion = other31.stateVersion;
+  subject = other31.subject;
+  isResend = other31.isResend;
+  claim = other31.claim;
+  __isset = other31.__isset;
 }
-CommandReply& CommandReply::operator=(const CommandReply& other30) {
-  errorCode = other30.errorCode;
-  errorName = other30.errorName;
-  message = other30.message;
-  version = other30.version;
-  stateVersion = other30.stateVersion;
-  subject = other30.subject;
-  isResend = other30.isResend;
-  claim = other30.claim;
-  __isset = other30.__isset;
+CommandReply& CommandReply::operator=(const CommandReply& other32) {
+  errorCode = other32.errorCode;
+  errorName = other32.errorName;
+  message = other32.message;
+  version = other32.version;
+  stateVersion = other32.stateVersion;
+  subject = other32.subject;
+  isResend = other32.isResend;
+  claim = other32.claim;
+  __isset = other32.__isset;
   return *this;
 }
 void CommandReply::printTo(std::ostream& out) const {
@@ -2040,21 +2194,21 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentVersion::DocumentVersion(const DocumentVersion& other31) {
-  version = other31.version;
-  timeMs = other31.timeMs;
-  operatorName = other31.operatorName;
-  body = other31.body;
-  stateVersion = other31.stateVersion;
-  __isset = other31.__isset;
-}
-DocumentVersion& DocumentVersion::operator=(const DocumentVersion& other32) {
-  version = other32.version;
-  timeMs = other32.timeMs;
-  operatorName = other32.operatorName;
-  body = other32.body;
-  stateVersion = other32.stateVersion;
-  __isset = other32.__isset;
+DocumentVersion::DocumentVersion(const DocumentVersion& other33) {
+  version = other33.version;
+  timeMs = other33.timeMs;
+  operatorName = other33.operatorName;
+  body = other33.body;
+  stateVersion = other33.stateVersion;
+  __isset = other33.__isset;
+}
+DocumentVersion& DocumentVersion::operator=(const DocumentVersion& other34) {
+  version = other34.version;
+  timeMs = other34.timeMs;
+  operatorName = other34.operatorName;
+  body = other34.body;
+  stateVersion = other34.stateVersion;
+  __isset = other34.__isset;
   return *this;
 }
 void DocumentVersion::printTo(std::ostream& out) const {
@@ -2120,14 +2274,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->versions.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->versions.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += this->versions[_i37].read(iprot);
+              xfer += this->versions[_i39].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2160,10 +2314,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<DocumentVersion> ::const_iterator _iter38;
-    for (_iter38 = this->versions.begin(); _iter38 != this->versions.end(); ++_iter38)
+    std::vector<DocumentVersion> ::const_iterator _iter40;
+    for (_iter40 = this->versions.begin(); _iter40 != this->versions.end(); ++_iter40)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter40).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2181,15 +2335,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentHistory::DocumentHistory(const DocumentHistory& other39) {
-  serviceName = other39.serviceName;
-  versions = other39.versions;
-  __isset = other39.__isset;
+DocumentHistory::DocumentHistory(const DocumentHistory& other41) {
+  serviceName = other41.serviceName;
+  versions = other41.versions;
+  __isset = other41.__isset;
 }
-DocumentHistory& DocumentHistory::operator=(const DocumentHistory& other40) {
-  serviceName = other40.serviceName;
-  versions = other40.versions;
-  __isset = other40.__isset;
+DocumentHistory& DocumentHistory::operator=(const DocumentHistory& other42) {
+  serviceName = other42.serviceName;
+  versions = other42.versions;
+  __isset = other42.__isset;
   return *this;
 }
 void DocumentHistory::printTo(std::ostream& out) const {
@@ -2327,19 +2481,19 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRow::LedgerRow(const LedgerRow& other41) {
-  origin = other41.origin;
-  timeMs = other41.timeMs;
-  fingerprint = other41.fingerprint;
-  reply = other41.reply;
-  __isset = other41.__isset;
+LedgerRow::LedgerRow(const LedgerRow& other43) {
+  origin = other43.origin;
+  timeMs = other43.timeMs;
+  fingerprint = other43.fingerprint;
+  reply = other43.reply;
+  __isset = other43.__isset;
 }
-LedgerRow& LedgerRow::operator=(const LedgerRow& other42) {
-  origin = other42.origin;
-  timeMs = other42.timeMs;
-  fingerprint = other42.fingerprint;
-  reply = other42.reply;
-  __isset = other42.__isset;
+LedgerRow& LedgerRow::operator=(const LedgerRow& other44) {
+  origin = other44.origin;
+  timeMs = other44.timeMs;
+  fingerprint = other44.fingerprint;
+  reply = other44.reply;
+  __isset = other44.__isset;
   return *this;
 }
 void LedgerRow::printTo(std::ostream& out) const {
@@ -2547,27 +2701,27 @@
   swap(a.__isset, b.__isset);
 }
 
-AuditRow::AuditRow(const AuditRow& other43) {
-  number = other43.number;
-  timeMs = other43.timeMs;
-  operatorName = other43.operatorName;
-  action = other43.action;
-  subject = other43.subject;
-  fromVersion = other43.fromVersion;
-  toVersion = other43.toVersion;
-  requestId = other43.requestId;
-  __isset = other43.__isset;
+AuditRow::AuditRow(const AuditRow& other45) {
+  number = other45.number;
+  timeMs = other45.timeMs;
+  operatorName = other45.operatorName;
+  action = other45.action;
+  subject = other45.subject;
+  fromVersion = other45.fromVersion;
+  toVersion = other45.toVersion;
+  requestId = other45.requestId;
+  __isset = other45.__isset;
 }
-AuditRow& AuditRow::operator=(const AuditRow& other44) {
-  number = other44.number;
-  timeMs = other44.timeMs;
-  operatorName = other44.operatorName;
-  action = other44.action;
-  subject = other44.subject;
-  fromVersion = other44.fromVersion;
-  toVersion = other44.toVersion;
-  requestId = other44.requestId;
-  __isset = other44.__isset;
+AuditRow& AuditRow::operator=(const AuditRow& other46) {
+  number = other46.number;
+  timeMs = other46.timeMs;
+  operatorName = other46.operatorName;
+  action = other46.action;
+  subject = other46.subject;
+  fromVersion = other46.fromVersion;
+  toVersion = other46.toVersion;
+  requestId = other46.requestId;
+  __isset = other46.__isset;
   return *this;
 }
 void AuditRow::printTo(std::ostream& out) const {
@@ -2696,17 +2850,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRow::ClaimRow(const ClaimRow& other45) {
-  holder = other45.holder;
-  markedUnknown = other45.markedUnknown;
-  outcome = other45.outcome;
-  __isset = other45.__isset;
+ClaimRow::ClaimRow(const ClaimRow& other47) {
+  holder = other47.holder;
+  markedUnknown = other47.markedUnknown;
+  outcome = other47.outcome;
+  __isset = other47.__isset;
 }
-ClaimRow& ClaimRow::operator=(const ClaimRow& other46) {
-  holder = other46.holder;
-  markedUnknown = other46.markedUnknown;
-  outcome = other46.outcome;
-  __isset = other46.__isset;
+ClaimRow& ClaimRow::operator=(const ClaimRow& other48) {
+  holder = other48.holder;
+  markedUnknown = other48.markedUnknown;
+  outcome = other48.outcome;
+  __isset = other48.__isset;
   return *this;
 }
 void ClaimRow::printTo(std::ostream& out) const {
@@ -2811,15 +2965,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleasedAttemptRow::ReleasedAttemptRow(const ReleasedAttemptRow& other47) {
-  attemptId = other47.attemptId;
-  untilMs = other47.untilMs;
-  __isset = other47.__isset;
+ReleasedAttemptRow::ReleasedAttemptRow(const ReleasedAttemptRow& other49) {
+  attemptId = other49.attemptId;
+  untilMs = other49.untilMs;
+  __isset = other49.__isset;
 }
-ReleasedAttemptRow& ReleasedAttemptRow::operator=(const ReleasedAttemptRow& other48) {
-  attemptId = other48.attemptId;
-  untilMs = other48.untilMs;
-  __isset = other48.__isset;
+ReleasedAttemptRow& ReleasedAttemptRow::operator=(const ReleasedAttemptRow& other50) {
+  attemptId = other50.attemptId;
+  untilMs = other50.untilMs;
+  __isset = other50.__isset;
   return *this;
 }
 void ReleasedAttemptRow::printTo(std::ostream& out) const {
@@ -2910,14 +3064,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acceptedDigests.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->acceptedDigests.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->acceptedDigests.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += iprot->readBinary(this->acceptedDigests[_i53]);
+              xfer += iprot->readBinary(this->acceptedDigests[_i55]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2966,10 +3120,10 @@
   xfer += oprot->writeFieldBegin("acceptedDigests", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->acceptedDigests.size()));
-    std::vector<std::string> ::const_iterator _iter54;
-    for (_iter54 = this->acceptedDigests.begin(); _iter54 != this->acceptedDigests.end(); ++_iter54)
+    std::vector<std::string> ::const_iterator _iter56;
+    for (_iter56 = this->acceptedDigests.begin(); _iter56 != this->acceptedDigests.end(); ++_iter56)
     {
-      xfer += oprot->writeBinary((*_iter54));
+      xfer += oprot->writeBinary((*_iter56));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2994,21 +3148,21 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetSnapshot::FleetSnapshot(const FleetSnapshot& other55) {
-  version = other55.version;
-  document = other55.document;
-  source = other55.source;
-  acceptedDigests = other55.acceptedDigests;
-  secret = other55.secret;
-  __isset = other55.__isset;
-}
-FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other56) {
-  version = other56.version;
-  document = other56.document;
-  source = other56.source;
-  acceptedDigests = other56.acceptedDigests;
-  secret = other56.secret;
-  __isset = other56.__isset;
+FleetSnapshot::FleetSnapshot(const FleetSnapshot& other57) {
+  version = other57.version;
+  document = other57.document;
+  source = other57.source;
+  acceptedDigests = other57.acceptedDigests;
+  secret = other57.secret;
+  __isset = other57.__isset;
+}
+FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other58) {
+  version = other58.version;
+  document = other58.document;
+  source = other58.source;
+  acceptedDigests = other58.acceptedDigests;
+  secret = other58.secret;
+  __isset = other58.__isset;
   return *this;
 }
 void FleetSnapshot::printTo(std::ostream& out) const {
@@ -3087,6 +3241,11 @@
   this->fleet = val;
 __isset.fleet = true;
 }
+
+void ControlSnapshot::__set_evacuatedDataCentres(const std::vector<std::string> & val) {
+  this->evacuatedDataCentres = val;
+__isset.evacuatedDataCentres = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlSnapshot& obj)
 {
   obj.printTo(out);
@@ -3135,14 +3294,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->documents.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->documents.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->documents.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->documents[_i61].read(iprot);
+              xfer += this->documents[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3155,14 +3314,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->keys.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->keys.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->keys[_i66].read(iprot);
+              xfer += this->keys[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3175,14 +3334,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->revokedKeyIds.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->revokedKeyIds.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->revokedKeyIds.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += iprot->readString(this->revokedKeyIds[_i71]);
+              xfer += iprot->readString(this->revokedKeyIds[_i73]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3195,14 +3354,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ledger.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->ledger.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->ledger.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->ledger[_i76].read(iprot);
+              xfer += this->ledger[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3223,14 +3382,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->audit.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->audit.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->audit[_i81].read(iprot);
+              xfer += this->audit[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3251,14 +3410,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->claims.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->claims.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->claims[_i86].read(iprot);
+              xfer += this->claims[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3271,14 +3430,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->roster.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->roster.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->roster.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->roster[_i91].read(iprot);
+              xfer += this->roster[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3291,14 +3450,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retiredReplicas.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->retiredReplicas.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->retiredReplicas.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += iprot->readString(this->retiredReplicas[_i96]);
+              xfer += iprot->readString(this->retiredReplicas[_i98]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3311,14 +3470,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->record.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->record.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->record.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->record[_i101].read(iprot);
+              xfer += this->record[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3331,14 +3490,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->releasedAttempts.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->releasedAttempts.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->releasedAttempts.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->releasedAttempts[_i106].read(iprot);
+              xfer += this->releasedAttempts[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3355,6 +3514,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuatedDataCentres.clear();
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->evacuatedDataCentres.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
+            {
+              xfer += iprot->readString(this->evacuatedDataCentres[_i113]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuatedDataCentres = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3383,10 +3562,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
-    std::vector<DocumentHistory> ::const_iterator _iter107;
-    for (_iter107 = this->documents.begin(); _iter107 != this->documents.end(); ++_iter107)
+    std::vector<DocumentHistory> ::const_iterator _iter114;
+    for (_iter114 = this->documents.begin(); _iter114 != this->documents.end(); ++_iter114)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter114).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3395,10 +3574,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector< ::acp::wire::IssuedKey> ::const_iterator _iter108;
-    for (_iter108 = this->keys.begin(); _iter108 != this->keys.end(); ++_iter108)
+    std::vector< ::acp::wire::IssuedKey> ::const_iterator _iter115;
+    for (_iter115 = this->keys.begin(); _iter115 != this->keys.end(); ++_iter115)
     {
-      xfer += (*_iter108).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3407,10 +3586,10 @@
   xfer += oprot->writeFieldBegin("revokedKeyIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->revokedKeyIds.size()));
-    std::vector<std::string> ::const_iterator _iter109;
-    for (_iter109 = this->revokedKeyIds.begin(); _iter109 != this->revokedKeyIds.end(); ++_iter109)
+    std::vector<std::string> ::const_iterator _iter116;
+    for (_iter116 = this->revokedKeyIds.begin(); _iter116 != this->revokedKeyIds.end(); ++_iter116)
     {
-      xfer += oprot->writeString((*_iter109));
+      xfer += oprot->writeString((*_iter116));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3419,10 +3598,10 @@
   xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ledger.size()));
-    std::vector<LedgerRow> ::const_iterator _iter110;
-    for (_iter110 = this->ledger.begin(); _iter110 != this->ledger.end(); ++_iter110)
+    std::vector<LedgerRow> ::const_iterator _iter117;
+    for (_iter117 = this->ledger.begin(); _iter117 != this->ledger.end(); ++_iter117)
     {
-      xfer += (*_iter110).write(oprot);
+      xfer += (*_iter117).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3435,10 +3614,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRow> ::const_iterator _iter111;
-    for (_iter111 = this->audit.begin(); _iter111 != this->audit.end(); ++_iter111)
+    std::vector<AuditRow> ::const_iterator _iter118;
+    for (_iter118 = this->audit.begin(); _iter118 != this->audit.end(); ++_iter118)
     {
-      xfer += (*_iter111).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3451,10 +3630,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<ClaimRow> ::const_iterator _iter112;
-    for (_iter112 = this->claims.begin(); _iter112 != this->claims.end(); ++_iter112)
+    std::vector<ClaimRow> ::const_iterator _iter119;
+    for (_iter119 = this->claims.begin(); _iter119 != this->claims.end(); ++_iter119)
     {
-      xfer += (*_iter112).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3463,10 +3642,10 @@
   xfer += oprot->writeFieldBegin("roster", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->roster.size()));
-    std::vector<NodeNote> ::const_iterator _iter113;
-    for (_iter113 = this->roster.begin(); _iter113 != this->roster.end(); ++_iter113)
+    std::vector<NodeNote> ::const_iterator _iter120;
+    for (_iter120 = this->roster.begin(); _iter120 != this->roster.end(); ++_iter120)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3475,10 +3654,10 @@
   xfer += oprot->writeFieldBegin("retiredReplicas", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->retiredReplicas.size()));
-    std::vector<std::string> ::const_iterator _iter114;
-    for (_iter114 = this->retiredReplicas.begin(); _iter114 != this->retiredReplicas.end(); ++_iter114)
+    std::vector<std::string> ::const_iterator _iter121;
+    for (_iter121 = this->retiredReplicas.begin(); _iter121 != this->retiredReplicas.end(); ++_iter121)
     {
-      xfer += oprot->writeString((*_iter114));
+      xfer += oprot->writeString((*_iter121));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3487,10 +3666,10 @@
   xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->record.size()));
-    std::vector<StoreRecordCommand> ::const_iterator _iter115;
-    for (_iter115 = this->record.begin(); _iter115 != this->record.end(); ++_iter115)
+    std::vector<StoreRecordCommand> ::const_iterator _iter122;
+    for (_iter122 = this->record.begin(); _iter122 != this->record.end(); ++_iter122)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3499,10 +3678,10 @@
   xfer += oprot->writeFieldBegin("releasedAttempts", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releasedAttempts.size()));
-    std::vector<ReleasedAttemptRow> ::const_iterator _iter116;
-    for (_iter116 = this->releasedAttempts.begin(); _iter116 != this->releasedAttempts.end(); ++_iter116)
+    std::vector<ReleasedAttemptRow> ::const_iterator _iter123;
+    for (_iter123 = this->releasedAttempts.begin(); _iter123 != this->releasedAttempts.end(); ++_iter123)
     {
-      xfer += (*_iter116).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3513,6 +3692,19 @@
     xfer += this->fleet.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuatedDataCentres) {
+    xfer += oprot->writeFieldBegin("evacuatedDataCentres", ::apache::thrift::protocol::T_LIST, 16);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuatedDataCentres.size()));
+      std::vector<std::string> ::const_iterator _iter124;
+      for (_iter124 = this->evacuatedDataCentres.begin(); _iter124 != this->evacuatedDataCentres.end(); ++_iter124)
+      {
+        xfer += oprot->writeString((*_iter124));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3535,44 +3727,47 @@
   swap(a.record, b.record);
   swap(a.releasedAttempts, b.releasedAttempts);
   swap(a.fleet, b.fleet);
+  swap(a.evacuatedDataCentres, b.evacuatedDataCentres);
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other117) {
-  formatVersion = other117.formatVersion;
-  stateVersion = other117.stateVersion;
-  documents = other117.documents;
-  keys = other117.keys;
-  revokedKeyIds = other117.revokedKeyIds;
-  ledger = other117.ledger;
-  nextAuditNumber = other117.nextAuditNumber;
-  audit = other117.audit;
-  claimsTimeMs = other117.claimsTimeMs;
-  claims = other117.claims;
-  roster = other117.roster;
-  retiredReplicas = other117.retiredReplicas;
-  record = other117.record;
-  releasedAttempts = other117.releasedAttempts;
-  fleet = other117.fleet;
-  __isset = other117.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other118) {
-  formatVersion = other118.formatVersion;
-  stateVersion = other118.stateVersion;
-  documents = other118.documents;
-  keys = other118.keys;
-  revokedKeyIds = other118.revokedKeyIds;
-  ledger = other118.ledger;
-  nextAuditNumber = other118.nextAuditNumber;
-  audit = other118.audit;
-  claimsTimeMs = other118.claimsTimeMs;
-  claims = other118.claims;
-  roster = other118.roster;
-  retiredReplicas = other118.retiredReplicas;
-  record = other118.record;
-  releasedAttempts = other118.releasedAttempts;
-  fleet = other118.fleet;
-  __isset = other118.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other125) {
+  formatVersion = other125.formatVersion;
+  stateVersion = other125.stateVersion;
+  documents = other125.documents;
+  keys = other125.keys;
+  revokedKeyIds = other125.revokedKeyIds;
+  ledger = other125.ledger;
+  nextAuditNumber = other125.nextAuditNumber;
+  audit = other125.audit;
+  claimsTimeMs = other125.claimsTimeMs;
+  claims = other125.claims;
+  roster = other125.roster;
+  retiredReplicas = other125.retiredReplicas;
+  record = other125.record;
+  releasedAttempts = other125.releasedAttempts;
+  fleet = other125.fleet;
+  evacuatedDataCentres = other125.evacuatedDataCentres;
+  __isset = other125.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other126) {
+  formatVersion = other126.formatVersion;
+  stateVersion = other126.stateVersion;
+  documents = other126.documents;
+  keys = other126.keys;
+  revokedKeyIds = other126.revokedKeyIds;
+  ledger = other126.ledger;
+  nextAuditNumber = other126.nextAuditNumber;
+  audit = other126.audit;
+  claimsTimeMs = other126.claimsTimeMs;
+  claims = other126.claims;
+  roster = other126.roster;
+  retiredReplicas = other126.retiredReplicas;
+  record = other126.record;
+  releasedAttempts = other126.releasedAttempts;
+  fleet = other126.fleet;
+  evacuatedDataCentres = other126.evacuatedDataCentres;
+  __isset = other126.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
@@ -3593,6 +3788,7 @@
   out << ", " << "record=" << to_string(record);
   out << ", " << "releasedAttempts=" << to_string(releasedAttempts);
   out << ", " << "fleet="; (__isset.fleet ? (out << to_string(fleet)) : (out << "<null>"));
+  out << ", " << "evacuatedDataCentres="; (__isset.evacuatedDataCentres ? (out << to_string(evacuatedDataCentres)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/command_types.h
+++ b/src/gen/command_types.h
@@ -57,6 +57,8 @@
 
 class FoundFleetCommand;
 
+class SetEvacuationCommand;
+
 class ControlCommand;
 
 class CommandReply;
@@ -624,8 +626,65 @@
 
 std::ostream& operator<<(std::ostream& out, const FoundFleetCommand& obj);
 
+typedef struct _SetEvacuationCommand__isset {
+  _SetEvacuationCommand__isset() : operatorName(false), dataCentre(false), evacuated(false) {}
+  bool operatorName :1;
+  bool dataCentre :1;
+  bool evacuated :1;
+} _SetEvacuationCommand__isset;
+
+class SetEvacuationCommand : public virtual ::apache::thrift::TBase {
+ public:
+
+  SetEvacuationCommand(const SetEvacuationCommand&);
+  SetEvacuationCommand& operator=(const SetEvacuationCommand&);
+  SetEvacuationCommand() noexcept
+                       : operatorName(),
+                         dataCentre(),
+                         evacuated(0) {
+  }
+
+  virtual ~SetEvacuationCommand() noexcept;
+  std::string operatorName;
+  std::string dataCentre;
+  bool evacuated;
+
+  _SetEvacuationCommand__isset __isset;
+
+  void __set_operatorName(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_evacuated(const bool val);
+
+  bool operator == (const SetEvacuationCommand & rhs) const
+  {
+    if (!(operatorName == rhs.operatorName))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
+    return true;
+  }
+  bool operator != (const SetEvacuationCommand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SetEvacuationCommand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SetEvacuationCommand &a, SetEvacuationCommand &b);
+
+std::ostream& operator<<(std::ostream& out, const SetEvacuationCommand& obj);
+
 typedef struct _ControlCommand__isset {
-  _ControlCommand__isset() : formatVersion(false), putDocument(false), issueKey(false), revokeKey(false), replaceReplica(false), noteNodes(false), storeRecord(false), beginClaim(false), finishClaim(false), releaseClaim(false), putFleet(false), foundFleet(false) {}
+  _ControlCommand__isset() : formatVersion(false), putDocument(false), issueKey(false), revokeKey(false), replaceReplica(false), noteNodes(false), storeRecord(false), beginClaim(false), finishClaim(false), releaseClaim(false), putFleet(false), foundFleet(false), setEvacuation(false) {}
   bool formatVersion :1;
   bool putDocument :1;
   bool issueKey :1;
@@ -638,6 +697,7 @@
   bool releaseClaim :1;
   bool putFleet :1;
   bool foundFleet :1;
+  bool setEvacuation :1;
 } _ControlCommand__isset;
 
 class ControlCommand : public virtual ::apache::thrift::TBase {
@@ -662,6 +722,7 @@
    ::acp::wire::ReleaseClaimRequest releaseClaim;
   PutFleetCommand putFleet;
   FoundFleetCommand foundFleet;
+  SetEvacuationCommand setEvacuation;
 
   _ControlCommand__isset __isset;
 
@@ -689,6 +750,8 @@
 
   void __set_foundFleet(const FoundFleetCommand& val);
 
+  void __set_setEvacuation(const SetEvacuationCommand& val);
+
   bool operator == (const ControlCommand & rhs) const
   {
     if (!(formatVersion == rhs.formatVersion))
@@ -737,6 +800,10 @@
       return false;
     else if (__isset.foundFleet && !(foundFleet == rhs.foundFleet))
       return false;
+    if (__isset.setEvacuation != rhs.__isset.setEvacuation)
+      return false;
+    else if (__isset.setEvacuation && !(setEvacuation == rhs.setEvacuation))
+      return false;
     return true;
   }
   bool operator != (const ControlCommand &rhs) const {
@@ -1300,7 +1367,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj);
 
 typedef struct _ControlSnapshot__isset {
-  _ControlSnapshot__isset() : formatVersion(false), stateVersion(false), documents(false), keys(false), revokedKeyIds(false), ledger(false), nextAuditNumber(false), audit(false), claimsTimeMs(false), claims(false), roster(false), retiredReplicas(false), record(false), releasedAttempts(false), fleet(false) {}
+  _ControlSnapshot__isset() : formatVersion(false), stateVersion(false), documents(false), keys(false), revokedKeyIds(false), ledger(false), nextAuditNumber(false), audit(false), claimsTimeMs(false), claims(false), roster(false), retiredReplicas(false), record(false), releasedAttempts(false), fleet(false), evacuatedDataCentres(false) {}
   bool formatVersion :1;
   bool stateVersion :1;
   bool documents :1;
@@ -1316,6 +1383,7 @@
   bool record :1;
   bool releasedAttempts :1;
   bool fleet :1;
+  bool evacuatedDataCentres :1;
 } _ControlSnapshot__isset;
 
 class ControlSnapshot : public virtual ::apache::thrift::TBase {
@@ -1346,6 +1414,7 @@
   std::vector<StoreRecordCommand>  record;
   std::vector<ReleasedAttemptRow>  releasedAttempts;
   FleetSnapshot fleet;
+  std::vector<std::string>  evacuatedDataCentres;
 
   _ControlSnapshot__isset __isset;
 
@@ -1379,6 +1448,8 @@
 
   void __set_fleet(const FleetSnapshot& val);
 
+  void __set_evacuatedDataCentres(const std::vector<std::string> & val);
+
   bool operator == (const ControlSnapshot & rhs) const
   {
     if (!(formatVersion == rhs.formatVersion))
@@ -1413,6 +1484,10 @@
       return false;
     else if (__isset.fleet && !(fleet == rhs.fleet))
       return false;
+    if (__isset.evacuatedDataCentres != rhs.__isset.evacuatedDataCentres)
+      return false;
+    else if (__isset.evacuatedDataCentres && !(evacuatedDataCentres == rhs.evacuatedDataCentres))
+      return false;
     return true;
   }
   bool operator != (const ControlSnapshot &rhs) const {
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -1277,6 +1277,10 @@
 void SyncReply::__set_relaysPolls(const bool val) {
   this->relaysPolls = val;
 }
+
+void SyncReply::__set_evacuatedDataCentres(const std::vector<std::string> & val) {
+  this->evacuatedDataCentres = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -1425,6 +1429,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuatedDataCentres.clear();
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->evacuatedDataCentres.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
+            {
+              xfer += iprot->readString(this->evacuatedDataCentres[_i50]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuatedDataCentres = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1461,10 +1485,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter46;
-    for (_iter46 = this->members.begin(); _iter46 != this->members.end(); ++_iter46)
+    std::vector<Member> ::const_iterator _iter51;
+    for (_iter51 = this->members.begin(); _iter51 != this->members.end(); ++_iter51)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1486,10 +1510,10 @@
   xfer += oprot->writeFieldBegin("controlAddresses", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controlAddresses.size()));
-    std::vector<std::string> ::const_iterator _iter47;
-    for (_iter47 = this->controlAddresses.begin(); _iter47 != this->controlAddresses.end(); ++_iter47)
+    std::vector<std::string> ::const_iterator _iter52;
+    for (_iter52 = this->controlAddresses.begin(); _iter52 != this->controlAddresses.end(); ++_iter52)
     {
-      xfer += oprot->writeString((*_iter47));
+      xfer += oprot->writeString((*_iter52));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1507,6 +1531,18 @@
   xfer += oprot->writeBool(this->relaysPolls);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuatedDataCentres", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuatedDataCentres.size()));
+    std::vector<std::string> ::const_iterator _iter53;
+    for (_iter53 = this->evacuatedDataCentres.begin(); _iter53 != this->evacuatedDataCentres.end(); ++_iter53)
+    {
+      xfer += oprot->writeString((*_iter53));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1526,38 +1562,41 @@
   swap(a.heldMs, b.heldMs);
   swap(a.leaderRpcAddress, b.leaderRpcAddress);
   swap(a.relaysPolls, b.relaysPolls);
+  swap(a.evacuatedDataCentres, b.evacuatedDataCentres);
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other48) {
-  ageMs = other48.ageMs;
-  delta = other48.delta;
-  membersIncluded = other48.membersIncluded;
-  membersVersion = other48.membersVersion;
-  members = other48.members;
-  acceptedReportNumber = other48.acceptedReportNumber;
-  fleet = other48.fleet;
-  fleetSecret = other48.fleetSecret;
-  controlAddresses = other48.controlAddresses;
-  heldMs = other48.heldMs;
-  leaderRpcAddress = other48.leaderRpcAddress;
-  relaysPolls = other48.relaysPolls;
-  __isset = other48.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other49) {
-  ageMs = other49.ageMs;
-  delta = other49.delta;
-  membersIncluded = other49.membersIncluded;
-  membersVersion = other49.membersVersion;
-  members = other49.members;
-  acceptedReportNumber = other49.acceptedReportNumber;
-  fleet = other49.fleet;
-  fleetSecret = other49.fleetSecret;
-  controlAddresses = other49.controlAddresses;
-  heldMs = other49.heldMs;
-  leaderRpcAddress = other49.leaderRpcAddress;
-  relaysPolls = other49.relaysPolls;
-  __isset = other49.__isset;
+SyncReply::SyncReply(const SyncReply& other54) {
+  ageMs = other54.ageMs;
+  delta = other54.delta;
+  membersIncluded = other54.membersIncluded;
+  membersVersion = other54.membersVersion;
+  members = other54.members;
+  acceptedReportNumber = other54.acceptedReportNumber;
+  fleet = other54.fleet;
+  fleetSecret = other54.fleetSecret;
+  controlAddresses = other54.controlAddresses;
+  heldMs = other54.heldMs;
+  leaderRpcAddress = other54.leaderRpcAddress;
+  relaysPolls = other54.relaysPolls;
+  evacuatedDataCentres = other54.evacuatedDataCentres;
+  __isset = other54.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other55) {
+  ageMs = other55.ageMs;
+  delta = other55.delta;
+  membersIncluded = other55.membersIncluded;
+  membersVersion = other55.membersVersion;
+  members = other55.members;
+  acceptedReportNumber = other55.acceptedReportNumber;
+  fleet = other55.fleet;
+  fleetSecret = other55.fleetSecret;
+  controlAddresses = other55.controlAddresses;
+  heldMs = other55.heldMs;
+  leaderRpcAddress = other55.leaderRpcAddress;
+  relaysPolls = other55.relaysPolls;
+  evacuatedDataCentres = other55.evacuatedDataCentres;
+  __isset = other55.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -1575,6 +1614,7 @@
   out << ", " << "heldMs=" << to_string(heldMs);
   out << ", " << "leaderRpcAddress=" << to_string(leaderRpcAddress);
   out << ", " << "relaysPolls=" << to_string(relaysPolls);
+  out << ", " << "evacuatedDataCentres=" << to_string(evacuatedDataCentres);
   out << ")";
 }
 
@@ -1724,21 +1764,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedPoll::RelayedPoll(const RelayedPoll& other50) {
-  nodeId = other50.nodeId;
-  epoch = other50.epoch;
-  stateVersion = other50.stateVersion;
-  ageMs = other50.ageMs;
-  member = other50.member;
-  __isset = other50.__isset;
-}
-RelayedPoll& RelayedPoll::operator=(const RelayedPoll& other51) {
-  nodeId = other51.nodeId;
-  epoch = other51.epoch;
-  stateVersion = other51.stateVersion;
-  ageMs = other51.ageMs;
-  member = other51.member;
-  __isset = other51.__isset;
+RelayedPoll::RelayedPoll(const RelayedPoll& other56) {
+  nodeId = other56.nodeId;
+  epoch = other56.epoch;
+  stateVersion = other56.stateVersion;
+  ageMs = other56.ageMs;
+  member = other56.member;
+  __isset = other56.__isset;
+}
+RelayedPoll& RelayedPoll::operator=(const RelayedPoll& other57) {
+  nodeId = other57.nodeId;
+  epoch = other57.epoch;
+  stateVersion = other57.stateVersion;
+  ageMs = other57.ageMs;
+  member = other57.member;
+  __isset = other57.__isset;
   return *this;
 }
 void RelayedPoll::printTo(std::ostream& out) const {
@@ -1796,14 +1836,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->polls.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->polls.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->polls.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->polls[_i56].read(iprot);
+              xfer += this->polls[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1840,10 +1880,10 @@
   xfer += oprot->writeFieldBegin("polls", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->polls.size()));
-    std::vector<RelayedPoll> ::const_iterator _iter57;
-    for (_iter57 = this->polls.begin(); _iter57 != this->polls.end(); ++_iter57)
+    std::vector<RelayedPoll> ::const_iterator _iter63;
+    for (_iter63 = this->polls.begin(); _iter63 != this->polls.end(); ++_iter63)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1865,15 +1905,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PollRelayRequest::PollRelayRequest(const PollRelayRequest& other58) {
-  polls = other58.polls;
-  membersVersion = other58.membersVersion;
-  __isset = other58.__isset;
+PollRelayRequest::PollRelayRequest(const PollRelayRequest& other64) {
+  polls = other64.polls;
+  membersVersion = other64.membersVersion;
+  __isset = other64.__isset;
 }
-PollRelayRequest& PollRelayRequest::operator=(const PollRelayRequest& other59) {
-  polls = other59.polls;
-  membersVersion = other59.membersVersion;
-  __isset = other59.__isset;
+PollRelayRequest& PollRelayRequest::operator=(const PollRelayRequest& other65) {
+  polls = other65.polls;
+  membersVersion = other65.membersVersion;
+  __isset = other65.__isset;
   return *this;
 }
 void PollRelayRequest::printTo(std::ostream& out) const {
@@ -1992,14 +2032,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->members.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->members.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->members[_i64].read(iprot);
+              xfer += this->members[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2064,10 +2104,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter65;
-    for (_iter65 = this->members.begin(); _iter65 != this->members.end(); ++_iter65)
+    std::vector<Member> ::const_iterator _iter71;
+    for (_iter71 = this->members.begin(); _iter71 != this->members.end(); ++_iter71)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2099,27 +2139,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PollRelayReply::PollRelayReply(const PollRelayReply& other66) {
-  ageMs = other66.ageMs;
-  appliedIndex = other66.appliedIndex;
-  term = other66.term;
-  membersIncluded = other66.membersIncluded;
-  membersVersion = other66.membersVersion;
-  members = other66.members;
-  membersIncomplete = other66.membersIncomplete;
-  relaysPolls = other66.relaysPolls;
-  __isset = other66.__isset;
-}
-PollRelayReply& PollRelayReply::operator=(const PollRelayReply& other67) {
-  ageMs = other67.ageMs;
-  appliedIndex = other67.appliedIndex;
-  term = other67.term;
-  membersIncluded = other67.membersIncluded;
-  membersVersion = other67.membersVersion;
-  members = other67.members;
-  membersIncomplete = other67.membersIncomplete;
-  relaysPolls = other67.relaysPolls;
-  __isset = other67.__isset;
+PollRelayReply::PollRelayReply(const PollRelayReply& other72) {
+  ageMs = other72.ageMs;
+  appliedIndex = other72.appliedIndex;
+  term = other72.term;
+  membersIncluded = other72.membersIncluded;
+  membersVersion = other72.membersVersion;
+  members = other72.members;
+  membersIncomplete = other72.membersIncomplete;
+  relaysPolls = other72.relaysPolls;
+  __isset = other72.__isset;
+}
+PollRelayReply& PollRelayReply::operator=(const PollRelayReply& other73) {
+  ageMs = other73.ageMs;
+  appliedIndex = other73.appliedIndex;
+  term = other73.term;
+  membersIncluded = other73.membersIncluded;
+  membersVersion = other73.membersVersion;
+  members = other73.members;
+  membersIncomplete = other73.membersIncomplete;
+  relaysPolls = other73.relaysPolls;
+  __isset = other73.__isset;
   return *this;
 }
 void PollRelayReply::printTo(std::ostream& out) const {
@@ -2365,31 +2405,31 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenAsk::TokenAsk(const TokenAsk& other68) {
-  serviceName = other68.serviceName;
-  account = other68.account;
-  number = other68.number;
-  term = other68.term;
-  received = other68.received;
-  spent = other68.spent;
-  returned = other68.returned;
-  spentAgeMicros = other68.spentAgeMicros;
-  needed = other68.needed;
-  wanted = other68.wanted;
-  __isset = other68.__isset;
-}
-TokenAsk& TokenAsk::operator=(const TokenAsk& other69) {
-  serviceName = other69.serviceName;
-  account = other69.account;
-  number = other69.number;
-  term = other69.term;
-  received = other69.received;
-  spent = other69.spent;
-  returned = other69.returned;
-  spentAgeMicros = other69.spentAgeMicros;
-  needed = other69.needed;
-  wanted = other69.wanted;
-  __isset = other69.__isset;
+TokenAsk::TokenAsk(const TokenAsk& other74) {
+  serviceName = other74.serviceName;
+  account = other74.account;
+  number = other74.number;
+  term = other74.term;
+  received = other74.received;
+  spent = other74.spent;
+  returned = other74.returned;
+  spentAgeMicros = other74.spentAgeMicros;
+  needed = other74.needed;
+  wanted = other74.wanted;
+  __isset = other74.__isset;
+}
+TokenAsk& TokenAsk::operator=(const TokenAsk& other75) {
+  serviceName = other75.serviceName;
+  account = other75.account;
+  number = other75.number;
+  term = other75.term;
+  received = other75.received;
+  spent = other75.spent;
+  returned = other75.returned;
+  spentAgeMicros = other75.spentAgeMicros;
+  needed = other75.needed;
+  wanted = other75.wanted;
+  __isset = other75.__isset;
   return *this;
 }
 void TokenAsk::printTo(std::ostream& out) const {
@@ -2472,14 +2512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->asks.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->asks.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->asks[_i74].read(iprot);
+              xfer += this->asks[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2516,10 +2556,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<TokenAsk> ::const_iterator _iter75;
-    for (_iter75 = this->asks.begin(); _iter75 != this->asks.end(); ++_iter75)
+    std::vector<TokenAsk> ::const_iterator _iter81;
+    for (_iter81 = this->asks.begin(); _iter81 != this->asks.end(); ++_iter81)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2538,17 +2578,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenRequest::TokenRequest(const TokenRequest& other76) {
-  nodeId = other76.nodeId;
-  epoch = other76.epoch;
-  asks = other76.asks;
-  __isset = other76.__isset;
+TokenRequest::TokenRequest(const TokenRequest& other82) {
+  nodeId = other82.nodeId;
+  epoch = other82.epoch;
+  asks = other82.asks;
+  __isset = other82.__isset;
 }
-TokenRequest& TokenRequest::operator=(const TokenRequest& other77) {
-  nodeId = other77.nodeId;
-  epoch = other77.epoch;
-  asks = other77.asks;
-  __isset = other77.__isset;
+TokenRequest& TokenRequest::operator=(const TokenRequest& other83) {
+  nodeId = other83.nodeId;
+  epoch = other83.epoch;
+  asks = other83.asks;
+  __isset = other83.__isset;
   return *this;
 }
 void TokenRequest::printTo(std::ostream& out) const {
@@ -2755,27 +2795,27 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenAnswer::TokenAnswer(const TokenAnswer& other78) noexcept {
-  term = other78.term;
-  number = other78.number;
-  granted = other78.granted;
-  leaseMicros = other78.leaseMicros;
-  retryAfterMicros = other78.retryAfterMicros;
-  settleWithinMicros = other78.settleWithinMicros;
-  errorCode = other78.errorCode;
-  mayBeWithinRate = other78.mayBeWithinRate;
-  __isset = other78.__isset;
-}
-TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other79) noexcept {
-  term = other79.term;
-  number = other79.number;
-  granted = other79.granted;
-  leaseMicros = other79.leaseMicros;
-  retryAfterMicros = other79.retryAfterMicros;
-  settleWithinMicros = other79.settleWithinMicros;
-  errorCode = other79.errorCode;
-  mayBeWithinRate = other79.mayBeWithinRate;
-  __isset = other79.__isset;
+TokenAnswer::TokenAnswer(const TokenAnswer& other84) noexcept {
+  term = other84.term;
+  number = other84.number;
+  granted = other84.granted;
+  leaseMicros = other84.leaseMicros;
+  retryAfterMicros = other84.retryAfterMicros;
+  settleWithinMicros = other84.settleWithinMicros;
+  errorCode = other84.errorCode;
+  mayBeWithinRate = other84.mayBeWithinRate;
+  __isset = other84.__isset;
+}
+TokenAnswer& TokenAnswer::operator=(const TokenAnswer& other85) noexcept {
+  term = other85.term;
+  number = other85.number;
+  granted = other85.granted;
+  leaseMicros = other85.leaseMicros;
+  retryAfterMicros = other85.retryAfterMicros;
+  settleWithinMicros = other85.settleWithinMicros;
+  errorCode = other85.errorCode;
+  mayBeWithinRate = other85.mayBeWithinRate;
+  __isset = other85.__isset;
   return *this;
 }
 void TokenAnswer::printTo(std::ostream& out) const {
@@ -2832,14 +2872,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->answers.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->answers.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->answers[_i84].read(iprot);
+              xfer += this->answers[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2868,10 +2908,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<TokenAnswer> ::const_iterator _iter85;
-    for (_iter85 = this->answers.begin(); _iter85 != this->answers.end(); ++_iter85)
+    std::vector<TokenAnswer> ::const_iterator _iter91;
+    for (_iter91 = this->answers.begin(); _iter91 != this->answers.end(); ++_iter91)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2888,13 +2928,13 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenReply::TokenReply(const TokenReply& other86) {
-  answers = other86.answers;
-  __isset = other86.__isset;
+TokenReply::TokenReply(const TokenReply& other92) {
+  answers = other92.answers;
+  __isset = other92.__isset;
 }
-TokenReply& TokenReply::operator=(const TokenReply& other87) {
-  answers = other87.answers;
-  __isset = other87.__isset;
+TokenReply& TokenReply::operator=(const TokenReply& other93) {
+  answers = other93.answers;
+  __isset = other93.__isset;
   return *this;
 }
 void TokenReply::printTo(std::ostream& out) const {
@@ -2944,14 +2984,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->requests.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->requests.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->requests[_i92].read(iprot);
+              xfer += this->requests[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2980,10 +3020,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<TokenRequest> ::const_iterator _iter93;
-    for (_iter93 = this->requests.begin(); _iter93 != this->requests.end(); ++_iter93)
+    std::vector<TokenRequest> ::const_iterator _iter99;
+    for (_iter99 = this->requests.begin(); _iter99 != this->requests.end(); ++_iter99)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3000,13 +3040,13 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedTokenRequest::RelayedTokenRequest(const RelayedTokenRequest& other94) {
-  requests = other94.requests;
-  __isset = other94.__isset;
+RelayedTokenRequest::RelayedTokenRequest(const RelayedTokenRequest& other100) {
+  requests = other100.requests;
+  __isset = other100.__isset;
 }
-RelayedTokenRequest& RelayedTokenRequest::operator=(const RelayedTokenRequest& other95) {
-  requests = other95.requests;
-  __isset = other95.__isset;
+RelayedTokenRequest& RelayedTokenRequest::operator=(const RelayedTokenRequest& other101) {
+  requests = other101.requests;
+  __isset = other101.__isset;
   return *this;
 }
 void RelayedTokenRequest::printTo(std::ostream& out) const {
@@ -3056,14 +3096,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->replies.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->replies.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->replies[_i100].read(iprot);
+              xfer += this->replies[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3092,10 +3132,10 @@
   xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-    std::vector<TokenReply> ::const_iterator _iter101;
-    for (_iter101 = this->replies.begin(); _iter101 != this->replies.end(); ++_iter101)
+    std::vector<TokenReply> ::const_iterator _iter107;
+    for (_iter107 = this->replies.begin(); _iter107 != this->replies.end(); ++_iter107)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3112,13 +3152,13 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedTokenReply::RelayedTokenReply(const RelayedTokenReply& other102) {
-  replies = other102.replies;
-  __isset = other102.__isset;
+RelayedTokenReply::RelayedTokenReply(const RelayedTokenReply& other108) {
+  replies = other108.replies;
+  __isset = other108.__isset;
 }
-RelayedTokenReply& RelayedTokenReply::operator=(const RelayedTokenReply& other103) {
-  replies = other103.replies;
-  __isset = other103.__isset;
+RelayedTokenReply& RelayedTokenReply::operator=(const RelayedTokenReply& other109) {
+  replies = other109.replies;
+  __isset = other109.__isset;
   return *this;
 }
 void RelayedTokenReply::printTo(std::ostream& out) const {
@@ -3238,17 +3278,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimKey::ClaimKey(const ClaimKey& other104) {
-  account = other104.account;
-  serviceName = other104.serviceName;
-  idempotencyKey = other104.idempotencyKey;
-  __isset = other104.__isset;
+ClaimKey::ClaimKey(const ClaimKey& other110) {
+  account = other110.account;
+  serviceName = other110.serviceName;
+  idempotencyKey = other110.idempotencyKey;
+  __isset = other110.__isset;
 }
-ClaimKey& ClaimKey::operator=(const ClaimKey& other105) {
-  account = other105.account;
-  serviceName = other105.serviceName;
-  idempotencyKey = other105.idempotencyKey;
-  __isset = other105.__isset;
+ClaimKey& ClaimKey::operator=(const ClaimKey& other111) {
+  account = other111.account;
+  serviceName = other111.serviceName;
+  idempotencyKey = other111.idempotencyKey;
+  __isset = other111.__isset;
   return *this;
 }
 void ClaimKey::printTo(std::ostream& out) const {
@@ -3404,21 +3444,21 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other106) {
-  key = other106.key;
-  attemptId = other106.attemptId;
-  nodeId = other106.nodeId;
-  fingerprint = other106.fingerprint;
-  deadlineMs = other106.deadlineMs;
-  __isset = other106.__isset;
-}
-BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other107) {
-  key = other107.key;
-  attemptId = other107.attemptId;
-  nodeId = other107.nodeId;
-  fingerprint = other107.fingerprint;
-  deadlineMs = other107.deadlineMs;
-  __isset = other107.__isset;
+BeginClaimRequest::BeginClaimRequest(const BeginClaimRequest& other112) {
+  key = other112.key;
+  attemptId = other112.attemptId;
+  nodeId = other112.nodeId;
+  fingerprint = other112.fingerprint;
+  deadlineMs = other112.deadlineMs;
+  __isset = other112.__isset;
+}
+BeginClaimRequest& BeginClaimRequest::operator=(const BeginClaimRequest& other113) {
+  key = other113.key;
+  attemptId = other113.attemptId;
+  nodeId = other113.nodeId;
+  fingerprint = other113.fingerprint;
+  deadlineMs = other113.deadlineMs;
+  __isset = other113.__isset;
   return *this;
 }
 void BeginClaimRequest::printTo(std::ostream& out) const {
@@ -3576,21 +3616,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other108) {
-  status = other108.status;
-  contentType = other108.contentType;
-  body = other108.body;
-  bodyKept = other108.bodyKept;
-  bodyDigest = other108.bodyDigest;
-  __isset = other108.__isset;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other114) {
+  status = other114.status;
+  contentType = other114.contentType;
+  body = other114.body;
+  bodyKept = other114.bodyKept;
+  bodyDigest = other114.bodyDigest;
+  __isset = other114.__isset;
 }
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other109) {
-  status = other109.status;
-  contentType = other109.contentType;
-  body = other109.body;
-  bodyKept = other109.bodyKept;
-  bodyDigest = other109.bodyDigest;
-  __isset = other109.__isset;
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other115) {
+  status = other115.status;
+  contentType = other115.contentType;
+  body = other115.body;
+  bodyKept = other115.bodyKept;
+  bodyDigest = other115.bodyDigest;
+  __isset = other115.__isset;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -3647,9 +3687,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast110;
-          xfer += iprot->readI32(ecast110);
-          this->state = static_cast<ClaimState::type>(ecast110);
+          int32_t ecast116;
+          xfer += iprot->readI32(ecast116);
+          this->state = static_cast<ClaimState::type>(ecast116);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3701,15 +3741,15 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginClaimReply::BeginClaimReply(const BeginClaimReply& other111) {
-  state = other111.state;
-  outcome = other111.outcome;
-  __isset = other111.__isset;
+BeginClaimReply::BeginClaimReply(const BeginClaimReply& other117) {
+  state = other117.state;
+  outcome = other117.outcome;
+  __isset = other117.__isset;
 }
-BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other112) {
-  state = other112.state;
-  outcome = other112.outcome;
-  __isset = other112.__isset;
+BeginClaimReply& BeginClaimReply::operator=(const BeginClaimReply& other118) {
+  state = other118.state;
+  outcome = other118.outcome;
+  __isset = other118.__isset;
   return *this;
 }
 void BeginClaimReply::printTo(std::ostream& out) const {
@@ -3849,19 +3889,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other113) {
-  key = other113.key;
-  attemptId = other113.attemptId;
-  outcome = other113.outcome;
-  outcomeUnknown = other113.outcomeUnknown;
-  __isset = other113.__isset;
+FinishClaimRequest::FinishClaimRequest(const FinishClaimRequest& other119) {
+  key = other119.key;
+  attemptId = other119.attemptId;
+  outcome = other119.outcome;
+  outcomeUnknown = other119.outcomeUnknown;
+  __isset = other119.__isset;
 }
-FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other114) {
-  key = other114.key;
-  attemptId = other114.attemptId;
-  outcome = other114.outcome;
-  outcomeUnknown = other114.outcomeUnknown;
-  __isset = other114.__isset;
+FinishClaimRequest& FinishClaimRequest::operator=(const FinishClaimRequest& other120) {
+  key = other120.key;
+  attemptId = other120.attemptId;
+  outcome = other120.outcome;
+  outcomeUnknown = other120.outcomeUnknown;
+  __isset = other120.__isset;
   return *this;
 }
 void FinishClaimRequest::printTo(std::ostream& out) const {
@@ -3967,15 +4007,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other115) {
-  key = other115.key;
-  attemptId = other115.attemptId;
-  __isset = other115.__isset;
+ReleaseClaimRequest::ReleaseClaimRequest(const ReleaseClaimRequest& other121) {
+  key = other121.key;
+  attemptId = other121.attemptId;
+  __isset = other121.__isset;
 }
-ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other116) {
-  key = other116.key;
-  attemptId = other116.attemptId;
-  __isset = other116.__isset;
+ReleaseClaimRequest& ReleaseClaimRequest::operator=(const ReleaseClaimRequest& other122) {
+  key = other122.key;
+  attemptId = other122.attemptId;
+  __isset = other122.__isset;
   return *this;
 }
 void ReleaseClaimRequest::printTo(std::ostream& out) const {
@@ -4062,13 +4102,13 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other117) : TException() {
-  leaderRpcAddress = other117.leaderRpcAddress;
-  __isset = other117.__isset;
+NotLeader::NotLeader(const NotLeader& other123) : TException() {
+  leaderRpcAddress = other123.leaderRpcAddress;
+  __isset = other123.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other118) {
-  leaderRpcAddress = other118.leaderRpcAddress;
-  __isset = other118.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other124) {
+  leaderRpcAddress = other124.leaderRpcAddress;
+  __isset = other124.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -4182,15 +4222,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlFailure::ControlFailure(const ControlFailure& other119) : TException() {
-  code = other119.code;
-  message = other119.message;
-  __isset = other119.__isset;
+ControlFailure::ControlFailure(const ControlFailure& other125) : TException() {
+  code = other125.code;
+  message = other125.message;
+  __isset = other125.__isset;
 }
-ControlFailure& ControlFailure::operator=(const ControlFailure& other120) {
-  code = other120.code;
-  message = other120.message;
-  __isset = other120.__isset;
+ControlFailure& ControlFailure::operator=(const ControlFailure& other126) {
+  code = other126.code;
+  message = other126.message;
+  __isset = other126.__isset;
   return *this;
 }
 void ControlFailure::printTo(std::ostream& out) const {
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -531,7 +531,7 @@
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false), fleet(false), fleetSecret(false), controlAddresses(false), heldMs(false), leaderRpcAddress(false), relaysPolls(false) {}
+  _SyncReply__isset() : ageMs(false), delta(false), membersIncluded(false), membersVersion(false), members(false), acceptedReportNumber(false), fleet(false), fleetSecret(false), controlAddresses(false), heldMs(false), leaderRpcAddress(false), relaysPolls(false), evacuatedDataCentres(false) {}
   bool ageMs :1;
   bool delta :1;
   bool membersIncluded :1;
@@ -544,6 +544,7 @@
   bool heldMs :1;
   bool leaderRpcAddress :1;
   bool relaysPolls :1;
+  bool evacuatedDataCentres :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -575,6 +576,7 @@
   int64_t heldMs;
   std::string leaderRpcAddress;
   bool relaysPolls;
+  std::vector<std::string>  evacuatedDataCentres;
 
   _SyncReply__isset __isset;
 
@@ -602,6 +604,8 @@
 
   void __set_relaysPolls(const bool val);
 
+  void __set_evacuatedDataCentres(const std::vector<std::string> & val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(ageMs == rhs.ageMs))
@@ -630,6 +634,8 @@
       return false;
     if (!(relaysPolls == rhs.relaysPolls))
       return false;
+    if (!(evacuatedDataCentres == rhs.evacuatedDataCentres))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/src/node/blocking_gate.cpp
+++ b/src/node/blocking_gate.cpp
@@ -139,6 +139,17 @@
 {
   const std::lock_guard lock(mutex_);
   gate_.SetCapacity(slots, coldStart, clock_.Now());
+  SetDrainingLocked(isDraining);
+}
+
+void BlockingGate::SetDraining(bool isDraining)
+{
+  const std::lock_guard lock(mutex_);
+  SetDrainingLocked(isDraining);
+}
+
+void BlockingGate::SetDrainingLocked(bool isDraining)
+{
   if (isDraining) {
     gate_.Close(Reason::Draining);
   } else {
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -65,6 +65,7 @@
                   .tokenControl = [this](const auto& call) { return tokenChannel_.Call(call); },
                   .peerConnections = peerConnections_,
                   .onAnnouncementChanged = [this] { syncLoop_.Wake(); },
+                  .onEvacuationEnded = options.onEvacuationEnded,
                   .onRequestCompleted =
                     [this](const CompletedRequest& completed) { RecordCompleted(completed); } })
     , loadLog_({ .clock = options.clock,
@@ -85,6 +86,8 @@
                   .record = &record_,
                   .claimChannel = &control_,
                   .tokenChannel = &tokenChannel_,
+                  .onEvacuationChanged =
+                    [this](const auto& dataCentres) { pipeline_.SetEvacuated(dataCentres); },
                   .maxHold = kSyncMaxHold })
     , peer_(PeerListenerOptions(options))
     , admin_({ .address = options.admin,
@@ -260,6 +263,8 @@
     CollectConnections("peers", *peerConnections_);
     metrics_.Gauge("acp_state_version", "Version of the state this node decides by.")
       .Set(static_cast<double>(stateCache_.Version()));
+    metrics_.Gauge("acp_evacuated", "1 when the data centre of this node is evacuated.")
+      .Set(figures.isEvacuated ? 1 : 0);
     metrics_.Gauge("acp_state_fresh", "1 when keyed requests are served.").Set(isFresh ? 1 : 0);
     return metrics_.Serialize();
   }
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -1,10 +1,15 @@
 #include "acaciapulley/node/request_pipeline.hpp"
 
 #include <algorithm> // min
+#include <mutex>     // mutex
 #include <optional>  // optional
 #include <utility>   // move
 
+#include <fmt/format.h> // format
+#include <fmt/ranges.h> // join
+
 #include "acaciapulley/core/event_loop.hpp"               // EventLoop
+#include "acaciapulley/core/log.hpp"                      // Log
 #include "acaciapulley/node/detail/dispatcher.hpp"        // Dispatcher
 #include "acaciapulley/node/detail/fleet_resolver.hpp"    // FleetResolver
 #include "acaciapulley/node/detail/headers.hpp"           // kContextHeader
@@ -47,8 +52,12 @@
   void HandlePeer(ServerExchange& exchange);
   void HandleEgress(ServerExchange& exchange);
   void Announce(const Announcement& announcement);
+  void SetEvacuated(const std::set<std::string>& dataCentres);
 
-  [[nodiscard]] PipelineStats Stats() const { return { tokens_.CallCounts(), gate_.Stats() }; }
+  [[nodiscard]] PipelineStats Stats() const
+  {
+    return { tokens_.CallCounts(), gate_.Stats(), IsEvacuated() };
+  }
 
 private:
   using TokenPtr = std::shared_ptr<detail::TokenClient::Token>;
@@ -62,6 +71,8 @@
   OrRefusal<void> RunNestedCall(ServerExchange& exchange);
   OrRefusal<void> RunCallWithoutContext(ServerExchange& exchange, const ResolvedRequest& request);
   OrRefusal<void> Announce(ServerExchange& exchange);
+  [[nodiscard]] bool IsEvacuated() const;
+  void SetGateEvacuated(bool isEvacuated);
 
   RequestPipelineOptions options_;
   ContextSigner signer_;
@@ -77,6 +88,9 @@
   detail::Executor executor_;
   detail::PeerClient peers_;
   detail::Dispatcher dispatcher_;
+  mutable std::mutex drainMutex_; ///< guards the fields below and the gate's state of draining
+  bool isUpstreamDraining_ = false;
+  bool isEvacuated_ = false; ///< the data centre of this node is evacuated
 };
 
 RequestPipeline::Impl::Impl(RequestPipelineOptions options)
@@ -359,11 +373,50 @@
   if (!options_.upstream->Announce(announcement)) {
     return;
   }
-  gate_.SetCapacity(
-    announcement.slots, std::chrono::milliseconds(announcement.coldStartMs), announcement.draining);
+  {
+    const std::lock_guard lock(drainMutex_);
+    isUpstreamDraining_ = announcement.draining;
+    gate_.SetCapacity(announcement.slots,
+                      std::chrono::milliseconds(announcement.coldStartMs),
+                      isUpstreamDraining_ || isEvacuated_);
+  }
   options_.onAnnouncementChanged();
 }
 
+bool RequestPipeline::Impl::IsEvacuated() const
+{
+  const std::lock_guard lock(drainMutex_);
+  return isEvacuated_;
+}
+
+void RequestPipeline::Impl::SetGateEvacuated(bool isEvacuated)
+{
+  const std::lock_guard lock(drainMutex_);
+  isEvacuated_ = isEvacuated;
+  gate_.SetDraining(isUpstreamDraining_ || isEvacuated_);
+}
+
+void RequestPipeline::Impl::SetEvacuated(const std::set<std::string>& dataCentres)
+{
+  const bool wasEvacuated = IsEvacuated();
+  const bool isEvacuated = dataCentres.contains(options_.dataCentre);
+  Log(LogLevel::Info,
+      "evacuation_in_force",
+      { { "data_centres", fmt::format("{}", fmt::join(dataCentres, ",")) },
+        { "own", isEvacuated ? "yes" : "no" } });
+  // Members first, so that the requests which the gate refuses are not sent back to it.
+  if (isEvacuated) {
+    options_.members->SetEvacuated(dataCentres);
+  }
+  if (wasEvacuated && !isEvacuated && options_.onEvacuationEnded) {
+    options_.onEvacuationEnded();
+  }
+  if (wasEvacuated != isEvacuated) {
+    SetGateEvacuated(isEvacuated);
+  }
+  options_.members->SetEvacuated(dataCentres);
+}
+
 void RequestPipeline::Impl::HandlePeer(ServerExchange& exchange)
 {
   RecordSchedulingDelay();
@@ -399,6 +452,11 @@
   impl_->Announce(announcement);
 }
 
+void RequestPipeline::SetEvacuated(const std::set<std::string>& dataCentres)
+{
+  impl_->SetEvacuated(dataCentres);
+}
+
 void RequestPipeline::HandlePeer(ServerExchange& exchange)
 {
   impl_->HandlePeer(exchange);
--- a/src/node/state_cache.cpp
+++ b/src/node/state_cache.cpp
@@ -41,6 +41,7 @@
   if (!changes.fleetSecret.empty()) {
     fleetSecret_ = changes.fleetSecret;
   }
+  evacuated_ = changes.evacuatedDataCentres;
   version_ = changes.toVersion;
   if (!confirmedAt_ || *confirmedAt_ < confirmedAt) {
     confirmedAt_ = confirmedAt;
@@ -94,6 +95,12 @@
   return fleetSecret_;
 }
 
+std::set<std::string> StateCache::EvacuatedDataCentres() const
+{
+  const std::shared_lock lock(mutex_);
+  return evacuated_;
+}
+
 std::int64_t StateCache::Version() const
 {
   const std::shared_lock lock(mutex_);
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -197,6 +197,19 @@
   return std::hash<std::string>()(options_.nodeId);
 }
 
+/// Reports the evacuation before the state cache becomes fresh, so that a node that starts during
+/// an evacuation serves no request without it.
+void SyncLoop::ReportEvacuation(const ReceivedChanges& changes)
+{
+  const bool isOutdated = changes.toVersion < options_.stateCache->Version();
+  if (!options_.onEvacuationChanged || isOutdated ||
+      reportedEvacuation_ == changes.evacuatedDataCentres) {
+    return;
+  }
+  options_.onEvacuationChanged(changes.evacuatedDataCentres);
+  reportedEvacuation_ = changes.evacuatedDataCentres;
+}
+
 bool SyncLoop::PollOnce()
 {
   wire::SyncRequest request;
@@ -229,6 +242,9 @@
     changes.fleet = { .version = reply.fleet.version, .body = reply.fleet.document };
   }
   changes.fleetSecret = reply.fleetSecret;
+  changes.evacuatedDataCentres = { reply.evacuatedDataCentres.begin(),
+                                   reply.evacuatedDataCentres.end() };
+  ReportEvacuation(changes);
   // Control confirms a held reply after the hold, which began after the poll had been sent.
   options_.stateCache->Apply(changes,
                              sentAt + std::chrono::milliseconds(reply.heldMs - reply.ageMs));
--- a/src/programs/acpctl/commands.cpp
+++ b/src/programs/acpctl/commands.cpp
@@ -31,6 +31,9 @@
   "  key give ACCOUNT                   issue a key; it is shown once\n"
   "  key list ACCOUNT\n"
   "  key withdraw ACCOUNT KEY-ID        waits until all nodes have confirmed, or 5 s\n"
+  "  evacuation list                    evacuated data centres, and whether all nodes know them\n"
+  "  evacuation start DATA-CENTRE       send no more requests to its upstreams\n"
+  "  evacuation finish DATA-CENTRE      send requests to its upstreams again\n"
   "  members                            nodes and their upstreams\n"
   "  audit [--from N] [--follow]        who changed what\n"
   "  control status                     control replicas\n"
@@ -230,6 +233,33 @@
               });
 }
 
+ExitCode EvacuationList(Session& session)
+{
+  return Send(session, { .target = "/v1/evacuations" }, [](const auto& object) {
+    fmt::print("{}",
+               FormatObject({ { "evacuated data centres", "data_centres" },
+                              { "in force", "in_force" },
+                              { "not confirmed", "not_confirmed" },
+                              { "not heard", "not_heard" } },
+                            object));
+  });
+}
+
+ExitCode SetEvacuation(Session& session, const std::string& dataCentre, bool evacuated)
+{
+  return Send(session,
+              { .method = evacuated ? "PUT" : "DELETE",
+                .target = "/v1/evacuations/" + dataCentre,
+                .requestId = session.requestId },
+              [&](const auto& object) {
+                const bool isResend = object->template getValue<bool>("resend");
+                fmt::print("{} is {}{}; acpctl evacuation list shows when all nodes know it\n",
+                           dataCentre,
+                           isResend ? "already " : "",
+                           evacuated ? "evacuated" : "in use");
+              });
+}
+
 ExitCode Members(Session& session)
 {
   return ShowTable(session,
@@ -421,6 +451,18 @@
       2,
       2,
       [](Session& s, const Arguments& w) { return KeyWithdraw(s, w[0], w[1]); } },
+    { "evacuation list",
+      0,
+      0,
+      [](Session& s, const Arguments& /*w*/) { return EvacuationList(s); } },
+    { "evacuation start",
+      1,
+      1,
+      [](Session& s, const Arguments& w) { return SetEvacuation(s, w[0], true); } },
+    { "evacuation finish",
+      1,
+      1,
+      [](Session& s, const Arguments& w) { return SetEvacuation(s, w[0], false); } },
     { "members", 0, 0, [](Session& s, const Arguments& /*w*/) { return Members(s); } },
     { "audit", 0, 0, [](Session& s, const Arguments& /*w*/) { return Audit(s); } },
     { "control status", 0, 0, [](Session& s, const Arguments& /*w*/) { return ControlStatus(s); } },
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -27,7 +27,7 @@
 bool IsEligible(const PickRequest& request, const MemberState& member)
 {
   const auto tried = std::find(request.tried.begin(), request.tried.end(), member.info.nodeId);
-  return !member.isDraining && tried == request.tried.end();
+  return member.IsServing() && tried == request.tried.end();
 }
 
 /// Returns the lower median, which at least half of the values do not exceed.
@@ -122,6 +122,7 @@
                                   const PickRequest& request,
                                   TimePoint now)
 {
+  members.ExpireDrains(now);
   std::vector<MemberState*> usable;
   for (MemberState& member : members.Members()) {
     if (!IsEligible(request, member)) {
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -108,10 +108,32 @@
     return left.info.nodeId < right.info.nodeId;
   });
   members_ = std::move(next);
+  for (MemberState& state : members_) {
+    state.isEvacuated = evacuated_.contains(state.info.dataCentre);
+  }
   hasList_ = true;
   LimitEjections();
 }
 
+void ServiceMembers::SetEvacuated(const std::set<std::string>& dataCentres)
+{
+  if (dataCentres == evacuated_) {
+    return;
+  }
+  evacuated_ = dataCentres;
+  for (MemberState& state : members_) {
+    state.isEvacuated = evacuated_.contains(state.info.dataCentre);
+  }
+  LimitEjections();
+}
+
+void ServiceMembers::ExpireDrains(TimePoint now)
+{
+  for (MemberState& state : members_) {
+    state.isDraining = state.isDraining && (state.info.isDraining || now < state.drainingUntil);
+  }
+}
+
 void ServiceMembers::BeginCall(MemberState& member, const std::string& requestClass, TimePoint now)
 {
   member.running.push_back({ .startedAt = now, .requestClass = requestClass });
@@ -246,8 +268,8 @@
   std::size_t serving = 0;
   std::size_t ejected = 0;
   for (const MemberState& state : members_) {
-    serving += state.isDraining ? 0U : 1U;
-    ejected += !state.isDraining && state.outlier.IsEjected() ? 1U : 0U;
+    serving += state.IsServing() ? 1U : 0U;
+    ejected += state.IsServing() && state.outlier.IsEjected() ? 1U : 0U;
   }
   if (ejected + 1 <= OutlierDetector::MaxEjected(serving)) {
     member.outlier.Eject(now);
@@ -259,7 +281,7 @@
   std::size_t serving = 0;
   std::vector<MemberState*> ejected;
   for (MemberState& state : members_) {
-    if (state.isDraining) {
+    if (!state.IsServing()) {
       continue;
     }
     ++serving;
@@ -308,11 +330,31 @@
   }
   for (const auto& [service, entry] : services) {
     const std::lock_guard lock(entry->mutex);
+    entry->members.SetEvacuated(evacuated_);
     entry->members.Apply(byService[service], now);
   }
   changes_.Notify();
 }
 
+void MemberTable::SetEvacuated(const std::set<std::string>& dataCentres)
+{
+  const std::lock_guard one(applyMutex_);
+  if (dataCentres == evacuated_) {
+    return;
+  }
+  evacuated_ = dataCentres;
+  std::map<std::string, std::shared_ptr<ServiceEntry>> services;
+  {
+    const std::lock_guard lock(mutex_);
+    services = services_;
+  }
+  for (const auto& [service, entry] : services) {
+    const std::lock_guard lock(entry->mutex);
+    entry->members.SetEvacuated(evacuated_);
+  }
+  changes_.Notify();
+}
+
 void MemberTable::FinishCall(const std::string& service,
                              const std::string& nodeId,
                              std::int64_t epoch,
--- a/tests/control_test/poll_relay_test.cpp
+++ b/tests/control_test/poll_relay_test.cpp
@@ -242,6 +242,23 @@
   BOOST_TEST(reply.leaderRpcAddress == "127.0.0.1:7300");
 }
 
+// Guards against a node that polls a relay and never learns of an evacuation or of its end.
+BOOST_FIXTURE_TEST_CASE(a_relay_names_the_evacuated_data_centres, RelayFixture)
+{
+  for (int i = 0; i < static_cast<int>(acp::kMinRelayedNodes); ++i) {
+    Sync(leader, i);
+  }
+  AwaitCall();
+  followerLog.isLeader = false;
+  BOOST_TEST(Sync(follower, 1).evacuatedDataCentres.empty());
+  BOOST_TEST(leaderSide.context.SetEvacuation("sari", "jawa-a", true).has_value());
+  AwaitCall();
+  BOOST_TEST((Sync(follower, 1).evacuatedDataCentres == std::vector<std::string>{ "jawa-a" }));
+  BOOST_TEST(leaderSide.context.SetEvacuation("sari", "jawa-a", false).has_value());
+  AwaitCall();
+  BOOST_TEST(Sync(follower, 1).evacuatedDataCentres.empty());
+}
+
 // P5, P12. Guards against a relay that is cut off from the leader and keeps calling its state
 // fresh.
 BOOST_FIXTURE_TEST_CASE(a_relay_without_its_leader_stops_answering, RelayFixture)
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -333,7 +333,7 @@
   , stop_(clock_)
   , pipeline_({ .nodeId = options.id,
                 .epoch = 1,
-                .dataCentre = "d1",
+                .dataCentre = options.dataCentre,
                 .fleetSecret = std::string(32, 's'),
                 .retryBudget = kRetryBudget,
                 .routesByFleet = options.routesByFleet,
@@ -346,6 +346,7 @@
                 .claimControl = [this](const auto& call) { return options_.control->Call(call); },
                 .tokenControl = [this](const auto& call) { return options_.control->Call(call); },
                 .onAnnouncementChanged = [] {},
+                .onEvacuationEnded = options.onEvacuationEnded,
                 .onRequestCompleted =
                   [this](const CompletedRequest& /*completed*/) { completed_.Notify(); },
                 .guards = options.guards })
@@ -409,13 +410,18 @@
     members.push_back({ .nodeId = node->options_.id,
                         .epoch = 1,
                         .service = node->options_.service,
-                        .dataCentre = "d1",
+                        .dataCentre = node->options_.dataCentre,
                         .peerAddress = "127.0.0.1:" + std::to_string(node->PeerPort()),
                         .slots = 100 });
   }
   members_.Apply(0, 1, members, clock_.Now());
 }
 
+void TestNode::SetEvacuated(const std::set<std::string>& dataCentres)
+{
+  pipeline_.SetEvacuated(dataCentres);
+}
+
 void TestNode::SetForeignPeer(std::uint16_t port)
 {
   members_.Apply(0,
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,6 +120,7 @@
 {
   std::string id = "n1";
   std::string service = "front";
+  std::string dataCentre = "d1";
   FakeControl* control = nullptr;
   FakeUpstream* upstream = nullptr; ///< announced by the constructor; null: none
   bool isStale = false;
@@ -127,6 +129,7 @@
   int slots = 100;            ///< announced for the upstream
   bool routesByFleet = false; ///< see FleetOrder() and FleetRead()
   LocalUpstream::TranslationFactory makeTranslation;
+  std::function<void()> onEvacuationEnded;
 };
 
 inline constexpr int kRetryBudget = 2;
@@ -157,6 +160,9 @@
   /// Makes @p nodes the members to which this node sends requests.
   void SetMembers(const std::vector<TestNode*>& nodes);
 
+  /// Applies the evacuated data centres, as after a poll of control.
+  void SetEvacuated(const std::set<std::string>& dataCentres);
+
   /// Makes a server at @p port that is no node the only member of `front`.
   void SetForeignPeer(std::uint16_t port);
 
--- a/tests/node_test/sync_loop_test.cpp
+++ b/tests/node_test/sync_loop_test.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -103,6 +104,8 @@
   acp::LocalUpstream upstream;
   acp::MemberTable members;
   acp::RecordCounters record{ clock.WallNow() };
+  /// Evacuations as reported, each after the state version that was in force before.
+  std::vector<std::pair<std::int64_t, std::set<std::string>>> evacuations;
   acp::SyncLoop loop{ { .nodeId = "n1",
                         .epoch = 3,
                         .syncChannel = &channel,
@@ -111,7 +114,10 @@
                         .upstream = &upstream,
                         .members = &members,
                         .record = &record,
-                        .tokenChannel = &tokens } };
+                        .tokenChannel = &tokens,
+                        .onEvacuationChanged = [this](const auto& dataCentres) {
+                          evacuations.emplace_back(stateCache.Version(), dataCentres);
+                        } } };
 };
 
 Answer AcceptReport(std::int64_t reportNumber)
@@ -203,6 +209,37 @@
   BOOST_TEST(fixture.MembersOf("orders") == newMembers);
 }
 
+// Guards against a node that begins to serve before it applies an evacuation that was in force at
+// its start, against one that a lagging replica or a lost control talks out of an evacuation, and
+// against a withdrawal that is not applied.
+BOOST_AUTO_TEST_CASE(evacuations_are_reported_before_the_state_and_kept_until_they_are_withdrawn)
+{
+  using Names = std::set<std::string>;
+  SyncLoopFixture fixture;
+  fixture.script.AwaitRequest();
+  const auto respond = [&](std::int64_t version, const std::vector<std::string>& names) {
+    fixture.RespondAndAwaitNext([&](acp::wire::SyncReply& reply) {
+      reply.delta.toVersion = version;
+      reply.evacuatedDataCentres = names;
+    });
+  };
+  respond(5, { "d2", "d1" });
+  BOOST_REQUIRE(fixture.evacuations.size() == 1U);
+  BOOST_TEST(fixture.evacuations[0].first == 0);
+  BOOST_TEST((fixture.evacuations[0].second == Names{ "d1", "d2" }));
+  respond(4, {});
+  fixture.RespondAndAwaitNext(FailInHandler);
+  fixture.clock.Advance(acp::kKeyedMaxStateAge + std::chrono::milliseconds(1));
+  BOOST_TEST((fixture.stateCache.EvacuatedDataCentres() == Names{ "d1", "d2" }));
+  BOOST_TEST(!fixture.stateCache.IsFresh(fixture.clock.Now(), acp::kKeyedMaxStateAge));
+  respond(5, { "d1", "d2" });
+  BOOST_TEST(fixture.evacuations.size() == 1U);
+  respond(6, {});
+  BOOST_REQUIRE(fixture.evacuations.size() == 2U);
+  BOOST_TEST(fixture.evacuations[1].second.empty());
+  BOOST_TEST(fixture.stateCache.EvacuatedDataCentres().empty());
+}
+
 // Guards against a slow reply or a lagging replica that makes old state count as fresh (P5).
 BOOST_AUTO_TEST_CASE(state_age_counts_from_the_request_and_includes_the_reported_age)
 {
--- a/tests/routing_test/balancer_test.cpp
+++ b/tests/routing_test/balancer_test.cpp
@@ -94,6 +94,76 @@
   BOOST_TEST(PickMany(200)["n2"] > 50);
 }
 
+// Guards against requests to an upstream in an evacuated data centre: to the local one, to a member
+// that only a later list contains, as a trial, or as the last one that was not tried.
+BOOST_FIXTURE_TEST_CASE(member_in_an_evacuated_data_centre_gets_no_requests, Fixture)
+{
+  Apply({ Member("n0"), Member("n1"), Member("n2", "b") });
+  BOOST_TEST(Pick() == "n0");
+  Finish("n0", acp::CallResult::Answered);
+  table.SetEvacuated({ "a" });
+  BOOST_TEST(PickMany(100)["n2"] == 100);
+  Apply({ Member("n0"), Member("n1"), Member("n2", "b"), Member("n3", "b"), Member("n4") });
+  auto counts = PickMany(200);
+  BOOST_TEST(counts["n2"] + counts["n3"] == 200);
+  BOOST_TEST(balancer.HasUntriedMember({ .service = "s", .tried = { "n2" } }));
+  BOOST_TEST(!balancer.HasUntriedMember({ .service = "s", .tried = { "n2", "n3" } }));
+  table.SetEvacuated({ "a", "b" });
+  BOOST_TEST(Pick().empty());
+  table.SetEvacuated({});
+  BOOST_TEST(PickMany(100)["n0"] == 100);
+}
+
+// Guards against requests to an evacuated data centre for a service that was unknown when the
+// evacuation began.
+BOOST_FIXTURE_TEST_CASE(evacuation_applies_to_services_that_are_learned_later, Fixture)
+{
+  table.SetEvacuated({ "a" });
+  Apply({ Member("n1") });
+  BOOST_TEST(Pick().empty());
+  Apply({ Member("n1"), Member("n2", "b") });
+  BOOST_TEST(PickMany(50)["n2"] == 50);
+}
+
+// Guards against a member that gets no requests after an evacuation because its refusal during the
+// evacuation is taken for a drain: the list from control then never shows a change.
+BOOST_FIXTURE_TEST_CASE(member_that_refused_during_an_evacuation_is_used_after_it, Fixture)
+{
+  Apply({ Member("n1", "b"), Member("n2", "c") });
+  Finish("n1", acp::CallResult::Draining);
+  table.SetEvacuated({ "b" });
+  BOOST_TEST(PickMany(100)["n2"] == 100);
+  table.SetEvacuated({});
+  clock.Advance(acp::kDrainRefusalLifetime);
+  BOOST_TEST(PickMany(200)["n1"] > 50);
+}
+
+// Guards against evacuated members that allow the ejection of all members which still serve.
+BOOST_FIXTURE_TEST_CASE(evacuated_members_do_not_count_for_the_limit_of_ejections, Fixture)
+{
+  const auto countEjected = [this] {
+    int ejected = 0;
+    table.With("s", [&](acp::ServiceMembers& members) {
+      for (const auto& member : members.Members()) {
+        ejected += member.outlier.IsEjected() ? 1 : 0;
+      }
+    });
+    return ejected;
+  };
+  Apply({ Member("n1"),
+          Member("n2"),
+          Member("n3", "b"),
+          Member("n4", "b"),
+          Member("n5", "b"),
+          Member("n6", "b") });
+  table.SetEvacuated({ "b" });
+  for (int i = 0; i < 20; ++i) {
+    Finish("n1", acp::CallResult::Failed);
+    Finish("n2", acp::CallResult::Failed);
+  }
+  BOOST_TEST(countEjected() <= static_cast<int>(acp::OutlierDetector::MaxEjected(2)));
+}
+
 // Guards against an additional hop while the local upstream has capacity, and against queueing
 // there while a peer is idle.
 BOOST_FIXTURE_TEST_CASE(local_upstream_is_preferred_until_near_its_limit, Fixture)
