--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -48,9 +48,10 @@
   TimePoint startedAt;
 };
 
-/// Picks members. Draining members, members tried before and members in data centres that the
-/// request does not allow are never picked. Ejected members are picked only by rule 1, or when an
-/// idempotent request allows only some data centres and all eligible members there are ejected.
+/// Picks members. Draining members, members in evacuated data centres, members tried before and
+/// members in data centres that the request does not allow are never picked. Ejected members are
+/// picked only by rule 1, or when an idempotent request allows only some data centres and all
+/// eligible members there are ejected.
 /// Rules, in this order:
 ///
 /// 1. an ejected member whose ejection has ended gets one trial request;
@@ -75,8 +76,8 @@
   /// Linear in the number of members of the service.
   [[nodiscard]] std::optional<PickedMember> Pick(const PickRequest& request, TimePoint now);
 
-  /// @brief Returns whether the service has a member that is neither draining nor in
-  /// PickRequest::tried, in a data centre that the request allows.
+  /// @brief Returns whether the service has a member that is neither draining, nor in an evacuated
+  /// data centre, nor in PickRequest::tried, in a data centre that the request allows.
   [[nodiscard]] bool HasUntriedMember(const PickRequest& request) const;
 
 private:
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -30,7 +30,7 @@
     return false;
   }
   const auto tried = std::find(request.tried.begin(), request.tried.end(), member.info.nodeId);
-  return !member.isDraining && tried == request.tried.end();
+  return member.IsServing() && tried == request.tried.end();
 }
 
 /// Returns the lower median, which at least half of the values do not exceed.
@@ -125,6 +125,7 @@
                                   const PickRequest& request,
                                   TimePoint now)
 {
+  members.ExpireDrains(now);
   std::vector<MemberState*> usable;
   std::vector<MemberState*> ejected;
   for (MemberState& member : members.Members()) {
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -347,6 +347,7 @@
                 .claimControl = [this](const auto& call) { return options_.control->Call(call); },
                 .tokenControl = [this](const auto& call) { return options_.control->Call(call); },
                 .onAnnouncementChanged = [] {},
+                .onEvacuationEnded = options.onEvacuationEnded,
                 .onRequestCompleted =
                   [this](const CompletedRequest& /*completed*/) { completed_.Notify(); },
                 .guards = options.guards })
@@ -417,6 +418,11 @@
   members_.Apply(0, 1, members, clock_.Now());
 }
 
+void TestNode::SetEvacuated(const std::set<std::string>& dataCentres)
+{
+  pipeline_.SetEvacuated(dataCentres);
+}
+
 void TestNode::SetForeignPeer(std::uint16_t port)
 {
   members_.Apply(0,
