--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -42,6 +42,7 @@
 #include "acaciapulley/admission/load_report.hpp"
 #include "acaciapulley/admission/threshold_controller.hpp"
 #include "acaciapulley/admission/threshold_table.hpp"
+#include "acaciapulley/admission/warmup_limit.hpp"
 
 // retries
 #include "acaciapulley/retries/hop_budget_table.hpp"
@@ -58,6 +59,7 @@
 #include "acaciapulley/routing/member_table.hpp"
 #include "acaciapulley/routing/outlier_detector.hpp"
 #include "acaciapulley/routing/slow_start.hpp"
+#include "acaciapulley/routing/warmup_share.hpp"
 
 // record
 #include "acaciapulley/record/latency_histogram.hpp"
--- a/include/acaciapulley/config/fleet_document.hpp
+++ b/include/acaciapulley/config/fleet_document.hpp
@@ -41,6 +41,8 @@
   std::string name;
   std::string healthPath;
   int maxConnections = 0; ///< accepted by each upstream of the service from all nodes in total
+  Duration warmupTime{};  ///< for which an upstream is cold after its start
+  double warmupRate = 0;  ///< requests per second to a cold upstream; 0: no limit
 };
 
 /// A client account, with keys chosen by the operator.
--- a/include/acaciapulley/core/outcome.hpp
+++ b/include/acaciapulley/core/outcome.hpp
@@ -62,12 +62,13 @@
   Stopping,
   CallerGone,    ///< the caller closed its connection before the request was sent
   InternalError, ///< the process failed while it served the request
+  WarmingUp,     ///< above the rate that the upstream tolerates while it is cold
 };
 
 template<>
 struct NameTable<Reason>
 {
-  static constexpr std::array<EnumName<Reason>, 32> kRows = { {
+  static constexpr std::array<EnumName<Reason>, 33> kRows = { {
     { Reason::None, "none" },
     { Reason::BadRequest, "bad_request" },
     { Reason::TooLarge, "too_large" },
@@ -100,6 +101,7 @@
     { Reason::Stopping, "stopping" },
     { Reason::CallerGone, "caller_gone" },
     { Reason::InternalError, "internal_error" },
+    { Reason::WarmingUp, "warming_up" },
   } };
 };
 
--- a/include/acaciapulley/node/detail/executor.hpp
+++ b/include/acaciapulley/node/detail/executor.hpp
@@ -13,6 +13,7 @@
 #include "acaciapulley/node/detail/concurrent_threshold_table.hpp" // ConcurrentThresholdTable
 #include "acaciapulley/node/detail/graceful_stop.hpp"              // GracefulStop
 #include "acaciapulley/node/detail/hop_registry.hpp"               // HopRegistry
+#include "acaciapulley/node/detail/warmup_guard.hpp"               // WarmupGuard
 #include "acaciapulley/node/local_upstream.hpp"                    // LocalUpstream
 #include "acaciapulley/node/pipeline_guards.hpp"                   // PipelineGuards
 #include "acaciapulley/transport/http_client.hpp"                  // ClientExchange
@@ -27,6 +28,7 @@
   const ContextSigner* signer = nullptr;
   LocalUpstream* upstream = nullptr;
   BlockingGate* gate = nullptr;
+  WarmupGuard* warmup = nullptr;
   HopRegistry* hops = nullptr;
   ClaimClient* claims = nullptr;
   ConcurrentThresholdTable* thresholds = nullptr; ///< of the local upstream's calls
@@ -50,6 +52,9 @@
   [[nodiscard]] AdmissionThreshold Threshold(const ResolvedRequest& request,
                                              const std::string& account) const;
 
+  /// @brief Returns the load of the local upstream for `Acp-Load`.
+  [[nodiscard]] LoadReport Load() const { return options_.warmup->Bound(options_.gate->Load()); }
+
 private:
   /// An attempt that the gate has admitted.
   struct AdmittedAttempt
@@ -57,6 +62,7 @@
     BlockingGate::Permit permit;
     std::shared_ptr<HttpPool> pool;
     std::optional<ClaimRequest> ticket; ///< set for non-idempotent requests
+    TimePoint sentAt;                   ///< when the first byte was about to be sent
   };
 
   OrRefusal<AdmittedAttempt> Admit(PendingCall& call, const RequestContext& context);
--- a/include/acaciapulley/node/local_upstream.hpp
+++ b/include/acaciapulley/node/local_upstream.hpp
@@ -60,6 +60,10 @@
   /// @brief Marks the upstream as draining, whatever it announces later: its node will stop.
   void BeginStop();
 
+  /// @brief Replaces the cold start in the announcement and in later ones; nothing: as announced.
+  /// @return whether the current announcement has changed
+  bool ReplaceColdStart(std::optional<std::int64_t> coldStartMs);
+
   /// @brief Returns the latest announcement, or nothing before the first.
   [[nodiscard]] std::optional<Announcement> Current() const;
 
@@ -72,6 +76,7 @@
   mutable std::mutex mutex_;
   std::optional<Announcement> announced_; ///< the last one, as it was made
   std::optional<Announcement> current_;
+  std::optional<std::int64_t> coldStartMs_; ///< instead of the announced one
   bool stopping_ = false;
   std::shared_ptr<HttpPool> pool_;
 };
--- a/include/acaciapulley/node/node_process.hpp
+++ b/include/acaciapulley/node/node_process.hpp
@@ -3,17 +3,20 @@
 /// @file
 /// The node process, which runs beside one upstream.
 
+#include <cstdint>    // uint64_t
 #include <functional> // function
+#include <map>        // map
 #include <memory>     // unique_ptr
 #include <optional>   // optional
 #include <string>     // string
 #include <vector>     // vector
 
-#include "acaciapulley/core/clock.hpp"            // Clock, TimePoint
-#include "acaciapulley/node/local_upstream.hpp"   // Announcement, LocalUpstream
-#include "acaciapulley/retries/retry_policy.hpp"  // FleetRetryBudget
-#include "acaciapulley/transport/address.hpp"     // Address
-#include "acaciapulley/transport/http_server.hpp" // ServerExchange
+#include "acaciapulley/admission/warmup_limit.hpp" // WarmupReport
+#include "acaciapulley/core/clock.hpp"             // Clock, TimePoint
+#include "acaciapulley/node/local_upstream.hpp"    // Announcement, LocalUpstream
+#include "acaciapulley/retries/retry_policy.hpp"   // FleetRetryBudget
+#include "acaciapulley/transport/address.hpp"      // Address
+#include "acaciapulley/transport/http_server.hpp"  // ServerExchange
 
 namespace acp {
 
@@ -38,6 +41,11 @@
   std::string callerService;
   std::string requestIdField; ///< header field with the request id of the caller, for the logs
   LocalUpstream::TranslationFactory makeTranslation; ///< for upstreams that speak another protocol
+  /// Called when a health check of the local upstream is needed; must not block. May be empty.
+  std::function<void()> requestHealthCheck;
+  /// Returns the numbers of invalid load reports of the local upstream by reason, for the metrics;
+  /// may be empty.
+  std::function<std::map<std::string, std::uint64_t>()> invalidLoadsByReason;
   /// Called for each request of the ingress with the handler that serves it, for instance to
   /// translate requests of another protocol; may be empty.
   std::function<void(ServerExchange&, const std::function<void(ServerExchange&)>& serve)>
@@ -57,6 +65,14 @@
   /// @brief Applies an announcement of the local upstream.
   void Announce(const Announcement& announcement);
 
+  /// @brief Applies what the local upstream reports about how much longer it stays cold.
+  void ReportWarmup(const WarmupReport& report);
+
+  /// @brief Assumes that the local upstream is cold until a health check that is sent later says
+  /// otherwise, and requests one. Has no effect on a service without a rate limit for cold
+  /// upstreams.
+  void AssumeUpstreamCold();
+
   /// @brief Adds control replicas, for instance those of reloaded settings, to those it calls.
   void AddControlReplicas(const std::vector<Address>& replicas);
 
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -8,6 +8,7 @@
 #include <memory>     // shared_ptr, unique_ptr
 #include <string>     // string
 
+#include "acaciapulley/admission/warmup_limit.hpp"      // WarmupReport
 #include "acaciapulley/core/clock.hpp"                  // Clock
 #include "acaciapulley/node/blocking_gate.hpp"          // GateStats
 #include "acaciapulley/node/detail/claim_client.hpp"    // ControlCall
@@ -62,6 +63,8 @@
   detail::ControlCall tokenControl;                  ///< calls for rate tokens
   std::shared_ptr<ConnectionCounts> peerConnections; ///< may be null
   std::function<void()> onAnnouncementChanged;       ///< called after each changed announcement
+  /// Called when a health check of the local upstream is needed; must not block. May be empty.
+  std::function<void()> requestHealthCheck;
   /// Called for each request of the ingress.
   std::function<void(const CompletedRequest&)> onRequestCompleted;
   PipelineGuards guards;
@@ -72,6 +75,7 @@
 {
   detail::TokenCallCounts tokenCalls;
   GateStats gate; ///< of the local upstream
+  bool isUpstreamCold = false;
 };
 
 /// Handlers of the node's ingress, peer and egress listeners. Thread-safe.
@@ -92,6 +96,14 @@
   /// @brief Applies an announcement of the local upstream.
   void Announce(const Announcement& announcement);
 
+  /// @brief Applies what the local upstream reports about how much longer it stays cold.
+  void ReportWarmup(const WarmupReport& report);
+
+  /// @brief Assumes that the local upstream is cold until a health check that is sent later says
+  /// otherwise, and requests one. Has no effect on a service without a rate limit for cold
+  /// upstreams.
+  void AssumeUpstreamCold();
+
   /// @brief Serves the local upstream's nested calls and announcements.
   void HandleEgress(ServerExchange& exchange);
 
--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -68,9 +68,11 @@
   void SelectTokenRelay(const std::vector<Address>& replicas, const Address& leader);
   void SelectPollRelay(std::vector<Address> replicas, const Address& leader);
   [[nodiscard]] std::size_t NodeHash() const;
+  void UpdateWarmupRates();
 
   SyncLoopOptions options_;
   std::int64_t membersVersion_ = 0;
+  std::vector<RoutedMember> members_;    ///< the list of membersVersion_
   std::vector<Address> relayCandidates_; ///< replicas from which the token relay was selected
   std::size_t pollRelaySelections_ = 0;
   TimePoint pollRelaySelectedAt_;
--- a/include/acaciapulley/node/upstream_finder.hpp
+++ b/include/acaciapulley/node/upstream_finder.hpp
@@ -37,7 +37,8 @@
 
 /// A thread that checks the upstream from the start of the node until it is known, so that a node
 /// which starts later than its upstream need not wait for the next heartbeat; later, whenever the
-/// registry keeps a heartbeat back.
+/// registry keeps a heartbeat back, or a check is requested of it: then every 500 ms until a check
+/// has been answered with ready.
 ///
 /// A full upstream lets a check wait for a slot, so that an unanswered check is followed by one
 /// with twice its time-out.
@@ -54,7 +55,8 @@
   bool CheckOnce(const std::string& service, const std::stop_token& stop);
 
   UpstreamFinderOptions options_;
-  Duration timeout_; ///< of the next check
+  Duration timeout_;         ///< of the next check
+  int unansweredChecks_ = 0; ///< requested ones in a row
   std::jthread thread_;
 };
 
--- a/include/acaciapulley/node/upstream_registry.hpp
+++ b/include/acaciapulley/node/upstream_registry.hpp
@@ -13,9 +13,10 @@
 #include <string>             // string
 #include <vector>             // vector
 
-#include "acaciapulley/core/clock.hpp"          // Clock, Duration, TimePoint
-#include "acaciapulley/core/names.hpp"          // EnumName, NameTable
-#include "acaciapulley/node/local_upstream.hpp" // Announcement
+#include "acaciapulley/admission/warmup_limit.hpp" // WarmupReport
+#include "acaciapulley/core/clock.hpp"             // Clock, Duration, TimePoint
+#include "acaciapulley/core/names.hpp"             // EnumName, NameTable
+#include "acaciapulley/node/local_upstream.hpp"    // Announcement
 
 namespace acp {
 
@@ -61,6 +62,7 @@
   std::string instanceId;                 ///< empty when not stated
   std::optional<UpstreamHeartbeat> found; ///< when the upstream is ready and states its slots
   TimePoint askedAt;                      ///< when the check was sent
+  std::optional<Duration> warmupLeft;     ///< how much longer the upstream stays cold, if stated
 };
 
 /// Construction options of an UpstreamRegistry.
@@ -69,6 +71,8 @@
   const Clock* clock = nullptr;
   /// Called with each announcement that is not older than the last one.
   std::function<void(const Announcement&)> announce;
+  /// Called with each statement of how much longer the upstream stays cold; may be empty.
+  std::function<void(const WarmupReport&)> reportWarmup;
   /// Returns whether the configuration has the service; by default each is known.
   std::function<bool(const std::string& service)> isKnownService;
   /// Keeps the first heartbeat that says ready back until the upstream is known to run.
@@ -114,8 +118,18 @@
   /// @brief Returns the service in the heartbeat that is kept back; empty if there is none.
   [[nodiscard]] std::string ServiceToConfirm() const;
 
-  /// @brief Waits for at most @p longest, until a heartbeat is kept back or @p stop is requested.
-  void AwaitHeartbeatToConfirm(const std::stop_token& stop, Duration longest);
+  /// @brief Requests a health check; one that was sent before is no answer to the request.
+  void RequestHealthCheck();
+
+  /// @brief Returns whether a requested health check has not been answered with ready.
+  [[nodiscard]] bool IsHealthCheckRequested() const;
+
+  /// @brief Withdraws the request for a health check, for a service that has none.
+  void DropHealthCheckRequest();
+
+  /// @brief Waits for at most @p longest, until a heartbeat is kept back, a health check is
+  /// requested or @p stop is requested.
+  void AwaitNeedOfCheck(const std::stop_token& stop, Duration longest);
 
 private:
   struct KnownDeparture
@@ -138,19 +152,27 @@
   void KeepDeparture(const UpstreamDeparture& departure);
   void KeepBack(const UpstreamHeartbeat& heartbeat);
   void ApplyReady(const HealthCheckResult& result);
-  void Confirm(const UpstreamHeartbeat& heartbeat, const char* evidence);
-  void Apply(const UpstreamHeartbeat& heartbeat);
+  void Confirm(const UpstreamHeartbeat& heartbeat, TimePoint receivedAt, const char* evidence);
+  void Apply(const UpstreamHeartbeat& heartbeat, TimePoint receivedAt);
+  void AnswerCheckRequest(TimePoint askedAt);
+  void ReportHealthWarmup(const HealthCheckResult& result);
 
   UpstreamRegistryOptions options_;
   TimePoint startedAt_;
   mutable std::mutex mutex_;
-  std::condition_variable_any keptBackChanged_;
   std::optional<UpstreamHeartbeat> current_;
   std::vector<KnownDeparture> departures_; ///< at most one of each instance, the oldest first
   bool isConfirmed_ = false;
   std::optional<UpstreamHeartbeat> keptBack_;
+  TimePoint keptBackAt_;      ///< when the heartbeat was received
   bool saidNotReady_ = false; ///< in a health answer since the heartbeat was kept back
   HealthAnswer lastAnswer_ = HealthAnswer::None;
+  /// Guards the fields below. Separate, because a check may be requested while a report is made,
+  /// and taken after mutex_ where both are needed.
+  mutable std::mutex checkMutex_;
+  std::condition_variable_any checkNeeded_;
+  bool hasKeptBack_ = false;                  ///< a heartbeat since the last AwaitNeedOfCheck()
+  std::optional<TimePoint> checkRequestedAt_; ///< of a health check that has not been answered
 };
 
 } // namespace acp
--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -45,7 +45,9 @@
   TimePoint startedAt;
 };
 
-/// Picks members. Draining members, ejected members and members tried before are never picked.
+/// Picks members. Draining members, ejected members and members tried before are never picked. A
+/// cold member with a rate limit is picked above this node's share of its rate only if there is no
+/// other (see WarmupShare).
 /// Rules, in this order:
 ///
 /// 1. an ejected member whose ejection has ended gets one trial request;
@@ -79,6 +81,7 @@
   [[nodiscard]] MemberState* PickMember(ServiceMembers& members,
                                         const PickRequest& request,
                                         TimePoint now);
+  [[nodiscard]] bool IsAboveWarmupShare(MemberState& member, TimePoint now);
   [[nodiscard]] MemberState* PickByUtilisation(const std::vector<MemberState*>& members,
                                                TimePoint now);
   [[nodiscard]] MemberState* BetterOfTwo(const std::vector<MemberState*>& members, TimePoint now);
--- a/include/acaciapulley/routing/member_table.hpp
+++ b/include/acaciapulley/routing/member_table.hpp
@@ -17,6 +17,7 @@
 #include "acaciapulley/core/clock.hpp"               // Duration, TimePoint
 #include "acaciapulley/routing/outlier_detector.hpp" // OutlierDetector
 #include "acaciapulley/routing/slow_start.hpp"       // SlowStart
+#include "acaciapulley/routing/warmup_share.hpp"     // WarmupShare
 
 namespace acp {
 
@@ -31,6 +32,9 @@
   int slots = 1;
   Duration coldStart{};
   bool isDraining = false;
+  double warmupRate = 0; ///< requests per second that it tolerates while cold; 0: no limit
+
+  bool operator==(const RoutedMember&) const = default;
 };
 
 /// Load of the executing node as reported in `Acp-Load`.
@@ -91,6 +95,7 @@
 {
   RoutedMember info;
   SlowStart slowStart;
+  WarmupShare warmupShare; ///< for members with a RoutedMember::warmupRate
   OutlierDetector outlier;
   bool isDraining = false; ///< according to control's list or to a refusal by the member
   TimePoint drainingUntil; ///< until then the refusal applies, even if the list does not show it
@@ -134,7 +139,9 @@
   /// @brief Applies the list; keeps the statistics of members whose epoch is unchanged.
   ///
   /// Members that are new or have a new epoch begin with slow start. Those of the first list do
-  /// not, because their age is unknown and most of them are warm.
+  /// not, because their age is unknown and most of them are warm. The list states the cold start of
+  /// members with a rate limit only while they are cold, so that it is applied in the first list
+  /// too, and whenever it changes.
   void Apply(const std::vector<RoutedMember>& members, TimePoint now);
 
   /// @brief Records the start of a call to @p member.
--- a/include/acaciapulley/transport/detail/pool_core.hpp
+++ b/include/acaciapulley/transport/detail/pool_core.hpp
@@ -7,7 +7,7 @@
 #include <cstddef>            // size_t
 #include <cstdint>            // uint64_t
 #include <deque>              // deque
-#include <functional>         // hash
+#include <functional>         // function, hash
 #include <memory>             // enable_shared_from_this, unique_ptr
 #include <mutex>              // mutex
 #include <optional>           // optional
@@ -109,7 +109,8 @@
 private:
   ConnectionPtr PopIdle();
   [[nodiscard]] bool IsUsable(const PooledConnection& connection) const;
-  TransportResult<ConnectionPtr> Connect(TimePoint deadline);
+  TransportResult<ConnectionPtr> Connect(TimePoint deadline,
+                                         const std::function<void()>& onConnectFailed = nullptr);
   void WaitForConnection(std::unique_lock<std::mutex>& lock,
                          TimePoint waitDeadline,
                          const std::stop_token& callerGone);
--- a/include/acaciapulley/transport/http_client.hpp
+++ b/include/acaciapulley/transport/http_client.hpp
@@ -113,6 +113,12 @@
   std::function<bool()> isCallerGone;
   /// Waits for the response to a request that has been sent, even if the caller disconnects.
   bool waitsAfterDisconnect = false;
+  /// Called on the acquired connection right before the first byte, for each connection on which
+  /// the request is tried; if it returns false, nothing is sent (Withheld). May be empty.
+  std::function<bool()> maySend;
+  /// Called when the peer refuses a connection or does not accept one within
+  /// HttpPoolOptions::connectTimeout; may be empty.
+  std::function<void()> onConnectFailed;
 };
 
 /// A pool of connections to one address; the most recently used one is reused first.
@@ -133,8 +139,8 @@
   /// a small body does not occupy one.
   /// @param body body of the request
   /// @param bodyLength its length, or -1 when it is unknown
-  /// @return the response; Unreachable, BodyTooLarge and Abandoned mean that no byte was sent,
-  /// every other error that the request may have arrived
+  /// @return the response; Unreachable, BodyTooLarge, Abandoned and Withheld mean that no byte was
+  /// sent, every other error that the request may have arrived
   /// @par Example
   /// @code
   /// acp::StringBody empty("");
--- a/include/acaciapulley/transport/transport_error.hpp
+++ b/include/acaciapulley/transport/transport_error.hpp
@@ -24,12 +24,13 @@
   Cancelled = 1109,      ///< the caller disconnected after bytes were sent
   BodyTooLarge = 1110,   ///< the request body is larger than allowed; nothing was sent
   Abandoned = 1111,      ///< the caller disconnected; nothing was sent
+  Withheld = 1112,       ///< SendOptions::maySend returned false; nothing was sent
 };
 
 template<>
 struct NameTable<TransportErrorCode>
 {
-  static constexpr std::array<EnumName<TransportErrorCode>, 12> kRows = { {
+  static constexpr std::array<EnumName<TransportErrorCode>, 13> kRows = { {
     { TransportErrorCode::InvalidAddress, "invalid_address" },
     { TransportErrorCode::InvalidSetting, "invalid_setting" },
     { TransportErrorCode::Unreachable, "unreachable" },
@@ -42,6 +43,7 @@
     { TransportErrorCode::Cancelled, "cancelled" },
     { TransportErrorCode::BodyTooLarge, "body_too_large" },
     { TransportErrorCode::Abandoned, "abandoned" },
+    { TransportErrorCode::Withheld, "withheld" },
   } };
 };
 
@@ -51,7 +53,7 @@
 [[nodiscard]] constexpr bool SentNothing(TransportErrorCode code)
 {
   return code == TransportErrorCode::Unreachable || code == TransportErrorCode::BodyTooLarge ||
-         code == TransportErrorCode::Abandoned;
+         code == TransportErrorCode::Abandoned || code == TransportErrorCode::Withheld;
 }
 
 template<typename T>
--- a/src/config/fleet_document.cpp
+++ b/src/config/fleet_document.cpp
@@ -18,6 +18,7 @@
 constexpr std::int64_t kMaxAttempts = 9;
 constexpr std::int64_t kMaxConnections = 1'000'000;
 constexpr double kMaxWeight = 1e9;
+constexpr double kMaxWarmupRate = 100'000;
 constexpr double kMaxRate = 1e9;
 /// A target this far above the timeout indicates a wrong unit.
 constexpr std::int64_t kMaxTargetAboveTimeoutMs = 60'000;
@@ -115,6 +116,12 @@
   service.name = ReadText(reader, "name");
   service.healthPath = reader.String("health_path");
   service.maxConnections = static_cast<int>(reader.Integer("max_connections", 1, kMaxConnections));
+  if (reader.Has("warmup_ms")) {
+    service.warmupTime = std::chrono::milliseconds(reader.Integer("warmup_ms", 0, kMaxTimeoutMs));
+  }
+  if (reader.Has("warmup_rate")) {
+    service.warmupRate = reader.Number("warmup_rate", 0, kMaxWarmupRate);
+  }
   reader.RejectUnknownFields();
   return service;
 }
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -11,6 +11,15 @@
 namespace {
 
 constexpr std::size_t kAttemptIdBytes = 16;
+constexpr Duration kWarmupRetryAfter = std::chrono::seconds(1);
+
+/// Refusal of a request above the rate that the upstream tolerates while it is cold.
+Refusal WarmingUpRefusal()
+{
+  return { .reason = Reason::WarmingUp,
+           .message = "the upstream is warming up",
+           .retryAfter = kWarmupRetryAfter };
+}
 
 std::string Fingerprint(const PendingCall& call)
 {
@@ -67,6 +76,11 @@
   if (!local || !pool || local->service != call.request.service) {
     return NotRunRefusal(503, Reason::NoUpstream, "this node has no local upstream of the service");
   }
+  // Checked before the queue of the gate, in which it would wait for nothing; the check that counts
+  // is made when the request is sent. A draining upstream refuses with its own reason.
+  if (!local->draining && !options_.warmup->MayStart()) {
+    return boost::outcome_v2::failure(WarmingUpRefusal());
+  }
   const auto* limit =
     call.request.document ? call.request.document->FindLimit(context.account) : nullptr;
   auto permit = options_.gate->Acquire(
@@ -173,7 +187,14 @@
                                  .callerGone = call.exchange.CallerGone(),
                                  .isCallerGone = [&call] { return call.exchange.IsCallerGone(); },
                                  // The outcome of a non-idempotent request must be recorded.
-                                 .waitsAfterDisconnect = !call.request.requestClass->idempotent };
+                                 .waitsAfterDisconnect = !call.request.requestClass->idempotent,
+                                 .maySend =
+                                   [&] {
+                                     admitted.sentAt = options_.clock->Now();
+                                     return options_.warmup->TryStart();
+                                   },
+                                 .onConnectFailed =
+                                   [this] { options_.warmup->RecordConnectFailure(); } };
   auto sent = Forward(call, *admitted.pool, head, sendOptions);
   if (!sent) {
     return HandleSendFailure(sent.error(), context, admitted);
@@ -193,6 +214,17 @@
     admitted.permit.Finish(GateResult::Neutral);
     return FailedAttempt(CallerGoneRefusal("the upstream"), true, unused);
   }
+  if (error.code == TransportErrorCode::Withheld) {
+    if (admitted.ticket) {
+      options_.claims->Release(*admitted.ticket);
+    }
+    admitted.permit.Finish(GateResult::Neutral);
+    return FailedAttempt(WarmingUpRefusal(), true, unused);
+  }
+  const bool cancelled = error.code == TransportErrorCode::Cancelled;
+  if (!SentNothing(error.code) && !cancelled) {
+    options_.warmup->RecordLoss();
+  }
   const bool nothingSent = SentNothing(error.code) || !options_.guards.unknownAfterSend;
   if (nothingSent) {
     if (admitted.ticket) {
@@ -205,7 +237,6 @@
   if (admitted.ticket) {
     options_.claims->MarkUnknown(*admitted.ticket);
   }
-  const bool cancelled = error.code == TransportErrorCode::Cancelled;
   admitted.permit.Finish(cancelled ? GateResult::Neutral : GateResult::Lost);
   const bool timedOut = error.code == TransportErrorCode::Timeout;
   auto attemptResult =
@@ -238,7 +269,7 @@
   head.headers.Set(kOutcomeHeader, std::string(NameOf(RequestOutcome::Ran)));
   if (call.recipient == Recipient::Peer) {
     head.headers.Set(kThresholdHeader, FormatThreshold(Threshold(call.request, context.account)));
-    head.headers.Set(kLoadHeader, FormatLoad(options_.gate->Load()));
+    head.headers.Set(kLoadHeader, FormatLoad(Load()));
     head.headers.Set(kRetriesLeftHeader, std::to_string(unusedRetries));
   }
   return head;
@@ -250,6 +281,7 @@
                                        ClientExchange& answer)
 {
   const auto& upstreamHead = answer.Response();
+  options_.warmup->RecordAnswer(admitted.sentAt);
   const ClosedHop hop = options_.hops->Close(context.hopId);
   const int unused = hop.unusedRetries;
   if (ReportsNotRun(upstreamHead)) {
@@ -291,14 +323,19 @@
   if (streamed == StreamingResult::NotStarted) {
     AttemptResult attemptResult = TruncatedResponseAttempt(call, unused);
     const bool isCancelled = attemptResult.callResult == CallResult::Cancelled;
+    if (!isCancelled) {
+      options_.warmup->RecordLoss();
+    }
     admitted.permit.Finish(isCancelled ? GateResult::Neutral : GateResult::Lost);
     return attemptResult;
   }
   if (observed.HasFailed()) {
+    options_.warmup->RecordLoss();
     admitted.permit.Finish(GateResult::Lost);
     return { .unusedRetries = unused, .callResult = CallResult::Failed };
   }
   const bool isServerError = upstreamHead.status >= kMinServerErrorStatus;
+  options_.warmup->RecordRun(admitted.sentAt);
   admitted.permit.Finish(isServerError ? GateResult::Failed : GateResult::Succeeded);
   return { .unusedRetries = unused,
            .callResult = isServerError ? CallResult::ServerError : CallResult::Answered };
--- a/src/node/local_upstream.cpp
+++ b/src/node/local_upstream.cpp
@@ -55,9 +55,22 @@
   }
   current_ = announcement;
   current_->draining = current_->draining || stopping_;
+  current_->coldStartMs = coldStartMs_.value_or(announcement.coldStartMs);
   return true;
 }
 
+bool LocalUpstream::ReplaceColdStart(std::optional<std::int64_t> coldStartMs)
+{
+  const std::lock_guard lock(mutex_);
+  coldStartMs_ = coldStartMs;
+  if (!current_) {
+    return false;
+  }
+  const std::int64_t before = current_->coldStartMs;
+  current_->coldStartMs = coldStartMs_.value_or(announced_->coldStartMs);
+  return current_->coldStartMs != before;
+}
+
 void LocalUpstream::BeginStop()
 {
   const std::lock_guard lock(mutex_);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -38,6 +38,7 @@
   explicit Impl(const NodeProcessOptions& options)
     : epoch_(CountMillis(options.clock->WallNow()))
     , clock_(*options.clock)
+    , invalidLoadsByReason_(options.invalidLoadsByReason)
     , requestLog_({ .clock = options.clock,
                     .stateCache = &stateCache_,
                     .requestIdField = options.requestIdField })
@@ -65,6 +66,7 @@
                   .tokenControl = [this](const auto& call) { return tokenChannel_.Call(call); },
                   .peerConnections = peerConnections_,
                   .onAnnouncementChanged = [this] { syncLoop_.Wake(); },
+                  .requestHealthCheck = options.requestHealthCheck,
                   .onRequestCompleted =
                     [this](const CompletedRequest& completed) { RecordCompleted(completed); } })
     , loadLog_({ .clock = options.clock,
@@ -99,6 +101,8 @@
   }
 
   void Announce(const Announcement& announcement) { pipeline_.Announce(announcement); }
+  void ReportWarmup(const WarmupReport& report) { pipeline_.ReportWarmup(report); }
+  void AssumeUpstreamCold() { pipeline_.AssumeUpstreamCold(); }
 
   void AddControlReplicas(const std::vector<Address>& replicas)
   {
@@ -256,6 +260,9 @@
     calls("answered", figures.tokenCalls.calls - figures.tokenCalls.failed);
     calls("failed", figures.tokenCalls.failed);
     CollectGate(figures.gate.counts);
+    metrics_.Gauge("acp_upstream_cold", "1 while the upstream is limited because it is cold.")
+      .Set(figures.isUpstreamCold ? 1 : 0);
+    CollectInvalidLoads();
     CollectConnections("upstream", *upstreamConnections_);
     CollectConnections("peers", *peerConnections_);
     metrics_.Gauge("acp_state_version", "Version of the state this node decides by.")
@@ -282,6 +289,20 @@
     }
   }
 
+  void CollectInvalidLoads()
+  {
+    if (!invalidLoadsByReason_) {
+      return;
+    }
+    for (const auto& [reason, count] : invalidLoadsByReason_()) {
+      metrics_
+        .Gauge("acp_upstream_load_invalid",
+               "Invalid load reports of the upstream since the start.",
+               { { "reason", reason } })
+        .Set(static_cast<double>(count));
+    }
+  }
+
   void CollectConnections(const std::string& to, const ConnectionCounts& counts)
   {
     for (const auto& row : NameTable<ConnectionEvent>::kRows) {
@@ -295,6 +316,7 @@
 
   std::int64_t epoch_;
   const Clock& clock_;
+  std::function<std::map<std::string, std::uint64_t>()> invalidLoadsByReason_;
   MetricsRegistry metrics_;
   StateCache stateCache_;
   detail::RequestLog requestLog_;
@@ -329,6 +351,16 @@
   impl_->Announce(announcement);
 }
 
+void NodeProcess::ReportWarmup(const WarmupReport& report)
+{
+  impl_->ReportWarmup(report);
+}
+
+void NodeProcess::AssumeUpstreamCold()
+{
+  impl_->AssumeUpstreamCold();
+}
+
 void NodeProcess::AddControlReplicas(const std::vector<Address>& replicas)
 {
   impl_->AddControlReplicas(replicas);
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -12,6 +12,7 @@
 #include "acaciapulley/node/detail/peer_context.hpp"      // VerifyContext, VerifyFleetContext
 #include "acaciapulley/node/detail/request_times.hpp"     // ParseMillis
 #include "acaciapulley/node/detail/token_client.hpp"      // TokenClient
+#include "acaciapulley/node/detail/warmup_guard.hpp"      // WarmupGuard
 
 namespace acp {
 
@@ -48,7 +49,10 @@
   void HandleEgress(ServerExchange& exchange);
   void Announce(const Announcement& announcement);
 
-  [[nodiscard]] PipelineStats Stats() const { return { tokens_.CallCounts(), gate_.Stats() }; }
+  void ReportWarmup(const WarmupReport& report) { warmup_.Apply(report); }
+  void AssumeUpstreamCold() { warmup_.AssumeCold(); }
+
+  [[nodiscard]] PipelineStats Stats() const;
 
 private:
   using TokenPtr = std::shared_ptr<detail::TokenClient::Token>;
@@ -67,6 +71,7 @@
   ContextSigner signer_;
   detail::RequestResolver resolver_;
   BlockingGate gate_;
+  detail::WarmupGuard warmup_;
   detail::HopRegistry hops_;
   detail::ConcurrentThresholdTable ingressThresholds_; ///< of requests from the ingress
   detail::ConcurrentThresholdTable nestedThresholds_;  ///< of the local upstream's calls
@@ -89,6 +94,11 @@
                        .usableShare = options_.routesByFleet ? kUsableSlotShare : 1.0 },
             .threshold = { .byAccount = !options_.routesByFleet } },
           *options_.clock)
+  , warmup_({ .clock = options_.clock,
+              .stateCache = options_.stateCache,
+              .upstream = options_.upstream,
+              .requestHealthCheck = options_.requestHealthCheck,
+              .onColdStartChanged = options_.onAnnouncementChanged })
   , hops_({ .nodeId = options_.nodeId, .epoch = options_.epoch }, *options_.clock)
   , ingressThresholds_(*options_.clock, ThresholdOptions())
   , nestedThresholds_(*options_.clock, ThresholdOptions())
@@ -114,6 +124,7 @@
                 .signer = &signer_,
                 .upstream = options_.upstream,
                 .gate = &gate_,
+                .warmup = &warmup_,
                 .hops = &hops_,
                 .claims = &claims_,
                 .thresholds = &nestedThresholds_,
@@ -136,6 +147,17 @@
 {
 }
 
+PipelineStats RequestPipeline::Impl::Stats() const
+{
+  PipelineStats stats{ .tokenCalls = tokens_.CallCounts(), .gate = gate_.Stats() };
+  const detail::WarmupStats warmup = warmup_.Stats();
+  if (warmup.refused > 0) {
+    stats.gate.counts.refused[Reason::WarmingUp] = warmup.refused;
+  }
+  stats.isUpstreamCold = warmup.isCold;
+  return stats;
+}
+
 ThresholdTableOptions RequestPipeline::Impl::ThresholdOptions() const
 {
   return { .seed = options_.nodeId, .byAccount = !options_.routesByFleet };
@@ -268,7 +290,7 @@
     attemptResult.result.error().unusedRetries = attemptResult.unusedRetries;
     attemptResult.result.error().threshold =
       executor_.Threshold(resolved.value(), context.value().account);
-    attemptResult.result.error().load = gate_.Load();
+    attemptResult.result.error().load = executor_.Load();
   }
   return attemptResult.result;
 }
@@ -356,6 +378,7 @@
 
 void RequestPipeline::Impl::Announce(const Announcement& announcement)
 {
+  warmup_.SetService(announcement.service);
   if (!options_.upstream->Announce(announcement)) {
     return;
   }
@@ -399,6 +422,16 @@
   impl_->Announce(announcement);
 }
 
+void RequestPipeline::ReportWarmup(const WarmupReport& report)
+{
+  impl_->ReportWarmup(report);
+}
+
+void RequestPipeline::AssumeUpstreamCold()
+{
+  impl_->AssumeUpstreamCold();
+}
+
 void RequestPipeline::HandlePeer(ServerExchange& exchange)
 {
   impl_->HandlePeer(exchange);
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -41,7 +41,14 @@
   return changes;
 }
 
-std::vector<RoutedMember> FromWire(const std::vector<wire::Member>& members)
+double WarmupRateOf(const FleetDocumentPtr& fleet, const std::string& service)
+{
+  const FleetService* found = fleet ? fleet->FindService(service) : nullptr;
+  return found != nullptr ? found->warmupRate : 0;
+}
+
+std::vector<RoutedMember> FromWire(const std::vector<wire::Member>& members,
+                                   const FleetDocumentPtr& fleet)
 {
   std::vector<RoutedMember> routed;
   for (const auto& member : members) {
@@ -60,7 +67,8 @@
                        .slots = std::clamp(member.slots, 0, kMaxMemberSlots),
                        .coldStart = std::chrono::milliseconds(
                          std::clamp<std::int64_t>(member.coldStartMs, 0, kMaxMemberColdStartMs)),
-                       .isDraining = member.draining });
+                       .isDraining = member.draining,
+                       .warmupRate = WarmupRateOf(fleet, member.serviceName) });
   }
   return routed;
 }
@@ -235,13 +243,30 @@
   AddControlReplicas(reply);
   if (reply.membersIncluded) {
     membersVersion_ = reply.membersVersion;
-    options_.members->Apply(0, membersVersion_, FromWire(reply.members), options_.clock->Now());
+    members_ = FromWire(reply.members, options_.stateCache->Fleet());
+    options_.members->Apply(0, membersVersion_, members_, options_.clock->Now());
     Log(LogLevel::Info,
         "members_in_force",
         { { "version", std::to_string(membersVersion_) },
           { "members", std::to_string(reply.members.size()) } });
+  } else if (reply.__isset.fleet) {
+    UpdateWarmupRates();
   }
   return true;
 }
 
+/// Applies the rates of a new fleet document to the current list of members.
+void SyncLoop::UpdateWarmupRates()
+{
+  const FleetDocumentPtr fleet = options_.stateCache->Fleet();
+  std::vector<RoutedMember> updated = members_;
+  for (RoutedMember& member : updated) {
+    member.warmupRate = WarmupRateOf(fleet, member.service);
+  }
+  if (updated != members_) {
+    members_ = std::move(updated);
+    options_.members->Apply(0, membersVersion_, members_, options_.clock->Now());
+  }
+}
+
 } // namespace acp
--- a/src/node/upstream_finder.cpp
+++ b/src/node/upstream_finder.cpp
@@ -21,6 +21,12 @@
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 /// After the start window, while the upstream says that it is not ready, or the path is not known.
 constexpr Duration kLateCheckInterval = std::chrono::seconds(1);
+/// Between two requested checks.
+constexpr Duration kRequestedCheckInterval = std::chrono::milliseconds(500);
+/// After this many requested checks without an answer they become rarer, for an upstream that is
+/// gone for good.
+constexpr int kPromptChecks = 20;
+constexpr Duration kRareCheckInterval = std::chrono::seconds(5);
 /// An upstream with a free slot answers within a few milliseconds.
 constexpr Duration kFirstTimeout = std::chrono::seconds(1);
 constexpr Duration kLongestTimeout = std::chrono::seconds(4);
@@ -48,14 +54,20 @@
   while (!stop.stop_requested()) {
     const bool isStarting = options_.clock->Now() < startWindowEnd;
     const std::string kept = options_.registry->ServiceToConfirm();
-    if (kept.empty() && (options_.registry->HasUpstream() || !isStarting)) {
-      options_.registry->AwaitHeartbeatToConfirm(stop, kIdleInterval);
+    const bool isRequested = options_.registry->IsHealthCheckRequested();
+    if (!isRequested && kept.empty() && (options_.registry->HasUpstream() || !isStarting)) {
+      options_.registry->AwaitNeedOfCheck(stop, kIdleInterval);
       continue;
     }
     const bool hasPath = CheckOnce(kept.empty() ? options_.service : kept, stop);
     if (!options_.registry->HasUpstream()) {
       const Duration early = hasPath ? kCheckInterval : kPathPollInterval;
       SleepUnlessStopped(stop, isStarting ? early : kLateCheckInterval);
+    } else if (isRequested) {
+      const bool isAnswered = !options_.registry->IsHealthCheckRequested();
+      unansweredChecks_ = isAnswered ? 0 : unansweredChecks_ + 1;
+      SleepUnlessStopped(
+        stop, unansweredChecks_ < kPromptChecks ? kRequestedCheckInterval : kRareCheckInterval);
     }
   }
 }
@@ -67,6 +79,7 @@
     return false;
   }
   if (path->empty()) {
+    options_.registry->DropHealthCheckRequest();
     return true;
   }
   const TimePoint askedAt = options_.clock->Now();
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -109,13 +109,13 @@
       KeepBack(heartbeat);
       return false;
     }
-    Confirm(heartbeat, "heartbeats");
+    Confirm(heartbeat, options_.clock->Now(), "heartbeats");
     return true;
   }
   if (keptBack_ && !IsNewerThan(*keptBack_, heartbeat)) {
     keptBack_.reset();
   }
-  Apply(heartbeat);
+  Apply(heartbeat, options_.clock->Now());
   return true;
 }
 
@@ -134,7 +134,12 @@
           { "started_at_ms", std::to_string(heartbeat.startedAtMs) } });
   }
   keptBack_ = heartbeat;
-  keptBackChanged_.notify_all();
+  keptBackAt_ = options_.clock->Now();
+  {
+    const std::lock_guard lock(checkMutex_);
+    hasKeptBack_ = true;
+  }
+  checkNeeded_.notify_all();
 }
 
 void UpstreamRegistry::ApplyHealthCheck(const HealthCheckResult& result)
@@ -151,10 +156,32 @@
   // An upstream that has said that it leaves may then fall silent.
   saidNotReady_ = saidNotReady_ || result.answer == HealthAnswer::NotReady;
   if (result.answer == HealthAnswer::Ready) {
+    AnswerCheckRequest(result.askedAt);
+    // First, so that the announcement that may follow is made with the reported state.
+    ReportHealthWarmup(result);
     ApplyReady(result);
   }
 }
 
+void UpstreamRegistry::AnswerCheckRequest(TimePoint askedAt)
+{
+  const std::lock_guard lock(checkMutex_);
+  if (checkRequestedAt_ && askedAt >= *checkRequestedAt_) {
+    checkRequestedAt_.reset();
+  }
+}
+
+void UpstreamRegistry::ReportHealthWarmup(const HealthCheckResult& result)
+{
+  if (options_.reportWarmup && result.warmupLeft) {
+    options_.reportWarmup({ .source = ColdReason::HealthAnswer,
+                            .service = result.found ? result.found->announcement.service : "",
+                            .left = *result.warmupLeft,
+                            .askedAt = result.askedAt,
+                            .receivedAt = options_.clock->Now() });
+  }
+}
+
 void UpstreamRegistry::ApplyReady(const HealthCheckResult& result)
 {
   if (const KnownDeparture* departure = FindDeparture(result.instanceId)) {
@@ -167,23 +194,25 @@
     }
   }
   if (IsOfInstance(keptBack_, result.instanceId)) {
-    Confirm(*keptBack_, "health_answer");
+    Confirm(*keptBack_, keptBackAt_, "health_answer");
   } else if (!isConfirmed_ && result.found) {
     // A heartbeat that is kept back is of an instance that no longer runs here.
-    Confirm(*result.found, "health_answer");
+    Confirm(*result.found, result.askedAt, "health_answer");
   } else {
     keptBack_.reset();
   }
 }
 
-void UpstreamRegistry::Confirm(const UpstreamHeartbeat& heartbeat, const char* evidence)
+void UpstreamRegistry::Confirm(const UpstreamHeartbeat& heartbeat,
+                               TimePoint receivedAt,
+                               const char* evidence)
 {
   Log(LogLevel::Info,
       "upstream_confirmed",
       { { "instance", heartbeat.announcement.instanceId }, { "by", evidence } });
   isConfirmed_ = true;
   if (IsNewerThan(heartbeat, current_)) {
-    Apply(heartbeat);
+    Apply(heartbeat, receivedAt);
   }
   // The argument may be the heartbeat that was kept back.
   keptBack_.reset();
@@ -201,13 +230,36 @@
   return keptBack_ ? keptBack_->announcement.service : "";
 }
 
-void UpstreamRegistry::AwaitHeartbeatToConfirm(const std::stop_token& stop, Duration longest)
+void UpstreamRegistry::RequestHealthCheck()
+{
+  {
+    const std::lock_guard lock(checkMutex_);
+    checkRequestedAt_ = options_.clock->Now();
+  }
+  checkNeeded_.notify_all();
+}
+
+bool UpstreamRegistry::IsHealthCheckRequested() const
+{
+  const std::lock_guard lock(checkMutex_);
+  return checkRequestedAt_.has_value();
+}
+
+void UpstreamRegistry::DropHealthCheckRequest()
 {
-  std::unique_lock lock(mutex_);
-  keptBackChanged_.wait_for(lock, stop, longest, [this] { return keptBack_.has_value(); });
+  const std::lock_guard lock(checkMutex_);
+  checkRequestedAt_.reset();
 }
 
-void UpstreamRegistry::Apply(const UpstreamHeartbeat& heartbeat)
+void UpstreamRegistry::AwaitNeedOfCheck(const std::stop_token& stop, Duration longest)
+{
+  std::unique_lock lock(checkMutex_);
+  checkNeeded_.wait_for(
+    lock, stop, longest, [this] { return hasKeptBack_ || checkRequestedAt_.has_value(); });
+  hasKeptBack_ = false;
+}
+
+void UpstreamRegistry::Apply(const UpstreamHeartbeat& heartbeat, TimePoint receivedAt)
 {
   const bool isSameStart = IsSameStart(heartbeat);
   UpstreamHeartbeat applied = heartbeat;
@@ -226,6 +278,12 @@
     Log(LogLevel::Info, "upstream_draining", { { "instance", applied.announcement.instanceId } });
   }
   current_ = applied;
+  if (options_.reportWarmup) {
+    // The heartbeat's own time, which may say that the same start has become cold again.
+    options_.reportWarmup({ .service = heartbeat.announcement.service,
+                            .left = std::chrono::milliseconds(heartbeat.announcement.coldStartMs),
+                            .receivedAt = receivedAt });
+  }
   options_.announce(applied.announcement);
 }
 
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -102,6 +102,9 @@
                            .isTrial = member->outlier.IsEjected(),
                            .startedAt = now };
     ServiceMembers::BeginCall(*member, request.requestClass, now);
+    if (member->info.warmupRate > 0 && member->warmupShare.IsCold(now)) {
+      member->warmupShare.Take();
+    }
   });
   return picked;
 }
@@ -123,17 +126,22 @@
                                   TimePoint now)
 {
   std::vector<MemberState*> usable;
+  std::vector<MemberState*> aboveShare;
   for (MemberState& member : members.Members()) {
     if (!IsEligible(request, member)) {
       continue;
     }
+    const bool isAboveShare = IsAboveWarmupShare(member, now);
     if (member.outlier.IsEjected()) {
-      if (request.isIdempotent && member.outlier.IsTrialDue(now)) {
+      if (!isAboveShare && request.isIdempotent && member.outlier.IsTrialDue(now)) {
         return &member;
       }
       continue;
     }
-    usable.push_back(&member);
+    (isAboveShare ? aboveShare : usable).push_back(&member);
+  }
+  if (usable.empty()) {
+    usable = std::move(aboveShare);
   }
   if (usable.empty()) {
     return nullptr;
@@ -142,6 +150,14 @@
   return PickByUtilisation(AreNearLimit(healthy, now) ? usable : healthy, now);
 }
 
+/// Returns whether one more request to the cold member would exceed this node's share of its rate.
+bool Balancer::IsAboveWarmupShare(MemberState& member, TimePoint now)
+{
+  return member.info.warmupRate > 0 && member.warmupShare.IsCold(now) &&
+         !member.warmupShare.HasToken(
+           now, member.info.warmupRate, options_.members->Size(), [this] { return Random(); });
+}
+
 MemberState* Balancer::PickByUtilisation(const std::vector<MemberState*>& members, TimePoint now)
 {
   MemberState* local = nullptr;
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -53,6 +53,13 @@
   return member.refusalRate * DecayFactor(member.lastRefusalAt, now, kRefusalDecaySeconds);
 }
 
+/// Applies the cold start of a member that has a rate limit while it is cold.
+void ApplyColdStart(MemberState& member, TimePoint now)
+{
+  member.slowStart = SlowStart(now, member.info.coldStart);
+  member.warmupShare.Begin(now, member.info.coldStart);
+}
+
 } // namespace
 
 double MemberState::SlownessAt(TimePoint now) const
@@ -94,7 +101,11 @@
       MemberState state = std::move(*known);
       // A list older than the member's refusal must not end the drain that the refusal reported.
       state.isDraining = info.isDraining || now < state.drainingUntil;
+      const bool hasNewColdStart = info.warmupRate > 0 && info.coldStart != state.info.coldStart;
       state.info = info;
+      if (hasNewColdStart) {
+        ApplyColdStart(state, now);
+      }
       next.push_back(std::move(state));
       continue;
     }
@@ -102,6 +113,9 @@
     state.info = info;
     state.isDraining = info.isDraining;
     state.slowStart = hasList_ ? SlowStart(now, info.coldStart) : SlowStart();
+    if (info.warmupRate > 0) {
+      ApplyColdStart(state, now);
+    }
     next.push_back(std::move(state));
   }
   std::sort(next.begin(), next.end(), [](const MemberState& left, const MemberState& right) {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -172,6 +172,10 @@
         return Fail(TransportErrorCode::Abandoned,
                     AddressText() + ": the caller disconnected; request not sent");
       }
+      if (options_.maySend && !options_.maySend()) {
+        pool_->Release(std::move(connection));
+        return Fail(TransportErrorCode::Withheld, AddressText() + ": request not sent");
+      }
       const std::uint64_t sentBefore = connection->io.SentBytes();
       const bool wasReused = sentBefore > 0;
       isFirstOnConnection_ = !wasReused;
--- a/src/transport/pool_core.cpp
+++ b/src/transport/pool_core.cpp
@@ -78,7 +78,7 @@
     if (openCount_ < options_.maxConnections) {
       ++openCount_;
       lock.unlock();
-      return Connect(deadline);
+      return Connect(deadline, call.onConnectFailed);
     }
     if (call.callerGone.stop_requested()) {
       WakeOne();
@@ -127,16 +127,29 @@
   return Connect(deadline);
 }
 
-TransportResult<PoolCore::ConnectionPtr> PoolCore::Connect(TimePoint deadline)
+TransportResult<PoolCore::ConnectionPtr> PoolCore::Connect(
+  TimePoint deadline,
+  const std::function<void()>& onConnectFailed)
 {
+  const auto reportFailure = [&onConnectFailed] {
+    if (onConnectFailed) {
+      onConnectFailed();
+    }
+  };
   try {
     Poco::Net::StreamSocket socket;
     socket.connectNB(Poco::Net::SocketAddress(options_.address.ip, options_.address.port));
-    const TimePoint until = std::min(deadline, SteadyNow() + options_.connectTimeout);
+    const TimePoint connectDeadline = SteadyNow() + options_.connectTimeout;
+    const TimePoint until = std::min(deadline, connectDeadline);
     if (WaitUntilReady(socket.impl()->sockfd(), POLLOUT, until) != WaitResult::Ready) {
+      // A wait that the caller's own deadline has cut short says nothing about the peer.
+      if (SteadyNow() >= connectDeadline) {
+        reportFailure();
+      }
       throw Poco::TimeoutException("connecting timed out");
     }
     if (const int error = socket.impl()->socketError(); error != 0) {
+      reportFailure();
       throw Poco::Net::NetException(std::generic_category().message(error));
     }
     auto connection = std::make_unique<PooledConnection>(socket);
@@ -145,6 +158,9 @@
     inUse_.insert(connection.get());
     return connection;
   } catch (const Poco::Exception& e) {
+    if (dynamic_cast<const Poco::Net::ConnectionRefusedException*>(&e) != nullptr) {
+      reportFailure();
+    }
     Count(ConnectionEvent::OpenFailed);
     Untrack(nullptr);
     return Fail(TransportErrorCode::Unreachable,
--- a/tests/config_test/fleet_document_test.cpp
+++ b/tests/config_test/fleet_document_test.cpp
@@ -103,6 +103,35 @@
              "[100 malformed_document] accounts[1].key_hashes: duplicate key hash");
 }
 
+// Guards against a rate limit that an older document without the fields gets, and against one that
+// is lost or taken with another unit.
+BOOST_AUTO_TEST_CASE(warmup_of_a_service_is_optional)
+{
+  const auto serviceWith = [](const std::string& fields) {
+    std::string text = Fleet("");
+    const std::string last = R"("max_connections":9)";
+    return text.replace(text.find(last), last.size(), last + fields);
+  };
+  const auto read = [&](const std::string& fields) {
+    return *acp::FleetDocument::Parse(serviceWith(fields)).value().FindService("orders");
+  };
+  BOOST_TEST(read("").warmupRate == 0);
+  BOOST_TEST((read("").warmupTime == acp::Duration::zero()));
+  const auto limited = read(R"(,"warmup_ms":3000,"warmup_rate":11.5)");
+  BOOST_TEST(limited.warmupRate == 11.5);
+  BOOST_TEST((limited.warmupTime == std::chrono::seconds(3)));
+  BOOST_TEST(read(R"(,"warmup_rate":0)").warmupRate == 0);
+  for (const std::string fields : { R"(,"warmup_rate":-1)",
+                                    R"(,"warmup_rate":100001)",
+                                    R"(,"warmup_rate":"11")",
+                                    R"(,"warmup_ms":-1)",
+                                    R"(,"warmup_ms":1.5)",
+                                    R"(,"warmup_ms":3600001)" }) {
+    BOOST_TEST(ErrorOf(serviceWith(fields)).find("services[0].warmup_") != std::string::npos,
+               fields);
+  }
+}
+
 // Guards against an invalid document that is accepted and interpreted differently from what its
 // author intended.
 BOOST_AUTO_TEST_CASE(invalid_fields_are_rejected_with_their_path)
--- a/tests/node_test/pipeline_fixture.cpp
+++ b/tests/node_test/pipeline_fixture.cpp
@@ -329,6 +329,7 @@
 
 TestNode::TestNode(const TestNodeOptions& options)
   : options_(options)
+  , clock_(options.clock != nullptr ? *options.clock : systemClock_)
   , upstream_(options.makeTranslation)
   , stop_(clock_)
   , pipeline_({ .nodeId = options.id,
@@ -346,6 +347,7 @@
                 .claimControl = [this](const auto& call) { return options_.control->Call(call); },
                 .tokenControl = [this](const auto& call) { return options_.control->Call(call); },
                 .onAnnouncementChanged = [] {},
+                .requestHealthCheck = options.requestHealthCheck,
                 .onRequestCompleted =
                   [this](const CompletedRequest& /*completed*/) { completed_.Notify(); },
                 .guards = options.guards })
@@ -454,6 +456,20 @@
   return Fetch(EgressPort(), { .method = "PUT", .target = "/.acp/upstream" }, body).status;
 }
 
+void TestNode::ReportHealthWarmup(Duration left)
+{
+  pipeline_.ReportWarmup({ .source = ColdReason::HealthAnswer,
+                           .service = options_.service,
+                           .left = left,
+                           .askedAt = clock_.Now(),
+                           .receivedAt = clock_.Now() });
+}
+
+std::int64_t TestNode::AnnouncedColdStartMs() const
+{
+  return upstream_.Current().value().coldStartMs;
+}
+
 void TestNode::BeginStop(Duration left)
 {
   stop_.Begin(clock_.Now() + left);
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -127,6 +127,8 @@
   int slots = 100;            ///< announced for the upstream
   bool routesByFleet = false; ///< see FleetOrder() and FleetRead()
   LocalUpstream::TranslationFactory makeTranslation;
+  const Clock* clock = nullptr; ///< null: the system's
+  std::function<void()> requestHealthCheck;
 };
 
 inline constexpr int kRetryBudget = 2;
@@ -169,6 +171,10 @@
   int Announce(bool isDraining);
   /// Announces an upstream at @p port instead of the one in the options.
   int AnnounceAt(std::uint16_t port, bool isDraining = false);
+  /// Reports the upstream's answer to a health check that is sent now.
+  void ReportHealthWarmup(Duration left);
+  RequestPipeline& Pipeline() { return pipeline_; }
+  [[nodiscard]] std::int64_t AnnouncedColdStartMs() const;
   /// Begins a graceful stop that ends after @p left.
   void BeginStop(Duration left);
   /// Stops the node's listeners; returns when its requests have completed.
@@ -181,7 +187,8 @@
   HttpServerOptions ListenerOptions(void (RequestPipeline::*handle)(ServerExchange&));
 
   TestNodeOptions options_;
-  SystemClock clock_;
+  SystemClock systemClock_;
+  const Clock& clock_;
   ChangeSignal completed_;
   StateCache stateCache_;
   LocalUpstream upstream_;
--- a/tests/node_test/sync_loop_test.cpp
+++ b/tests/node_test/sync_loop_test.cpp
@@ -296,4 +296,39 @@
   relayScript.End();
 }
 
+// Guards against members without the rate of their service, also when only the fleet document has
+// changed since the list was received.
+BOOST_AUTO_TEST_CASE(members_have_the_warmup_rate_of_their_service)
+{
+  SyncLoopFixture fixture;
+  const auto key = acp::GenerateKey("a", fixture.clock.WallNow());
+  const auto rate = [&] {
+    double value = -1;
+    fixture.members.With("orders", [&](acp::ServiceMembers& found) {
+      value = found.Members().front().info.warmupRate;
+    });
+    return value;
+  };
+  const auto respondWithFleet = [](std::int64_t version, const std::string& rateField) {
+    return [=](acp::wire::SyncReply& reply) {
+      reply.delta.toVersion = version;
+      reply.fleet.version = version;
+      reply.fleet.document =
+        R"({"max_body_bytes":1,"head_timeout_ms":1,"idle_timeout_ms":1,"services":[)"
+        R"({"name":"orders","health_path":"","max_connections":9)" +
+        rateField + R"(}],"routes":[],"accounts":[]})";
+      reply.__isset.fleet = true;
+    };
+  };
+  fixture.script.AwaitRequest();
+  fixture.RespondAndAwaitNext(RespondWithState(5, key.record, "n"));
+  BOOST_TEST(rate() == 0);
+  fixture.RespondAndAwaitNext(respondWithFleet(5, R"(,"warmup_rate":11)"));
+  BOOST_TEST(rate() == 11);
+  fixture.RespondAndAwaitNext(RespondWithState(6, key.record, "n"));
+  BOOST_TEST(rate() == 11);
+  fixture.RespondAndAwaitNext(respondWithFleet(6, ""));
+  BOOST_TEST(rate() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node_test/upstream_finder_test.cpp
+++ b/tests/node_test/upstream_finder_test.cpp
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "acaciapulley/core/clock.hpp"
@@ -108,4 +109,25 @@
   BOOST_TEST(AwaitChecks(1).front().path == "/stock");
 }
 
+// Guards against a known upstream that stays limited because nobody asks it whether it is warm, and
+// against a request that is dropped after one check without an answer.
+BOOST_AUTO_TEST_CASE(requested_check_is_repeated_until_it_is_answered)
+{
+  Set(HealthAnswer::Ready);
+  const acp::UpstreamFinder finder(Options());
+  AwaitChecks(1);
+  while (!registry.HasUpstream()) {
+    std::this_thread::yield();
+  }
+  Set(HealthAnswer::NotReady);
+  registry.RequestHealthCheck();
+  const std::size_t seen = AwaitChecks(1).size();
+  AwaitChecks(seen + 2);
+  BOOST_TEST(registry.IsHealthCheckRequested());
+  Set(HealthAnswer::Ready);
+  while (registry.IsHealthCheckRequested()) {
+    std::this_thread::yield();
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node_test/upstream_registry_test.cpp
+++ b/tests/node_test/upstream_registry_test.cpp
@@ -379,3 +379,92 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(upstream_registry_warmup)
+
+// Guards against an upstream that becomes cold again, under the same start, and is not reported as
+// such because the first heartbeat's cold start is kept for the announcement.
+BOOST_AUTO_TEST_CASE(each_heartbeat_reports_the_warmup)
+{
+  acp::ManualClock clock;
+  std::vector<acp::WarmupReport> reports;
+  std::vector<std::int64_t> announced;
+  acp::UpstreamRegistry registry(
+    { .clock = &clock,
+      .announce = [&](const auto& a) { announced.push_back(a.coldStartMs); },
+      .reportWarmup = [&](const auto& report) { reports.push_back(report); } });
+  for (const int leftMs : { 700, 0, 3000 }) {
+    clock.Advance(kSecond);
+    auto heartbeat = MakeHeartbeat("i", 5, static_cast<int>(reports.size()) + 1);
+    heartbeat.announcement.coldStartMs = leftMs;
+    registry.ApplyHeartbeat(heartbeat);
+    BOOST_TEST((reports.back().source == acp::ColdReason::Announced));
+    BOOST_TEST((reports.back().receivedAt == clock.Now()));
+    BOOST_TEST((reports.back().left == std::chrono::milliseconds(leftMs)));
+  }
+  BOOST_TEST((announced == std::vector<std::int64_t>{ 700, 700, 700 }));
+  // An older heartbeat that arrives late reports nothing.
+  registry.ApplyHeartbeat(MakeHeartbeat("i", 5, 1));
+  BOOST_TEST(reports.size() == 3U);
+}
+
+// Guards against a health answer that does not reach the limit, and against one that is taken for a
+// statement that the upstream is warm.
+BOOST_AUTO_TEST_CASE(health_answer_reports_the_warmup_if_it_states_it)
+{
+  acp::ManualClock clock;
+  std::vector<acp::WarmupReport> reports;
+  acp::UpstreamRegistry registry(
+    { .clock = &clock,
+      .announce = [](const auto& /*announcement*/) {},
+      .reportWarmup = [&](const auto& report) { reports.push_back(report); } });
+  registry.ApplyHeartbeat(MakeHeartbeat("i", 5, 1));
+  reports.clear();
+  const auto askedAt = clock.Now();
+  clock.Advance(kSecond);
+  HealthCheckResult result{ .answer = HealthAnswer::Ready, .instanceId = "i", .askedAt = askedAt };
+  registry.ApplyHealthCheck(result);
+  BOOST_TEST(reports.empty());
+  result.warmupLeft = kSecond;
+  registry.ApplyHealthCheck(result);
+  BOOST_REQUIRE(reports.size() == 1U);
+  BOOST_TEST((reports[0].source == acp::ColdReason::HealthAnswer));
+  BOOST_TEST((reports[0].askedAt == askedAt));
+  BOOST_TEST((reports[0].receivedAt == clock.Now()));
+  result.answer = HealthAnswer::NotReady;
+  registry.ApplyHealthCheck(result);
+  BOOST_TEST(reports.size() == 1U);
+}
+
+// Guards against a request for a check that is taken for answered by the process before a restart
+// or by an upstream that is not ready, and against a deadlock of a report that requests a check.
+BOOST_AUTO_TEST_CASE(requested_check_is_answered_only_by_a_later_one)
+{
+  acp::ManualClock clock;
+  acp::UpstreamRegistry* requested = nullptr;
+  acp::UpstreamRegistry registry(
+    { .clock = &clock,
+      .announce = [](const auto& /*announcement*/) {},
+      .reportWarmup = [&](const auto& /*report*/) { requested->RequestHealthCheck(); } });
+  requested = &registry;
+  BOOST_TEST(!registry.IsHealthCheckRequested());
+  const auto before = clock.Now();
+  clock.Advance(kSecond);
+  registry.ApplyHeartbeat(MakeHeartbeat("i", 5, 1));
+  BOOST_TEST(registry.IsHealthCheckRequested());
+  registry.AwaitNeedOfCheck({}, std::chrono::hours(1)); // returns at once
+  HealthCheckResult result{ .answer = HealthAnswer::Ready, .instanceId = "i", .askedAt = before };
+  registry.ApplyHealthCheck(result);
+  BOOST_TEST(registry.IsHealthCheckRequested());
+  result.askedAt = clock.Now();
+  for (const auto answer : { HealthAnswer::None, HealthAnswer::Rejected, HealthAnswer::NotReady }) {
+    result.answer = answer;
+    registry.ApplyHealthCheck(result);
+    BOOST_TEST(registry.IsHealthCheckRequested());
+  }
+  result.answer = HealthAnswer::Ready;
+  registry.ApplyHealthCheck(result);
+  BOOST_TEST(!registry.IsHealthCheckRequested());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_test/translation_test.cpp
+++ b/tests/platform_test/translation_test.cpp
@@ -103,6 +103,32 @@
   BOOST_TEST(account->limit.burst == 75);
 }
 
+// Guards against a warm-up rate that is lost on the way to the nodes, and against a limit for
+// services of a configuration that names none.
+BOOST_AUTO_TEST_CASE(warmup_of_a_service_is_translated)
+{
+  const auto read = [](const std::string& fields) {
+    const std::string service = R"("name":"s2","max_connections":28)";
+    const auto change = TranslateConfiguration(WithReplacement(service, service + fields)).value();
+    return *acp::FleetDocument::Parse(change.document).value().FindService("s2");
+  };
+  const auto limited = read(R"(,"warmup_s":3.0,"warmup_per_s":11.0)");
+  BOOST_TEST(limited.warmupRate == 11);
+  BOOST_TEST((limited.warmupTime == std::chrono::seconds(3)));
+  BOOST_TEST((read(R"(,"warmup_s":0.25)").warmupTime == std::chrono::milliseconds(250)));
+  for (const std::string fields : { "", R"(,"warmup_s":null,"warmup_per_s":null)" }) {
+    BOOST_TEST(read(fields).warmupRate == 0);
+    BOOST_TEST((read(fields).warmupTime == acp::Duration::zero()));
+  }
+  // Stored documents stay as they were, so that replicas compare equal.
+  BOOST_TEST(TranslateConfiguration(kConfiguration).value().document.find("warmup") ==
+             std::string::npos);
+  for (const std::string fields : { R"(,"warmup_s":"3")", R"(,"warmup_per_s":true)" }) {
+    const std::string service = R"("name":"s2","max_connections":28)";
+    BOOST_TEST(!TranslateConfiguration(WithReplacement(service, service + fields)).has_value());
+  }
+}
+
 // Guards against an empty list of accounts that opens every route.
 BOOST_AUTO_TEST_CASE(empty_list_of_accounts_is_not_a_missing_one)
 {
--- a/tests/platform_test/upstream_calls_test.cpp
+++ b/tests/platform_test/upstream_calls_test.cpp
@@ -1,9 +1,11 @@
 #include <boost/test/unit_test.hpp>
 
+#include <map>
 #include <string>
 
 #include "../transport_test/truncating_server.hpp"
 #include "upstream_calls.hpp"
+#include "upstream_load.hpp"
 #include "upstream_probe.hpp"
 
 namespace {
@@ -90,6 +92,93 @@
   }
 }
 
+// Guards against the work factor, the fourth figure of the load, that is taken for the slots, and
+// against a load that is believed although a part of it is not valid.
+BOOST_AUTO_TEST_CASE(load_of_a_health_response_has_three_or_four_figures)
+{
+  const auto address = acp::Address::Parse("127.0.0.1:9000").value();
+  const auto slotsOf = [&](const std::string& load) {
+    acp::HttpResponseHead response{ .status = 200 };
+    response.headers.Set("Acaciapulley-Instance-Id", "i");
+    response.headers.Set("Acaciapulley-Server-Load", load);
+    const auto found = acp::platform::ParseHealthResponse("orders", address, response);
+    return found ? found->announcement.slots : 0;
+  };
+  BOOST_TEST(slotsOf("3,0,8") == 8);
+  BOOST_TEST(slotsOf("3,0,8,250") == 8);
+  for (const std::string load :
+       { "3,0,8,", "3,0,8,0", "3,0,8,x", "3,0,8,100,1", "-1,0,8", "x,0,8" }) {
+    BOOST_TEST(slotsOf(load) == 0, load);
+  }
+}
+
+// Guards against invalid loads that are ignored without a trace of why.
+BOOST_AUTO_TEST_CASE(invalid_loads_are_counted_by_reason)
+{
+  using acp::platform::UpstreamLoadError;
+  const auto errorOf = [](const std::string& text) {
+    return acp::platform::ParseUpstreamLoad(text).error();
+  };
+  const auto load = acp::platform::ParseUpstreamLoad("3, 1, 8, 250").value();
+  BOOST_TEST(load.running == 3);
+  BOOST_TEST(load.waiting == 1);
+  BOOST_TEST(load.slots == 8);
+  BOOST_TEST(load.workFactor.value() == 250);
+  BOOST_TEST(!acp::platform::ParseUpstreamLoad("3,0,8").value().workFactor.has_value());
+  for (const std::string text : { "", "8", "1,2", "1,2,3,4,5", "1,2,3,4,5,6,7" }) {
+    BOOST_TEST((errorOf(text) == UpstreamLoadError::FigureCount), text);
+  }
+  for (const std::string text :
+       { "1,2,", ",2,3", "1,2,3x", "1,2,3.5", "1,2,+3", "1 1,2,3", "1,2,3,-" }) {
+    BOOST_TEST((errorOf(text) == UpstreamLoadError::NotANumber), text);
+  }
+  for (const std::string text : { "-1,0,8",
+                                  "0,-1,8",
+                                  "0,0,0",
+                                  "0,0,100001",
+                                  "0,0,8,0",
+                                  "1000001,0,8",
+                                  "0,0,99999999999999999999" }) {
+    BOOST_TEST((errorOf(text) == UpstreamLoadError::OutOfRange), text);
+  }
+  acp::platform::InvalidLoadCounts counts;
+  const auto address = acp::Address::Parse("127.0.0.1:9000").value();
+  for (const std::string text : { "1", "1,2,x", "1,2,0", "1,2,x", "1,2,3" }) {
+    acp::HttpResponseHead response{ .status = 200 };
+    response.headers.Set("Acaciapulley-Server-Load", text);
+    (void)acp::platform::ParseHealthResponse("orders", address, response, &counts);
+  }
+  // A response without the field states no load.
+  (void)acp::platform::ParseHealthResponse("orders", address, { .status = 200 }, &counts);
+  const std::map<std::string, std::uint64_t> expected = { { "figure_count", 1 },
+                                                          { "not_a_number", 2 },
+                                                          { "out_of_range", 1 } };
+  BOOST_TEST((counts.ByReason() == expected));
+}
+
+// Guards against an upstream that is taken for warm although its response does not say so.
+BOOST_AUTO_TEST_CASE(health_response_states_how_long_the_upstream_stays_cold)
+{
+  acp::test::TruncatingServer upstream;
+  const auto probe = [&](const std::string& field) {
+    upstream.SetResponse("HTTP/1.1 200 X\r\nAcaciapulley-Instance-Id: i-1\r\n"
+                         "Acaciapulley-Server-Load: 3,0,8\r\n" +
+                           field + "Content-Length: 0\r\n\r\n",
+                         acp::test::ConnectionEnd::Close);
+    return Probe(upstream.ListenAddress());
+  };
+  const auto cold = probe("Acaciapulley-Warmup-Ms: 2500\r\n");
+  BOOST_TEST((cold.warmupLeft == acp::Duration(std::chrono::milliseconds(2500))));
+  BOOST_TEST(cold.found.value().announcement.coldStartMs == 2500);
+  BOOST_TEST((probe("Acaciapulley-Warmup-Ms: 0\r\n").warmupLeft == acp::Duration::zero()));
+  for (const std::string value : { "-1", "x", "", "2500x", "3600001", "99999999999999999999" }) {
+    const auto unknown = probe("Acaciapulley-Warmup-Ms: " + value + "\r\n");
+    BOOST_TEST(!unknown.warmupLeft.has_value(), value);
+    BOOST_TEST(unknown.found.value().announcement.coldStartMs == 0);
+  }
+  BOOST_TEST(!probe("").warmupLeft.has_value());
+}
+
 // Guards against an upstream that is identified by the truncated head of a health response.
 BOOST_AUTO_TEST_CASE(truncated_health_response_is_rejected)
 {
--- a/tests/routing_test/balancer_test.cpp
+++ b/tests/routing_test/balancer_test.cpp
@@ -285,4 +285,145 @@
   BOOST_TEST(PickMany(100)["n1"] > 20);
 }
 
+// Guards against more than this node's share of the rate of a cold member, against a cold member
+// that is left out for good, and against a share that ends later than the cold start.
+BOOST_FIXTURE_TEST_CASE(cold_member_gets_only_the_share_of_its_rate, Fixture)
+{
+  auto cold = Member("n1");
+  cold.coldStart = seconds(100);
+  cold.warmupRate = 10;
+  Apply({ cold, Member("n2") });
+  // The share is 0.7 * 10 / 2 requests per second.
+  int picked = 0;
+  for (int i = 0; i < 9000; ++i) {
+    clock.Advance(std::chrono::milliseconds(10));
+    const std::string node = Pick();
+    picked += node == "n1" ? 1 : 0;
+    Finish(node, acp::CallResult::Answered);
+  }
+  BOOST_TEST(picked > 90 * 3.5 * 0.8);
+  BOOST_TEST(picked <= 90 * 3.5 + 1);
+  clock.Advance(seconds(10));
+  BOOST_TEST(PickMany(100)["n1"] > 30);
+}
+
+// Guards against the first tokens of all nodes, which together exceed the rate at the moment at
+// which the member becomes cold.
+BOOST_AUTO_TEST_CASE(nodes_do_not_all_begin_with_a_whole_token)
+{
+  int picked = 0;
+  constexpr int kNodes = 100;
+  for (int i = 0; i < kNodes; ++i) {
+    acp::MemberTable table;
+    acp::Balancer balancer(
+      { .localNodeId = "n0", .localDataCentre = "a", .members = &table, .random = [i] {
+         return static_cast<double>(i) / kNodes;
+       } });
+    acp::ManualClock clock;
+    std::vector<acp::RoutedMember> members;
+    for (int id = 1; id <= kNodes; ++id) {
+      auto member = Fixture::Member("n" + std::to_string(id));
+      member.coldStart = seconds(id == 1 ? 3 : 0);
+      member.warmupRate = 10;
+      members.push_back(member);
+    }
+    table.Apply(1, 1, members, clock.Now());
+    // In the first second each node sends as many requests as it may.
+    for (int step = 0; step <= 100; ++step) {
+      std::vector<std::string> others;
+      for (int id = 2; id < kNodes; ++id) {
+        others.push_back("n" + std::to_string(id));
+      }
+      const auto choice = balancer.Pick({ .service = "s", .tried = others }, clock.Now());
+      picked += choice && choice->nodeId == "n1" ? 1 : 0;
+      clock.Advance(std::chrono::milliseconds(10));
+    }
+  }
+  BOOST_TEST(picked <= 8);
+  BOOST_TEST(picked > 0);
+}
+
+// Guards against requests that fail although a cold member could run them: when the whole service
+// has become cold, as in the loss of a data centre, its nodes decide.
+BOOST_FIXTURE_TEST_CASE(cold_members_are_used_when_there_is_no_other, Fixture)
+{
+  auto first = Member("n1");
+  auto second = Member("n2");
+  for (auto* member : { &first, &second }) {
+    member->coldStart = seconds(100);
+    member->warmupRate = 0.01;
+  }
+  Apply({ first, second });
+  auto counts = PickMany(100);
+  BOOST_TEST(counts["n1"] > 20);
+  BOOST_TEST(counts["n2"] > 20);
+  BOOST_TEST(Pick({ "n1" }) == "n2");
+  Apply({ first, second, Member("n3") });
+  BOOST_TEST(PickMany(100)["n3"] >= 98);
+  BOOST_TEST(!Pick({ "n3" }).empty());
+}
+
+// Guards against an upstream that restarts beside a node which keeps running: its cold start is in
+// the list, but the epoch is unchanged. Also against a cold start that begins again with each list,
+// and against one that outlives the list in which the member is warm.
+BOOST_FIXTURE_TEST_CASE(cold_start_is_applied_without_a_new_epoch, Fixture)
+{
+  auto member = Member("n1");
+  member.warmupRate = 0.001;
+  Apply({ member, Member("n2") });
+  BOOST_TEST(PickMany(100)["n1"] > 30);
+  member.coldStart = seconds(3);
+  Apply({ member, Member("n2") });
+  BOOST_TEST(PickMany(100)["n1"] == 0);
+  BOOST_TEST(Capacity("n1") == 1.0);
+  clock.Advance(seconds(2));
+  Apply({ member, Member("n2") });
+  BOOST_TEST(PickMany(100)["n1"] == 0);
+  clock.Advance(seconds(1));
+  BOOST_TEST(PickMany(100)["n1"] > 30);
+  member.coldStart = std::chrono::milliseconds(3001);
+  Apply({ member, Member("n2") });
+  BOOST_TEST(PickMany(100)["n1"] == 0);
+  member.coldStart = seconds(0);
+  Apply({ member, Member("n2") });
+  BOOST_TEST(PickMany(100)["n1"] > 30);
+}
+
+// Guards against changed picks for services without a rate: a cold start in a list with an
+// unchanged epoch has no effect, and no random number is drawn for a share.
+BOOST_AUTO_TEST_CASE(members_without_a_rate_are_picked_as_before)
+{
+  Fixture plain;
+  Fixture changing;
+  auto member = Fixture::Member("n1");
+  plain.Apply({ member, Fixture::Member("n2") });
+  changing.Apply({ member, Fixture::Member("n2") });
+  for (int i = 0; i < 200; ++i) {
+    member.coldStart = std::chrono::milliseconds(i);
+    changing.Apply({ member, Fixture::Member("n2") });
+    const std::string node = plain.Pick();
+    BOOST_TEST(changing.Pick() == node);
+    plain.Finish(node, acp::CallResult::Answered);
+    changing.Finish(node, acp::CallResult::Answered);
+  }
+}
+
+// Guards against an ejected cold member that gets a trial from every node at once.
+BOOST_FIXTURE_TEST_CASE(trial_of_a_cold_member_needs_a_token, Fixture)
+{
+  auto cold = Member("n1");
+  cold.warmupRate = 0.5;
+  Apply({ cold, Member("n2"), Member("n3") });
+  for (int i = 0; i < 5; ++i) {
+    Finish("n1", acp::CallResult::Failed);
+  }
+  cold.coldStart = seconds(20);
+  Apply({ cold, Member("n2"), Member("n3") });
+  BOOST_TEST(PickMany(10)["n1"] == 0);
+  clock.Advance(seconds(2));
+  BOOST_TEST(PickMany(10)["n1"] == 0);
+  clock.Advance(seconds(10));
+  BOOST_TEST(Pick() == "n1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
