--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -9,6 +9,7 @@
 #include <set>        // set
 #include <string>     // string
 
+#include "acaciapulley/admission/warmup_limit.hpp"      // WarmupReport
 #include "acaciapulley/core/clock.hpp"                  // Clock
 #include "acaciapulley/node/blocking_gate.hpp"          // GateStats
 #include "acaciapulley/node/detail/claim_client.hpp"    // ControlCall
@@ -68,6 +69,8 @@
   /// Called when the evacuation of this data centre has ended, before the local upstream gets
   /// requests again; may be empty.
   std::function<void()> onEvacuationEnded;
+  /// Called when a health check of the local upstream is needed; must not block. May be empty.
+  std::function<void()> requestHealthCheck;
   /// Called for each request of the ingress.
   std::function<void(const CompletedRequest&)> onRequestCompleted;
   PipelineGuards guards;
@@ -79,6 +82,7 @@
   detail::TokenCallCounts tokenCalls;
   GateStats gate;           ///< of the local upstream
   bool isEvacuated = false; ///< the data centre of this node is evacuated
+  bool isUpstreamCold = false;
 };
 
 /// Handlers of the node's ingress, peer and egress listeners. Thread-safe.
@@ -103,6 +107,13 @@
   /// this node's is among them, the local upstream gets no more requests. Must be called by one
   /// thread.
   void SetEvacuated(const std::set<std::string>& dataCentres);
+  /// @brief Applies what the local upstream reports about how much longer it stays cold.
+  void ReportWarmup(const WarmupReport& report);
+
+  /// @brief Assumes that the local upstream is cold until a health check that is sent later says
+  /// otherwise, and requests one. Has no effect on a service without a rate limit for cold
+  /// upstreams.
+  void AssumeUpstreamCold();
 
   /// @brief Serves the local upstream's nested calls and announcements.
   void HandleEgress(ServerExchange& exchange);
--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -51,7 +51,8 @@
 /// Picks members. Draining members, members in evacuated data centres, members tried before and
 /// members in data centres that the request does not allow are never picked. Ejected members are
 /// picked only by rule 1, or when an idempotent request allows only some data centres and all
-/// eligible members there are ejected.
+/// eligible members there are ejected. A cold member with a rate limit is picked above this node's
+/// share of its rate only if there is no other (see WarmupShare).
 /// Rules, in this order:
 ///
 /// 1. an ejected member whose ejection has ended gets one trial request;
@@ -85,6 +86,7 @@
   [[nodiscard]] MemberState* PickMember(ServiceMembers& members,
                                         const PickRequest& request,
                                         TimePoint now);
+  [[nodiscard]] bool IsAboveWarmupShare(MemberState& member, TimePoint now);
   [[nodiscard]] MemberState* PickByUtilisation(const std::vector<MemberState*>& members,
                                                TimePoint now);
   [[nodiscard]] MemberState* BetterOfTwo(const std::vector<MemberState*>& members, TimePoint now);
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -130,6 +130,8 @@
   bool routesByFleet = false; ///< see FleetOrder() and FleetRead()
   LocalUpstream::TranslationFactory makeTranslation;
   std::function<void()> onEvacuationEnded;
+  const Clock* clock = nullptr; ///< null: the system's
+  std::function<void()> requestHealthCheck;
 };
 
 inline constexpr int kRetryBudget = 2;
@@ -177,6 +179,10 @@
   int Announce(bool isDraining);
   /// Announces an upstream at @p port instead of the one in the options.
   int AnnounceAt(std::uint16_t port, bool isDraining = false);
+  /// Reports the upstream's answer to a health check that is sent now.
+  void ReportHealthWarmup(Duration left);
+  RequestPipeline& Pipeline() { return pipeline_; }
+  [[nodiscard]] std::int64_t AnnouncedColdStartMs() const;
   /// Begins a graceful stop that ends after @p left.
   void BeginStop(Duration left);
   /// Stops the node's listeners; returns when its requests have completed.
@@ -189,7 +195,8 @@
   HttpServerOptions ListenerOptions(void (RequestPipeline::*handle)(ServerExchange&));
 
   TestNodeOptions options_;
-  SystemClock clock_;
+  SystemClock systemClock_;
+  const Clock& clock_;
   ChangeSignal completed_;
   StateCache stateCache_;
   LocalUpstream upstream_;
