acpctl fleet check: findings in a fleet document, and differences

Reports errors, entries that can never match, limits that contradict each other, and the differences from another document. Values are not shown among the differences, since key hashes are among them.

The number of a service's members is not known here, so max_attempts is not checked against it.

--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -19,6 +19,7 @@
 
 // config
 #include "acaciapulley/config/config_error.hpp"
+#include "acaciapulley/config/fleet_check.hpp"
 #include "acaciapulley/config/fleet_document.hpp"
 #include "acaciapulley/config/service_document.hpp"
 
--- a/src/programs/acpctl/commands.cpp
+++ b/src/programs/acpctl/commands.cpp
@@ -17,6 +17,7 @@
 #include "acaciapulley/core/random.hpp"             // RandomHex
 #include "acaciapulley/transport/process.hpp"       // ReadFile, TrimRight
 #include "control_client.hpp"                       // ControlClient
+#include "fleet_check.hpp"                          // RunFleetCheck
 #include "tables.hpp"                               // FormatTable
 
 namespace acp {
@@ -28,6 +29,7 @@
   "  config get SERVICE                 print the current document\n"
   "  config status [SERVICE]            versions, and whether all nodes have confirmed them\n"
   "  config history SERVICE             the last 20 versions\n"
+  "  fleet check FILE [--against FILE]  check a fleet document on this host; list what differs\n"
   "  key give ACCOUNT                   issue a key; it is shown once\n"
   "  key list ACCOUNT\n"
   "  key withdraw ACCOUNT KEY-ID        waits until all nodes have confirmed, or 5 s\n"
@@ -284,7 +286,8 @@
       entry->stringify(json);
       std::string line;
       for (const auto& column : AuditColumns()) {
-        line += (line.empty() ? "" : "  ") + FieldText(entry, column.field);
+        line += line.empty() ? "" : "  ";
+        line += FieldText(entry, column.field);
       }
       fmt::print("{}\n", session.IsJson() ? json.str() : line);
       from = std::to_string(entry->getValue<Poco::Int64>("number") + 1);
@@ -406,6 +409,12 @@
                          "versions",
                          { { "VERSION", "version" }, { "TIME", "time_ms" }, { "BY", "operator" } });
       } },
+    { "fleet check",
+      1,
+      1,
+      [](Session& s, const Arguments& w) {
+        return RunFleetCheck(w[0], s.settings.GetText("against"));
+      } },
     { "key give", 1, 1, [](Session& s, const Arguments& w) { return KeyGive(s, w[0]); } },
     { "key list",
       1,
@@ -482,7 +491,7 @@
     fmt::print(stderr, "acpctl: unknown command or wrong number of arguments\n{}\n", kCommandsHelp);
     return ExitCode::Usage;
   }
-  const bool isLocal = command->name == "config check";
+  const bool isLocal = command->name == "config check" || command->name == "fleet check";
   const bool takesFile = isLocal || command->name == "config put";
   if ((!takesFile && !AreUrlSafe(arguments)) || !IsUrlSafe(settings.GetText("request-id")) ||
       !IsUrlSafe(settings.GetText("if-version"))) {
--- a/src/programs/acpctl/main.cpp
+++ b/src/programs/acpctl/main.cpp
@@ -19,6 +19,7 @@
   settings.AddText("operator-key-file", "file with the operator key", "operator.key");
   settings.AddText("if-version", "version that was edited; 0 for a new document", "");
   settings.AddText("request-id", "8 to 64 of A-Z a-z 0-9 - _; new for each change if empty", "");
+  settings.AddText("against", "fleet check: file with the document to compare with", "");
   settings.AddSwitch("json", "print answers as JSON");
   settings.AddSwitch("follow", "audit: print new entries until interrupted");
   settings.AddInteger("from", "audit: first number; 0 for the latest entries", 0, 0, INT64_MAX);
