Run pipelined requests of a connection concurrently

Callers that send further requests before they have a response had them served one after the other: with 0.4 s for a request the fourth one of a connection was over its objective before it had been started.

Up to 8 GET and HEAD requests of a connection now run at the same time; responses keep the order. Other methods wait for their turn, since the response in front of them may end the connection and their caller would send them again. A request that was started is answered before a close: a stop, or a response that asks for a close, closes after the last one. Input is waited for only while no response is written, because a descriptor has one wait at a time. Connections whose callers do not pipeline are served as before.

Weighed: a second descriptor for the input (dup), which would need one more for each connection, and reading the requests of all connections ahead, which costs a system call for each request.

transport_test -t pipelining: 7 new cases, which fail or hang with one request at a time.

--- a/include/acaciapulley/transport/detail/http_connection.hpp
+++ b/include/acaciapulley/transport/detail/http_connection.hpp
@@ -72,6 +72,17 @@
     return std::string_view(buffer_).substr(position_);
   }
 
+  /// @brief Reads what has arrived without waiting.
+  /// @return false when the peer has closed or the connection has failed
+  bool ReadAvailable();
+
+  /// @brief Returns the complete head at the start of the buffer without consuming it; empty when
+  /// there is none. Valid until the next read.
+  [[nodiscard]] std::string_view BufferedHead() const;
+
+  /// @brief Consumes the first @p count bytes of the buffer.
+  void Consume(std::size_t count) { position_ += count; }
+
   /// @brief Frees the buffer if all of its input has been consumed.
   void ReleaseBuffer();
 
--- a/include/acaciapulley/transport/detail/server_exchange.hpp
+++ b/include/acaciapulley/transport/detail/server_exchange.hpp
@@ -12,19 +12,31 @@
 
 namespace acp::detail {
 
+/// What an exchange asks of its connection.
+struct ExchangeHooks
+{
+  /// Whether the request has been started before the response to the one in front of it.
+  bool isAhead = false;
+  /// Called before the first byte of the response; waits until the responses before it have been
+  /// sent. Returns false when the connection has ended before.
+  std::function<bool()> beginResponse;
+  /// Checked when the response head is written; true closes the connection after the response.
+  std::function<bool()> isStopping;
+  /// Whether a request behind this one has been started, so that the connection must stay open.
+  std::function<bool()> hasStartedNext;
+};
+
 /// ServerExchange for one request on a connection.
 class ConnectionExchange final : public ServerExchange
 {
 public:
   /// @param callerGone stopped when the peer closes the connection
-  /// @param isStopping checked when the response head is written; true closes the connection after
-  /// the response
   ConnectionExchange(HttpConnection& connection,
                      const HttpServerOptions& options,
                      HttpRequestHead head,
                      const MessageFraming& framing,
                      std::stop_token callerGone,
-                     std::function<bool()> isStopping);
+                     ExchangeHooks hooks);
 
   [[nodiscard]] const HttpRequestHead& Request() const override { return head_; }
   [[nodiscard]] std::int64_t RequestBodyLength() const override { return framing_.bodyLength; }
@@ -34,9 +46,12 @@
                                    std::int64_t length,
                                    BodySource& body,
                                    const std::function<void()>& beforeLastBytes) override;
-  [[nodiscard]] bool IsCallerGone() const override { return connection_.IsPeerGone(); }
+  [[nodiscard]] bool IsCallerGone() const override
+  {
+    return callerGone_.stop_requested() || connection_.IsPeerGone();
+  }
   [[nodiscard]] std::stop_token CallerGone() const override { return callerGone_; }
-  [[nodiscard]] bool IsFirstOnConnection() const override { return responseStart_ == 0; }
+  [[nodiscard]] bool IsFirstOnConnection() const override { return isFirst_; }
   void SetForwarding(Forwarding forwarding) override { forwarding_ = forwarding; }
   void Abort() override;
 
@@ -66,6 +81,8 @@
 
 private:
   std::string BeginResponse(const HttpResponseHead& head, std::int64_t length);
+  /// Waits for the turn of this response; returns false when the connection has ended.
+  bool AwaitTurn();
   bool Send(std::string_view first, std::string_view second);
   bool SendHead(const std::string& start, const std::function<void()>& beforeLastBytes);
   bool CopyBody(std::string start, bool isChunked, BodySource& body, const std::function<void()>&);
@@ -76,7 +93,9 @@
   MessageFraming framing_;
   FramedBody body_;
   std::stop_token callerGone_;
-  std::function<bool()> isStopping_;
+  ExchangeHooks hooks_;
+  bool isFirst_; ///< the connection has carried no response and no earlier request waits for one
+  bool isDropped_ = false; ///< the connection ended before the turn of the response
   bool hasResponded_ = false;
   int status_ = 0;
   std::string outcome_;
--- a/include/acaciapulley/transport/http_server.hpp
+++ b/include/acaciapulley/transport/http_server.hpp
@@ -99,6 +99,11 @@
   /// Runs the handler in a task of an EventLoop, where it may wait only by HttpPool, WaitPoint and
   /// RunBlocking. False: each request in progress has a thread.
   bool runsInTasks = false;
+  /// Requests of one connection that run concurrently when its caller sends further ones before it
+  /// has a response (pipelining); responses keep the order of the requests. Only GET and HEAD
+  /// without a body start before the response to the request in front of them. Needs runsInTasks;
+  /// 1: none.
+  int maxPipelined = 1;
   Duration idleTimeout = std::chrono::seconds(15); ///< longer than HttpPoolOptions::idleTimeout
   /// If set, returns the idle timeout that is in force, instead of `idleTimeout`. Called each time
   /// a connection becomes idle.
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -29,6 +29,8 @@
 // Well below the state age beyond which a node no longer denies keys and routes.
 constexpr Duration kSyncMaxHold = std::chrono::milliseconds(500);
 constexpr Duration kSyncTimeout = std::chrono::milliseconds(1000);
+// Each request of a connection that runs concurrently occupies a stack and a connection to a peer.
+constexpr int kMaxPipelined = 8;
 
 } // namespace
 
@@ -178,6 +180,7 @@
       "ingress", options.ingress, options.maxConnections, &RequestPipeline::HandleIngress);
     ingress.echoedField = options.requestIdField;
     if (options.routesByFleet) {
+      ingress.maxPipelined = kMaxPipelined;
       ingress.currentIdleTimeout = [this, fallback = ingress.idleTimeout] {
         const FleetDocumentPtr fleet = stateCache_.Fleet();
         return fleet ? fleet->Limits().idleTimeout : fallback;
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -117,6 +117,18 @@
   }
 }
 
+bool HttpConnection::ReadAvailable()
+{
+  const IoStatus status = Fill(SteadyNow());
+  return status == IoStatus::Ok || status == IoStatus::TimedOut;
+}
+
+std::string_view HttpConnection::BufferedHead() const
+{
+  const std::size_t end = Buffered().find("\r\n\r\n");
+  return end == std::string_view::npos ? std::string_view() : Buffered().substr(0, end + 4);
+}
+
 IoStatus HttpConnection::ReadHead(std::size_t limit, TimePoint deadline, std::string* head)
 {
   std::size_t scanned = 0;
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // min
 #include <array>     // array
 #include <exception> // exception
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
@@ -25,6 +25,10 @@
 constexpr Duration kLingerPollInterval = std::chrono::milliseconds(100);
 // After a stop, a request in transit on an idle connection is still served.
 constexpr Duration kStopGrace = std::chrono::milliseconds(100);
+// Input that arrives this soon after a response was sent before the caller could have read it:
+// callers are at least 1 ms away.
+constexpr Duration kPipelinedInputGap = std::chrono::microseconds(500);
+constexpr Duration kLongestWait = std::chrono::hours(1);
 constexpr Duration kRefusalTimeout = std::chrono::seconds(1);
 constexpr std::string_view kHeartbeatTarget = "/.acp/heartbeat";
 
@@ -72,6 +76,19 @@
   std::function<void()> step_;
 };
 
+/// Returns whether requests behind this one may be started while it runs.
+bool AllowsNext(const MessageFraming& framing)
+{
+  return framing.bodyLength == 0 && framing.keepAlive && !framing.expectsContinue;
+}
+
+/// Returns whether the request may be started while the one in front of it runs. It may be sent
+/// again if the connection ends, so it must be safe.
+bool MayStartAhead(const HttpRequestHead& head, const MessageFraming& framing)
+{
+  return (head.method == "GET" || head.method == "HEAD") && AllowsNext(framing);
+}
+
 bool IsHeartbeat(const HttpRequestHead& head, const HttpServerOptions& options)
 {
   return options.answersHeartbeats && head.target == kHeartbeatTarget &&
@@ -145,6 +162,8 @@
   wait_ = 0;
   // A request may have arrived while the loop was busy past the deadline.
   if (result == WaitResult::Ready || connection_.HasInput()) {
+    isPipelining_ =
+      isPipelining_ || (requestCount_ > 0 && SteadyNow() - idleSince_ < kPipelinedInputGap);
     connection_.MarkReadable();
     Dispatch([self = shared_from_this()] { self->Serve(); });
   } else if (connection_.HasUnsentOutput()) {
@@ -187,6 +206,7 @@
   } catch (const std::exception& e) {
     Log(LogLevel::Error, "connection_failed", { { "error", e.what() } });
   }
+  DropAhead();
   if (next == NextStep::CloseAfterResponse) {
     LingerAndClose();
     return;
@@ -196,6 +216,7 @@
     return;
   }
   connection_.ReleaseBuffer();
+  idleSince_ = SteadyNow();
   ScheduleWait();
 }
 
@@ -204,13 +225,129 @@
 {
   NextStep next = ServeNext();
   // Requests that a caller sent ahead are not started once it has closed the connection.
-  while (next == NextStep::Continue && connection_.HasBuffered() &&
-         !watch_.Closed().stop_requested()) {
-    next = ServeNext();
+  while (next == NextStep::Continue && !watch_.Closed().stop_requested()) {
+    if (!ahead_.empty()) {
+      next = FinishAhead();
+    } else if (connection_.HasBuffered()) {
+      next = ServeNext();
+    } else {
+      break;
+    }
   }
   return next;
 }
 
+bool ServerConnection::CanPipeline() const
+{
+  return server_.options->maxPipelined > 1 && server_.workers == nullptr;
+}
+
+void ServerConnection::StartNextRequests()
+{
+  const auto limit = static_cast<std::size_t>(server_.options->maxPipelined);
+  while (ahead_.size() + 1 < limit && !*server_.isStopping && !watch_.Closed().stop_requested()) {
+    const std::string_view text = connection_.BufferedHead();
+    if (text.empty() && connection_.Buffered().size() <= kMaxHeadBytes) {
+      aheadWait_ =
+        loop_.Watch(connection_.Descriptor(),
+                    SteadyNow() + server_.options->headTimeout,
+                    [self = shared_from_this()](WaitResult result) {
+                      self->aheadWait_ = 0;
+                      self->connection_.MarkReadable();
+                      if (result == WaitResult::Ready && self->connection_.ReadAvailable()) {
+                        self->StartNextRequests();
+                      }
+                    });
+      return;
+    }
+    HttpRequestHead head;
+    MessageFraming framing;
+    if (text.empty() || text.size() > kMaxHeadBytes || ParseRequestHead(text, &head, &framing) ||
+        !MayStartAhead(head, framing)) {
+      return; // served, or refused, in its turn
+    }
+    connection_.Consume(text.size());
+    StartAhead(std::move(head), framing);
+  }
+}
+
+void ServerConnection::StartAhead(HttpRequestHead head, const MessageFraming& framing)
+{
+  auto request = std::make_shared<AheadRequest>();
+  request->exchange = std::make_unique<ConnectionExchange>(
+    connection_,
+    *server_.options,
+    std::move(head),
+    framing,
+    request->cancelled.get_token(),
+    ExchangeHooks{ .isAhead = true,
+                   .beginResponse = [this, ahead = request.get()] { return AwaitTurn(*ahead); },
+                   .isStopping = [this] { return server_.isStopping->load(); },
+                   .hasStartedNext = [this] { return ahead_.size() > 1; } });
+  ahead_.push_back(request);
+  loop_.Spawn([self = shared_from_this(), request] { self->RunAhead(*request); });
+}
+
+void ServerConnection::RunAhead(AheadRequest& request)
+{
+  const std::stop_callback onClosed(watch_.Closed(),
+                                    [&request] { request.cancelled.request_stop(); });
+  try {
+    Handle(*request.exchange);
+    request.next = StepAfter(*request.exchange);
+  } catch (const std::exception& e) {
+    Log(LogLevel::Error, "connection_failed", { { "error", e.what() } });
+  }
+  request.isFinished = true;
+  request.finished.Wake();
+}
+
+bool ServerConnection::AwaitTurn(AheadRequest& request)
+{
+  while (!request.hasTurn && !request.isDropped) {
+    request.turnChanged.WaitFor(kLongestWait);
+  }
+  StopReadingAhead();
+  return !request.isDropped;
+}
+
+ServerConnection::NextStep ServerConnection::FinishAhead()
+{
+  const std::shared_ptr<AheadRequest> request = ahead_.front();
+  StopReadingAhead();
+  StartNextRequests();
+  request->hasTurn = true;
+  request->turnChanged.Wake();
+  while (!request->isFinished) {
+    request->finished.WaitFor(kLongestWait);
+  }
+  ahead_.pop_front();
+  return request->next;
+}
+
+void ServerConnection::DropAhead()
+{
+  StopReadingAhead();
+  for (const auto& request : ahead_) {
+    request->isDropped = true;
+    request->cancelled.request_stop();
+    request->turnChanged.Wake();
+  }
+  for (const auto& request : ahead_) {
+    while (!request->isFinished) {
+      request->finished.WaitFor(kLongestWait);
+    }
+  }
+  ahead_.clear();
+}
+
+void ServerConnection::StopReadingAhead()
+{
+  if (aheadWait_ != 0) {
+    loop_.CancelWait(std::exchange(aheadWait_, 0));
+  }
+}
+
 ServerConnection::NextStep ServerConnection::ServeNext()
 {
   std::string text;
@@ -227,11 +364,31 @@
   if (const auto parseError = ParseRequestHead(text, &head, &framing)) {
     return Refuse(RefusalHead(400, Reason::BadRequest), *parseError + "\n");
   }
-  ConnectionExchange exchange(
-    connection_, *server_.options, std::move(head), framing, watch_.Closed(), [this] {
-      return server_.isStopping->load();
-    });
+  const bool mayStartNext = CanPipeline() && AllowsNext(framing);
+  ConnectionExchange exchange(connection_,
+                              *server_.options,
+                              std::move(head),
+                              framing,
+                              watch_.Closed(),
+                              { .beginResponse =
+                                  [this] {
+                                    StopReadingAhead();
+                                    return true;
+                                  },
+                                .isStopping = [this] { return server_.isStopping->load(); },
+                                .hasStartedNext = [this] { return !ahead_.empty(); } });
+  isPipelining_ = isPipelining_ || connection_.HasBuffered();
+  if (mayStartNext && isPipelining_) {
+    StartNextRequests();
+  }
   Handle(exchange);
+  StopReadingAhead();
+  return StepAfter(exchange);
+}
+
+/// Ends an exchange after its handler.
+ServerConnection::NextStep ServerConnection::StepAfter(ConnectionExchange& exchange)
+{
   if (exchange.IsResponseDue()) {
     exchange.RespondToFailure();
   }
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -62,14 +62,15 @@
                                        HttpRequestHead head,
                                        const MessageFraming& framing,
                                        std::stop_token callerGone,
-                                       std::function<bool()> isStopping)
+                                       ExchangeHooks hooks)
   : connection_(connection)
   , options_(options)
   , head_(std::move(head))
   , framing_(framing)
   , body_(connection, framing.bodyLength, options.bodyIdleTimeout)
   , callerGone_(std::move(callerGone))
-  , isStopping_(std::move(isStopping))
+  , hooks_(std::move(hooks))
+  , isFirst_(connection.SentBytes() == 0 && !hooks_.isAhead)
   , isReusable_(framing.keepAlive)
   , responseStart_(connection.SentBytes())
 {
@@ -78,8 +79,21 @@
   }
 }
 
+bool ConnectionExchange::AwaitTurn()
+{
+  if (hooks_.beginResponse && !std::exchange(hooks_.beginResponse, nullptr)()) {
+    isDropped_ = true;
+  }
+  responseStart_ = connection_.SentBytes();
+  return !isDropped_;
+}
+
 bool ConnectionExchange::Send(std::string_view first, std::string_view second)
 {
+  if (isDropped_) {
+    EndUnanswered(RequestEnd::SourceEnded);
+    return false;
+  }
   IoStatus status = IoStatus::Ok;
   while (status == IoStatus::Ok && (!first.empty() || !second.empty())) {
     const auto sent = static_cast<double>(connection_.SentBytes() - responseStart_);
@@ -111,6 +125,8 @@
 void ConnectionExchange::Abort()
 {
   isAborted_ = true;
+  // The callers of earlier requests are still owed their responses.
+  AwaitTurn();
   connection_.Shutdown();
 }
 
@@ -123,7 +139,11 @@
   // A caller that waits for `100 Continue` and receives a final response may or may not send its
   // body.
   const bool bodyIsUncertain = framing_.expectsContinue && !body_.IsComplete();
-  isReusable_ = isReusable_ && !isStopping_() && !HasConnectionClose(head) && !bodyIsUncertain;
+  const bool isOpen = AwaitTurn();
+  // A close would leave the requests without responses that have been started behind this one.
+  const bool isCloseWanted = hooks_.isStopping() || HasConnectionClose(head);
+  const bool closes = isCloseWanted && !hooks_.hasStartedNext();
+  isReusable_ = isOpen && isReusable_ && !closes && !bodyIsUncertain;
   const auto& echoed = options_.echoedField;
   const auto id = echoed.empty() ? std::nullopt : head_.headers.Find(echoed);
   if (!id) {
@@ -150,8 +170,8 @@
   const bool hasNoBody = head_.method == "HEAD" || head.status == 204 || head.status == 304;
   const bool isChunked = length < 0;
   const bool wasReusable = isReusable_;
-  const std::uint64_t sentBefore = connection_.SentBytes();
   std::string start = BeginResponse(head, isChunked ? kChunked : length);
+  const std::uint64_t sentBefore = connection_.SentBytes();
   // If the response ends early for any reason, such as an exception, the connection must end too.
   const bool isReusableAfter = std::exchange(isReusable_, false);
   const auto withdrawUnsent = [&] {
--- a/tests/transport_test/pipelining_test.cpp
+++ b/tests/transport_test/pipelining_test.cpp
@@ -38,10 +38,19 @@
 }
 
 /// A server whose responses repeat target and body of their requests. Requests to /hold wait for
-/// Unblock() or the caller's close; responses to /close close the connection.
+/// Unblock() or the caller's close; responses to /close close the connection, and /abort is not
+/// answered.
 class EchoServer
 {
 public:
+  explicit EchoServer(int maxPipelined = 1)
+    : server_({ .address = { .ip = "127.0.0.1", .port = 0 },
+                .maxConnections = 16,
+                .handler = [this](auto& e) { Handle(e); },
+                .runsInTasks = true,
+                .maxPipelined = maxPipelined })
+  {
+  }
   ~EchoServer() { Unblock(); }
 
   Poco::Net::StreamSocket Connect() const
@@ -88,6 +97,10 @@
         held_.WaitFor(std::chrono::seconds(1));
       }
     }
+    if (target == "/abort") {
+      exchange.Abort();
+      return;
+    }
     acp::HttpResponseHead head{ .status = 200 };
     if (target == "/close") {
       head.headers.Set("Connection", "close");
@@ -106,10 +119,7 @@
   std::vector<std::string> started_;
   bool isUnblocked_ = false;
   acp::WaitPoint held_;
-  acp::HttpServer server_{ { .address = { .ip = "127.0.0.1", .port = 0 },
-                             .maxConnections = 16,
-                             .handler = [this](auto& e) { Handle(e); },
-                             .runsInTasks = true } };
+  acp::HttpServer server_;
 };
 
 void Send(Poco::Net::StreamSocket& socket, const std::string& bytes)
@@ -152,16 +162,18 @@
 // together or in pieces, with bodies between them.
 BOOST_AUTO_TEST_CASE(responses_keep_the_order_of_requests_cut_at_any_byte)
 {
-  const std::string requests =
-    Get("/1") + Post("/2", "hello") + PostChunked("/3") + Post("/4", "") + Get("/5?a=b");
-  const std::string expected = "/1 ;/2 hello;/3 abcde;/4 ;/5?a=b ;";
-  EchoServer server;
-  for (std::size_t cut = 0; cut <= requests.size(); ++cut) {
-    auto socket = server.Connect();
-    socket.setNoDelay(true);
-    Send(socket, requests.substr(0, cut));
-    Send(socket, requests.substr(cut));
-    BOOST_TEST(BodiesOf(ReceiveUntil(socket, "/5?a=b ;")) == expected);
+  for (const int maxPipelined : { 1, 4 }) {
+    const std::string requests =
+      Get("/1") + Post("/2", "hello") + PostChunked("/3") + Post("/4", "") + Get("/5?a=b");
+    const std::string expected = "/1 ;/2 hello;/3 abcde;/4 ;/5?a=b ;";
+    EchoServer server(maxPipelined);
+    for (std::size_t cut = 0; cut <= requests.size(); ++cut) {
+      auto socket = server.Connect();
+      socket.setNoDelay(true);
+      Send(socket, requests.substr(0, cut));
+      Send(socket, requests.substr(cut));
+      BOOST_TEST(BodiesOf(ReceiveUntil(socket, "/5?a=b ;")) == expected);
+    }
   }
 }
 
@@ -251,4 +263,121 @@
   BOOST_TEST(server.Started().size() == 1U);
 }
 
+// Answers the load of callers that send several requests at once on one connection: guards against
+// a slow request that delays the start of those behind it.
+BOOST_AUTO_TEST_CASE(requests_sent_ahead_run_while_the_first_one_waits)
+{
+  EchoServer server(4);
+  auto socket = server.Connect();
+  Send(socket, Get("/hold") + Get("/2") + Get("/3"));
+  server.AwaitStarted(3);
+  server.Unblock();
+  BOOST_TEST(BodiesOf(ReceiveUntil(socket, "/3 ;")) == "/hold ;/2 ;/3 ;");
+}
+
+// Guards against requests that wait because they arrive after the first one has been started.
+BOOST_AUTO_TEST_CASE(a_request_that_arrives_later_runs_while_the_first_one_waits)
+{
+  EchoServer server(4);
+  auto socket = server.Connect();
+  Send(socket, Get("/1") + Get("/2"));
+  (void)ReceiveUntil(socket, "/2 ;");
+  Send(socket, Get("/hold"));
+  server.AwaitStarted(3);
+  Send(socket, Get("/4"));
+  server.AwaitStarted(4);
+  const std::string half = Get("/5");
+  Send(socket, half.substr(0, half.size() / 2));
+  Send(socket, half.substr(half.size() / 2));
+  server.AwaitStarted(5);
+  server.Unblock();
+  BOOST_TEST(BodiesOf(ReceiveUntil(socket, "/5 ;")) == "/hold ;/4 ;/5 ;");
+}
+
+// Guards against memory and work that grow with what a caller sends ahead, and against requests
+// beyond the limit that are forgotten.
+BOOST_AUTO_TEST_CASE(requests_beyond_the_limit_wait_for_their_turn)
+{
+  constexpr int kRequests = 30;
+  EchoServer server(4);
+  auto socket = server.Connect();
+  std::string requests = Get("/hold");
+  std::string expected = "/hold ;";
+  for (int i = 1; i < kRequests; ++i) {
+    requests += Get("/" + std::to_string(i));
+    expected += "/" + std::to_string(i) + " ;";
+  }
+  Send(socket, requests);
+  server.AwaitStarted(4);
+  acp::SleepFor(std::chrono::milliseconds(50));
+  BOOST_TEST(server.Started().size() == 4U);
+  server.Unblock();
+  BOOST_TEST(BodiesOf(ReceiveUntil(socket, "/29 ;")) == expected);
+}
+
+// Guards against requests that were started and then cut by a stop, or by a response in front of
+// them that closes the connection.
+BOOST_AUTO_TEST_CASE(requests_that_were_started_ahead_are_answered_before_a_close)
+{
+  for (const bool stops : { true, false }) {
+    EchoServer server(4);
+    auto socket = server.Connect();
+    Send(socket, Get("/hold") + Get("/close") + Get("/3"));
+    server.AwaitStarted(3);
+    if (stops) {
+      server.Server().BeginStop();
+      Send(socket, Get("/4"));
+    }
+    server.Unblock();
+    const std::string received = ReceiveUntil(socket, stops ? "" : "/3 ;");
+    BOOST_TEST(BodiesOf(received) == "/hold ;/close ;/3 ;");
+    BOOST_TEST((received.find("Connection: close") != std::string::npos) == stops);
+    BOOST_TEST(server.Started().size() == 3U);
+  }
+}
+
+// Guards against a request that may run once only and is started although the response in front of
+// it may still end the connection: its caller would send it again.
+BOOST_AUTO_TEST_CASE(requests_that_may_not_be_repeated_are_not_started_ahead)
+{
+  EchoServer server(4);
+  auto socket = server.Connect();
+  Send(socket, Get("/hold") + Post("/2", "") + Get("/3"));
+  server.AwaitStarted(1);
+  acp::SleepFor(std::chrono::milliseconds(50));
+  BOOST_TEST(server.Started().size() == 1U);
+  server.Unblock();
+  BOOST_TEST(BodiesOf(ReceiveUntil(socket, "/3 ;")) == "/hold ;/2 ;/3 ;");
+}
+
+// Guards against requests that go on after their caller has left, and against tasks that outlive
+// their connection.
+BOOST_AUTO_TEST_CASE(requests_started_ahead_end_when_the_caller_leaves)
+{
+  EchoServer server(4);
+  {
+    auto socket = server.Connect();
+    Send(socket, Get("/2") + Get("/hold") + Get("/3"));
+    server.AwaitStarted(3);
+  }
+  while (server.Server().Connections() > 0) {
+    acp::SleepFor(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(server.Started().size() == 3U);
+}
+
+// Guards against requests that go on, or wait for a turn that never comes, after a response in
+// front of them has failed and ended the connection.
+BOOST_AUTO_TEST_CASE(requests_started_ahead_end_with_their_connection)
+{
+  EchoServer server(4);
+  auto socket = server.Connect();
+  Send(socket, Get("/1") + Get("/abort") + Get("/hold") + Get("/4"));
+  BOOST_TEST(BodiesOf(ReceiveUntil(socket, "")) == "/1 ;");
+  while (server.Server().Connections() > 0) {
+    acp::SleepFor(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(server.Started().size() >= 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
