A recorded response without a valid status is not repeated to a caller

Control does not check the status of a claim's outcome: one of an earlier version may be above 599, and a finished claim without an outcome has 0. The caller now gets 502 with unknown outcome. The new test fails before.

--- a/src/node/claim_client.cpp
+++ b/src/node/claim_client.cpp
@@ -39,12 +39,25 @@
            .bodyDigest = outcome.bodyDigest };
 }
 
+/// Control does not check statuses: a record of an earlier version may hold one above 599, and a
+/// reply without an outcome has 0.
+bool IsFinalStatus(int status)
+{
+  return status >= 200 && status <= 599;
+}
+
 OrRefusal<std::optional<RecordedOutcome>> Interpret(const wire::BeginClaimReply& reply)
 {
   switch (reply.state) {
     case wire::ClaimState::GRANTED:
       return std::optional<RecordedOutcome>();
     case wire::ClaimState::FINISHED:
+      if (!IsFinalStatus(reply.outcome.status)) {
+        return OutcomeUnknownRefusal(
+          502,
+          Reason::UpstreamConnectionLost,
+          "the recorded response of an earlier attempt has no valid status");
+      }
       return std::optional<RecordedOutcome>(FromWire(reply.outcome));
     case wire::ClaimState::IN_PROGRESS:
       return NotRunRefusal(409,
--- a/tests/node_test/invalid_status_test.cpp
+++ b/tests/node_test/invalid_status_test.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "acaciapulley/node/detail/claim_client.hpp"
 #include "pipeline_fixture.hpp"
 #include "scripted_upstream.hpp"
 
@@ -168,6 +169,41 @@
   BOOST_TEST(firstUpstream.CountRequests("orders") == 1);
 }
 
+// Guards against a recorded response without a valid status that is repeated to a caller.
+BOOST_AUTO_TEST_CASE(recorded_response_needs_a_valid_status)
+{
+  struct FinishedControl final : acp::wire::ControlServiceNull
+  {
+    int status = 0;
+    void BeginClaim(acp::wire::BeginClaimReply& reply,
+                    const acp::wire::BeginClaimRequest& /*request*/) override
+    {
+      reply.state = acp::wire::ClaimState::FINISHED;
+      reply.outcome.status = status;
+    }
+  };
+  FinishedControl finished;
+  acp::detail::ClaimClient claims(
+    [&finished](const auto& operation) -> acp::TransportResult<void> {
+      operation(finished);
+      return boost::outcome_v2::success();
+    },
+    "n1");
+  const auto begin = [&](int status) {
+    finished.status = status;
+    return claims.Begin({ .account = "a", .service = "front", .idempotencyKey = "k" });
+  };
+  for (const int status : { 0, -1, 99, 100, 199, 600, 999 }) {
+    const auto result = begin(status);
+    BOOST_REQUIRE(!result.has_value());
+    BOOST_TEST(result.error().status == 502);
+    BOOST_TEST((result.error().outcome == acp::RequestOutcome::Unknown));
+  }
+  for (const int status : { 200, 404, 599 }) {
+    BOOST_TEST(begin(status).value()->status == status);
+  }
+}
+
 // Guards against a bound that is too narrow: every status of the valid range reaches the caller.
 BOOST_AUTO_TEST_CASE(valid_statuses_are_passed_on)
 {
