Wait for rate tokens by the time that a request has

A request now waits up to half of its target latency while control cannot tell whether its account is within its rate and a change of leaders can end by then. Waiting requests of an account get tokens by priority.

--- a/src/limits/token_lease_table.cpp
+++ b/src/limits/token_lease_table.cpp
@@ -41,7 +41,7 @@
   return shards_.at(HashOf(key) % kShardCount);
 }
 
-ReserveResult TokenLeaseTable::TryReserve(const LimitKey& key, TimePoint now)
+ReserveResult TokenLeaseTable::TryReserve(const LimitKey& key, TimePoint now, const TokenWait& wait)
 {
   Shard& shard = ShardOf(key);
   const std::lock_guard lock(shard.mutex);
@@ -57,7 +57,9 @@
     }
   }
   const Duration retryAfter = std::max(entry.refusedUntil - now, Duration::zero());
-  const bool isRefused = retryAfter > options_.maxWait;
+  const Duration longestWait =
+    std::max(options_.maxWait, entry.mayBeWithinRate ? wait.whileUnknown : wait.usual);
+  const bool isRefused = retryAfter > longestWait;
   return { .status = isRefused ? ReserveStatus::Refused : ReserveStatus::Wait,
            .reservation = {},
            .retryAfter = retryAfter,
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -148,7 +148,13 @@
   if (!admitted.limitKey) {
     return TokenPtr();
   }
-  return tokens_.Reserve(*admitted.limitKey, exchange.CallerGone());
+  const RequestClass& requestClass = *admitted.request.requestClass;
+  const Duration remaining = std::chrono::milliseconds(CountMillis(admitted.context.deadline) -
+                                                       CountMillis(options_.clock->WallNow()));
+  return tokens_.Reserve({ .key = *admitted.limitKey,
+                           .priority = admitted.context.priority,
+                           .wait = detail::TokenWaitOf(requestClass, remaining) },
+                         exchange.CallerGone());
 }
 
 DispatchResult RequestPipeline::Impl::RunAdmitted(ServerExchange& exchange,
--- a/src/node/request_times.cpp
+++ b/src/node/request_times.cpp
@@ -13,6 +13,15 @@
 // The queue timeout is the remaining time, or the target latency, divided by these.
 constexpr int kNestedQueueTimeoutDivisor = 2;
 constexpr int kRootQueueTimeoutDivisor = 5;
+constexpr int kTokenWaitDivisor = 8;
+constexpr int kUnknownRateWaitDivisor = 2;
+
+Duration TimeToTarget(const RequestClass& requestClass, Duration remaining)
+{
+  return requestClass.targetLatency > Duration::zero()
+           ? std::min(requestClass.targetLatency, remaining)
+           : remaining;
+}
 
 } // namespace
 
@@ -26,10 +35,14 @@
 
 Duration QueueTimeoutOf(const RequestClass& requestClass, Duration remaining, bool isNested)
 {
-  const Duration target =
-    requestClass.targetLatency > Duration::zero() ? requestClass.targetLatency : remaining;
   return isNested ? remaining / kNestedQueueTimeoutDivisor
-                  : std::min(target, remaining) / kRootQueueTimeoutDivisor;
+                  : TimeToTarget(requestClass, remaining) / kRootQueueTimeoutDivisor;
+}
+
+TokenWait TokenWaitOf(const RequestClass& requestClass, Duration remaining)
+{
+  const Duration left = TimeToTarget(requestClass, remaining);
+  return { .usual = left / kTokenWaitDivisor, .whileUnknown = left / kUnknownRateWaitDivisor };
 }
 
 OrRefusal<std::chrono::milliseconds> RequestTimeout(const HttpRequestHead& head,
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -1,6 +1,7 @@
 #include "acaciapulley/node/detail/token_client.hpp"
 
-#include <algorithm> // min
+#include <algorithm> // find_if, max, min
+#include <tuple>     // tie
 #include <utility>   // move
 
 #include "acaciapulley/core/log.hpp"    // Log
@@ -21,6 +22,10 @@
 constexpr double kBackoffJitter = 0.2;
 // A request waits at most this long for a token; the caller gets longer waits as Retry-After.
 constexpr Duration kMaxTokenWait = std::chrono::milliseconds(200);
+// A new leader is elected after about 0.5 s and grants again 0.3 s later
+// (docs/measurements-replication.md). Control that is silent for longer has lost more than a
+// leader.
+constexpr Duration kLongestLeaderChange = std::chrono::milliseconds(1100);
 // Answers wake the waiting requests; this bound is for leases that expire in between.
 constexpr Duration kMaxSleep = std::chrono::milliseconds(50);
 // Requests of one account that may wait concurrently while tokens are scarce; further ones are
@@ -122,29 +127,46 @@
   thread_.join();
 }
 
+bool TokenClient::CanControlReturnBy(TimePoint until) const
+{
+  return until >= failingSince_.load() + kLongestLeaderChange;
+}
+
+std::size_t TokenClient::MaxWaiters(bool isScarce, TimePoint longWaitsUntil) const
+{
+  if (isControlSilent_.load() && !CanControlReturnBy(longWaitsUntil)) {
+    return kMaxWaitersWhenSilent;
+  }
+  return isScarce ? kMaxWaitersWhenScarce : kMaxWaiters;
+}
+
 OrRefusal<std::shared_ptr<TokenClient::Token>> TokenClient::Reserve(
-  const LimitKey& key,
+  const TokenDemand& demand,
   const std::stop_token& callerGone)
 {
-  const auto taken = table_.TryReserve(key, options_.clock->Now());
+  const LimitKey& key = demand.key;
+  const TimePoint now = options_.clock->Now();
+  const auto taken = table_.TryReserve(key, now, demand.wait);
   if (taken.status == ReserveStatus::Reserved) {
     return std::make_shared<Token>(*this, key, taken.reservation);
   }
   if (taken.status == ReserveStatus::Refused) {
     return RateExceededRefusal(taken.retryAfter);
   }
-  Waiter waiter;
+  const Duration usualWait = std::max(kMaxTokenWait, demand.wait.usual);
+  Waiter waiter{ .priority = demand.priority,
+                 .waitsUntil = now + usualWait,
+                 .longWaitsUntil = now + std::max(usualWait, demand.wait.whileUnknown) };
   const bool isScarce = taken.retryAfter > Duration::zero();
-  if (isControlSilent_.load()) {
-    if (!AddWaiter(key, waiter, kMaxWaitersWhenSilent)) {
+  if (!AddWaiter(key, waiter, MaxWaiters(isScarce, waiter.longWaitsUntil))) {
+    if (isControlSilent_.load()) {
       return RateUnavailableRefusal();
     }
-  } else if (!AddWaiter(key, waiter, isScarce ? kMaxWaitersWhenScarce : kMaxWaiters)) {
     return RateExceededRefusal(taken.retryAfter);
   }
   table_.AddWaiter(key);
   WakeSender();
-  auto waited = WaitForToken(key, waiter, callerGone);
+  auto waited = WaitForToken(demand, waiter, callerGone);
   table_.RemoveWaiter(key);
   RemoveWaiter(key, waiter);
   return waited;
@@ -157,7 +179,11 @@
   if (waiting.size() >= maxWaiters) {
     return false;
   }
-  waiting.push_back(&waiter);
+  const auto next = std::find_if(waiting.begin(), waiting.end(), [&waiter](const Waiter* other) {
+    return std::tie(waiter.priority, waiter.longWaitsUntil) <
+           std::tie(other->priority, other->longWaitsUntil);
+  });
+  waiting.insert(next, &waiter);
   return true;
 }
 
@@ -207,38 +233,47 @@
 }
 
 std::optional<OrRefusal<std::shared_ptr<TokenClient::Token>>> TokenClient::TryFinishWait(
-  const LimitKey& key,
-  TimePoint deadline)
+  const TokenDemand& demand,
+  const Waiter& waiter)
 {
   const TimePoint now = options_.clock->Now();
-  const auto taken = table_.TryReserve(key, now);
+  const auto taken = table_.TryReserve(
+    demand.key,
+    now,
+    { .usual = waiter.waitsUntil - now, .whileUnknown = waiter.longWaitsUntil - now });
   if (taken.status == ReserveStatus::Reserved) {
-    return std::make_shared<Token>(*this, key, taken.reservation);
+    return std::make_shared<Token>(*this, demand.key, taken.reservation);
   }
-  const bool isAnswered = lastAnswer_.load() >= now - kMaxTokenWait;
-  if (taken.status == ReserveStatus::Refused || (now >= deadline && isAnswered)) {
+  if (taken.status == ReserveStatus::Refused) {
     return RateExceededRefusal(taken.retryAfter);
   }
-  if (now >= deadline) {
-    return RateUnavailableRefusal();
+  const bool isAnswered = lastAnswer_.load() >= now - kMaxTokenWait;
+  const bool mayComeInTime =
+    isAnswered ? taken.mayBeWithinRate : CanControlReturnBy(waiter.longWaitsUntil);
+  if (now < (mayComeInTime ? waiter.longWaitsUntil : waiter.waitsUntil)) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  if (isAnswered) {
+    return RateExceededRefusal(taken.retryAfter);
+  }
+  return RateUnavailableRefusal();
 }
 
-OrRefusal<std::shared_ptr<TokenClient::Token>>
-TokenClient::WaitForToken(const LimitKey& key, Waiter& waiter, const std::stop_token& callerGone)
+OrRefusal<std::shared_ptr<TokenClient::Token>> TokenClient::WaitForToken(
+  const TokenDemand& demand,
+  Waiter& waiter,
+  const std::stop_token& callerGone)
 {
-  const TimePoint deadline = options_.clock->Now() + kMaxTokenWait;
   const std::stop_callback onGone(callerGone, [&waiter] { waiter.point.Wake(); });
   while (true) {
     if (callerGone.stop_requested()) {
       return NotRunRefusal(
         503, Reason::CallerGone, "the caller disconnected while it waited for a rate token");
     }
-    if (auto end = TryFinishWait(key, deadline)) {
+    if (auto end = TryFinishWait(demand, waiter)) {
       return *std::move(end);
     }
-    WaitForWake(waiter, deadline - options_.clock->Now());
+    WaitForWake(waiter, waiter.longWaitsUntil - options_.clock->Now());
   }
 }
 
@@ -293,13 +328,13 @@
       Log(LogLevel::Warning, "tokens_unavailable", { { "error", error } });
     }
     ++failedCalls_;
-    isControlSilent_ = now - failingSince_ >= kMaxTokenWait;
+    isControlSilent_ = now - failingSince_.load() >= kMaxTokenWait;
     return;
   }
   lastAnswer_ = now;
   isControlSilent_ = false;
   if (consecutiveFailures_ > 0) {
-    const auto span = std::chrono::floor<std::chrono::milliseconds>(now - failingSince_);
+    const auto span = std::chrono::floor<std::chrono::milliseconds>(now - failingSince_.load());
     Log(LogLevel::Info,
         "tokens_available",
         { { "failed_calls", std::to_string(consecutiveFailures_) },
