Routing: placement by learned run times

Announced slots say nothing about the speed of an upstream, so that a slow upstream got as many requests as a fast one, and old load reports made all nodes send to the same upstream. A member whose node reports run times is now picked by its expected time.

--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -3,24 +3,38 @@
 /// @file
 /// Selection of the member that executes a request.
 
-#include <cstdint>    // int64_t
+#include <array>      // array
+#include <atomic>     // atomic
+#include <cstdint>    // int64_t, uint64_t
 #include <functional> // function
+#include <map>        // map
 #include <mutex>      // mutex
 #include <optional>   // optional
 #include <string>     // string
 #include <vector>     // vector
 
-#include "acaciapulley/core/clock.hpp"           // TimePoint
-#include "acaciapulley/routing/member_table.hpp" // MemberTable
+#include "acaciapulley/core/clock.hpp"            // TimePoint
+#include "acaciapulley/routing/expected_time.hpp" // ReportAge
+#include "acaciapulley/routing/member_table.hpp"  // MemberTable
 
 namespace acp {
 
+/// Settings of learned placement, see docs/design/learned-placement.md.
+struct LearnedPlacementOptions
+{
+  /// Time for a request to another node of the data centre and its response.
+  Duration hopRoundTrip = std::chrono::microseconds(400);
+  /// Time for a request to another data centre and its response.
+  Duration dataCentreRoundTrip = std::chrono::microseconds(8'800);
+};
+
 /// Construction options of a Balancer.
 struct BalancerOptions
 {
   std::string localNodeId;
   std::string localDataCentre;
   MemberTable* members = nullptr;
+  LearnedPlacementOptions learned;
   /// Returns a uniform random number in [0, 1); a seeded generator by default. Called under a lock.
   std::function<double()> random;
 };
@@ -55,6 +69,11 @@
 /// 4. the less utilised of two members sampled by capacity is picked (power of two choices), from
 ///    the local data centre unless its members are near their limit, otherwise from all.
 ///
+/// Learned placement replaces rules 2 to 4 for a request class whose run time at least one member
+/// reports: the member with the least expected time is picked from two or three members sampled by
+/// capacity. The local upstream is preferred only when it costs at most a hop more, and other data
+/// centres are used when they save more than the round trip.
+///
 /// Calls may come from any thread.
 class Balancer
 {
@@ -74,11 +93,20 @@
   /// PickRequest::tried.
   [[nodiscard]] bool HasUntriedMember(const PickRequest& request) const;
 
+  /// @brief Returns the number of picks since the start by the age of the report that they used.
+  [[nodiscard]] std::map<ReportAge, std::uint64_t> PickCounts() const;
+
 private:
   [[nodiscard]] double Random();
+  void CountPick(ReportAge age) { ++pickCounts_.at(static_cast<std::size_t>(age)); }
   [[nodiscard]] MemberState* PickMember(ServiceMembers& members,
                                         const PickRequest& request,
                                         TimePoint now);
+  /// Returns nullptr when no member reports run times of the class.
+  [[nodiscard]] MemberState* PickByExpectedTime(const ServiceMembers& members,
+                                                const std::vector<MemberState*>& usable,
+                                                const PickRequest& request,
+                                                TimePoint now);
   [[nodiscard]] MemberState* PickByUtilisation(const std::vector<MemberState*>& members,
                                                TimePoint now);
   [[nodiscard]] MemberState* BetterOfTwo(const std::vector<MemberState*>& members, TimePoint now);
@@ -88,6 +116,7 @@
 
   BalancerOptions options_;
   std::mutex randomMutex_;
+  std::array<std::atomic<std::uint64_t>, NameTable<ReportAge>::kRows.size()> pickCounts_{};
 };
 
 } // namespace acp
--- a/include/acaciapulley/routing/member_table.hpp
+++ b/include/acaciapulley/routing/member_table.hpp
@@ -10,11 +10,13 @@
 #include <map>        // map
 #include <memory>     // shared_ptr
 #include <mutex>      // mutex
+#include <optional>   // optional
 #include <string>     // string
 #include <vector>     // vector
 
 #include "acaciapulley/core/change_signal.hpp"       // ChangeSignal
 #include "acaciapulley/core/clock.hpp"               // Duration, TimePoint
+#include "acaciapulley/routing/expected_time.hpp"    // ReportedRunTimes
 #include "acaciapulley/routing/outlier_detector.hpp" // OutlierDetector
 #include "acaciapulley/routing/slow_start.hpp"       // SlowStart
 
@@ -39,6 +41,8 @@
   double inFlight = 0; ///< requests running at the upstream or queued at the gate
   double limit = 0;    ///< the gate's concurrency limit; 0: not reported
   Duration queueAge{};
+  Duration age{};                       ///< of the numbers when the report arrived
+  std::optional<RunTimeReport> runTime; ///< only from nodes that use learned placement
 };
 
 /// Time for which a member that refused a call as draining is treated as draining. After it, the
@@ -108,6 +112,8 @@
   double othersInFlight = 0; ///< the requests in load.inFlight that other nodes sent
   TimePoint loadAt;
   bool hasLoad = false;
+  ReportedRunTimes runTimes;         ///< empty for members without learned placement
+  ReportedInFlight reportedInFlight; ///< updated with each reported run time
 
   /// @brief Returns the number of requests that the member can run concurrently; above 0.
   [[nodiscard]] double CapacityAt(TimePoint now) const;
@@ -150,6 +156,12 @@
   /// finished.
   [[nodiscard]] double SlownessAt(const MemberState& member, TimePoint now) const;
 
+  /// @brief Returns the member's run time of a class as measured by this node, including waiting
+  /// times; 0 when unknown. Like SlownessAt(), it decays while no call finishes.
+  [[nodiscard]] double MeasuredSeconds(const MemberState& member,
+                                       const std::string& requestClass,
+                                       TimePoint now) const;
+
   /// @brief Updates the load of a member, as reported by a response or by the local gate.
   void UpdateLoad(const std::string& nodeId, const LoadSample& load, TimePoint now);
 
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -6,6 +6,8 @@
 #include <random>    // mt19937_64, random_device, uniform_real_distribution
 #include <utility>   // move
 
+#include "acaciapulley/routing/detail/learned_placement.hpp" // LearnedPlacement
+
 namespace acp {
 
 namespace {
@@ -138,10 +140,45 @@
   if (usable.empty()) {
     return nullptr;
   }
+  if (MemberState* member = PickByExpectedTime(members, usable, request, now)) {
+    return member;
+  }
+  CountPick(ReportAge::Announced);
   const std::vector<MemberState*> healthy = SelectHealthy(members, usable, now);
   return PickByUtilisation(AreNearLimit(healthy, now) ? usable : healthy, now);
 }
 
+MemberState* Balancer::PickByExpectedTime(const ServiceMembers& members,
+                                          const std::vector<MemberState*>& usable,
+                                          const PickRequest& request,
+                                          TimePoint now)
+{
+  const auto placement =
+    detail::LearnedPlacement::Create({ .members = &members,
+                                       .usable = &usable,
+                                       .requestClass = request.requestClass,
+                                       .localNodeId = options_.localNodeId,
+                                       .localDataCentre = options_.localDataCentre,
+                                       .costs = options_.learned,
+                                       .random = [this] { return Random(); } },
+                                     now);
+  if (!placement) {
+    return nullptr;
+  }
+  const detail::ExpectedMember& picked = placement->Pick();
+  CountPick(picked.reportAge);
+  return picked.member;
+}
+
+std::map<ReportAge, std::uint64_t> Balancer::PickCounts() const
+{
+  std::map<ReportAge, std::uint64_t> counts;
+  for (const auto& row : NameTable<ReportAge>::kRows) {
+    counts[row.value] = pickCounts_.at(static_cast<std::size_t>(row.value));
+  }
+  return counts;
+}
+
 MemberState* Balancer::PickByUtilisation(const std::vector<MemberState*>& members, TimePoint now)
 {
   MemberState* local = nullptr;
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -228,6 +228,18 @@
   member->othersInFlight = std::max(load.inFlight - member->InFlight(), 0.0);
   member->loadAt = now;
   member->hasLoad = true;
+  if (load.runTime) {
+    member->runTimes.Apply(*load.runTime, now);
+    member->reportedInFlight.Apply(load.inFlight, member->InFlight(), load.age, now);
+  }
+}
+
+double ServiceMembers::MeasuredSeconds(const MemberState& member,
+                                       const std::string& requestClass,
+                                       TimePoint now) const
+{
+  const auto baseline = baselines_.find(requestClass);
+  return baseline == baselines_.end() ? 0 : baseline->second.seconds * SlownessAt(member, now);
 }
 
 MemberState* ServiceMembers::Find(const std::string& nodeId)
