Learned placement: report of run times, switch, usable limit, metrics

The node beside an upstream measures run times by class and reports them to callers in Acp-Run-Time; Acp-Load could not carry them, since earlier versions refuse unknown fields. The fourth figure of the load field was read as the slots; it is now the work factor, and invalid fields are counted by reason.

--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -35,11 +35,13 @@
 
 // admission
 #include "acaciapulley/admission/admission_error.hpp"
+#include "acaciapulley/admission/concurrency_knee.hpp"
 #include "acaciapulley/admission/concurrency_limit.hpp"
 #include "acaciapulley/admission/delay_limit.hpp"
 #include "acaciapulley/admission/fair_queue.hpp"
 #include "acaciapulley/admission/gate.hpp"
 #include "acaciapulley/admission/load_report.hpp"
+#include "acaciapulley/admission/run_time_table.hpp"
 #include "acaciapulley/admission/threshold_controller.hpp"
 #include "acaciapulley/admission/threshold_table.hpp"
 
@@ -55,6 +57,7 @@
 
 // routing
 #include "acaciapulley/routing/balancer.hpp"
+#include "acaciapulley/routing/expected_time.hpp"
 #include "acaciapulley/routing/member_table.hpp"
 #include "acaciapulley/routing/outlier_detector.hpp"
 #include "acaciapulley/routing/slow_start.hpp"
--- a/include/acaciapulley/admission/gate.hpp
+++ b/include/acaciapulley/admission/gate.hpp
@@ -103,6 +103,10 @@
   /// @brief Sets the slots and the cold start duration from a new announcement of the upstream.
   void SetCapacity(int slots, Duration coldStart, TimePoint now);
 
+  /// @brief Sets a limit below the announced slots, as found by ConcurrencyKnee; nothing removes
+  /// it.
+  void SetUsableLimit(std::optional<int> limit) { usableLimit_ = limit; }
+
   /// @brief Records the scheduling delay of a message: the time from ready to handled by the node.
   void RecordSchedulingDelay(Duration delay, TimePoint now);
 
@@ -137,6 +141,7 @@
 
   ConcurrencyLimit limit_;
   DelayLimit delayLimit_;
+  std::optional<int> usableLimit_;
   FairQueue queue_;
   ThresholdController controller_;
   std::unordered_map<std::uint64_t, Running> running_;
--- a/include/acaciapulley/admission/load_report.hpp
+++ b/include/acaciapulley/admission/load_report.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
 /// @file
-/// Load information that an executing node sends to its callers in the headers `Acp-Load` and
-/// `Acp-Threshold`.
+/// Load information that an executing node sends to its callers in the headers `Acp-Load`,
+/// `Acp-Run-Time` and `Acp-Threshold`.
 
 #include <string>      // string
 #include <string_view> // string_view
 
 #include "acaciapulley/admission/admission_error.hpp" // AdmissionResult
+#include "acaciapulley/core/clock.hpp"                // Duration
 
 namespace acp {
 
@@ -53,6 +54,21 @@
 /// @return the report, or MalformedLoad
 [[nodiscard]] AdmissionResult<LoadReport> ParseLoad(std::string_view text);
 
+/// Mean run time of one request class at an upstream, the value of the header `Acp-Run-Time`.
+struct ReportedRunTime
+{
+  Duration runTime{}; ///< at the present speed of the upstream
+  Duration age{};     ///< of the newest sample
+  int instance = 0;   ///< number of the upstream's instance; changes with each start
+};
+
+/// @brief Formats the value of `Acp-Run-Time` as `run-ms=N.NNN;age-ms=N;instance=N`.
+[[nodiscard]] std::string FormatRunTime(const ReportedRunTime& reported);
+
+/// @brief Parses the value of `Acp-Run-Time`.
+/// @return the run time, above zero, or MalformedLoad
+[[nodiscard]] AdmissionResult<ReportedRunTime> ParseRunTime(std::string_view text);
+
 /// @brief Formats the value of `Acp-Threshold` as `priority=N;share=N`, with the share in
 /// ten-thousandths.
 [[nodiscard]] std::string FormatThreshold(const AdmissionThreshold& threshold);
--- a/include/acaciapulley/admission/run_time_table.hpp
+++ b/include/acaciapulley/admission/run_time_table.hpp
@@ -84,7 +84,8 @@
   [[nodiscard]] std::optional<RunTimeEstimate> PresentRunTime(const std::string& requestClass,
                                                               TimePoint now) const;
 
-  /// @brief Returns the mean run times of all known classes at the present speed.
+  /// @brief Returns the mean run times of all classes at the present speed; zero for those that are
+  /// not known any more, so that metrics do not keep an outdated value.
   [[nodiscard]] std::map<std::string, RunTimeEstimate> PresentRunTimes(TimePoint now) const;
 
   /// @brief Discards all samples, for a new instance of the upstream.
--- a/include/acaciapulley/config/fleet_document.hpp
+++ b/include/acaciapulley/config/fleet_document.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The fleet document: routing table, services and client accounts in one document.
 
+#include <array>         // array
 #include <cstdint>       // int64_t
 #include <map>           // map
 #include <memory>        // shared_ptr
@@ -14,6 +15,7 @@
 
 #include "acaciapulley/config/config_error.hpp"     // ConfigResult
 #include "acaciapulley/config/service_document.hpp" // AccountLimit, RequestClass
+#include "acaciapulley/core/names.hpp"              // EnumName, NameTable
 
 namespace acp {
 
@@ -35,12 +37,30 @@
   std::vector<FleetDestination> destinations; ///< at least one, with a total weight above 0
 };
 
+/// How requests are placed on the upstreams of a service.
+enum class Placement
+{
+  Announced, ///< by the announced slots
+  Learned,   ///< by the run times that their nodes measure
+};
+
+template<>
+struct NameTable<Placement>
+{
+  static constexpr std::array<EnumName<Placement>, 2> kRows = { {
+    { Placement::Announced, "announced" },
+    { Placement::Learned, "learned" },
+  } };
+};
+
 /// A service of the fleet.
 struct FleetService
 {
   std::string name;
   std::string healthPath;
   int maxConnections = 0; ///< accepted by each upstream of the service from all nodes in total
+  /// Without it, placement is learned for upstreams that report the duration of their work.
+  std::optional<Placement> placement;
 };
 
 /// A client account, with keys chosen by the operator.
--- a/include/acaciapulley/node/blocking_gate.hpp
+++ b/include/acaciapulley/node/blocking_gate.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>    // uint64_t
 #include <map>        // map
 #include <mutex>      // mutex
+#include <optional>   // optional
 #include <stop_token> // stop_token
 #include <string>     // string
 
@@ -87,6 +88,9 @@
   /// @brief Applies a new announcement of the upstream.
   void SetCapacity(int slots, Duration coldStart, bool isDraining);
 
+  /// @brief Sets a limit below the announced slots; nothing removes it.
+  void SetUsableLimit(std::optional<int> limit);
+
   /// @brief Returns the threshold that callers should apply to requests of @p account.
   [[nodiscard]] AdmissionThreshold Threshold(const std::string& account) const;
 
--- a/include/acaciapulley/node/detail/executor.hpp
+++ b/include/acaciapulley/node/detail/executor.hpp
@@ -13,6 +13,7 @@
 #include "acaciapulley/node/detail/concurrent_threshold_table.hpp" // ConcurrentThresholdTable
 #include "acaciapulley/node/detail/graceful_stop.hpp"              // GracefulStop
 #include "acaciapulley/node/detail/hop_registry.hpp"               // HopRegistry
+#include "acaciapulley/node/detail/run_time_recorder.hpp"          // RunTimeRecorder
 #include "acaciapulley/node/local_upstream.hpp"                    // LocalUpstream
 #include "acaciapulley/node/pipeline_guards.hpp"                   // PipelineGuards
 #include "acaciapulley/transport/http_client.hpp"                  // ClientExchange
@@ -30,6 +31,7 @@
   HopRegistry* hops = nullptr;
   ClaimClient* claims = nullptr;
   ConcurrentThresholdTable* thresholds = nullptr; ///< of the local upstream's calls
+  RunTimeRecorder* runTimes = nullptr;
   const GracefulStop* stop = nullptr;
   PipelineGuards guards;
 };
@@ -50,6 +52,10 @@
   [[nodiscard]] AdmissionThreshold Threshold(const ResolvedRequest& request,
                                              const std::string& account) const;
 
+  /// @brief Returns the load of the local upstream right before the end of a request, or nothing
+  /// where its placement is not learned.
+  [[nodiscard]] std::optional<LoadSample> LearnedLoad(const ResolvedRequest& request) const;
+
 private:
   /// An attempt that the gate has admitted.
   struct AdmittedAttempt
@@ -72,7 +78,8 @@
   AttemptResult HandleResponse(PendingCall& call,
                                const RequestContext& context,
                                AdmittedAttempt& admitted,
-                               ClientExchange& answer);
+                               ClientExchange& answer,
+                               const RunStart& start);
   void RespondFromRecord(PendingCall& call, const RecordedOutcome& record);
   HttpResponseHead ResponseHead(const PendingCall& call,
                                 const RequestContext& context,
--- a/include/acaciapulley/node/detail/headers.hpp
+++ b/include/acaciapulley/node/detail/headers.hpp
@@ -17,6 +17,11 @@
 inline constexpr const char* kReasonHeader = "Acp-Reason";
 inline constexpr const char* kThresholdHeader = "Acp-Threshold";
 inline constexpr const char* kLoadHeader = "Acp-Load";
+/// Mean run time of the request's class at the executing node, where placement is learned.
+inline constexpr const char* kRunTimeHeader = "Acp-Run-Time";
+/// Duration of work on an upstream's host in percent (100: as usual), in responses of upstreams.
+/// An adapter that could not read the figure sets a name of WorkFactorProblem instead.
+inline constexpr const char* kWorkFactorHeader = "Acp-Work-Factor";
 inline constexpr const char* kRetriesLeftHeader = "Acp-Retries-Left";
 /// Queue timeout of a request on a fleet route, in milliseconds.
 inline constexpr const char* kQueueTimeoutHeader = "Acp-Patience-Ms";
--- a/include/acaciapulley/node/refusal.hpp
+++ b/include/acaciapulley/node/refusal.hpp
@@ -26,6 +26,7 @@
   /// Sent to peers only, by the node that runs the request.
   std::optional<AdmissionThreshold> threshold;
   std::optional<LoadReport> load;
+  std::optional<ReportedRunTime> runTime;
   std::optional<int> unusedRetries;
 };
 
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -3,24 +3,26 @@
 /// @file
 /// Processing of requests by a node, from arrival to response.
 
-#include <cstdint>    // int64_t
+#include <cstdint>    // int64_t, uint64_t
 #include <functional> // function
+#include <map>        // map
 #include <memory>     // shared_ptr, unique_ptr
 #include <string>     // string
 
-#include "acaciapulley/core/clock.hpp"                  // Clock
-#include "acaciapulley/node/blocking_gate.hpp"          // GateStats
-#include "acaciapulley/node/detail/claim_client.hpp"    // ControlCall
-#include "acaciapulley/node/detail/graceful_stop.hpp"   // GracefulStop
-#include "acaciapulley/node/detail/token_client.hpp"    // TokenCallCounts
-#include "acaciapulley/node/local_upstream.hpp"         // LocalUpstream
-#include "acaciapulley/node/pipeline_guards.hpp"        // PipelineGuards
-#include "acaciapulley/node/refusal.hpp"                // Refusal
-#include "acaciapulley/node/state_cache.hpp"            // StateCache
-#include "acaciapulley/retries/retry_policy.hpp"        // FleetRetryBudget
-#include "acaciapulley/routing/member_table.hpp"        // MemberTable
-#include "acaciapulley/transport/connection_counts.hpp" // ConnectionCounts
-#include "acaciapulley/transport/http_server.hpp"       // ServerExchange
+#include "acaciapulley/core/clock.hpp"                    // Clock
+#include "acaciapulley/node/blocking_gate.hpp"            // GateStats
+#include "acaciapulley/node/detail/claim_client.hpp"      // ControlCall
+#include "acaciapulley/node/detail/graceful_stop.hpp"     // GracefulStop
+#include "acaciapulley/node/detail/run_time_recorder.hpp" // RunTimeStats
+#include "acaciapulley/node/detail/token_client.hpp"      // TokenCallCounts
+#include "acaciapulley/node/local_upstream.hpp"           // LocalUpstream
+#include "acaciapulley/node/pipeline_guards.hpp"          // PipelineGuards
+#include "acaciapulley/node/refusal.hpp"                  // Refusal
+#include "acaciapulley/node/state_cache.hpp"              // StateCache
+#include "acaciapulley/retries/retry_policy.hpp"          // FleetRetryBudget
+#include "acaciapulley/routing/member_table.hpp"          // MemberTable
+#include "acaciapulley/transport/connection_counts.hpp"   // ConnectionCounts
+#include "acaciapulley/transport/http_server.hpp"         // ServerExchange
 
 namespace acp {
 
@@ -71,7 +73,9 @@
 struct PipelineStats
 {
   detail::TokenCallCounts tokenCalls;
-  GateStats gate; ///< of the local upstream
+  GateStats gate;                           ///< of the local upstream
+  detail::RunTimeStats runTimes;            ///< of the local upstream
+  std::map<ReportAge, std::uint64_t> picks; ///< by the age of the report that they used
 };
 
 /// Handlers of the node's ingress, peer and egress listeners. Thread-safe.
--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -26,7 +26,8 @@
 
 int Gate::Limit(TimePoint now) const
 {
-  return std::min(limit_.Current(now), delayLimit_.Current());
+  const int limit = std::min(limit_.Current(now), delayLimit_.Current());
+  return usableLimit_ ? std::min(limit, *usableLimit_) : limit;
 }
 
 void Gate::RecordSchedulingDelay(Duration delay, TimePoint now)
--- a/src/admission/load_report.cpp
+++ b/src/admission/load_report.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/admission/load_report.hpp"
 
-#include <algorithm> // clamp
+#include <algorithm> // clamp, min
 #include <array>     // array
 #include <charconv>  // from_chars
 #include <cmath>     // floor, lround
@@ -14,6 +14,9 @@
 
 constexpr int kShareUnit = 10'000;
 constexpr std::size_t kMaxDigits = 9;
+constexpr std::int64_t kMaxNumber = 999'999'999;
+constexpr std::size_t kFractionDigits = 3;
+constexpr int kMicrosPerMilli = 1'000;
 
 struct NumberField
 {
@@ -93,6 +96,54 @@
   return load;
 }
 
+std::string FormatRunTime(const ReportedRunTime& reported)
+{
+  using std::chrono::microseconds;
+  using std::chrono::milliseconds;
+  const auto micros = std::clamp<std::int64_t>(
+    std::chrono::ceil<microseconds>(reported.runTime).count(), 1, kMaxNumber);
+  const auto age =
+    std::clamp<std::int64_t>(std::chrono::ceil<milliseconds>(reported.age).count(), 0, kMaxNumber);
+  return fmt::format("run-ms={}.{:03};age-ms={};instance={}",
+                     micros / kMicrosPerMilli,
+                     micros % kMicrosPerMilli,
+                     age,
+                     reported.instance);
+}
+
+AdmissionResult<ReportedRunTime> ParseRunTime(std::string_view text)
+{
+  const auto invalid = [] {
+    return Fail(AdmissionErrorCode::MalformedLoad,
+                "not of the form run-ms=N.NNN;age-ms=N;instance=N");
+  };
+  const std::size_t point = text.find('.');
+  const std::size_t end = text.find(';');
+  if (point == std::string_view::npos || end != point + 1 + kFractionDigits) {
+    return invalid();
+  }
+  // The fraction may have leading zeros, which numbers may not.
+  std::string_view fraction = text.substr(point + 1, kFractionDigits);
+  while (fraction.size() > 1 && fraction.front() == '0') {
+    fraction.remove_prefix(1);
+  }
+  int millis = 0;
+  int micros = 0;
+  int age = 0;
+  int instance = 0;
+  const std::array<NumberField, 1> run = { { { "run-ms", &millis } } };
+  const std::array<NumberField, 2> rest = { { { "age-ms", &age }, { "instance", &instance } } };
+  const bool isValid = ReadFields(text.substr(0, point), run) && ReadNumber(fraction, &micros) &&
+                       ReadFields(text.substr(end + 1), rest);
+  if (!isValid || (millis == 0 && micros == 0)) {
+    return invalid();
+  }
+  return ReportedRunTime{ .runTime =
+                            std::chrono::milliseconds(millis) + std::chrono::microseconds(micros),
+                          .age = std::chrono::milliseconds(age),
+                          .instance = instance };
+}
+
 std::string FormatThreshold(const AdmissionThreshold& threshold)
 {
   const long share = std::lround(std::clamp(threshold.share, 0.0, 1.0) * kShareUnit);
--- a/src/admission/run_time_table.cpp
+++ b/src/admission/run_time_table.cpp
@@ -134,9 +134,7 @@
 {
   std::map<std::string, RunTimeEstimate> estimates;
   for (const auto& [requestClass, entry] : classes_) {
-    if (auto estimate = PresentRunTime(requestClass, now)) {
-      estimates.emplace(requestClass, *estimate);
-    }
+    estimates.emplace(requestClass, PresentRunTime(requestClass, now).value_or(RunTimeEstimate{}));
   }
   return estimates;
 }
--- a/src/config/fleet_document.cpp
+++ b/src/config/fleet_document.cpp
@@ -115,6 +115,12 @@
   service.name = ReadText(reader, "name");
   service.healthPath = reader.String("health_path");
   service.maxConnections = static_cast<int>(reader.Integer("max_connections", 1, kMaxConnections));
+  if (reader.Has("placement")) {
+    service.placement = FromName<Placement>(reader.String("placement"));
+    if (!service.placement) {
+      Throw(reader.PathOf("placement"), "must be announced or learned");
+    }
+  }
   reader.RejectUnknownFields();
   return service;
 }
--- a/src/node/blocking_gate.cpp
+++ b/src/node/blocking_gate.cpp
@@ -147,6 +147,13 @@
   PollLocked();
 }
 
+void BlockingGate::SetUsableLimit(std::optional<int> limit)
+{
+  const std::lock_guard lock(mutex_);
+  gate_.SetUsableLimit(limit);
+  PollLocked();
+}
+
 void BlockingGate::RecordSchedulingDelay(Duration delay)
 {
   const std::lock_guard lock(mutex_);
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -190,6 +190,10 @@
                                    CalleeOf(call.request),
                                    context.account,
                                    options_.executor->Threshold(call.request, context.account));
+  if (const auto load = options_.executor->LearnedLoad(call.request)) {
+    options_.members->UpdateLoad(
+      call.request.service, options_.nodeId, *load, options_.clock->Now());
+  }
   return attemptResult;
 }
 
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -174,11 +174,12 @@
                                  .isCallerGone = [&call] { return call.exchange.IsCallerGone(); },
                                  // The outcome of a non-idempotent request must be recorded.
                                  .waitsAfterDisconnect = !call.request.requestClass->idempotent };
+  const RunStart start = options_.runTimes->BeginRun();
   auto sent = Forward(call, *admitted.pool, head, sendOptions);
   if (!sent) {
     return HandleSendFailure(sent.error(), context, admitted);
   }
-  return HandleResponse(call, context, admitted, *sent.value());
+  return HandleResponse(call, context, admitted, *sent.value(), start);
 }
 
 AttemptResult Executor::HandleSendFailure(const TransportError& error,
@@ -228,6 +229,18 @@
                   options_.thresholds->CombinedThreshold(QualifiedClassName(request), account));
 }
 
+std::optional<LoadSample> Executor::LearnedLoad(const ResolvedRequest& request) const
+{
+  const std::string& requestClass = request.requestClass->name;
+  const auto reported = options_.runTimes->ReportOf(requestClass);
+  if (!reported) {
+    return std::nullopt;
+  }
+  LoadReport load = options_.gate->Load();
+  ++load.inFlight; // the request has left the gate, but this node still counts it as running
+  return ToLoadSample(requestClass, load, reported);
+}
+
 HttpResponseHead Executor::ResponseHead(const PendingCall& call,
                                         const RequestContext& context,
                                         const HttpResponseHead& upstreamHead,
@@ -239,6 +252,9 @@
   if (call.recipient == Recipient::Peer) {
     head.headers.Set(kThresholdHeader, FormatThreshold(Threshold(call.request, context.account)));
     head.headers.Set(kLoadHeader, FormatLoad(options_.gate->Load()));
+    if (const auto reported = options_.runTimes->ReportOf(call.request.requestClass->name)) {
+      head.headers.Set(kRunTimeHeader, FormatRunTime(*reported));
+    }
     head.headers.Set(kRetriesLeftHeader, std::to_string(unusedRetries));
   }
   return head;
@@ -247,9 +263,18 @@
 AttemptResult Executor::HandleResponse(PendingCall& call,
                                        const RequestContext& context,
                                        AdmittedAttempt& admitted,
-                                       ClientExchange& answer)
+                                       ClientExchange& answer,
+                                       const RunStart& start)
 {
   const auto& upstreamHead = answer.Response();
+  const LoadReport gateLoad = options_.gate->Load();
+  options_.runTimes->RecordResponse(
+    { .service = call.request.service,
+      .requestClass = call.request.requestClass->name,
+      .hasRun = !ReportsNotRun(upstreamHead) && upstreamHead.status < kMinServerErrorStatus,
+      .wasFull = gateLoad.inFlight >= gateLoad.limit },
+    start,
+    upstreamHead.headers);
   const ClosedHop hop = options_.hops->Close(context.hopId);
   const int unused = hop.unusedRetries;
   if (ReportsNotRun(upstreamHead)) {
--- a/src/node/headers.cpp
+++ b/src/node/headers.cpp
@@ -15,11 +15,11 @@
 };
 
 // Fields used between callers and nodes, or between nodes.
-constexpr std::array<std::string_view, 17> kNodeFields = {
+constexpr std::array<std::string_view, 19> kNodeFields = {
   kKeyHeader,       kDeadlineHeader, kContextHeader,     kOutcomeHeader,       kReasonHeader,
   kThresholdHeader, kLoadHeader,     kRetriesLeftHeader, kRetryAfterHeader,    kQueueTimeoutHeader,
   kServiceHeader,   kClassHeader,    kAccountHeader,     kCallerServiceHeader, kOpenHeader,
-  kAttemptHeader,   kTargetHeader,
+  kAttemptHeader,   kTargetHeader,   kRunTimeHeader,     kWorkFactorHeader,
 };
 
 template<std::size_t Size>
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -256,6 +256,7 @@
     calls("answered", figures.tokenCalls.calls - figures.tokenCalls.failed);
     calls("failed", figures.tokenCalls.failed);
     CollectGate(figures.gate.counts);
+    CollectPlacement(figures);
     CollectConnections("upstream", *upstreamConnections_);
     CollectConnections("peers", *peerConnections_);
     metrics_.Gauge("acp_state_version", "Version of the state this node decides by.")
@@ -282,6 +283,37 @@
     }
   }
 
+  void CollectPlacement(const PipelineStats& figures)
+  {
+    const auto gauge = [this](const char* name, const char* help, const MetricLabels& labels = {}) {
+      return metrics_.Gauge(name, help, labels);
+    };
+    gauge("acp_gate_usable_limit", "Requests that the gate lets run at the same time.")
+      .Set(figures.gate.load.limit);
+    gauge("acp_upstream_work_factor", "Duration of work at the upstream; 1 is as usual.")
+      .Set(figures.runTimes.workFactor);
+    gauge("acp_placement_learned", "1 when this node reports the run times of its upstream.")
+      .Set(figures.runTimes.isInUse ? 1 : 0);
+    for (const auto& [requestClass, estimate] : figures.runTimes.runTimes) {
+      gauge("acp_upstream_run_time_seconds",
+            "Mean run time at the upstream at its present speed, by request class.",
+            { { "class", requestClass } })
+        .Set(std::chrono::duration<double>(estimate.runTime).count());
+    }
+    for (const auto& [problem, count] : figures.runTimes.ignored) {
+      gauge("acp_upstream_load_ignored",
+            "Load fields of the upstream that were ignored since the start.",
+            { { "reason", std::string(NameOf(problem)) } })
+        .Set(static_cast<double>(count));
+    }
+    for (const auto& [age, count] : figures.picks) {
+      gauge("acp_picks",
+            "Picks of an upstream since the start, by the age of the report that they used.",
+            { { "report", std::string(NameOf(age)) } })
+        .Set(static_cast<double>(count));
+    }
+  }
+
   void CollectConnections(const std::string& to, const ConnectionCounts& counts)
   {
     for (const auto& row : NameTable<ConnectionEvent>::kRows) {
--- a/src/node/peer_client.cpp
+++ b/src/node/peer_client.cpp
@@ -3,9 +3,10 @@
 #include <algorithm> // clamp
 #include <charconv>  // from_chars
 
-#include "acaciapulley/node/detail/headers.hpp"        // kContextHeader
-#include "acaciapulley/node/detail/request_times.hpp"  // ParseMillis
-#include "acaciapulley/node/detail/response_relay.hpp" // AttemptEchoTranslation, ReadMessage
+#include "acaciapulley/node/detail/headers.hpp"           // kContextHeader
+#include "acaciapulley/node/detail/request_times.hpp"     // ParseMillis
+#include "acaciapulley/node/detail/response_relay.hpp"    // AttemptEchoTranslation, ReadMessage
+#include "acaciapulley/node/detail/run_time_recorder.hpp" // ToLoadSample
 
 namespace acp::detail {
 
@@ -32,6 +33,16 @@
   }
 }
 
+std::optional<ReportedRunTime> ParseReportedRunTime(const HttpHeaders& headers)
+{
+  const auto header = headers.Find(kRunTimeHeader);
+  if (!header) {
+    return std::nullopt;
+  }
+  const auto reported = ParseRunTime(*header);
+  return reported ? std::optional(reported.value()) : std::nullopt;
+}
+
 AttemptResult EndForTransportError(const TransportError& error, int sentRetries)
 {
   if (error.code == TransportErrorCode::Abandoned) {
@@ -153,13 +164,12 @@
   if (const auto header = response.headers.Find(kLoadHeader)) {
     const auto load = ParseLoad(*header);
     if (load) {
-      options_.members->UpdateLoad(
-        call.request.service,
-        picked.nodeId,
-        { .inFlight = static_cast<double>(load.value().inFlight),
-          .limit = static_cast<double>(load.value().limit),
-          .queueAge = std::chrono::milliseconds(load.value().queueAgeMs) },
-        options_.clock->Now());
+      options_.members->UpdateLoad(call.request.service,
+                                   picked.nodeId,
+                                   ToLoadSample(call.request.requestClass->name,
+                                                load.value(),
+                                                ParseReportedRunTime(response.headers)),
+                                   options_.clock->Now());
     }
   }
 }
--- a/src/node/refusal.cpp
+++ b/src/node/refusal.cpp
@@ -25,6 +25,9 @@
   if (refusal.load) {
     head.headers.Set(detail::kLoadHeader, FormatLoad(*refusal.load));
   }
+  if (refusal.runTime) {
+    head.headers.Set(detail::kRunTimeHeader, FormatRunTime(*refusal.runTime));
+  }
   if (refusal.unusedRetries) {
     head.headers.Set(detail::kRetriesLeftHeader, std::to_string(*refusal.unusedRetries));
   }
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -48,12 +48,19 @@
   void HandleEgress(ServerExchange& exchange);
   void Announce(const Announcement& announcement);
 
-  [[nodiscard]] PipelineStats Stats() const { return { tokens_.CallCounts(), gate_.Stats() }; }
+  [[nodiscard]] PipelineStats Stats() const
+  {
+    return { .tokenCalls = tokens_.CallCounts(),
+             .gate = gate_.Stats(),
+             .runTimes = runTimes_.Stats(),
+             .picks = balancer_.PickCounts() };
+  }
 
 private:
   using TokenPtr = std::shared_ptr<detail::TokenClient::Token>;
 
   [[nodiscard]] ThresholdTableOptions ThresholdOptions() const;
+  [[nodiscard]] std::optional<Placement> PlacementOf(const std::string& service) const;
   /// Reports to the gate how long the current message waited for processor time.
   void RecordSchedulingDelay();
   OrRefusal<TokenPtr> ReserveToken(const ServerExchange& exchange, const AdmittedRequest& admitted);
@@ -71,6 +78,7 @@
   detail::ConcurrentThresholdTable ingressThresholds_; ///< of requests from the ingress
   detail::ConcurrentThresholdTable nestedThresholds_;  ///< of the local upstream's calls
   detail::IngressAdmission admission_;
+  detail::RunTimeRecorder runTimes_;
   detail::ClaimClient claims_;
   detail::TokenClient tokens_;
   Balancer balancer_;
@@ -101,6 +109,9 @@
                  .resolver = &resolver_,
                  .hops = &hops_,
                  .thresholds = &ingressThresholds_ })
+  , runTimes_({ .clock = options_.clock,
+                .placementOf = [this](const std::string& service) { return PlacementOf(service); },
+                .onUsableLimit = [this](auto limit) { gate_.SetUsableLimit(limit); } })
   , claims_(options_.claimControl, options_.nodeId)
   , tokens_({ .nodeId = options_.nodeId,
               .epoch = options_.epoch,
@@ -117,6 +128,7 @@
                 .hops = &hops_,
                 .claims = &claims_,
                 .thresholds = &nestedThresholds_,
+                .runTimes = &runTimes_,
                 .stop = options_.stop,
                 .guards = options_.guards })
   , peers_({ .clock = options_.clock,
@@ -141,6 +153,13 @@
   return { .seed = options_.nodeId, .byAccount = !options_.routesByFleet };
 }
 
+std::optional<Placement> RequestPipeline::Impl::PlacementOf(const std::string& service) const
+{
+  const FleetDocumentPtr fleet = options_.stateCache->Fleet();
+  const FleetService* found = fleet ? fleet->FindService(service) : nullptr;
+  return found != nullptr ? found->placement : std::nullopt;
+}
+
 OrRefusal<RequestPipeline::Impl::TokenPtr> RequestPipeline::Impl::ReserveToken(
   const ServerExchange& exchange,
   const AdmittedRequest& admitted)
@@ -159,6 +178,9 @@
   const std::string callerClass =
     hasParent ? admitted.parentClass : detail::QualifiedClassName(admitted.request);
   thresholds.RecordCall(callerClass, detail::CalleeOf(admitted.request));
+  if (hasParent) {
+    runTimes_.RecordNestedCall(callerClass);
+  }
   RequestBody body(exchange.RequestBody(),
                    exchange.RequestBodyLength(),
                    admitted.request.requestClass->maxBodyBytes);
@@ -269,6 +291,7 @@
     attemptResult.result.error().threshold =
       executor_.Threshold(resolved.value(), context.value().account);
     attemptResult.result.error().load = gate_.Load();
+    attemptResult.result.error().runTime = runTimes_.ReportOf(resolved.value().requestClass->name);
   }
   return attemptResult.result;
 }
@@ -284,6 +307,7 @@
   if (!context) {
     return boost::outcome_v2::failure(context.error());
   }
+  runTimes_.RecordNestedCall("");
   AdmittedRequest admitted{ .request = request, .context = std::move(context).value() };
   // The call may belong to a request whose context the upstream omitted. A separate retry budget
   // would multiply that request's retries.
@@ -311,6 +335,7 @@
     return boost::outcome_v2::failure(parent.error());
   }
   const std::string callerClass = hops_.RequestClassOf(parent.value().hopId);
+  runTimes_.RecordNestedCall(callerClass);
   if (!nestedThresholds_.AdmitsCall(
         callerClass, { request.service, request.requestClass->name }, parent.value())) {
     hops_.RecordRefusedCall(parent.value().hopId);
@@ -356,9 +381,17 @@
 
 void RequestPipeline::Impl::Announce(const Announcement& announcement)
 {
+  const auto before = options_.upstream->Current();
   if (!options_.upstream->Announce(announcement)) {
     return;
   }
+  const bool isSameInstance = before && before->service == announcement.service &&
+                              before->address == announcement.address &&
+                              before->instanceId == announcement.instanceId;
+  runTimes_.SetSlots(announcement.slots);
+  if (!isSameInstance) {
+    runTimes_.Reset();
+  }
   gate_.SetCapacity(
     announcement.slots, std::chrono::milliseconds(announcement.coldStartMs), announcement.draining);
   options_.onAnnouncementChanged();
--- a/tests/admission_test/load_report_test.cpp
+++ b/tests/admission_test/load_report_test.cpp
@@ -35,6 +35,36 @@
   BOOST_TEST(!acp::ParseLoad("in-flight=1;limit=2;queue-ms=1.5").has_value());
 }
 
+// Guards against run times that lose their fraction on the way, and against malformed ones.
+BOOST_AUTO_TEST_CASE(run_times_round_trip_and_malformed_ones_are_rejected)
+{
+  using std::chrono::microseconds;
+  using std::chrono::milliseconds;
+  for (const int micros : { 1, 40, 999, 1'000, 12'345, 1'200'050 }) {
+    const auto parsed = acp::ParseRunTime(acp::FormatRunTime(
+      { .runTime = microseconds(micros), .age = milliseconds(7), .instance = 3 }));
+    BOOST_REQUIRE(parsed);
+    BOOST_TEST((parsed.value().runTime == microseconds(micros)), micros);
+    BOOST_TEST((parsed.value().age == milliseconds(7)));
+    BOOST_TEST(parsed.value().instance == 3);
+  }
+  BOOST_TEST(acp::FormatRunTime({ .runTime = microseconds(12'045) }) ==
+             "run-ms=12.045;age-ms=0;instance=0");
+  for (const char* text : { "",
+                            "run-ms=1;age-ms=1;instance=1",
+                            "run-ms=0.000;age-ms=1;instance=1",
+                            "run-ms=1.00;age-ms=1;instance=1",
+                            "run-ms=1.0000;age-ms=1;instance=1",
+                            "run-ms=-1.000;age-ms=1;instance=1",
+                            "run-ms=1.000;age-ms=;instance=1",
+                            "run-ms=1.000;age-ms=1",
+                            "run-ms=1.000;age-ms=1;instance=1;x=1",
+                            "run-ms=.100;age-ms=1;instance=1",
+                            "age-ms=1;run-ms=1.000;instance=1" }) {
+    BOOST_TEST(!acp::ParseRunTime(text).has_value(), text);
+  }
+}
+
 // Guards against threshold levels that are not ordered by the requests that they admit.
 BOOST_AUTO_TEST_CASE(levels_are_ordered_by_what_they_admit)
 {
--- a/tests/config_test/fleet_document_test.cpp
+++ b/tests/config_test/fleet_document_test.cpp
@@ -50,6 +50,22 @@
   BOOST_TEST(fleet.Match("toko.example", "no slash") == nullptr);
 }
 
+// Guards against a switch for learned placement that is ignored because of a wrong name.
+BOOST_AUTO_TEST_CASE(placement_of_a_service_is_optional)
+{
+  const auto withPlacement = [](const std::string& field) {
+    std::string text = Fleet("");
+    return text.replace(text.find(R"("max_connections":9)"), 19, R"("max_connections":9)" + field);
+  };
+  const auto placementOf = [&](const std::string& field) {
+    return acp::FleetDocument::Parse(withPlacement(field)).value().FindService("orders")->placement;
+  };
+  BOOST_TEST((placementOf("") == std::nullopt));
+  BOOST_TEST((placementOf(R"(,"placement":"learned")") == acp::Placement::Learned));
+  BOOST_TEST((placementOf(R"(,"placement":"announced")") == acp::Placement::Announced));
+  BOOST_TEST(!ErrorOf(withPlacement(R"(,"placement":"fast")")).empty());
+}
+
 // Guards against a document that defines accounts and has none, and is taken for one without them.
 BOOST_AUTO_TEST_CASE(empty_list_of_accounts_can_require_keys)
 {
--- a/tests/node_test/pipeline_fixture.hpp
+++ b/tests/node_test/pipeline_fixture.hpp
@@ -173,6 +173,7 @@
   void BeginStop(Duration left);
   /// Stops the node's listeners; returns when its requests have completed.
   void Stop();
+  [[nodiscard]] PipelineStats Stats() const { return pipeline_.Stats(); }
   [[nodiscard]] std::uint16_t IngressPort() const { return ingress_.Port(); }
   [[nodiscard]] std::uint16_t EgressPort() const { return egress_.Port(); }
   [[nodiscard]] std::uint16_t PeerPort() const { return peer_.Port(); }
--- a/tests/platform_test/upstream_calls_test.cpp
+++ b/tests/platform_test/upstream_calls_test.cpp
@@ -83,9 +83,11 @@
   BOOST_TEST(found->announcement.slots == 8);
   BOOST_TEST(found->announcement.instanceId == "i");
   BOOST_TEST(found->announcement.service == "orders");
+  // The slots were read as 100 from a field with four figures.
+  BOOST_TEST(read(200, "i", "3,0,8,100")->announcement.slots == 8);
   BOOST_TEST(!read(503, "i", "3,0,8").has_value());
   BOOST_TEST(!read(200, "", "3,0,8").has_value());
-  for (const std::string load : { "", "8", "3,0,", "3,0,0", "3,0,x", "3,0,8x" }) {
+  for (const std::string load : { "", "8", "3,0,", "3,0,0", "3,0,x", "3,0,8x", "3,0,8,1,1" }) {
     BOOST_TEST(!read(200, "i", load).has_value());
   }
 }
