--- a/src/config/fleet_document.cpp
+++ b/src/config/fleet_document.cpp
@@ -137,6 +137,12 @@
   if (reader.Has("warmup_rate")) {
     service.warmupRate = reader.Number("warmup_rate", 0, kMaxWarmupRate);
   }
+  if (reader.Has("placement")) {
+    service.placement = FromName<Placement>(reader.String("placement"));
+    if (!service.placement) {
+      Throw(reader.PathOf("placement"), "must be announced or learned");
+    }
+  }
   reader.RejectUnknownFields();
   return service;
 }
--- a/src/node/blocking_gate.cpp
+++ b/src/node/blocking_gate.cpp
@@ -158,6 +158,13 @@
   PollLocked();
 }
 
+void BlockingGate::SetUsableLimit(std::optional<int> limit)
+{
+  const std::lock_guard lock(mutex_);
+  gate_.SetUsableLimit(limit);
+  PollLocked();
+}
+
 void BlockingGate::RecordSchedulingDelay(Duration delay)
 {
   const std::lock_guard lock(mutex_);
