Learned placement: margin for requests to other data centres

Without it the best of three samples elsewhere beats the best nearby one by chance for most requests, and the bytes between data centres grow with little gain.

--- a/src/routing/learned_placement.cpp
+++ b/src/routing/learned_placement.cpp
@@ -14,6 +14,9 @@
 // A node's own measurement replaces a report that it exceeds by this factor: a report that is false
 // or frozen would otherwise attract requests without limit.
 constexpr double kFalseReportFactor = 2;
+// Expected times of two samples differ by chance: without this margin most requests would go to
+// other data centres for a small gain.
+constexpr double kOtherDataCentreMargin = 1.25;
 // Server errors count against a member only above the median error rate plus this margin, because
 // all members fail when a service that they call fails.
 constexpr double kErrorRateMargin = 0.25;
@@ -197,7 +200,8 @@
   const double roundTrip = Seconds(input_.costs.dataCentreRoundTrip);
   const bool isRemoteBetter =
     best == nullptr ||
-    (remote != nullptr && best->expectedSeconds > remote->expectedSeconds + roundTrip);
+    (remote != nullptr &&
+     best->expectedSeconds > kOtherDataCentreMargin * remote->expectedSeconds + roundTrip);
   if (isRemoteBetter) {
     best = remote;
   }
