Learned placement: peers without a report are tried, own measurements lose their age

A node with a slow local upstream never sent to peers of which it had no report, and so never learned that they are faster; a tenth of the requests now goes there.

--- a/src/routing/learned_placement.cpp
+++ b/src/routing/learned_placement.cpp
@@ -18,6 +18,11 @@
 // all members fail when a service that they call fails.
 constexpr double kErrorRateMargin = 0.25;
 
+// Share of the requests that the local upstream would get and that go to a member without a recent
+// report instead. Without them, the node of a slow upstream would never learn that others are
+// faster.
+constexpr double kExploredShare = 0.1;
+
 double Seconds(Duration span)
 {
   return std::chrono::duration<double>(span).count();
@@ -203,7 +208,9 @@
   }
   if (local != nullptr && local != best) {
     const double way = Seconds(RoundTripTo(*best->member));
-    if (local->expectedSeconds <= best->expectedSeconds + way) {
+    const bool isExplored =
+      best->reportAge != ReportAge::Recent && input_.random() < kExploredShare;
+    if (local->expectedSeconds <= best->expectedSeconds + way && !isExplored) {
       best = local;
     }
   }
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -33,6 +33,9 @@
 // Bounds the weight of one call, so that a single slow response does not mark a member as slow.
 constexpr double kMaxLatencyRatio = 16;
 
+// Slowness up to this may be the lower bound of its values.
+constexpr double kMinMeasuredSlowness = 1.2;
+
 // Fraction of the capacity removed from a member that refuses every call; the rest keeps probing
 // it.
 constexpr double kMaxRefusalPenalty = 0.9;
@@ -239,7 +242,18 @@
                                        TimePoint now) const
 {
   const auto baseline = baselines_.find(requestClass);
-  return baseline == baselines_.end() ? 0 : baseline->second.seconds * SlownessAt(member, now);
+  const bool isOld = now - member.lastLatencyAt > kReportLifetime;
+  if (baseline == baselines_.end() || (member.running.empty() && isOld)) {
+    return 0;
+  }
+  // Slowness is at least 1, also for a member that is faster than the baseline, so that it says
+  // something only when it is higher.
+  const double slowness = SlownessAt(member, now);
+  if (slowness > kMinMeasuredSlowness) {
+    return baseline->second.seconds * slowness;
+  }
+  const auto own = member.latencies.find(requestClass);
+  return own == member.latencies.end() ? 0 : own->second.seconds;
 }
 
 MemberState* ServiceMembers::Find(const std::string& nodeId)
--- a/tests/node_test/learned_placement_test.cpp
+++ b/tests/node_test/learned_placement_test.cpp
@@ -71,13 +71,16 @@
 BOOST_AUTO_TEST_CASE(work_factors_of_the_upstreams_enable_learned_placement)
 {
   Fleet fleet("Acp-Work-Factor: 100\r\n");
+  fleet.slowNode.SetMembers({ &fleet.slowNode });
+  fleet.Send(fleet.slowNode, 4);
+  fleet.slowNode.SetMembers({ &fleet.fastNode, &fleet.slowNode });
   fleet.Send(fleet.entryNode, 40);
   BOOST_TEST(PicksByReport(fleet.entryNode) > 20U);
   const auto stats = fleet.slowNode.Stats().runTimes;
   BOOST_TEST(stats.isInUse);
   BOOST_TEST((stats.runTimes.at("read").runTime >= std::chrono::milliseconds(20)));
   const auto before = fleet.fastNode.Stats().gate.counts.started.count;
-  fleet.Send(fleet.slowNode, 40);
+  fleet.Send(fleet.slowNode, 100);
   BOOST_TEST(fleet.fastNode.Stats().gate.counts.started.count >= before + 20);
 }
 
--- a/tests/routing_test/learned_placement_test.cpp
+++ b/tests/routing_test/learned_placement_test.cpp
@@ -106,6 +106,18 @@
   BOOST_TEST(PickMany(100)["n0"] == 100);
 }
 
+// Guards against a node that keeps all requests because it knows nothing of its peers.
+BOOST_FIXTURE_TEST_CASE(peers_without_reports_are_tried_beside_the_local_upstream, Fixture)
+{
+  Apply({ Member("n0"), Member("n1") });
+  Report("n0", 20);
+  const int tried = PickMany(400)["n1"];
+  BOOST_TEST(tried > 5);
+  BOOST_TEST(tried < 80);
+  Report("n1", 10);
+  BOOST_TEST(PickMany(100)["n1"] == 100);
+}
+
 // Guards against requests that cross data centres for less than the round trip costs, and against
 // waiting in an overloaded data centre next to an idle one.
 BOOST_FIXTURE_TEST_CASE(other_data_centre_is_used_when_it_saves_more_than_the_round_trip, Fixture)
@@ -175,6 +187,20 @@
   BOOST_TEST(PickMany(200)["n1"] > 0);
 }
 
+// Guards against a fast member that is taken for one with false reports, because the other members,
+// which set the baseline of the latencies, are slow.
+BOOST_FIXTURE_TEST_CASE(report_below_the_baseline_is_believed, Fixture)
+{
+  Apply({ Member("n0"), Member("n1") });
+  for (int i = 0; i < 10; ++i) {
+    Finish("n0", 20);
+  }
+  Finish("n1", 2);
+  Report("n0", 20);
+  Report("n1", 1);
+  BOOST_TEST(PickMany(100)["n1"] == 100);
+}
+
 // Guards against an honest member in another data centre that is taken for one with false reports,
 // because this node's measurements include the way there.
 BOOST_FIXTURE_TEST_CASE(round_trip_is_not_taken_for_run_time, Fixture)
@@ -224,7 +250,20 @@
   auto restarted = Member("n2");
   restarted.epoch = 2;
   Apply({ Member("n1"), restarted });
-  BOOST_TEST(PickMany(300)["n2"] > 60);
+  int restartedPicks = 0;
+  for (int i = 0; i < 300; ++i) {
+    const auto picked =
+      balancer.Pick({ .service = "s", .requestClass = kClass }, clock.Now()).value();
+    restartedPicks += picked.nodeId == "n2" ? 1 : 0;
+    table.FinishCall("s",
+                     picked.nodeId,
+                     picked.epoch,
+                     { .result = acp::CallResult::Cancelled,
+                       .startedAt = picked.startedAt,
+                       .requestClass = kClass },
+                     clock.Now());
+  }
+  BOOST_TEST(restartedPicks > 60);
 }
 
 // Guards against a member that never gets requests again after a time without them.
