--- a/include/acaciapulley/node/detail/token_client.hpp
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -123,7 +123,7 @@
   /// @return the number of requests that may wait together with one that waits until
   /// @p longWaitsUntil
   [[nodiscard]] std::size_t MaxWaiters(bool isScarce, TimePoint longWaitsUntil) const;
-  /// @return whether a change of leaders that explains the failed calls can end by @p until
+  /// @return whether a change of leaders that explains the silence of control can end by @p until
   [[nodiscard]] bool CanControlReturnBy(TimePoint until) const;
   /// @return false when @p maxWaiters requests wait already
   bool AddWaiter(const LimitKey& key, Waiter& waiter, std::size_t maxWaiters);
@@ -149,9 +149,11 @@
   std::condition_variable senderWakeUp_; ///< wakes the thread that calls control
   bool isSendRequested_ = false;
   bool stopping_ = false;
-  std::map<LimitKey, std::deque<Waiter*>> waiters_;    ///< by priority, then by longWaitsUntil
-  std::atomic<TimePoint> failingSince_{ TimePoint() }; ///< valid while calls fail
+  std::map<LimitKey, std::deque<Waiter*>> waiters_; ///< by priority, then by longWaitsUntil
+  /// Start of the first call since the last usable reply; the greatest time if there is none.
+  std::atomic<TimePoint> unansweredSince_{ TimePoint::max() };
   // Used only by the thread that calls control.
+  TimePoint failingSince_;
   std::uint64_t consecutiveFailures_ = 0;
   std::atomic<std::uint64_t> calls_{ 0 };
   std::atomic<std::uint64_t> failedCalls_{ 0 };
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -129,7 +129,9 @@
 
 bool TokenClient::CanControlReturnBy(TimePoint until) const
 {
-  return until >= failingSince_.load() + kLongestLeaderChange;
+  const TimePoint now = options_.clock->Now();
+  const TimePoint latest = std::min(unansweredSince_.load(), now) + kLongestLeaderChange;
+  return now < latest && until >= latest;
 }
 
 std::size_t TokenClient::MaxWaiters(bool isScarce, TimePoint longWaitsUntil) const
@@ -285,6 +287,9 @@
   for (const auto& ask : asks) {
     request.asks.push_back(ToWire(ask));
   }
+  if (unansweredSince_.load() == TimePoint::max()) {
+    unansweredSince_ = options_.clock->Now();
+  }
   wire::TokenReply reply;
   const auto done =
     options_.call([&](wire::ControlServiceIf& control) { control.AcquireTokens(reply, request); });
@@ -328,13 +333,14 @@
       Log(LogLevel::Warning, "tokens_unavailable", { { "error", error } });
     }
     ++failedCalls_;
-    isControlSilent_ = now - failingSince_.load() >= kMaxTokenWait;
+    isControlSilent_ = now - failingSince_ >= kMaxTokenWait;
     return;
   }
   lastAnswer_ = now;
+  unansweredSince_ = TimePoint::max();
   isControlSilent_ = false;
   if (consecutiveFailures_ > 0) {
-    const auto span = std::chrono::floor<std::chrono::milliseconds>(now - failingSince_.load());
+    const auto span = std::chrono::floor<std::chrono::milliseconds>(now - failingSince_);
     Log(LogLevel::Info,
         "tokens_available",
         { { "failed_calls", std::to_string(consecutiveFailures_) },
--- a/tests/node_test/token_client_test.cpp
+++ b/tests/node_test/token_client_test.cpp
@@ -320,7 +320,7 @@
 BOOST_AUTO_TEST_CASE(requests_do_not_wait_once_a_change_of_leaders_would_be_over)
 {
   DisconnectedNode node;
-  node.FailFor(std::chrono::milliseconds(1'000));
+  node.FailFor(std::chrono::milliseconds(1'200));
   std::jthread first([&](const std::stop_token& stop) {
     (void)node.tokens.Reserve({ .key = { "service", "account" } }, stop);
   });
