Give tokens to waiting requests in their order; findings of the linter

All waiting requests of an account were woken when fewer tokens came than they needed, and the first to run took one, whatever its priority; the_most_important_waiting_request_gets_the_first_token failed.

--- a/include/acaciapulley/node/detail/token_client.hpp
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -128,6 +128,8 @@
   /// @return false when @p maxWaiters requests wait already
   bool AddWaiter(const LimitKey& key, Waiter& waiter, std::size_t maxWaiters);
   void RemoveWaiter(const LimitKey& key, const Waiter& waiter);
+  /// @return the number of requests that get a token before @p waiter
+  [[nodiscard]] double PositionOf(const LimitKey& key, const Waiter& waiter);
   void WaitForWake(Waiter& waiter, Duration maxWait);
   void Wake(const LimitKey& key, std::size_t count);
   /// @return the result of the wait, if it has ended
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/node/detail/token_client.hpp"
 
-#include <algorithm> // find_if, max, min
+#include <algorithm> // find, find_if, max, min
 #include <tuple>     // tie
 #include <utility>   // move
 
@@ -227,6 +227,13 @@
   }
 }
 
+double TokenClient::PositionOf(const LimitKey& key, const Waiter& waiter)
+{
+  const std::lock_guard lock(mutex_);
+  const auto& waiting = waiters_.at(key);
+  return static_cast<double>(std::find(waiting.begin(), waiting.end(), &waiter) - waiting.begin());
+}
+
 void TokenClient::WaitForWake(Waiter& waiter, Duration maxWait)
 {
   waiter.point.WaitFor(std::min(maxWait, kMaxSleep));
@@ -239,6 +246,11 @@
   const Waiter& waiter)
 {
   const TimePoint now = options_.clock->Now();
+  const double available = table_.AvailableTokens(demand.key, now);
+  const bool isTurn = PositionOf(demand.key, waiter) < available;
+  if (available >= 1 && !isTurn && now < waiter.waitsUntil) {
+    return std::nullopt; // for the requests in front of it
+  }
   const auto taken = table_.TryReserve(
     demand.key,
     now,
--- a/tests/platform_test/translation_test.cpp
+++ b/tests/platform_test/translation_test.cpp
@@ -228,8 +228,8 @@
       .regionOf;
   };
   using Regions = acp::RegionsByDataCentre;
-  BOOST_TEST((regionsOf("") == Regions{}));
-  BOOST_TEST((regionsOf(R"(,"zones":null,"region":null)") == Regions{}));
+  BOOST_TEST(regionsOf("").empty());
+  BOOST_TEST(regionsOf(R"(,"zones":null,"region":null)").empty());
   BOOST_TEST((regionsOf(R"(,"region":"jawa")") == Regions{ { "jawa-a", "jawa" } }));
   const std::string zones = R"(,"zones":{"jawa-a":"jawa","bali-a":"bali"})";
   const Regions both{ { "jawa-a", "jawa" }, { "bali-a", "bali" } };
--- a/tests/platform_test/upstream_calls_test.cpp
+++ b/tests/platform_test/upstream_calls_test.cpp
@@ -230,10 +230,12 @@
   for (const std::string status :
        { "000", "00", "0", "099", "99", "-1", "-200", "600", "999", "1000", "0200" }) {
     for (const std::string rejection : { "", "Acaciapulley-Not-Executed: 1\r\n" }) {
-      upstream.SetResponse("HTTP/1.1 " + status + " X\r\nAcaciapulley-Instance-Id: i-1\r\n" +
-                             "Acaciapulley-Server-Load: 3,0,88\r\n" + rejection +
-                             "Content-Length: 0\r\n\r\n",
-                           acp::test::ConnectionEnd::Close);
+      std::string response = "HTTP/1.1 ";
+      response += status;
+      response += " X\r\nAcaciapulley-Instance-Id: i-1\r\nAcaciapulley-Server-Load: 3,0,88\r\n";
+      response += rejection;
+      response += "Content-Length: 0\r\n\r\n";
+      upstream.SetResponse(response, acp::test::ConnectionEnd::Close);
       const auto probe = Probe(upstream.ListenAddress());
       BOOST_TEST((probe.answer == acp::HealthAnswer::None), status);
       BOOST_TEST(!probe.found.has_value(), status);
--- a/tests/routing_test/announced_placement_test.cpp
+++ b/tests/routing_test/announced_placement_test.cpp
@@ -14,8 +14,10 @@
 public:
   Script()
   {
+    constexpr int kMembers = 6;
     std::vector<acp::RoutedMember> members;
-    for (int i = 0; i < 6; ++i) {
+    members.reserve(kMembers);
+    for (int i = 0; i < kMembers; ++i) {
       members.push_back({ .nodeId = "n" + std::to_string(i),
                           .epoch = 1,
                           .service = "s",
