--- a/bench/tokens/main.cpp
+++ b/bench/tokens/main.cpp
@@ -92,7 +92,7 @@
   void ReserveToken(const std::string& account)
   {
     const acp::TimePoint start = clock_.Now();
-    auto reservation = tokens_.Reserve({ .key = { kService, account } }, {});
+    auto reservation = tokens_.Reserve({ kService, account }, {});
     const auto waited = std::chrono::floor<std::chrono::microseconds>(clock_.Now() - start);
     counts_.waitedMicros += waited.count();
     if (reservation) {
--- a/include/acaciapulley/limits/token_lease_table.hpp
+++ b/include/acaciapulley/limits/token_lease_table.hpp
@@ -42,13 +42,6 @@
   Refused,  ///< the authority has no tokens; refuse the request
 };
 
-/// How long one request may wait for a token; never shortens TokenLeaseTableOptions::maxWait.
-struct TokenWait
-{
-  Duration usual{};        ///< while its account is known to use its whole rate
-  Duration whileUnknown{}; ///< while the authority cannot tell, as after a change of leaders
-};
-
 /// A reserved token.
 struct TokenReservation
 {
@@ -61,9 +54,8 @@
   ReserveStatus status = ReserveStatus::Wait;
   TokenReservation reservation; ///< valid when Reserved
   Duration retryAfter{};        ///< for `Retry-After` if Refused, until the next attempt if Wait
-  /// Whether the authority could not tell, at its last answer, if the account is within its rate.
-  /// If Refused, the refusal then counts as one within the rate in the record. A request whose wait
-  /// ended without an answer also counts as such.
+  /// If Refused: whether the refusal counts as one within the rate in the record. A request whose
+  /// wait ended without an answer also counts as such.
   bool mayBeWithinRate = false;
 };
 
@@ -92,9 +84,7 @@
   explicit TokenLeaseTable(const TokenLeaseTableOptions& options);
 
   /// @brief Reserves a token of @p key if one is available.
-  [[nodiscard]] ReserveResult TryReserve(const LimitKey& key,
-                                         TimePoint now,
-                                         const TokenWait& wait = {});
+  [[nodiscard]] ReserveResult TryReserve(const LimitKey& key, TimePoint now);
 
   /// @brief Marks a reserved token as spent.
   /// @return false if its lease has expired, for example because the process was frozen; the
--- a/include/acaciapulley/node/detail/token_client.hpp
+++ b/include/acaciapulley/node/detail/token_client.hpp
@@ -38,14 +38,6 @@
   ControlCall call;
 };
 
-/// A request that needs a rate token.
-struct TokenDemand
-{
-  LimitKey key;
-  int priority = 0; ///< waiting requests of an account are served in this order, 0 first
-  TokenWait wait;
-};
-
 /// Calls to control since the start of the node.
 struct TokenCallCounts
 {
@@ -93,16 +85,12 @@
   TokenClient& operator=(const TokenClient&) = delete;
   ~TokenClient();
 
-  /// @brief Reserves a token; waits for control if the node has none.
-  ///
-  /// While calls to control fail, requests wait if a change of leaders can end within their
-  /// TokenWait::whileUnknown. Of the other requests, one of each account waits, whose ask shows
-  /// when control replies again, and the rest is refused at once.
+  /// @brief Reserves a token; waits for control if the node has none. While calls to control keep
+  /// failing, one request of each account waits and the others are refused at once.
   /// @param callerGone ends the wait when the caller disconnects
   /// @return the token, or a refusal with 429 (rate exceeded) or 503 (control unreachable, or the
   /// caller gone)
-  OrRefusal<std::shared_ptr<Token>> Reserve(const TokenDemand& demand,
-                                            const std::stop_token& callerGone);
+  OrRefusal<std::shared_ptr<Token>> Reserve(const LimitKey& key, const std::stop_token& callerGone);
 
   [[nodiscard]] TokenCallCounts CallCounts() const;
 
@@ -110,31 +98,21 @@
   /// A request that waits for a token; owned by its thread.
   struct Waiter
   {
-    int priority = 0;
-    TimePoint waitsUntil;     ///< while control replies
-    TimePoint longWaitsUntil; ///< while control cannot tell whether the account is within its rate
     WaitPoint point;
     bool isWoken = false; ///< and has not tried to reserve a token since
   };
 
-  OrRefusal<std::shared_ptr<Token>> WaitForToken(const TokenDemand& demand,
+  OrRefusal<std::shared_ptr<Token>> WaitForToken(const LimitKey& key,
                                                  Waiter& waiter,
                                                  const std::stop_token& callerGone);
-  /// @return the number of requests that may wait together with one that waits until
-  /// @p longWaitsUntil
-  [[nodiscard]] std::size_t MaxWaiters(bool isScarce, TimePoint longWaitsUntil) const;
-  /// @return whether a change of leaders that explains the silence of control can end by @p until
-  [[nodiscard]] bool CanControlReturnBy(TimePoint until) const;
   /// @return false when @p maxWaiters requests wait already
   bool AddWaiter(const LimitKey& key, Waiter& waiter, std::size_t maxWaiters);
   void RemoveWaiter(const LimitKey& key, const Waiter& waiter);
-  /// @return the number of requests that get a token before @p waiter
-  [[nodiscard]] double PositionOf(const LimitKey& key, const Waiter& waiter);
   void WaitForWake(Waiter& waiter, Duration maxWait);
   void Wake(const LimitKey& key, std::size_t count);
   /// @return the result of the wait, if it has ended
-  std::optional<OrRefusal<std::shared_ptr<Token>>> TryFinishWait(const TokenDemand& demand,
-                                                                 const Waiter& waiter);
+  std::optional<OrRefusal<std::shared_ptr<Token>>> TryFinishWait(const LimitKey& key,
+                                                                 TimePoint deadline);
   void WakeSender();
   /// @return whether control sent a usable reply
   bool Send(const std::vector<TokenAsk>& asks);
@@ -151,9 +129,7 @@
   std::condition_variable senderWakeUp_; ///< wakes the thread that calls control
   bool isSendRequested_ = false;
   bool stopping_ = false;
-  std::map<LimitKey, std::deque<Waiter*>> waiters_; ///< by priority, then by longWaitsUntil
-  /// Start of the first call since the last usable reply; the greatest time if there is none.
-  std::atomic<TimePoint> unansweredSince_{ TimePoint::max() };
+  std::map<LimitKey, std::deque<Waiter*>> waiters_; ///< in the order of their arrival
   // Used only by the thread that calls control.
   TimePoint failingSince_;
   std::uint64_t consecutiveFailures_ = 0;
--- a/src/limits/token_lease_table.cpp
+++ b/src/limits/token_lease_table.cpp
@@ -41,7 +41,7 @@
   return shards_.at(HashOf(key) % kShardCount);
 }
 
-ReserveResult TokenLeaseTable::TryReserve(const LimitKey& key, TimePoint now, const TokenWait& wait)
+ReserveResult TokenLeaseTable::TryReserve(const LimitKey& key, TimePoint now)
 {
   Shard& shard = ShardOf(key);
   const std::lock_guard lock(shard.mutex);
@@ -57,9 +57,7 @@
     }
   }
   const Duration retryAfter = std::max(entry.refusedUntil - now, Duration::zero());
-  const Duration longestWait =
-    std::max(options_.maxWait, entry.mayBeWithinRate ? wait.whileUnknown : wait.usual);
-  const bool isRefused = retryAfter > longestWait;
+  const bool isRefused = retryAfter > options_.maxWait;
   return { .status = isRefused ? ReserveStatus::Refused : ReserveStatus::Wait,
            .reservation = {},
            .retryAfter = retryAfter,
--- a/src/node/request_pipeline.cpp
+++ b/src/node/request_pipeline.cpp
@@ -199,11 +199,7 @@
   if (!admitted.limitKey) {
     return TokenPtr();
   }
-  // No TokenWait: with waits of up to half of the target latency, the first six seconds of a burst
-  // on 68 nodes were worth 0.91, 0.79 and 0.71 in windows of 2 s, and 0.99, 0.95 and 0.95 without.
-  return tokens_.Reserve(
-    { .key = *admitted.limitKey, .priority = admitted.context.priority, .wait = {} },
-    exchange.CallerGone());
+  return tokens_.Reserve(*admitted.limitKey, exchange.CallerGone());
 }
 
 DispatchResult RequestPipeline::Impl::RunAdmitted(ServerExchange& exchange,
--- a/src/node/request_times.cpp
+++ b/src/node/request_times.cpp
@@ -14,13 +14,6 @@
 constexpr int kNestedQueueTimeoutDivisor = 2;
 constexpr int kRootQueueTimeoutDivisor = 5;
 
-Duration TimeToTarget(const RequestClass& requestClass, Duration remaining)
-{
-  return requestClass.targetLatency > Duration::zero()
-           ? std::min(requestClass.targetLatency, remaining)
-           : remaining;
-}
-
 } // namespace
 
 std::chrono::milliseconds ParseMillis(const HttpHeaders& headers, const char* field)
@@ -33,8 +26,10 @@
 
 Duration QueueTimeoutOf(const RequestClass& requestClass, Duration remaining, bool isNested)
 {
+  const Duration target =
+    requestClass.targetLatency > Duration::zero() ? requestClass.targetLatency : remaining;
   return isNested ? remaining / kNestedQueueTimeoutDivisor
-                  : TimeToTarget(requestClass, remaining) / kRootQueueTimeoutDivisor;
+                  : std::min(target, remaining) / kRootQueueTimeoutDivisor;
 }
 
 OrRefusal<std::chrono::milliseconds> RequestTimeout(const HttpRequestHead& head,
--- a/src/node/token_client.cpp
+++ b/src/node/token_client.cpp
@@ -1,7 +1,6 @@
 #include "acaciapulley/node/detail/token_client.hpp"
 
-#include <algorithm> // find, find_if, max, min
-#include <tuple>     // tie
+#include <algorithm> // min
 #include <utility>   // move
 
 #include "acaciapulley/core/log.hpp"    // Log
@@ -22,10 +21,6 @@
 constexpr double kBackoffJitter = 0.2;
 // A request waits at most this long for a token; the caller gets longer waits as Retry-After.
 constexpr Duration kMaxTokenWait = std::chrono::milliseconds(200);
-// A new leader is elected after about 0.5 s and grants again 0.3 s later
-// (docs/measurements-replication.md). Control that is silent for longer has lost more than a
-// leader.
-constexpr Duration kLongestLeaderChange = std::chrono::milliseconds(1100);
 // Answers wake the waiting requests; this bound is for leases that expire in between.
 constexpr Duration kMaxSleep = std::chrono::milliseconds(50);
 // Requests of one account that may wait concurrently while tokens are scarce; further ones are
@@ -127,48 +122,29 @@
   thread_.join();
 }
 
-bool TokenClient::CanControlReturnBy(TimePoint until) const
-{
-  const TimePoint now = options_.clock->Now();
-  const TimePoint latest = std::min(unansweredSince_.load(), now) + kLongestLeaderChange;
-  return now < latest && until >= latest;
-}
-
-std::size_t TokenClient::MaxWaiters(bool isScarce, TimePoint longWaitsUntil) const
-{
-  if (isControlSilent_.load() && !CanControlReturnBy(longWaitsUntil)) {
-    return kMaxWaitersWhenSilent;
-  }
-  return isScarce ? kMaxWaitersWhenScarce : kMaxWaiters;
-}
-
 OrRefusal<std::shared_ptr<TokenClient::Token>> TokenClient::Reserve(
-  const TokenDemand& demand,
+  const LimitKey& key,
   const std::stop_token& callerGone)
 {
-  const LimitKey& key = demand.key;
-  const TimePoint now = options_.clock->Now();
-  const auto taken = table_.TryReserve(key, now, demand.wait);
+  const auto taken = table_.TryReserve(key, options_.clock->Now());
   if (taken.status == ReserveStatus::Reserved) {
     return std::make_shared<Token>(*this, key, taken.reservation);
   }
   if (taken.status == ReserveStatus::Refused) {
     return RateExceededRefusal(taken.retryAfter);
   }
-  const Duration usualWait = std::max(kMaxTokenWait, demand.wait.usual);
-  Waiter waiter{ .priority = demand.priority,
-                 .waitsUntil = now + usualWait,
-                 .longWaitsUntil = now + std::max(usualWait, demand.wait.whileUnknown) };
+  Waiter waiter;
   const bool isScarce = taken.retryAfter > Duration::zero();
-  if (!AddWaiter(key, waiter, MaxWaiters(isScarce, waiter.longWaitsUntil))) {
-    if (isControlSilent_.load()) {
+  if (isControlSilent_.load()) {
+    if (!AddWaiter(key, waiter, kMaxWaitersWhenSilent)) {
       return RateUnavailableRefusal();
     }
+  } else if (!AddWaiter(key, waiter, isScarce ? kMaxWaitersWhenScarce : kMaxWaiters)) {
     return RateExceededRefusal(taken.retryAfter);
   }
   table_.AddWaiter(key);
   WakeSender();
-  auto waited = WaitForToken(demand, waiter, callerGone);
+  auto waited = WaitForToken(key, waiter, callerGone);
   table_.RemoveWaiter(key);
   RemoveWaiter(key, waiter);
   return waited;
@@ -181,11 +157,7 @@
   if (waiting.size() >= maxWaiters) {
     return false;
   }
-  const auto next = std::find_if(waiting.begin(), waiting.end(), [&waiter](const Waiter* other) {
-    return std::tie(waiter.priority, waiter.longWaitsUntil) <
-           std::tie(other->priority, other->longWaitsUntil);
-  });
-  waiting.insert(next, &waiter);
+  waiting.push_back(&waiter);
   return true;
 }
 
@@ -227,13 +199,6 @@
   }
 }
 
-double TokenClient::PositionOf(const LimitKey& key, const Waiter& waiter)
-{
-  const std::lock_guard lock(mutex_);
-  const auto& waiting = waiters_.at(key);
-  return static_cast<double>(std::find(waiting.begin(), waiting.end(), &waiter) - waiting.begin());
-}
-
 void TokenClient::WaitForWake(Waiter& waiter, Duration maxWait)
 {
   waiter.point.WaitFor(std::min(maxWait, kMaxSleep));
@@ -242,52 +207,38 @@
 }
 
 std::optional<OrRefusal<std::shared_ptr<TokenClient::Token>>> TokenClient::TryFinishWait(
-  const TokenDemand& demand,
-  const Waiter& waiter)
+  const LimitKey& key,
+  TimePoint deadline)
 {
   const TimePoint now = options_.clock->Now();
-  const double available = table_.AvailableTokens(demand.key, now);
-  const bool isTurn = PositionOf(demand.key, waiter) < available;
-  if (available >= 1 && !isTurn && now < waiter.waitsUntil) {
-    return std::nullopt; // for the requests in front of it
-  }
-  const auto taken = table_.TryReserve(
-    demand.key,
-    now,
-    { .usual = waiter.waitsUntil - now, .whileUnknown = waiter.longWaitsUntil - now });
+  const auto taken = table_.TryReserve(key, now);
   if (taken.status == ReserveStatus::Reserved) {
-    return std::make_shared<Token>(*this, demand.key, taken.reservation);
-  }
-  if (taken.status == ReserveStatus::Refused) {
-    return RateExceededRefusal(taken.retryAfter);
+    return std::make_shared<Token>(*this, key, taken.reservation);
   }
   const bool isAnswered = lastAnswer_.load() >= now - kMaxTokenWait;
-  const bool mayComeInTime =
-    isAnswered ? taken.mayBeWithinRate : CanControlReturnBy(waiter.longWaitsUntil);
-  if (now < (mayComeInTime ? waiter.longWaitsUntil : waiter.waitsUntil)) {
-    return std::nullopt;
-  }
-  if (isAnswered) {
+  if (taken.status == ReserveStatus::Refused || (now >= deadline && isAnswered)) {
     return RateExceededRefusal(taken.retryAfter);
   }
-  return RateUnavailableRefusal();
+  if (now >= deadline) {
+    return RateUnavailableRefusal();
+  }
+  return std::nullopt;
 }
 
-OrRefusal<std::shared_ptr<TokenClient::Token>> TokenClient::WaitForToken(
-  const TokenDemand& demand,
-  Waiter& waiter,
-  const std::stop_token& callerGone)
+OrRefusal<std::shared_ptr<TokenClient::Token>>
+TokenClient::WaitForToken(const LimitKey& key, Waiter& waiter, const std::stop_token& callerGone)
 {
+  const TimePoint deadline = options_.clock->Now() + kMaxTokenWait;
   const std::stop_callback onGone(callerGone, [&waiter] { waiter.point.Wake(); });
   while (true) {
     if (callerGone.stop_requested()) {
       return NotRunRefusal(
         503, Reason::CallerGone, "the caller disconnected while it waited for a rate token");
     }
-    if (auto end = TryFinishWait(demand, waiter)) {
+    if (auto end = TryFinishWait(key, deadline)) {
       return *std::move(end);
     }
-    WaitForWake(waiter, waiter.longWaitsUntil - options_.clock->Now());
+    WaitForWake(waiter, deadline - options_.clock->Now());
   }
 }
 
@@ -299,9 +250,6 @@
   for (const auto& ask : asks) {
     request.asks.push_back(ToWire(ask));
   }
-  if (unansweredSince_.load() == TimePoint::max()) {
-    unansweredSince_ = options_.clock->Now();
-  }
   wire::TokenReply reply;
   const auto done =
     options_.call([&](wire::ControlServiceIf& control) { control.AcquireTokens(reply, request); });
@@ -349,7 +297,6 @@
     return;
   }
   lastAnswer_ = now;
-  unansweredSince_ = TimePoint::max();
   isControlSilent_ = false;
   if (consecutiveFailures_ > 0) {
     const auto span = std::chrono::floor<std::chrono::milliseconds>(now - failingSince_);
