Report requests that were started ahead and lost their connection as connection_cut

They were counted as caller_gone, which is not logged, or as source_ended, which says that the body of a response ended early. requests_started_ahead_report_that_their_connection_was_ended failed.

--- a/include/acaciapulley/transport/detail/server_connection.hpp
+++ b/include/acaciapulley/transport/detail/server_connection.hpp
@@ -100,8 +100,8 @@
   [[nodiscard]] bool AwaitTurn(AheadRequest& request);
   /// Lets the first request that was started ahead respond, and waits for its end.
   NextStep FinishAhead();
-  /// Cancels the requests that were started ahead, and waits for their ends.
-  void DropAhead();
+  /// Cancels the requests that were started ahead, which end with @p end, and waits for them.
+  void DropAhead(RequestEnd end);
   /// Input must not be waited for while a response is written: a descriptor has one wait at a time.
   void StopReadingAhead();
   NextStep StepAfter(ConnectionExchange& exchange);
@@ -121,6 +121,7 @@
     false; ///< the caller has sent a request before it had the response before it
   TimePoint idleSince_;
   int requestCount_ = 0;
+  RequestEnd lastEnd_ = RequestEnd::Answered; ///< of the last request that was served
   std::atomic<bool> isAborted_{ false };
 };
 
--- a/include/acaciapulley/transport/detail/server_exchange.hpp
+++ b/include/acaciapulley/transport/detail/server_exchange.hpp
@@ -55,6 +55,9 @@
   void SetForwarding(Forwarding forwarding) override { forwarding_ = forwarding; }
   void Abort() override;
 
+  /// @brief Sets the end that is reported if the connection ends before the turn of the response.
+  void SetDroppedEnd(RequestEnd end) { droppedEnd_ = end; }
+
   /// @brief Returns whether the handler has started a response.
   [[nodiscard]] bool HasResponded() const { return hasResponded_; }
 
@@ -96,6 +99,7 @@
   ExchangeHooks hooks_;
   bool isFirst_; ///< the connection has carried no response and no earlier request waits for one
   bool isDropped_ = false; ///< the connection ended before the turn of the response
+  RequestEnd droppedEnd_ = RequestEnd::ConnectionCut;
   bool hasResponded_ = false;
   int status_ = 0;
   std::string outcome_;
--- a/include/acaciapulley/transport/request_end.hpp
+++ b/include/acaciapulley/transport/request_end.hpp
@@ -20,12 +20,13 @@
   HandlerFailed, ///< the handler threw an exception
   NoResponse,    ///< the handler returned without a response
   StopCut,       ///< the time for a stop was over
+  ConnectionCut, ///< the connection ended with an earlier response
 };
 
 template<>
 struct NameTable<RequestEnd>
 {
-  static constexpr std::array<EnumName<RequestEnd>, 8> kRows = { {
+  static constexpr std::array<EnumName<RequestEnd>, 9> kRows = { {
     { RequestEnd::Answered, "answered" },
     { RequestEnd::CallerGone, "caller_gone" },
     { RequestEnd::CallerSlow, "caller_slow" },
@@ -34,6 +35,7 @@
     { RequestEnd::HandlerFailed, "handler_failed" },
     { RequestEnd::NoResponse, "no_response" },
     { RequestEnd::StopCut, "stop_cut" },
+    { RequestEnd::ConnectionCut, "connection_cut" },
   } };
 };
 
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -25,8 +25,8 @@
 constexpr Duration kLingerPollInterval = std::chrono::milliseconds(100);
 // After a stop, a request in transit on an idle connection is still served.
 constexpr Duration kStopGrace = std::chrono::milliseconds(100);
-// Input that arrives this soon after a response was sent before the caller could have read it:
-// callers are at least 1 ms away.
+// Input that arrives this soon after a response was probably sent before the caller had read it. A
+// closer caller that does read it first only costs the wait for further input while a request runs.
 constexpr Duration kPipelinedInputGap = std::chrono::microseconds(500);
 constexpr Duration kLongestWait = std::chrono::hours(1);
 constexpr Duration kRefusalTimeout = std::chrono::seconds(1);
@@ -206,7 +206,8 @@
   } catch (const std::exception& e) {
     Log(LogLevel::Error, "connection_failed", { { "error", e.what() } });
   }
-  DropAhead();
+  const bool hasCallerLeft = next == NextStep::Continue || lastEnd_ == RequestEnd::CallerGone;
+  DropAhead(hasCallerLeft ? RequestEnd::CallerGone : RequestEnd::ConnectionCut);
   if (next == NextStep::CloseAfterResponse) {
     LingerAndClose();
     return;
@@ -325,10 +326,11 @@
   return request->next;
 }
 
-void ServerConnection::DropAhead()
+void ServerConnection::DropAhead(RequestEnd end)
 {
   StopReadingAhead();
   for (const auto& request : ahead_) {
+    request->exchange->SetDroppedEnd(end);
     request->isDropped = true;
     request->cancelled.request_stop();
     request->turnChanged.Wake();
@@ -418,10 +420,11 @@
 void ServerConnection::ReportServed(const ConnectionExchange& exchange)
 {
   ++requestCount_;
+  ServedRequest served = exchange.Served();
+  lastEnd_ = served.end;
   if (!server_.options->onServed) {
     return;
   }
-  ServedRequest served = exchange.Served();
   served.numberOnConnection = requestCount_;
   if (served.end != RequestEnd::Answered && isAborted_) {
     served.end = RequestEnd::StopCut;
--- a/src/transport/server_exchange.cpp
+++ b/src/transport/server_exchange.cpp
@@ -91,7 +91,8 @@
 bool ConnectionExchange::Send(std::string_view first, std::string_view second)
 {
   if (isDropped_) {
-    EndUnanswered(RequestEnd::SourceEnded);
+    // Not by IsPeerGone(): the connection may have been shut down on this side.
+    end_ = droppedEnd_;
     return false;
   }
   IoStatus status = IoStatus::Ok;
@@ -201,7 +202,7 @@
   }
   if (!isComplete) {
     // Earlier responses may still be on their way to a caller that reads.
-    if (end_ != RequestEnd::SourceEnded) {
+    if (end_ != RequestEnd::SourceEnded && !isDropped_) {
       connection_.Shutdown();
     }
     return StreamingResult::Incomplete;
--- a/tests/transport_test/pipelining_test.cpp
+++ b/tests/transport_test/pipelining_test.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/StreamSocketImpl.h>
 #include <sys/socket.h> // send
 
+#include <algorithm>          // count
 #include <condition_variable> // condition_variable
 #include <mutex>              // mutex
 #include <string>             // string, to_string
@@ -48,7 +49,8 @@
                 .maxConnections = 16,
                 .handler = [this](auto& e) { Handle(e); },
                 .runsInTasks = true,
-                .maxPipelined = maxPipelined })
+                .maxPipelined = maxPipelined,
+                .onServed = [this](const auto& served) { RecordEnd(served.end); } })
   {
   }
   ~EchoServer() { Unblock(); }
@@ -79,9 +81,22 @@
     held_.Wake();
   }
 
+  /// Returns how often requests ended with @p end.
+  std::ptrdiff_t CountEnds(acp::RequestEnd end)
+  {
+    const std::lock_guard lock(mutex_);
+    return std::count(ends_.begin(), ends_.end(), end);
+  }
+
   acp::HttpServer& Server() { return server_; }
 
 private:
+  void RecordEnd(acp::RequestEnd end)
+  {
+    const std::lock_guard lock(mutex_);
+    ends_.push_back(end);
+  }
+
   void Handle(acp::ServerExchange& exchange)
   {
     const std::string target = exchange.Request().target;
@@ -117,6 +132,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<std::string> started_;
+  std::vector<acp::RequestEnd> ends_;
   bool isUnblocked_ = false;
   acp::WaitPoint held_;
   acp::HttpServer server_;
@@ -350,6 +366,21 @@
   BOOST_TEST(BodiesOf(ReceiveUntil(socket, "/3 ;")) == "/hold ;/2 ;/3 ;");
 }
 
+// Guards against requests whose missing response is reported as their caller's doing, or as an
+// incomplete body, although the connection ended with the response in front of them.
+BOOST_AUTO_TEST_CASE(requests_started_ahead_report_that_their_connection_was_ended)
+{
+  EchoServer server(4);
+  auto socket = server.Connect();
+  Send(socket, Get("/abort") + Get("/hold") + Get("/3"));
+  BOOST_TEST(ReceiveUntil(socket, "").empty());
+  while (server.Server().Connections() > 0) {
+    acp::SleepFor(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(server.CountEnds(acp::RequestEnd::ConnectionCut) == 2);
+  BOOST_TEST(server.CountEnds(acp::RequestEnd::CallerGone) == 0);
+}
+
 // Guards against requests that go on after their caller has left, and against tasks that outlive
 // their connection.
 BOOST_AUTO_TEST_CASE(requests_started_ahead_end_when_the_caller_leaves)
