Ignore run times that an earlier instance of an upstream reports late

A late response replaced what the present instance had reported; late_report_of_an_earlier_instance_is_ignored failed. The tests of both placements share their fixture.

--- a/include/acaciapulley/admission/load_report.hpp
+++ b/include/acaciapulley/admission/load_report.hpp
@@ -59,7 +59,7 @@
 {
   Duration runTime{}; ///< at the present speed of the upstream
   Duration age{};     ///< of the newest sample
-  int instance = 0;   ///< number of the upstream's instance; changes with each start
+  int instance = 0;   ///< number of the upstream's instance; grows with each start
 };
 
 /// @brief Formats the value of `Acp-Run-Time` as `run-ms=N.NNN;age-ms=N;instance=N`.
--- a/include/acaciapulley/routing/expected_time.hpp
+++ b/include/acaciapulley/routing/expected_time.hpp
@@ -20,7 +20,7 @@
   std::string requestClass;
   double seconds = 0; ///< at the present speed of the upstream
   Duration age{};     ///< of the newest sample when the report arrived
-  /// Number of the upstream's instance at its node; changes with each start of the upstream.
+  /// Number of the upstream's instance at its node; grows with each start of the upstream.
   std::int64_t instance = 0;
 };
 
@@ -65,7 +65,8 @@
     TimePoint appliedAt;
   };
 
-  /// @brief Applies a report. A report of another instance discards all earlier ones.
+  /// @brief Applies a report. The first report of a later instance discards all earlier ones; those
+  /// of an earlier instance are ignored.
   ///
   /// A report with an age is smoothed over a time of that age: the upstream's speed changes many
   /// times a second, so a report of a second ago tells only the mean speed of that time.
--- a/src/routing/expected_time.cpp
+++ b/src/routing/expected_time.cpp
@@ -35,7 +35,10 @@
 
 void ReportedRunTimes::Apply(const RunTimeReport& report, TimePoint now)
 {
-  if (report.instance != instance_) {
+  if (report.instance < instance_) {
+    return; // A late response of an earlier instance.
+  }
+  if (report.instance > instance_) {
     entries_.clear();
     instance_ = report.instance;
   }
--- a/tests/routing_test/balancer_test.cpp
+++ b/tests/routing_test/balancer_test.cpp
@@ -4,37 +4,14 @@
 #include <string> // string
 #include <vector> // vector
 
-#include "acaciapulley/routing/balancer.hpp"
+#include "balancer_fixture.hpp" // BalancerFixture
 
 namespace {
 
 using std::chrono::seconds;
 
-/// A member table of one service, a clock, and a balancer with a fixed random sequence.
-struct Fixture
+struct Fixture : acp::test::BalancerFixture
 {
-  acp::ManualClock clock;
-  acp::MemberTable table;
-  std::int64_t version = 0;
-  unsigned state = 7;
-  acp::Balancer balancer{ { .localNodeId = "n0",
-                            .localDataCentre = "a",
-                            .members = &table,
-                            .random = [this] {
-                              state = state * 1664525U + 1013904223U;
-                              return static_cast<double>(state >> 8U) / (1U << 24U);
-                            } } };
-
-  static acp::RoutedMember Member(const std::string& node, const std::string& dataCentre = "a")
-  {
-    return { .nodeId = node, .epoch = 1, .service = "s", .dataCentre = dataCentre, .slots = 10 };
-  }
-
-  void Apply(const std::vector<acp::RoutedMember>& members)
-  {
-    table.Apply(1, ++version, members, clock.Now());
-  }
-
   std::string Pick(const std::vector<std::string>& tried = {})
   {
     const auto picked = balancer.Pick({ .service = "s", .tried = tried }, clock.Now());
--- a/tests/routing_test/learned_placement_test.cpp
+++ b/tests/routing_test/learned_placement_test.cpp
@@ -5,7 +5,7 @@
 #include <string>  // string
 #include <vector>  // vector
 
-#include "acaciapulley/routing/balancer.hpp"
+#include "balancer_fixture.hpp" // BalancerFixture
 
 namespace {
 
@@ -16,30 +16,8 @@
 
 /// A table of one service with 10 slots for each member, and the balancer of node n0 in data centre
 /// a. Requests end at once, unless a test keeps them running.
-struct Fixture
+struct Fixture : acp::test::BalancerFixture
 {
-  acp::ManualClock clock;
-  acp::MemberTable table;
-  std::int64_t version = 0;
-  unsigned state = 7;
-  acp::Balancer balancer{ { .localNodeId = "n0",
-                            .localDataCentre = "a",
-                            .members = &table,
-                            .random = [this] {
-                              state = state * 1664525U + 1013904223U;
-                              return static_cast<double>(state >> 8U) / (1U << 24U);
-                            } } };
-
-  static acp::RoutedMember Member(const std::string& node, const std::string& dataCentre = "a")
-  {
-    return { .nodeId = node, .epoch = 1, .service = "s", .dataCentre = dataCentre, .slots = 10 };
-  }
-
-  void Apply(const std::vector<acp::RoutedMember>& members)
-  {
-    table.Apply(1, ++version, members, clock.Now());
-  }
-
   void Report(const std::string& node,
               double millis,
               acp::Duration age = {},
@@ -266,6 +244,16 @@
   BOOST_TEST(restartedPicks > 60);
 }
 
+// Guards against a response of an earlier instance that arrives late and replaces the run times of
+// the one that runs now.
+BOOST_FIXTURE_TEST_CASE(late_report_of_an_earlier_instance_is_ignored, Fixture)
+{
+  acp::ReportedRunTimes reports;
+  reports.Apply({ .requestClass = kClass, .seconds = 0.05, .instance = 2 }, clock.Now());
+  reports.Apply({ .requestClass = kClass, .seconds = 0.01, .instance = 1 }, clock.Now());
+  BOOST_TEST(reports.Find(kClass, clock.Now())->seconds == 0.05);
+}
+
 // Guards against a member that never gets requests again after a time without them.
 BOOST_FIXTURE_TEST_CASE(member_without_requests_gets_its_share_again, Fixture)
 {
