--- a/include/acaciapulley/admission/gate.hpp
+++ b/include/acaciapulley/admission/gate.hpp
@@ -103,8 +103,8 @@
   /// @brief Sets the slots and the cold start duration from a new announcement of the upstream.
   void SetCapacity(int slots, Duration coldStart, TimePoint now);
 
-  /// @brief Sets a limit below the announced slots, as found by ConcurrencyKnee; nothing removes
-  /// it.
+  /// @brief Sets a limit below the announced slots, as found by ConcurrencyKnee, or removes it
+  /// (std::nullopt).
   void SetUsableLimit(std::optional<int> limit) { usableLimit_ = limit; }
 
   /// @brief Records the scheduling delay of a message: the time from ready to handled by the node.
--- a/include/acaciapulley/node/blocking_gate.hpp
+++ b/include/acaciapulley/node/blocking_gate.hpp
@@ -92,7 +92,7 @@
   /// it again. Running requests complete.
   void SetDraining(bool isDraining);
 
-  /// @brief Sets a limit below the announced slots; nothing removes it.
+  /// @brief Sets a limit below the announced slots, or removes it (std::nullopt).
   void SetUsableLimit(std::optional<int> limit);
 
   /// @brief Returns the threshold that callers should apply to requests of @p account.
--- a/include/acaciapulley/node/request_pipeline.hpp
+++ b/include/acaciapulley/node/request_pipeline.hpp
@@ -111,6 +111,7 @@
   /// this node's is among them, the local upstream gets no more requests. Must be called by one
   /// thread.
   void SetEvacuated(const std::set<std::string>& dataCentres);
+
   /// @brief Applies what the local upstream reports about how much longer it stays cold.
   void ReportWarmup(const WarmupReport& report);
 
--- a/include/acaciapulley/routing/balancer.hpp
+++ b/include/acaciapulley/routing/balancer.hpp
@@ -19,7 +19,9 @@
 
 namespace acp {
 
-/// Settings of learned placement, see docs/design/learned-placement.md.
+/// Settings of learned placement, see docs/design/learned-placement.md. The round trips are
+/// assumed, not measured: a connection within a data centre, and one between data centres of a
+/// region. One that is too long keeps more requests in the local data centre.
 struct LearnedPlacementOptions
 {
   /// Time for a request to another node of the data centre and its response.
--- a/src/config/fleet_check.cpp
+++ b/src/config/fleet_check.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/config/fleet_check.hpp"
 
-#include <algorithm> // any_of, find_first_of
+#include <algorithm> // find, none_of
 #include <map>       // map
 #include <set>       // set
 #include <utility>   // move
