Do not follow a leader hint to a replica that failed in the same call

ControlChannel followed each hint, also to a replica that had timed out or refused the connection a moment before in the same call. If the next replica in its list is the one that gives the hint, the call alternates between the two until it ends, and the next poll does the same.

A call now remembers which replicas have failed in it, ignores hints to them and goes on with one that it has not tried. The end of a kept connection does not count as a failure, since the replica may answer on a new one.

a_hint_to_a_replica_that_failed_in_the_same_call_is_not_followed fails without the change ("not_leader" instead of the reply); a_hint_to_a_replica_whose_kept_connection_ended_is_followed passes before and after.

--- a/include/acaciapulley/transport/control_channel.hpp
+++ b/include/acaciapulley/transport/control_channel.hpp
@@ -9,6 +9,7 @@
 #include <functional>         // function
 #include <memory>             // unique_ptr
 #include <mutex>              // mutex
+#include <set>                // set
 #include <vector>             // vector
 
 #include "acaciapulley/core/clock.hpp"                // Duration
@@ -45,7 +46,8 @@
   ControlChannel& operator=(const ControlChannel&) = delete;
   ~ControlChannel();
 
-  /// @brief Makes one call; follows leader hints and tries each replica once.
+  /// @brief Makes one call; follows leader hints and tries each replica once. A hint to a replica
+  /// that has already failed in this call is not followed.
   /// @param call receives the client and makes exactly one call on it; may run again with
   /// another replica, even if an earlier one has executed it and the reply was lost
   /// @return nothing, or NotLeader, Unreachable, Timeout, ConnectionLost or Refused
@@ -71,6 +73,8 @@
   class Connection;
   using ConnectionPtr = std::unique_ptr<Connection>;
   using ControlCall = std::function<void(wire::ControlServiceIf& control)>;
+  /// Indices of the replicas that have failed in one call.
+  using FailedReplicas = std::set<std::size_t>;
 
   bool AcquireSlot(TimePoint deadline);
   void ReleaseSlot();
@@ -80,9 +84,11 @@
   ConnectionPtr PopIdle(std::size_t replica);
   void Release(ConnectionPtr connection);
   void CloseIdle(std::size_t replica);
-  void TryNextAfter(std::size_t replica);
-  void FollowLeaderHint(const Address& leader, std::size_t from);
-  TransportResult<void> CallReplica(const ControlCall& call, std::size_t replica);
+  void TryNextAfter(std::size_t replica, const FailedReplicas& failed);
+  void FollowLeaderHint(const Address& leader, std::size_t from, const FailedReplicas& failed);
+  TransportResult<void> CallReplica(const ControlCall& call,
+                                    std::size_t replica,
+                                    FailedReplicas& failed);
   TransportResult<void> CallWithFailover(const ControlCall& call, TimePoint deadline);
 
   const ControlChannelOptions options_;
--- a/src/transport/control_channel.cpp
+++ b/src/transport/control_channel.cpp
@@ -126,28 +126,36 @@
   std::erase_if(idle_, [replica](const ConnectionPtr& idle) { return idle->Replica() == replica; });
 }
 
-void ControlChannel::TryNextAfter(std::size_t replica)
+void ControlChannel::TryNextAfter(std::size_t replica, const FailedReplicas& failed)
 {
   const std::lock_guard lock(mutex_);
   // Another thread may already have moved on to the leader.
-  if (leaderIndex_ == replica) {
-    leaderIndex_ = (replica + 1) % replicas_.size();
+  if (leaderIndex_ != replica) {
+    return;
+  }
+  leaderIndex_ = (replica + 1) % replicas_.size();
+  for (std::size_t i = 1; i < replicas_.size() && failed.contains(leaderIndex_); ++i) {
+    leaderIndex_ = (leaderIndex_ + 1) % replicas_.size();
   }
 }
 
-void ControlChannel::FollowLeaderHint(const Address& leader, std::size_t from)
+/// Continues with the replica that @p from has named. A replica that does not know yet that the
+/// named one is lost would otherwise send the call back to it until the call ends.
+void ControlChannel::FollowLeaderHint(const Address& leader,
+                                      std::size_t from,
+                                      const FailedReplicas& failed)
 {
   AddReplicas({ leader });
   {
     const std::lock_guard lock(mutex_);
     const auto found = std::find(replicas_.begin(), replicas_.end(), leader);
     const auto index = static_cast<std::size_t>(found - replicas_.begin());
-    if (found != replicas_.end() && index != from) {
+    if (found != replicas_.end() && !failed.contains(index)) {
       leaderIndex_ = index;
       return;
     }
   }
-  TryNextAfter(from);
+  TryNextAfter(from, failed);
 }
 
 void ControlChannel::AddReplicas(const std::vector<Address>& replicas)
@@ -189,13 +197,17 @@
   return replicas_.size();
 }
 
-TransportResult<void> ControlChannel::CallReplica(const ControlCall& call, std::size_t replica)
+TransportResult<void> ControlChannel::CallReplica(const ControlCall& call,
+                                                  std::size_t replica,
+                                                  FailedReplicas& failed)
 {
   const Address address = AddressOf(replica);
   const std::string where = address.ToString();
   bool isConnected = false;
+  bool isReused = false;
   try {
     ConnectionPtr connection = PopIdle(replica);
+    isReused = connection != nullptr;
     if (!connection) {
       connection = std::make_unique<Connection>(replica, address, options_.timeout);
     }
@@ -212,11 +224,12 @@
     Release(std::move(connection));
     return boost::outcome_v2::success();
   } catch (const wire::NotLeader& e) {
+    failed.insert(replica);
     const auto hint = Address::Parse(e.leaderRpcAddress);
     if (hint) {
-      FollowLeaderHint(hint.value(), replica);
+      FollowLeaderHint(hint.value(), replica, failed);
     } else {
-      TryNextAfter(replica);
+      TryNextAfter(replica, failed);
     }
     return Fail(TransportErrorCode::NotLeader, where + " is not the leader");
   } catch (const wire::ControlFailure& e) {
@@ -226,7 +239,11 @@
     const bool timedOut =
       transport != nullptr && transport->getType() == TTransportException::TIMED_OUT;
     CloseIdle(replica);
-    TryNextAfter(replica);
+    // The end of a connection that was kept open does not show that its replica is lost.
+    if (timedOut || !isReused) {
+      failed.insert(replica);
+    }
+    TryNextAfter(replica, failed);
     if (!isConnected) {
       return Fail(TransportErrorCode::Unreachable, where + ": " + e.what());
     }
@@ -242,9 +259,10 @@
 {
   TransportResult<void> result =
     Fail(TransportErrorCode::NotLeader, "no control replica is configured");
+  FailedReplicas failed;
   // One extra attempt reaches the leader that the last follower named.
   for (std::size_t i = 0; i < ReplicaCount() + 1; ++i) {
-    result = CallReplica(call, LeaderIndex());
+    result = CallReplica(call, LeaderIndex(), failed);
     const bool isFinal = result || result.error().code == TransportErrorCode::Refused;
     if (isFinal || std::chrono::steady_clock::now() >= deadline) {
       return result;
--- a/tests/transport_test/control_channel_test.cpp
+++ b/tests/transport_test/control_channel_test.cpp
@@ -48,6 +48,54 @@
   BOOST_TEST(follower.calls == 1);
 }
 
+// Guards against a call that goes back and forth between a lost replica and one that still names
+// it.
+BOOST_AUTO_TEST_CASE(a_hint_to_a_replica_that_failed_in_the_same_call_is_not_followed)
+{
+  acp::Address lost;
+  {
+    FakeControlReplica stopped(EchoNumber);
+    lost = stopped.ListenAddress();
+  }
+  FakeControlReplica namesLost([&](acp::wire::SyncReply&, const acp::wire::SyncRequest&) {
+    acp::wire::NotLeader error;
+    error.leaderRpcAddress = lost.ToString();
+    throw error;
+  });
+  FakeControlReplica other(EchoNumber);
+  acp::ControlChannel channel(
+    { .replicas = { lost, namesLost.ListenAddress(), other.ListenAddress() } });
+  BOOST_TEST(Sync(channel, 1) == "1");
+  BOOST_TEST(namesLost.calls == 1);
+  BOOST_TEST((channel.Preferred() == other.ListenAddress()));
+}
+
+// Guards against a kept connection that ends, such as after a restart, and makes the call avoid the
+// only leader.
+BOOST_AUTO_TEST_CASE(a_hint_to_a_replica_whose_kept_connection_ended_is_followed)
+{
+  acp::Address leaderAddress;
+  FakeControlReplica follower([&](acp::wire::SyncReply&, const acp::wire::SyncRequest&) {
+    acp::wire::NotLeader error;
+    error.leaderRpcAddress = leaderAddress.ToString();
+    throw error;
+  });
+  std::atomic<bool> endsConnection{ false };
+  FakeControlReplica leader(
+    [&](acp::wire::SyncReply& reply, const acp::wire::SyncRequest& request) {
+      if (endsConnection.exchange(false)) {
+        throw apache::thrift::transport::TTransportException("ended");
+      }
+      EchoNumber(reply, request);
+    });
+  leaderAddress = leader.ListenAddress();
+  acp::ControlChannel channel({ .replicas = { leaderAddress, follower.ListenAddress() } });
+  BOOST_TEST(Sync(channel, 1) == "1");
+  endsConnection = true;
+  BOOST_TEST(Sync(channel, 2) == "2");
+  BOOST_TEST(follower.calls == 1);
+}
+
 // Guards against a late reply that is returned to the next call on the same connection.
 BOOST_AUTO_TEST_CASE(late_reply_to_a_timed_out_call_never_reaches_the_next_call)
 {
