Send polls of a large fleet only to relays that call the leader

The leader of a large fleet chose the relay for a node by the hash of the node's id from all listed replicas, provided that any relay had called within 1 s. Nodes of a hash that fell on a lost replica were sent there until it returned or was replaced, and went without changes of the configuration meanwhile: up to 8.5 s with two frozen followers.

A relay now tells its address with RelayPolls, and the leader names only relays that have called within 1 s. A replica that cannot call has no confirmation to answer with, so that this is the evidence that is needed. Replicas of earlier versions send no address and are not named; the leader answers the polls itself then.

--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -96,6 +96,8 @@
   1: list<RelayedPoll> polls
   /// Version of the member list that the replica has; 0: none.
   2: i64 membersVersion
+  /// Address at which the replica listens for nodes; empty from replicas of earlier versions.
+  3: string relayRpcAddress
 }
 
 struct PollRelayReply {
--- a/include/acaciapulley/control/detail/rpc_handler.hpp
+++ b/include/acaciapulley/control/detail/rpc_handler.hpp
@@ -3,10 +3,10 @@
 /// @file
 /// Implementation of the Thrift service for nodes.
 
-#include <atomic> // atomic
 #include <string> // string
 
 #include "acaciapulley/control/detail/control_context.hpp" // ControlContext
+#include "acaciapulley/control/detail/relay_directory.hpp" // RelayDirectory
 #include "gen/ControlService.h"
 
 namespace acp::detail {
@@ -41,7 +41,7 @@
   Duration RequireLeadership(std::string_view call);
   wire::CommandReply Propose(std::string_view call, const wire::ControlCommand& command);
   void FillState(wire::SyncReply& reply, const wire::SyncRequest& request, Duration held);
-  void SendToRelay(const ReplicaStatus& status, const std::string& nodeId);
+  void SendToRelay(const std::string& nodeId);
   Duration RequireRelayedState();
   std::string EnsureFleetSecret();
   void FillMembers(wire::SyncReply& reply, const wire::SyncRequest& request);
@@ -51,7 +51,7 @@
   [[noreturn]] void ThrowFailure(std::string_view call, int code, const std::string& message);
 
   ControlContext& context_;
-  std::atomic<TimePoint> lastRelayedAt_{ TimePoint() }; ///< of the last RelayPolls
+  RelayDirectory relays_;
 };
 
 } // namespace acp::detail
--- a/include/acaciapulley/control/poll_relay.hpp
+++ b/include/acaciapulley/control/poll_relay.hpp
@@ -126,6 +126,7 @@
 struct PollRelayOptions
 {
   const Clock* clock = nullptr;
+  std::string rpcAddress; ///< at which nodes reach this replica
   /// Returns whether this replica follows a known leader.
   std::function<bool()> isFollower;
   /// Returns the index of the log up to which the local state is applied.
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -117,6 +117,7 @@
         { .callLeader = [this](const auto& call) { return CallLeader(leaderChannel_, call); } })
     , pollRelay_(
         { .clock = options.clock,
+          .rpcAddress = options.rpcAddress.ToString(),
           .isFollower = [this] { return IsFollower(); },
           .appliedIndex = [this] { return context_.log.Status().appliedIndex; },
           .callLeader = [this](const auto& call) { return CallLeader(pollChannel_, call); },
--- a/src/control/poll_relay.cpp
+++ b/src/control/poll_relay.cpp
@@ -176,6 +176,7 @@
 void PollRelay::Relay()
 {
   wire::PollRelayRequest request;
+  request.relayRpcAddress = options_.rpcAddress;
   std::vector<RelayedPolls::Entry> sent;
   const TimePoint sentAt = options_.clock->Now();
   {
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -1,8 +1,7 @@
 #include "acaciapulley/control/detail/rpc_handler.hpp"
 
-#include <algorithm>  // min
-#include <chrono>     // ceil
-#include <functional> // hash
+#include <algorithm> // min
+#include <chrono>    // ceil
 
 #include "acaciapulley/control/detail/control_wire.hpp" // FromWire, ToWire
 #include "acaciapulley/core/random.hpp"                 // RandomHex
@@ -13,8 +12,6 @@
 
 // Below the call timeout of 500 ms of nodes, so that the node receives the result.
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(400);
-// Several calls of a relay.
-constexpr Duration kMaxRelayCallAge = std::chrono::seconds(1);
 constexpr std::size_t kMaxIdentifierBytes = 128;
 constexpr std::size_t kMaxContentTypeBytes = 256;
 constexpr std::size_t kFleetSecretBytes = 32;
@@ -133,7 +130,7 @@
   }
   const ReplicaStatus status = context_.log.Status();
   if (status.isLeader) {
-    SendToRelay(status, request.nodeId);
+    SendToRelay(request.nodeId);
   } else if (context_.MayRelayPolls()) {
     context_.pollRelay->Record(ToPoll(request));
   }
@@ -158,25 +155,18 @@
 
 /// Refuses a poll that a relay can answer before any work is done for it. Otherwise the polls of a
 /// large fleet that restarts delay the calls by which the relays become able to answer.
-void RpcHandler::SendToRelay(const ReplicaStatus& status, const std::string& nodeId)
+void RpcHandler::SendToRelay(const std::string& nodeId)
 {
-  const bool haveRelaysCalled =
-    context_.clock.Now() - lastRelayedAt_.load() < kMaxRelayCallAge && context_.IsLargeFleet();
-  if (!haveRelaysCalled) {
+  if (!context_.IsLargeFleet()) {
     return;
   }
-  std::vector<std::string> relays;
-  for (const auto& replica : status.replicas) {
-    if (!replica.isSelf && !replica.rpcAddress.empty()) {
-      relays.push_back(replica.rpcAddress);
-    }
-  }
-  if (relays.empty()) {
+  const std::string relay = relays_.Select(nodeId, context_.clock.Now());
+  if (relay.empty()) {
     return;
   }
   context_.metrics.CountCall("sync", "sent_to_relay");
   wire::NotLeader toRelay;
-  toRelay.leaderRpcAddress = relays[std::hash<std::string>()(nodeId) % relays.size()];
+  toRelay.leaderRpcAddress = relay;
   throw toRelay;
 }
 
@@ -302,7 +292,9 @@
   for (const auto& relayed : request.polls) {
     polls.push_back(ToEntry(relayed, now));
   }
-  lastRelayedAt_ = now;
+  if (context_.IsLargeFleet()) {
+    relays_.RecordCall(request.relayRpcAddress, now);
+  }
   const std::lock_guard lock(context_.nodesMutex);
   RecordPolls(polls, leadership);
   reply.term = static_cast<std::int64_t>(leadership.term);
--- a/src/gen/control_types.cpp
+++ b/src/gen/control_types.cpp
@@ -1804,6 +1804,10 @@
 void PollRelayRequest::__set_membersVersion(const int64_t val) {
   this->membersVersion = val;
 }
+
+void PollRelayRequest::__set_relayRpcAddress(const std::string& val) {
+  this->relayRpcAddress = val;
+}
 std::ostream& operator<<(std::ostream& out, const PollRelayRequest& obj)
 {
   obj.printTo(out);
@@ -1860,6 +1864,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->relayRpcAddress);
+          this->__isset.relayRpcAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1893,6 +1905,10 @@
   xfer += oprot->writeI64(this->membersVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("relayRpcAddress", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->relayRpcAddress);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1902,17 +1918,20 @@
   using ::std::swap;
   swap(a.polls, b.polls);
   swap(a.membersVersion, b.membersVersion);
+  swap(a.relayRpcAddress, b.relayRpcAddress);
   swap(a.__isset, b.__isset);
 }
 
 PollRelayRequest::PollRelayRequest(const PollRelayRequest& other64) {
   polls = other64.polls;
   membersVersion = other64.membersVersion;
+  relayRpcAddress = other64.relayRpcAddress;
   __isset = other64.__isset;
 }
 PollRelayRequest& PollRelayRequest::operator=(const PollRelayRequest& other65) {
   polls = other65.polls;
   membersVersion = other65.membersVersion;
+  relayRpcAddress = other65.relayRpcAddress;
   __isset = other65.__isset;
   return *this;
 }
@@ -1921,6 +1940,7 @@
   out << "PollRelayRequest(";
   out << "polls=" << to_string(polls);
   out << ", " << "membersVersion=" << to_string(membersVersion);
+  out << ", " << "relayRpcAddress=" << to_string(relayRpcAddress);
   out << ")";
 }
 
--- a/src/gen/control_types.h
+++ b/src/gen/control_types.h
@@ -727,9 +727,10 @@
 std::ostream& operator<<(std::ostream& out, const RelayedPoll& obj);
 
 typedef struct _PollRelayRequest__isset {
-  _PollRelayRequest__isset() : polls(false), membersVersion(false) {}
+  _PollRelayRequest__isset() : polls(false), membersVersion(false), relayRpcAddress(false) {}
   bool polls :1;
   bool membersVersion :1;
+  bool relayRpcAddress :1;
 } _PollRelayRequest__isset;
 
 class PollRelayRequest : public virtual ::apache::thrift::TBase {
@@ -738,12 +739,14 @@
   PollRelayRequest(const PollRelayRequest&);
   PollRelayRequest& operator=(const PollRelayRequest&);
   PollRelayRequest() noexcept
-                   : membersVersion(0) {
+                   : membersVersion(0),
+                     relayRpcAddress() {
   }
 
   virtual ~PollRelayRequest() noexcept;
   std::vector<RelayedPoll>  polls;
   int64_t membersVersion;
+  std::string relayRpcAddress;
 
   _PollRelayRequest__isset __isset;
 
@@ -751,12 +754,16 @@
 
   void __set_membersVersion(const int64_t val);
 
+  void __set_relayRpcAddress(const std::string& val);
+
   bool operator == (const PollRelayRequest & rhs) const
   {
     if (!(polls == rhs.polls))
       return false;
     if (!(membersVersion == rhs.membersVersion))
       return false;
+    if (!(relayRpcAddress == rhs.relayRpcAddress))
+      return false;
     return true;
   }
   bool operator != (const PollRelayRequest &rhs) const {
--- a/tests/control_test/poll_relay_test.cpp
+++ b/tests/control_test/poll_relay_test.cpp
@@ -67,6 +67,35 @@
     changed.wait(lock, [&] { return calls >= wanted; });
   }
 
+  /// Makes the leader one that sends polls on, as the log lists a large fleet.
+  void LogLargeFleet()
+  {
+    acp::wire::ControlCommand command;
+    command.__isset.noteNodes = true;
+    for (int i = 0; i < static_cast<int>(acp::kMinRelayedNodes); ++i) {
+      acp::wire::NodeNote note;
+      note.nodeId = "n" + std::to_string(i);
+      note.serviceName = "orders";
+      note.event = acp::wire::NodeEvent::JOINED;
+      command.noteNodes.notes.push_back(note);
+    }
+    const std::lock_guard lock(mutex);
+    leaderSide.context.pollRelay = &relay;
+    leaderSide.log.followerRpcAddress = "127.0.0.1:7301";
+    BOOST_REQUIRE(leaderSide.context.Propose(command, std::chrono::seconds(1)).has_value());
+  }
+
+  /// Returns the replica to which the leader sends the poll of @p node on.
+  std::string RelayNamedTo(int node)
+  {
+    try {
+      Sync(leader, node);
+    } catch (const acp::wire::NotLeader& e) {
+      return e.leaderRpcAddress;
+    }
+    return "";
+  }
+
   acp::wire::SyncReply Sync(acp::detail::RpcHandler& handler, int node)
   {
     acp::wire::SyncRequest request;
@@ -93,6 +122,7 @@
                                                .log = followerLog,
                                                .state = leaderSide.state };
   acp::PollRelay relay{ { .clock = &leaderSide.clock,
+                          .rpcAddress = "127.0.0.1:7301",
                           .isFollower = [] { return true; },
                           .appliedIndex = [] { return std::uint64_t{ 1'000 }; },
                           .callLeader = [this](const auto& call) { return CallLeader(call); },
@@ -284,22 +314,11 @@
 // followers that take the fleet for a small one until they have heard the leader.
 BOOST_FIXTURE_TEST_CASE(a_restarted_fleet_is_known_to_be_large_from_the_log, RelayFixture)
 {
-  acp::wire::ControlCommand command;
-  command.__isset.noteNodes = true;
-  for (int i = 0; i < static_cast<int>(acp::kMinRelayedNodes); ++i) {
-    acp::wire::NodeNote note;
-    note.nodeId = "n" + std::to_string(i);
-    note.serviceName = "orders";
-    note.event = acp::wire::NodeEvent::JOINED;
-    command.noteNodes.notes.push_back(note);
-  }
   {
     const std::lock_guard lock(mutex);
     isCut = true;
-    leaderSide.context.pollRelay = &relay;
-    leaderSide.log.followerRpcAddress = "127.0.0.1:7301";
-    BOOST_REQUIRE(leaderSide.context.Propose(command, std::chrono::seconds(1)).has_value());
   }
+  LogLargeFleet();
   leaderSide.clock.Advance(std::chrono::seconds(10));
   // No relay has called yet: the leader is the only one that can answer.
   BOOST_TEST(Sync(leader, 1).relaysPolls);
@@ -316,12 +335,7 @@
   }
   AwaitCall();
   BOOST_TEST(Sync(follower, 1).relaysPolls);
-  try {
-    Sync(leader, 2);
-    BOOST_TEST(false);
-  } catch (const acp::wire::NotLeader& e) {
-    BOOST_TEST(e.leaderRpcAddress == "127.0.0.1:7301");
-  }
+  BOOST_TEST(RelayNamedTo(2) == "127.0.0.1:7301");
   {
     const std::lock_guard lock(mutex);
     isCut = true;
@@ -330,6 +344,24 @@
   BOOST_TEST(Sync(leader, 2).membersIncluded);
 }
 
+// Guards against nodes that the leader sends to a lost relay until it returns, so that a change is
+// not in force there in time.
+BOOST_FIXTURE_TEST_CASE(a_poll_is_not_sent_on_to_a_lost_relay, RelayFixture)
+{
+  LogLargeFleet();
+  leaderSide.log.followerRpcAddress = "127.0.0.1:7302";
+  AwaitCall();
+  for (int node = 0; node < 20; ++node) {
+    BOOST_TEST(RelayNamedTo(node) == "127.0.0.1:7301");
+  }
+  {
+    const std::lock_guard lock(mutex);
+    isCut = true;
+  }
+  leaderSide.clock.Advance(acp::detail::kMaxRelayCallAge);
+  BOOST_TEST(RelayNamedTo(1).empty());
+}
+
 // Guards against reports of nodes that a follower accepts and nobody stores.
 BOOST_FIXTURE_TEST_CASE(a_control_that_collects_reports_does_not_relay, RelayFixture)
 {
