--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -4,6 +4,7 @@
 /// Polls control for changes of the state and reports the node's upstream and counters.
 
 #include <condition_variable> // condition_variable
+#include <cstddef>            // size_t
 #include <cstdint>            // int64_t
 #include <functional>         // function
 #include <mutex>              // mutex
@@ -69,6 +70,7 @@
 private:
   void Run();
   bool PollOnce();
+  void CountPoll(bool succeeded, Duration ageBefore);
   void AddControlReplicas(const wire::SyncReply& reply);
   void SelectTokenRelay(const std::vector<Address>& replicas, const Address& leader);
   void SelectPollRelay(std::vector<Address> replicas, const Address& leader);
@@ -78,6 +80,7 @@
 
   SyncLoopOptions options_;
   std::int64_t membersVersion_ = 0;
+  std::size_t failedPolls_ = 0; ///< since the last one that succeeded
   std::set<std::string> reportedEvacuation_;
   std::vector<RoutedMember> members_;    ///< the list of membersVersion_
   std::vector<Address> relayCandidates_; ///< replicas from which the token relay was selected
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -135,7 +135,9 @@
   while (!stopping_) {
     woken_ = false;
     lock.unlock();
+    const Duration ageBefore = options_.stateCache->Age(options_.clock->Now());
     const bool succeeded = PollOnce();
+    CountPoll(succeeded, ageBefore);
     const Duration interval = options_.maxHold > Duration::zero() ? kLongPollPause : kPollInterval;
     const Duration pause = succeeded ? interval : backoff;
     backoff = succeeded ? kInitialBackoff : std::min(backoff * 2, kPollInterval);
@@ -147,6 +149,25 @@
   }
 }
 
+/// Logs the end of an outage, and how old the state had become by then.
+void SyncLoop::CountPoll(bool succeeded, Duration ageBefore)
+{
+  if (!succeeded) {
+    ++failedPolls_;
+    return;
+  }
+  const bool hadState = ageBefore != Duration::max();
+  if (failedPolls_ > 0 && hadState) {
+    Log(LogLevel::Info,
+        "polls_resumed",
+        { { "control", options_.syncChannel->Preferred().ToString() },
+          { "failed_polls", std::to_string(failedPolls_) },
+          { "state_age_ms",
+            std::to_string(std::chrono::round<std::chrono::milliseconds>(ageBefore).count()) } });
+  }
+  failedPolls_ = 0;
+}
+
 void SyncLoop::AddControlReplicas(const wire::SyncReply& reply)
 {
   std::vector<Address> addresses;
