Redirect polls only to relays that know that the fleet is large

A relay answers polls once a reply of the leader has told it that the fleet is large. A relay that called shortly before was named as well, refused the polls without naming another, and left its nodes without an answer for up to 1 s.

a_poll_is_not_sent_on_to_a_relay_that_takes_the_fleet_for_small fails where calls from before count.

--- a/include/acaciapulley/control/detail/relay_directory.hpp
+++ b/include/acaciapulley/control/detail/relay_directory.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Replicas to which the leader of a large fleet sends polls on.
+/// Replicas to which the leader of a large fleet redirects polls.
 
 #include <map>    // map
 #include <mutex>  // mutex
@@ -11,8 +11,8 @@
 
 namespace acp::detail {
 
-/// A relay is named to nodes if it has called the leader within this time: several calls of a
-/// relay. A relay that does not call cannot answer polls either.
+/// Nodes are redirected only to relays that have called the leader within this time, which is
+/// several calls long. A relay whose calls do not arrive cannot answer polls either.
 inline constexpr Duration kMaxRelayCallAge = std::chrono::seconds(1);
 
 /// The relays that currently call the leader. Thread-safe.
@@ -25,10 +25,13 @@
 class RelayDirectory
 {
 public:
-  /// @brief Records a call of the relay that nodes reach at @p rpcAddress. An address that nodes
-  /// cannot use is ignored.
+  /// @brief Records a call of the relay that nodes reach at @p rpcAddress. An invalid address is
+  /// ignored; replicas of earlier versions send none.
   void RecordCall(const std::string& rpcAddress, TimePoint now);
 
+  /// @brief Forgets all relays.
+  void Clear();
+
   /// @brief Returns the address of the relay for @p nodeId; the same one while the relays are the
   /// same.
   /// @return an empty string if no relay has called within kMaxRelayCallAge
--- a/include/acaciapulley/node/sync_loop.hpp
+++ b/include/acaciapulley/node/sync_loop.hpp
@@ -70,7 +70,7 @@
 private:
   void Run();
   bool PollOnce();
-  void CountPoll(bool succeeded, Duration ageBefore);
+  void RecordPollResult(bool succeeded, Duration ageBefore);
   void AddControlReplicas(const wire::SyncReply& reply);
   void SelectTokenRelay(const std::vector<Address>& replicas, const Address& leader);
   void SelectPollRelay(std::vector<Address> replicas, const Address& leader);
--- a/src/control/relay_directory.cpp
+++ b/src/control/relay_directory.cpp
@@ -22,6 +22,12 @@
   }
 }
 
+void RelayDirectory::Clear()
+{
+  const std::lock_guard lock(mutex_);
+  lastCallByAddress_.clear();
+}
+
 std::string RelayDirectory::Select(const std::string& nodeId, TimePoint now)
 {
   const std::lock_guard lock(mutex_);
--- a/src/control/rpc_handler.cpp
+++ b/src/control/rpc_handler.cpp
@@ -292,8 +292,11 @@
   for (const auto& relayed : request.polls) {
     polls.push_back(ToEntry(relayed, now));
   }
+  // A relay learns from the reply that it may answer polls, so that calls before do not count.
   if (context_.IsLargeFleet()) {
     relays_.RecordCall(request.relayRpcAddress, now);
+  } else {
+    relays_.Clear();
   }
   const std::lock_guard lock(context_.nodesMutex);
   RecordPolls(polls, leadership);
--- a/src/node/sync_loop.cpp
+++ b/src/node/sync_loop.cpp
@@ -137,7 +137,7 @@
     lock.unlock();
     const Duration ageBefore = options_.stateCache->Age(options_.clock->Now());
     const bool succeeded = PollOnce();
-    CountPoll(succeeded, ageBefore);
+    RecordPollResult(succeeded, ageBefore);
     const Duration interval = options_.maxHold > Duration::zero() ? kLongPollPause : kPollInterval;
     const Duration pause = succeeded ? interval : backoff;
     backoff = succeeded ? kInitialBackoff : std::min(backoff * 2, kPollInterval);
@@ -150,7 +150,7 @@
 }
 
 /// Logs the end of an outage, and how old the state had become by then.
-void SyncLoop::CountPoll(bool succeeded, Duration ageBefore)
+void SyncLoop::RecordPollResult(bool succeeded, Duration ageBefore)
 {
   if (!succeeded) {
     ++failedPolls_;
--- a/tests/control_test/poll_relay_test.cpp
+++ b/tests/control_test/poll_relay_test.cpp
@@ -67,8 +67,8 @@
     changed.wait(lock, [&] { return calls >= wanted; });
   }
 
-  /// Makes the leader one that sends polls on, as the log lists a large fleet.
-  void LogLargeFleet()
+  /// Lists a large fleet in the log, so that the leader redirects polls to relays.
+  void LogLargeFleet(const std::string& followerRpcAddress = "127.0.0.1:7301")
   {
     acp::wire::ControlCommand command;
     command.__isset.noteNodes = true;
@@ -81,11 +81,11 @@
     }
     const std::lock_guard lock(mutex);
     leaderSide.context.pollRelay = &relay;
-    leaderSide.log.followerRpcAddress = "127.0.0.1:7301";
+    leaderSide.log.followerRpcAddress = followerRpcAddress;
     BOOST_REQUIRE(leaderSide.context.Propose(command, std::chrono::seconds(1)).has_value());
   }
 
-  /// Returns the replica to which the leader sends the poll of @p node on.
+  /// Returns the replica to which the leader redirects the poll of @p node, or an empty string.
   std::string RelayNamedTo(int node)
   {
     try {
@@ -344,12 +344,10 @@
   BOOST_TEST(Sync(leader, 2).membersIncluded);
 }
 
-// Guards against nodes that the leader sends to a lost relay until it returns, so that a change is
-// not in force there in time.
+// Guards against nodes that get no changes because the leader redirects them to a lost relay.
 BOOST_FIXTURE_TEST_CASE(a_poll_is_not_sent_on_to_a_lost_relay, RelayFixture)
 {
-  LogLargeFleet();
-  leaderSide.log.followerRpcAddress = "127.0.0.1:7302";
+  LogLargeFleet("127.0.0.1:7302");
   AwaitCall();
   for (int node = 0; node < 20; ++node) {
     BOOST_TEST(RelayNamedTo(node) == "127.0.0.1:7301");
@@ -362,6 +360,25 @@
   BOOST_TEST(RelayNamedTo(1).empty());
 }
 
+// Guards against polls that no replica answers while a fleet becomes a large one.
+BOOST_FIXTURE_TEST_CASE(a_poll_is_not_sent_on_to_a_relay_that_takes_the_fleet_for_small,
+                        RelayFixture)
+{
+  AwaitCall();
+  {
+    const std::lock_guard lock(mutex);
+    isCut = true;
+  }
+  LogLargeFleet();
+  BOOST_TEST(RelayNamedTo(1).empty());
+  {
+    const std::lock_guard lock(mutex);
+    isCut = false;
+  }
+  AwaitCall();
+  BOOST_TEST(RelayNamedTo(1) == "127.0.0.1:7301");
+}
+
 // Guards against reports of nodes that a follower accepts and nobody stores.
 BOOST_FIXTURE_TEST_CASE(a_control_that_collects_reports_does_not_relay, RelayFixture)
 {
--- a/tests/transport_test/control_channel_test.cpp
+++ b/tests/transport_test/control_channel_test.cpp
@@ -48,8 +48,7 @@
   BOOST_TEST(follower.calls == 1);
 }
 
-// Guards against a call that goes back and forth between a lost replica and one that still names
-// it.
+// Guards against a call that alternates between a lost replica and one that still names it.
 BOOST_AUTO_TEST_CASE(a_hint_to_a_replica_that_failed_in_the_same_call_is_not_followed)
 {
   acp::Address lost;
@@ -70,8 +69,7 @@
   BOOST_TEST((channel.Preferred() == other.ListenAddress()));
 }
 
-// Guards against a kept connection that ends, such as after a restart, and makes the call avoid the
-// only leader.
+// Guards against a call that avoids the only leader because a kept connection to it ended.
 BOOST_AUTO_TEST_CASE(a_hint_to_a_replica_whose_kept_connection_ended_is_followed)
 {
   acp::Address leaderAddress;
