Hold heartbeats of several instances until a health answer names one

Cause: a node held back one heartbeat, that with the latest start, until a health answer confirmed it. A heartbeat of another writer, with a later start and a service outside the configuration, shut the upstream's own heartbeats out; its service has no health path, so that no check was ever sent and nothing took it away. A draining heartbeat became current without a check. On the same cause: a known service beside a running upstream, a check at the path of another writer's service, a start that a wrong clock put into the future, a departure beside a later odd start, a service that only a later configuration names.

A running upstream is displaced only by an instance that a health answer names, or once it drains or misses two heartbeats. Departures: 64 instead of 16, those of instances never heard give way first.

The price: one health check where an upstream is replaced without a word within two heartbeat intervals (3 s).

--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -127,4 +127,5 @@
 #include "acaciapulley/node/state_cache.hpp"
 #include "acaciapulley/node/sync_loop.hpp"
 #include "acaciapulley/node/upstream_finder.hpp"
+#include "acaciapulley/node/upstream_heartbeat.hpp"
 #include "acaciapulley/node/upstream_registry.hpp"
--- a/include/acaciapulley/node/upstream_registry.hpp
+++ b/include/acaciapulley/node/upstream_registry.hpp
@@ -3,9 +3,7 @@
 /// @file
 /// Which instance of the local upstream is current, and whether it still takes requests.
 
-#include <array>              // array
 #include <condition_variable> // condition_variable_any
-#include <cstdint>            // int64_t
 #include <functional>         // function
 #include <mutex>              // mutex
 #include <optional>           // optional
@@ -13,58 +11,13 @@
 #include <string>             // string
 #include <vector>             // vector
 
-#include "acaciapulley/admission/warmup_limit.hpp" // WarmupReport
-#include "acaciapulley/core/clock.hpp"             // Clock, Duration, TimePoint
-#include "acaciapulley/core/names.hpp"             // EnumName, NameTable
-#include "acaciapulley/node/local_upstream.hpp"    // Announcement
+#include "acaciapulley/admission/warmup_limit.hpp"          // WarmupReport
+#include "acaciapulley/core/clock.hpp"                      // Clock, Duration, TimePoint
+#include "acaciapulley/node/detail/upstream_candidates.hpp" // UpstreamCandidates
+#include "acaciapulley/node/upstream_heartbeat.hpp"         // HealthCheckResult, UpstreamHeartbeat
 
 namespace acp {
 
-/// An announcement with its place among all those of the upstreams at one address.
-struct UpstreamHeartbeat
-{
-  Announcement announcement;
-  std::int64_t startedAtMs = 0; ///< start of the upstream, Unix time; 0: not stated
-  std::int64_t sequence = 0;    ///< increases with each heartbeat of one start
-};
-
-/// The last call of an upstream before it ends.
-struct UpstreamDeparture
-{
-  std::string instanceId;
-  std::int64_t startedAtMs = 0; ///< start of the upstream, Unix time; 0: not stated
-};
-
-/// What an upstream says of itself in response to a health check.
-enum class HealthAnswer
-{
-  None,     ///< nothing that can be used
-  Rejected, ///< it had no room for the check
-  Ready,
-  NotReady, ///< it is failing or is leaving
-};
-
-template<>
-struct NameTable<HealthAnswer>
-{
-  static constexpr std::array<EnumName<HealthAnswer>, 4> kRows = { {
-    { HealthAnswer::None, "none" },
-    { HealthAnswer::Rejected, "rejected" },
-    { HealthAnswer::Ready, "ready" },
-    { HealthAnswer::NotReady, "not_ready" },
-  } };
-};
-
-/// Result of a health check.
-struct HealthCheckResult
-{
-  HealthAnswer answer = HealthAnswer::None;
-  std::string instanceId;                 ///< empty when not stated
-  std::optional<UpstreamHeartbeat> found; ///< when the upstream is ready and states its slots
-  TimePoint askedAt;                      ///< when the check was sent
-  std::optional<Duration> warmupLeft;     ///< how much longer the upstream stays cold, if stated
-};
-
 /// Construction options of an UpstreamRegistry.
 struct UpstreamRegistryOptions
 {
@@ -75,8 +28,11 @@
   std::function<void(const WarmupReport&)> reportWarmup;
   /// Returns whether the configuration has the service; by default each is known.
   std::function<bool(const std::string& service)> isKnownService;
-  /// Keeps the first heartbeat that says ready back until the upstream is known to run.
-  bool confirmsFirstHeartbeat = false;
+  /// Keeps heartbeats back until their instance is known to run: the first ones after the start of
+  /// the node, and those that would displace an upstream which still sends its own.
+  bool confirmsInstances = false;
+  /// How often an upstream sends a heartbeat. One that misses two is taken to have ended.
+  Duration heartbeatInterval = std::chrono::milliseconds(1500);
   /// A heartbeat that arrives later than this after the start of the node was sent after it: longer
   /// than heartbeats are delayed and than an upstream serves after its departure.
   Duration longestDelay = std::chrono::seconds(20);
@@ -85,22 +41,27 @@
 /// Tracks the upstream across restarts. Heartbeats are ordered by start and sequence, and a
 /// departure ends one start only, since old calls may arrive late. Calls may come from any thread.
 ///
-/// A node that has just started doesn't know which calls the process before it has acknowledged, so
-/// that a heartbeat which says ready may be older than an acknowledged departure, and so may any
-/// number of them. With UpstreamRegistryOptions::confirmsFirstHeartbeat the first one is kept back
-/// until there is evidence from after the start:
+/// What a heartbeat says of its own place in that order proves nothing. It may be late, of another
+/// writer, or of an upstream whose clock was wrong; and a node that has just started doesn't know
+/// which departures the process before it has acknowledged. With
+/// UpstreamRegistryOptions::confirmsInstances such heartbeats are candidates, side by side, until
+/// there is evidence from after the start:
 ///
-/// - a health check that the upstream answers with ready. A check that it rejects as full or does
-///   not answer proves nothing, and is repeated;
+/// - a health check that the upstream answers with ready names the instance that runs. A check that
+///   it rejects as full or does not answer proves nothing, and is repeated;
 /// - for an upstream that answers none, heartbeats that arrive later than
 ///   UpstreamRegistryOptions::longestDelay after the start.
+///
+/// A later start displaces the current one at once when that one is draining or silent. While the
+/// current one is neither, the other has to be named by a health answer. A candidate of a service
+/// outside the configuration waits until the configuration has the service.
 class UpstreamRegistry
 {
 public:
   explicit UpstreamRegistry(UpstreamRegistryOptions options);
 
-  /// @brief Applies a heartbeat.
-  /// @return whether it was newer than the last one and is not kept back
+  /// @brief Applies a heartbeat, or keeps it as a candidate.
+  /// @return whether it was applied
   bool ApplyHeartbeat(const UpstreamHeartbeat& heartbeat);
 
   /// @brief Marks the upstream as draining for good, unless it has started again since. A departure
@@ -108,15 +69,15 @@
   /// @return false when a later start of the same instance is known
   bool ApplyDeparture(const UpstreamDeparture& departure);
 
-  /// @brief Applies the result of a health check. It confirms a heartbeat that is kept back, or
-  /// makes the upstream known before its first heartbeat.
+  /// @brief Applies the result of a health check. It confirms a candidate, or makes the upstream
+  /// known before its first heartbeat.
   void ApplyHealthCheck(const HealthCheckResult& result);
 
-  /// @brief Returns whether the upstream is known and no heartbeat is kept back.
+  /// @brief Returns whether an upstream is known.
   [[nodiscard]] bool HasUpstream() const;
 
-  /// @brief Returns the service in the heartbeat that is kept back; empty if there is none.
-  [[nodiscard]] std::string ServiceToConfirm() const;
+  /// @brief Returns the services of the candidates, the one heard most recently first.
+  [[nodiscard]] std::vector<std::string> ServicesToConfirm();
 
   /// @brief Requests a health check; one that was sent before is no answer to the request.
   void RequestHealthCheck();
@@ -127,31 +88,45 @@
   /// @brief Withdraws the request for a health check, for a service that has none.
   void DropHealthCheckRequest();
 
-  /// @brief Waits for at most @p longest, until a heartbeat is kept back, a health check is
-  /// requested or @p stop is requested.
+  /// @brief Waits for at most @p longest, until there is a candidate, a health check is requested
+  /// or
+  /// @p stop is requested.
   void AwaitNeedOfCheck(const std::stop_token& stop, Duration longest);
 
 private:
+  /// What is done with a heartbeat.
+  enum class Verdict
+  {
+    Ignore,
+    KeepCandidate,
+    Apply,
+  };
+
   struct KnownDeparture
   {
     UpstreamDeparture departure;
     TimePoint heardAt;
+    bool wasKnown = false; ///< whether a heartbeat of the instance had been received
   };
 
-  [[nodiscard]] bool IsOfUnknownService(const UpstreamHeartbeat& heartbeat) const;
-  [[nodiscard]] bool IsOtherThanChecked(const UpstreamHeartbeat& heartbeat) const;
-  [[nodiscard]] bool MustConfirm(const UpstreamHeartbeat& heartbeat);
-  [[nodiscard]] bool MayHaveDeparted(const UpstreamHeartbeat& heartbeat);
-  [[nodiscard]] bool IsSentAfterStart(const UpstreamHeartbeat& heartbeat) const;
+  [[nodiscard]] Verdict Judge(const UpstreamHeartbeat& heartbeat);
+  [[nodiscard]] Verdict JudgeUnconfirmed(const UpstreamHeartbeat& heartbeat) const;
+  [[nodiscard]] bool IsKnownService(const std::string& service) const;
   [[nodiscard]] bool IsSameStart(const UpstreamHeartbeat& heartbeat) const;
-  [[nodiscard]] const UpstreamHeartbeat* FindKnown(const std::string& instanceId) const;
+  [[nodiscard]] bool IsCurrentGone() const;
+  [[nodiscard]] bool MayHaveStartedLater(const UpstreamHeartbeat& heartbeat);
+  [[nodiscard]] bool MayHaveDeparted(const UpstreamHeartbeat& heartbeat);
+  [[nodiscard]] bool IsSentAfterStart(const UpstreamHeartbeat& heartbeat);
+  [[nodiscard]] bool Proves(const HealthCheckResult& result,
+                            const detail::UpstreamCandidate& candidate) const;
+  [[nodiscard]] std::int64_t KnownStart(const std::string& instanceId) const;
   [[nodiscard]] KnownDeparture* FindDeparture(const std::string& instanceId);
   /// Returns whether the departure of @p heartbeat's start is known.
   bool HasDeparted(const UpstreamHeartbeat& heartbeat);
   void ForgetDeparture(const std::string& instanceId);
-  void KeepDeparture(const UpstreamDeparture& departure);
-  void KeepBack(const UpstreamHeartbeat& heartbeat);
-  void ApplyReady(const HealthCheckResult& result);
+  void KeepDeparture(const UpstreamDeparture& departure, bool wasKnown);
+  void KeepCandidate(const UpstreamHeartbeat& heartbeat);
+  void ApplyRunningInstance(const HealthCheckResult& result);
   void Confirm(const UpstreamHeartbeat& heartbeat, TimePoint receivedAt, const char* evidence);
   void Apply(const UpstreamHeartbeat& heartbeat, TimePoint receivedAt);
   void AnswerCheckRequest(TimePoint askedAt);
@@ -161,17 +136,15 @@
   TimePoint startedAt_;
   mutable std::mutex mutex_;
   std::optional<UpstreamHeartbeat> current_;
+  TimePoint currentHeardAt_; ///< last heartbeat or health answer of the current instance
   std::vector<KnownDeparture> departures_; ///< at most one of each instance, the oldest first
-  bool isConfirmed_ = false;
-  std::optional<UpstreamHeartbeat> keptBack_;
-  TimePoint keptBackAt_;      ///< when the heartbeat was received
-  bool saidNotReady_ = false; ///< in a health answer since the heartbeat was kept back
+  detail::UpstreamCandidates candidates_;
   HealthAnswer lastAnswer_ = HealthAnswer::None;
   /// Guards the fields below. Separate, because a check may be requested while a report is made,
   /// and taken after mutex_ where both are needed.
   mutable std::mutex checkMutex_;
   std::condition_variable_any checkNeeded_;
-  bool hasKeptBack_ = false;                  ///< a heartbeat since the last AwaitNeedOfCheck()
+  bool hasCandidate_ = false;                 ///< a new one since the last AwaitNeedOfCheck()
   std::optional<TimePoint> checkRequestedAt_; ///< of a health check that has not been answered
 };
 
--- a/src/node/upstream_finder.cpp
+++ b/src/node/upstream_finder.cpp
@@ -1,6 +1,6 @@
 #include "acaciapulley/node/upstream_finder.hpp"
 
-#include <algorithm>          // min
+#include <algorithm>          // find, min, rotate
 #include <chrono>             // milliseconds, minutes, seconds
 #include <condition_variable> // condition_variable_any
 #include <mutex>              // mutex, unique_lock
@@ -53,13 +53,15 @@
   const TimePoint startWindowEnd = options_.clock->Now() + kStartWindow;
   while (!stop.stop_requested()) {
     const bool isStarting = options_.clock->Now() < startWindowEnd;
-    const std::string kept = options_.registry->ServiceToConfirm();
     const bool isRequested = options_.registry->IsHealthCheckRequested();
-    if (!isRequested && kept.empty() && (options_.registry->HasUpstream() || !isStarting)) {
+    const std::vector<std::string> candidates = options_.registry->ServicesToConfirm();
+    const bool isSearching = isStarting && !options_.registry->HasUpstream();
+    if (!isRequested && candidates.empty() && !isSearching) {
       options_.registry->AwaitNeedOfCheck(stop, kIdleInterval);
       continue;
     }
-    const bool hasPath = CheckOnce(kept.empty() ? options_.service : kept, stop);
+    const auto service = ServiceToCheck(candidates, isRequested || isSearching);
+    const bool hasPath = service && CheckOnce(*service, stop);
     if (!options_.registry->HasUpstream()) {
       const Duration early = hasPath ? kCheckInterval : kPathPollInterval;
       SleepUnlessStopped(stop, isStarting ? early : kLateCheckInterval);
@@ -68,10 +70,34 @@
       unansweredChecks_ = isAnswered ? 0 : unansweredChecks_ + 1;
       SleepUnlessStopped(
         stop, unansweredChecks_ < kPromptChecks ? kRequestedCheckInterval : kRareCheckInterval);
+    } else if (!candidates.empty()) {
+      SleepUnlessStopped(stop, hasPath ? kCheckInterval : kLateCheckInterval);
     }
   }
 }
 
+std::optional<std::string> UpstreamFinder::ServiceToCheck(
+  const std::vector<std::string>& candidates,
+  bool includesOwn)
+{
+  std::vector<std::string> services;
+  for (const std::string& service : candidates) {
+    if (options_.healthPathOf(service)) {
+      services.push_back(service);
+    }
+  }
+  const auto own = std::find(services.begin(), services.end(), options_.service);
+  if (own != services.end()) {
+    std::rotate(services.begin(), own, own + 1);
+  } else if (includesOwn) {
+    services.push_back(options_.service);
+  }
+  if (services.empty()) {
+    return std::nullopt;
+  }
+  return services[nextService_++ % services.size()];
+}
+
 bool UpstreamFinder::CheckOnce(const std::string& service, const std::stop_token& stop)
 {
   const auto path = options_.healthPathOf(service);
@@ -86,6 +112,10 @@
   HealthCheckResult result =
     options_.check({ .service = service, .path = *path, .timeout = timeout_, .stop = stop });
   result.askedAt = askedAt;
+  if (service != options_.service) {
+    // The answer does not state the service, which another writer's heartbeat may have named.
+    result.found.reset();
+  }
   options_.registry->ApplyHealthCheck(result);
   const bool hasTimedOut =
     result.answer == HealthAnswer::None && options_.clock->Now() - askedAt >= timeout_;
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -11,7 +11,9 @@
 
 constexpr std::size_t kMaxShownBytes = 64;
 // Instances that follow each other at one address while their last calls may still be on the way.
-constexpr std::size_t kMaxDepartures = 16;
+constexpr std::size_t kMaxDepartures = 64;
+// In a row; a single one may be late.
+constexpr int kMissedHeartbeats = 2;
 
 /// Returns whether @p heartbeat follows @p known in the order of starts and sequences.
 bool IsNewerThan(const UpstreamHeartbeat& heartbeat, const std::optional<UpstreamHeartbeat>& known)
@@ -36,6 +38,7 @@
 UpstreamRegistry::UpstreamRegistry(UpstreamRegistryOptions options)
   : options_(std::move(options))
   , startedAt_(options_.clock->Now())
+  , candidates_(options_.isKnownService)
 {
 }
 
@@ -48,32 +51,64 @@
   return current_->startedAtMs == 0 || heartbeat.startedAtMs == current_->startedAtMs;
 }
 
-bool UpstreamRegistry::IsOfUnknownService(const UpstreamHeartbeat& heartbeat) const
+bool UpstreamRegistry::IsKnownService(const std::string& service) const
 {
-  return options_.isKnownService && current_ &&
-         !options_.isKnownService(heartbeat.announcement.service) &&
-         options_.isKnownService(current_->announcement.service);
+  return !options_.isKnownService || options_.isKnownService(service);
 }
 
-/// A health check does not report the start time, so that it cannot order two instances.
-bool UpstreamRegistry::IsOtherThanChecked(const UpstreamHeartbeat& heartbeat) const
+/// Returns whether the current upstream has announced its end or has fallen silent.
+bool UpstreamRegistry::IsCurrentGone() const
 {
-  return current_ && current_->startedAtMs == 0 &&
-         current_->announcement.instanceId != heartbeat.announcement.instanceId;
+  return current_->announcement.draining ||
+         options_.clock->Now() - currentHeardAt_ >= kMissedHeartbeats * options_.heartbeatInterval;
 }
 
-bool UpstreamRegistry::MustConfirm(const UpstreamHeartbeat& heartbeat)
+UpstreamRegistry::Verdict UpstreamRegistry::Judge(const UpstreamHeartbeat& heartbeat)
 {
-  if (!options_.confirmsFirstHeartbeat) {
-    return false;
+  if (!options_.confirmsInstances) {
+    return JudgeUnconfirmed(heartbeat);
   }
-  if (IsOtherThanChecked(heartbeat)) {
-    return true;
+  if (!IsNewerThan(heartbeat, current_)) {
+    return MayHaveStartedLater(heartbeat) ? Verdict::KeepCandidate : Verdict::Ignore;
   }
   if (MayHaveDeparted(heartbeat)) {
-    return true;
+    return Verdict::KeepCandidate;
+  }
+  const bool isOfCurrent = IsOfInstance(current_, heartbeat.announcement.instanceId);
+  if (HasDeparted(heartbeat) && !isOfCurrent) {
+    return Verdict::Ignore;
+  }
+  const bool keepsService =
+    isOfCurrent && current_->announcement.service == heartbeat.announcement.service;
+  if (!current_ || (!keepsService && !IsKnownService(heartbeat.announcement.service))) {
+    return Verdict::KeepCandidate;
   }
-  return !isConfirmed_ && !heartbeat.announcement.draining && !HasDeparted(heartbeat);
+  // A health check does not report the start time, so that it cannot order two instances.
+  const bool canBeOrdered = current_->startedAtMs != 0;
+  return isOfCurrent || (canBeOrdered && IsCurrentGone()) ? Verdict::Apply : Verdict::KeepCandidate;
+}
+
+UpstreamRegistry::Verdict UpstreamRegistry::JudgeUnconfirmed(
+  const UpstreamHeartbeat& heartbeat) const
+{
+  const bool displacesKnownService = current_ && !IsKnownService(heartbeat.announcement.service) &&
+                                     IsKnownService(current_->announcement.service);
+  return IsNewerThan(heartbeat, current_) && !displacesKnownService ? Verdict::Apply
+                                                                    : Verdict::Ignore;
+}
+
+/// Returns whether @p heartbeat, which states an earlier start than the current upstream, can be of
+/// its successor: the clocks of the two may differ.
+bool UpstreamRegistry::MayHaveStartedLater(const UpstreamHeartbeat& heartbeat)
+{
+  if (!IsCurrentGone() || heartbeat.startedAtMs == current_->startedAtMs) {
+    return false;
+  }
+  const bool isOfCurrent = IsOfInstance(current_, heartbeat.announcement.instanceId);
+  if (isOfCurrent && current_->announcement.draining) {
+    return false;
+  }
+  return MayHaveDeparted(heartbeat) || !HasDeparted(heartbeat);
 }
 
 /// Returns whether its instance departed without stating which start ended.
@@ -83,61 +118,62 @@
   return known != nullptr && known->departure.startedAtMs == 0 && !IsSameStart(heartbeat);
 }
 
-/// Returns whether @p heartbeat, which must be confirmed, proves by itself that its upstream runs.
-bool UpstreamRegistry::IsSentAfterStart(const UpstreamHeartbeat& heartbeat) const
+/// Returns whether @p heartbeat, of a candidate, proves by itself that its upstream runs.
+bool UpstreamRegistry::IsSentAfterStart(const UpstreamHeartbeat& heartbeat)
 {
-  return options_.clock->Now() - startedAt_ >= options_.longestDelay && !saidNotReady_ &&
-         IsOfInstance(keptBack_, heartbeat.announcement.instanceId) &&
-         keptBack_->startedAtMs == heartbeat.startedAtMs && IsNewerThan(heartbeat, keptBack_);
+  const detail::UpstreamCandidate* known = candidates_.FindStart(heartbeat);
+  if (known == nullptr || known->saidNotReady || known->heartbeat.sequence >= heartbeat.sequence ||
+      !IsKnownService(heartbeat.announcement.service) || MayHaveDeparted(heartbeat)) {
+    return false;
+  }
+  const TimePoint now = options_.clock->Now();
+  if (current_ && !IsCurrentGone()) {
+    return false;
+  }
+  const TimePoint earliest = IsNewerThan(heartbeat, current_) ? startedAt_ : known->firstHeardAt;
+  return now - earliest >= options_.longestDelay;
 }
 
 bool UpstreamRegistry::ApplyHeartbeat(const UpstreamHeartbeat& heartbeat)
 {
   const std::lock_guard lock(mutex_);
-  if (!IsNewerThan(heartbeat, current_)) {
-    return false;
-  }
-  if (IsOfUnknownService(heartbeat)) {
+  const Verdict verdict = Judge(heartbeat);
+  if (current_ && !IsKnownService(heartbeat.announcement.service) &&
+      IsKnownService(current_->announcement.service)) {
     Log(LogLevel::Warning,
         "heartbeat_of_unknown_service",
         { { "instance", heartbeat.announcement.instanceId.substr(0, kMaxShownBytes) },
           { "service", heartbeat.announcement.service.substr(0, kMaxShownBytes) } });
+  }
+  if (verdict == Verdict::Ignore) {
     return false;
   }
-  if (MustConfirm(heartbeat)) {
-    if (MayHaveDeparted(heartbeat) || !IsSentAfterStart(heartbeat)) {
-      KeepBack(heartbeat);
-      return false;
-    }
-    Confirm(heartbeat, options_.clock->Now(), "heartbeats");
+  if (verdict == Verdict::Apply) {
+    candidates_.RemoveInstance(heartbeat.announcement.instanceId, heartbeat.startedAtMs);
+    Apply(heartbeat, options_.clock->Now());
     return true;
   }
-  if (keptBack_ && !IsNewerThan(*keptBack_, heartbeat)) {
-    keptBack_.reset();
+  if (!IsSentAfterStart(heartbeat)) {
+    KeepCandidate(heartbeat);
+    return false;
   }
-  Apply(heartbeat, options_.clock->Now());
+  Confirm(heartbeat, options_.clock->Now(), "heartbeats");
   return true;
 }
 
-void UpstreamRegistry::KeepBack(const UpstreamHeartbeat& heartbeat)
+void UpstreamRegistry::KeepCandidate(const UpstreamHeartbeat& heartbeat)
 {
-  if (!IsNewerThan(heartbeat, keptBack_)) {
-    return;
-  }
-  const bool isSameStart = IsOfInstance(keptBack_, heartbeat.announcement.instanceId) &&
-                           keptBack_->startedAtMs == heartbeat.startedAtMs;
-  if (!isSameStart) {
-    saidNotReady_ = false;
+  if (candidates_.Add(heartbeat, options_.clock->Now())) {
     Log(LogLevel::Info,
         "upstream_to_confirm",
         { { "instance", heartbeat.announcement.instanceId },
-          { "started_at_ms", std::to_string(heartbeat.startedAtMs) } });
+          { "service", heartbeat.announcement.service },
+          { "started_at_ms", std::to_string(heartbeat.startedAtMs) },
+          { "current", current_ ? current_->announcement.instanceId : "" } });
   }
-  keptBack_ = heartbeat;
-  keptBackAt_ = options_.clock->Now();
   {
     const std::lock_guard lock(checkMutex_);
-    hasKeptBack_ = true;
+    hasCandidate_ = true;
   }
   checkNeeded_.notify_all();
 }
@@ -145,21 +181,24 @@
 void UpstreamRegistry::ApplyHealthCheck(const HealthCheckResult& result)
 {
   const std::lock_guard lock(mutex_);
-  if (keptBack_ && result.answer != lastAnswer_) {
+  if (candidates_.Size() > 0 && result.answer != lastAnswer_) {
     Log(LogLevel::Info,
         "upstream_health_answer",
         { { "answer", std::string(NameOf(result.answer)) },
-          { "instance", result.instanceId.substr(0, kMaxShownBytes) },
-          { "kept_back", keptBack_->announcement.instanceId } });
+          { "instance", result.instanceId.substr(0, kMaxShownBytes) } });
   }
   lastAnswer_ = result.answer;
-  // An upstream that has said that it leaves may then fall silent.
-  saidNotReady_ = saidNotReady_ || result.answer == HealthAnswer::NotReady;
+  if (result.answer == HealthAnswer::NotReady) {
+    // An upstream that has said that it leaves may then fall silent.
+    candidates_.MarkNotReady(result.askedAt);
+  }
   if (result.answer == HealthAnswer::Ready) {
     AnswerCheckRequest(result.askedAt);
     // First, so that the announcement that may follow is made with the reported state.
     ReportHealthWarmup(result);
-    ApplyReady(result);
+  }
+  if (!result.instanceId.empty()) {
+    ApplyRunningInstance(result);
   }
 }
 
@@ -182,24 +221,53 @@
   }
 }
 
-void UpstreamRegistry::ApplyReady(const HealthCheckResult& result)
+/// Returns whether @p result, which names the instance of @p candidate, lets it be used.
+bool UpstreamRegistry::Proves(const HealthCheckResult& result,
+                              const detail::UpstreamCandidate& candidate) const
+{
+  const bool isReady = result.answer == HealthAnswer::Ready;
+  if (!IsNewerThan(candidate.heartbeat, current_)) {
+    return isReady && IsCurrentGone();
+  }
+  // An instance that runs in the place of one that has been confirmed since the start of the node
+  // has made all its calls to this process. Of any other, an unknown departure may have been
+  // acknowledged, unless it says that it is ready.
+  const bool hasDisplaced = current_ && current_->startedAtMs != 0;
+  return isReady || hasDisplaced || candidate.heartbeat.announcement.draining;
+}
+
+/// Applies a health answer that names the instance which runs.
+void UpstreamRegistry::ApplyRunningInstance(const HealthCheckResult& result)
 {
+  const bool isReady = result.answer == HealthAnswer::Ready;
   if (const KnownDeparture* departure = FindDeparture(result.instanceId)) {
     if (result.askedAt <= departure->heardAt) {
       return;
     }
     if (departure->departure.startedAtMs == 0) {
+      if (!isReady) {
+        return;
+      }
       // The instance runs, so that the departure was that of an earlier start.
       ForgetDeparture(result.instanceId);
     }
   }
-  if (IsOfInstance(keptBack_, result.instanceId)) {
-    Confirm(*keptBack_, keptBackAt_, "health_answer");
-  } else if (!isConfirmed_ && result.found) {
-    // A heartbeat that is kept back is of an instance that no longer runs here.
+  const auto* candidate = candidates_.FindInstance(result.instanceId, true);
+  const bool isListed = candidates_.FindInstance(result.instanceId, false) != nullptr;
+  if (candidate != nullptr && Proves(result, *candidate)) {
+    const detail::UpstreamCandidate proved = *candidate;
+    Confirm(proved.heartbeat, proved.lastHeardAt, "health_answer");
+  } else if (!current_ && isReady && result.found && !isListed) {
     Confirm(*result.found, result.askedAt, "health_answer");
-  } else {
-    keptBack_.reset();
+  } else if (IsOfInstance(current_, result.instanceId) && !isListed) {
+    currentHeardAt_ = options_.clock->Now();
+  }
+  const std::size_t removed = candidates_.RemoveOthers(result.instanceId, result.askedAt);
+  if (removed > 0) {
+    Log(LogLevel::Info,
+        "upstreams_not_confirmed",
+        { { "count", std::to_string(removed) },
+          { "running", result.instanceId.substr(0, kMaxShownBytes) } });
   }
 }
 
@@ -210,24 +278,25 @@
   Log(LogLevel::Info,
       "upstream_confirmed",
       { { "instance", heartbeat.announcement.instanceId }, { "by", evidence } });
-  isConfirmed_ = true;
-  if (IsNewerThan(heartbeat, current_)) {
-    Apply(heartbeat, receivedAt);
-  }
-  // The argument may be the heartbeat that was kept back.
-  keptBack_.reset();
+  candidates_.RemoveInstance(heartbeat.announcement.instanceId, heartbeat.startedAtMs);
+  Apply(heartbeat, receivedAt);
 }
 
 bool UpstreamRegistry::HasUpstream() const
 {
   const std::lock_guard lock(mutex_);
-  return current_.has_value() && !keptBack_;
+  return current_.has_value();
 }
 
-std::string UpstreamRegistry::ServiceToConfirm() const
+std::vector<std::string> UpstreamRegistry::ServicesToConfirm()
 {
   const std::lock_guard lock(mutex_);
-  return keptBack_ ? keptBack_->announcement.service : "";
+  if (current_) {
+    // Those that displace nothing and are not heard of again need no further checks.
+    candidates_.RemoveHeardUntil(options_.clock->Now() -
+                                 kMissedHeartbeats * options_.heartbeatInterval);
+  }
+  return candidates_.Services();
 }
 
 void UpstreamRegistry::RequestHealthCheck()
@@ -255,8 +324,8 @@
 {
   std::unique_lock lock(checkMutex_);
   checkNeeded_.wait_for(
-    lock, stop, longest, [this] { return hasKeptBack_ || checkRequestedAt_.has_value(); });
-  hasKeptBack_ = false;
+    lock, stop, longest, [this] { return hasCandidate_ || checkRequestedAt_.has_value(); });
+  hasCandidate_ = false;
 }
 
 void UpstreamRegistry::Apply(const UpstreamHeartbeat& heartbeat, TimePoint receivedAt)
@@ -278,6 +347,7 @@
     Log(LogLevel::Info, "upstream_draining", { { "instance", applied.announcement.instanceId } });
   }
   current_ = applied;
+  currentHeardAt_ = options_.clock->Now();
   if (options_.reportWarmup) {
     // The heartbeat's own time, which may say that the same start has become cold again.
     options_.reportWarmup({ .service = heartbeat.announcement.service,
@@ -287,12 +357,15 @@
   options_.announce(applied.announcement);
 }
 
-const UpstreamHeartbeat* UpstreamRegistry::FindKnown(const std::string& instanceId) const
+/// Returns the start of an instance in its heartbeats; 0: there are none, or they do not state it.
+std::int64_t UpstreamRegistry::KnownStart(const std::string& instanceId) const
 {
   if (IsOfInstance(current_, instanceId)) {
-    return &*current_;
+    return current_->startedAtMs;
   }
-  return IsOfInstance(keptBack_, instanceId) ? &*keptBack_ : nullptr;
+  const auto* known = candidates_.FindInstance(instanceId, true);
+  const auto* any = known != nullptr ? known : candidates_.FindInstance(instanceId, false);
+  return any != nullptr ? any->heartbeat.startedAtMs : 0;
 }
 
 UpstreamRegistry::KnownDeparture* UpstreamRegistry::FindDeparture(const std::string& instanceId)
@@ -323,40 +396,49 @@
   });
 }
 
-void UpstreamRegistry::KeepDeparture(const UpstreamDeparture& departure)
+void UpstreamRegistry::KeepDeparture(const UpstreamDeparture& departure, bool wasKnown)
 {
   ForgetDeparture(departure.instanceId);
   if (departures_.size() == kMaxDepartures) {
-    departures_.erase(departures_.begin());
+    // Departures of instances that never sent a heartbeat may be of another writer.
+    const auto unknown = std::find_if(
+      departures_.begin(), departures_.end(), [](const auto& known) { return !known.wasKnown; });
+    departures_.erase(unknown != departures_.end() ? unknown : departures_.begin());
   }
-  departures_.push_back({ .departure = departure, .heardAt = options_.clock->Now() });
+  departures_.push_back(
+    { .departure = departure, .heardAt = options_.clock->Now(), .wasKnown = wasKnown });
 }
 
 bool UpstreamRegistry::ApplyDeparture(const UpstreamDeparture& departure)
 {
   const std::lock_guard lock(mutex_);
-  const UpstreamHeartbeat* known = FindKnown(departure.instanceId);
-  const std::int64_t knownStartMs = known != nullptr ? known->startedAtMs : 0;
-  if (departure.startedAtMs != 0 && departure.startedAtMs < knownStartMs) {
+  const bool isOfCurrent = IsOfInstance(current_, departure.instanceId);
+  const bool wasKnown =
+    isOfCurrent || candidates_.FindInstance(departure.instanceId, false) != nullptr;
+  const std::int64_t knownStartMs = KnownStart(departure.instanceId);
+  const std::int64_t endedStartMs =
+    departure.startedAtMs != 0 ? departure.startedAtMs : knownStartMs;
+  const bool isOutdated = endedStartMs < knownStartMs;
+  if (isOutdated) {
     Log(LogLevel::Info,
         "departure_outdated",
         { { "instance", departure.instanceId },
           { "started_at_ms", std::to_string(departure.startedAtMs) },
           { "known_started_at_ms", std::to_string(knownStartMs) } });
-    return false;
-  }
-  Log(LogLevel::Info, "upstream_left", { { "instance", departure.instanceId } });
-  KeepDeparture(
-    { .instanceId = departure.instanceId,
-      .startedAtMs = departure.startedAtMs != 0 ? departure.startedAtMs : knownStartMs });
-  if (IsOfInstance(keptBack_, departure.instanceId)) {
-    keptBack_.reset();
+    if (isOfCurrent) {
+      return false;
+    }
+  } else {
+    Log(LogLevel::Info, "upstream_left", { { "instance", departure.instanceId } });
   }
-  if (IsOfInstance(current_, departure.instanceId)) {
+  // The later start of a candidate is not confirmed, so that the departure is kept beside it.
+  KeepDeparture({ .instanceId = departure.instanceId, .startedAtMs = endedStartMs }, wasKnown);
+  candidates_.RemoveInstance(departure.instanceId, endedStartMs);
+  if (isOfCurrent) {
     current_->announcement.draining = true;
     options_.announce(current_->announcement);
   }
-  return true;
+  return !isOutdated;
 }
 
 } // namespace acp
