Format the finder's test after the rename of an option

confirmsInstances is shorter than the name before, so that the formatter places the initialisers otherwise.

--- a/tests/node_test/upstream_finder_test.cpp
+++ b/tests/node_test/upstream_finder_test.cpp
@@ -62,9 +62,9 @@
   }
 
   acp::ManualClock clock;
-  acp::UpstreamRegistry registry{ { .clock = &clock,
-                                    .announce = [](const auto& /*announcement*/) {},
-                                    .confirmsInstances = true } };
+  acp::UpstreamRegistry registry{
+    { .clock = &clock, .announce = [](const auto& /*announcement*/) {}, .confirmsInstances = true }
+  };
 
 private:
   std::mutex mutex_;
