Let a restarted node with an earlier epoch follow a silent process

A node that was started again after its host's clock had been set back would get no requests from other nodes for up to 15 s and no rate tokens for up to 32 s.

Cause: a node's epoch is its start by the wall clock. Control, relays and the rate authority took a lower epoch for a late message, however long the known process had been silent; nodes kept the member with the higher epoch while the leader listed the node.

Change: a process with a lower epoch follows one that has been silent for 3 s (IsFromEarlierProcess). Tokens of the earlier process stay counted until their leases end. Nodes follow the leader's list, whose versions are ordered.

Not played with real processes. Open: RecordCollector still drops the reports of such a node until its clock has caught up.

--- a/include/acaciapulley/acaciapulley.hpp
+++ b/include/acaciapulley/acaciapulley.hpp
@@ -14,6 +14,7 @@
 #include "acaciapulley/core/log.hpp"
 #include "acaciapulley/core/names.hpp"
 #include "acaciapulley/core/outcome.hpp"
+#include "acaciapulley/core/process_epoch.hpp"
 #include "acaciapulley/core/random.hpp"
 #include "acaciapulley/core/wait_point.hpp"
 
--- a/include/acaciapulley/control/live_nodes.hpp
+++ b/include/acaciapulley/control/live_nodes.hpp
@@ -38,7 +38,7 @@
 struct MemberInfo
 {
   std::string nodeId;
-  std::int64_t epoch = 0; ///< changes on each start of the node
+  std::int64_t epoch = 0; ///< changes on each start of the node; see IsFromEarlierProcess()
   std::string service;
   std::string dataCentre;
   std::string peerAddress; ///< `ip:port` of the peer listener of the node
--- a/include/acaciapulley/control/poll_relay.hpp
+++ b/include/acaciapulley/control/poll_relay.hpp
@@ -49,7 +49,7 @@
     std::uint64_t number = 0; ///< increases with each poll at this replica
   };
 
-  /// @brief Records a poll; polls of an older epoch of the same node are ignored.
+  /// @brief Records a poll; late polls of an earlier process of the same node are ignored.
   /// @return whether the node's member is new or has changed
   bool Record(const NodePoll& poll, TimePoint now);
 
--- a/include/acaciapulley/limits/rate_authority.hpp
+++ b/include/acaciapulley/limits/rate_authority.hpp
@@ -163,7 +163,7 @@
   void EndEarlyGrants(LimitState& state, TimePoint now) const;
   void Expire(LimitState& state, TimePoint now);
   void Settle(LimitState& state, Holder& holder, const TokenAsk& ask, TimePoint now) const;
-  void DetachEarlierEpoch(LimitState& state, const TokenAsk& ask);
+  void DetachEndedProcess(LimitState& state, const TokenAsk& ask, TimePoint now);
   [[nodiscard]] double Level(const LimitState& state, TimePoint now) const;
   [[nodiscard]] double Grantable(const LimitState& state, TimePoint now) const;
   [[nodiscard]] double Grant(const LimitState& state,
--- a/include/acaciapulley/routing/member_table.hpp
+++ b/include/acaciapulley/routing/member_table.hpp
@@ -28,7 +28,8 @@
 struct RoutedMember
 {
   std::string nodeId;
-  std::int64_t epoch = 0; ///< changes on each start of the member's node
+  /// Changes on each start of the member's node; the leader decides which one is later.
+  std::int64_t epoch = 0;
   std::string service;
   std::string dataCentre;
   std::string peerAddress; ///< ip:port of the node's peer listener
--- a/src/control/live_nodes.cpp
+++ b/src/control/live_nodes.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm> // min
 
+#include "acaciapulley/core/process_epoch.hpp" // IsFromEarlierProcess
+
 namespace acp {
 
 namespace {
@@ -46,7 +48,8 @@
 void LiveNodes::RecordPoll(const NodePoll& poll, TimePoint polledAt)
 {
   Entry& entry = byNode_[poll.nodeId];
-  if (entry.epoch > poll.epoch || entry.lastPollAt > polledAt) {
+  if (entry.lastPollAt > polledAt ||
+      IsFromEarlierProcess(poll.epoch, entry.epoch, polledAt - entry.lastPollAt)) {
     return;
   }
   entry.epoch = poll.epoch;
--- a/src/control/poll_relay.cpp
+++ b/src/control/poll_relay.cpp
@@ -4,6 +4,7 @@
 #include <utility>   // move
 
 #include "acaciapulley/control/detail/control_wire.hpp" // FromWire, ToWire
+#include "acaciapulley/core/process_epoch.hpp"          // IsFromEarlierProcess
 #include "gen/ControlService.h"
 
 namespace acp {
@@ -31,7 +32,7 @@
 bool RelayedPolls::Record(const NodePoll& poll, TimePoint now)
 {
   Entry& entry = byNode_[poll.nodeId];
-  if (entry.poll.epoch > poll.epoch) {
+  if (IsFromEarlierProcess(poll.epoch, entry.poll.epoch, now - entry.polledAt)) {
     return false;
   }
   const bool isChanged = entry.poll.member != poll.member;
--- a/src/limits/rate_authority.cpp
+++ b/src/limits/rate_authority.cpp
@@ -4,6 +4,8 @@
 #include <cmath>     // floor, isfinite
 #include <string>    // string, to_string
 
+#include "acaciapulley/core/process_epoch.hpp" // IsFromEarlierProcess
+
 namespace acp {
 
 namespace {
@@ -177,7 +179,7 @@
   if (!state.holders.contains(ask.nodeId) && state.holders.size() >= options_.maxHoldersPerLimit) {
     return Fail(LimitsErrorCode::TooManyHolders, ask.key.account + " at " + ask.key.service);
   }
-  DetachEarlierEpoch(state, ask);
+  DetachEndedProcess(state, ask, now);
   Holder& holder = state.holders[ask.nodeId];
   if (holder.epoch > ask.epoch) {
     return Fail(LimitsErrorCode::StaleAsk,
@@ -270,10 +272,11 @@
   holder.outstanding = kept;
 }
 
-void RateAuthority::DetachEarlierEpoch(LimitState& state, const TokenAsk& ask)
+void RateAuthority::DetachEndedProcess(LimitState& state, const TokenAsk& ask, TimePoint now)
 {
   const auto found = state.holders.find(ask.nodeId);
-  if (found == state.holders.end() || found->second.epoch >= ask.epoch) {
+  if (found == state.holders.end() || found->second.epoch == ask.epoch ||
+      IsFromEarlierProcess(ask.epoch, found->second.epoch, now - found->second.lastAsk)) {
     return;
   }
   if (found->second.outstanding > 0) {
--- a/src/routing/member_table.cpp
+++ b/src/routing/member_table.cpp
@@ -96,10 +96,6 @@
   std::vector<MemberState> next;
   for (const RoutedMember& info : members) {
     MemberState* known = Find(info.nodeId);
-    if (known != nullptr && known->info.epoch > info.epoch) {
-      next.push_back(std::move(*known));
-      continue;
-    }
     if (known != nullptr && known->info.epoch == info.epoch) {
       MemberState state = std::move(*known);
       // A list older than the member's refusal must not end the drain that the refusal reported.
--- a/tests/control_test/poll_relay_test.cpp
+++ b/tests/control_test/poll_relay_test.cpp
@@ -229,6 +229,35 @@
   BOOST_TEST(nodes.Members()[0].draining);
 }
 
+// Guards against a node that is shut out because its clock was set back before it was started
+// again, and against a late poll of an earlier process that is taken for news.
+BOOST_AUTO_TEST_CASE(process_with_an_earlier_epoch_follows_one_that_is_silent)
+{
+  acp::TimePoint now{ std::chrono::hours(1) };
+  acp::LiveNodes nodes;
+  nodes.BeginTerm(1);
+  acp::RelayedPolls polls;
+  acp::NodePoll draining = MakePoll(1);
+  draining.epoch = 9;
+  draining.member->draining = true;
+  const auto isDraining = [&](const acp::NodePoll& poll) {
+    polls.Record(poll, now);
+    nodes.RecordPoll(poll, now);
+    nodes.Publish(now);
+    BOOST_REQUIRE(nodes.Members().size() == 1U);
+    const bool isDrainingAtRelay = polls.Unsent(now).front().poll.member->draining;
+    BOOST_TEST(isDrainingAtRelay == nodes.Members()[0].draining);
+    return isDrainingAtRelay;
+  };
+  BOOST_TEST(isDraining(draining));
+  now += std::chrono::seconds(2);
+  BOOST_TEST(isDraining(MakePoll(1)));
+  now += std::chrono::seconds(1);
+  BOOST_TEST(!isDraining(MakePoll(1)));
+  now += std::chrono::seconds(1);
+  BOOST_TEST(!isDraining(MakePoll(1)));
+}
+
 // Guards against a new leader that never hears nodes whose polls went to the old one.
 BOOST_AUTO_TEST_CASE(polls_are_sent_once_and_all_of_them_to_a_new_leader)
 {
--- a/tests/limits_test/rate_authority_test.cpp
+++ b/tests/limits_test/rate_authority_test.cpp
@@ -65,6 +65,24 @@
   BOOST_TEST((ErrorOf(ask) == acp::LimitsErrorCode::StaleAsk));
 }
 
+// Guards against a node that gets no tokens because its clock was set back before it was started
+// again, and against tokens of its earlier process that are granted twice.
+BOOST_FIXTURE_TEST_CASE(process_with_an_earlier_epoch_follows_one_that_is_silent, Fixture)
+{
+  auto before = Ask("a", 1, 5);
+  before.epoch = 9;
+  BOOST_TEST(Acquire(before).value().granted == 5.0);
+  clock.Advance(milliseconds(2'000));
+  BOOST_TEST((ErrorOf(Ask("a", 1, 5)) == acp::LimitsErrorCode::StaleAsk));
+  clock.Advance(milliseconds(1'000));
+  const auto level = authority.BalanceOf(kKey, clock.Now()).level;
+  BOOST_TEST(Acquire(Ask("a", 1, 1)).value().granted == 1.0);
+  const auto balance = authority.BalanceOf(kKey, clock.Now());
+  BOOST_TEST(balance.outstanding == 1.0);
+  BOOST_TEST(balance.level == level - 1.0);
+  BOOST_TEST(Acquire(Ask("a", 2, 1)).value().granted == 1.0);
+}
+
 // Guards against tokens of a lost answer that stay outstanding after the node has sent a new ask.
 BOOST_FIXTURE_TEST_CASE(next_ask_frees_the_tokens_of_a_lost_answer, Fixture)
 {
--- a/tests/routing_test/balancer_test.cpp
+++ b/tests/routing_test/balancer_test.cpp
@@ -245,6 +245,19 @@
   BOOST_TEST(Capacity("n1") == 1.0);
 }
 
+// Guards against a member that keeps what its node's earlier process announced, because the clock
+// of the host was set back in between.
+BOOST_FIXTURE_TEST_CASE(member_with_an_earlier_epoch_replaces_the_known_one, Fixture)
+{
+  auto member = Member("n1");
+  member.epoch = 9;
+  Apply({ member });
+  member.epoch = 2;
+  member.slots = 30;
+  Apply({ member });
+  BOOST_TEST(Capacity("n1") == 30.0);
+}
+
 // Guards against slow upstreams that keep their share, also when they are the local one or the only
 // one of the local data centre, against latencies compared across classes, and against slow members
 // that are not used when the others are near their limit or are never tried again.
